--- /dev/null
+++ b/Makefile
@@ -0,0 +1,33 @@
+VENV ?= .venv
+PY := $(VENV)/bin/python
+WEIGHTS ?=
+SEED ?= 1
+export PYTHONPATH := src:.
+
+.PHONY: demo test install format gen
+
+$(VENV)/.installed: requirements.lock pyproject.toml
+	test -x $(PY) || python3 -m venv $(VENV)
+	$(PY) -m pip install -q --disable-pip-version-check -r requirements.lock
+	$(PY) -m pip install -q --disable-pip-version-check --no-deps --no-build-isolation -e .
+	touch $@
+
+install: $(VENV)/.installed
+
+demo: install
+	$(PY) -m carobstand.local $(if $(WEIGHTS),--weights $(WEIGHTS))
+
+test: install
+	$(PY) -m ruff format --check .
+	$(PY) -m ruff check .
+	$(PY) -m pytest
+
+format:
+	$(PY) -m ruff format .
+	$(PY) -m ruff check --fix .
+
+# Needs Debian's thrift-compiler; the generated code is committed.
+gen:
+	rm -rf build/gen && mkdir -p build/gen
+	thrift --gen py -out build/gen src/carobstand/wire/messages.thrift
+	cp build/gen/carobstand/wire/gen/*.py src/carobstand/wire/gen/
--- /dev/null
+++ b/src/carobstand/agent/__init__.py
@@ -0,0 +1,1 @@
+"""The agent beside each backend server."""
--- /dev/null
+++ b/src/carobstand/cli/__init__.py
@@ -0,0 +1,1 @@
+"""Operator programs."""
--- /dev/null
+++ b/src/carobstand/core/__init__.py
@@ -0,0 +1,1 @@
+"""Pure decisions: time, randomness and messages are arguments."""
--- /dev/null
+++ b/src/carobstand/entry/__init__.py
@@ -0,0 +1,1 @@
+"""The entry: caller HTTP, routing, retries, planning."""
--- /dev/null
+++ b/src/carobstand/entry/state.py
@@ -0,0 +1,82 @@
+"""State that the loops of an entry share."""
+
+import attrs
+
+from carobstand import signals
+
+
+@attrs.define(eq=False)
+class AgentPeer:
+    """An agent connected to this entry.
+
+    `heartbeat` is None until the first one; `heard_at` is on the loop's clock, in
+    seconds.
+    """
+
+    conn: object
+    hello: object
+    heartbeat: object = None
+    heard_at: float = 0.0
+    leaving: bool = False
+
+
+@attrs.define(eq=False)
+class EntryPeer:
+    """Another entry connected to this one."""
+
+    conn: object
+    hello: object
+    peer_state: object = None
+    heard_at: float = 0.0
+
+
+@attrs.define(eq=False)
+class EntryState:
+    """State of one entry process.
+
+    Attributes
+    ----------
+    cfg : settings.EntrySettings
+    start_id : str
+        Random, new at each process start.
+    store : platform.store.Store
+    vm_list : platform.vms.VmList
+    table : core.table.Table or None
+        Last table in force; written by `entry.control`.
+    plans : dict of str to core.planner.Plan
+        Last plan in force per service; written by `entry.control`.
+    vms : tuple of platform.vms.Vm
+        Last VM list read; written by `entry.control`.
+    agents : dict of str to AgentPeer
+        By VM; written by `entry.peers`.
+    entries : dict of str to EntryPeer
+        By VM; written by `entry.peers`.
+    attempt_floor : int
+        Lowest open attempt id; written by `entry.dispatch`.
+    demands : list of ttypes.Demand
+        Demand seen by this entry, for other entries; written by `entry.dispatch`.
+    suspects : core.suspects state, shared with other entries
+    store_up : bool
+        Whether the last store call got an answer; written by `entry.control`.
+    leaving : bool
+    changed : signals.Signal
+        Notified at each change of the above.
+    """
+
+    cfg: object
+    start_id: str
+    store: object = None
+    vm_list: object = None
+    table: object = None
+    plans: dict = attrs.field(factory=dict)
+    vms: tuple = ()
+    agents: dict = attrs.field(factory=dict)
+    entries: dict = attrs.field(factory=dict)
+    attempt_floor: int = 1
+    demands: list = attrs.field(factory=list)
+    suspects: object = None
+    store_up: bool = False
+    leaving: bool = False
+    changed: signals.Signal = attrs.field(factory=signals.Signal)
+    agent_lost: list = attrs.field(factory=list)
+    metrics: object = None
--- /dev/null
+++ b/src/carobstand/errors.py
@@ -0,0 +1,92 @@
+"""Exceptions of carobstand. Each names the step and the peer at which it arose."""
+
+
+class CarobstandError(Exception):
+    """Base of all errors raised by carobstand.
+
+    Parameters
+    ----------
+    message : str
+        What went wrong, and what is allowed where that is known.
+    step : str
+        The operation that failed, for example ``"store.put"``.
+    peer : str
+        Address or name of the other side, empty if there is none.
+    """
+
+    def __init__(self, message, *, step="", peer=""):
+        super().__init__(message)
+        self.message = message
+        self.step = step
+        self.peer = peer
+
+    def __str__(self):
+        where = " ".join(
+            part
+            for part in (
+                f"step={self.step}" if self.step else "",
+                f"peer={self.peer}" if self.peer else "",
+            )
+            if part
+        )
+        return f"{self.message} [{where}]" if where else self.message
+
+
+class InvariantError(CarobstandError):
+    """An invariant of the design does not hold; the process must not go on."""
+
+
+class SettingsError(CarobstandError):
+    """A setting is missing, unknown or out of range."""
+
+
+class TableError(CarobstandError):
+    """A table is malformed."""
+
+
+class ConflictError(CarobstandError):
+    """Another writer changed the same value."""
+
+
+class StoreError(CarobstandError):
+    """The configuration store gave no usable answer."""
+
+
+class StoreUnavailableError(StoreError):
+    """The configuration store did not answer; a write may have taken effect."""
+
+
+class OriginError(CarobstandError):
+    """The origin of weights gave no usable answer."""
+
+
+class BackendError(CarobstandError):
+    """A backend server refused a call or gave no usable answer."""
+
+
+class BackendDiedError(BackendError):
+    """A backend server closed its connection before its answer was complete."""
+
+
+class WireError(CarobstandError):
+    """A frame or message between processes is malformed or too large."""
+
+
+class ConnectionClosedError(CarobstandError):
+    """The connection to another process ended."""
+
+
+class HandshakeError(CarobstandError):
+    """Another process was refused at the start of a connection."""
+
+
+class WeightsError(CarobstandError):
+    """Weights or a manifest are malformed or failed verification."""
+
+
+class MemoryLimitError(WeightsError):
+    """Weights do not fit into the memory set aside for them."""
+
+
+class TimelineError(CarobstandError):
+    """A log file cannot be read as JSON lines."""
--- /dev/null
+++ b/src/carobstand/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Interfaces of the outside systems and their HTTP adapters."""
--- /dev/null
+++ b/src/carobstand/platform/http.py
@@ -0,0 +1,54 @@
+"""HTTP calls to the platform, with its failures as typed errors."""
+
+import httpx
+
+
+def client(base_url, timeout_s=5.0, **options):
+    """Return an httpx client for one outside system.
+
+    Parameters
+    ----------
+    base_url : str
+    timeout_s : float
+        Longest wait for each of connect, read and write.
+    **options
+        Passed on to ``httpx.AsyncClient``.
+
+    Returns
+    -------
+    client : httpx.AsyncClient
+    """
+    return httpx.AsyncClient(
+        base_url=base_url, timeout=timeout_s, trust_env=False, **options
+    )
+
+
+async def call(client, error, step, method, path, *, allowed=(200,), **options):
+    """Send one request and check its status.
+
+    Parameters
+    ----------
+    client : httpx.AsyncClient
+    error : callable of (message, step=, peer=)
+        Builds the exception raised when no usable answer arrives.
+    step : str
+        Name of the operation, for the error.
+    method, path : str
+    allowed : tuple of int
+        Statuses that the caller handles.
+    **options
+        Passed on to ``client.request``.
+
+    Returns
+    -------
+    response : httpx.Response
+    """
+    peer = str(client.base_url)
+    try:
+        response = await client.request(method, path, **options)
+    except (httpx.HTTPError, httpx.InvalidURL, OSError) as exc:
+        detail = str(exc) or type(exc).__name__
+        raise error(f"no answer: {detail}", step=step, peer=peer) from exc
+    if response.status_code not in allowed:
+        raise error(f"status {response.status_code}", step=step, peer=peer)
+    return response
--- /dev/null
+++ b/src/carobstand/signals.py
@@ -0,0 +1,28 @@
+"""Wake-up of tasks that wait for a change of shared state."""
+
+import anyio
+import attrs
+
+
+@attrs.define
+class Signal:
+    """Wakes every waiter at each notification."""
+
+    _event: anyio.Event = attrs.field(factory=anyio.Event)
+
+    def notify(self):
+        """Wake all tasks that wait now."""
+        event, self._event = self._event, anyio.Event()
+        event.set()
+
+    async def wait(self, timeout_s):
+        """Wait for the next notification, at most `timeout_s` seconds.
+
+        Returns
+        -------
+        notified : bool
+        """
+        event = self._event
+        with anyio.move_on_after(timeout_s):
+            await event.wait()
+        return event.is_set()
--- /dev/null
+++ b/src/carobstand/wire/__init__.py
@@ -0,0 +1,1 @@
+"""Messages and connections between processes."""
