--- /dev/null
+++ b/src/carobstand/standin/web.py
@@ -0,0 +1,297 @@
+"""ASGI plumbing shared by the stand-ins, with fault switches and a control path."""
+
+import errno
+import json
+import socket
+import urllib.parse
+
+import anyio
+import attrs
+import hypercorn.asyncio
+import hypercorn.config
+
+from carobstand import errors
+from carobstand.standin import faults
+
+CONTROL_PREFIX = "/standin/"
+"""Paths of the stand-in's own controls; faults do not affect them."""
+
+BACKLOG = 1024
+"""Connections that wait to be accepted; several hundred clients start at once."""
+
+PIECE_BYTES = 64 * 1024
+"""Body bytes sent at a time."""
+
+
+class HangUp(Exception):
+    """The connection of the request is closed without (the rest of) an answer."""
+
+
+@attrs.frozen
+class Request:
+    """A request with its whole body. `client` is the (host, port) of its sender."""
+
+    method: str
+    path: str
+    query: dict
+    headers: dict
+    body: bytes
+    client: tuple
+
+    def json(self):
+        """Return the body as a JSON object; raise ValueError for anything else."""
+        value = json.loads(self.body)
+        if not isinstance(value, dict):
+            raise ValueError("the body is not a JSON object")
+        return value
+
+
+@attrs.frozen
+class Response:
+    """An answer. `body` is bytes, or an async iterator of bytes."""
+
+    status: int = 200
+    body: object = b""
+    headers: tuple = ()
+
+
+def json_response(value, status=200, headers=()):
+    """Return `value` as a JSON `Response`."""
+    headers = (("content-type", "application/json"), *headers)
+    return Response(status, json.dumps(value).encode(), headers)
+
+
+def error_response(status, message):
+    """Return a JSON `Response` that carries an error message."""
+    return json_response({"error": message}, status)
+
+
+class _Listener(socket.socket):
+    """Listening socket that remembers what it accepted, so it can be closed."""
+
+    def accept(self):
+        """Accept a connection and remember it by its address."""
+        conn, address = super().accept()
+        self.accepted = {
+            peer: other
+            for peer, other in getattr(self, "accepted", {}).items()
+            if other.fileno() != -1
+        }
+        self.accepted[address[:2]] = conn
+        return conn, address
+
+
+@attrs.define(eq=False)
+class Site:
+    """One stand-in at one address.
+
+    Attributes
+    ----------
+    name : str
+    handle : async callable of (Request,) returning Response
+    stats : callable returning a dict
+        Counters for ``GET /standin/stats``.
+    switches : faults.Switches
+    address : str
+        ``host:port``, known once bound.
+    """
+
+    name: str
+    handle: object
+    stats: object = dict
+    switches: faults.Switches = attrs.field(factory=faults.Switches)
+    listener: object = None
+    address: str = ""
+
+    @property
+    def url(self):
+        """Base URL of the stand-in."""
+        return f"http://{self.address}"
+
+
+def bind(site, address="127.0.0.1:0"):
+    """Listen on `address`; port 0 takes a free port.
+
+    Raises
+    ------
+    SettingsError
+        If the address is malformed or in use.
+    """
+    host, _, port = address.rpartition(":")
+    listener = _Listener(socket.AF_INET, socket.SOCK_STREAM)
+    listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    try:
+        listener.bind((host, int(port)))
+        listener.listen(BACKLOG)
+    except (OSError, OverflowError, ValueError) as exc:
+        listener.close()
+        in_use = getattr(exc, "errno", None) == errno.EADDRINUSE
+        reason = "address is in use" if in_use else str(exc)
+        raise errors.SettingsError(
+            f"cannot listen on {address}: {reason}; give a free host:port",
+            step=f"{site.name}.listen",
+            peer=address,
+        ) from exc
+    listener.setblocking(False)
+    site.listener = listener
+    site.address = "{}:{}".format(*listener.getsockname()[:2])
+    return site
+
+
+def hang_up(site, client=None):
+    """Close the open connection of `client`, or all connections if None."""
+    accepted = getattr(site.listener, "accepted", {})
+    for peer, conn in list(accepted.items()):
+        if client in (None, peer) and conn.fileno() != -1:
+            try:
+                conn.shutdown(socket.SHUT_RDWR)
+            except OSError:
+                pass
+
+
+async def serve(site, *, task_status=anyio.TASK_STATUS_IGNORED):
+    """Serve a bound `site` until cancelled, then close its connections at once."""
+    if site.listener is None:
+        bind(site)
+    stop = anyio.Event()
+    async with anyio.create_task_group() as tg:
+        tg.start_soon(_run_server, site, stop)
+        task_status.started(site)
+        try:
+            await anyio.sleep_forever()
+        finally:
+            stop.set()
+            hang_up(site)
+
+
+async def _run_server(site, stop):
+    class Config(hypercorn.config.Config):
+        def create_sockets(self):
+            return hypercorn.config.Sockets([], [site.listener], [])
+
+    config = Config()
+    config.errorlog = None
+    config.graceful_timeout = 0.2
+    config.keep_alive_timeout = 60
+    # Hypercorn closes its listener and connections only if its own shutdown
+    # runs to the end, so a cancellation reaches it as a shutdown trigger.
+    with anyio.CancelScope(shield=True):
+        await hypercorn.asyncio.serve(_asgi(site), config, shutdown_trigger=stop.wait)
+
+
+def _asgi(site):
+    async def app(scope, receive, send):
+        if scope["type"] == "lifespan":
+            await _lifespan(receive, send)
+        elif scope["type"] == "http":
+            req = await _read(scope, receive)
+            if req is not None:
+                await _answer_unless_disconnected(site, req, receive, send)
+
+    return app
+
+
+async def _lifespan(receive, send):
+    while True:
+        message = await receive()
+        await send({"type": f"{message['type']}.complete"})
+        if message["type"] == "lifespan.shutdown":
+            return
+
+
+async def _read(scope, receive):
+    """Return the request, or None if its sender disconnected."""
+    body = bytearray()
+    while True:
+        message = await receive()
+        if message["type"] == "http.disconnect":
+            return None
+        body += message.get("body", b"")
+        if not message.get("more_body", False):
+            break
+    query = urllib.parse.parse_qsl(scope["query_string"].decode("latin-1"))
+    headers = {
+        name.decode("latin-1"): value.decode("latin-1")
+        for name, value in scope["headers"]
+    }
+    client = tuple(scope["client"] or ())
+    return Request(
+        scope["method"], scope["path"], dict(query), headers, bytes(body), client
+    )
+
+
+async def _answer_unless_disconnected(site, req, receive, send):
+    async def watch(scope):
+        while (await receive())["type"] != "http.disconnect":
+            pass
+        scope.cancel()
+
+    async with anyio.create_task_group() as tg:
+        tg.start_soon(watch, tg.cancel_scope)
+        try:
+            await _send(await _respond(site, req), send)
+        except HangUp:
+            hang_up(site, req.client)
+            # The task ends when the closed connection is noticed; returning
+            # earlier makes hypercorn send an error response.
+            await anyio.sleep_forever()
+        tg.cancel_scope.cancel()
+
+
+async def _respond(site, req):
+    if req.path.startswith(CONTROL_PREFIX):
+        return _control(site, req)
+    switches = site.switches
+    if not faults.applies(switches, req.path):
+        return await _handle(site, req)
+    if switches.down:
+        raise HangUp
+    await faults.before(switches)
+    if switches.status:
+        return error_response(switches.status, "status set by a fault switch")
+    resp = await _handle(site, req)
+    if faults.loses_answer(switches, req.method):
+        raise HangUp
+    if switches.garbage:
+        return Response(200, faults.garbage(switches))
+    return resp
+
+
+async def _handle(site, req):
+    try:
+        return await site.handle(req)
+    except (KeyError, TypeError, ValueError) as exc:
+        return error_response(400, f"{type(exc).__name__}: {exc}")
+
+
+def _control(site, req):
+    name = req.path.removeprefix(CONTROL_PREFIX)
+    if name == "stats" and req.method == "GET":
+        return json_response(site.stats())
+    if name != "faults":
+        return error_response(404, f"no such control: {name}")
+    try:
+        if req.method == "POST":
+            faults.update(site.switches, req.json())
+        elif req.method == "DELETE":
+            faults.reset(site.switches)
+    except (errors.SettingsError, ValueError) as exc:
+        return error_response(400, str(exc))
+    return json_response(faults.as_dict(site.switches))
+
+
+async def _send(resp, send):
+    headers = [(name.encode(), str(value).encode()) for name, value in resp.headers]
+    if isinstance(resp.body, bytes):
+        headers.append((b"content-length", str(len(resp.body)).encode()))
+    await send(
+        {"type": "http.response.start", "status": resp.status, "headers": headers}
+    )
+    if isinstance(resp.body, bytes):
+        for start in range(0, len(resp.body), PIECE_BYTES):
+            piece = resp.body[start : start + PIECE_BYTES]
+            await send({"type": "http.response.body", "body": piece, "more_body": True})
+    else:
+        async for piece in resp.body:
+            await send({"type": "http.response.body", "body": piece, "more_body": True})
+    await send({"type": "http.response.body", "body": b""})
