Add connections between processes and the main functions of entry and agent

Cause: control, requests and weights need one place that owns connections, their registration by VM and start id, and the order of a planned stop.

Conclusion: a leaving agent waits until each entry has acknowledged its goodbye, because no attempt can follow the acknowledgement on an ordered connection.

--- /dev/null
+++ b/src/carobstand/agent/peers.py
@@ -0,0 +1,195 @@
+"""Connections of an agent: to entries, and from and to other agents."""
+
+import random
+
+import anyio
+
+from carobstand import errors, logs
+from carobstand.core import topology
+from carobstand.wire import connection, handlers, listeners, tls
+from carobstand.wire.gen import ttypes
+
+REDIAL_S = 0.5
+"""Time between looks at which entries to dial."""
+
+VM_LIST_INTERVAL_S = 20.0
+"""Time between reads of the VM list while connected: 550 a second by 11,000 agents."""
+
+VM_LIST_RETRY_S = 1.0
+"""Time between reads of the VM list while no entry is connected."""
+
+
+def hello_of(state):
+    """Return the hello of this agent."""
+    return ttypes.Hello(
+        protocol=connection.PROTOCOL_VERSION,
+        role=ttypes.Role.AGENT,
+        vm=state.cfg.vm,
+        start_id=state.start_id,
+        failure_domain=state.cfg.failure_domain,
+        region=state.cfg.region,
+        address=state.cfg.listen,
+        services=list(state.cfg.services),
+    )
+
+
+def part(state):
+    """Return the handler of goodbyes, which marks the connection's `extra`."""
+
+    async def on_goodbye(conn, message):
+        conn.extra["goodbye"] = True
+        logs.event("peer.leaving", peer=conn.peer.vm, reason=message.reason)
+        state.changed.notify()
+
+    return handlers.Part(handlers={ttypes.Goodbye: on_goodbye})
+
+
+async def listen(state, listener, table):
+    """Accept connections of other agents until cancelled.
+
+    Parameters
+    ----------
+    state : AgentState
+    listener : anyio listener
+    table : dict
+        Message type to handler.
+    """
+
+    async def on_connection(conn):
+        await _run(conn, table)
+
+    context = tls.server_context(state.cfg)
+    await connection.serve(
+        listeners.secure(listener, context), lambda: hello_of(state), on_connection
+    )
+
+
+async def _run(conn, table):
+    async def on_message(conn, message):
+        await handlers.dispatch(table, conn, message)
+
+    try:
+        await connection.run(conn, on_message)
+    except errors.CarobstandError as exc:
+        logs.event("connection.failed", error=exc.message, peer=conn.peer.vm)
+
+
+def peer_dialer(state, tg, table):
+    """Return an async callable that gives an open connection to another agent.
+
+    Parameters
+    ----------
+    state : AgentState
+    tg : anyio.abc.TaskGroup
+        Runs the connections.
+    table : dict
+
+    Returns
+    -------
+    dial_peer : async callable of an address
+        Raises ConnectionClosedError or HandshakeError.
+    """
+    open_conns = {}
+    locks = {}
+
+    async def run(address, conn):
+        try:
+            await _run(conn, table)
+        finally:
+            if open_conns.get(address) is conn:
+                del open_conns[address]
+
+    async def dial_peer(address):
+        async with locks.setdefault(address, anyio.Lock()):
+            conn = open_conns.get(address)
+            if conn is not None and not conn.closed.is_set():
+                return conn
+            context = tls.client_context(state.cfg)
+            conn = await connection.dial(address, hello_of(state), context)
+            open_conns[address] = conn
+            tg.start_soon(run, address, conn)
+            return conn
+
+    return dial_peer
+
+
+async def read_vm_list(state):
+    """Read the VM list now and then, more often while no entry is connected."""
+    while True:
+        try:
+            state.vms = await state.vm_list.fetch()
+            state.changed.notify()
+        except errors.CarobstandError as exc:
+            logs.event("vms.failed", error=exc.message, step=exc.step, peer=exc.peer)
+        connected = bool(state.entries)
+        interval_s = VM_LIST_INTERVAL_S if connected else VM_LIST_RETRY_S
+        await anyio.sleep(interval_s * random.uniform(0.7, 1.3))
+
+
+async def dial_entries(state, table):
+    """Keep a connection to each entry that `core.topology` names."""
+    dialing = set()
+
+    async def dial(vm):
+        try:
+            context = tls.client_context(state.cfg)
+            conn = await connection.dial(vm.address, hello_of(state), context)
+            await _run_entry(state, conn, table)
+        except errors.CarobstandError as exc:
+            logs.event("connection.failed", error=exc.message, peer=vm.vm)
+        finally:
+            dialing.discard(vm.vm)
+
+    async with anyio.create_task_group() as tg:
+        while True:
+            live = {
+                vm.vm: vm for vm in state.vms if vm.role == "entry" and not vm.leaving
+            }
+            for name in topology.entries_of_agent(state.cfg.vm, live):
+                if name not in dialing:
+                    dialing.add(name)
+                    tg.start_soon(dial, live[name])
+            await anyio.sleep(REDIAL_S * random.uniform(0.7, 1.3))
+
+
+async def _run_entry(state, conn, table):
+    name = conn.peer.vm
+    state.entries[name] = conn
+    state.changed.notify()
+    logs.event("peer.connected", peer=name, peer_start=conn.peer.start_id)
+    try:
+        if state.leaving:
+            connection.post(conn, ttypes.Goodbye(reason="stopping"))
+        await _run(conn, table)
+    finally:
+        if state.entries.get(name) is conn:
+            del state.entries[name]
+        logs.event("peer.lost", peer=name, peer_start=conn.peer.start_id)
+        state.changed.notify()
+
+
+async def leave(state, timeout_s):
+    """Announce the planned stop and wait until no attempt can come or runs.
+
+    Parameters
+    ----------
+    state : AgentState
+    timeout_s : float
+        Longest wait for attempts in progress.
+
+    Returns
+    -------
+    drained : bool
+        Whether all attempts ended in time.
+    """
+    state.leaving = True
+    for conn in list(state.entries.values()):
+        connection.post(conn, ttypes.Goodbye(reason="stopping"))
+    state.changed.notify()
+    deadline = anyio.current_time() + timeout_s
+    while anyio.current_time() < deadline:
+        acknowledged = all(conn.extra.get("goodbye") for conn in state.entries.values())
+        if acknowledged and state.running_attempts == 0:
+            return True
+        await state.changed.wait(0.1)
+    return state.running_attempts == 0
--- a/src/carobstand/agent/state.py
+++ b/src/carobstand/agent/state.py
@@ -14,6 +14,12 @@
     cfg : settings.AgentSettings
     start_id : str
         Random, new at each process start.
+    vm_list : platform.vms.VmList
+    vms : tuple of platform.vms.Vm
+        Last VM list read, to find entries; written by `agent.peers`.
+    origin : platform.origin.Origin
+    engine : platform.engine.Engine or None
+        None beside a plain service.
     table : core.table.Table or None
         Last table in force; written by `agent.control`.
     assignments : dict of str to ttypes.Assignment
@@ -44,6 +50,8 @@
 
     cfg: object
     start_id: str
+    vm_list: object = None
+    vms: tuple = ()
     origin: object = None
     engine: object = None
     table: object = None
@@ -61,4 +69,5 @@
     leaving: bool = False
     changed: signals.Signal = attrs.field(factory=signals.Signal)
     dial_peer: object = None
+    """Async callable of an address: an open connection to another agent."""
     metrics: object = None
--- /dev/null
+++ b/src/carobstand/entry/peers.py
@@ -0,0 +1,146 @@
+"""Connections of an entry: from agents, and from and to other entries."""
+
+import anyio
+
+from carobstand import errors, logs
+from carobstand.core import topology
+from carobstand.entry import state as states
+from carobstand.wire import connection, handlers, listeners, tls
+from carobstand.wire.gen import ttypes
+
+REDIAL_S = 1.0
+"""Time between looks at which entries to dial."""
+
+
+def hello_of(state):
+    """Return the hello of this entry."""
+    return ttypes.Hello(
+        protocol=connection.PROTOCOL_VERSION,
+        role=ttypes.Role.ENTRY,
+        vm=state.cfg.vm,
+        start_id=state.start_id,
+        failure_domain=state.cfg.failure_domain,
+        region=state.cfg.region,
+        address=state.cfg.listen,
+        services=[],
+    )
+
+
+def part(state):
+    """Return the handler of goodbyes; the loops are `listen` and `dial_entries`."""
+
+    async def on_goodbye(conn, message):
+        peer = _peer_of(state, conn)
+        if peer is None:
+            return
+        if isinstance(peer, states.AgentPeer):
+            peer.leaving = True
+            connection.post(conn, ttypes.Goodbye(reason="acknowledged"))
+        logs.event("peer.leaving", peer=conn.peer.vm, reason=message.reason)
+        state.changed.notify()
+
+    return handlers.Part(handlers={ttypes.Goodbye: on_goodbye})
+
+
+def _peer_of(state, conn):
+    for group in (state.agents, state.entries):
+        peer = group.get(conn.peer.vm)
+        if peer is not None and peer.conn is conn:
+            return peer
+    return None
+
+
+async def listen(state, listener, table):
+    """Accept connections of agents and entries until cancelled.
+
+    Parameters
+    ----------
+    state : EntryState
+    listener : anyio listener
+    table : dict
+        Message type to handler.
+    """
+
+    async def on_connection(conn):
+        await run_peer(state, conn, table)
+
+    context = tls.server_context(state.cfg)
+    await connection.serve(
+        listeners.secure(listener, context), lambda: hello_of(state), on_connection
+    )
+
+
+async def run_peer(state, conn, table):
+    """Register the peer of `conn`, exchange messages, and remove it at the end."""
+    peer = _register(state, conn)
+    logs.event("peer.connected", peer=conn.peer.vm, peer_start=conn.peer.start_id)
+
+    async def on_message(conn, message):
+        peer.heard_at = anyio.current_time()
+        await handlers.dispatch(table, conn, message)
+
+    try:
+        await connection.run(conn, on_message)
+    except errors.CarobstandError as exc:
+        logs.event("connection.failed", error=exc.message, peer=conn.peer.vm)
+    finally:
+        _remove(state, peer)
+
+
+def _register(state, conn):
+    if conn.peer.role == ttypes.Role.AGENT:
+        group = state.agents
+        peer = states.AgentPeer(conn=conn, hello=conn.peer)
+    else:
+        group = state.entries
+        peer = states.EntryPeer(conn=conn, hello=conn.peer)
+    peer.heard_at = anyio.current_time()
+    former = group.get(conn.peer.vm)
+    if former is not None:
+        connection.close(former.conn)
+        _remove(state, former)
+    group[conn.peer.vm] = peer
+    if isinstance(peer, states.AgentPeer):
+        for callback in state.agent_joined:
+            callback(conn.peer.vm, peer)
+    state.changed.notify()
+    return peer
+
+
+def _remove(state, peer):
+    vm = peer.hello.vm
+    group = state.agents if isinstance(peer, states.AgentPeer) else state.entries
+    if group.get(vm) is not peer:
+        return
+    del group[vm]
+    logs.event("peer.lost", peer=vm, peer_start=peer.hello.start_id)
+    if isinstance(peer, states.AgentPeer):
+        for callback in state.agent_lost:
+            callback(vm, peer)
+    state.changed.notify()
+
+
+async def dial_entries(state, table):
+    """Keep a connection to each entry that `core.topology` names."""
+    dialing = set()
+
+    async def dial(vm):
+        try:
+            context = tls.client_context(state.cfg)
+            conn = await connection.dial(vm.address, hello_of(state), context)
+            await run_peer(state, conn, table)
+        except errors.CarobstandError as exc:
+            logs.event("connection.failed", error=exc.message, peer=vm.vm)
+        finally:
+            dialing.discard(vm.vm)
+
+    async with anyio.create_task_group() as tg:
+        while True:
+            live = {
+                vm.vm: vm for vm in state.vms if vm.role == "entry" and not vm.leaving
+            }
+            for name in topology.entries_to_dial(state.cfg.vm, live):
+                if name not in dialing and name not in state.entries:
+                    dialing.add(name)
+                    tg.start_soon(dial, live[name])
+            await anyio.sleep(REDIAL_S)
--- a/src/carobstand/entry/state.py
+++ b/src/carobstand/entry/state.py
@@ -61,6 +61,8 @@
     leaving : bool
     changed : signals.Signal
         Notified at each change of the above.
+    agent_joined, agent_lost : list of callables of (vm, AgentPeer)
+        Called when a connection of an agent starts or ends.
     """
 
     cfg: object
@@ -78,5 +80,6 @@
     store_up: bool = False
     leaving: bool = False
     changed: signals.Signal = attrs.field(factory=signals.Signal)
+    agent_joined: list = attrs.field(factory=list)
     agent_lost: list = attrs.field(factory=list)
     metrics: object = None
--- a/src/carobstand/logs.py
+++ b/src/carobstand/logs.py
@@ -1,5 +1,6 @@
 """Structured logs: one JSON line an event, written through eliot."""
 
+import contextvars
 import sys
 
 import attrs
@@ -10,30 +11,43 @@
 
 @attrs.define
 class LogState:
-    """Process-wide fields of log lines and the clock that stamps them."""
+    """Whether events are written, and the clock that stamps them."""
 
-    fields: dict = attrs.field(factory=dict)
     clock: clock.HybridClock = attrs.field(factory=clock.HybridClock)
     configured: bool = False
 
 
 STATE = LogState()
+_FIELDS = contextvars.ContextVar("carobstand_log_fields")
 
 
-def configure(stream=None, **fields):
+def configure(stream):
     """Write events to `stream` as JSON lines.
 
     Parameters
     ----------
-    stream : text file, default=sys.stderr
-        Destination of the lines.
+    stream : text file
+    """
+    eliot.to_file(stream)
+    STATE.configured = True
+
+
+def open_log(path):
+    """Append events to the file `path`; an empty path means standard error."""
+    configure(open(path, "a", buffering=1) if path else sys.stderr)
+
+
+def bind(**fields):
+    """Add `fields` to each event logged by this task and the tasks it starts.
+
+    Several programs can run in one process, each in a task with fields of its own.
+
+    Parameters
+    ----------
     **fields
-        Fields of every line: process, start_id, vm, failure_domain.
+        For example process, start_id, vm, failure_domain.
     """
-    STATE.fields = fields
-    if not STATE.configured:
-        eliot.to_file(stream or sys.stderr)
-        STATE.configured = True
+    _FIELDS.set({**_FIELDS.get({}), **fields})
 
 
 def event(name, **fields):
@@ -44,10 +58,10 @@
     name : str
         Dotted name of the event, for example ``"attempt.sent"``.
     **fields
-        Fields of the event; they override those of the process. Keys and
-        tokens must not be passed.
+        Fields of the event; they override bound ones. Keys and tokens must not be
+        passed.
     """
     if not STATE.configured:
         return
     stamp = STATE.clock.tick()
-    eliot.log_message(message_type=name, hlc=stamp, **{**STATE.fields, **fields})
+    eliot.log_message(message_type=name, hlc=stamp, **{**_FIELDS.get({}), **fields})
--- /dev/null
+++ b/src/carobstand/runtime.py
@@ -0,0 +1,68 @@
+"""Start and stop of a program: signals, event loop, errors at startup."""
+
+import secrets
+import signal
+import sys
+
+import anyio
+
+from carobstand import errors, logs
+
+EXIT_SETTINGS = 2
+"""Exit status for wrong settings."""
+
+
+def new_start_id():
+    """Return a random id of this process start."""
+    return secrets.token_hex(8)
+
+
+def run(serve, cfg):
+    """Run ``serve(cfg, stop)`` in an event loop; `stop` is set by SIGTERM or SIGINT.
+
+    Parameters
+    ----------
+    serve : async callable of (cfg, stop)
+    cfg : settings object
+
+    Returns
+    -------
+    status : int
+        Exit status: 0, or `EXIT_SETTINGS` for an error at startup.
+    """
+
+    async def body():
+        stop = anyio.Event()
+        async with anyio.create_task_group() as tg:
+            tg.start_soon(_watch_signals, stop)
+            await serve(cfg, stop)
+            tg.cancel_scope.cancel()
+
+    try:
+        anyio.run(body)
+    except BaseExceptionGroup as group:
+        return _report(_first_settings_error(group), group)
+    except errors.SettingsError as exc:
+        return _report(exc, exc)
+    return 0
+
+
+def _first_settings_error(group):
+    matching, _ = group.split(errors.SettingsError)
+    while isinstance(matching, BaseExceptionGroup):
+        matching = matching.exceptions[0]
+    return matching
+
+
+def _report(settings_error, exc):
+    if settings_error is None:
+        raise exc
+    print(f"error: {settings_error.message}", file=sys.stderr)
+    return EXIT_SETTINGS
+
+
+async def _watch_signals(stop):
+    with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as received:
+        async for signum in received:
+            logs.event("process.stopping", signal=signum.name)
+            stop.set()
--- /dev/null
+++ b/src/carobstand/webserver.py
@@ -0,0 +1,79 @@
+"""HTTP servers of a process, run by hypercorn in the process's own event loop."""
+
+import socket
+
+import anyio
+import hypercorn.asyncio
+import hypercorn.config
+
+from carobstand import errors
+from carobstand.wire import connection
+
+KEEP_ALIVE_S = 30.0
+"""Idle time after which a kept-alive connection is closed."""
+
+GRACEFUL_TIMEOUT_S = 60.0
+"""Longest wait for requests in progress at a planned stop."""
+
+
+def check_address(name, address):
+    """Raise SettingsError unless `address` can be bound.
+
+    hypercorn reports a port in use only from inside its task, so it is tried first.
+
+    Parameters
+    ----------
+    name : str
+        Setting that holds the address, for the error.
+    address : str
+        ``host:port``.
+    """
+    host, port = connection.split_address(address)
+    with socket.socket() as probe:
+        probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        try:
+            probe.bind((host, port))
+        except OSError as exc:
+            raise errors.SettingsError(
+                f"{name}: cannot bind {address}: {exc.strerror or exc}",
+                step="webserver.bind",
+            ) from exc
+
+
+def config(address):
+    """Return the hypercorn configuration of a server on `address`."""
+    cfg = hypercorn.config.Config()
+    cfg.bind = [address]
+    cfg.accesslog = None
+    cfg.errorlog = None
+    cfg.keep_alive_timeout = KEEP_ALIVE_S
+    cfg.graceful_timeout = GRACEFUL_TIMEOUT_S
+    cfg.include_server_header = False
+    return cfg
+
+
+async def serve(app, address, stop):
+    """Serve `app` until `stop` is set and requests in progress have ended.
+
+    Parameters
+    ----------
+    app : ASGI application
+    address : str
+        ``host:port``.
+    stop : anyio.Event
+    """
+    await hypercorn.asyncio.serve(
+        app, config(address), shutdown_trigger=stop.wait, mode="asgi"
+    )
+
+
+async def wait_until_bound(address, timeout_s=10.0):
+    """Return once `address` accepts connections; raise TimeoutError after that."""
+    host, port = connection.split_address(address)
+    with anyio.fail_after(timeout_s):
+        while True:
+            try:
+                async with await anyio.connect_tcp(host, port):
+                    return
+            except OSError:
+                await anyio.sleep(0.01)
