Add manifests, the chunk cache, activation and a first weights loop

Versions are cut into content-addressed chunks; a cache shared by manifests keeps verified chunks within a memory limit and refuses what does not fit. Activation is a pure step function: load, activate, unload with the plan revision as fencing token, one command at a time, after the backend server has said what it runs.

Choices: an encoded manifest must be canonical JSON, so that its digest can be checked from the decoded form. A served name whose manifest changes in the table is reported as refused rather than replaced, because the name would have to leave service in between.

--- /dev/null
+++ b/src/carobstand/agent/activation.py
@@ -0,0 +1,252 @@
+"""Commands to the backend server, and the weights that it reads from the agent."""
+
+import anyio
+import hypercorn.asyncio
+import hypercorn.config
+
+from carobstand import errors, logs
+from carobstand.core import activation, chunks
+from carobstand.core import manifest as manifests
+from carobstand.wire import handlers
+from carobstand.wire.gen import ttypes
+
+ASK_INTERVAL_S = 2.0
+"""Time between reports of what the backend server runs, to notice its restarts."""
+
+WAKEUP_INTERVAL_S = 0.2
+"""Longest wait before retries that have become due are noticed."""
+
+
+def part(state):
+    """Return the loop that activates versions on the backend server of `state`."""
+
+    async def run():
+        async with anyio.create_task_group() as tg:
+            tg.start_soon(_serve_weights, state)
+            tg.start_soon(_command, state)
+
+    if state.engine is None:
+        return handlers.Part()
+    return handlers.Part(run=run)
+
+
+def target_of(state):
+    """Return the `activation.Target` of the assignments in force, or None."""
+    if state.table is None or not state.assignments:
+        return None
+    rows = {row.name: row for row in _version_rows(state)}
+    found, bases, serve = {}, {}, set()
+    for assignment in state.assignments.values():
+        for name in assignment.serve or ():
+            row = rows.get(name)
+            if row is None:
+                continue
+            serve.add(name)
+            found[name] = row.manifest
+            if row.base and row.base in rows:
+                bases[name] = row.base
+                found[row.base] = rows[row.base].manifest
+    fence = max(entry.plan_revision for entry in state.assignments.values())
+    return activation.Target(fence, found, frozenset(serve), bases)
+
+
+def _version_rows(state):
+    services = set(state.assignments)
+    return [
+        row
+        for row in state.table.rows
+        if type(row).__name__ == "VersionRow" and row.service in services
+    ]
+
+
+async def _command(state):
+    """Send the commands that `core.activation` decides on, one at a time."""
+    known = activation.Activation()
+    asked_at = anyio.current_time()
+
+    def is_verified(digest):
+        return state.chunks is not None and chunks.is_complete(state.chunks, digest)
+
+    def advance(event):
+        return activation.step(known, event, is_verified, anyio.current_time())
+
+    while True:
+        target = target_of(state)
+        changed = target is not None and target != known.target
+        event = activation.TargetChanged(target) if changed else activation.Wakeup()
+        if anyio.current_time() - asked_at > ASK_INTERVAL_S:
+            asked_at = anyio.current_time()
+            advance(activation.Doubted())
+        effects = advance(event)
+        while effects:
+            _publish(state, known)
+            effects = advance(await _carry_out(state, effects[0]))
+        _publish(state, known)
+        await state.changed.wait(WAKEUP_INTERVAL_S)
+
+
+async def _carry_out(state, effect):
+    """Send one command and return the event that it leads to."""
+    engine = state.engine
+    try:
+        if isinstance(effect, activation.Ask):
+            report = await engine.state()
+            state.backend_up = True
+            return activation.Reported(report.serving, report.loaded, report.fence)
+        logs.event(f"backend.{type(effect).__name__.lower()}", **_fields(effect))
+        if isinstance(effect, activation.Load):
+            source = f"http://{state.cfg.weights_listen}"
+            await engine.load_version(
+                effect.version, effect.manifest, effect.base, source, effect.fence
+            )
+        elif isinstance(effect, activation.Activate):
+            await engine.activate(effect.versions, effect.fence)
+        else:
+            await engine.unload(effect.version, effect.fence)
+    except errors.ConflictError as exc:
+        logs.event("backend.fenced", error=exc.message, step=exc.step, peer=exc.peer)
+        return activation.Failed(fenced=True)
+    except errors.BackendError as exc:
+        if isinstance(effect, activation.Ask):
+            state.backend_up = False
+        logs.event("backend.failed", error=exc.message, step=exc.step, peer=exc.peer)
+        return activation.Failed()
+    return activation.Succeeded()
+
+
+def _fields(effect):
+    if isinstance(effect, activation.Activate):
+        return {"versions": list(effect.versions), "fence": effect.fence}
+    return {"version": effect.version, "fence": effect.fence}
+
+
+def _publish(state, known):
+    """Write the phases LOADING and SERVING of each version to `state.replicas`."""
+    serving = known.serving
+    if serving is None:
+        return
+    conflicts = activation.name_conflicts(known)
+    before = {key: replica.phase for key, replica in state.replicas.items()}
+    for key, replica in state.replicas.items():
+        phase = _phase(known, key[1], replica)
+        if phase is not None:
+            replica.phase = phase
+        if key[1] in conflicts and serving[key[1]] != replica.manifest:
+            replica.phase = ttypes.ReplicaPhase.REFUSED
+            replica.detail = "the name is served with another manifest"
+    _add_served(state, serving)
+    if before != {key: replica.phase for key, replica in state.replicas.items()}:
+        state.changed.notify()
+
+
+def _phase(known, version, replica):
+    phases = ttypes.ReplicaPhase
+    if known.serving.get(version) == replica.manifest:
+        return phases.SERVING
+    loading = isinstance(known.pending, activation.Load | activation.Activate)
+    if loading and version in _versions(known.pending):
+        return phases.LOADING
+    if replica.phase in (phases.SERVING, phases.LOADING):
+        return phases.VERIFIED
+    return None
+
+
+def _versions(command):
+    if isinstance(command, activation.Load):
+        return (command.version,)
+    return command.versions
+
+
+def _add_served(state, serving):
+    """Report a version that is served although the plan no longer names it."""
+    names = {key[1] for key in state.replicas}
+    if state.table is None:
+        return
+    for row in _version_rows(state):
+        digest = serving.get(row.name)
+        if digest is not None and row.name not in names:
+            state.replicas[(row.service, row.name)] = ttypes.Replica(
+                service_name=row.service,
+                version=row.name,
+                manifest=digest,
+                phase=ttypes.ReplicaPhase.SERVING,
+                bytes_verified=0,
+                bytes_total=0,
+                detail="",
+                origin_bytes=0,
+            )
+
+
+async def _serve_weights(state):
+    """Serve manifests and files to the backend server until cancelled."""
+    config = hypercorn.config.Config()
+    config.bind = [state.cfg.weights_listen]
+    config.accesslog = config.errorlog = None
+    never = anyio.Event()
+    await hypercorn.asyncio.serve(
+        weights_app(state), config, shutdown_trigger=never.wait
+    )
+
+
+def weights_app(state):
+    """Return the ASGI application of ``/manifests`` and ``/weights``."""
+
+    async def app(scope, receive, send):
+        if scope["type"] == "lifespan":
+            await _lifespan(receive, send)
+        elif scope["type"] == "http":
+            await _answer(state, scope, send)
+
+    return app
+
+
+async def _lifespan(receive, send):
+    while True:
+        message = await receive()
+        await send({"type": f"{message['type']}.complete"})
+        if message["type"] == "lifespan.shutdown":
+            return
+
+
+async def _answer(state, scope, send):
+    parts = scope["path"].split("/", 3)
+    found = state.manifests.get(parts[2]) if len(parts) > 2 else None
+    if scope["method"] != "GET" or found is None:
+        await _respond(send, 404, 0)
+    elif parts[1] == "manifests" and len(parts) == 3:
+        body = manifests.encode(found)
+        await _respond(send, 200, len(body))
+        await send({"type": "http.response.body", "body": body})
+    elif parts[1] == "weights" and len(parts) == 4:
+        await _send_file(state, parts[2], manifests.find_file(found, parts[3]), send)
+    else:
+        await _respond(send, 404, 0)
+
+
+async def _send_file(state, digest, file, send):
+    """Send a file of a complete manifest; anything less is refused with 503."""
+    if file is None:
+        await _respond(send, 404, 0)
+        return
+    if not chunks.is_complete(state.chunks, digest):
+        await _respond(send, 503, 0)
+        return
+    await _respond(send, 200, file.size)
+    if not file.size:
+        return
+    for key in file.chunks:
+        data = chunks.get(state.chunks, key)
+        if data is None:
+            raise errors.WeightsError(
+                f"manifest {digest[:12]} was released while it was read",
+                step="weights.read",
+            )
+        await send({"type": "http.response.body", "body": data, "more_body": True})
+    await send({"type": "http.response.body", "body": b""})
+
+
+async def _respond(send, status, length):
+    headers = [(b"content-length", str(length).encode())]
+    await send({"type": "http.response.start", "status": status, "headers": headers})
+    if not length:
+        await send({"type": "http.response.body", "body": b""})
--- /dev/null
+++ b/src/carobstand/core/chunks.py
@@ -0,0 +1,143 @@
+"""Cache of verified chunks, shared by the manifests that a VM holds."""
+
+import attrs
+
+from carobstand import errors
+from carobstand.core import manifest as manifests
+
+
+@attrs.define
+class ChunkCache:
+    """Verified chunks by digest.
+
+    A chunk is pinned while a retained manifest refers to it. Other chunks stay, least
+    recently released first in line for eviction, until their memory is needed; a
+    rollback finds them there.
+
+    Attributes
+    ----------
+    limit_bytes : int
+        Memory for chunks. The pinned chunks, held or still missing, never exceed it.
+    """
+
+    limit_bytes: int
+    data: dict = attrs.field(factory=dict)
+    used_bytes: int = 0
+    retained: dict = attrs.field(factory=dict)
+    references: dict = attrs.field(factory=dict)
+    pinned_bytes: int = 0
+
+
+def retain(cache, digest, manifest):
+    """Pin the chunks of a manifest; does nothing if it is retained already.
+
+    Parameters
+    ----------
+    cache : ChunkCache
+    digest : str
+        SHA-256 of the manifest.
+    manifest : core.manifest.Manifest
+
+    Raises
+    ------
+    MemoryLimitError
+        If the pinned chunks would exceed the limit. Nothing changes.
+    """
+    if digest in cache.retained:
+        return
+    sizes = manifests.chunk_sizes(manifest)
+    added = sum(size for key, size in sizes.items() if key not in cache.references)
+    if cache.pinned_bytes + added > cache.limit_bytes:
+        raise errors.MemoryLimitError(
+            f"weights need {added} more bytes, {cache.pinned_bytes} of "
+            f"{cache.limit_bytes} are in use",
+            step="chunks.retain",
+        )
+    cache.retained[digest] = sizes
+    cache.pinned_bytes += added
+    for key in sizes:
+        cache.references[key] = cache.references.get(key, 0) + 1
+    _evict(cache, 0)
+
+
+def release(cache, digest):
+    """Unpin the chunks of a manifest; they stay until their memory is needed."""
+    for key, size in cache.retained.pop(digest, {}).items():
+        cache.references[key] -= 1
+        if cache.references[key]:
+            continue
+        del cache.references[key]
+        cache.pinned_bytes -= size
+        if key in cache.data:
+            cache.data[key] = cache.data.pop(key)
+
+
+def put(cache, digest, data):
+    """Verify a chunk and keep it.
+
+    Returns
+    -------
+    kept : bool
+        False if no retained manifest needs the chunk and there is no room for it.
+
+    Raises
+    ------
+    WeightsError
+        If `data` does not have the SHA-256 `digest`.
+    """
+    if manifests.digest_of(data) != digest:
+        raise errors.WeightsError(
+            f"chunk {digest[:12]} failed verification", step="chunks.put"
+        )
+    if digest in cache.data:
+        return True
+    if digest not in cache.references and not _has_spare_room(cache, len(data)):
+        return False
+    _evict(cache, len(data))
+    cache.data[digest] = bytes(data)
+    cache.used_bytes += len(data)
+    if cache.used_bytes > cache.limit_bytes:
+        raise errors.InvariantError(
+            f"{cache.used_bytes} bytes of chunks exceed {cache.limit_bytes}",
+            step="chunks.put",
+        )
+    return True
+
+
+def get(cache, digest):
+    """Return a verified chunk, or None."""
+    return cache.data.get(digest)
+
+
+def missing(cache, digests):
+    """Return those of `digests` that are not held, in order."""
+    return [digest for digest in digests if digest not in cache.data]
+
+
+def is_complete(cache, digest):
+    """Return whether every chunk of a retained manifest is held."""
+    sizes = cache.retained.get(digest)
+    return sizes is not None and all(key in cache.data for key in sizes)
+
+
+def bytes_held(cache, digest):
+    """Return the bytes held of a retained manifest."""
+    sizes = cache.retained.get(digest, {})
+    return sum(size for key, size in sizes.items() if key in cache.data)
+
+
+def _has_spare_room(cache, size):
+    """Return whether a chunk fits beside all that retained manifests may still need."""
+    held = sum(len(cache.data[key]) for key in cache.data if key in cache.references)
+    spare = cache.limit_bytes - cache.used_bytes - (cache.pinned_bytes - held)
+    return size <= spare
+
+
+def _evict(cache, size):
+    """Drop unpinned chunks, oldest first, until `size` more bytes fit."""
+    if cache.used_bytes + size <= cache.limit_bytes:
+        return
+    for key in [key for key in cache.data if key not in cache.references]:
+        cache.used_bytes -= len(cache.data.pop(key))
+        if cache.used_bytes + size <= cache.limit_bytes:
+            return
--- /dev/null
+++ b/testing/fakes_weights.py
@@ -0,0 +1,190 @@
+"""Fakes for tests of the weights loops: origin, backend server, peers in memory."""
+
+import types
+
+import anyio
+import attrs
+import httpx
+
+from carobstand import errors
+from carobstand.agent import activation, weights
+from carobstand.agent import state as states
+from carobstand.core import manifest as manifests
+from carobstand.platform import engine as engines
+from carobstand.platform import origin as origins
+from carobstand.wire.gen import ttypes
+
+
+@attrs.frozen
+class VersionRow:
+    """Version row with the fields of ``core.table.VersionRow``."""
+
+    name: str
+    service: str
+    manifest: str
+    base: str = ""
+    weight: float = 1.0
+    copies: int | None = None
+
+
+@attrs.define(eq=False)
+class FakeEngine:
+    """Backend server that reads the weights it is told to load."""
+
+    client: object = None
+    serving: dict = attrs.field(factory=dict)
+    loaded: dict = attrs.field(factory=dict)
+    content: dict = attrs.field(factory=dict)
+
+    async def state(self):
+        return engines.Running(dict(self.serving), dict(self.loaded), 0)
+
+    async def load_version(self, version, manifest, base, source, fence):
+        resp = await self.client.get(f"/manifests/{manifest}")
+        for file in manifests.decode(resp.content).files:
+            resp = await self.client.get(f"/weights/{manifest}/{file.path}")
+            if resp.status_code != 200:
+                raise errors.BackendError("weights are not readable")
+            self.content[version, file.path] = resp.content
+        self.loaded[version] = manifest
+
+    async def activate(self, versions, fence):
+        self.serving = {key: self.loaded[key] for key in versions}
+
+    async def unload(self, version, fence):
+        del self.loaded[version]
+
+
+@attrs.define
+class FakeOrigin:
+    """Origin in memory; the first `damaged` chunks it returns are corrupted."""
+
+    manifests: dict = attrs.field(factory=dict)
+    parts: dict = attrs.field(factory=dict)
+    damaged: int = 0
+    down: bool = False
+    drawn: list = attrs.field(factory=list)
+
+    def add(self, files, chunk_bytes):
+        found, parts = manifests.build(files, chunk_bytes)
+        data = manifests.encode(found)
+        digest = manifests.digest_of(data)
+        self.manifests[digest] = data
+        self.parts.update(parts)
+        return digest
+
+    def interface(self):
+        async def manifest(digest):
+            if self.down:
+                raise errors.OriginError("down")
+            return self.manifests[digest]
+
+        async def chunk(digest):
+            if self.down:
+                raise errors.OriginError("down")
+            self.drawn.append(digest)
+            bad = len(self.drawn) <= self.damaged
+            return b"damaged" if bad else self.parts[digest]
+
+        return origins.Origin(manifest, chunk, None, None, None)
+
+
+class FakeConnection:
+    """One direction of a pair of connections; messages arrive in order."""
+
+    def __init__(self, owner, peer_vm):
+        self.address = peer_vm
+        self.peer = ttypes.Hello(vm=peer_vm, start_id="start-" + peer_vm)
+        self.closed = anyio.Event()
+        self.queued_bytes = 0
+        self.extra = {}
+        self.owner = owner
+        self.back = None
+
+
+@attrs.define(eq=False)
+class FakeNetwork:
+    """Agents that exchange messages without sockets.
+
+    `filters` holds callables of (from_vm, to_vm, message) that return the message to
+    deliver, or None to lose it.
+    """
+
+    agents: dict = attrs.field(factory=dict)
+    parts: dict = attrs.field(factory=dict)
+    conns: dict = attrs.field(factory=dict)
+    filters: list = attrs.field(factory=list)
+    tg: object = None
+
+    def add(self, vm, origin, memory=1 << 20, region="r0", domain="fd0"):
+        cfg = types.SimpleNamespace(
+            vm=vm,
+            failure_domain=domain,
+            region=region,
+            weights_memory_bytes=memory,
+            weights_listen="127.0.0.1:0",
+            upload_slots=4,
+        )
+        agent = states.AgentState(cfg=cfg, start_id="start-" + vm)
+        agent.origin = origin.interface()
+        agent.engine = FakeEngine()
+        agent.dial_peer = lambda address: self.dial(vm, address)
+        self.agents[vm] = agent
+        self.parts[vm] = weights.part(agent)
+        transport = httpx.ASGITransport(app=activation.weights_app(agent))
+        agent.engine.client = httpx.AsyncClient(
+            transport=transport, base_url="http://agent"
+        )
+        return agent
+
+    async def dial(self, vm, address):
+        await anyio.sleep(0)
+        if address not in self.agents:
+            raise errors.ConnectionClosedError("cannot connect", peer=address)
+        if (vm, address) not in self.conns:
+            near, far = FakeConnection(vm, address), FakeConnection(address, vm)
+            near.back, far.back = far, near
+            self.conns[vm, address] = near
+            self.conns.setdefault((address, vm), far)
+        return self.conns[vm, address]
+
+    def deliver(self, conn, message):
+        for change in self.filters:
+            message = change(conn.owner, conn.address, message)
+            if message is None:
+                return
+        if conn.address in self.agents:
+            handler = self.parts[conn.address].handlers[type(message)]
+            self.tg.start_soon(handler, conn.back, message)
+
+    def start(self, tg, vm):
+        self.tg = tg
+        tg.start_soon(self.parts[vm].run)
+        tg.start_soon(activation._command, self.agents[vm])
+
+    def assign(self, version, row, revision, vms=None, serve=True):
+        """Put one version in force at every agent, with its roster."""
+        vms = vms or list(self.agents)
+        members = [
+            ttypes.Member(
+                vm, vm, agent.cfg.failure_domain, agent.cfg.region, "start-" + vm
+            )
+            for vm, agent in self.agents.items()
+            if vm in vms
+        ]
+        for vm in vms:
+            agent = self.agents[vm]
+            rows = tuple(agent.table.rows) if agent.table else ()
+            agent.table = types.SimpleNamespace(rows=(*rows, row))
+            agent.assignments[row.service] = ttypes.Assignment(
+                row.service, revision, [version], [version] if serve else []
+            )
+            agent.rosters[row.manifest] = ttypes.Roster(row.manifest, revision, members)
+            agent.changed.notify()
+
+
+async def until(condition, timeout_s=20):
+    """Wait until `condition()` holds."""
+    with anyio.fail_after(timeout_s):
+        while not condition():
+            await anyio.sleep(0.01)
--- /dev/null
+++ b/testing/test_activation.py
@@ -0,0 +1,145 @@
+"""Guards against backend servers that run unverified or mixed weights."""
+
+import pytest
+
+from carobstand import errors
+from carobstand.core import activation
+
+
+class FakeBackend:
+    """Backend server in memory; `stubborn` ignores fencing tokens."""
+
+    def __init__(self, stubborn=False):
+        self.serving, self.loaded, self.fence, self.log = {}, {}, 0, []
+        self.stubborn = stubborn
+
+    def run(self, effect):
+        if isinstance(effect, activation.Ask):
+            fence = 0 if self.stubborn else self.fence
+            return activation.Reported(self.serving, self.loaded, fence)
+        if effect.fence < self.fence and not self.stubborn:
+            return activation.Failed(fenced=True)
+        self.fence = effect.fence
+        self.log.append(effect)
+        if isinstance(effect, activation.Load):
+            self.loaded[effect.version] = effect.manifest
+        elif isinstance(effect, activation.Activate):
+            self.serving = {key: self.loaded[key] for key in effect.versions}
+        else:
+            del self.loaded[effect.version]
+        return activation.Succeeded()
+
+
+def target(fence, manifests, serve=None, bases=()):
+    return activation.Target(
+        fence, manifests, frozenset(serve or manifests), dict(bases)
+    )
+
+
+def drive(state, backend, event, verified, now=0.0):
+    effects = activation.step(state, event, verified.__contains__, now)
+    while effects:
+        done = backend.run(effects[0])
+        effects = activation.step(state, done, verified.__contains__, now)
+
+
+def test_a_version_is_loaded_only_after_all_its_chunks_are_verified():
+    state, backend = activation.Activation(), FakeBackend()
+    wanted = activation.TargetChanged(target(1, {"v1": "m1"}))
+    drive(state, backend, wanted, set())
+    assert backend.loaded == {}
+    drive(state, backend, activation.Wakeup(), {"m1"})
+    assert backend.serving == {"v1": "m1"}
+
+
+def test_the_old_version_serves_until_the_new_one_is_loaded_and_is_then_dropped():
+    state, backend = activation.Activation(), FakeBackend()
+    drive(state, backend, activation.TargetChanged(target(1, {"v1": "m1"})), {"m1"})
+    drive(state, backend, activation.TargetChanged(target(2, {"v2": "m2"})), {"m1"})
+    assert backend.serving == {"v1": "m1"}
+    drive(state, backend, activation.Wakeup(), {"m1", "m2"})
+    assert backend.serving == backend.loaded == {"v2": "m2"}
+    assert [type(effect).__name__ for effect in backend.log[2:]] == [
+        "Load",
+        "Activate",
+        "Unload",
+    ]
+
+
+def test_an_adapter_is_loaded_after_its_base_which_need_not_be_served():
+    state, backend = activation.Activation(), FakeBackend()
+    wanted = target(1, {"a": "ma", "b": "mb"}, ["a"], {"a": "b"})
+    drive(state, backend, activation.TargetChanged(wanted), {"ma"})
+    assert backend.loaded == {}
+    drive(state, backend, activation.Wakeup(), {"ma", "mb"})
+    assert [getattr(effect, "version", "") for effect in backend.log] == ["b", "a", ""]
+    assert backend.serving == {"a": "ma"}
+    assert backend.loaded == {"a": "ma", "b": "mb"}
+
+
+def test_an_agent_with_an_older_plan_sends_nothing_to_an_engine_without_fencing():
+    backend = FakeBackend(stubborn=True)
+    state = activation.Activation()
+    drive(state, backend, activation.TargetChanged(target(5, {"v1": "m1"})), {"m1"})
+    before = list(backend.log)
+    stale = activation.TargetChanged(target(4, {"v2": "m2"}))
+    drive(state, backend, stale, {"m1", "m2"})
+    assert backend.log == before
+
+
+def test_a_restarted_agent_asks_first_and_keeps_what_runs():
+    backend = FakeBackend()
+    drive(
+        activation.Activation(),
+        backend,
+        activation.TargetChanged(target(3, {"v1": "m1"})),
+        {"m1"},
+    )
+    before = list(backend.log)
+    state = activation.Activation()
+    effects = activation.step(
+        state,
+        activation.TargetChanged(target(3, {"v1": "m1"})),
+        lambda digest: False,
+        0.0,
+    )
+    assert effects == (activation.Ask(),)
+    drive(state, backend, backend.run(effects[0]), set())
+    assert backend.log == before and backend.serving == {"v1": "m1"}
+
+
+def test_a_restarted_backend_server_is_loaded_again():
+    state, backend = activation.Activation(), FakeBackend()
+    wanted = activation.TargetChanged(target(1, {"v1": "m1"}))
+    drive(state, backend, wanted, {"m1"})
+    backend.serving, backend.loaded = {}, {}
+    drive(state, backend, activation.Doubted(), {"m1"})
+    assert backend.serving == {"v1": "m1"}
+
+
+def test_a_failed_command_is_followed_by_a_question_after_a_delay():
+    state, backend = activation.Activation(), FakeBackend()
+    wanted = activation.TargetChanged(target(1, {"v1": "m1"}))
+    activation.step(state, wanted, {"m1"}.__contains__, 0.0)
+    failed = activation.Failed()
+    assert activation.step(state, failed, {"m1"}.__contains__, 0.0) == ()
+    again = activation.step(state, activation.Wakeup(), {"m1"}.__contains__, 1.0)
+    assert again == (activation.Ask(),)
+    drive(state, backend, backend.run(again[0]), {"m1"}, 1.0)
+    assert backend.serving == {"v1": "m1"}
+
+
+def test_a_served_name_with_another_manifest_is_reported_and_not_replaced():
+    state, backend = activation.Activation(), FakeBackend()
+    drive(state, backend, activation.TargetChanged(target(1, {"v1": "m1"})), {"m1"})
+    changed = activation.TargetChanged(target(2, {"v1": "m2"}))
+    drive(state, backend, changed, {"m1", "m2"})
+    assert backend.serving == {"v1": "m1"}
+    assert activation.name_conflicts(state) == ("v1",)
+
+
+def test_an_unload_of_a_served_version_is_an_invariant_error():
+    state = activation.Activation(serving={"v1": "m1"}, loaded={"v1": "m1"})
+    state.target = target(1, {"v1": "m1"})
+    with pytest.raises(errors.InvariantError):
+        activation._check(state, activation.Unload("v1", 1), lambda digest: True)
--- /dev/null
+++ b/testing/test_chunks.py
@@ -0,0 +1,118 @@
+"""Guards against malformed manifests, unverified chunks and exceeded memory."""
+
+import json
+
+import pytest
+
+from carobstand import errors
+from carobstand.core import chunks, limits
+from carobstand.core import manifest as manifests
+
+
+def built(*contents, chunk_bytes=4):
+    files = [(f"f{index}", data) for index, data in enumerate(contents)]
+    found, parts = manifests.build(files, chunk_bytes)
+    return manifests.digest_of(manifests.encode(found)), found, parts
+
+
+def test_a_manifest_survives_encoding_and_its_files_are_read_back():
+    _, found, parts = built(b"abcdefghij", b"", b"abcd")
+    again = manifests.decode(manifests.encode(found))
+    assert again == found
+    assert manifests.read_file(again, "f0", parts.get) == b"abcdefghij"
+    assert manifests.read_file(again, "f1", parts.get) == b""
+    assert manifests.total_bytes(again) == 10
+
+
+@pytest.mark.parametrize(
+    "change",
+    [
+        {"format": 2},
+        {"files": []},
+        {"chunk_bytes": 0},
+        {"chunk_bytes": 1 << 30},
+        {"files": [{"path": "../x", "size": 0, "chunks": []}]},
+        {"files": [{"path": "x", "size": 5, "chunks": ["0" * 64]}]},
+        {"files": [{"path": "x", "size": 3, "chunks": ["zz"]}]},
+        {"files": [{"path": "x", "size": 6, "chunks": ["0" * 64, "0" * 64]}]},
+        {"files": [{"path": "x", "size": 0, "chunks": []}] * 2},
+        {"files": None},
+        {"extra": 1},
+    ],
+)
+def test_a_malformed_manifest_is_refused(change):
+    _, found, _ = built(b"abcd")
+    body = json.loads(manifests.encode(found)) | change
+    data = json.dumps(body, sort_keys=True, separators=(",", ":")).encode()
+    with pytest.raises(errors.WeightsError):
+        manifests.decode(data)
+
+
+def test_a_chunk_that_fails_verification_is_not_kept():
+    cache = chunks.ChunkCache(100)
+    with pytest.raises(errors.WeightsError):
+        chunks.put(cache, manifests.digest_of(b"abcd"), b"abcx")
+    assert cache.data == {} and cache.used_bytes == 0
+
+
+def test_weights_that_do_not_fit_are_refused_and_the_held_ones_stay():
+    cache = chunks.ChunkCache(10)
+    held, found, parts = built(b"abcdefgh")
+    chunks.retain(cache, held, found)
+    for key, data in parts.items():
+        chunks.put(cache, key, data)
+    other, too_big, _ = built(b"ABCDEFGH")
+    with pytest.raises(errors.MemoryLimitError):
+        chunks.retain(cache, other, too_big)
+    assert chunks.is_complete(cache, held) and not chunks.is_complete(cache, other)
+
+
+def test_released_chunks_stay_for_a_rollback_until_their_memory_is_needed():
+    cache = chunks.ChunkCache(12)
+    old, found, parts = built(b"abcdefgh")
+    chunks.retain(cache, old, found)
+    for key, data in parts.items():
+        chunks.put(cache, key, data)
+    chunks.release(cache, old)
+    chunks.retain(cache, old, found)
+    assert chunks.is_complete(cache, old)
+    chunks.release(cache, old)
+    new, found, parts = built(b"ABCDEFGHIJKL")
+    chunks.retain(cache, new, found)
+    for key, data in parts.items():
+        assert chunks.put(cache, key, data)
+    assert chunks.is_complete(cache, new) and cache.used_bytes == 12
+
+
+def test_a_chunk_shared_by_two_manifests_stays_pinned_until_both_are_released():
+    cache = chunks.ChunkCache(8)
+    first, found_first, parts = built(b"abcd")
+    second, found_second, more = built(b"abcd", b"ABCD")
+    chunks.retain(cache, first, found_first)
+    chunks.retain(cache, second, found_second)
+    for key, data in (parts | more).items():
+        chunks.put(cache, key, data)
+    chunks.release(cache, first)
+    assert chunks.is_complete(cache, second) and cache.pinned_bytes == 8
+
+
+def test_weights_never_exceed_the_rate_and_yield_to_live_traffic():
+    bucket = limits.Bucket(100.0, 50.0)
+    sent, now = 0, 0.0
+    while now < 10.0:
+        if limits.weights_wait_s(bucket, now) == 0:
+            limits.take_weights(bucket, 20, now)
+            sent += 20
+        now += 0.01
+    assert 900 <= sent <= 50 + 100 * 10 + 20
+    limits.take_live(bucket, 60, now)
+    assert limits.weights_wait_s(bucket, now) > 0.3
+    with pytest.raises(errors.InvariantError):
+        limits.take_weights(bucket, 1, now)
+
+
+def test_a_clock_that_stands_still_or_steps_back_adds_no_tokens():
+    bucket = limits.Bucket(100.0, 10.0)
+    limits.take_weights(bucket, 30, 5.0)
+    assert limits.weights_wait_s(bucket, 4.0) > 0
+    assert limits.weights_wait_s(bucket, 5.0) > 0
--- /dev/null
+++ b/testing/test_weights_loops.py
@@ -0,0 +1,116 @@
+"""Guards against loops that pass unverified or mixed weights to a backend server."""
+
+import random
+
+import anyio
+import pytest
+
+from carobstand.core import manifest as manifests
+from carobstand.wire import connection
+from carobstand.wire.gen import ttypes
+from testing import fakes_weights as fakes
+
+
+@pytest.fixture
+def network(monkeypatch):
+    made = fakes.FakeNetwork()
+
+    async def send(conn, message):
+        made.deliver(conn, message)
+
+    monkeypatch.setattr(connection, "send", send)
+    monkeypatch.setattr(connection, "post", made.deliver)
+    return made
+
+
+def content(seed, size=64 * 1024):
+    return random.Random(seed).randbytes(size)
+
+
+def serves(network, version, vms=None):
+    agents = [network.agents[vm] for vm in vms or network.agents]
+    return lambda: all(version in agent.engine.serving for agent in agents)
+
+
+def run(network, body):
+    async def main():
+        async with anyio.create_task_group() as tg:
+            for vm in list(network.agents):
+                network.start(tg, vm)
+            await body(tg)
+            tg.cancel_scope.cancel()
+
+    anyio.run(main)
+
+
+def test_every_backend_server_gets_the_exact_bytes_despite_corrupted_chunks(network):
+    data = content(1)
+    origin = fakes.FakeOrigin(damaged=3)
+    digest = origin.add([("model.bin", data)], 4096)
+    for index in range(4):
+        network.add(f"vm{index}", origin)
+    damage = random.Random(5)
+
+    def corrupt(sender, receiver, message):
+        if isinstance(message, ttypes.ChunkReply) and damage.random() < 0.1:
+            message.data = b"x" + (message.data or b"")[1:]
+        return message
+
+    network.filters.append(corrupt)
+    row = fakes.VersionRow("v1", "svc", digest)
+
+    async def body(tg):
+        network.assign("v1", row, 1)
+        await fakes.until(serves(network, "v1"))
+
+    run(network, body)
+    for agent in network.agents.values():
+        assert agent.engine.content["v1", "model.bin"] == data
+        assert agent.replicas["svc", "v1"].phase == ttypes.ReplicaPhase.SERVING
+
+
+def test_weights_beyond_the_memory_limit_are_refused_and_the_served_ones_stay(network):
+    origin = fakes.FakeOrigin()
+    small = origin.add([("m", content(1))], 4096)
+    large = origin.add([("m", content(2, 80 * 1024))], 4096)
+    network.add("vm0", origin, memory=100 * 1024)
+    agent = network.agents["vm0"]
+
+    async def body(tg):
+        network.assign("v1", fakes.VersionRow("v1", "svc", small), 1)
+        await fakes.until(serves(network, "v1"))
+        network.assign("v2", fakes.VersionRow("v2", "svc", large), 2)
+        agent.assignments["svc"].fetch = ["v1", "v2"]
+        refused = ttypes.ReplicaPhase.REFUSED
+        await fakes.until(
+            lambda: (
+                agent.replicas.get(("svc", "v2"))
+                and agent.replicas["svc", "v2"].phase == refused
+            )
+        )
+        assert agent.engine.serving == {"v1": small}
+        assert "bytes" in agent.replicas["svc", "v2"].detail
+
+    run(network, body)
+
+
+def test_a_version_change_in_mid_transfer_ends_with_the_new_version_only(network):
+    origin = fakes.FakeOrigin()
+    base = content(1)
+    old = origin.add([("m", base)], 1024)
+    new = origin.add([("m", base[:32768] + content(3, 32768))], 1024)
+    for index in range(3):
+        network.add(f"vm{index}", origin)
+
+    async def body(tg):
+        network.assign("v1", fakes.VersionRow("v1", "svc", old), 1)
+        await fakes.until(lambda: len(origin.drawn) > 10)
+        network.assign("v2", fakes.VersionRow("v2", "svc", new), 2)
+        await fakes.until(serves(network, "v2"))
+
+    run(network, body)
+    for agent in network.agents.values():
+        assert manifests.digest_of(agent.engine.content["v2", "m"]) == (
+            manifests.digest_of(base[:32768] + content(3, 32768))
+        )
+        assert agent.engine.serving == {"v2": new}
