Add settings: flags and variables checked at startup

Each program's settings are an attrs class; defopt parses the command line from a signature built from its fields, and the help text is the Attributes section of the docstring. Passing the attrs class itself to defopt was ruled out: it needs a function's globals, and argparse reports errors in several lines.

Every wrong value, flag or variable is one line that names the setting, the value and what is allowed, with exit status 2. A variable that belongs to another program of carobstand is ignored; one that belongs to none is refused.

--- /dev/null
+++ b/src/carobstand/settings.py
@@ -0,0 +1,492 @@
+"""Settings of the programs: flags and ``CAROBSTAND_*`` variables, checked at startup.
+
+A settings class is an attrs class whose fields are made by `_setting`; its help text
+is the ``Attributes`` section of the docstring. A flag ``--max-body-bytes`` is the
+variable ``CAROBSTAND_MAX_BODY_BYTES``; the flag wins. Empty text for a setting
+whose default is empty is the same as not setting it.
+"""
+
+import contextlib
+import inspect
+import io
+import sys
+
+import attrs
+import defopt
+
+from carobstand import errors, setting_types
+
+PREFIX = "CAROBSTAND_"
+"""Start of the names of environment variables that are settings."""
+
+MIB = 1024 * 1024
+"""Bytes in a mebibyte."""
+
+EXIT_STATUS = 2
+"""Exit status of a program that was started with wrong settings."""
+
+
+def _setting(parse, default=attrs.NOTHING, **metadata):
+    """Return an attrs field; `parse` turns text into a value or raises ValueError."""
+    return attrs.field(default=default, metadata={"parse": parse, **metadata})
+
+
+@attrs.frozen(kw_only=True)
+class _Process:
+    """Settings that entries and agents share.
+
+    Attributes
+    ----------
+    vm
+        Name of this VM in the VM list.
+    failure_domain
+        Failure domain of this VM.
+    region
+        Region of this VM.
+    listen
+        Address on which other carobstand processes connect.
+    address
+        Address given to other processes, if `listen` is a wildcard.
+    status_listen
+        Address of /healthz, /readyz, /metrics and /status (HTTP).
+    vms_url
+        URL of the VM list.
+    insecure
+        Connect to other processes without TLS.
+    tls_cert
+        Certificate of this process, PEM.
+    tls_key
+        Private key of the certificate, PEM.
+    tls_ca
+        Certificates of the authorities that sign other processes, PEM.
+    shutdown_timeout_s
+        Longest wait for requests in progress at a planned stop, in seconds.
+    log_file
+        File for log lines (JSON); standard error if not set.
+    """
+
+    vm: str = _setting(setting_types.name)
+    failure_domain: str = _setting(setting_types.name)
+    region: str = _setting(setting_types.name)
+    listen: str = _setting(setting_types.address)
+    address: str = _setting(setting_types.reachable, "")
+    status_listen: str = _setting(setting_types.address)
+    vms_url: str = _setting(setting_types.url)
+    insecure: bool = _setting(setting_types.switch, False)
+    tls_cert: str = _setting(setting_types.path, "")
+    tls_key: str = _setting(setting_types.path, "")
+    tls_ca: str = _setting(setting_types.path, "")
+    shutdown_timeout_s: float = _setting(setting_types.number(0.1, 86_400), 600.0)
+    log_file: str = _setting(setting_types.path, "")
+
+
+@attrs.frozen(kw_only=True)
+class EntrySettings(_Process):
+    """Answer callers, route their requests to backend servers, and plan.
+
+    Attributes
+    ----------
+    http_listen
+        Address on which callers connect (HTTP/1.1 and HTTP/2).
+    store_url
+        URL of the configuration store.
+    max_body_bytes
+        Largest request body of a caller, in bytes.
+    request_timeout_s
+        Deadline of a request whose caller sets none, in seconds.
+    router
+        How requests are routed; the last two are baselines for benches.
+    """
+
+    http_listen: str = _setting(setting_types.address)
+    store_url: str = _setting(setting_types.url)
+    max_body_bytes: int = _setting(setting_types.integer(1, MIB), MIB)
+    request_timeout_s: float = _setting(setting_types.number(0.1, 86_400), 120.0)
+    router: str = _setting(
+        setting_types.choice("carobstand", "round-robin", "least-in-flight"),
+        "carobstand",
+    )
+
+
+@attrs.frozen(kw_only=True)
+class AgentSettings(_Process):
+    """Fetch, verify and activate weights, and run requests at one backend server.
+
+    Attributes
+    ----------
+    services
+        Services of the backend server, separated by commas.
+    backend_url
+        URL of the backend server.
+    backend_type
+        Kind of the backend server.
+    origin_url
+        URL of the origin of weights.
+    weights_listen
+        Loopback address from which the engine reads weights.
+    weights_memory_bytes
+        Memory for verified chunks, in bytes.
+    upload_slots
+        Chunks sent to other agents at the same time.
+    """
+
+    services: tuple = _setting(setting_types.names)
+    backend_url: str = _setting(setting_types.url)
+    backend_type: str = _setting(setting_types.choice("engine", "plain"), "engine")
+    origin_url: str = _setting(setting_types.url, "")
+    weights_listen: str = _setting(setting_types.loopback, "127.0.0.1:0")
+    weights_memory_bytes: int = _setting(
+        setting_types.integer(MIB, 1 << 44), 1024 * MIB
+    )
+    upload_slots: int = _setting(setting_types.integer(1, 1024), 4)
+
+
+@attrs.frozen(kw_only=True)
+class TableSettings:
+    """Read and change the table, and publish weights.
+
+    Attributes
+    ----------
+    arguments
+        Command and its arguments.
+    store_url
+        URL of the configuration store.
+    origin_url
+        URL of the origin of weights, for publish.
+    entries
+        Status addresses of entries, separated by commas, for status and watch.
+    author
+        Name of the operator, written into the history.
+    """
+
+    arguments: tuple = _setting(setting_types.free_text, (), positional=True)
+    store_url: str = _setting(setting_types.url, "")
+    origin_url: str = _setting(setting_types.url, "")
+    entries: tuple = _setting(setting_types.addresses, ())
+    author: str = _setting(setting_types.free_text, "unknown")
+
+
+@attrs.frozen(kw_only=True)
+class TimelineSettings:
+    """Merge log files of several processes into one timeline.
+
+    Attributes
+    ----------
+    files
+        Log files, JSON lines.
+    request
+        Show only events of this request.
+    vm
+        Show only events of this VM.
+    version
+        Show only events of this version.
+    html
+        File for one self-contained HTML page; text is printed if not set.
+    """
+
+    files: tuple = _setting(setting_types.path, (), positional=True)
+    request: str = _setting(setting_types.free_text, "")
+    vm: str = _setting(setting_types.name, "")
+    version: str = _setting(setting_types.name, "")
+    html: str = _setting(setting_types.path, "")
+
+
+@attrs.frozen(kw_only=True)
+class LocalSettings:
+    """Run stand-ins, two entries and several agents on this machine, and report.
+
+    Attributes
+    ----------
+    weights
+        File or directory of weights; seeded data if not set.
+    weights_bytes
+        Size of the seeded data, in bytes.
+    agents
+        Number of agents.
+    seed
+        Seed of the data and of the traffic.
+    log_file
+        File for log lines (JSON); none are written if not set.
+    """
+
+    weights: str = _setting(setting_types.path, "")
+    weights_bytes: int = _setting(setting_types.integer(1, 1 << 36), 64 * MIB)
+    agents: int = _setting(setting_types.integer(1, 64), 6)
+    seed: int = _setting(setting_types.integer(0, 1 << 31), 1)
+    log_file: str = _setting(setting_types.path, "")
+
+
+@attrs.frozen(kw_only=True)
+class StandinSettings:
+    """Run one stand-in for an outside system.
+
+    Attributes
+    ----------
+    kind
+        System that the stand-in replaces.
+    listen
+        Address on which the stand-in answers (HTTP).
+    seed
+        Seed of its faults and data.
+    log_file
+        File for log lines (JSON); standard error if not set.
+    """
+
+    kind: str = _setting(
+        setting_types.choice("store", "origin", "vms", "engine", "plain")
+    )
+    listen: str = _setting(setting_types.loopback)
+    seed: int = _setting(setting_types.integer(0, 1 << 31), 1)
+    log_file: str = _setting(setting_types.path, "")
+
+
+PROGRAMS = (
+    EntrySettings,
+    AgentSettings,
+    TableSettings,
+    TimelineSettings,
+    LocalSettings,
+    StandinSettings,
+)
+"""All settings classes; a variable that none of them knows is refused."""
+
+
+def load(cls, argv, environ):
+    """Return the settings of a program, or exit with one line on standard error.
+
+    Parameters
+    ----------
+    cls : type
+        One of `PROGRAMS`.
+    argv : sequence of str
+        Arguments without the program name.
+    environ : mapping of str to str
+
+    Returns
+    -------
+    cfg : object of type `cls`
+    """
+    try:
+        return parse(cls, argv, environ)
+    except errors.SettingsError as exc:
+        fail(exc)
+
+
+def fail(exc):
+    """Print the message of `exc` in one line and exit with `EXIT_STATUS`."""
+    message = exc.message if isinstance(exc, errors.CarobstandError) else str(exc)
+    print(f"error: {' '.join(message.split())}", file=sys.stderr)
+    raise SystemExit(EXIT_STATUS)
+
+
+def parse(cls, argv, environ):
+    """Return the settings of a program; see `load`.
+
+    Raises
+    ------
+    SettingsError
+        If a setting is unknown, missing or not allowed.
+    """
+    texts = _from_environ(cls, environ)
+    texts.update(_from_argv(cls, list(argv)))
+    values = {}
+    for field in attrs.fields(cls):
+        if field.name in texts:
+            values[field.name] = _value(field, texts[field.name])
+        elif field.default is attrs.NOTHING:
+            raise errors.SettingsError(
+                f"{_flag(field)} is missing: set it or {_variable(field)}",
+                step="settings",
+            )
+    cfg = cls(**values)
+    _check_together(cfg)
+    return cfg
+
+
+def _value(field, text):
+    if isinstance(text, tuple):
+        return tuple(_value(field, part) for part in text)
+    if text == "" and field.default in ("", ()):
+        return field.default
+    try:
+        return field.metadata["parse"](text)
+    except ValueError as exc:
+        raise errors.SettingsError(
+            f"{_flag(field)}: {text!r} is not allowed, expected {exc}", step="settings"
+        ) from exc
+
+
+def _check_together(cfg):
+    """Check settings that depend on each other."""
+    if not isinstance(cfg, _Process):
+        return
+    files = [name for name in ("tls_cert", "tls_key", "tls_ca") if getattr(cfg, name)]
+    if not cfg.insecure and len(files) < 3:
+        raise errors.SettingsError(
+            "--tls-cert, --tls-key and --tls-ca are required unless --insecure is set; "
+            f"set are: {', '.join(files) or 'none'}",
+            step="settings",
+        )
+    if not cfg.address:
+        try:
+            setting_types.reachable(cfg.listen)
+        except ValueError:
+            raise errors.SettingsError(
+                f"--address is missing: other processes cannot connect to {cfg.listen}",
+                step="settings",
+            ) from None
+    if isinstance(cfg, AgentSettings) and cfg.backend_type == "engine":
+        if not cfg.origin_url:
+            raise errors.SettingsError(
+                "--origin-url is missing: an engine needs the origin of weights",
+                step="settings",
+            )
+
+
+def own_address(cfg):
+    """Return the ``host:port`` that a process gives to others in its hello."""
+    return cfg.address or cfg.listen
+
+
+def _flag(field):
+    if field.metadata.get("positional"):
+        return f"<{field.name}>"
+    return "--" + field.name.replace("_", "-")
+
+
+def _variable(field):
+    return PREFIX + field.name.upper()
+
+
+def variables(cls):
+    """Return the environment variable of each setting, as a dict to its field."""
+    return {
+        _variable(field): field
+        for field in attrs.fields(cls)
+        if not field.metadata.get("positional")
+    }
+
+
+def _from_environ(cls, environ):
+    known = {name for program in PROGRAMS for name in variables(program)}
+    for name in sorted(environ):
+        if name.startswith(PREFIX) and name not in known:
+            raise errors.SettingsError(
+                f"{name}={environ[name]!r}: no setting has this name", step="settings"
+            )
+    return {
+        field.name: environ[name]
+        for name, field in variables(cls).items()
+        if name in environ
+    }
+
+
+def _from_argv(cls, argv):
+    """Return the texts of the settings given as arguments."""
+    given = io.StringIO()
+    try:
+        with contextlib.redirect_stderr(given):
+            call = defopt.bind(
+                _command(cls),
+                argv=_options_first(cls, argv),
+                cli_options="has_default",
+                short={},
+                show_defaults=False,
+                show_types=False,
+                no_negated_flags=True,
+            )
+    except SystemExit as exc:
+        if not exc.code:
+            raise
+        message = given.getvalue().strip().splitlines()[-1].partition("error: ")[2]
+        raise errors.SettingsError(message, step="settings") from exc
+    return call()
+
+
+def _options_first(cls, argv):
+    """Move positional arguments behind options; argparse needs them in one group."""
+    switches = {
+        _flag(f)
+        for f in attrs.fields(cls)
+        if f.metadata["parse"] is setting_types.switch
+    }
+    options, positional = [], []
+    rest = iter(argv)
+    for arg in rest:
+        if arg == "--":
+            positional.extend(rest)
+        elif not arg.startswith("-") or arg == "-":
+            positional.append(arg)
+        else:
+            options.append(arg)
+            if arg not in switches and arg.startswith("--") and "=" not in arg:
+                options.extend([v for v in [next(rest, None)] if v is not None])
+    return [*options, "--", *positional] if positional else options
+
+
+def _command(cls):
+    """Return a function with one parameter per setting, from which defopt parses."""
+
+    def command(*args, **kwargs):
+        texts = {
+            name: "1" if text is True else text
+            for name, text in kwargs.items()
+            if text not in (None, False)
+        }
+        for field in attrs.fields(cls):
+            if field.metadata.get("positional") and args:
+                texts[field.name] = tuple(args)
+        return texts
+
+    docs = _attribute_docs(cls)
+    parameters, lines = [], [inspect.getdoc(cls).partition("\n")[0], ""]
+    for field in sorted(
+        attrs.fields(cls), key=lambda field: not field.metadata.get("positional")
+    ):
+        switch = field.metadata["parse"] is setting_types.switch
+        positional = field.metadata.get("positional")
+        parameters.append(
+            inspect.Parameter(
+                field.name,
+                inspect.Parameter.VAR_POSITIONAL
+                if positional
+                else inspect.Parameter.KEYWORD_ONLY,
+                default=inspect.Parameter.empty
+                if positional
+                else (False if switch else None),
+                annotation=bool if switch else str,
+            )
+        )
+        lines.append(f":param {field.name}: {docs[field.name]}{_hint(field)}")
+    command.__doc__ = "\n".join(lines)
+    command.__signature__ = inspect.Signature(parameters)
+    command.__annotations__ = {p.name: p.annotation for p in parameters}
+    return command
+
+
+def _hint(field):
+    """Return the part of the help text that follows from the field itself."""
+    if field.metadata.get("positional"):
+        return ""
+    if field.default is attrs.NOTHING:
+        return f" (required; {_variable(field)})"
+    default = field.default
+    if default in ("", (), False):
+        return f" ({_variable(field)})"
+    return f" (default {default}; {_variable(field)})"
+
+
+def _attribute_docs(cls):
+    """Return the description of each attribute in the docstrings of `cls`."""
+    docs = {}
+    sections = [
+        inspect.cleandoc(base.__doc__).partition("Attributes\n----------\n")[2]
+        for base in reversed(cls.__mro__[:-1])
+    ]
+    for line in "\n".join(sections).splitlines():
+        if line and not line.startswith(" "):
+            name = line
+            docs[name] = ""
+        elif line:
+            docs[name] = f"{docs[name]} {line.strip()}".strip()
+    return docs
