--- a/src/carobstand/agent/peers.py
+++ b/src/carobstand/agent/peers.py
@@ -4,9 +4,9 @@
 
 import anyio
 
-from carobstand import errors, logs
+from carobstand import errors, logs, settings
 from carobstand.core import topology
-from carobstand.wire import connection, handlers, listeners, tls
+from carobstand.wire import connection, handlers, tls
 from carobstand.wire.gen import ttypes
 
 REDIAL_S = 0.5
@@ -28,7 +28,7 @@
         start_id=state.start_id,
         failure_domain=state.cfg.failure_domain,
         region=state.cfg.region,
-        address=state.cfg.listen,
+        address=settings.own_address(state.cfg),
         services=list(state.cfg.services),
     )
 
@@ -58,9 +58,8 @@
     async def on_connection(conn):
         await _run(conn, table)
 
-    context = tls.server_context(state.cfg)
     await connection.serve(
-        listeners.secure(listener, context), lambda: hello_of(state), on_connection
+        listener, lambda: hello_of(state), on_connection, tls.acceptor(state.cfg)
     )
 
 
--- a/src/carobstand/entry/peers.py
+++ b/src/carobstand/entry/peers.py
@@ -2,10 +2,10 @@
 
 import anyio
 
-from carobstand import errors, logs
+from carobstand import errors, logs, settings
 from carobstand.core import topology
 from carobstand.entry import state as states
-from carobstand.wire import connection, handlers, listeners, tls
+from carobstand.wire import connection, handlers, tls
 from carobstand.wire.gen import ttypes
 
 REDIAL_S = 1.0
@@ -21,7 +21,7 @@
         start_id=state.start_id,
         failure_domain=state.cfg.failure_domain,
         region=state.cfg.region,
-        address=state.cfg.listen,
+        address=settings.own_address(state.cfg),
         services=[],
     )
 
@@ -64,9 +64,8 @@
     async def on_connection(conn):
         await run_peer(state, conn, table)
 
-    context = tls.server_context(state.cfg)
     await connection.serve(
-        listeners.secure(listener, context), lambda: hello_of(state), on_connection
+        listener, lambda: hello_of(state), on_connection, tls.acceptor(state.cfg)
     )
 
 
--- /dev/null
+++ b/src/carobstand/metrics.py
@@ -0,0 +1,167 @@
+"""Counters, gauges and latency histograms of a process, and their text form.
+
+The text is the Prometheus exposition format: counters end in ``_total``, histograms are
+summaries with quantiles. A histogram's name says its unit, for example
+``first_token_s``.
+"""
+
+import os
+import resource
+
+import attrs
+from hdrh import histogram
+
+PREFIX = "carobstand_"
+"""Start of the name of every metric."""
+
+UNITS_PER_VALUE = 1_000_000
+"""Histograms count whole millionths, so that seconds are kept to a microsecond."""
+
+LARGEST_VALUE = 3600.0
+"""Values above this are recorded as this."""
+
+SIGNIFICANT_DIGITS = 2
+"""Precision of 1%: a histogram takes about 27 KB, with 3 digits about 200 KB."""
+
+MAX_SERIES = 1500
+"""Histograms and counters in a process; 1500 histograms take about 40 MB of 256 MB."""
+
+QUANTILES = (0.5, 0.95, 0.99)
+"""Quantiles in the text; the largest value is quantile 1."""
+
+
+@attrs.define
+class Histogram:
+    """Distribution of the values of one name and set of labels."""
+
+    counts: histogram.HdrHistogram = attrs.field(
+        factory=lambda: histogram.HdrHistogram(
+            1, int(LARGEST_VALUE * UNITS_PER_VALUE), SIGNIFICANT_DIGITS
+        )
+    )
+    total: float = 0.0
+
+
+@attrs.define(eq=False)
+class Registry:
+    """Metrics of one process.
+
+    Attributes
+    ----------
+    histograms, counters, gauges : dict of (name, labels)
+        `labels` is a sorted tuple of (label, value).
+    dropped : int
+        Observations dropped because `MAX_SERIES` was reached.
+    """
+
+    histograms: dict = attrs.field(factory=dict)
+    counters: dict = attrs.field(factory=dict)
+    gauges: dict = attrs.field(factory=dict)
+    dropped: int = 0
+
+
+def record(registry, name, value, **labels):
+    """Add `value` to the histogram of `name` and `labels`.
+
+    Parameters
+    ----------
+    registry : Registry
+    name : str
+        Name with its unit, for example ``"first_token_s"``.
+    value : float
+        Not negative; below `LARGEST_VALUE`.
+    **labels : str
+        For example ``outcome="done"``. Their values come from the table or from the
+        code, never from a caller.
+    """
+    series = _series(registry, registry.histograms, name, labels, Histogram)
+    if series is not None:
+        value = min(max(value, 0.0), LARGEST_VALUE)
+        series.counts.record_value(int(value * UNITS_PER_VALUE))
+        series.total += value
+
+
+def count(registry, name, n=1, **labels):
+    """Add `n` to the counter of `name` and `labels`."""
+    series = _series(registry, registry.counters, name, labels, lambda: [0])
+    if series is not None:
+        series[0] += n
+
+
+def gauge(registry, name, value, **labels):
+    """Set the gauge of `name` and `labels` to `value`."""
+    series = _series(registry, registry.gauges, name, labels, lambda: [0])
+    if series is not None:
+        series[0] = value
+
+
+def _series(registry, group, name, labels, new):
+    key = (name, tuple(sorted(labels.items())))
+    series = group.get(key)
+    if series is not None:
+        return series
+    held = len(registry.histograms) + len(registry.counters) + len(registry.gauges)
+    if held >= MAX_SERIES:
+        registry.dropped += 1
+        return None
+    return group.setdefault(key, new())
+
+
+def quantile(registry, name, share, **labels):
+    """Return the `share` quantile (0..1) of a histogram, or None without values."""
+    series = registry.histograms.get((name, tuple(sorted(labels.items()))))
+    if series is None:
+        return None
+    return series.counts.get_value_at_percentile(share * 100) / UNITS_PER_VALUE
+
+
+def render(registry):
+    """Return all metrics as text, one line per value.
+
+    Returns
+    -------
+    text : str
+    """
+    lines = []
+    for (name, labels), value in sorted(registry.counters.items()):
+        lines.append(_line(f"{name}_total", labels, value[0]))
+    for (name, labels), value in sorted(registry.gauges.items()):
+        lines.append(_line(name, labels, value[0]))
+    for (name, labels), series in sorted(
+        registry.histograms.items(), key=lambda item: item[0]
+    ):
+        for share in QUANTILES:
+            value = series.counts.get_value_at_percentile(share * 100)
+            quantile_labels = (*labels, ("quantile", f"{share:g}"))
+            lines.append(_line(name, quantile_labels, value / UNITS_PER_VALUE))
+        largest = series.counts.get_max_value() / UNITS_PER_VALUE
+        lines.append(_line(name, (*labels, ("quantile", "1")), largest))
+        lines.append(_line(f"{name}_count", labels, series.counts.get_total_count()))
+        lines.append(_line(f"{name}_sum", labels, series.total))
+    lines.append(_line("metrics_dropped_total", (), registry.dropped))
+    lines.append(_line("process_cpu_seconds_total", (), cpu_seconds()))
+    lines.append(_line("process_resident_bytes", (), resident_bytes()))
+    return "".join(lines)
+
+
+def _line(name, labels, value):
+    escaped = ",".join(f'{label}="{_escape(text)}"' for label, text in labels)
+    return f"{PREFIX}{name}{{{escaped}}} {value:.10g}\n"
+
+
+def _escape(value):
+    text = str(value).replace("\\", "\\\\").replace('"', '\\"')
+    return text.replace("\n", "\\n")
+
+
+def cpu_seconds():
+    """Return the CPU time used by this process, in seconds."""
+    usage = resource.getrusage(resource.RUSAGE_SELF)
+    return usage.ru_utime + usage.ru_stime
+
+
+def resident_bytes():
+    """Return the resident memory of this process, in bytes (proc(5), statm)."""
+    with open("/proc/self/statm") as file:
+        pages = int(file.read().split()[1])
+    return pages * os.sysconf("SC_PAGE_SIZE")
--- a/src/carobstand/settings.py
+++ b/src/carobstand/settings.py
@@ -59,8 +59,6 @@
         Private key of the certificate, PEM.
     tls_ca
         Certificates of the authorities that sign other processes, PEM.
-    shutdown_timeout_s
-        Longest wait for requests in progress at a planned stop, in seconds.
     log_file
         File for log lines (JSON); standard error if not set.
     """
@@ -76,7 +74,6 @@
     tls_cert: str = _setting(setting_types.path, "")
     tls_key: str = _setting(setting_types.path, "")
     tls_ca: str = _setting(setting_types.path, "")
-    shutdown_timeout_s: float = _setting(setting_types.number(0.1, 86_400), 600.0)
     log_file: str = _setting(setting_types.path, "")
 
 
@@ -94,6 +91,9 @@
         Largest request body of a caller, in bytes.
     request_timeout_s
         Deadline of a request whose caller sets none, in seconds.
+    leave_delay_s
+        Time between the failed readiness check and the end of listening at a planned
+        stop, in seconds; the load balancer needs it to notice.
     router
         How requests are routed; the last two are baselines for benches.
     """
@@ -102,6 +102,7 @@
     store_url: str = _setting(setting_types.url)
     max_body_bytes: int = _setting(setting_types.integer(1, MIB), MIB)
     request_timeout_s: float = _setting(setting_types.number(0.1, 86_400), 120.0)
+    leave_delay_s: float = _setting(setting_types.number(0, 600), 2.0)
     router: str = _setting(
         setting_types.choice("carobstand", "round-robin", "least-in-flight"),
         "carobstand",
@@ -128,6 +129,8 @@
         Memory for verified chunks, in bytes.
     upload_slots
         Chunks sent to other agents at the same time.
+    drain_timeout_s
+        Longest wait for requests in progress at a planned stop, in seconds.
     """
 
     services: tuple = _setting(setting_types.names)
@@ -139,6 +142,7 @@
         setting_types.integer(MIB, 1 << 44), 1024 * MIB
     )
     upload_slots: int = _setting(setting_types.integer(1, 1024), 4)
+    drain_timeout_s: float = _setting(setting_types.number(0, 86_400), 120.0)
 
 
 @attrs.frozen(kw_only=True)
--- a/src/carobstand/wire/connection.py
+++ b/src/carobstand/wire/connection.py
@@ -1,37 +1,76 @@
 """Framed bidirectional connections between processes."""
 
 import collections
+import ssl
+import traceback
 
 import anyio
 import anyio.abc
+import anyio.lowlevel
 import attrs
 
-from carobstand import errors, logs
-from carobstand.wire import codec
+from carobstand import errors, logs, signals
+from carobstand.wire import codec, framing, tls
 from carobstand.wire.gen import ttypes
 
 PROTOCOL_VERSION = 1
 """Version of the messages; a peer with another version is refused."""
 
 PING_INTERVAL_S = 0.8
-"""Time between pings; three lost ones are noticed within 3 s."""
+"""Time between pings."""
 
-SILENT_PINGS = 3
-"""Pings without any frame from the peer after which a connection is replaced."""
+SILENT_S = 2.6
+"""Silence after which a connection is replaced: three pings of `PING_INTERVAL_S`, the
+last of which had 0.2 s for its answer. A silent connection is found within 3 s."""
+
+STALL_S = 10.0
+"""Time without progress of a write after which a peer that does not read is dropped."""
 
 HANDSHAKE_TIMEOUT_S = 3.0
-"""Longest wait for the peer's hello."""
+"""Longest wait for the TLS handshake, and then for the peer's hello."""
+
+MAX_HANDSHAKES = 512
+"""Accepted connections without a hello; more are closed at once. A restarted entry of
+the design size gets about 200 connections of agents and entries."""
 
 MAX_QUEUED_BYTES = 8 * 1024 * 1024
-"""Bytes waiting to be sent above which senders wait."""
+"""Bytes waiting to be sent above which `send` waits."""
+
+OVERFLOW_BYTES = 2 * MAX_QUEUED_BYTES
+"""Bytes waiting to be sent above which `post` closes the connection."""
+
+WRITE_BYTES = 256 * 1024
+"""Largest write to a socket, so that progress is seen while a large queue drains."""
 
 RECEIVE_BYTES = 256 * 1024
 """Largest read from a socket."""
 
+FRAMES_PER_TURN = 32
+"""Frames handled before other tasks run; a read may hold thousands of small ones."""
+
+ACCEPT_RETRY_S = 0.2
+"""Wait after a failed accept, for example without free file descriptors."""
+
 
 @attrs.define(eq=False)
 class Connection:
-    """One connection to another process, after both hellos."""
+    """One connection to another process, after both hellos.
+
+    Attributes
+    ----------
+    peer : ttypes.Hello
+    address : str
+        Address of the peer, ``host:port``.
+    queued_bytes : int
+        Bytes of frames that the socket has not yet taken.
+    quiet_since : float or None
+        When the peer was last heard, or when waiting for it began; None while a
+        message is handled, because then nothing is read. Loop time, in seconds.
+    write_since : float or None
+        When the write in progress began.
+    extra : dict
+        Free for the owner of the connection.
+    """
 
     stream: anyio.abc.ByteStream
     peer: ttypes.Hello
@@ -39,10 +78,11 @@
     queue: collections.deque = attrs.field(factory=collections.deque)
     queued_bytes: int = 0
     wakeup: anyio.Event = attrs.field(factory=anyio.Event)
-    drained: anyio.Event = attrs.field(factory=anyio.Event)
+    drained: signals.Signal = attrs.field(factory=signals.Signal)
     closed: anyio.Event = attrs.field(factory=anyio.Event)
-    buffer: bytearray = attrs.field(factory=bytearray)
-    last_heard: float = 0.0
+    frames: framing.Buffer = attrs.field(factory=framing.Buffer)
+    quiet_since: float | None = None
+    write_since: float | None = None
     bytes_sent: int = 0
     bytes_received: int = 0
     extra: dict = attrs.field(factory=dict)
@@ -59,13 +99,22 @@
     Raises
     ------
     ConnectionClosedError
-        If the connection has ended.
+        If the connection has ended, or ends because more than `OVERFLOW_BYTES` wait.
+    WireError
+        If the message is larger than a frame; the connection stays open.
     """
     if conn.closed.is_set():
         raise errors.ConnectionClosedError(
             "connection is closed", step="wire.post", peer=conn.address
         )
     frame = codec.encode(message, logs.STATE.clock.tick())
+    if conn.queued_bytes + len(frame) > OVERFLOW_BYTES:
+        close(conn)
+        raise errors.ConnectionClosedError(
+            f"peer does not read: {conn.queued_bytes} bytes wait",
+            step="wire.post",
+            peer=conn.address,
+        )
     conn.queue.append(frame)
     conn.queued_bytes += len(frame)
     conn.wakeup.set()
@@ -74,11 +123,23 @@
 async def send(conn, message):
     """Queue `message`, waiting while more than `MAX_QUEUED_BYTES` are queued."""
     while conn.queued_bytes > MAX_QUEUED_BYTES and not conn.closed.is_set():
-        conn.drained = anyio.Event()
-        await conn.drained.wait()
+        await conn.drained.wait(STALL_S)
     post(conn, message)
 
 
+async def flush(conn, timeout_s):
+    """Wait until all queued frames are with the socket, at most `timeout_s`.
+
+    Returns
+    -------
+    flushed : bool
+    """
+    with anyio.move_on_after(timeout_s):
+        while conn.queued_bytes and not conn.closed.is_set():
+            await conn.drained.wait(timeout_s)
+    return conn.queued_bytes == 0
+
+
 async def run(conn, on_message):
     """Exchange frames until the connection ends.
 
@@ -86,76 +147,112 @@
     ----------
     conn : Connection
     on_message : async callable of (conn, message)
-        Called for each message but pings, one at a time.
+        Called for each message but pings, one at a time. Nothing is read from the
+        peer while it runs.
 
     Raises
     ------
     WireError
-        If the peer sent a malformed frame. The connection is closed.
+        If the peer sent a malformed frame, or a message that its handler could not
+        process. The connection is closed.
     ConnectionClosedError
-        If the peer was silent for `SILENT_PINGS` pings.
+        If the peer was silent for `SILENT_S`, or did not read for `STALL_S`.
+    InvariantError
+        As raised by a handler; the process must not go on.
     """
-    conn.last_heard = anyio.current_time()
     try:
         async with anyio.create_task_group() as tg:
+            tg.start_soon(_cancel_when_closed, conn, tg.cancel_scope)
             tg.start_soon(_write, conn)
-            tg.start_soon(_ping, conn)
+            tg.start_soon(_watch_peer, conn)
             await _read(conn, on_message)
-            tg.cancel_scope.cancel()
+            close(conn)
     except BaseExceptionGroup as group:
-        raise group.exceptions[0] from None
+        raise _first(group) from None
     finally:
         close(conn)
         with anyio.CancelScope(shield=True), anyio.move_on_after(1):
             await anyio.aclose_forcefully(conn.stream)
 
 
+def _first(group):
+    """Return the exception of a group that matters most."""
+    invariant, _ = group.split(errors.InvariantError)
+    group = invariant or group
+    while isinstance(group, BaseExceptionGroup):
+        group = group.exceptions[0]
+    return group
+
+
 def close(conn):
-    """Mark `conn` closed and wake everyone who waits on it."""
+    """Mark `conn` closed and wake everyone who waits on it; `run` then returns."""
     conn.closed.set()
     conn.wakeup.set()
-    conn.drained.set()
+    conn.drained.notify()
+
+
+async def _cancel_when_closed(conn, scope):
+    """End the reader too when another task closes `conn`: it waits on the socket."""
+    await conn.closed.wait()
+    scope.cancel()
 
 
 async def _read(conn, on_message):
+    handled = 0
     while not conn.closed.is_set():
-        body = await _read_frame(conn)
+        body = framing.take(conn.frames, conn.address)
         if body is None:
-            return
+            if not await _fill(conn):
+                return
+            continue
         message, stamp = codec.decode(body)
         logs.STATE.clock.merge(stamp)
         if isinstance(message, ttypes.Ping):
             post(conn, ttypes.Pong(seq=message.seq))
         elif not isinstance(message, ttypes.Pong):
-            await on_message(conn, message)
+            await _handle(conn, message, on_message)
+        handled += 1
+        if handled % FRAMES_PER_TURN == 0:
+            await anyio.lowlevel.checkpoint()
 
 
-async def _read_frame(conn):
-    """Return the next frame's body, or None when the peer closed."""
-    size = codec.LENGTH.size
-    while True:
-        buffer = conn.buffer
-        if len(buffer) >= size:
-            (length,) = codec.LENGTH.unpack_from(buffer)
-            if length > codec.MAX_FRAME_BYTES:
-                raise errors.WireError(
-                    f"frame of {length} bytes exceeds {codec.MAX_FRAME_BYTES}",
-                    step="wire.read",
-                    peer=conn.address,
-                )
-            if len(buffer) >= size + length:
-                body = bytes(memoryview(buffer)[size : size + length])
-                del buffer[: size + length]
-                return body
-        try:
-            data = await conn.stream.receive(RECEIVE_BYTES)
-        except (anyio.EndOfStream, anyio.BrokenResourceError, OSError):
-            return None
-        except anyio.ClosedResourceError:
-            return None
-        conn.last_heard = anyio.current_time()
-        conn.bytes_received += len(data)
-        buffer += data
+async def _handle(conn, message, on_message):
+    """Call `on_message`; a message that it cannot process ends the connection only."""
+    try:
+        await on_message(conn, message)
+    except errors.CarobstandError:
+        raise
+    except Exception as exc:
+        logs.event(
+            "handler.failed",
+            peer=conn.address,
+            message_kind=type(message).__name__,
+            error=repr(exc),
+            traceback=traceback.format_exc(),
+        )
+        raise errors.WireError(
+            f"cannot process {type(message).__name__}: {exc!r}",
+            step="wire.handle",
+            peer=conn.address,
+        ) from exc
+
+
+async def _fill(conn):
+    """Read more of the stream; return False at its end."""
+    conn.quiet_since = anyio.current_time()
+    try:
+        data = await conn.stream.receive(RECEIVE_BYTES)
+    except (
+        anyio.EndOfStream,
+        anyio.BrokenResourceError,
+        anyio.ClosedResourceError,
+        OSError,
+    ):
+        return False
+    conn.quiet_since = None
+    conn.bytes_received += len(data)
+    framing.add(conn.frames, data)
+    return True
 
 
 async def _write(conn):
@@ -164,32 +261,48 @@
             conn.wakeup = anyio.Event()
             await conn.wakeup.wait()
             continue
-        data = b"".join(conn.queue)
-        conn.queue.clear()
+        data = framing.join(conn.queue, WRITE_BYTES)
+        conn.write_since = anyio.current_time()
         try:
             await conn.stream.send(data)
         except (anyio.BrokenResourceError, anyio.ClosedResourceError, OSError):
             close(conn)
-            await anyio.aclose_forcefully(conn.stream)
             return
+        conn.write_since = None
         conn.queued_bytes -= len(data)
         conn.bytes_sent += len(data)
-        conn.drained.set()
+        conn.drained.notify()
 
 
-async def _ping(conn):
+async def _watch_peer(conn):
+    """Send pings; raise ConnectionClosedError once the peer is silent or stalled.
+
+    After a pause of this process itself the peer gets `SILENT_S` again, because its
+    frames may wait unread in the socket.
+    """
+    ping_at = anyio.current_time() + PING_INTERVAL_S
     seq = 0
-    while not conn.closed.is_set():
-        await anyio.sleep(PING_INTERVAL_S)
-        silent_s = anyio.current_time() - conn.last_heard
-        if silent_s > PING_INTERVAL_S * SILENT_PINGS:
-            raise errors.ConnectionClosedError(
-                f"peer silent for {silent_s:.1f} s",
-                step="wire.ping",
-                peer=conn.address,
-            )
-        seq += 1
-        post(conn, ttypes.Ping(seq=seq))
+    while True:
+        silent_at = ping_at
+        if conn.quiet_since is not None:
+            silent_at = conn.quiet_since + SILENT_S
+        wake_at = min(ping_at, silent_at)
+        await anyio.sleep_until(wake_at)
+        now = anyio.current_time()
+        if now - wake_at > PING_INTERVAL_S / 2 and conn.quiet_since is not None:
+            conn.quiet_since = now
+        if conn.quiet_since is not None and now - conn.quiet_since >= SILENT_S:
+            _fail(conn, f"peer silent for {now - conn.quiet_since:.1f} s")
+        if conn.write_since is not None and now - conn.write_since >= STALL_S:
+            _fail(conn, f"peer does not read for {now - conn.write_since:.1f} s")
+        if now >= ping_at:
+            seq += 1
+            ping_at = now + PING_INTERVAL_S
+            post(conn, ttypes.Ping(seq=seq))
+
+
+def _fail(conn, message):
+    raise errors.ConnectionClosedError(message, step="wire.watch", peer=conn.address)
 
 
 async def handshake(stream, hello, address):
@@ -210,39 +323,53 @@
     Raises
     ------
     HandshakeError
-        If the peer sends no hello in time or speaks another version.
+        If the peer refuses this process, sends no hello in time or speaks another
+        version.
+    WireError
+        If what the peer sent is not a frame.
     """
     conn = Connection(stream=stream, peer=ttypes.Hello(), address=address)
-    with anyio.move_on_after(HANDSHAKE_TIMEOUT_S):
-        await stream.send(codec.encode(hello, logs.STATE.clock.tick()))
-        body = await _read_frame(conn)
-        if body is None:
-            raise errors.HandshakeError(
-                "peer closed before its hello", step="wire.handshake", peer=address
-            )
-        message, stamp = codec.decode(body)
-        logs.STATE.clock.merge(stamp)
-        _check_hello(message, address)
-        conn.peer = message
-        return conn
-    raise errors.HandshakeError(
-        f"no hello within {HANDSHAKE_TIMEOUT_S} s", step="wire.handshake", peer=address
-    )
+    try:
+        with anyio.fail_after(HANDSHAKE_TIMEOUT_S):
+            await stream.send(codec.encode(hello, logs.STATE.clock.tick()))
+            while (
+                body := framing.take(conn.frames, address, framing.MAX_HELLO_BYTES)
+            ) is None:
+                data = await stream.receive(framing.MAX_HELLO_BYTES)
+                framing.add(conn.frames, data)
+    except TimeoutError:
+        raise _refusal(f"no hello within {HANDSHAKE_TIMEOUT_S} s", address) from None
+    except anyio.EndOfStream:
+        raise _refusal("peer closed before its hello", address) from None
+    except ssl.SSLError as exc:
+        raise _refusal(tls.reason(exc), address) from exc
+    except (OSError, anyio.BrokenResourceError) as exc:
+        raise _refusal("connection reset before the hello", address) from exc
+    message, stamp = codec.decode(body)
+    _check_hello(message, address)
+    logs.STATE.clock.merge(stamp)
+    conn.peer = message
+    return conn
+
+
+def _refusal(message, address):
+    return errors.HandshakeError(message, step="wire.handshake", peer=address)
 
 
 def _check_hello(message, address):
     if not isinstance(message, ttypes.Hello):
-        raise errors.HandshakeError(
-            f"expected Hello, got {type(message).__name__}",
-            step="wire.handshake",
-            peer=address,
-        )
+        kind = type(message).__name__
+        raise _refusal(f"expected Hello, got {kind}", address)
     if message.protocol != PROTOCOL_VERSION:
-        raise errors.HandshakeError(
+        raise _refusal(
             f"protocol {message.protocol}, this process speaks {PROTOCOL_VERSION}",
-            step="wire.handshake",
-            peer=address,
+            address,
         )
+    if message.role not in ttypes.Role._VALUES_TO_NAMES:
+        raise _refusal(f"unknown role {message.role}", address)
+    for name in ("vm", "start_id", "failure_domain", "region", "address"):
+        if not getattr(message, name):
+            raise _refusal(f"hello without {name}", address)
 
 
 async def dial(address, hello, tls_context=None):
@@ -265,10 +392,10 @@
     ConnectionClosedError
         If the peer cannot be reached.
     HandshakeError
-        If the hellos do not match.
+        If the peer refuses this process or is refused.
     """
-    host, port = split_address(address)
     try:
+        host, port = split_address(address)
         with anyio.fail_after(HANDSHAKE_TIMEOUT_S):
             stream = await anyio.connect_tcp(
                 host,
@@ -277,7 +404,14 @@
                 ssl_context=tls_context,
                 tls_standard_compatible=False,
             )
-    except (OSError, TimeoutError, anyio.BrokenResourceError) as exc:
+    except ssl.SSLError as exc:
+        raise _refusal(tls.reason(exc), address) from exc
+    except (
+        OSError,
+        ValueError,
+        anyio.BrokenResourceError,
+        anyio.EndOfStream,
+    ) as exc:
         raise errors.ConnectionClosedError(
             f"cannot connect: {exc or type(exc).__name__}",
             step="wire.dial",
@@ -290,7 +424,7 @@
         raise
 
 
-async def serve(listener, hello, on_connection):
+async def serve(listener, hello, on_connection, secure=None):
     """Accept connections until cancelled.
 
     Parameters
@@ -299,23 +433,62 @@
     hello : callable returning ttypes.Hello
     on_connection : async callable of (conn,)
         Runs the connection; it ends when the callable returns.
+    secure : async callable of (stream,) returning a stream, or None
+        Does the TLS handshake of an accepted stream; see `tls.acceptor`.
+
+    Raises
+    ------
+    InvariantError
+        As raised by `on_connection`.
     """
+    pending = set()
 
     async def handle(stream):
         remote = stream.extra(anyio.abc.SocketAttribute.remote_address, ("?", 0))
         address = f"{remote[0]}:{remote[1]}"
-        async with stream:
+        try:
+            if len(pending) >= MAX_HANDSHAKES:
+                raise _refusal(f"{MAX_HANDSHAKES} handshakes in progress", address)
+            pending.add(stream)
+            conn = await _accept(stream, hello(), address, secure)
+            pending.discard(stream)
+            await on_connection(conn)
+        except errors.InvariantError:
+            raise
+        except errors.CarobstandError as exc:
+            logs.event(
+                "connection.failed", error=exc.message, step=exc.step, peer=address
+            )
+        finally:
+            pending.discard(stream)
+            with anyio.CancelScope(shield=True), anyio.move_on_after(1):
+                await anyio.aclose_forcefully(stream)
+
+    async with anyio.create_task_group() as tg:
+        while True:
             try:
-                conn = await handshake(stream, hello(), address)
-                await on_connection(conn)
-            except errors.CarobstandError as exc:
-                logs.event(
-                    "connection.failed", error=exc.message, step=exc.step, peer=address
-                )
-            except (OSError, anyio.BrokenResourceError, anyio.ClosedResourceError):
-                logs.event("connection.failed", error="reset", peer=address)
-
-    await listener.serve(handle)
+                await listener.serve(handle, tg)
+            except* OSError as group:
+                logs.event("accept.failed", error=str(group.exceptions[0]))
+            await anyio.sleep(ACCEPT_RETRY_S)
+
+
+async def _accept(stream, hello, address, secure):
+    """Do the TLS handshake, if any, and exchange hellos."""
+    try:
+        if secure is not None:
+            with anyio.fail_after(HANDSHAKE_TIMEOUT_S):
+                stream = await secure(stream)
+    except TimeoutError:
+        raise _refusal("no TLS handshake in time", address) from None
+    except (
+        OSError,
+        anyio.BrokenResourceError,
+        anyio.ClosedResourceError,
+        anyio.EndOfStream,
+    ) as exc:
+        raise _refusal(tls.reason(exc), address) from exc
+    return await handshake(stream, hello, address)
 
 
 def split_address(address):
--- a/src/carobstand/wire/listeners.py
+++ b/src/carobstand/wire/listeners.py
@@ -1,7 +1,6 @@
 """Listening sockets of a process."""
 
 import anyio
-from anyio.streams import tls as anyio_tls
 
 from carobstand import errors
 from carobstand.wire import connection
@@ -32,10 +31,3 @@
             f"listen: cannot bind {address}: {exc.strerror or exc}",
             step="listeners.open",
         ) from exc
-
-
-def secure(listener, context):
-    """Return `listener` with TLS, or as it is if `context` is None."""
-    if context is None:
-        return listener
-    return anyio_tls.TLSListener(listener, context, standard_compatible=False)
--- /dev/null
+++ b/src/carobstand/wire/tls.py
@@ -0,0 +1,170 @@
+"""Mutual TLS between carobstand processes, from files that may change while it runs.
+
+Both sides present a certificate signed by the authorities in ``tls_ca``. The name in
+the certificate is not checked: VMs are replaced and change addresses, so membership of
+the authority is what a peer proves.
+"""
+
+import os
+import ssl
+
+import attrs
+from anyio.streams import tls as anyio_tls
+
+from carobstand import errors, logs
+
+FILES = ("tls_cert", "tls_key", "tls_ca")
+"""Settings that name the files of a context."""
+
+REASONS = {
+    "PEER_DID_NOT_RETURN_A_CERTIFICATE": "peer sent no certificate",
+    "TLSV13_ALERT_CERTIFICATE_REQUIRED": "peer requires a certificate",
+    "CERTIFICATE_VERIFY_FAILED": "certificate of the peer is not trusted",
+    "TLSV1_ALERT_UNKNOWN_CA": "peer does not trust the certificate of this process",
+    "TLSV1_ALERT_DECRYPT_ERROR": "peer does not trust the certificate of this process",
+    "SSLV3_ALERT_CERTIFICATE_EXPIRED": "certificate of this process has expired",
+    "HTTP_REQUEST": "peer does not use TLS",
+    "WRONG_VERSION_NUMBER": "peer does not use TLS",
+    "UNEXPECTED_EOF_WHILE_READING": "peer closed during the TLS handshake",
+    "UNSUPPORTED_PROTOCOL": "peer offers no TLS 1.3",
+}
+"""Reasons of OpenSSL in terms of what an operator can change."""
+
+
+@attrs.define
+class Loaded:
+    """A context and the state of its files when it was loaded."""
+
+    stamps: tuple
+    context: ssl.SSLContext
+
+
+_LOADED = {}
+
+
+def server_context(cfg):
+    """Return the context for accepted connections, or None if ``cfg.insecure``.
+
+    Parameters
+    ----------
+    cfg : settings.EntrySettings or settings.AgentSettings
+
+    Returns
+    -------
+    context : ssl.SSLContext or None
+
+    Raises
+    ------
+    SettingsError
+        If the files cannot be loaded and no earlier context exists.
+    """
+    return _current(cfg, ssl.PROTOCOL_TLS_SERVER)
+
+
+def client_context(cfg):
+    """Return the context for connections that this process opens; see above."""
+    return _current(cfg, ssl.PROTOCOL_TLS_CLIENT)
+
+
+def acceptor(cfg):
+    """Return an async callable that wraps an accepted stream, or None without TLS.
+
+    Each call uses the files as they are at that moment.
+
+    Raises
+    ------
+    SettingsError
+        If the files cannot be loaded.
+    """
+    if server_context(cfg) is None:
+        logs.event("tls.insecure", detail="connections between processes are open")
+        return None
+
+    async def accept(stream):
+        return await anyio_tls.TLSStream.wrap(
+            stream,
+            server_side=True,
+            ssl_context=server_context(cfg),
+            standard_compatible=False,
+        )
+
+    return accept
+
+
+def reason(exc):
+    """Return why a TLS handshake failed, as one line."""
+    code = getattr(exc, "reason", None)
+    if code is None and isinstance(exc.__cause__, ssl.SSLError):
+        code = exc.__cause__.reason
+    return REASONS.get(code) or f"TLS failed: {code or exc or type(exc).__name__}"
+
+
+def _current(cfg, protocol):
+    """Return the context for `cfg`, loaded again if a file has changed.
+
+    A set of files that does not load is used again once it changes; until then the
+    former context stays in use, because a key and its certificate are replaced one
+    after the other.
+    """
+    if cfg.insecure:
+        return None
+    key = (protocol, *(getattr(cfg, name) for name in FILES))
+    stamps = tuple(_stamp(getattr(cfg, name)) for name in FILES)
+    former = _LOADED.get(key)
+    if former is not None and former.stamps == stamps:
+        return former.context
+    try:
+        context = _load(cfg, protocol)
+    except OSError as exc:
+        if former is None:
+            raise errors.SettingsError(str(exc), step="tls.load") from exc
+        logs.event("tls.reload_failed", error=str(exc))
+        former.stamps = stamps
+        return former.context
+    if former is not None:
+        logs.event("tls.reloaded", files=[getattr(cfg, name) for name in FILES])
+    _LOADED[key] = Loaded(stamps, context)
+    return context
+
+
+def _stamp(path):
+    """Return what changes when the file at `path` is replaced; None without a file."""
+    try:
+        stat = os.stat(path)
+    except OSError:
+        return None
+    return stat.st_mtime_ns, stat.st_size, stat.st_ino
+
+
+def _load(cfg, protocol):
+    """Return a new context; raise OSError that names the setting at fault."""
+    context = ssl.SSLContext(protocol)
+    context.minimum_version = ssl.TLSVersion.TLSv1_3
+    context.check_hostname = False
+    context.verify_mode = ssl.CERT_REQUIRED
+    try:
+        name = "tls_cert"
+        _check_readable(cfg.tls_cert)
+        name = "tls_key"
+        _check_readable(cfg.tls_key)
+        context.load_cert_chain(cfg.tls_cert, cfg.tls_key, password=_refuse_password)
+        name = "tls_ca"
+        _check_readable(cfg.tls_ca)
+        context.load_verify_locations(cfg.tls_ca)
+    except (OSError, ValueError) as exc:
+        flag = "--" + name.replace("_", "-")
+        path = getattr(cfg, name)
+        detail = getattr(exc, "reason", None) or getattr(exc, "strerror", None) or exc
+        raise OSError(f"{flag}: {path!r} cannot be loaded: {detail}") from exc
+    return context
+
+
+def _check_readable(path):
+    """Raise OSError if `path` cannot be read; ssl does not say which file failed."""
+    with open(path, "rb"):
+        pass
+
+
+def _refuse_password():
+    """Refuse an encrypted key; OpenSSL would ask for its password on the terminal."""
+    raise ValueError("the key is encrypted; only unencrypted keys are read")
