--- /dev/null
+++ b/src/carobstand/core/membership.py
@@ -0,0 +1,230 @@
+"""Members of the fleet, from the VM list, heartbeats and goodbyes."""
+
+import hashlib
+
+import attrs
+
+SILENT_S = 4.0
+"""A member not heard for this long counts as out of service: three heartbeats of about
+one second each may be lost."""
+
+GONE_S = 15.0
+"""A member neither heard nor listed for this long is forgotten, and one that is listed
+but silent loses its copies. Longer than a restart and than a flap of the VM list."""
+
+MAX_RETIRED = 8
+"""Earlier start ids remembered per VM."""
+
+
+@attrs.define
+class Member:
+    """What is known of one agent VM.
+
+    Times are seconds of the caller's clock, None where it never happened. `replicas`
+    maps (service, version) to the name of the phase last reported.
+    """
+
+    vm: str
+    start_id: str = ""
+    address: str = ""
+    failure_domain: str = ""
+    region: str = ""
+    services: tuple = ()
+    listed: bool = False
+    listed_leaving: bool = False
+    goodbye: bool = False
+    heard_at: float | None = None
+    known_at: float = 0.0
+    missing_since: float | None = None
+    backend_up: bool = True
+    replicas: dict = attrs.field(factory=dict)
+    plan_revisions: dict = attrs.field(factory=dict)
+    retired: tuple = ()
+
+
+@attrs.frozen
+class Listed:
+    """The VM list was read; `vms` are its agents."""
+
+    vms: tuple
+
+
+@attrs.frozen
+class Heard:
+    """A report of an agent arrived, from itself or through another entry."""
+
+    vm: str
+    start_id: str
+    address: str = ""
+    failure_domain: str = ""
+    region: str = ""
+    services: tuple = ()
+    leaving: bool = False
+    backend_up: bool = True
+    replicas: dict = attrs.field(factory=dict)
+    plan_revisions: dict = attrs.field(factory=dict)
+    age_s: float = 0.0
+
+
+@attrs.frozen
+class SaidGoodbye:
+    """The agent start `start_id` announced its planned stop."""
+
+    vm: str
+    start_id: str
+
+
+@attrs.frozen
+class Tick:
+    """Time passed."""
+
+
+@attrs.frozen
+class Replaced:
+    """Effect: another start took over the VM name."""
+
+    vm: str
+    old_start_id: str
+    new_start_id: str
+
+
+@attrs.frozen
+class Forgotten:
+    """Effect: the member is gone."""
+
+    vm: str
+
+
+@attrs.define
+class Members:
+    """Members by VM name."""
+
+    members: dict = attrs.field(factory=dict)
+    stale_reports: int = 0
+
+
+def step(state, event, now):
+    """Apply one event.
+
+    Parameters
+    ----------
+    state : Members
+    event : Listed, Heard, SaidGoodbye or Tick
+    now : float
+
+    Returns
+    -------
+    effects : list of Replaced or Forgotten
+    """
+    if isinstance(event, Listed):
+        _listed(state, event, now)
+    elif isinstance(event, Heard):
+        return _heard(state, event, now)
+    elif isinstance(event, SaidGoodbye):
+        _goodbye(state, event)
+    return _forget(state, now)
+
+
+def _listed(state, event, now):
+    seen = set()
+    for vm in event.vms:
+        seen.add(vm.vm)
+        member = state.members.get(vm.vm)
+        if member is None:
+            member = state.members[vm.vm] = Member(vm.vm, known_at=now)
+        if member.heard_at is None:
+            member.address = vm.address
+            member.services = tuple(vm.services)
+        member.failure_domain = member.failure_domain or vm.failure_domain
+        member.region = member.region or vm.region
+        member.listed = True
+        member.listed_leaving = vm.leaving
+        member.missing_since = None
+    for member in state.members.values():
+        if member.vm not in seen and member.listed:
+            member.listed = False
+            member.missing_since = now
+
+
+def _heard(state, event, now):
+    effects = []
+    member = state.members.get(event.vm)
+    if member is None:
+        member = state.members[event.vm] = Member(event.vm, known_at=now)
+    heard_at = now - event.age_s
+    if event.start_id in member.retired:
+        state.stale_reports += 1
+        return effects
+    if member.start_id != event.start_id:
+        if member.heard_at is not None and heard_at < member.heard_at:
+            state.stale_reports += 1
+            return effects
+        if member.start_id:
+            effects.append(Replaced(event.vm, member.start_id, event.start_id))
+            member.retired = (*member.retired, member.start_id)[-MAX_RETIRED:]
+        member.start_id = event.start_id
+        member.goodbye = False
+        member.heard_at = None
+    if member.heard_at is not None and heard_at < member.heard_at:
+        state.stale_reports += 1
+        return effects
+    member.heard_at = heard_at
+    member.goodbye = member.goodbye or event.leaving
+    for name in ("address", "failure_domain", "region", "services"):
+        value = getattr(event, name)
+        if value:
+            setattr(member, name, value)
+    member.backend_up = event.backend_up
+    member.replicas = event.replicas
+    member.plan_revisions = event.plan_revisions
+    return effects
+
+
+def _goodbye(state, event):
+    member = state.members.get(event.vm)
+    if member is not None and member.start_id == event.start_id:
+        member.goodbye = True
+
+
+def _forget(state, now):
+    gone = [
+        vm
+        for vm, member in state.members.items()
+        if not member.listed
+        and now - last_sign(member) > GONE_S
+        and (member.missing_since is None or now - member.missing_since > GONE_S)
+    ]
+    for vm in gone:
+        del state.members[vm]
+    return [Forgotten(vm) for vm in gone]
+
+
+def last_sign(member):
+    """Return when `member` was last heard, or first known if it never was."""
+    return member.known_at if member.heard_at is None else member.heard_at
+
+
+def leaving(member):
+    """Return whether `member` must get no new work."""
+    return member.goodbye or member.listed_leaving
+
+
+def heard(member, now):
+    """Return whether `member` reported recently."""
+    return member.heard_at is not None and now - member.heard_at <= SILENT_S
+
+
+def usable(member, now):
+    """Return whether copies may stay on `member`: not leaving, not silent for long."""
+    return not leaving(member) and now - last_sign(member) <= GONE_S
+
+
+def of_service(state, service):
+    """Return the members with a backend server of `service`, sorted by VM name."""
+    found = [m for m in state.members.values() if service in m.services]
+    return tuple(sorted(found, key=lambda member: member.vm))
+
+
+def rank(key, name):
+    """Return the rendezvous hash of `name` for `key`."""
+    return hashlib.sha256(f"{key}\0{name}".encode()).digest()
--- /dev/null
+++ b/src/carobstand/core/planner.py
@@ -0,0 +1,328 @@
+"""Plans: which versions each VM of a service fetches and serves."""
+
+import collections
+import json
+
+import attrs
+
+from carobstand import errors
+from carobstand.core import membership, table
+
+FORMAT = 1
+"""Format number of a plan's JSON; a plan with another one is refused as a whole."""
+
+DEFAULT_MAX_OUT = 0.25
+"""Share of replicas out of service at once where the table names none."""
+
+HELD_PHASES = frozenset({"VERIFIED", "LOADING", "SERVING"})
+"""Phases in which a VM holds all verified chunks of a version."""
+
+
+@attrs.frozen
+class Assignment:
+    """Versions that a VM holds and those that its backend server serves."""
+
+    fetch: tuple = attrs.field(default=(), converter=tuple)
+    serve: tuple = attrs.field(default=(), converter=tuple)
+
+
+@attrs.frozen
+class Plan:
+    """Assignments of one service.
+
+    Attributes
+    ----------
+    service : str
+    revision : int
+        Fencing token of the commands that follow from the plan.
+    table_revision : int
+    author : str
+        Start id of the entry that wrote it.
+    assignments : dict of str to Assignment
+        By VM.
+    """
+
+    service: str
+    revision: int = 0
+    table_revision: int = 0
+    author: str = ""
+    assignments: dict = attrs.field(factory=dict)
+
+
+EMPTY = Assignment()
+
+
+def assignment(plan, vm):
+    """Return the assignment of `vm`, empty if the plan names none."""
+    return plan.assignments.get(vm, EMPTY)
+
+
+def to_json(plan):
+    """Return `plan` as canonical JSON bytes; VMs with one assignment share it."""
+    groups = collections.defaultdict(list)
+    for vm in sorted(plan.assignments):
+        entry = plan.assignments[vm]
+        groups[(entry.fetch, entry.serve)].append(vm)
+    body = {
+        "format": FORMAT,
+        "service": plan.service,
+        "revision": plan.revision,
+        "table_revision": plan.table_revision,
+        "author": plan.author,
+        "groups": [[list(f), list(s), vms] for (f, s), vms in sorted(groups.items())],
+    }
+    return json.dumps(body, separators=(",", ":")).encode()
+
+
+def from_json(data, source="plan"):
+    """Return the plan of JSON bytes.
+
+    Raises
+    ------
+    TableError
+        If the format is another one or the content malformed.
+    """
+    try:
+        body = json.loads(data)
+        if body["format"] != FORMAT:
+            raise ValueError(f"format {body['format']!r}, expected {FORMAT}")
+        if not isinstance(body["revision"], int) or body["revision"] < 1:
+            raise ValueError(f"revision {body['revision']!r}")
+        assignments = {}
+        for fetch, serve, vms in body["groups"]:
+            entry = Assignment(map(str, fetch), map(str, serve))
+            assignments.update(dict.fromkeys(map(str, vms), entry))
+        return Plan(
+            str(body["service"]),
+            body["revision"],
+            int(body["table_revision"]),
+            str(body["author"]),
+            assignments,
+        )
+    except (KeyError, TypeError, ValueError, RecursionError) as exc:
+        raise errors.TableError(
+            f"{source}: malformed plan: {exc}", step="plan.decode", peer=source
+        ) from exc
+
+
+def plan(current, service, members, previous, now, author=""):
+    """Return the plan of `service` that follows `previous`.
+
+    Parameters
+    ----------
+    current : table.Table
+    service : str
+    members : iterable of membership.Member
+        Members with a backend server of the service.
+    previous : Plan or None
+    now : float
+        On the clock of the members' times.
+    author : str
+
+    Returns
+    -------
+    plan : Plan
+        `previous` itself if no assignment changes.
+    """
+    previous = previous or Plan(service)
+    members = sorted(members, key=lambda member: member.vm)
+    candidates = [m for m in members if membership.usable(m, now)]
+    row = table.service(current, service)
+    versions = table.versions(current, service) if row is not None else ()
+    chosen = _choose(versions, candidates, previous, now)
+    targets = _targets(versions, chosen, candidates)
+    assignments = _leaving_keep(members, previous, now)
+    assignments.update(_roll(row, targets, candidates, previous, versions, now))
+    assignments = {vm: entry for vm, entry in assignments.items() if entry != EMPTY}
+    if previous.revision and assignments == previous.assignments:
+        return previous
+    return Plan(service, previous.revision + 1, current.revision, author, assignments)
+
+
+def _leaving_keep(members, previous, now):
+    """Return the assignments of members that finish work under the old plan."""
+    return {
+        member.vm: assignment(previous, member.vm)
+        for member in members
+        if membership.leaving(member)
+        and now - membership.last_sign(member) <= membership.GONE_S
+    }
+
+
+def _choose(versions, candidates, previous, now):
+    """Return the VMs of each version, as a dict of version name to set of VM names.
+
+    Bases come first, so that an adapter with limited copies prefers VMs that hold its
+    base anyway.
+    """
+    chosen = {}
+    taken = collections.Counter()
+    for version in sorted(versions, key=lambda row: (bool(row.base), row.name)):
+        if version.copies is None:
+            picked = {member.vm for member in candidates}
+        else:
+            picked = _pick(version, candidates, previous, chosen, taken, now)
+        chosen[version.name] = picked
+        taken.update(picked)
+    return chosen
+
+
+def _pick(version, candidates, previous, chosen, taken, now):
+    """Return the VMs of a version with limited copies.
+
+    VMs that hold it keep it. The rest are chosen one by one from the failure domain
+    with the fewest copies.
+    """
+    base_vms = chosen.get(version.base, set())
+
+    def preference(member):
+        entry = assignment(previous, member.vm)
+        return (
+            not membership.heard(member, now),
+            version.name not in entry.fetch,
+            member.replicas.get((version.service, version.name)) != "SERVING",
+            member.replicas.get((version.service, version.name)) == "REFUSED",
+            bool(base_vms) and member.vm not in base_vms,
+            taken[member.vm],
+            membership.rank(f"{version.service}:{version.name}", member.vm),
+        )
+
+    def holds(member):
+        held = version.name in assignment(previous, member.vm).fetch
+        return held and not _refused(member, version.service, [version.name])
+
+    keep = [member for member in candidates if holds(member)]
+    others = [member for member in candidates if not holds(member)]
+    picked = _spread(keep, version.copies, collections.Counter(), preference)
+    count = collections.Counter(member.failure_domain for member in picked)
+    more = version.copies - len(picked)
+    picked += _spread(others, more, count, preference)
+    return {member.vm for member in picked}
+
+
+def _spread(members, wanted, count, preference):
+    """Return up to `wanted` members, evenly over failure domains.
+
+    `count` holds the copies that each domain has already; members that were not heard
+    come after all others.
+    """
+    queues = collections.defaultdict(list)
+    for member in sorted(members, key=preference, reverse=True):
+        queues[member.failure_domain].append(member)
+    picked = []
+    while queues and len(picked) < wanted:
+        domain = min(
+            queues,
+            key=lambda name: (preference(queues[name][-1])[0], count[name], name),
+        )
+        picked.append(queues[domain].pop())
+        count[domain] += 1
+        if not queues[domain]:
+            del queues[domain]
+    return picked
+
+
+def _targets(versions, chosen, candidates):
+    """Return the final assignment of each candidate.
+
+    A version of weight 0 is fetched, ready for a later change, but not served.
+    """
+    fetch = {member.vm: set() for member in candidates}
+    serve = {member.vm: set() for member in candidates}
+    for version in versions:
+        for vm in chosen[version.name]:
+            fetch[vm].add(version.name)
+            if version.base:
+                fetch[vm].add(version.base)
+            if version.weight > 0:
+                serve[vm].add(version.name)
+    return {vm: Assignment(sorted(fetch[vm]), sorted(serve[vm])) for vm in fetch}
+
+
+def _roll(row, targets, candidates, previous, versions, now):
+    """Return the assignments of this step of a version change.
+
+    A VM switches once it holds what it will serve, while at most `max_out` of the
+    replicas are out of service. A VM that serves nothing switches at once.
+    """
+    share = DEFAULT_MAX_OUT if row is None or row.max_out is None else row.max_out
+    service = previous.service
+    involved = [
+        member
+        for member in candidates
+        if targets[member.vm].serve or assignment(previous, member.vm).serve
+    ]
+    budget = max(1, int(share * len(involved) + 1e-9))
+    out = {m.vm for m in involved if _is_out(m, previous, service, now)}
+    bases = {version.name: version.base for version in versions}
+    covered = _covered(targets, out, previous, share)
+    result = {}
+
+    def order(member):
+        key = f"{service}:{previous.revision}"
+        return (member.vm not in out, membership.rank(key, member.vm))
+
+    for member in sorted(candidates, key=order):
+        target = targets[member.vm]
+        before = assignment(previous, member.vm)
+        if target.serve == before.serve:
+            result[member.vm] = target
+            continue
+        if not target.serve:
+            result[member.vm] = target if covered else before
+            continue
+        free = share >= 1 or not before.serve or not _serves_any(member, service, now)
+        ready = _ready(member, service, target.serve)
+        if free or (ready and (member.vm in out or len(out) < budget)):
+            result[member.vm] = target
+            if before.serve:
+                out.add(member.vm)
+            continue
+        needed = {bases.get(name) for name in before.serve} - {None, ""}
+        fetch = sorted({*target.fetch, *before.serve, *needed})
+        result[member.vm] = Assignment(fetch, before.serve)
+    return result
+
+
+def _covered(targets, out, previous, share):
+    """Return whether enough replicas serve their target for others to stop serving.
+
+    At least one must, whatever `max_out` allows, unless nothing is to be served.
+    """
+    wanted = [vm for vm, target in targets.items() if target.serve]
+    settled = [
+        vm
+        for vm in wanted
+        if vm not in out and assignment(previous, vm).serve == targets[vm].serve
+    ]
+    return len(settled) >= min(len(wanted), max(1, (1 - share) * len(wanted)))
+
+
+def _is_out(member, previous, service, now):
+    """Return whether the replica on `member` is out of service, or may soon be."""
+    if not membership.heard(member, now) or not member.backend_up:
+        return True
+    serve = assignment(previous, member.vm).serve
+    if not serve or _refused(member, service, serve):
+        return not _serves_any(member, service, now)
+    return any(member.replicas.get((service, name)) != "SERVING" for name in serve)
+
+
+def _serves_any(member, service, now):
+    """Return whether `member` serves, or may serve for all that is known."""
+    if not membership.heard(member, now):
+        return True
+    if not member.backend_up:
+        return False
+    return any(
+        phase == "SERVING" and held == service
+        for (held, _), phase in member.replicas.items()
+    )
+
+
+def _ready(member, service, names):
+    return all(member.replicas.get((service, name)) in HELD_PHASES for name in names)
+
+
+def _refused(member, service, names):
+    return any(member.replicas.get((service, name)) == "REFUSED" for name in names)
