Add carobstand-standin, which runs any number of stand-ins in one process

Benches and soak-processes need stand-ins as a process of their own. StandinSettings (lane procs) gained the fields that this needs: kinds replaces kind, and the speeds, lags and sizes of the stand-ins are settings.

--- a/src/carobstand/settings.py
+++ b/src/carobstand/settings.py
@@ -222,24 +222,55 @@
 
 @attrs.frozen(kw_only=True)
 class StandinSettings:
-    """Run one stand-in for an outside system.
+    """Run stand-ins for outside systems, for tests, benches and demonstrations.
 
     Attributes
     ----------
-    kind
-        System that the stand-in replaces.
+    kinds
+        Any of store, origin, vms, engine and plain, or all.
     listen
-        Address on which the stand-in answers (HTTP).
+        Address of the first stand-in (HTTP); the others take the next ports.
+    count
+        Number of engines and of plain services.
+    origin_bytes_per_s
+        Bytes per second that the origin sends; 0 is unlimited.
+    vms_lag_s
+        Age of the VM list, in seconds.
+    batch_limit
+        Requests that an engine runs at the same time.
+    token_s
+        Time per token of a request, in seconds.
+    prefill_miss_s
+        Time per block of a prompt that is not in the prefix cache, in seconds.
+    cache_blocks
+        Blocks in the prefix cache of an engine.
+    report_lag_s
+        Age of load reports and cache events, in seconds.
+    ignore_fence
+        Engines accept commands with an old fencing token.
+    work_s
+        Time per call of a plain service, in seconds.
     seed
-        Seed of its faults and data.
+        Seed of faults.
     log_file
         File for log lines (JSON); standard error if not set.
     """
 
-    kind: str = _setting(
-        setting_types.choice("store", "origin", "vms", "engine", "plain")
+    kinds: tuple = _setting(
+        setting_types.choice("store", "origin", "vms", "engine", "plain", "all"),
+        positional=True,
     )
     listen: str = _setting(setting_types.loopback)
+    count: int = _setting(setting_types.integer(1, 1024), 1)
+    origin_bytes_per_s: float = _setting(setting_types.number(0, 1e12), 0.0)
+    vms_lag_s: float = _setting(setting_types.number(0, 3600), 1.0)
+    batch_limit: int = _setting(setting_types.integer(1, 1024), 16)
+    token_s: float = _setting(setting_types.number(0, 10), 0.01)
+    prefill_miss_s: float = _setting(setting_types.number(0, 10), 0.002)
+    cache_blocks: int = _setting(setting_types.integer(1, 1 << 24), 4096)
+    report_lag_s: float = _setting(setting_types.number(0, 60), 0.5)
+    ignore_fence: bool = _setting(setting_types.switch, False)
+    work_s: float = _setting(setting_types.number(0, 3600), 0.0)
     seed: int = _setting(setting_types.integer(0, 1 << 31), 1)
     log_file: str = _setting(setting_types.path, "")
 
--- a/testing/test_standins.py
+++ b/testing/test_standins.py
@@ -7,11 +7,11 @@
 import httpx
 import pytest
 
-from carobstand import errors
+from carobstand import errors, runtime, settings
 from carobstand.platform import origin as origin_adapter
 from carobstand.platform import store as store_adapter
 from carobstand.platform import vms as vms_adapter
-from carobstand.standin import faults, origin, plain, store, vms, web
+from carobstand.standin import faults, main, origin, plain, store, vms, web
 
 
 def run(main):
@@ -226,3 +226,14 @@
         web.bind(origin.site(), site.address)
     assert info.value.peer == site.address
     site.listener.close()
+
+
+def test_a_port_in_use_stops_the_program_with_one_line(capsys):
+    site = web.bind(store.site())
+    argv = ["all", "--listen", site.address]
+    cfg = settings.load(settings.StandinSettings, argv, {})
+    assert runtime.run(main.serve, cfg) == 2
+    line = capsys.readouterr().err
+    assert line.count("\n") == 1
+    assert "--listen" in line and site.address in line
+    site.listener.close()
