--- a/src/carobstand/entry/peers.py
+++ b/src/carobstand/entry/peers.py
@@ -80,6 +80,8 @@
 
     try:
         await connection.run(conn, on_message)
+    except errors.InvariantError:
+        raise
     except errors.CarobstandError as exc:
         logs.event("connection.failed", error=exc.message, peer=conn.peer.vm)
     finally:
@@ -128,6 +130,8 @@
             context = tls.client_context(state.cfg)
             conn = await connection.dial(vm.address, hello_of(state), context)
             await run_peer(state, conn, table)
+        except errors.InvariantError:
+            raise
         except errors.CarobstandError as exc:
             logs.event("connection.failed", error=exc.message, peer=vm.vm)
         finally:
