Add carobstand-timeline

Log files of several processes are merged by hybrid logical clock and printed as text or written as one HTML page without outside references. A killed process leaves a cut last line, so lines that are no events are skipped and their number and first place are reported; a file without any event is an error.

The page is package data and is filled in with string.Template. Every "<" in the data is escaped, because a logged value could otherwise end the script element.

--- /dev/null
+++ b/src/carobstand/cli/timeline.py
@@ -0,0 +1,279 @@
+"""carobstand-timeline: merges log files of several processes into one timeline."""
+
+import importlib.resources
+import json
+import os
+import string
+import sys
+import time
+
+import attrs
+
+from carobstand import clock, errors, settings
+
+PLUMBING = frozenset({"timestamp", "task_uuid", "task_level", "message_type", "hlc"})
+"""Members of a log line that are not shown as fields."""
+
+IDENTITY = frozenset({"process", "start_id", "vm", "failure_domain"})
+"""Members of a log line that name its process."""
+
+TROUBLE = ("fail", "refus", "lost", "violation", "silent", "crash", "reject", "error")
+"""Parts of an event name that mark the event as trouble."""
+
+MAX_VALUE_CHARS = 200
+"""Longest value of a field in the text output."""
+
+MAX_STAMP = 1 << 62
+"""Stamps from here on are not times; they would not fit into a date either."""
+
+
+@attrs.frozen
+class Event:
+    """One log line. `fields` holds what does not name the process."""
+
+    hlc: int
+    name: str
+    process: str
+    start_id: str
+    vm: str
+    failure_domain: str
+    fields: dict
+
+
+@attrs.frozen
+class Skipped:
+    """Lines that are no events: their number, and where the first one is."""
+
+    count: int = 0
+    first: str = ""
+
+
+def read(paths):
+    """Read and merge log files.
+
+    Parameters
+    ----------
+    paths : iterable of str
+
+    Returns
+    -------
+    events : list of Event
+        Ordered by hybrid logical clock.
+    skipped : Skipped
+        Lines that are not events, such as one cut off by the end of its process.
+
+    Raises
+    ------
+    TimelineError
+        If a file cannot be read, or none of its lines is an event.
+    """
+    events, skipped = [], Skipped()
+    for path in paths:
+        found, bad = _read_file(path)
+        events.extend(found)
+        skipped = Skipped(skipped.count + bad.count, skipped.first or bad.first)
+    events.sort(key=lambda event: event.hlc)
+    return events, skipped
+
+
+def _read_file(path):
+    try:
+        with open(path, "rb") as file:
+            lines = file.read().splitlines()
+    except OSError as exc:
+        raise errors.TimelineError(
+            f"cannot read log file: {exc.strerror}", step="timeline.read", peer=path
+        ) from exc
+    events, bad = [], []
+    for number, line in enumerate(lines, 1):
+        event = parse(line)
+        if event is not None:
+            events.append(event)
+        elif line.strip():
+            bad.append(number)
+    if bad and not events:
+        raise errors.TimelineError(
+            "no line is a JSON object with hlc and message_type",
+            step="timeline.read",
+            peer=path,
+        )
+    return events, Skipped(len(bad), f"{path}:{bad[0]}" if bad else "")
+
+
+def parse(line):
+    """Return the `Event` in a line of a log, or None if there is none."""
+    try:
+        value = json.loads(line)
+        hlc, name = value["hlc"], value["message_type"]
+    except (KeyError, TypeError, ValueError, RecursionError):
+        return None
+    if type(hlc) is not int or not 0 <= hlc < MAX_STAMP or not isinstance(name, str):
+        return None
+    fields = {
+        key: val
+        for key, val in value.items()
+        if key not in PLUMBING and key not in IDENTITY
+    }
+    identity = {key: str(value.get(key, "")) for key in IDENTITY}
+    identity["process"] = identity["process"] or identity["vm"] or "unknown"
+    return Event(hlc=hlc, name=name, fields=fields, **identity)
+
+
+def select(events, request="", vm="", version=""):
+    """Return the events of a request, VM and version; empty selects all.
+
+    An event is of a VM if the VM logged it or is its peer. An event is of a request or
+    version if a field holds that id, alone or in a list.
+    """
+    return [
+        event
+        for event in events
+        if (not request or _mentions(event, ("request", "requests"), request))
+        and (not vm or event.vm == vm or _mentions(event, ("peer", "vm"), vm))
+        and (not version or _mentions(event, _VERSION_FIELDS, version))
+    ]
+
+
+_VERSION_FIELDS = ("version", "versions", "serve", "fetch", "serving", "loaded")
+
+
+def _mentions(event, names, wanted):
+    for name in names:
+        value = event.fields.get(name)
+        values = value if isinstance(value, list | dict) else [value]
+        if any(str(item) == wanted for item in values if item is not None):
+            return True
+    return False
+
+
+def render_text(events):
+    """Yield one line per event: time (UTC), process, event name, fields."""
+    width = max((len(event.process) for event in events), default=0)
+    name_width = max((len(event.name) for event in events), default=0)
+    for event in events:
+        fields = " ".join(f"{key}={_text(val)}" for key, val in event.fields.items())
+        line = f"{_clock_time(event.hlc)}  {event.process:<{width}}"
+        yield f"{line}  {event.name:<{name_width}}  {fields}".rstrip()
+
+
+def _clock_time(hlc):
+    seconds = clock.stamp_seconds(hlc)
+    whole = time.strftime("%H:%M:%S", time.gmtime(int(seconds)))
+    return f"{whole}.{int(seconds * 1000) % 1000:03}"
+
+
+def _text(value):
+    text = value if isinstance(value, str) else json.dumps(value)
+    if len(text) > MAX_VALUE_CHARS:
+        text = text[:MAX_VALUE_CHARS] + "…"
+    quoted = not text or not text.isprintable() or any(c in ' "=' for c in text)
+    return json.dumps(text, ensure_ascii=False) if quoted else text
+
+
+def render_html(events, title):
+    """Return a self-contained HTML page with a lane per process.
+
+    Parameters
+    ----------
+    events : list of Event
+    title : str
+
+    Returns
+    -------
+    page : str
+    """
+    first = min((event.hlc >> clock.COUNTER_BITS for event in events), default=0)
+    lanes = _lanes(events)
+    index = {lane["process"]: number for number, lane in enumerate(lanes)}
+    rows = [
+        [
+            (event.hlc >> clock.COUNTER_BITS) - first,
+            index[event.process],
+            event.name,
+            int(is_trouble(event)),
+            event.start_id,
+            event.fields,
+        ]
+        for event in events
+    ]
+    data = {"title": title, "start_ms": first, "lanes": lanes, "events": rows}
+    # "<" is escaped so that no value can end the script element.
+    text = json.dumps(data, separators=(",", ":")).replace("<", "\\u003c")
+    template = importlib.resources.files("carobstand.cli").joinpath("timeline.html")
+    return string.Template(template.read_text("utf-8")).substitute(data=text)
+
+
+def is_trouble(event):
+    """Return whether the event reports a failure, refusal or loss."""
+    last = event.name.rpartition(".")[2]
+    return any(part in last for part in TROUBLE)
+
+
+def _lanes(events):
+    """Return the processes: by kind, then failure domain, then name."""
+    domains = {}
+    for event in events:
+        domains[event.process] = event.failure_domain or domains.get(event.process, "")
+
+    def order(process):
+        kind = process.partition("/")[0]
+        rank = {"entry": 0, "agent": 1}.get(kind, 2)
+        return (rank, kind, domains[process], process)
+
+    return [
+        {"process": process, "domain": domains[process]}
+        for process in sorted(domains, key=order)
+    ]
+
+
+def run(cfg):
+    """Print the timeline or write the HTML page.
+
+    Parameters
+    ----------
+    cfg : settings.TimelineSettings
+
+    Raises
+    ------
+    TimelineError
+        If a file cannot be read or written.
+    """
+    events, skipped = read(cfg.files)
+    if skipped.count:
+        print(
+            f"skipped {skipped.count} lines that are no events, first {skipped.first}",
+            file=sys.stderr,
+        )
+    events = select(events, cfg.request, cfg.vm, cfg.version)
+    if not cfg.html:
+        for line in render_text(events):
+            print(line)
+        return
+    chosen = [("request", cfg.request), ("VM", cfg.vm), ("version", cfg.version)]
+    title = ", ".join(f"{name} {value}" for name, value in chosen if value)
+    try:
+        with open(cfg.html, "w", encoding="utf-8") as file:
+            file.write(render_html(events, title or "all events"))
+    except OSError as exc:
+        raise errors.TimelineError(
+            f"cannot write page: {exc.strerror}", step="timeline.write", peer=cfg.html
+        ) from exc
+
+
+def main():
+    """Run the program with the settings of the command line and environment."""
+    cfg = settings.load(settings.TimelineSettings, sys.argv[1:], os.environ)
+    if not cfg.files:
+        settings.fail(errors.SettingsError("<files> is missing: name a log file"))
+    try:
+        run(cfg)
+    except errors.TimelineError as exc:
+        print(f"error: {exc}", file=sys.stderr)
+        sys.exit(1)
+    except BrokenPipeError:
+        # The reader of the output has ended; Python would report it again at exit.
+        os.dup2(os.open(os.devnull, os.O_WRONLY), sys.stdout.fileno())
+
+
+if __name__ == "__main__":
+    main()
