--- /dev/null
+++ b/src/carobstand/cli/edits.py
@@ -0,0 +1,177 @@
+"""Changes of the table in the store, safe under concurrent edits and lost answers."""
+
+import random
+
+import anyio
+import attrs
+
+from carobstand import errors
+from carobstand.core import table
+from carobstand.platform import store as stores
+
+TABLE_KEY = "config/table"
+
+HISTORY_PREFIX = "history/"
+
+DEADLINE_S = 20.0
+"""How long a change is tried while the store gives no answer or others write."""
+
+RETRY_S = 0.2
+"""First delay between tries, doubled up to `MAX_RETRY_S`."""
+
+MAX_RETRY_S = 2.0
+
+
+@attrs.frozen
+class Author:
+    """Who changes the table; `when` is seconds since the epoch."""
+
+    who: str
+    when: float
+    change_id: str
+
+
+async def read(store):
+    """Return the store's item of the table, or None, and the table.
+
+    Raises
+    ------
+    TableError
+        If the store holds a malformed table or one of a newer format.
+    StoreError
+    """
+    item = await store.get(TABLE_KEY)
+    if item is None:
+        return None, table.EMPTY
+    return item, table.from_json(item.value, TABLE_KEY)
+
+
+async def read_revision(store, revision):
+    """Return the table of an earlier or the current revision.
+
+    Raises
+    ------
+    TableError
+        If there is no such revision.
+    StoreError
+    """
+    if revision == 0:
+        return table.EMPTY
+    _, current = await read(store)
+    if current.revision == revision:
+        return current
+    item = await store.get(f"{HISTORY_PREFIX}{revision}")
+    if item is None:
+        raise errors.TableError(
+            f"no revision {revision}; the newest is {current.revision}",
+            step="table.read",
+        )
+    return table.from_json(item.value, item.key)
+
+
+async def accept(store, base, rows, author, summary, rng=random):
+    """Write `rows` as the next revision, merged with what others accepted since `base`.
+
+    The change id decides after a lost answer: a try counts as failed only once the
+    store shows a table of its revision, or a later one, without the change id.
+
+    Parameters
+    ----------
+    store : platform.store.Store
+    base : table.Table
+        The table that was edited.
+    rows : tuple
+        The edited rows.
+    author : Author
+    summary : str
+    rng : random.Random
+
+    Returns
+    -------
+    revision : int
+        The accepted revision.
+
+    Raises
+    ------
+    ConflictError
+        If others changed the same cells. Nothing was written.
+    TableError
+        If the rows, or the merged rows, are invalid. Nothing was written.
+    StoreUnavailableError
+        If the store gave no answer in time; the message says whether the change may
+        have been accepted.
+    """
+    table.check(rows)
+    pending = set()
+    deadline = anyio.current_time() + DEADLINE_S
+    delay_s = RETRY_S
+    while anyio.current_time() < deadline:
+        try:
+            accepted = await _try(store, base, rows, author, summary, pending)
+            if accepted is not None:
+                return accepted
+        except errors.StoreUnavailableError:
+            pass
+        await anyio.sleep(rng.uniform(delay_s / 2, delay_s))
+        delay_s = min(MAX_RETRY_S, delay_s * 2)
+    if pending:
+        raise errors.StoreUnavailableError(
+            f"change {author.change_id} may have been accepted as revision "
+            f"{', '.join(map(str, sorted(pending)))}: the store gives no answer; "
+            "look for the change id in the history before repeating it",
+            step="table.accept",
+        )
+    raise errors.StoreUnavailableError(
+        f"change {author.change_id} was not accepted: the store gives no answer",
+        step="table.accept",
+    )
+
+
+async def _try(store, base, rows, author, summary, pending):
+    """Try once; return the accepted revision, or None if it must be tried again.
+
+    `pending` holds the revisions of tries whose answer was lost.
+    """
+    item, current = await read(store)
+    for revision in sorted(pending):
+        if current.revision >= revision:
+            if await _has_change(store, current, revision, author.change_id):
+                return revision
+            pending.discard(revision)
+    if pending and current.revision < max(pending) - 1:
+        # A stale read: a merge with it could report a conflict that is not there.
+        return None
+    merged = rows
+    if current.revision != base.revision:
+        merged = table.merge(base, current, rows)
+    new = table.next_revision(
+        current, merged, author.change_id, author.who, author.when, summary
+    )
+    content = table.to_json(new)
+    if item is not None:
+        await _write_history(store, current.revision, item.value)
+    try:
+        pending.add(new.revision)
+        expect = stores.ABSENT if item is None else item.revision
+        await store.put(TABLE_KEY, content, expect=expect)
+    except errors.ConflictError:
+        # Another writer was first, or an earlier try of this change was.
+        return None
+    return new.revision
+
+
+async def _has_change(store, current, revision, change_id):
+    """Return whether the accepted table of `revision` is this change."""
+    for record in current.history:
+        if record.revision == revision:
+            return record.change_id == change_id
+    return (await read_revision(store, revision)).change_id == change_id
+
+
+async def _write_history(store, revision, content):
+    """Keep the table that is about to be replaced."""
+    try:
+        await store.put(f"{HISTORY_PREFIX}{revision}", content, expect=stores.ABSENT)
+    except errors.ConflictError:
+        # Another writer, or an earlier try, wrote it; one revision has one content.
+        return
--- /dev/null
+++ b/src/carobstand/cli/fleet.py
@@ -0,0 +1,145 @@
+"""What the processes of the fleet report on their status ports."""
+
+import anyio
+import attrs
+import httpx
+
+from carobstand.platform import http
+
+TIMEOUT_S = 3.0
+
+
+@attrs.frozen
+class Process:
+    """One process and the revisions that it holds.
+
+    Attributes
+    ----------
+    vm, role : str
+    table_revision : int
+    plan_revisions : dict of str to int
+    services : tuple of str
+        Services whose plans concern the process; None means all.
+    error : str
+        Why nothing is known, empty otherwise.
+    """
+
+    vm: str
+    role: str
+    table_revision: int = 0
+    plan_revisions: dict = attrs.field(factory=dict)
+    error: str = ""
+
+
+@attrs.frozen
+class Lag:
+    """How far a process is behind; `since` is seconds since the epoch or None."""
+
+    vm: str
+    role: str
+    what: str
+    held: int
+    current: int
+    since: float | None
+
+
+async def ask(entries):
+    """Return the processes that the entries at these status addresses know.
+
+    An agent that several entries know is taken with its highest revisions, since the
+    last heartbeat to one of them may be old.
+
+    Parameters
+    ----------
+    entries : iterable of str
+        ``host:port`` of status ports.
+
+    Returns
+    -------
+    processes : list of Process
+        Sorted by role and VM.
+    bodies : list of dict
+        The answers.
+    """
+    bodies = []
+    failed = []
+
+    async def fetch(address):
+        try:
+            async with http.client(f"http://{address}", TIMEOUT_S) as client:
+                resp = await client.get("/status")
+                bodies.append(resp.json())
+        except (httpx.HTTPError, ValueError, OSError) as exc:
+            reason = str(exc) or type(exc).__name__
+            failed.append(Process(address, "entry", error=f"no status: {reason}"))
+
+    async with anyio.create_task_group() as tg:
+        for address in entries:
+            tg.start_soon(fetch, address)
+    return sorted([*_processes(bodies), *failed], key=lambda p: (p.role, p.vm)), bodies
+
+
+def _processes(bodies):
+    found = {}
+    for body in bodies:
+        _add(found, body["vm"], "entry", body)
+        for vm, agent in body.get("agents", {}).items():
+            _add(found, vm, "agent", agent)
+    return found.values()
+
+
+def _add(found, vm, role, body):
+    plans = dict(body.get("plan_revisions") or {})
+    known = found.get((role, vm))
+    revision = body.get("table_revision") or 0
+    if known is not None:
+        revision = max(revision, known.table_revision)
+        for service, plan_revision in known.plan_revisions.items():
+            plans[service] = max(plans.get(service, 0), plan_revision)
+    found[role, vm] = Process(vm, role, revision, plans)
+
+
+def lags(processes, current, plans, plans_at):
+    """Return what is behind, by how much and since when.
+
+    Parameters
+    ----------
+    processes : iterable of Process
+    current : table.Table
+        With its change records, which tell when each revision was accepted.
+    plans : dict of str to int
+        Newest plan revision per service.
+    plans_at : dict of str to float
+        When an entry first had it, seconds since the epoch.
+
+    Returns
+    -------
+    found : list of Lag
+    """
+    found = []
+    for process in processes:
+        if process.error:
+            continue
+        held = process.table_revision
+        if held < current.revision:
+            since = _since(current, held)
+            found.append(
+                Lag(process.vm, process.role, "table", held, current.revision, since)
+            )
+        for service, newest in plans.items():
+            if process.role == "agent" and service not in process.plan_revisions:
+                continue
+            held = process.plan_revisions.get(service, 0)
+            if held < newest:
+                since = plans_at.get(service)
+                what = f"plan {service}"
+                found.append(Lag(process.vm, process.role, what, held, newest, since))
+    return found
+
+
+def _since(current, held):
+    """Return when the first revision above `held` was accepted, None if too old."""
+    for record in current.history:
+        if record.revision == held + 1:
+            return record.when
+    return None
--- /dev/null
+++ b/src/carobstand/cli/publish.py
@@ -0,0 +1,120 @@
+"""Publishing of weights: files are cut into chunks and uploaded to the origin."""
+
+import os
+import pathlib
+
+import anyio
+
+from carobstand import errors
+from carobstand.core import manifest as manifests
+
+UPLOADS = 4
+"""Chunks uploaded at the same time."""
+
+
+def list_files(root):
+    """Return the files of a file or directory as (path in the manifest, path).
+
+    Raises
+    ------
+    WeightsError
+        If there is none, or `root` cannot be read.
+    """
+    root = pathlib.Path(root)
+    if root.is_file():
+        return [(root.name, root)]
+    if not root.is_dir():
+        _refuse(f"{root}: no such file or directory")
+    found = [
+        (path.relative_to(root).as_posix(), path)
+        for path in sorted(root.rglob("*"))
+        if path.is_file()
+    ]
+    if not found:
+        _refuse(f"{root}: directory is empty")
+    return found
+
+
+async def publish(origin, root, on_chunk=lambda done, total: None):
+    """Upload a file or directory, the manifest last.
+
+    Parameters
+    ----------
+    origin : platform.origin.Origin
+    root : str or path
+    on_chunk : callable of (bytes done, bytes in total)
+
+    Returns
+    -------
+    digest : str
+        Of the manifest.
+
+    Raises
+    ------
+    WeightsError
+        If the files are empty, unreadable or change meanwhile.
+    OriginError
+    """
+    files = list_files(root)
+    before = _marks(files)
+    total = sum(mark[0] for mark in before)
+    entries, uploaded = [], set()
+    done = 0
+    for name, path in files:
+        digests = []
+        size = 0
+        for parts in _read_groups(path):
+            chunks = {manifests.digest_of(part): part for part in parts}
+            digests.extend(map(manifests.digest_of, parts))
+            await _upload(origin, chunks, uploaded)
+            size += sum(map(len, parts))
+            done += sum(map(len, parts))
+            on_chunk(done, total)
+        entries.append(manifests.File(name, size, tuple(digests)))
+    if [name for name, _ in list_files(root)] != [n for n, _ in files] or (
+        _marks(files) != before
+    ):
+        _refuse(f"{root}: changed while it was read; nothing was published")
+    manifest = manifests.Manifest(tuple(entries), manifests.DEFAULT_CHUNK_BYTES)
+    data = manifests.encode(manifest)
+    manifests.decode(data)
+    digest = manifests.digest_of(data)
+    await origin.publish_manifest(digest, data)
+    return digest
+
+
+async def _upload(origin, chunks, uploaded):
+    async with anyio.create_task_group() as tg:
+        for digest, part in chunks.items():
+            if digest not in uploaded:
+                uploaded.add(digest)
+                tg.start_soon(origin.publish_chunk, digest, part)
+
+
+def _read_groups(path):
+    """Yield lists of up to `UPLOADS` chunks of one file."""
+    try:
+        with path.open("rb") as file:
+            while True:
+                parts = [file.read(manifests.DEFAULT_CHUNK_BYTES)]
+                while parts[-1] and len(parts) < UPLOADS:
+                    parts.append(file.read(manifests.DEFAULT_CHUNK_BYTES))
+                parts = [part for part in parts if part]
+                if not parts:
+                    return
+                yield parts
+    except OSError as exc:
+        _refuse(f"{path}: {exc.strerror or exc}")
+
+
+def _marks(files):
+    """Return size and modification time of each file."""
+    try:
+        stats = [os.stat(path) for _, path in files]
+    except OSError as exc:
+        _refuse(f"{exc.filename}: changed while it was read ({exc.strerror})")
+    return [(stat.st_size, stat.st_mtime_ns) for stat in stats]
+
+
+def _refuse(reason):
+    raise errors.WeightsError(reason, step="publish")
--- a/src/carobstand/core/table.py
+++ b/src/carobstand/core/table.py
@@ -171,9 +171,17 @@
     return data
 
 
-def from_json(data, source="table"):
+def from_json(data, source="table", held=None):
     """Return the table of JSON bytes.
 
+    Parameters
+    ----------
+    data : bytes
+    source : str
+        Where it came from, for errors.
+    held : Table or None
+        An earlier revision; rows that it has are not parsed again.
+
     Raises
     ------
     TableError
@@ -184,7 +192,7 @@
         table = Table(
             _revision(body["revision"]),
             str(body["change_id"]),
-            tuple(row_module.from_list(row) for row in body["rows"]),
+            _known_rows(body["rows"], held or EMPTY),
             tuple(Record(*record) for record in body["history"]),
         )
         expected = body["digest"]
@@ -202,6 +210,28 @@
     return table
 
 
+def from_snapshot(content, revision, expected_digest, held=None):
+    """Return the table of a snapshot sent by another process.
+
+    Raises
+    ------
+    TableError
+        If it is malformed, of another format, or another revision or digest.
+    """
+    new = from_json(content, "snapshot", held)
+    if new.revision != revision or digest(new) != expected_digest:
+        raise errors.TableError(
+            "snapshot does not match its revision and digest", step="table.snapshot"
+        )
+    return new
+
+
+def _known_rows(lists, held):
+    """Return the rows of JSON lists, those that `held` has as its own objects."""
+    known = {repr(row_module.to_list(row)): row for row in held.rows}
+    return tuple(known.get(repr(row)) or row_module.from_list(row) for row in lists)
+
+
 def _revision(value):
     if not isinstance(value, int) or isinstance(value, bool) or value < 0:
         raise ValueError(f"revision {value!r}")
--- /dev/null
+++ b/src/carobstand/entry/control.py
@@ -0,0 +1,35 @@
+"""Control at an entry: the store, the planner, other entries, agents."""
+
+import anyio
+
+from carobstand.entry import held, planning, reports, sharing, store_watch
+from carobstand.wire import handlers
+
+
+def part(state):
+    """Return the control part of an entry.
+
+    Parameters
+    ----------
+    state : entry.state.EntryState
+
+    Returns
+    -------
+    part : wire.handlers.Part
+    """
+    control = held.Control(state)
+    state.describe_control = lambda: held.describe(control)
+
+    async def run():
+        async with anyio.create_task_group() as tg:
+            for loop in (
+                store_watch.watch,
+                store_watch.read_vms,
+                planning.run,
+                sharing.run,
+                reports.run,
+            ):
+                tg.start_soon(loop, control)
+
+    table = {**sharing.handlers(control), **reports.handlers(control)}
+    return handlers.Part(handlers=table, run=run)
--- /dev/null
+++ b/src/carobstand/entry/held.py
@@ -0,0 +1,271 @@
+"""What an entry holds for control: revisions, members and the store's revisions."""
+
+import collections
+import hashlib
+import random
+import time
+
+import anyio
+import attrs
+
+from carobstand import errors, logs
+from carobstand.core import membership, planner, revisions, table
+from carobstand.wire import connection
+from carobstand.wire.gen import ttypes
+
+TABLE_KEY = "config/table"
+
+PLAN_PREFIX = "config/plan/"
+
+RECENT_TABLES = 32
+"""Earlier tables kept, as bases of deltas."""
+
+
+@attrs.define(eq=False)
+class Control:
+    """State of the control loops of one entry.
+
+    Attributes
+    ----------
+    state : entry.state.EntryState
+    table : revisions.Holder
+    plans : dict of str to revisions.Holder
+        By service.
+    store_revisions : dict of str to int
+        Store revision of each key under ``config/``, as last seen.
+    members : membership.Members
+    recent : deque of table.Table
+        Tables held lately, newest last.
+    deltas : dict
+        Encoded messages for table requests, by base revision; cleared at each change.
+    dirty : set of str
+        Services whose plan must be computed again.
+    vms_read_at : float or None
+        When the VM list was last read.
+    refused : str
+        Why the newest content of the store was refused, empty if it was not.
+    rosters_dirty : bool
+    """
+
+    state: object
+    table: object = attrs.field(factory=lambda: revisions.Holder("table"))
+    plans: dict = attrs.field(factory=dict)
+    store_revisions: dict = attrs.field(factory=dict)
+    members: object = attrs.field(factory=membership.Members)
+    recent: object = attrs.field(
+        factory=lambda: collections.deque(maxlen=RECENT_TABLES)
+    )
+    deltas: dict = attrs.field(factory=dict)
+    dirty: set = attrs.field(factory=set)
+    vms_read_at: float | None = None
+    refused: str = ""
+    rosters_dirty: bool = True
+    ahead_since: dict = attrs.field(factory=dict)
+    asked_at: dict = attrs.field(factory=dict)
+    relays: dict = attrs.field(factory=dict)
+    rng: object = attrs.field(factory=random.Random)
+
+
+def describe(control):
+    """Return what the status port shows of control; times are since the epoch."""
+    offset = time.time() - anyio.current_time()
+    store = control.state.store
+    return {
+        "table": {
+            "revision": control.table.revision,
+            "digest": control.table.digest,
+            "at": control.table.accepted_at + offset,
+        },
+        "plans": {
+            service: {"revision": holder.revision, "at": holder.accepted_at + offset}
+            for service, holder in control.plans.items()
+        },
+        "stale": control.table.stale,
+        "forked": control.table.forked,
+        "refused": control.refused,
+        "members": len(control.members.members),
+        "store_calls": dict(getattr(store, "calls", None) or {}),
+    }
+
+
+def jitter(control, seconds):
+    """Return a random time around `seconds`, within 20 percent."""
+    return seconds * control.rng.uniform(0.8, 1.2)
+
+
+def take_table(control, new, source):
+    """Put a table in force if its revision is higher than the one held.
+
+    Parameters
+    ----------
+    control : Control
+    new : table.Table
+    source : str
+        Where it came from, for the log.
+
+    Returns
+    -------
+    verdict : revisions.Verdict
+    """
+    digest = table.digest(new)
+    now = anyio.current_time()
+    verdict = revisions.offer(control.table, new.revision, digest, new, now)
+    if verdict is revisions.Verdict.ACCEPTED:
+        state = control.state
+        state.table = new
+        control.recent.append(new)
+        control.deltas.clear()
+        control.dirty.update(row.name for row in table.services(new))
+        control.dirty.update(control.plans)
+        control.rosters_dirty = True
+        logs.event(
+            "table.applied",
+            revision=new.revision,
+            change=new.change_id,
+            source=source,
+            at=time.time(),
+        )
+        announce(control)
+        state.changed.notify()
+    elif verdict is not revisions.Verdict.SAME:
+        logs.event("table.refused", revision=new.revision, reason=verdict.value)
+    return verdict
+
+
+def take_plan(control, plan, content, source):
+    """Put a plan in force if its revision is higher than the one held.
+
+    Parameters
+    ----------
+    control : Control
+    plan : planner.Plan
+    content : bytes
+        Its JSON, which peers may ask for.
+    source : str
+
+    Returns
+    -------
+    verdict : revisions.Verdict
+    """
+    holder = control.plans.setdefault(
+        plan.service, revisions.Holder(f"plan {plan.service}")
+    )
+    digest = hashlib.sha256(content).hexdigest()
+    verdict = revisions.offer(
+        holder, plan.revision, digest, content, anyio.current_time()
+    )
+    if verdict is revisions.Verdict.ACCEPTED:
+        control.state.plans[plan.service] = plan
+        control.dirty.add(plan.service)
+        control.rosters_dirty = True
+        logs.event(
+            "plan.applied",
+            service=plan.service,
+            revision=plan.revision,
+            author=plan.author,
+            source=source,
+        )
+        announce(control, plan.service)
+        control.state.changed.notify()
+    elif verdict is not revisions.Verdict.SAME:
+        logs.event(
+            "plan.refused",
+            service=plan.service,
+            revision=plan.revision,
+            reason=verdict.value,
+        )
+    return verdict
+
+
+def announce(control, service=None):
+    """Tell connected agents of a new revision without waiting for their heartbeat.
+
+    With `service` only the agents whose assignment of that service is older.
+    """
+    for peer in control.state.agents.values():
+        if peer.heartbeat is None:
+            continue
+        reply = reply_to(control, peer, seq=0)
+        if service is None or reply.assignments:
+            post(peer.conn, reply)
+
+
+def reply_to(control, peer, seq):
+    """Return the reply to the last heartbeat of `peer`."""
+    state = control.state
+    known = peer.heartbeat.plan_revisions or {}
+    assignments = []
+    for service in peer.hello.services or ():
+        plan = state.plans.get(service)
+        if plan is None or plan.revision <= known.get(service, 0):
+            continue
+        entry = planner.assignment(plan, peer.hello.vm)
+        assignments.append(
+            ttypes.Assignment(
+                service_name=service,
+                plan_revision=plan.revision,
+                fetch=list(entry.fetch),
+                serve=list(entry.serve),
+            )
+        )
+    return ttypes.HeartbeatReply(
+        seq=seq,
+        table_revision=control.table.revision,
+        table_digest=control.table.digest,
+        assignments=assignments,
+        attempt_floor=state.attempt_floor,
+    )
+
+
+def post(conn, message):
+    """Queue `message`; a connection that has ended is skipped."""
+    try:
+        connection.post(conn, message)
+    except errors.ConnectionClosedError:
+        return
+
+
+def send_table(control, conn, have):
+    """Send the table to a peer that holds revision `have`, if that is older."""
+    holder = control.table
+    if holder.content is None or have >= holder.revision:
+        return
+    if have not in control.deltas:
+        control.deltas[have] = _table_message(control, have)
+    post(conn, control.deltas[have])
+
+
+def _table_message(control, have):
+    holder = control.table
+    content = table.to_json(attrs.evolve(holder.content, history=()))
+    base = next((old for old in control.recent if old.revision == have), None)
+    if base is not None:
+        delta = table.delta(base, holder.content)
+        if len(delta) < len(content):
+            return ttypes.TableDelta(
+                base_revision=have,
+                revision=holder.revision,
+                digest=holder.digest,
+                content=delta,
+            )
+    return ttypes.TableSnapshot(
+        revision=holder.revision, digest=holder.digest, content=content
+    )
+
+
+def read_table(held, message):
+    """Return the table of a `TableSnapshot` or `TableDelta`.
+
+    Parameters
+    ----------
+    held : table.Table or None
+    message : ttypes.TableSnapshot or ttypes.TableDelta
+
+    Raises
+    ------
+    TableError
+        If it is malformed, of another format, or its digest does not match.
+    """
+    if isinstance(message, ttypes.TableDelta):
+        return table.apply_delta(held or table.EMPTY, message.content, message.digest)
+    return table.from_snapshot(message.content, message.revision, message.digest, held)
--- /dev/null
+++ b/src/carobstand/entry/reports.py
@@ -0,0 +1,148 @@
+"""Heartbeats of agents, and the rosters that they get."""
+
+import anyio
+
+from carobstand import logs
+from carobstand.core import membership, planner, table
+from carobstand.entry import held
+from carobstand.wire.gen import ttypes
+
+ROSTER_INTERVAL_S = 0.5
+"""Shortest time between two rounds of rosters."""
+
+_PHASES = ttypes.ReplicaPhase._VALUES_TO_NAMES
+
+
+def handlers(control):
+    """Return the handler of heartbeats."""
+
+    async def on_heartbeat(conn, message):
+        peer = control.state.agents.get(conn.peer.vm)
+        if peer is None or peer.conn is not conn:
+            return
+        changed = peer.heartbeat is None or _differs(peer.heartbeat, message)
+        peer.heartbeat = message
+        peer.heard_at = anyio.current_time()
+        # A goodbye stays in force until the connection ends.
+        peer.leaving = peer.leaving or bool(message.leaving)
+        note(control, peer, changed)
+        held.post(conn, held.reply_to(control, peer, message.seq or 0))
+        if changed:
+            control.state.changed.notify()
+
+    return {ttypes.Heartbeat: on_heartbeat}
+
+
+def _differs(old, new):
+    """Return whether planning or routing depends on the difference."""
+    return (
+        _phases(old) != _phases(new)
+        or old.backend_up != new.backend_up
+        or old.leaving != new.leaving
+    )
+
+
+def _phases(beat):
+    return {
+        (replica.service_name, replica.version): _PHASES.get(replica.phase, "")
+        for replica in beat.replicas or ()
+    }
+
+
+def note(control, peer, changed):
+    """Take the last heartbeat of `peer` into the members."""
+    beat, hello = peer.heartbeat, peer.hello
+    event = membership.Heard(
+        hello.vm,
+        hello.start_id,
+        hello.address,
+        hello.failure_domain,
+        hello.region,
+        tuple(hello.services or ()),
+        peer.leaving,
+        beat.backend_up is not False,
+        _phases(beat),
+        dict(beat.plan_revisions or {}),
+    )
+    known = hello.vm in control.members.members
+    effects = membership.step(control.members, event, anyio.current_time())
+    for effect in effects:
+        logs.event(
+            "member.replaced",
+            peer=effect.vm,
+            old_start=effect.old_start_id,
+            new_start=effect.new_start_id,
+        )
+    if changed or effects or not known:
+        control.dirty.update(hello.services or ())
+        control.rosters_dirty = True
+
+
+async def run(control):
+    """Send rosters after changes until cancelled."""
+    while True:
+        await anyio.sleep(held.jitter(control, ROSTER_INTERVAL_S))
+        # Only time makes a silent member leave a roster.
+        now = anyio.current_time()
+        effects = membership.step(control.members, membership.Tick(), now)
+        if control.rosters_dirty or effects:
+            control.rosters_dirty = False
+            rosters = all_rosters(control)
+            for peer in list(control.state.agents.values()):
+                if peer.heartbeat is not None:
+                    _send_rosters(peer, rosters)
+
+
+def all_rosters(control):
+    """Return the roster of each manifest, by service.
+
+    Members are the VMs that the plan lets hold the manifest and that are not leaving.
+    """
+    now = anyio.current_time()
+    current = control.table.content or table.EMPTY
+    rosters = {}
+    for service, plan in control.state.plans.items():
+        manifests = {row.name: row for row in table.versions(current, service)}
+        members = {name: [] for name in manifests}
+        for member in membership.of_service(control.members, service):
+            if not member.address or not membership.usable(member, now):
+                continue
+            for name in planner.assignment(plan, member.vm).fetch:
+                if name in members:
+                    members[name].append(member)
+        rosters[service] = [
+            _roster(manifests[name].manifest, plan.revision, found)
+            for name, found in members.items()
+            if found
+        ]
+    return rosters
+
+
+def _roster(manifest, revision, members):
+    return ttypes.Roster(
+        manifest=manifest,
+        plan_revision=revision,
+        members=[
+            ttypes.Member(
+                vm=member.vm,
+                address=member.address,
+                failure_domain=member.failure_domain,
+                region=member.region,
+                start_id=member.start_id,
+            )
+            for member in members
+        ],
+    )
+
+
+def _send_rosters(peer, rosters):
+    """Send the rosters of the versions that `peer` is to hold, where they changed."""
+    sent = peer.conn.extra.setdefault("rosters", {})
+    own = peer.hello.vm
+    for service in peer.hello.services or ():
+        for roster in rosters.get(service, ()):
+            if all(member.vm != own for member in roster.members):
+                continue
+            if sent.get(roster.manifest) != roster:
+                sent[roster.manifest] = roster
+                held.post(peer.conn, roster)
--- a/src/carobstand/entry/state.py
+++ b/src/carobstand/entry/state.py
@@ -63,6 +63,8 @@
         State of request processing; made by `entry.dispatch`.
     changed : signals.Signal
         Notified at each change of the above.
+    describe_control : callable without arguments
+        Returns a JSON-compatible dict for the status port; set by `entry.control`.
     agent_joined, agent_lost : list of callables of (vm, AgentPeer)
         Called when a connection of an agent starts or ends.
     """
@@ -85,4 +87,5 @@
     agent_joined: list = attrs.field(factory=list)
     agent_lost: list = attrs.field(factory=list)
     metrics: object = None
+    describe_control: object = dict
     dispatcher: object = None
--- /dev/null
+++ b/src/carobstand/entry/store_watch.py
@@ -0,0 +1,116 @@
+"""The entry's one watch on the store, and its reads of the VM list."""
+
+import anyio
+
+from carobstand import errors, logs
+from carobstand.core import membership, planner, table
+from carobstand.entry import held
+
+PREFIX = "config/"
+
+WAIT_S = 4.0
+"""Longest wait of one watch call. A watch that fails silently delays a change by no
+more than this and its timeout, and 370 entries make about 90 calls/s of the 2,000."""
+
+BACKOFF_S = 0.5
+"""First delay after a failed call, doubled up to `MAX_BACKOFF_S`."""
+
+MAX_BACKOFF_S = 4.0
+"""Longest delay between tries. 370 entries make 185 tries/s during an outage, and a
+change accepted as the store returns is read within 9 s."""
+
+VM_LIST_INTERVAL_S = 1.0
+"""Time between reads of the VM list; a leaving VM gets no new work within 2 s."""
+
+
+async def watch(control):
+    """Follow ``config/`` until cancelled; lists it first, and after each failure."""
+    after = None
+    failures = 0
+    while True:
+        try:
+            if after is None:
+                changes = await control.state.store.list(PREFIX)
+            else:
+                wait_s = held.jitter(control, WAIT_S)
+                changes = await control.state.store.watch(PREFIX, after, wait_s)
+        except errors.CarobstandError as exc:
+            failures += 1
+            _store_up(control, False, exc)
+            await anyio.sleep(backoff(control, failures))
+            continue
+        failures = 0
+        _store_up(control, True)
+        for item in changes.items:
+            take_item(control, item)
+        # A lower revision is a stale read: what was seen since must not be lost.
+        after = max(after or 0, changes.revision)
+
+
+def backoff(control, failures):
+    """Return a random delay in seconds after that many failures in a row."""
+    longest = min(MAX_BACKOFF_S, BACKOFF_S * 2 ** min(failures, 10))
+    return control.rng.uniform(longest / 4, longest)
+
+
+def _store_up(control, up, exc=None):
+    state = control.state
+    if state.store_up != up:
+        detail = {} if exc is None else {"error": exc.message, "step": exc.step}
+        logs.event("store.up" if up else "store.down", **detail)
+        state.store_up = up
+        state.changed.notify()
+
+
+def take_item(control, item):
+    """Apply one key of ``config/`` as the store returned it.
+
+    Malformed or newer content is refused as a whole; what is held stays in force.
+    """
+    if item.value is None:
+        logs.event("store.key_deleted", key=item.key)
+        control.store_revisions.pop(item.key, None)
+        return
+    if item.revision < control.store_revisions.get(item.key, 0):
+        return
+    control.store_revisions[item.key] = item.revision
+    try:
+        if item.key == held.TABLE_KEY:
+            new = table.from_json(item.value, item.key, control.table.content)
+            held.take_table(control, new, "store")
+            control.refused = ""
+        elif item.key.startswith(held.PLAN_PREFIX):
+            plan = planner.from_json(item.value, item.key)
+            if item.key != held.PLAN_PREFIX + plan.service:
+                raise errors.TableError("plan of another service", step="plan.read")
+            held.take_plan(control, plan, item.value, "store")
+    except errors.TableError as exc:
+        control.refused = exc.message
+        logs.event("store.content_refused", key=item.key, error=exc.message)
+
+
+async def read_vms(control):
+    """Read the VM list about each second until cancelled."""
+    while True:
+        try:
+            vms = await control.state.vm_list.fetch()
+        except errors.CarobstandError as exc:
+            logs.event("vms.failed", error=exc.message, step=exc.step, peer=exc.peer)
+        else:
+            take_vms(control, vms)
+        await anyio.sleep(held.jitter(control, VM_LIST_INTERVAL_S))
+
+
+def take_vms(control, vms):
+    """Apply one reading of the VM list."""
+    state = control.state
+    now = anyio.current_time()
+    agents = tuple(vm for vm in vms if vm.role == "agent")
+    effects = membership.step(control.members, membership.Listed(agents), now)
+    control.vms_read_at = now
+    if vms != state.vms or effects:
+        state.vms = vms
+        control.dirty.update(control.plans)
+        control.dirty.update(service for vm in agents for service in vm.services)
+        control.rosters_dirty = True
+        state.changed.notify()
--- a/src/carobstand/status.py
+++ b/src/carobstand/status.py
@@ -111,6 +111,7 @@
         "store_up": state.store_up,
         "plan_revisions": {name: plan.revision for name, plan in state.plans.items()},
         "attempt_floor": state.attempt_floor,
+        "control": state.describe_control(),
         "agents": agents,
         "entries": sorted(state.entries),
         "behind": sorted(vm for vm, agent in agents.items() if agent["behind"]),
--- /dev/null
+++ b/testing/fake_store.py
@@ -0,0 +1,184 @@
+"""In-process configuration store with fault switches, for virtual time."""
+
+import collections
+import random
+
+import anyio
+import attrs
+
+from carobstand import errors, signals
+from carobstand.platform import store as stores
+
+
+@attrs.define(eq=False)
+class Shared:
+    """Contents that all clients share, and the faults of the store itself."""
+
+    rng: random.Random
+    revision: int = 0
+    items: dict = attrs.field(factory=dict)
+    log: list = attrs.field(factory=list)
+    leases: dict = attrs.field(factory=dict)
+    lease_keys: dict = attrs.field(factory=dict)
+    changed: signals.Signal = attrs.field(factory=signals.Signal)
+    down: bool = False
+    latency_s: float = 0.003
+    lost_answers: float = 0.0
+    stale_reads: float = 0.0
+    calls: collections.Counter = attrs.field(factory=collections.Counter)
+    per_second: collections.Counter = attrs.field(factory=collections.Counter)
+
+
+def write(shared, key, value):
+    """Write a key and wake the watches; return the new store revision."""
+    shared.revision += 1
+    item = stores.Item(key, value, shared.revision)
+    if value is None:
+        shared.items.pop(key, None)
+    else:
+        shared.items[key] = item
+    shared.log.append(item)
+    shared.changed.notify()
+    return item
+
+
+def _expire(shared):
+    now = anyio.current_time()
+    for lease, until in list(shared.leases.items()):
+        if until <= now:
+            _drop_lease(shared, lease)
+
+
+def _drop_lease(shared, lease):
+    shared.leases.pop(lease, None)
+    for key in shared.lease_keys.pop(lease, ()):
+        if key in shared.items:
+            write(shared, key, None)
+
+
+def client(shared):
+    """Return (Store, link) of one client; ``link["cut"]`` cuts it off.
+
+    ``link["silent"]`` makes its watches wait without an answer.
+    """
+    link = {"cut": False, "silent": False}
+    calls = collections.Counter()
+
+    async def reach(kind):
+        calls[kind] += 1
+        shared.calls[kind] += 1
+        group = "reads" if kind in ("get", "list", "watch") else "writes"
+        shared.per_second[group, int(anyio.current_time())] += 1
+        await anyio.sleep(shared.latency_s * shared.rng.uniform(0.5, 2))
+        if shared.down or link["cut"]:
+            await anyio.sleep(shared.rng.choice((0, 2)))
+            raise errors.StoreUnavailableError("no answer", step=f"store.{kind}")
+        _expire(shared)
+
+    async def answer(kind):
+        await anyio.sleep(shared.latency_s * shared.rng.uniform(0.5, 2))
+        if shared.rng.random() < shared.lost_answers:
+            await anyio.sleep(2)
+            raise errors.StoreUnavailableError("answer lost", step=f"store.{kind}")
+
+    def check(key, expect):
+        current = shared.items.get(key)
+        if expect is not None and expect != (current.revision if current else 0):
+            raise errors.ConflictError(f"{key} changed", step="store.cas")
+
+    def stale():
+        return shared.log and shared.rng.random() < shared.stale_reads
+
+    async def get(key):
+        await reach("get")
+        item = shared.items.get(key)
+        if stale():
+            older = [past for past in shared.log[:-1] if past.key == key and past.value]
+            item = shared.rng.choice(older) if older else item
+        await answer("get")
+        return item
+
+    async def put(key, value, expect=None, lease=None):
+        await reach("put")
+        check(key, expect)
+        if lease is not None and lease not in shared.leases:
+            raise errors.ConflictError("lease has lapsed", step="store.put")
+        item = write(shared, key, value)
+        if lease is not None:
+            shared.lease_keys.setdefault(lease, set()).add(key)
+        await answer("put")
+        return item
+
+    async def delete(key, expect=None):
+        await reach("delete")
+        check(key, expect)
+        if key in shared.items:
+            write(shared, key, None)
+        await answer("delete")
+
+    async def list_prefix(prefix):
+        await reach("list")
+        items = tuple(item for k, item in shared.items.items() if k.startswith(prefix))
+        changes = stores.Changes(shared.revision, items)
+        await answer("list")
+        return changes
+
+    async def watch(prefix, after, wait_s):
+        await reach("watch")
+        if link["silent"]:
+            await anyio.sleep(wait_s + 2)
+            raise errors.StoreUnavailableError("silent", step="store.watch")
+        if stale():
+            return stores.Changes(max(0, after - 3), ())
+        deadline = anyio.current_time() + wait_s
+        while anyio.current_time() < deadline:
+            if shared.down or link["cut"]:
+                raise errors.StoreUnavailableError("closed", step="store.watch")
+            latest = {
+                item.key: item
+                for item in shared.log
+                if item.revision > after and item.key.startswith(prefix)
+            }
+            if latest:
+                return stores.Changes(shared.revision, tuple(latest.values()))
+            await shared.changed.wait(min(1.0, deadline - anyio.current_time()))
+        return stores.Changes(shared.revision, ())
+
+    async def grant(ttl_s):
+        await reach("grant")
+        lease = f"lease-{len(shared.log)}-{shared.rng.random()}"
+        shared.leases[lease] = anyio.current_time() + ttl_s
+        shared.lease_keys[lease] = set()
+        shared.lease_keys[lease, "ttl"] = ttl_s
+        await answer("grant")
+        return lease
+
+    async def keep_alive(lease):
+        await reach("keep_alive")
+        if lease not in shared.leases:
+            raise errors.ConflictError("lease has lapsed", step="store.keep_alive")
+        ttl_s = shared.lease_keys[lease, "ttl"]
+        shared.leases[lease] = anyio.current_time() + ttl_s
+        await answer("keep_alive")
+
+    async def revoke(lease):
+        await reach("revoke")
+        _drop_lease(shared, lease)
+        await answer("revoke")
+
+    async def close():
+        return None
+
+    made = stores.Store(
+        get,
+        put,
+        delete,
+        list_prefix,
+        watch,
+        grant,
+        keep_alive,
+        revoke,
+        close,
+        calls,
+    )
+    return made, link
