--- a/src/carobstand/wire/connection.py
+++ b/src/carobstand/wire/connection.py
@@ -1,6 +1,7 @@
 """Framed bidirectional connections between processes."""
 
 import collections
+import contextlib
 import ssl
 import traceback
 
@@ -8,13 +9,13 @@
 import anyio.abc
 import anyio.lowlevel
 import attrs
+from anyio.streams import tls as anyio_tls
 
 from carobstand import errors, logs, signals
-from carobstand.wire import codec, framing, tls
+from carobstand.wire import codec, framing, hellos, tls
 from carobstand.wire.gen import ttypes
 
-PROTOCOL_VERSION = 1
-"""Version of the messages; a peer with another version is refused."""
+PROTOCOL_VERSION = hellos.PROTOCOL_VERSION
 
 PING_INTERVAL_S = 0.8
 """Time between pings."""
@@ -338,40 +339,25 @@
                 data = await stream.receive(framing.MAX_HELLO_BYTES)
                 framing.add(conn.frames, data)
     except TimeoutError:
-        raise _refusal(f"no hello within {HANDSHAKE_TIMEOUT_S} s", address) from None
+        raise hellos.refusal(
+            f"no hello within {HANDSHAKE_TIMEOUT_S} s", address
+        ) from None
     except anyio.EndOfStream:
-        raise _refusal("peer closed before its hello", address) from None
+        problem = "peer closed before its hello"
+        if stream.extra(anyio_tls.TLSAttribute.ssl_object, None) is not None:
+            problem += "; it may not trust the certificate of this process"
+        raise hellos.refusal(problem, address) from None
     except ssl.SSLError as exc:
-        raise _refusal(tls.reason(exc), address) from exc
+        raise hellos.refusal(tls.reason(exc), address) from exc
     except (OSError, anyio.BrokenResourceError) as exc:
-        raise _refusal("connection reset before the hello", address) from exc
+        raise hellos.refusal("connection reset before the hello", address) from exc
     message, stamp = codec.decode(body)
-    _check_hello(message, address)
+    hellos.check(message, address)
     logs.STATE.clock.merge(stamp)
     conn.peer = message
     return conn
 
 
-def _refusal(message, address):
-    return errors.HandshakeError(message, step="wire.handshake", peer=address)
-
-
-def _check_hello(message, address):
-    if not isinstance(message, ttypes.Hello):
-        kind = type(message).__name__
-        raise _refusal(f"expected Hello, got {kind}", address)
-    if message.protocol != PROTOCOL_VERSION:
-        raise _refusal(
-            f"protocol {message.protocol}, this process speaks {PROTOCOL_VERSION}",
-            address,
-        )
-    if message.role not in ttypes.Role._VALUES_TO_NAMES:
-        raise _refusal(f"unknown role {message.role}", address)
-    for name in ("vm", "start_id", "failure_domain", "region", "address"):
-        if not getattr(message, name):
-            raise _refusal(f"hello without {name}", address)
-
-
 async def dial(address, hello, tls_context=None):
     """Connect to `address` and exchange hellos.
 
@@ -405,7 +391,7 @@
                 tls_standard_compatible=False,
             )
     except ssl.SSLError as exc:
-        raise _refusal(tls.reason(exc), address) from exc
+        raise hellos.refusal(tls.reason(exc), address) from exc
     except (
         OSError,
         ValueError,
@@ -413,7 +399,7 @@
         anyio.EndOfStream,
     ) as exc:
         raise errors.ConnectionClosedError(
-            f"cannot connect: {exc or type(exc).__name__}",
+            f"cannot connect: {str(exc) or type(exc).__name__}",
             step="wire.dial",
             peer=address,
         ) from exc
@@ -448,7 +434,9 @@
         address = f"{remote[0]}:{remote[1]}"
         try:
             if len(pending) >= MAX_HANDSHAKES:
-                raise _refusal(f"{MAX_HANDSHAKES} handshakes in progress", address)
+                raise hellos.refusal(
+                    f"{MAX_HANDSHAKES} handshakes in progress", address
+                )
             pending.add(stream)
             conn = await _accept(stream, hello(), address, secure)
             pending.discard(stream)
@@ -474,21 +462,29 @@
 
 
 async def _accept(stream, hello, address, secure):
-    """Do the TLS handshake, if any, and exchange hellos."""
+    """Do the TLS handshake, if any, and exchange hellos; tell a refused peer why."""
     try:
         if secure is not None:
             with anyio.fail_after(HANDSHAKE_TIMEOUT_S):
                 stream = await secure(stream)
     except TimeoutError:
-        raise _refusal("no TLS handshake in time", address) from None
+        raise hellos.refusal("no TLS handshake in time", address) from None
     except (
         OSError,
         anyio.BrokenResourceError,
         anyio.ClosedResourceError,
         anyio.EndOfStream,
     ) as exc:
-        raise _refusal(tls.reason(exc), address) from exc
-    return await handshake(stream, hello, address)
+        raise hellos.refusal(tls.reason(exc), address) from exc
+    try:
+        if secure is not None:
+            tls.check_certificate(stream, address)
+        return await handshake(stream, hello, address)
+    except errors.HandshakeError as exc:
+        goodbye = ttypes.Goodbye(reason=exc.message)
+        with anyio.move_on_after(1), contextlib.suppress(Exception):
+            await stream.send(codec.encode(goodbye, logs.STATE.clock.tick()))
+        raise
 
 
 def split_address(address):
--- a/src/carobstand/wire/tls.py
+++ b/src/carobstand/wire/tls.py
@@ -17,8 +17,6 @@
 """Settings that name the files of a context."""
 
 REASONS = {
-    "PEER_DID_NOT_RETURN_A_CERTIFICATE": "peer sent no certificate",
-    "TLSV13_ALERT_CERTIFICATE_REQUIRED": "peer requires a certificate",
     "CERTIFICATE_VERIFY_FAILED": "certificate of the peer is not trusted",
     "TLSV1_ALERT_UNKNOWN_CA": "peer does not trust the certificate of this process",
     "TLSV1_ALERT_DECRYPT_ERROR": "peer does not trust the certificate of this process",
@@ -91,6 +89,16 @@
     return accept
 
 
+def check_certificate(stream, address):
+    """Raise HandshakeError unless the peer of a TLS stream sent a certificate."""
+    if not stream.extra(anyio_tls.TLSAttribute.peer_certificate, None):
+        raise errors.HandshakeError(
+            "no certificate: processes connect with mutual TLS",
+            step="tls.check",
+            peer=address,
+        )
+
+
 def reason(exc):
     """Return why a TLS handshake failed, as one line."""
     code = getattr(exc, "reason", None)
@@ -142,20 +150,27 @@
     context.minimum_version = ssl.TLSVersion.TLSv1_3
     context.check_hostname = False
     context.verify_mode = ssl.CERT_REQUIRED
+    if protocol == ssl.PROTOCOL_TLS_SERVER:
+        # `check_certificate` refuses a peer without one, in a frame that says why;
+        # anyio drops the alert that OpenSSL has for it. Any certificate is verified.
+        context.verify_mode = ssl.CERT_OPTIONAL
+    name = "tls_cert"
     try:
-        name = "tls_cert"
         _check_readable(cfg.tls_cert)
         name = "tls_key"
         _check_readable(cfg.tls_key)
+        name = "tls_cert", "tls_key"
         context.load_cert_chain(cfg.tls_cert, cfg.tls_key, password=_refuse_password)
         name = "tls_ca"
         _check_readable(cfg.tls_ca)
         context.load_verify_locations(cfg.tls_ca)
     except (OSError, ValueError) as exc:
-        flag = "--" + name.replace("_", "-")
-        path = getattr(cfg, name)
+        names = (name,) if isinstance(name, str) else name
+        files = ", ".join(
+            f"--{name.replace('_', '-')} {getattr(cfg, name)!r}" for name in names
+        )
         detail = getattr(exc, "reason", None) or getattr(exc, "strerror", None) or exc
-        raise OSError(f"{flag}: {path!r} cannot be loaded: {detail}") from exc
+        raise OSError(f"{files}: cannot be loaded: {detail}") from exc
     return context
 
 
