--- a/src/carobstand/agent/peers.py
+++ b/src/carobstand/agent/peers.py
@@ -69,6 +69,8 @@
 
     try:
         await connection.run(conn, on_message)
+    except errors.InvariantError:
+        raise
     except errors.CarobstandError as exc:
         logs.event("connection.failed", error=exc.message, peer=conn.peer.vm)
 
@@ -134,6 +136,8 @@
             context = tls.client_context(state.cfg)
             conn = await connection.dial(vm.address, hello_of(state), context)
             await _run_entry(state, conn, table)
+        except errors.InvariantError:
+            raise
         except errors.CarobstandError as exc:
             logs.event("connection.failed", error=exc.message, peer=vm.vm)
         finally:
--- a/src/carobstand/entry/main.py
+++ b/src/carobstand/entry/main.py
@@ -12,6 +12,9 @@
 from carobstand.wire import connection, handlers, listeners
 from carobstand.wire.gen import ttypes
 
+GOODBYE_TIMEOUT_S = 0.5
+"""Longest wait until a goodbye is with the socket."""
+
 
 async def serve(cfg, stop):
     """Run one entry until `stop` is set and its requests in progress have ended.
@@ -71,6 +74,7 @@
     for peer in [*state.agents.values(), *state.entries.values()]:
         if not peer.conn.closed.is_set():
             connection.post(peer.conn, ttypes.Goodbye(reason="stopping"))
+            await connection.flush(peer.conn, GOODBYE_TIMEOUT_S)
     logs.event("process.stopped")
 
 
