--- /dev/null
+++ b/src/carobstand/agent/executor.py
@@ -0,0 +1,458 @@
+"""Runs attempts against the backend server and streams their answers to entries."""
+
+import anyio
+import attrs
+import httpx
+
+from carobstand import errors, logs
+from carobstand.core import attempts
+from carobstand.wire import connection, handlers
+from carobstand.wire.gen import ttypes
+
+BATCH_BYTES = 512 * 1024
+"""Largest data of one message with answer frames."""
+
+CONNECT_TIMEOUT_S = 2.0
+"""Longest wait for a connection to the backend server, which is on the same VM."""
+
+CANCEL_GRACE_S = 30.0
+"""How long a non-idempotent call may run past its deadline.
+
+Its result is still stored for repeats of the call.
+"""
+
+FINAL_ACK_S = 6.0
+"""Wait for the entry to acknowledge the end of an answer.
+
+Until then the attempt counts as running, so that an agent that leaves does not exit
+before the entry has the whole answer. It covers the replacement of a silent
+connection.
+"""
+
+OUTBOX_IDLE_S = 1.0
+"""Time between checks whether a connection with nothing to send has ended."""
+
+STREAM_OFFSET_HEADER = "X-Stream-Offset"
+SERVED_VERSION_HEADER = "X-Served-Version"
+
+HOP_HEADERS = frozenset(
+    "connection keep-alive proxy-authenticate proxy-authorization te trailer "
+    "transfer-encoding upgrade host content-length expect".split()
+)
+"""Headers that concern one connection only and are not forwarded."""
+
+_OUTCOMES = {
+    attempts.Outcome.DONE: ttypes.Outcome.DONE,
+    attempts.Outcome.NOT_RUN: ttypes.Outcome.NOT_RUN,
+    attempts.Outcome.UNKNOWN: ttypes.Outcome.UNKNOWN,
+}
+
+_PHASES = {
+    attempts.Phase.NOT_SEEN: ttypes.AttemptPhase.NOT_SEEN,
+    attempts.Phase.RUNNING: ttypes.AttemptPhase.RUNNING,
+    attempts.Phase.FINISHED: ttypes.AttemptPhase.FINISHED,
+    attempts.Phase.REFUSED: ttypes.AttemptPhase.REFUSED,
+}
+
+
+@attrs.define(eq=False)
+class Run:
+    """An attempt in progress, its connection and what wakes its reader."""
+
+    attempt: attempts.Attempt
+    message: ttypes.Attempt
+    conn: connection.Connection
+    scope: anyio.CancelScope = attrs.field(factory=anyio.CancelScope)
+    acked: anyio.Event = attrs.field(factory=anyio.Event)
+    received: anyio.Event = attrs.field(factory=anyio.Event)
+    cancelled: bool = False
+    backend_starts: int = 0
+
+
+@attrs.define(eq=False)
+class Outbox:
+    """Runs with frames to send over one connection, in order of arrival."""
+
+    dirty: dict = attrs.field(factory=dict)
+    wake: anyio.Event = attrs.field(factory=anyio.Event)
+
+
+@attrs.define(eq=False)
+class Executor:
+    """State of the executor of one agent."""
+
+    state: object
+    client: httpx.AsyncClient
+    held: attempts.Attempts
+    tasks: object = None
+    runs: dict = attrs.field(factory=dict)
+    outboxes: dict = attrs.field(factory=dict)
+    backend_starts: int = 0
+
+
+def part(state):
+    """Return the handlers and the loop that run attempts on this agent."""
+    ex = Executor(state, _client(state.cfg.backend_url), attempts.Attempts("unset"))
+    ex.held.start_id = state.start_id
+
+    async def on_attempt(conn, message):
+        _on_attempt(ex, conn, message)
+
+    async def on_ack(conn, message):
+        run = ex.runs.get((conn.peer.start_id, message.attempt_id))
+        if run is not None:
+            attempts.acknowledge(run.attempt, message.offset)
+            run.acked.set()
+            if run.attempt.final_sent and message.offset == run.attempt.end:
+                run.received.set()
+
+    async def on_cancel(conn, message):
+        run = ex.runs.get((conn.peer.start_id, message.attempt_id))
+        if run is not None:
+            _cancel(run)
+
+    async def on_revoke(conn, message):
+        _on_revoke(ex, conn, message)
+
+    async def on_resume(conn, message):
+        _on_resume(ex, conn, message)
+
+    async def run():
+        async with anyio.create_task_group() as tasks:
+            ex.tasks = tasks
+            try:
+                await _apply_floors(ex)
+            finally:
+                ex.tasks = None
+                with anyio.CancelScope(shield=True):
+                    await ex.client.aclose()
+
+    return handlers.Part(
+        {
+            ttypes.Attempt: on_attempt,
+            ttypes.AnswerAck: on_ack,
+            ttypes.Cancel: on_cancel,
+            ttypes.Revoke: on_revoke,
+            ttypes.Resume: on_resume,
+        },
+        run,
+    )
+
+
+def _client(url):
+    # A connection that is reused may have been closed by the backend server just
+    # before the request; that cannot be told from a failure while the request ran.
+    limits = httpx.Limits(max_connections=None, max_keepalive_connections=0)
+    client = httpx.AsyncClient(
+        base_url=url,
+        timeout=httpx.Timeout(None, connect=CONNECT_TIMEOUT_S),
+        limits=limits,
+        trust_env=False,
+        follow_redirects=False,
+    )
+    client.headers.clear()
+    return client
+
+
+async def _apply_floors(ex):
+    while True:
+        now = anyio.current_time()
+        for start_id, floor in list(ex.state.attempt_floors.items()):
+            for attempt in attempts.raise_floor(ex.held, start_id, floor, now):
+                run = ex.runs.get((start_id, attempt.attempt_id))
+                if run is not None:
+                    _cancel(run)
+            for key in [k for k in ex.runs if k[0] == start_id and k[1] < floor]:
+                if ex.runs[key].attempt.final is not None:
+                    del ex.runs[key]
+        attempts.forget_idle_entries(ex.held, now)
+        for conn in [conn for conn in ex.outboxes if conn.closed.is_set()]:
+            del ex.outboxes[conn]
+        await anyio.sleep(0.5)
+
+
+def _refusal(ex, conn, message):
+    """Return why an attempt is refused, or an empty string."""
+    state = ex.state
+    if message.entry_start_id != conn.peer.start_id:
+        return "sent by another start of the entry"
+    reason = attempts.refusal(
+        ex.held,
+        message.entry_start_id,
+        message.agent_start_id,
+        message.attempt_id,
+        anyio.current_time(),
+    )
+    if reason:
+        return reason
+    if state.leaving or ex.tasks is None:
+        return "agent is leaving"
+    if not state.backend_up:
+        return "backend server is down"
+    if message.service_name not in state.cfg.services:
+        return "service is not run here"
+    if message.version:
+        replica = state.replicas.get((message.service_name, message.version))
+        if replica is None or replica.phase != ttypes.ReplicaPhase.SERVING:
+            return "version is not served"
+    elif state.cfg.backend_type == "engine":
+        return "attempt without a version"
+    return ""
+
+
+def _on_attempt(ex, conn, message):
+    key = (message.entry_start_id, message.attempt_id)
+    now = anyio.current_time()
+    if key in ex.runs and key[0] == conn.peer.start_id:
+        logs.event("attempt.copy", request=message.request_id, attempt=key[1])
+        return
+    reason = _refusal(ex, conn, message)
+    if reason:
+        if message.entry_start_id == conn.peer.start_id:
+            attempts.refuse_forever(ex.held, *key, now)
+        logs.event(
+            "attempt.refused",
+            request=message.request_id,
+            attempt=message.attempt_id,
+            reason=reason,
+        )
+        _post_final(conn, message.attempt_id, ttypes.Outcome.NOT_RUN, reason)
+        return
+    keep = not message.idempotent
+    attempt = attempts.accept(
+        ex.held, key[0], message.agent_start_id, key[1], keep, message.offset or 0, now
+    )
+    run = Run(attempt, message, conn)
+    ex.runs[key] = run
+    ex.state.running_attempts += 1
+    ex.tasks.start_soon(_run_attempt, ex, run)
+
+
+def _on_revoke(ex, conn, message):
+    now = anyio.current_time()
+    phase = attempts.revoke(ex.held, message.entry_start_id, message.attempt_id, now)
+    reply = ttypes.RevokeReply(
+        attempt_id=message.attempt_id,
+        entry_start_id=message.entry_start_id,
+        phase=_PHASES[phase],
+    )
+    attempt = attempts.find(ex.held, message.entry_start_id, message.attempt_id)
+    whole = attempts.whole_answer(attempt) if attempt else None
+    if whole is not None:
+        reply.answer = _frame(message.attempt_id, whole, attempt, "")
+    logs.event("attempt.revoked", attempt=message.attempt_id, phase=phase.name)
+    _post(conn, reply)
+
+
+def _on_resume(ex, conn, message):
+    key = (conn.peer.start_id, message.attempt_id)
+    run = ex.runs.get(key)
+    if run is not None and attempts.resume(run.attempt, message.offset):
+        run.conn = conn
+        run.acked.set()
+        _mark_dirty(ex, run)
+        return
+    if run is not None:
+        _cancel(run)
+        outcome, reason = ttypes.Outcome.UNKNOWN, "answer is no longer held"
+    else:
+        phase = attempts.revoke(ex.held, *key, anyio.current_time())
+        if phase in (attempts.Phase.NOT_SEEN, attempts.Phase.REFUSED):
+            outcome, reason = ttypes.Outcome.NOT_RUN, "attempt was not seen"
+        else:
+            outcome, reason = ttypes.Outcome.UNKNOWN, "attempt is no longer held"
+    _post_final(conn, message.attempt_id, outcome, reason)
+
+
+def _cancel(run):
+    run.cancelled = True
+    run.scope.cancel()
+    run.received.set()
+
+
+async def _run_attempt(ex, run):
+    message, attempt = run.message, run.attempt
+    run.backend_starts = ex.backend_starts
+    budget_s = max(message.deadline_ms or 0, 0) / 1000
+    grace_s = 0 if message.idempotent else CANCEL_GRACE_S
+    run.scope.deadline = anyio.current_time() + budget_s + grace_s
+    try:
+        with run.scope:
+            await _call_backend(ex, run)
+        if attempt.final is None:
+            reason = "cancelled" if run.cancelled else "deadline passed"
+            attempts.finish(attempt, attempts.Outcome.UNKNOWN, reason)
+        logs.event(
+            "attempt.finished",
+            request=message.request_id,
+            attempt=message.attempt_id,
+            outcome=attempt.final.outcome.name,
+            reason=attempt.final.reason,
+        )
+        _mark_dirty(ex, run)
+        if not run.cancelled:
+            with anyio.move_on_after(FINAL_ACK_S):
+                await run.received.wait()
+    finally:
+        if attempt.final is None:
+            attempts.finish(attempt, attempts.Outcome.UNKNOWN, "agent stopped")
+        ex.state.running_attempts -= 1
+        ex.state.changed.notify()
+
+
+async def _call_backend(ex, run):
+    """Run the attempt and record the end of its answer, unless it is cancelled."""
+    attempt = run.attempt
+    try:
+        req = _request(ex.client, run.message)
+    except (httpx.InvalidURL, ValueError, TypeError) as exc:
+        attempts.finish(attempt, attempts.Outcome.NOT_RUN, f"malformed request: {exc}")
+        return
+    try:
+        resp = await ex.client.send(req, stream=True)
+    except (httpx.ConnectError, httpx.ConnectTimeout, httpx.UnsupportedProtocol) as exc:
+        detail = str(exc) or type(exc).__name__
+        reason = f"backend server not reached: {detail}"
+        attempts.finish(attempt, attempts.Outcome.NOT_RUN, reason)
+        return
+    except httpx.HTTPError as exc:
+        _finish_failed(ex, run, exc)
+        return
+    try:
+        served = resp.headers.get(SERVED_VERSION_HEADER)
+        if run.message.version and served not in (None, run.message.version):
+            raise errors.BackendError(
+                f"answered by version {served}", step="attempt.run", peer="backend"
+            )
+        attempts.start_answer(attempt, resp.status_code, _headers(resp))
+        _mark_dirty(ex, run)
+        async for data in resp.aiter_raw():
+            attempts.append(attempt, data)
+            _mark_dirty(ex, run)
+            while attempts.window_full(attempt):
+                run.acked = anyio.Event()
+                await run.acked.wait()
+        attempts.finish(attempt, attempts.Outcome.DONE)
+    except httpx.HTTPError as exc:
+        _finish_failed(ex, run, exc)
+    except errors.BackendError as exc:
+        attempts.finish(attempt, attempts.Outcome.UNKNOWN, exc.message)
+    finally:
+        with anyio.CancelScope(shield=True):
+            await resp.aclose()
+
+
+def _finish_failed(ex, run, exc):
+    """Record that the backend server closed the connection before its answer ended."""
+    if run.backend_starts == ex.backend_starts:
+        ex.backend_starts += 1
+    attempts.finish(
+        run.attempt,
+        attempts.Outcome.UNKNOWN,
+        f"backend server failed: {exc or type(exc).__name__}",
+        backend_died=True,
+        backend_starts=run.backend_starts,
+    )
+
+
+def _request(client, message):
+    headers = [
+        (item.name.encode("latin-1"), item.value.encode("latin-1"))
+        for item in message.headers or ()
+        if item.name.lower() not in HOP_HEADERS
+    ]
+    names = {name.lower() for name, _ in headers}
+    if b"accept-encoding" not in names:
+        headers.append((b"accept-encoding", b"identity"))
+    if message.offset:
+        headers.append((STREAM_OFFSET_HEADER.encode(), str(message.offset).encode()))
+    return client.build_request(
+        message.method, message.path, headers=headers, content=message.body or b""
+    )
+
+
+def _headers(resp):
+    return tuple(
+        (name.decode("latin-1"), value.decode("latin-1"))
+        for name, value in resp.headers.raw
+        if name.decode("latin-1").lower() not in HOP_HEADERS
+    )
+
+
+def _mark_dirty(ex, run):
+    if ex.tasks is None or run.conn.closed.is_set():
+        return
+    outbox = ex.outboxes.get(run.conn)
+    if outbox is None:
+        outbox = ex.outboxes[run.conn] = Outbox()
+        ex.tasks.start_soon(_flush, run.conn, outbox)
+    outbox.dirty[run] = None
+    outbox.wake.set()
+
+
+async def _flush(conn, outbox):
+    while not conn.closed.is_set():
+        if not outbox.dirty:
+            outbox.wake = anyio.Event()
+            with anyio.move_on_after(OUTBOX_IDLE_S):
+                await outbox.wake.wait()
+            continue
+        batch = _take_batch(conn, outbox)
+        if not batch:
+            continue
+        try:
+            await connection.send(conn, ttypes.AnswerBatch(frames=batch))
+        except errors.ConnectionClosedError:
+            return
+
+
+def _take_batch(conn, outbox):
+    batch = []
+    taken = 0
+    while outbox.dirty and taken < BATCH_BYTES:
+        run = next(iter(outbox.dirty))
+        del outbox.dirty[run]
+        if run.conn is not conn:
+            continue
+        for frame in attempts.take_frames(run.attempt, BATCH_BYTES - taken):
+            version = run.message.version
+            batch.append(_frame(run.message.attempt_id, frame, run.attempt, version))
+            taken += len(frame.data) + 1
+        if attempts.unsent(run.attempt):
+            outbox.dirty[run] = None
+            break
+    return batch
+
+
+def _frame(attempt_id, frame, attempt, version):
+    out = ttypes.AnswerFrame(attempt_id=attempt_id, offset=frame.offset)
+    if frame.data:
+        out.data = frame.data
+    if frame.status is not None:
+        out.status = frame.status
+        out.headers = [ttypes.Header(name, value) for name, value in frame.headers]
+        out.version = version
+    final = frame.final
+    if final is not None:
+        out.final = True
+        out.total_length = final.length
+        out.digest = final.digest
+        out.outcome = _OUTCOMES[final.outcome]
+        out.reason = final.reason
+        out.backend_died = final.backend_died
+        out.backend_starts = final.backend_starts
+    return out
+
+
+def _post_final(conn, attempt_id, outcome, reason):
+    frame = ttypes.AnswerFrame(
+        attempt_id=attempt_id, offset=0, final=True, outcome=outcome, reason=reason
+    )
+    _post(conn, ttypes.AnswerBatch(frames=[frame]))
+
+
+def _post(conn, message):
+    try:
+        connection.post(conn, message)
+    except errors.ConnectionClosedError:
+        logs.event("answer.dropped", peer=conn.address)
--- /dev/null
+++ b/src/carobstand/core/attempts.py
@@ -0,0 +1,370 @@
+"""Attempts on the agent's side: identity, replay, revocation and the floor.
+
+An attempt is identified by the start id of its entry and its number within that
+start. Its answer is held until it has been acknowledged, so that it can be replayed
+from any offset that has not been acknowledged.
+"""
+
+import enum
+import hashlib
+
+import attrs
+
+from carobstand import errors
+
+WINDOW_BYTES = 256 * 1024
+"""Unacknowledged answer bytes above which the agent stops reading the answer."""
+
+KEEP_BYTES = 512 * 1024
+"""Largest answer of a non-idempotent call that is kept whole for repeats.
+
+It leaves room for base64 in a store value of 1 MB.
+"""
+
+FRAME_BYTES = 64 * 1024
+"""Largest data of one frame; a batch of frames stays far below a message."""
+
+MAX_REVOKED = 1024
+"""Revoked ids held per entry start; beyond it the refusal floor rises instead."""
+
+ENTRY_IDLE_S = 24 * 3600.0
+"""Time after which an entry start is forgotten; a claim lasts as long."""
+
+
+class Phase(enum.Enum):
+    """What an agent knows about an attempt."""
+
+    NOT_SEEN = 1
+    RUNNING = 2
+    FINISHED = 3
+    REFUSED = 4
+
+
+class Outcome(enum.Enum):
+    """Result of an attempt."""
+
+    DONE = 1
+    NOT_RUN = 2
+    UNKNOWN = 3
+
+
+@attrs.frozen
+class Final:
+    """End of an answer; `length` and `digest` cover every byte of it.
+
+    `digest` starts at the attempt's own first offset, `length` at offset 0.
+    """
+
+    outcome: Outcome
+    reason: str = ""
+    length: int = 0
+    digest: str = ""
+    backend_died: bool = False
+    backend_starts: int = 0
+    retry_after_ms: int = 0
+
+
+@attrs.frozen
+class Frame:
+    """Part of an answer. `status` and `headers` are in the first one."""
+
+    offset: int
+    data: bytes
+    status: int | None = None
+    headers: tuple | None = None
+    final: Final | None = None
+
+
+@attrs.define(eq=False)
+class Attempt:
+    """One attempt that this agent accepted.
+
+    `buffer` holds the answer from offset `base`; `sent` and `acked` are offsets.
+    """
+
+    entry_start_id: str
+    attempt_id: int
+    first: int
+    keep: bool
+    base: int
+    sent: int
+    acked: int
+    phase: Phase = Phase.RUNNING
+    buffer: bytearray = attrs.field(factory=bytearray)
+    hasher: object = attrs.field(factory=hashlib.sha256)
+    status: int | None = None
+    headers: tuple = ()
+    final: Final | None = None
+    head_sent: bool = False
+    final_sent: bool = False
+
+    @property
+    def end(self):
+        """Offset after the last byte received."""
+        return self.base + len(self.buffer)
+
+
+@attrs.define(eq=False)
+class EntryAttempts:
+    """Attempts of one entry start; ids below `floor` are refused."""
+
+    floor: int = 0
+    open: dict = attrs.field(factory=dict)
+    revoked: set = attrs.field(factory=set)
+    heard_at: float = 0.0
+
+
+@attrs.define(eq=False)
+class Attempts:
+    """All attempts of one agent start."""
+
+    start_id: str
+    entries: dict = attrs.field(factory=dict)
+    accepted: int = 0
+
+
+def _entry(state, entry_start_id, now):
+    entry = state.entries.get(entry_start_id)
+    if entry is None:
+        entry = state.entries[entry_start_id] = EntryAttempts()
+    entry.heard_at = now
+    return entry
+
+
+def refusal(state, entry_start_id, agent_start_id, attempt_id, now):
+    """Return why a new attempt is refused, or an empty string.
+
+    An attempt with the id of one that was accepted is a copy and is refused too.
+    """
+    if agent_start_id != state.start_id:
+        return "addressed to another start of this agent"
+    entry = _entry(state, entry_start_id, now)
+    if attempt_id in entry.open:
+        return "copy of an accepted attempt"
+    if attempt_id in entry.revoked:
+        return "revoked"
+    if attempt_id < entry.floor:
+        return "below the lowest open attempt"
+    return ""
+
+
+def accept(state, entry_start_id, agent_start_id, attempt_id, keep, offset, now):
+    """Record a new attempt that is about to run.
+
+    Parameters
+    ----------
+    state : Attempts
+    entry_start_id, agent_start_id : str
+    attempt_id : int
+    keep : bool
+        Whether the whole answer is kept for repeats of the call.
+    offset : int
+        First byte of the answer that the entry wants.
+    now : float
+
+    Returns
+    -------
+    attempt : Attempt
+
+    Raises
+    ------
+    InvariantError
+        If the attempt has to be refused.
+    """
+    reason = refusal(state, entry_start_id, agent_start_id, attempt_id, now)
+    if reason:
+        raise errors.InvariantError(
+            f"attempt {attempt_id} would run although it is refused: {reason}",
+            step="attempts.accept",
+        )
+    attempt = Attempt(entry_start_id, attempt_id, offset, keep, offset, offset, offset)
+    state.entries[entry_start_id].open[attempt_id] = attempt
+    state.accepted += 1
+    return attempt
+
+
+def refuse_forever(state, entry_start_id, attempt_id, now):
+    """Make sure that an attempt that did not run never runs."""
+    entry = _entry(state, entry_start_id, now)
+    if attempt_id in entry.open:
+        raise errors.InvariantError(
+            f"attempt {attempt_id} was accepted and cannot be refused",
+            step="attempts.refuse",
+        )
+    if attempt_id < entry.floor:
+        return
+    entry.revoked.add(attempt_id)
+    if len(entry.revoked) > MAX_REVOKED:
+        entry.floor = max(entry.floor, sorted(entry.revoked)[MAX_REVOKED // 2] + 1)
+        entry.revoked = {num for num in entry.revoked if num >= entry.floor}
+
+
+def find(state, entry_start_id, attempt_id):
+    """Return the accepted attempt, or None."""
+    entry = state.entries.get(entry_start_id)
+    return entry.open.get(attempt_id) if entry else None
+
+
+def revoke(state, entry_start_id, attempt_id, now):
+    """Return the phase of an attempt; one that was not seen will be refused.
+
+    An id below the floor may have run: it counts as finished without an answer.
+    """
+    entry = _entry(state, entry_start_id, now)
+    attempt = entry.open.get(attempt_id)
+    if attempt is not None:
+        ran = attempt.final is None or attempt.final.outcome is not Outcome.NOT_RUN
+        return attempt.phase if ran else Phase.REFUSED
+    if attempt_id in entry.revoked:
+        return Phase.REFUSED
+    if attempt_id < entry.floor:
+        return Phase.FINISHED
+    refuse_forever(state, entry_start_id, attempt_id, now)
+    return Phase.NOT_SEEN
+
+
+def start_answer(attempt, status, headers):
+    """Record the status and headers of the answer."""
+    attempt.status = status
+    attempt.headers = headers
+
+
+def append(attempt, data):
+    """Add answer bytes from the backend server."""
+    if attempt.final is not None:
+        raise errors.InvariantError(
+            "answer bytes after the end of the answer", step="attempts.append"
+        )
+    attempt.buffer += data
+    attempt.hasher.update(data)
+    if attempt.keep and attempt.end > KEEP_BYTES:
+        attempt.keep = False
+        _trim(attempt)
+
+
+def finish(attempt, outcome, reason="", **fields):
+    """Record the end of the answer.
+
+    Raises
+    ------
+    InvariantError
+        If an attempt of which answer bytes exist would be reported as not run.
+    """
+    if outcome is Outcome.NOT_RUN and (attempt.status or attempt.end > attempt.first):
+        raise errors.InvariantError(
+            "an attempt with an answer is not 'not run'", step="attempts.finish"
+        )
+    attempt.phase = Phase.FINISHED
+    attempt.final = Final(
+        outcome, reason, attempt.end, attempt.hasher.hexdigest(), **fields
+    )
+
+
+def window_full(attempt):
+    """Whether reading the answer has to wait for an acknowledgement."""
+    return attempt.end - attempt.acked >= WINDOW_BYTES
+
+
+def take_frames(attempt, limit_bytes):
+    """Return the frames to send next, of at most about `limit_bytes`."""
+    frames = []
+    taken = 0
+    while taken < limit_bytes:
+        start = attempt.sent - attempt.base
+        data = bytes(attempt.buffer[start : start + FRAME_BYTES])
+        head = attempt.status is not None and not attempt.head_sent
+        last = attempt.sent + len(data) == attempt.end
+        final = attempt.final if last and not attempt.final_sent else None
+        if not data and not head and final is None:
+            break
+        frames.append(
+            Frame(
+                attempt.sent,
+                data,
+                attempt.status if head else None,
+                attempt.headers if head else None,
+                final,
+            )
+        )
+        attempt.sent += len(data)
+        attempt.head_sent |= head
+        attempt.final_sent |= final is not None
+        taken += len(data) + 1
+        if final is not None:
+            break
+    return frames
+
+
+def unsent(attempt):
+    """Whether `take_frames` would return frames."""
+    return (
+        attempt.sent < attempt.end
+        or (attempt.status is not None and not attempt.head_sent)
+        or (attempt.final is not None and not attempt.final_sent)
+    )
+
+
+def acknowledge(attempt, offset):
+    """Drop answer bytes that the entry has delivered."""
+    if offset > attempt.sent:
+        raise errors.WireError(
+            f"acknowledged offset {offset}, sent {attempt.sent}", step="attempts.ack"
+        )
+    attempt.acked = max(attempt.acked, offset)
+    _trim(attempt)
+
+
+def _trim(attempt):
+    if not attempt.keep and attempt.acked > attempt.base:
+        del attempt.buffer[: attempt.acked - attempt.base]
+        attempt.base = attempt.acked
+
+
+def resume(attempt, offset):
+    """Replay the answer from `offset`.
+
+    Returns
+    -------
+    possible : bool
+        False if bytes from `offset` on are no longer held.
+    """
+    if not attempt.base <= offset <= attempt.end:
+        return False
+    attempt.sent = offset
+    attempt.head_sent = attempt.final_sent = False
+    return True
+
+
+def whole_answer(attempt):
+    """Return the finished answer as one frame, or None if it is not held whole."""
+    if attempt.final is None or attempt.final.outcome is not Outcome.DONE:
+        return None
+    if attempt.base != 0:
+        return None
+    return Frame(
+        0, bytes(attempt.buffer), attempt.status, attempt.headers, attempt.final
+    )
+
+
+def raise_floor(state, entry_start_id, floor, now):
+    """Discard attempts below `floor`; they are refused from now on.
+
+    Returns
+    -------
+    attempts : list of Attempt
+        Discarded ones that are still running, to be cancelled.
+    """
+    entry = _entry(state, entry_start_id, now)
+    if floor <= entry.floor:
+        return []
+    entry.floor = floor
+    entry.revoked = {num for num in entry.revoked if num >= floor}
+    dropped = [entry.open.pop(num) for num in sorted(entry.open) if num < floor]
+    return [attempt for attempt in dropped if attempt.phase is Phase.RUNNING]
+
+
+def forget_idle_entries(state, now):
+    """Forget entry starts that were not heard from for `ENTRY_IDLE_S`."""
+    for start_id, entry in list(state.entries.items()):
+        if now - entry.heard_at > ENTRY_IDLE_S and not entry.open:
+            del state.entries[start_id]
--- /dev/null
+++ b/src/carobstand/entry/callers.py
@@ -0,0 +1,388 @@
+"""HTTP for callers: requests in, streamed answers and problem documents out."""
+
+import hashlib
+import json
+import re
+import urllib.parse
+import uuid
+
+import anyio
+import attrs
+
+from carobstand import errors, logs
+from carobstand.core import table as tables
+from carobstand.entry import calls, dispatch
+
+FRAME_ROOM_BYTES = 256 * 1024
+"""Part of a message between processes that is set aside for headers and fields."""
+
+MAX_BODY_BYTES = 2 * 1024 * 1024 - FRAME_ROOM_BYTES
+"""Largest request body; it is sent to an agent in one message."""
+
+MAX_HEADER_BYTES = 64 * 1024
+"""Largest sum of the request's header names and values."""
+
+MAX_PATH_BYTES = 8 * 1024
+MAX_KEY_CHARS = 256
+
+BODY_TIMEOUT_S = 15.0
+"""Longest time in which a caller may send its body."""
+
+WRITE_TIMEOUT_S = 30.0
+"""Longest wait for a caller to read a part of its answer."""
+
+PREFIX_CHARS = 256
+"""Start of a prompt that decides which prefix cache is likely to hold it."""
+
+_TOKEN = re.compile(r"[!#$%&'*+.^_`|~0-9A-Za-z-]+")
+_REQUEST_ID = re.compile(r"[A-Za-z0-9._-]{1,64}")
+
+NOT_FORWARDED = frozenset(
+    "authorization host connection keep-alive proxy-authorization te trailer "
+    "transfer-encoding upgrade content-length expect x-stream-offset "
+    "x-request-id idempotency-key".split()
+)
+"""Request headers that are not passed on; the caller's key stays in the entry."""
+
+
+def app(state):
+    """Return the ASGI application that serves callers."""
+    dispatch.attach(state)
+
+    async def application(scope, receive, send):
+        if scope["type"] == "lifespan":
+            await _lifespan(receive, send)
+        elif scope["type"] == "http":
+            await _request(state, scope, receive, send)
+        else:
+            raise errors.CarobstandError(
+                f"unsupported scope {scope['type']}", step="callers.app"
+            )
+
+    return application
+
+
+async def _lifespan(receive, send):
+    while True:
+        message = await receive()
+        await send({"type": f"{message['type']}.complete"})
+        if message["type"] == "lifespan.shutdown":
+            return
+
+
+@attrs.define(eq=False)
+class Sink:
+    """Writes one answer to a caller."""
+
+    send: object
+    request_id: str
+    started: bool = False
+    gone: bool = False
+    bytes_sent: int = 0
+
+    async def head(self, status, headers, outcome):
+        """Send status and headers; `outcome` is None while it is not known."""
+        own = [(b"x-request-id", self.request_id.encode())]
+        if outcome is not None:
+            own.append((b"carobstand-outcome", calls.OUTCOME_HEADER[outcome].encode()))
+        passed = [
+            (name.lower().encode("latin-1"), value.encode("latin-1"))
+            for name, value in headers
+            if name.lower() not in ("x-request-id", "carobstand-outcome")
+        ]
+        self.started = True
+        await self._write(
+            {
+                "type": "http.response.start",
+                "status": status,
+                "headers": passed + own,
+            }
+        )
+
+    async def data(self, data):
+        """Send a part of the body."""
+        await self._write(
+            {"type": "http.response.body", "body": data, "more_body": True}
+        )
+        self.bytes_sent += len(data)
+
+    async def end(self):
+        """Complete the answer."""
+        await self._write(
+            {"type": "http.response.body", "body": b"", "more_body": False}
+        )
+
+    async def _write(self, message):
+        if self.gone:
+            raise calls.CallerGoneError("caller disconnected", step="callers.write")
+        with anyio.move_on_after(WRITE_TIMEOUT_S):
+            await self.send(message)
+            return
+        self.gone = True
+        raise calls.CallerGoneError(
+            f"caller read nothing for {WRITE_TIMEOUT_S} s", step="callers.write"
+        )
+
+
+async def _request(state, scope, receive, send):
+    arrived = anyio.current_time()
+    headers = _headers(scope)
+    request_id = _request_id(headers)
+    sink = Sink(send, request_id)
+    try:
+        customer = _customer(state, headers)
+        target = _target(state, scope)
+        body = await _read_body(state, headers, receive)
+        call = _call(state, scope, headers, customer, target, body, arrived, request_id)
+        await _answer(state, call, sink, receive)
+    except calls.RefusedError as exc:
+        await _problem(sink, exc)
+    except calls.CutError as exc:
+        logs.event("answer.cut", request=request_id, error=exc.message)
+    except calls.CallerGoneError as exc:
+        logs.event("caller.gone", request=request_id, error=exc.message)
+
+
+async def _answer(state, call, sink, receive):
+    """Answer `call`, and stop when the caller disconnects."""
+
+    async def watch_caller():
+        while (await receive())["type"] != "http.disconnect":
+            pass
+        sink.gone = True
+        scope.cancel()
+
+    failure = None
+    with anyio.CancelScope() as scope:
+        async with anyio.create_task_group() as tg:
+            tg.start_soon(watch_caller)
+            try:
+                await dispatch.handle(state, call, sink)
+            except errors.CarobstandError as exc:
+                failure = exc
+            tg.cancel_scope.cancel()
+    if failure is not None:
+        raise failure
+    if sink.gone:
+        raise calls.CallerGoneError("caller disconnected", step="callers.answer")
+
+
+async def _problem(sink, exc):
+    if sink.started:
+        logs.event("answer.cut", request=sink.request_id, error=exc.detail)
+        return
+    doc = {
+        "type": "about:blank",
+        "title": exc.title,
+        "status": exc.status,
+        "detail": exc.detail,
+        "outcome": calls.OUTCOME_HEADER[exc.outcome],
+        "request_id": sink.request_id,
+    }
+    body = json.dumps(doc).encode()
+    headers = [
+        ("content-type", "application/problem+json"),
+        ("content-length", str(len(body))),
+    ]
+    if exc.retry_after_s is not None:
+        headers.append(("retry-after", str(max(1, round(exc.retry_after_s + 0.49)))))
+    if exc.status == 401:
+        headers.append(("www-authenticate", "Bearer"))
+    try:
+        await sink.head(exc.status, headers, exc.outcome)
+        await sink.data(body)
+        await sink.end()
+    except calls.CallerGoneError:
+        logs.event("caller.gone", request=sink.request_id)
+
+
+def _headers(scope):
+    return tuple(
+        (name.decode("latin-1").lower(), value.decode("latin-1"))
+        for name, value in scope["headers"]
+    )
+
+
+def _values(headers, wanted):
+    return [value for name, value in headers if name == wanted]
+
+
+def _request_id(headers):
+    given = _values(headers, "x-request-id")
+    if len(given) == 1 and _REQUEST_ID.fullmatch(given[0]):
+        return given[0]
+    return uuid.uuid4().hex
+
+
+def _customer(state, headers):
+    given = _values(headers, "authorization")
+    scheme, _, key = given[0].partition(" ") if len(given) == 1 else ("", "", "")
+    if scheme.lower() != "bearer" or not key.strip():
+        raise calls.RefusedError(401, "A bearer key is required")
+    if state.table is None:
+        raise calls.RefusedError(503, "No table is in force yet", retry_after_s=1.0)
+    digest = hashlib.sha256(key.strip().encode("latin-1")).hexdigest()
+    row = tables.customer_by_key(state.table, digest)
+    if row is None:
+        raise calls.RefusedError(401, "The bearer key is unknown")
+    return row
+
+
+@attrs.frozen
+class Target:
+    """What the request's path names; `service` is None for a completion."""
+
+    service: object
+    path: str
+
+
+def _target(state, scope):
+    raw = scope.get("raw_path") or urllib.parse.quote(scope["path"]).encode()
+    query = scope.get("query_string", b"")
+    if len(raw) + len(query) > MAX_PATH_BYTES:
+        raise calls.RefusedError(414, "The path is too long")
+    try:
+        path = raw.decode("ascii")
+        text = query.decode("ascii")
+    except UnicodeDecodeError:
+        raise calls.RefusedError(400, "The path is not ASCII") from None
+    if any(ord(char) <= 32 or ord(char) == 127 for char in path + text):
+        raise calls.RefusedError(400, "The path holds control characters")
+    if path == "/v1/completions":
+        if scope["method"] != "POST":
+            raise calls.RefusedError(405, "Completions are requested by POST")
+        return Target(None, path)
+    if not path.startswith("/services/"):
+        raise calls.RefusedError(404, "No such path")
+    name, _, rest = path.removeprefix("/services/").partition("/")
+    row = tables.service(state.table, name)
+    if row is None or row.type != "plain":
+        raise calls.RefusedError(404, "No such service", name)
+    return Target(row, f"/{rest}" + (f"?{text}" if text else ""))
+
+
+async def _read_body(state, headers, receive):
+    limit = min(state.cfg.max_body_bytes, MAX_BODY_BYTES)
+    if sum(len(name) + len(value) for name, value in headers) > MAX_HEADER_BYTES:
+        raise calls.RefusedError(431, "The headers are too large")
+    for value in _values(headers, "content-length"):
+        if not value.isdigit():
+            raise calls.RefusedError(400, "Content-Length is not a number")
+        if int(value) > limit:
+            raise calls.RefusedError(413, f"The body exceeds {limit} bytes")
+    body = bytearray()
+    with anyio.move_on_after(BODY_TIMEOUT_S):
+        while True:
+            message = await receive()
+            if message["type"] == "http.disconnect":
+                raise calls.CallerGoneError("disconnected while sending its body")
+            body += message.get("body", b"")
+            if len(body) > limit:
+                raise calls.RefusedError(413, f"The body exceeds {limit} bytes")
+            if not message.get("more_body", False):
+                return bytes(body)
+    raise calls.RefusedError(408, f"The body took longer than {BODY_TIMEOUT_S} s")
+
+
+def _call(state, scope, headers, customer, target, body, arrived, request_id):
+    model, version, row = None, "", target.service
+    method = scope["method"].upper()
+    if not _TOKEN.fullmatch(method):
+        raise calls.RefusedError(400, "The method is malformed")
+    if row is None:
+        model, row, version = _completion(state, body)
+    non_idempotent = target.service is not None and is_non_idempotent(
+        row, method, target.path
+    )
+    key = _key(headers) if non_idempotent else ""
+    hasher = hashlib.sha256()
+    for part in (customer.name, row.name, version, method, target.path):
+        hasher.update(f"{len(part)}:{part}".encode())
+    hasher.update(body)
+    start = _prompt_start(model) if model else target.path.encode()
+    return calls.Call(
+        request_id=request_id,
+        customer=customer,
+        service=row,
+        version=version,
+        method=method,
+        path=target.path,
+        headers=tuple(item for item in headers if item[0] not in NOT_FORWARDED),
+        body=body,
+        idempotent=not non_idempotent,
+        arrived=arrived,
+        deadline=arrived + state.cfg.request_timeout_s,
+        key=key,
+        prefix=hashlib.sha256(start).hexdigest(),
+        fingerprint=hasher.hexdigest(),
+        model=model,
+    )
+
+
+def _completion(state, body):
+    """Return the parsed body, the service row and the version that it names."""
+    try:
+        model = json.loads(body)
+    except (ValueError, RecursionError):
+        raise calls.RefusedError(400, "The body is not JSON") from None
+    if not isinstance(model, dict) or not isinstance(model.get("model"), str):
+        raise calls.RefusedError(400, "The body names no model")
+    if not isinstance(model.get("prompt"), str):
+        raise calls.RefusedError(400, "The prompt is not a string")
+    if not isinstance(model.get("stream", False), bool):
+        raise calls.RefusedError(400, "The field stream is not true or false")
+    limit = model.get("max_tokens", 1)
+    if not isinstance(limit, int) or isinstance(limit, bool) or limit < 1:
+        raise calls.RefusedError(400, "The field max_tokens is not a positive number")
+    name, _, version = model["model"].partition(":")
+    row = tables.service(state.table, name)
+    if row is None or row.type != "engine":
+        raise calls.RefusedError(404, "No such model", name)
+    known = [item.name for item in tables.versions(state.table, name)]
+    if version and version not in known:
+        raise calls.RefusedError(404, "No such version of the model", version)
+    return model, row, version
+
+
+def _prompt_start(model):
+    return model["prompt"][:PREFIX_CHARS].encode("utf-8", "surrogatepass")
+
+
+def _key(headers):
+    given = _values(headers, "idempotency-key")
+    if len(given) != 1 or not given[0].strip():
+        raise calls.RefusedError(
+            428, "An Idempotency-Key is required for this call", outcome=calls.NOT_RUN
+        )
+    key = given[0].strip()
+    if len(key) > MAX_KEY_CHARS or not key.isprintable():
+        raise calls.RefusedError(400, "The Idempotency-Key is malformed")
+    return key
+
+
+def is_non_idempotent(row, method, path):
+    """Return whether a call must not run twice.
+
+    A path that the backend server may read as another one (percent-encoded, with
+    repeated slashes, dot segments or in other case) is compared in its plain form too.
+    """
+    plain = path.partition("?")[0]
+    forms = {plain}
+    for _ in range(3):
+        plain = urllib.parse.unquote(plain)
+        forms.add(plain)
+    parts = []
+    for part in re.split(r"[/\\]+", plain):
+        name = part.partition(";")[0]
+        if name == "..":
+            parts = parts[:-1]
+        elif name not in ("", "."):
+            parts.append(name)
+    forms.add("/" + "/".join(parts))
+    forms.add("/" + "/".join(parts) + "/")
+    calls_listed = [call.partition(" ") for call in row.non_idempotent]
+    return any(
+        method == listed.upper() and form.lower().startswith(prefix.lower())
+        for listed, _, prefix in calls_listed
+        for form in forms
+    )
--- a/src/carobstand/entry/state.py
+++ b/src/carobstand/entry/state.py
@@ -59,6 +59,8 @@
     store_up : bool
         Whether the last store call got an answer; written by `entry.control`.
     leaving : bool
+    dispatcher : entry.dispatch.Dispatcher or None
+        State of request processing; made by `entry.dispatch`.
     changed : signals.Signal
         Notified at each change of the above.
     agent_joined, agent_lost : list of callables of (vm, AgentPeer)
@@ -83,3 +85,4 @@
     agent_joined: list = attrs.field(factory=list)
     agent_lost: list = attrs.field(factory=list)
     metrics: object = None
+    dispatcher: object = None
--- a/src/carobstand/logs.py
+++ b/src/carobstand/logs.py
@@ -13,7 +13,7 @@
 class LogState:
     """Whether events are written, and the clock that stamps them."""
 
-    clock: clock.HybridClock = attrs.field(factory=clock.HybridClock)
+    clock: object = attrs.field(factory=clock.HybridClock)
     configured: bool = False
 
 
--- a/src/carobstand/wire/gen/ttypes.py
+++ b/src/carobstand/wire/gen/ttypes.py
@@ -1280,13 +1280,15 @@
     Attributes:
      - fingerprint
      - deaths
+     - failures
 
     """
 
 
-    def __init__(self, fingerprint=None, deaths=None,):
+    def __init__(self, fingerprint=None, deaths=None, failures=None,):
         self.fingerprint = fingerprint
         self.deaths = deaths
+        self.failures = failures
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1307,6 +1309,16 @@
                     self.deaths = iprot.readI32()
                 else:
                     iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.LIST:
+                    self.failures = []
+                    (_etype54, _size51) = iprot.readListBegin()
+                    for _i55 in range(_size51):
+                        _elem56 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.failures.append(_elem56)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1325,6 +1337,13 @@
             oprot.writeFieldBegin('deaths', TType.I32, 2)
             oprot.writeI32(self.deaths)
             oprot.writeFieldEnd()
+        if self.failures is not None:
+            oprot.writeFieldBegin('failures', TType.LIST, 3)
+            oprot.writeListBegin(TType.STRING, len(self.failures))
+            for iter57 in self.failures:
+                oprot.writeString(iter57.encode('utf-8') if sys.version_info[0] == 2 else iter57)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1472,33 +1491,33 @@
             elif fid == 4:
                 if ftype == TType.MAP:
                     self.plan_revisions = {}
-                    (_ktype52, _vtype53, _size51) = iprot.readMapBegin()
-                    for _i55 in range(_size51):
-                        _key56 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        _val57 = iprot.readI64()
-                        self.plan_revisions[_key56] = _val57
+                    (_ktype59, _vtype60, _size58) = iprot.readMapBegin()
+                    for _i62 in range(_size58):
+                        _key63 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        _val64 = iprot.readI64()
+                        self.plan_revisions[_key63] = _val64
                     iprot.readMapEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 5:
                 if ftype == TType.LIST:
                     self.demands = []
-                    (_etype61, _size58) = iprot.readListBegin()
-                    for _i62 in range(_size58):
-                        _elem63 = Demand()
-                        _elem63.read(iprot)
-                        self.demands.append(_elem63)
+                    (_etype68, _size65) = iprot.readListBegin()
+                    for _i69 in range(_size65):
+                        _elem70 = Demand()
+                        _elem70.read(iprot)
+                        self.demands.append(_elem70)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 6:
                 if ftype == TType.LIST:
                     self.suspects = []
-                    (_etype67, _size64) = iprot.readListBegin()
-                    for _i68 in range(_size64):
-                        _elem69 = Suspect()
-                        _elem69.read(iprot)
-                        self.suspects.append(_elem69)
+                    (_etype74, _size71) = iprot.readListBegin()
+                    for _i75 in range(_size71):
+                        _elem76 = Suspect()
+                        _elem76.read(iprot)
+                        self.suspects.append(_elem76)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1532,23 +1551,23 @@
         if self.plan_revisions is not None:
             oprot.writeFieldBegin('plan_revisions', TType.MAP, 4)
             oprot.writeMapBegin(TType.STRING, TType.I64, len(self.plan_revisions))
-            for kiter70, viter71 in self.plan_revisions.items():
-                oprot.writeString(kiter70.encode('utf-8') if sys.version_info[0] == 2 else kiter70)
-                oprot.writeI64(viter71)
+            for kiter77, viter78 in self.plan_revisions.items():
+                oprot.writeString(kiter77.encode('utf-8') if sys.version_info[0] == 2 else kiter77)
+                oprot.writeI64(viter78)
             oprot.writeMapEnd()
             oprot.writeFieldEnd()
         if self.demands is not None:
             oprot.writeFieldBegin('demands', TType.LIST, 5)
             oprot.writeListBegin(TType.STRUCT, len(self.demands))
-            for iter72 in self.demands:
-                iter72.write(oprot)
+            for iter79 in self.demands:
+                iter79.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.suspects is not None:
             oprot.writeFieldBegin('suspects', TType.LIST, 6)
             oprot.writeListBegin(TType.STRUCT, len(self.suspects))
-            for iter73 in self.suspects:
-                iter73.write(oprot)
+            for iter80 in self.suspects:
+                iter80.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.leaving is not None:
@@ -1858,11 +1877,11 @@
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.members = []
-                    (_etype77, _size74) = iprot.readListBegin()
-                    for _i78 in range(_size74):
-                        _elem79 = Member()
-                        _elem79.read(iprot)
-                        self.members.append(_elem79)
+                    (_etype84, _size81) = iprot.readListBegin()
+                    for _i85 in range(_size81):
+                        _elem86 = Member()
+                        _elem86.read(iprot)
+                        self.members.append(_elem86)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1887,8 +1906,8 @@
         if self.members is not None:
             oprot.writeFieldBegin('members', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.members))
-            for iter80 in self.members:
-                iter80.write(oprot)
+            for iter87 in self.members:
+                iter87.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -2443,11 +2462,11 @@
             elif fid == 9:
                 if ftype == TType.LIST:
                     self.headers = []
-                    (_etype84, _size81) = iprot.readListBegin()
-                    for _i85 in range(_size81):
-                        _elem86 = Header()
-                        _elem86.read(iprot)
-                        self.headers.append(_elem86)
+                    (_etype91, _size88) = iprot.readListBegin()
+                    for _i92 in range(_size88):
+                        _elem93 = Header()
+                        _elem93.read(iprot)
+                        self.headers.append(_elem93)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2531,8 +2550,8 @@
         if self.headers is not None:
             oprot.writeFieldBegin('headers', TType.LIST, 9)
             oprot.writeListBegin(TType.STRUCT, len(self.headers))
-            for iter87 in self.headers:
-                iter87.write(oprot)
+            for iter94 in self.headers:
+                iter94.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.body is not None:
@@ -2597,11 +2616,12 @@
      - version
      - retry_after_ms
      - backend_died
+     - backend_starts
 
     """
 
 
-    def __init__(self, attempt_id=None, offset=None, data=None, status=None, headers=None, final=None, total_length=None, digest=None, outcome=None, reason=None, version=None, retry_after_ms=None, backend_died=None,):
+    def __init__(self, attempt_id=None, offset=None, data=None, status=None, headers=None, final=None, total_length=None, digest=None, outcome=None, reason=None, version=None, retry_after_ms=None, backend_died=None, backend_starts=None,):
         self.attempt_id = attempt_id
         self.offset = offset
         self.data = data
@@ -2615,6 +2635,7 @@
         self.version = version
         self.retry_after_ms = retry_after_ms
         self.backend_died = backend_died
+        self.backend_starts = backend_starts
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2648,11 +2669,11 @@
             elif fid == 5:
                 if ftype == TType.LIST:
                     self.headers = []
-                    (_etype91, _size88) = iprot.readListBegin()
-                    for _i92 in range(_size88):
-                        _elem93 = Header()
-                        _elem93.read(iprot)
-                        self.headers.append(_elem93)
+                    (_etype98, _size95) = iprot.readListBegin()
+                    for _i99 in range(_size95):
+                        _elem100 = Header()
+                        _elem100.read(iprot)
+                        self.headers.append(_elem100)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2696,6 +2717,11 @@
                     self.backend_died = iprot.readBool()
                 else:
                     iprot.skip(ftype)
+            elif fid == 14:
+                if ftype == TType.I64:
+                    self.backend_starts = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -2725,8 +2751,8 @@
         if self.headers is not None:
             oprot.writeFieldBegin('headers', TType.LIST, 5)
             oprot.writeListBegin(TType.STRUCT, len(self.headers))
-            for iter94 in self.headers:
-                iter94.write(oprot)
+            for iter101 in self.headers:
+                iter101.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.final is not None:
@@ -2761,6 +2787,10 @@
             oprot.writeFieldBegin('backend_died', TType.BOOL, 13)
             oprot.writeBool(self.backend_died)
             oprot.writeFieldEnd()
+        if self.backend_starts is not None:
+            oprot.writeFieldBegin('backend_starts', TType.I64, 14)
+            oprot.writeI64(self.backend_starts)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2802,11 +2832,11 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.frames = []
-                    (_etype98, _size95) = iprot.readListBegin()
-                    for _i99 in range(_size95):
-                        _elem100 = AnswerFrame()
-                        _elem100.read(iprot)
-                        self.frames.append(_elem100)
+                    (_etype105, _size102) = iprot.readListBegin()
+                    for _i106 in range(_size102):
+                        _elem107 = AnswerFrame()
+                        _elem107.read(iprot)
+                        self.frames.append(_elem107)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2823,8 +2853,8 @@
         if self.frames is not None:
             oprot.writeFieldBegin('frames', TType.LIST, 1)
             oprot.writeListBegin(TType.STRUCT, len(self.frames))
-            for iter101 in self.frames:
-                iter101.write(oprot)
+            for iter108 in self.frames:
+                iter108.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -3713,6 +3743,7 @@
     None,  # 0
     (1, TType.STRING, 'fingerprint', 'UTF8', None, ),  # 1
     (2, TType.I32, 'deaths', None, None, ),  # 2
+    (3, TType.LIST, 'failures', (TType.STRING, 'UTF8', False), None, ),  # 3
 )
 all_structs.append(Demand)
 Demand.thrift_spec = (
@@ -3836,6 +3867,7 @@
     (11, TType.STRING, 'version', 'UTF8', None, ),  # 11
     (12, TType.I64, 'retry_after_ms', None, None, ),  # 12
     (13, TType.BOOL, 'backend_died', None, None, ),  # 13
+    (14, TType.I64, 'backend_starts', None, None, ),  # 14
 )
 all_structs.append(AnswerBatch)
 AnswerBatch.thrift_spec = (
--- a/src/carobstand/wire/messages.thrift
+++ b/src/carobstand/wire/messages.thrift
@@ -91,6 +91,7 @@
 struct Suspect {
   1: string fingerprint
   2: i32 deaths
+  3: list<string> failures   // ids of the failures, equal at every entry
 }
 
 struct Demand {
@@ -192,6 +193,7 @@
   11: string version         // version that produced the answer
   12: i64 retry_after_ms
   13: bool backend_died      // the backend server died while the attempt ran
+  14: i64 backend_starts     // failures of the backend server before the attempt
 }
 
 struct AnswerBatch { 1: list<AnswerFrame> frames }
--- /dev/null
+++ b/testing/test_requests.py
@@ -0,0 +1,194 @@
+"""Guards against answers that are lost, mixed up, cut or wrongly reported."""
+
+import json
+
+import anyio
+
+from carobstand.wire.gen import ttypes
+from testing import request_builders as build
+
+
+def test_concurrent_callers_each_get_their_own_answer():
+    async def handler(scope, body, send):
+        await anyio.sleep(0.01 if body[-1] % 2 else 0)
+        await build.reply(send, b"echo " + body)
+
+    async def test():
+        async with build.system(handler, agents=2) as net:
+            got = {}
+
+            async def one(num):
+                body = b"%d" % num
+                resp = await net.call(net.urls[0], method="POST", content=body)
+                got[num] = (resp.status_code, resp.content, resp.headers)
+
+            async with anyio.create_task_group() as tg:
+                for num in range(14):
+                    tg.start_soon(one, num)
+            for num, (status, content, headers) in got.items():
+                assert (status, content) == (200, b"echo %d" % num)
+                assert headers["carobstand-outcome"] == "done"
+
+    build.run(test)
+
+
+def test_a_stream_arrives_whole_over_a_replaced_connection():
+    first, rest = anyio.Event(), anyio.Event()
+
+    async def handler(scope, body, send):
+        headers = [(b"content-type", b"text/event-stream")]
+        await send({"type": "http.response.start", "status": 200, "headers": headers})
+        part = {"type": "http.response.body", "body": b"data: 1\n\n", "more_body": True}
+        await send(part)
+        first.set()
+        await rest.wait()
+        await send({"type": "http.response.body", "body": b"data: 2\n\n"})
+
+    async def test():
+        async with build.system(handler) as net:
+            got = bytearray()
+
+            async def read():
+                headers = {"authorization": f"Bearer {build.BEARERS['acme']}"}
+                url = net.urls[0] + "/services/desk/x"
+                async with net.client.stream("GET", url, headers=headers) as resp:
+                    async for data in resp.aiter_raw():
+                        got.extend(data)
+
+            async with anyio.create_task_group() as tg:
+                tg.start_soon(read)
+                await first.wait()
+                await anyio.sleep(0.05)
+                old, _ = net.conns[("vm-1", "entry-1")]
+                await old.stream.aclose()
+                await net.connect(net.agents[0], net.entries[0])
+                rest.set()
+            assert bytes(got) == b"data: 1\n\ndata: 2\n\n"
+
+    build.run(test)
+
+
+def test_an_attempt_for_another_agent_start_is_refused_as_not_run():
+    ran = []
+
+    async def handler(scope, body, send):
+        ran.append(scope["path"])
+        await build.reply(send, b"ok")
+
+    async def test():
+        async with build.system(handler) as net:
+            net.entries[0].agents["vm-1"].hello.start_id = "earlier"
+            resp = await net.call(net.urls[0])
+            assert resp.status_code == 503
+            assert resp.headers["carobstand-outcome"] == "not-run"
+            assert int(resp.headers["retry-after"]) >= 1
+            assert ran == []
+
+    build.run(test)
+
+
+def test_a_version_that_is_not_served_is_never_asked_of_a_backend_server():
+    ran = []
+
+    async def handler(scope, body, send):
+        ran.append(json.loads(body)["model"])
+        await build.reply(send, b"{}")
+
+    async def test():
+        async with build.system(handler, kind="engine", service="drafter") as net:
+            doc = {"model": "drafter", "prompt": "x"}
+            ask = {"path": "/v1/completions", "method": "POST", "json": doc}
+            assert (await net.call(net.urls[0], **ask)).status_code == 200
+            net.agents[0].replicas.clear()
+            resp = await net.call(net.urls[0], **ask)
+            assert resp.headers["carobstand-outcome"] == "not-run"
+            assert ran == ["drafter:v1"]
+
+    build.run(test)
+
+
+def test_an_answer_that_the_backend_server_cuts_is_unknown():
+    async def handler(scope, body, send):
+        headers = [(b"content-length", b"100")]
+        await send({"type": "http.response.start", "status": 200, "headers": headers})
+        part = {"type": "http.response.body", "body": b"half", "more_body": True}
+        await send(part)
+
+    async def test():
+        async with build.system(handler) as net:
+            resp = await net.call(net.urls[0])
+            assert resp.status_code == 502
+            assert resp.headers["carobstand-outcome"] == "unknown"
+            assert resp.headers["content-type"] == "application/problem+json"
+
+    build.run(test)
+
+
+def test_malformed_requests_get_a_client_error_and_reach_no_backend_server():
+    ran = []
+
+    async def handler(scope, body, send):
+        ran.append(body)
+        await build.reply(send, b"ok")
+
+    async def test():
+        async with build.system(handler, max_body_bytes=1000) as net:
+            url = net.urls[0]
+            post = {"path": "/v1/completions", "method": "POST"}
+            for status, kw in [
+                (400, {**post, "content": b"{"}),
+                (400, {**post, "json": {"model": 5}}),
+                (400, {**post, "json": {"model": "drafter", "prompt": 7}}),
+                (404, {**post, "json": {"model": "other", "prompt": "x"}}),
+                (413, {"method": "POST", "content": b"x" * 1001}),
+                (404, {"path": "/services/none/x"}),
+                (404, {"path": "/elsewhere"}),
+                (405, {"path": "/v1/completions"}),
+                (428, {"path": "/services/desk/pay", "method": "POST"}),
+                (428, {"path": "/services/desk/x/../%70ay", "method": "POST"}),
+            ]:
+                resp = await net.call(url, **kw)
+                assert resp.status_code == status, kw
+                assert resp.headers["carobstand-outcome"] == "not-run"
+            resp = await net.client.get(url + "/services/desk/x")
+            assert resp.status_code == 401
+            assert ran == []
+
+    build.run(test)
+
+
+def test_an_agent_answers_for_a_revoked_attempt_with_a_refusal():
+    async def handler(scope, body, send):
+        await build.reply(send, b"ok")
+
+    async def test():
+        async with build.system(handler) as net:
+            got = []
+
+            async def take(conn, message):
+                got.append(message)
+
+            handlers = net.tables["es1"]
+            handlers[ttypes.RevokeReply] = handlers[ttypes.AnswerBatch] = take
+            conn = net.entries[0].agents["vm-1"].conn
+            for message in (
+                ttypes.Revoke(attempt_id=9, entry_start_id="es1"),
+                ttypes.Attempt(
+                    entry_start_id="es1",
+                    agent_start_id="as1",
+                    attempt_id=9,
+                    service_name="desk",
+                    method="GET",
+                    path="/x",
+                    deadline_ms=1000,
+                ),
+                ttypes.Revoke(attempt_id=9, entry_start_id="es1"),
+            ):
+                build.connection.post(conn, message)
+            while len(got) < 3:
+                await anyio.sleep(0.01)
+            assert got[0].phase == ttypes.AttemptPhase.NOT_SEEN
+            assert got[1].frames[0].outcome == ttypes.Outcome.NOT_RUN
+            assert got[2].phase == ttypes.AttemptPhase.REFUSED
+
+    build.run(test)
