--- a/src/carobstand/core/claims.py
+++ b/src/carobstand/core/claims.py
@@ -138,4 +138,6 @@
             response=response,
         )
     except (ValueError, KeyError, TypeError) as exc:
-        raise errors.StoreError(f"malformed claim: {exc}", step="claims.decode") from exc
+        raise errors.StoreError(
+            f"malformed claim: {exc}", step="claims.decode"
+        ) from exc
