--- a/src/carobstand/webserver.py
+++ b/src/carobstand/webserver.py
@@ -15,6 +15,9 @@
 GRACEFUL_TIMEOUT_S = 60.0
 """Longest wait for requests in progress at a planned stop."""
 
+CANCELLED_TIMEOUT_S = 0.2
+"""Longest wait for requests in progress when the task is cancelled."""
+
 
 def check_address(name, address):
     """Raise SettingsError unless `address` can be bound.
@@ -55,6 +58,9 @@
 async def serve(app, address, stop):
     """Serve `app` until `stop` is set and requests in progress have ended.
 
+    A cancelled task of hypercorn raises InvalidStateError while connections are open,
+    so that a cancellation is turned into a stop with a short grace period.
+
     Parameters
     ----------
     app : ASGI application
@@ -62,9 +68,26 @@
         ``host:port``.
     stop : anyio.Event
     """
-    await hypercorn.asyncio.serve(
-        app, config(address), shutdown_trigger=stop.wait, mode="asgi"
-    )
+    cfg = config(address)
+    shutdown = anyio.Event()
+
+    async def run():
+        with anyio.CancelScope(shield=True):
+            await hypercorn.asyncio.serve(
+                app, cfg, shutdown_trigger=shutdown.wait, mode="asgi"
+            )
+        tg.cancel_scope.cancel()
+
+    async with anyio.create_task_group() as tg:
+        tg.start_soon(run)
+        try:
+            await stop.wait()
+        except BaseException:
+            cfg.graceful_timeout = CANCELLED_TIMEOUT_S
+            raise
+        finally:
+            shutdown.set()
+        await anyio.sleep_forever()
 
 
 async def wait_until_bound(address, timeout_s=10.0):
