--- a/src/carobstand/agent/executor.py
+++ b/src/carobstand/agent/executor.py
@@ -6,6 +6,7 @@
 
 from carobstand import errors, logs
 from carobstand.core import attempts
+from carobstand.core import table as tables
 from carobstand.wire import connection, handlers
 from carobstand.wire.gen import ttypes
 
@@ -29,6 +30,9 @@
 connection.
 """
 
+BUSY_RETRY_MS = 50
+"""Time after which an entry may try again at a backend server at its limit."""
+
 OUTBOX_IDLE_S = 1.0
 """Time between checks whether a connection with nothing to send has ended."""
 
@@ -88,6 +92,7 @@
     runs: dict = attrs.field(factory=dict)
     outboxes: dict = attrs.field(factory=dict)
     backend_starts: int = 0
+    active: int = 0
 
 
 def part(state):
@@ -200,6 +205,15 @@
     return ""
 
 
+def _is_full(ex, message):
+    """Whether the backend server already runs as many attempts as the table allows."""
+    if ex.state.table is None:
+        return False
+    row = tables.service(ex.state.table, message.service_name)
+    limit = row.max_in_flight if row is not None else None
+    return limit is not None and ex.active >= limit
+
+
 def _on_attempt(ex, conn, message):
     key = (message.entry_start_id, message.attempt_id)
     now = anyio.current_time()
@@ -207,6 +221,9 @@
         logs.event("attempt.copy", request=message.request_id, attempt=key[1])
         return
     reason = _refusal(ex, conn, message)
+    full = not reason and _is_full(ex, message)
+    if full:
+        reason = "backend server is at its limit"
     if reason:
         if message.entry_start_id == conn.peer.start_id:
             attempts.refuse_forever(ex.held, *key, now)
@@ -216,7 +233,10 @@
             attempt=message.attempt_id,
             reason=reason,
         )
-        _post_final(conn, message.attempt_id, ttypes.Outcome.NOT_RUN, reason)
+        retry_after_ms = BUSY_RETRY_MS if full else None
+        _post_final(
+            conn, message.attempt_id, ttypes.Outcome.NOT_RUN, reason, retry_after_ms
+        )
         return
     keep = not message.idempotent
     attempt = attempts.accept(
@@ -276,9 +296,13 @@
     budget_s = max(message.deadline_ms or 0, 0) / 1000
     grace_s = 0 if message.idempotent else CANCEL_GRACE_S
     run.scope.deadline = anyio.current_time() + budget_s + grace_s
+    ex.active += 1
     try:
-        with run.scope:
-            await _call_backend(ex, run)
+        try:
+            with run.scope:
+                await _call_backend(ex, run)
+        finally:
+            ex.active -= 1
         if attempt.final is None:
             reason = "cancelled" if run.cancelled else "deadline passed"
             attempts.finish(attempt, attempts.Outcome.UNKNOWN, reason)
@@ -320,6 +344,10 @@
         return
     try:
         served = resp.headers.get(SERVED_VERSION_HEADER)
+        if run.message.version and served is None and _engine_refused(resp):
+            reason = f"engine refused the request with status {resp.status_code}"
+            attempts.finish(attempt, attempts.Outcome.NOT_RUN, reason)
+            return
         if run.message.version and served not in (None, run.message.version):
             raise errors.BackendError(
                 f"answered by version {served}", step="attempt.run", peer="backend"
@@ -342,6 +370,11 @@
             await resp.aclose()
 
 
+def _engine_refused(resp):
+    """Whether an engine answered that it does not serve the version, or is full."""
+    return resp.status_code in (404, 429, 503)
+
+
 def _finish_failed(ex, run, exc):
     """Record that the backend server closed the connection before its answer ended."""
     if run.backend_starts == ex.backend_starts:
@@ -444,9 +477,14 @@
     return out
 
 
-def _post_final(conn, attempt_id, outcome, reason):
+def _post_final(conn, attempt_id, outcome, reason, retry_after_ms=None):
     frame = ttypes.AnswerFrame(
-        attempt_id=attempt_id, offset=0, final=True, outcome=outcome, reason=reason
+        attempt_id=attempt_id,
+        offset=0,
+        final=True,
+        outcome=outcome,
+        reason=reason,
+        retry_after_ms=retry_after_ms,
     )
     _post(conn, ttypes.AnswerBatch(frames=[frame]))
 
--- /dev/null
+++ b/src/carobstand/core/claiming.py
@@ -0,0 +1,158 @@
+"""Events of a request that concern its claim: writing, finding and asking."""
+
+from carobstand.core import attempts, claims, course, events
+
+MAX_CLAIM_WRITES = 3
+"""Writes of one claim that may fail without an answer."""
+
+
+def write(req, placed):
+    """Write the claim that names the attempt `placed`."""
+    req.pending = placed
+    req.stage = course.Stage.CLAIMING
+    req.claim_held = False
+    req.claim_writes += 1
+    return [events.WriteClaim(_claim_of(req), req.claim_revision)]
+
+
+def _claim_of(req):
+    placed = req.pending
+    return claims.Claim(
+        req.digest,
+        req.entry_start_id,
+        placed.vm,
+        placed.agent_start_id,
+        placed.attempt_id,
+    )
+
+
+def on_written(req, event):
+    """Send the attempt that the claim names."""
+    req.claim = _claim_of(req)
+    req.claim_revision = event.revision
+    req.claim_held = True
+    req.claim_writes = 0
+    req.earlier = False
+    if req.gone:
+        return course.refuse(req, 503, "Caller gone", "before the call was sent")
+    return course.send(req, req.pending.attempt_id)
+
+
+def on_not_written(req, event):
+    """Read back what the store holds."""
+    if event.conflict:
+        req.earlier = True
+    req.stage = course.Stage.READING
+    return [events.ReadClaim()]
+
+
+def on_read(req, event):
+    """Continue with the claim in the store, which may be this request's own."""
+    claim, placed = event.claim, req.pending
+    req.claim_revision = event.revision
+    if claim is None:
+        req.claim_revision = 0
+        req.earlier = False
+        if placed is None:
+            return [course.place(req)]
+        if req.claim_writes >= MAX_CLAIM_WRITES:
+            return course.refuse(req, 503, "The claim of the call cannot be written")
+        return write(req, placed)
+    own = claim.entry_start_id == req.entry_start_id
+    if placed is None:
+        return _on_found(req, event)
+    if own and claim.attempt_id == placed.attempt_id:
+        return on_written(req, events.ClaimWritten(event.revision))
+    if own and claim == req.claim:
+        # The replacement of this request's former claim did not take effect.
+        if req.claim_writes >= MAX_CLAIM_WRITES:
+            return course.refuse(req, 503, "The claim of the call cannot be written")
+        return write(req, placed)
+    return _on_found(req, event)
+
+
+def _on_found(req, event):
+    """Continue with the claim of an earlier or concurrent request with the key."""
+    req.claim = event.claim
+    req.earlier = True
+    effects = _drop_pending(req)
+    found = claims.examine(event.claim, req.digest)
+    if found is claims.Step.MISMATCH:
+        req.earlier = False
+        detail = "The Idempotency-Key was used for another request"
+        return effects + course.refuse(req, 422, "Key used before", detail, None)
+    if found is claims.Step.REPLAY:
+        return effects + _replay(req, event.claim.response)
+    if found is claims.Step.GONE:
+        detail = "The call ran; its response was too large to be stored"
+        refusal = events.Refuse(409, "Response not held", detail, course.DONE)
+        return effects + course.end(req, refusal, course.DONE)
+    if event.open_here:
+        return effects + _in_progress(req)
+    req.stage = course.Stage.ASKING
+    return effects + [events.AskAgent(event.claim)]
+
+
+def _drop_pending(req):
+    placed, req.pending = req.pending, None
+    if placed is None:
+        return []
+    del req.tries[placed.attempt_id]
+    req.used.discard(placed.vm)
+    return [events.Close(placed.attempt_id)]
+
+
+def _in_progress(req):
+    refusal = events.Refuse(
+        409,
+        "In progress",
+        "A call with this key is running",
+        course.UNKNOWN,
+        events.RETRY_AFTER_S,
+    )
+    return course.end(req, refusal, course.UNKNOWN)
+
+
+def _replay(req, stored):
+    head = events.Head(stored.status, stored.headers, course.DONE)
+    req.stage = course.Stage.ENDED
+    req.outcome = course.DONE
+    if req.gone:
+        return []
+    return [head, events.Body(stored.body), events.Complete()]
+
+
+def on_not_read(req, event):
+    """Give up: the store does not answer."""
+    detail = f"The configuration store does not answer: {event.reason}"
+    if req.earlier:
+        return course.unknown(req, detail, status=503)
+    return course.refuse(req, 503, "Claims are unavailable", detail)
+
+
+def on_agent_replied(req, event):
+    """Continue by what the agent knows of the attempt that a claim names."""
+    if event.phase is attempts.Phase.RUNNING:
+        return _in_progress(req)
+    if claims.may_replace(event.phase):
+        req.earlier = False
+        return [course.place(req)]
+    if event.answer is None:
+        return course.unknown(req, "The response of the call is no longer held")
+    answer = event.answer
+    finished = claims.finish(req.claim, answer.status, answer.headers, answer.body)
+    store = events.StoreOutcome(finished, req.claim_revision, None)
+    return [*_replay(req, answer), store]
+
+
+def on_agent_silent(req, event):
+    """Give up: the agent that may have run the call cannot be asked."""
+    if event.gone:
+        return course.unknown(req, "The agent that had the call was replaced")
+    return course.unknown(req, "The agent that has the call does not answer")
+
+
+def finished(req, status, headers, body):
+    """Return the effect that stores the outcome of the call."""
+    claim = claims.finish(req.claim, status, headers, body)
+    return events.StoreOutcome(claim, req.claim_revision, req.pending.attempt_id)
--- /dev/null
+++ b/src/carobstand/core/course.py
@@ -0,0 +1,183 @@
+"""State of one request in an entry, and the steps that all its events share.
+
+Rules that must hold whatever happens are checked here and raise InvariantError: a
+non-idempotent attempt is sent only under a claim that names it, and `not run` is
+reported only if no attempt can have run.
+"""
+
+import enum
+
+import attrs
+
+from carobstand import errors
+from carobstand.core import attempts, claims, events, retries
+
+DONE = attempts.Outcome.DONE
+NOT_RUN = attempts.Outcome.NOT_RUN
+UNKNOWN = attempts.Outcome.UNKNOWN
+
+
+class Stage(enum.Enum):
+    """What the request waits for."""
+
+    PLACING = "a backend server"
+    CLAIMING = "the write of its claim"
+    READING = "the read of a claim"
+    ASKING = "the agent that a claim names"
+    RUNNING = "an attempt"
+    ENDED = "nothing"
+
+
+@attrs.define(eq=False)
+class Try:
+    """An attempt of this request; `sent` is set once it was handed to `Send`."""
+
+    placed: events.Placed
+    sent: bool = False
+
+
+@attrs.define(eq=False)
+class Request:
+    """State of one request.
+
+    Attributes
+    ----------
+    idempotent : bool
+    digest : str
+        Of the request, for claims.
+    entry_start_id : str
+    resumable : bool
+        Whether backend servers skip answer bytes that the caller already has.
+    budget : retries.Budget
+        Shared by all requests of the entry.
+    may_retry : bool
+        Whether another attempt is made after one that may have run, and hedges.
+    tries : dict of int to Try
+        Open attempts.
+    used : set of str
+        Backend servers that had an attempt.
+    unresolved : int
+        Attempts that were sent and may have run.
+    earlier : bool
+        Whether another request with the same key may have run.
+    winner : int or None
+        Attempt whose answer is delivered.
+    version : str
+        Version that the rest of a started answer must come from.
+    offset : int
+        Answer bytes passed on to the caller.
+    gone : bool
+        Whether the caller gets nothing more.
+    head : tuple or None
+        Status, headers and whether the answer is an event stream.
+    held, keep : bytearray
+        Bytes not yet delivered; answer to be stored, None once it is too large.
+    """
+
+    idempotent: bool
+    digest: str
+    entry_start_id: str
+    resumable: bool
+    budget: retries.Budget
+    may_retry: bool = True
+    stage: Stage = Stage.PLACING
+    tries: dict = attrs.field(factory=dict)
+    used: set = attrs.field(factory=set)
+    attempts_sent: int = 0
+    unresolved: int = 0
+    earlier: bool = False
+    winner: int | None = None
+    version: str = ""
+    started: bool = False
+    gone: bool = False
+    offset: int = 0
+    head: tuple | None = None
+    held: bytearray = attrs.field(factory=bytearray)
+    keep: bytearray | None = attrs.field(factory=bytearray)
+    claim: claims.Claim | None = None
+    claim_revision: int = 0
+    claim_held: bool = False
+    claim_writes: int = 0
+    pending: events.Placed | None = None
+    hedged: bool = False
+    outcome: attempts.Outcome | None = None
+
+
+def place(req, hedge=False):
+    """Ask for a backend server."""
+    if not hedge:
+        req.stage = Stage.PLACING
+    return events.Place(frozenset(req.used), req.version, hedge)
+
+
+def send(req, attempt_id):
+    """Send an attempt for which everything is in place."""
+    attempt = req.tries[attempt_id]
+    if not req.idempotent:
+        _check_claim(req, attempt.placed)
+    req.stage = Stage.RUNNING
+    attempt.sent = True
+    req.attempts_sent += 1
+    req.unresolved += 1
+    return [events.Send(attempt_id, req.offset)]
+
+
+def _check_claim(req, placed):
+    claim = req.claim
+    named = (
+        req.claim_held
+        and claim.attempt_id == placed.attempt_id
+        and claim.agent_start_id == placed.agent_start_id
+        and claim.entry_start_id == req.entry_start_id
+    )
+    if not named or req.unresolved:
+        raise errors.InvariantError(
+            "a non-idempotent attempt would be sent without a claim that names it, "
+            "or beside another attempt",
+            step="requests.send",
+        )
+
+
+def may_have_run(req):
+    """Whether the caller must not be told `not run`."""
+    return req.unresolved > 0 or req.earlier
+
+
+def refuse(req, status, title, detail="", retry_after_s=events.RETRY_AFTER_S):
+    """End the request with a problem document."""
+    outcome = UNKNOWN if may_have_run(req) else NOT_RUN
+    refusal = events.Refuse(status, title, detail, outcome, retry_after_s)
+    return end(req, refusal, outcome)
+
+
+def unknown(req, reason, status=502, retry_after_s=events.RETRY_AFTER_S):
+    """End the request without knowing whether it ran."""
+    refusal = events.Refuse(status, "Outcome unknown", reason, UNKNOWN, retry_after_s)
+    return end(req, refusal, UNKNOWN)
+
+
+def cut(req, reason):
+    """Break off an answer whose start was delivered."""
+    return end(req, events.Cut(reason), UNKNOWN)
+
+
+def end(req, last, outcome):
+    """End the request; `last` is the effect that tells the caller, or None."""
+    if outcome is NOT_RUN and (may_have_run(req) or req.started):
+        raise errors.InvariantError(
+            "'not run' would be reported of a request that may have run",
+            step="requests.end",
+        )
+    effects = []
+    for attempt_id, attempt in list(req.tries.items()):
+        del req.tries[attempt_id]
+        if attempt.sent:
+            effects.append(events.Cancel(attempt_id))
+        effects.append(events.Close(attempt_id))
+    if outcome is NOT_RUN and req.claim_held:
+        effects.append(events.DropClaim(req.claim_revision))
+    if last is not None and not req.gone:
+        effects.append(last)
+    req.stage = Stage.ENDED
+    req.outcome = outcome
+    return effects
--- /dev/null
+++ b/src/carobstand/core/requests.py
@@ -0,0 +1,258 @@
+"""Course of one request in an entry, from its arrival to its final response.
+
+`step` takes one event and returns the effects that the entry carries out, in order.
+"""
+
+from carobstand import errors
+from carobstand.core import attempts, claiming, course, events, retries
+
+HOLD_BYTES = 256 * 1024
+"""Answer bytes held until the answer is whole, unless it is an event stream.
+
+A held answer can be retried without the caller noticing, and its outcome is known
+when its head is sent.
+"""
+
+MAX_ATTEMPTS = 4
+"""Most attempts of one request, each on another backend server."""
+
+RETRIED_STATUSES = frozenset({429, 502, 503, 504})
+"""Statuses of an idempotent call after which another backend server is asked."""
+
+DONE = attempts.Outcome.DONE
+NOT_RUN = attempts.Outcome.NOT_RUN
+UNKNOWN = attempts.Outcome.UNKNOWN
+
+
+def begin(req):
+    """Return the first effects of a request.
+
+    The claim of a non-idempotent call is looked for before anything else, so that a
+    repeat of a call that may have run is never refused as not run.
+    """
+    retries.deposit(req.budget)
+    if req.idempotent:
+        return [course.place(req)]
+    req.stage = course.Stage.READING
+    return [events.ReadClaim()]
+
+
+def step(req, event):
+    """Take one event and return the effects to carry out, in order."""
+    if req.stage is course.Stage.ENDED:
+        if isinstance(event, events.Placed):
+            return [events.Close(event.attempt_id)]
+        return []
+    return _STEPS[type(event)](req, event)
+
+
+def _on_placed(req, event):
+    req.tries[event.attempt_id] = course.Try(event)
+    req.used.add(event.vm)
+    if req.idempotent:
+        return course.send(req, event.attempt_id)
+    return claiming.write(req, event)
+
+
+def _on_not_placed(req, event):
+    if req.tries:
+        return []
+    if req.started:
+        return course.cut(req, event.reason)
+    if req.unresolved:
+        return course.unknown(req, event.reason, retry_after_s=event.retry_after_s)
+    return course.refuse(
+        req, event.status, event.title, event.reason, event.retry_after_s
+    )
+
+
+def _on_data(req, event):
+    if event.attempt_id not in req.tries:
+        return []
+    effects = _elect(req, event.attempt_id)
+    if req.winner != event.attempt_id:
+        return effects
+    if event.head is not None:
+        if req.started and event.head[0] != req.head[0]:
+            reason = f"status {event.head[0]} instead of the rest of the answer"
+            failed = events.Ended(event.attempt_id, UNKNOWN, reason)
+            cancel = events.Cancel(event.attempt_id)
+            return [*effects, cancel, *_on_ended(req, failed)]
+        req.head = req.head or event.head
+    req.held += event.data
+    large = len(req.held) > HOLD_BYTES
+    if req.started or large or (req.head[2] and not _retriable(req)):
+        effects += _flush(req, None)
+    return effects
+
+
+def _elect(req, attempt_id):
+    """Let the first attempt that answers win; cancel the others."""
+    if req.winner is not None:
+        return []
+    req.winner = attempt_id
+    effects = []
+    for other in [num for num in req.tries if num != attempt_id]:
+        if req.tries.pop(other).sent:
+            effects.append(events.Cancel(other))
+        effects.append(events.Close(other))
+    return effects
+
+
+def _retriable(req):
+    """Whether the answer is a failure that another backend server may not have."""
+    return (
+        not req.started
+        and req.idempotent
+        and req.head[0] in RETRIED_STATUSES
+        and req.attempts_sent < MAX_ATTEMPTS
+    )
+
+
+def _flush(req, outcome):
+    """Deliver what is held; `outcome` is that of the answer, if it is known."""
+    effects = []
+    if not req.started:
+        req.started = True
+        req.version = req.tries[req.winner].placed.version
+        effects.append(events.Head(req.head[0], req.head[1], outcome))
+    if req.held:
+        data = bytes(req.held)
+        req.held.clear()
+        req.offset += len(data)
+        if not req.idempotent and req.keep is not None:
+            req.keep += data
+            if len(req.keep) > attempts.KEEP_BYTES:
+                req.keep = None
+        effects.append(events.Body(data))
+    return [] if req.gone else effects
+
+
+def _on_ended(req, event):
+    if event.attempt_id not in req.tries:
+        return []
+    if event.outcome is DONE:
+        return _on_done(req, event)
+    won = req.winner == event.attempt_id
+    if event.outcome is NOT_RUN:
+        if won:
+            raise errors.InvariantError(
+                "an attempt that answered was reported as not run",
+                step="requests.ended",
+            )
+        req.unresolved -= 1
+    del req.tries[event.attempt_id]
+    if won:
+        req.winner = None
+    effects = [events.Close(event.attempt_id)]
+    if req.tries:
+        return effects
+    return effects + _again(req, event)
+
+
+def _on_done(req, event):
+    attempt_id = event.attempt_id
+    if req.head is None:
+        failed = events.Ended(attempt_id, UNKNOWN, "the answer has no status")
+        return _on_ended(req, failed)
+    effects = _elect(req, attempt_id)
+    if _retriable(req) and _may_retry(req):
+        del req.tries[attempt_id]
+        _restart(req)
+        return [*effects, events.Close(attempt_id), course.place(req)]
+    effects += _flush(req, DONE)
+    if not req.gone:
+        effects.append(events.Complete())
+    req.stage = course.Stage.ENDED
+    req.outcome = DONE
+    del req.tries[attempt_id]
+    if req.idempotent:
+        return [*effects, events.Close(attempt_id)]
+    return [*effects, claiming.finished(req, req.head[0], req.head[1], req.keep)]
+
+
+def _restart(req):
+    """Forget an answer of which nothing was delivered."""
+    req.winner = None
+    req.held.clear()
+    if not req.started:
+        req.head = None
+
+
+def _again(req, event):
+    """Continue after the last open attempt ended without a whole answer."""
+    left = req.attempts_sent < MAX_ATTEMPTS and not req.gone
+    reason = event.reason
+    if event.outcome is NOT_RUN and left:
+        return [course.place(req)]
+    able = req.idempotent and (req.resumable or not req.started)
+    if event.outcome is UNKNOWN and left and able and not event.broken:
+        if _may_retry(req):
+            _restart(req)
+            return [course.place(req)]
+    if req.started:
+        return course.cut(req, reason)
+    if req.unresolved:
+        return course.unknown(req, reason)
+    return course.refuse(req, 503, "Not run", reason)
+
+
+def _may_retry(req):
+    return req.may_retry and retries.withdraw(req.budget)
+
+
+def _on_not_sent(req, event):
+    return _on_ended(req, events.Ended(event.attempt_id, NOT_RUN, event.reason))
+
+
+def _on_hedge_due(req, event):
+    alone = req.stage is course.Stage.RUNNING and len(req.tries) == 1
+    if not (req.idempotent and alone) or req.winner is not None:
+        return []
+    if req.hedged or req.attempts_sent > 1 or not _may_retry(req):
+        return []
+    req.hedged = True
+    return [course.place(req, hedge=True)]
+
+
+def _on_deadline(req, event):
+    if not req.idempotent and req.unresolved and not req.gone:
+        # The call goes on, so that repeats of it find its response.
+        late = events.Refuse(
+            504, "Outcome unknown", "deadline passed", UNKNOWN, events.RETRY_AFTER_S
+        )
+        req.gone = True
+        return [events.Cut("deadline passed") if req.started else late]
+    if req.started:
+        return course.cut(req, "deadline passed")
+    if course.may_have_run(req):
+        return course.unknown(req, "deadline passed", status=504)
+    return course.refuse(req, 504, "Not run", "deadline passed")
+
+
+def _on_caller_gone(req, event):
+    req.gone = True
+    if req.stage is course.Stage.CLAIMING:
+        return []
+    if not req.idempotent and req.unresolved:
+        return []
+    unclear = course.may_have_run(req) or req.started
+    return course.end(req, None, UNKNOWN if unclear else NOT_RUN)
+
+
+_STEPS = {
+    events.Placed: _on_placed,
+    events.NotPlaced: _on_not_placed,
+    events.ClaimWritten: claiming.on_written,
+    events.ClaimNotWritten: claiming.on_not_written,
+    events.ClaimRead: claiming.on_read,
+    events.ClaimNotRead: claiming.on_not_read,
+    events.AgentReplied: claiming.on_agent_replied,
+    events.AgentSilent: claiming.on_agent_silent,
+    events.Data: _on_data,
+    events.Ended: _on_ended,
+    events.NotSent: _on_not_sent,
+    events.HedgeDue: _on_hedge_due,
+    events.DeadlinePassed: _on_deadline,
+    events.CallerGone: _on_caller_gone,
+}
--- a/src/carobstand/entry/callers.py
+++ b/src/carobstand/entry/callers.py
@@ -10,6 +10,7 @@
 import attrs
 
 from carobstand import errors, logs
+from carobstand.core import admission, claims
 from carobstand.core import table as tables
 from carobstand.entry import calls, dispatch
 
@@ -78,6 +79,7 @@
     request_id: str
     started: bool = False
     gone: bool = False
+    on_gone: object = None
     bytes_sent: int = 0
 
     async def head(self, status, headers, outcome):
@@ -144,27 +146,25 @@
 
 
 async def _answer(state, call, sink, receive):
-    """Answer `call`, and stop when the caller disconnects."""
+    """Answer `call`; the caller's disconnection is passed on while it runs."""
 
     async def watch_caller():
         while (await receive())["type"] != "http.disconnect":
             pass
         sink.gone = True
-        scope.cancel()
+        if sink.on_gone is not None:
+            sink.on_gone()
 
     failure = None
-    with anyio.CancelScope() as scope:
-        async with anyio.create_task_group() as tg:
-            tg.start_soon(watch_caller)
-            try:
-                await dispatch.handle(state, call, sink)
-            except errors.CarobstandError as exc:
-                failure = exc
-            tg.cancel_scope.cancel()
+    async with anyio.create_task_group() as tg:
+        tg.start_soon(watch_caller)
+        try:
+            await dispatch.handle(state, call, sink)
+        except errors.CarobstandError as exc:
+            failure = exc
+        tg.cancel_scope.cancel()
     if failure is not None:
         raise failure
-    if sink.gone:
-        raise calls.CallerGoneError("caller disconnected", step="callers.answer")
 
 
 async def _problem(sink, exc):
@@ -294,11 +294,9 @@
     non_idempotent = target.service is not None and is_non_idempotent(
         row, method, target.path
     )
+    digest = claims.request_digest(row.name, method, target.path, body)
     key = _key(headers) if non_idempotent else ""
-    hasher = hashlib.sha256()
-    for part in (customer.name, row.name, version, method, target.path):
-        hasher.update(f"{len(part)}:{part}".encode())
-    hasher.update(body)
+    fingerprint = hashlib.sha256(f"{customer.name}:{digest}".encode()).hexdigest()
     start = _prompt_start(model) if model else target.path.encode()
     return calls.Call(
         request_id=request_id,
@@ -312,10 +310,12 @@
         idempotent=not non_idempotent,
         arrived=arrived,
         deadline=arrived + state.cfg.request_timeout_s,
-        key=key,
+        digest=digest,
+        claim_key=claims.key_of(customer.name, key) if key else "",
         prefix=hashlib.sha256(start).hexdigest(),
-        fingerprint=hasher.hexdigest(),
+        fingerprint=fingerprint,
         model=model,
+        cost=admission.cost_of(model.get("max_tokens", 16)) if model else 1.0,
     )
 
 
--- a/src/carobstand/entry/calls.py
+++ b/src/carobstand/entry/calls.py
@@ -29,8 +29,8 @@
     headers : tuple of (str, str)
     body : bytes
     idempotent : bool
-    key : str
-        Idempotency-Key of a non-idempotent call.
+    digest, claim_key : str
+        Of a non-idempotent call: digest of the request, store key of its claim.
     arrived, deadline : float
         On the loop's clock, in seconds.
     prefix, fingerprint : str
@@ -38,6 +38,12 @@
         and of the whole request.
     model : dict or None
         Parsed body of a completion; its model is set per attempt.
+    cost : float
+        Work relative to one call of a plain service, for fair queueing.
+    route : tuple or None
+        Cached choice of `entry.placing`.
+    settled : bool or None
+        Whether other entries were asked about failures; None if that is not needed.
     """
 
     request_id: str
@@ -51,10 +57,14 @@
     idempotent: bool
     arrived: float
     deadline: float
-    key: str = ""
+    digest: str = ""
+    claim_key: str = ""
     prefix: str = ""
     fingerprint: str = ""
     model: dict | None = None
+    cost: float = 1.0
+    route: tuple | None = None
+    settled: bool | None = None
 
 
 class RefusedError(errors.CarobstandError):
--- a/src/carobstand/entry/dispatch.py
+++ b/src/carobstand/entry/dispatch.py
@@ -1,27 +1,33 @@
-"""Processing of one request: choice of a backend server, attempts, answer."""
-
-import json
+"""Processing of requests: drives the core's decisions for each of them."""
 
 import anyio
 import attrs
 
 from carobstand import errors, logs
-from carobstand.entry import calls, tries
+from carobstand.core import admission, course, events, requests, retries
+from carobstand.entry import (
+    calls,
+    claimstore,
+    effects,
+    measure,
+    placing,
+    suspecting,
+    tries,
+)
 from carobstand.wire import handlers
 from carobstand.wire.gen import ttypes
 
-HOLD_BYTES = 256 * 1024
-"""Answer bytes held until the answer is whole, unless it is an event stream.
+LATE_S = 35.0
+"""Time past the deadline in which a non-idempotent call may end.
 
-A held answer can be retried without the caller noticing, and its outcome header is
-known when it is sent.
+Its response is stored for repeats; the agent gives it 30 s.
 """
 
-RETRY_AFTER_S = 1.0
-"""Time after which a refused caller may try again, if nothing better is known."""
+STALL_S = 5.0
+"""Silence of a started stream of an engine after which it is resumed elsewhere.
 
-MAX_TRIES = 4
-"""Most attempts of one request, all on different backend servers."""
+The target between two tokens is 28 ms.
+"""
 
 
 @attrs.define(eq=False)
@@ -29,28 +35,49 @@
     """State of request processing in one entry."""
 
     book: tries.Tries = attrs.field(factory=tries.Tries)
-    in_flight: dict = attrs.field(factory=dict)
+    queues: admission.Admission = attrs.field(factory=admission.Admission)
+    pool: placing.Pool = attrs.field(factory=placing.Pool)
+    shared: suspecting.Shared = attrs.field(factory=suspecting.Shared)
+    claims: claimstore.Claims = attrs.field(factory=claimstore.Claims)
+    budget: retries.Budget = attrs.field(factory=retries.Budget)
+    first_bytes: dict = attrs.field(factory=dict)
+    tasks: object = None
+    open_requests: int = 0
 
 
 def attach(state):
     """Return the dispatcher of `state`, making it at the first call."""
     if state.dispatcher is None:
-        state.dispatcher = Dispatcher()
+        dp = state.dispatcher = Dispatcher()
+        state.suspects = dp.shared
+
+        def lost(vm, peer):
+            placing.on_agent_lost(state, dp, vm, peer)
+
+        def joined(vm, peer):
+            placing.on_agent_joined(state, dp, vm, peer)
+
+        state.agent_lost.append(lost)
+        state.agent_joined.append(joined)
     return state.dispatcher
 
 
 def part(state):
-    """Return the handlers and the loop that serve attempts of this entry."""
+    """Return the handlers and the loop that serve requests of this entry."""
     dp = attach(state)
 
     async def on_batch(conn, message):
         tries.on_frames(dp.book, conn, message)
 
     async def on_revoke_reply(conn, message):
-        pass
+        claimstore.on_reply(dp.claims, conn, message)
 
     async def run():
-        await tries.watch(state, dp.book)
+        async with anyio.create_task_group() as tasks:
+            dp.tasks = tasks
+            tasks.start_soon(tries.watch, state, dp.book)
+            tasks.start_soon(placing.run, state, dp)
+            tasks.start_soon(suspecting.run, state, dp.shared)
 
     return handlers.Part(
         {ttypes.AnswerBatch: on_batch, ttypes.RevokeReply: on_revoke_reply}, run
@@ -66,7 +93,8 @@
     call : calls.Call
     sink : object
         Async methods ``head(status, headers, outcome)``, ``data(bytes)`` and
-        ``end()``; each waits while the caller reads slowly.
+        ``end()``, each of which waits while the caller reads slowly, and
+        ``on_gone``, which is set here and called when the caller disconnects.
 
     Raises
     ------
@@ -75,161 +103,113 @@
     calls.CutError
         If the answer cannot be completed after its start was delivered.
     calls.CallerGoneError
-        If `sink` reports that the caller has gone.
+        If the caller disconnected.
     """
     dp = attach(state)
-    if not call.idempotent:
-        raise calls.RefusedError(503, "Calls that must not be repeated are off")
-    used = set()
-    reason = "no backend server"
-    delivery = Delivery(sink)
-    while len(used) < MAX_TRIES:
-        peer, version = _choose(state, dp, call, used)
-        if peer is None:
-            break
-        used.add(peer.hello.vm)
-        finished, reason = await _attempt(state, dp, call, peer, version, delivery)
-        if finished:
-            return
-    raise calls.RefusedError(
-        503, "No answer", reason, calls.NOT_RUN, retry_after_s=RETRY_AFTER_S
+    if dp.tasks is None:
+        raise calls.RefusedError(503, "The entry is starting", retry_after_s=1.0)
+    run = effects.Run(state, dp, call, sink, _request(state, dp, call))
+
+    def on_gone():
+        run.post(events.CallerGone())
+        run.answered.set()
+
+    sink.on_gone = on_gone
+    if call.idempotent:
+        await _drive(run)
+    else:
+        # The call goes on when its caller disconnects, and its outcome is stored.
+        dp.tasks.start_soon(_drive, run)
+        await run.answered.wait()
+    if run.failure is None and run.req.gone:
+        raise calls.CallerGoneError("caller disconnected", step="request.answer")
+    if run.failure is not None:
+        raise run.failure
+
+
+def _request(state, dp, call):
+    engine = call.service.type == "engine"
+    return course.Request(
+        idempotent=call.idempotent,
+        digest=call.digest,
+        entry_start_id=state.start_id,
+        resumable=engine,
+        budget=dp.budget,
     )
 
 
-@attrs.define(eq=False)
-class Delivery:
-    """What the caller has received so far, over all attempts of a request."""
-
-    sink: object
-    started: bool = False
-    held: bytearray = attrs.field(factory=bytearray)
-    offset: int = 0
-
-
-async def _attempt(state, dp, call, peer, version, delivery):
-    """Make one attempt; return whether the request is finished, and why not."""
-    t = tries.reserve(state, dp.book)
-    vm = peer.hello.vm
-    dp.in_flight[vm] = dp.in_flight.get(vm, 0) + 1
+async def _drive(run):
+    """Carry out the effects of one request until it has ended."""
+    run.dp.open_requests += 1
     try:
-        tries.send(state, t, peer, _message(call, version, delivery.offset))
-        logs.event(
-            "attempt.sent",
-            request=call.request_id,
-            attempt=t.attempt_id,
-            version=version,
-            peer=vm,
-        )
-        await _receive(t, call, delivery)
-        return _judge(t)
-    except (errors.ConnectionClosedError, errors.WireError) as exc:
-        return False, exc.message
+        await effects.apply_all(run, requests.begin(run.req))
+        while run.req.stage is not course.Stage.ENDED or run.events:
+            if not run.events:
+                await _wait(run)
+            while run.events:
+                event = run.events.popleft()
+                await effects.apply_all(run, requests.step(run.req, event))
+    except errors.InvariantError as exc:
+        run.dp.tasks.start_soon(_stop_process, exc)
+        raise
     finally:
-        dp.in_flight[vm] -= 1
-        tries.cancel(t)
-        tries.release(state, dp.book, t)
-
-
-def _message(call, version, offset):
-    body = call.body
-    if call.model is not None:
-        model = f"{call.service.name}:{version}"
-        body = json.dumps({**call.model, "model": model}).encode()
-    left_s = call.deadline - anyio.current_time()
-    return ttypes.Attempt(
-        request_id=call.request_id,
-        service_name=call.service.name,
-        version=version,
-        method=call.method,
-        path=call.path,
-        headers=[ttypes.Header(name, value) for name, value in call.headers],
-        body=body,
-        idempotent=call.idempotent,
-        deadline_ms=int(left_s * 1000),
-        priority=call.customer.priority or 0,
-        customer=call.customer.name,
-        offset=offset,
-        fingerprint=call.fingerprint,
-    )
-
-
-async def _receive(t, call, delivery):
-    """Deliver the answer of `t` until it ends or the deadline passes."""
-    while True:
-        left_s = call.deadline - anyio.current_time()
-        if left_s <= 0:
-            return
-        await tries.wait(t, left_s)
-        data = tries.take_data(t)
-        if t.answer.status is not None:
-            await _deliver(t, delivery, data)
-        if tries.ended(t):
-            return
-
-
-async def _deliver(t, delivery, data):
-    stream = _is_event_stream(t.answer.headers)
-    delivery.held += data
-    whole = t.final is not None and t.final.outcome == ttypes.Outcome.DONE
-    if not delivery.started:
-        if not (whole or stream or len(delivery.held) > HOLD_BYTES):
-            tries.delivered(t, t.answer.end)
-            return
-        outcome = calls.DONE if whole else None
-        delivery.started = True
-        await delivery.sink.head(t.answer.status, t.answer.headers, outcome)
-    if delivery.held:
-        data = bytes(delivery.held)
-        delivery.held.clear()
-        await delivery.sink.data(data)
-        delivery.offset += len(data)
-        tries.delivered(t, delivery.offset)
-    if whole:
-        await delivery.sink.end()
-
-
-def _is_event_stream(headers):
-    return any(
-        name.lower() == "content-type" and value.startswith("text/event-stream")
-        for name, value in headers
+        run.dp.open_requests -= 1
+        effects.clean_up(run)
+        _note_end(run)
+        run.answered.set()
+
+
+async def _stop_process(exc):
+    """End the process, which must not go on after a broken invariant."""
+    raise exc
+
+
+async def _wait(run):
+    """Wait for the next event of a request, or for its next timer."""
+    now = anyio.current_time()
+    due, event = _next_timer(run, now)
+    if due > now:
+        run.wake = anyio.Event()
+        with anyio.move_on_after(due - now):
+            await run.wake.wait()
+    effects.collect(run)
+    if not run.events and anyio.current_time() >= due:
+        _fire(run, event)
+
+
+def _next_timer(run, now):
+    """Return when the next timer of a request ends, and its event."""
+    late = run.req.gone and not run.call.idempotent
+    timers = [(run.call.deadline + (LATE_S if late else 0.0), events.DeadlinePassed())]
+    if run.hedge_at is not None:
+        timers.append((run.hedge_at, events.HedgeDue()))
+    if run.req.started and run.req.resumable and run.heard_at is not None:
+        timers.append((run.heard_at + STALL_S, None))
+    return min(timers, key=lambda timer: timer[0])
+
+
+def _fire(run, event):
+    if event is None:
+        effects.give_up_stalled(run)
+        return
+    if isinstance(event, events.HedgeDue):
+        run.hedge_at = None
+    run.post(event)
+
+
+def _note_end(run):
+    outcome = run.req.outcome
+    labels = {
+        "customer": run.call.customer.name,
+        "outcome": calls.OUTCOME_HEADER.get(outcome, "unknown"),
+    }
+    took_s = anyio.current_time() - run.call.arrived
+    measure.record(run.state, "request_s", took_s, **labels)
+    measure.count(run.state, "requests", **labels)
+    logs.event(
+        "request.ended",
+        request=run.call.request_id,
+        outcome=labels["outcome"],
+        attempts=run.req.attempts_sent,
+        error=str(run.failure) if run.failure else "",
     )
-
-
-def _judge(t):
-    """Return whether the request is finished; otherwise why not."""
-    final = t.final
-    if final is not None and final.outcome == ttypes.Outcome.DONE:
-        return True, ""
-    if final is not None and final.outcome == ttypes.Outcome.NOT_RUN:
-        return False, final.reason
-    reason = (final.reason if final else t.lost_detail) or "deadline passed"
-    raise calls.RefusedError(502, "Outcome unknown", reason, calls.UNKNOWN)
-
-
-def _choose(state, dp, call, used):
-    """Return an agent and a version that it serves, or (None, '')."""
-    best, best_version, best_load = None, "", None
-    for vm, peer in state.agents.items():
-        if vm in used or peer.conn.closed.is_set() or peer.leaving:
-            continue
-        version = _served(peer, call)
-        load = dp.in_flight.get(vm, 0)
-        if version is not None and (best is None or load < best_load):
-            best, best_version, best_load = peer, version, load
-    return best, best_version
-
-
-def _served(peer, call):
-    beat = peer.heartbeat
-    if beat is None or beat.leaving or not beat.backend_up:
-        return None
-    if call.service.type == "plain":
-        return "" if call.service.name in (peer.hello.services or ()) else None
-    for replica in beat.replicas or ():
-        if replica.phase != ttypes.ReplicaPhase.SERVING:
-            continue
-        if replica.service_name != call.service.name:
-            continue
-        if call.version in ("", replica.version):
-            return replica.version
-    return None
--- a/src/carobstand/entry/tries.py
+++ b/src/carobstand/entry/tries.py
@@ -48,7 +48,7 @@
     acked: int = 0
     detached_at: float | None = None
     resuming: bool = False
-    wake: anyio.Event = attrs.field(factory=anyio.Event)
+    on_change: object = None
 
 
 @attrs.define(eq=False)
@@ -60,9 +60,21 @@
     frames_dropped: int = 0
 
 
-def reserve(state, tries):
-    """Return a new attempt that was not sent yet; its id holds the floor down."""
-    t = Try(tries.next_id)
+def reserve(state, tries, on_change):
+    """Return a new attempt that was not sent yet; its id holds the floor down.
+
+    Parameters
+    ----------
+    state : EntryState
+    tries : Tries
+    on_change : callable
+        Called when something arrived for the attempt.
+
+    Returns
+    -------
+    t : Try
+    """
+    t = Try(tries.next_id, on_change=on_change)
     tries.open[t.attempt_id] = t
     tries.next_id += 1
     _update_floor(state, tries)
@@ -137,7 +149,7 @@
     except errors.WireError as exc:
         t.lost, t.lost_detail = Loss.BROKEN, exc.message
         _post(t.conn, ttypes.Cancel(t.attempt_id))
-    t.wake.set()
+    t.on_change()
 
 
 def _take(t, frame, offset, data):
@@ -164,15 +176,6 @@
     return t.final is not None or t.lost is not None
 
 
-async def wait(t, timeout_s):
-    """Wait until something arrived for `t`, at most `timeout_s` seconds."""
-    if t.chunks or ended(t):
-        return
-    t.wake = anyio.Event()
-    with anyio.move_on_after(timeout_s):
-        await t.wake.wait()
-
-
 def delivered(t, offset):
     """Acknowledge bytes up to `offset` once enough of them were delivered.
 
@@ -223,4 +226,4 @@
 
 def _lose(t, detail):
     t.lost, t.lost_detail = Loss.AGENT_GONE, detail
-    t.wake.set()
+    t.on_change()
--- a/testing/request_builders.py
+++ b/testing/request_builders.py
@@ -14,6 +14,9 @@
 from carobstand.core import table as tables
 from carobstand.entry import callers, dispatch
 from carobstand.entry import state as entry_states
+from carobstand.platform import store
+from carobstand.standin import store as store_standin
+from carobstand.standin import web
 from carobstand.wire import connection, handlers
 from carobstand.wire.gen import ttypes
 
@@ -120,6 +123,7 @@
     def __init__(self, tg):
         self.tg = tg
         self.tables = {}
+        self.store = None
         self.servers = []
         self.agents = []
         self.conns = {}
@@ -198,6 +202,8 @@
             if state.start_id == conn.peer.start_id:
                 peer.heartbeat = heartbeat(state)
         entry.agents[conn.peer.vm] = peer
+        for callback in entry.agent_joined:
+            callback(conn.peer.vm, peer)
         entry.changed.notify()
         await self._run(conn, self.tables[entry.start_id])
         if entry.agents.get(conn.peer.vm) is peer:
@@ -213,6 +219,29 @@
         with contextlib.suppress(Exception):
             await connection.run(conn, on_message)
 
+    async def cut(self, agent, entry):
+        """End the connection between an agent and an entry without a goodbye."""
+        conn, _ = self.conns.pop((agent.cfg.vm, entry.cfg.vm))
+        await anyio.aclose_forcefully(conn.stream)
+
+    def beat(self):
+        """Deliver a heartbeat of every agent to every entry."""
+        for entry in self.entries:
+            for state in self.agents:
+                if state.cfg.vm in entry.agents:
+                    entry.agents[state.cfg.vm].heartbeat = heartbeat(state)
+            entry.changed.notify()
+
+    async def pay(self, key, entry=0, body=b"1", who="acme"):
+        return await self.call(
+            self.urls[entry],
+            "/services/desk/pay",
+            "POST",
+            who,
+            headers={"idempotency-key": key},
+            content=body,
+        )
+
     async def call(self, url, path="/services/desk/x", method="GET", who="acme", **kw):
         headers = {"authorization": f"Bearer {BEARERS[who]}", **kw.pop("headers", {})}
         return await self.client.request(method, url + path, headers=headers, **kw)
@@ -246,13 +275,17 @@
 
 @contextlib.asynccontextmanager
 async def system(handler, agents=1, entries=1, kind="plain", service="desk", **cfg):
-    """Run entries and agents in front of one backend application.
+    """Run entries, agents and a store in front of one backend application.
 
-    Yields a `Net` with `urls`, `entries` and `agents`.
+    Yields a `Net` with `urls`, `entries`, `agents` and `store`, the stand-in's site.
     """
     async with anyio.create_task_group() as tg:
         net = Net(tg)
+        net.store = store_standin.site()
+        await tg.start(web.serve, net.store)
         net.entries = [entry_state(num + 1, **cfg) for num in range(entries)]
+        for state in net.entries:
+            state.store = store.http_store(net.store.url, 1.0)
         net.urls = [await net.entry(state) for state in net.entries]
         for num in range(agents):
             url = await net.backend(answering(handler))
@@ -263,6 +296,8 @@
             yield net
         finally:
             await net.close()
+            for state in net.entries:
+                await state.store.close()
             tg.cancel_scope.cancel()
 
 
--- /dev/null
+++ b/testing/test_claims.py
@@ -0,0 +1,216 @@
+"""Guards against non-idempotent calls that run twice or are wrongly `not run`."""
+
+import anyio
+import pytest
+
+from carobstand import errors
+from carobstand.core import claims
+from testing import request_builders as build
+
+
+class Payments:
+    """Backend application that counts runs and can be held."""
+
+    def __init__(self, hold=False):
+        self.runs = []
+        self.started = anyio.Event()
+        self.go = anyio.Event()
+        if not hold:
+            self.go.set()
+
+    async def __call__(self, scope, body, send):
+        self.runs.append(body)
+        self.started.set()
+        await self.go.wait()
+        await build.reply(send, b"paid " + body, 201, [(b"x-receipt", b"77")])
+
+
+def test_a_repeat_through_any_entry_gets_the_stored_response():
+    pay = Payments()
+
+    async def test():
+        async with build.system(pay, agents=2, entries=2) as net:
+            first = await net.pay("k1")
+            await anyio.sleep(0.2)
+            for entry in (0, 1, 1):
+                again = await net.pay("k1", entry)
+                assert again.status_code == 201
+                assert again.content == first.content == b"paid 1"
+                assert again.headers["x-receipt"] == "77"
+                assert again.headers["carobstand-outcome"] == "done"
+            assert pay.runs == [b"1"]
+
+    build.run(test)
+
+
+def test_simultaneous_copies_through_every_entry_run_once():
+    pay = Payments(hold=True)
+
+    async def test():
+        async with build.system(pay, agents=3, entries=3) as net:
+            got = []
+
+            async def one(entry):
+                got.append(await net.pay("k1", entry))
+
+            async with anyio.create_task_group() as tg:
+                for num in range(9):
+                    tg.start_soon(one, num % 3)
+                await pay.started.wait()
+                await anyio.sleep(0.3)
+                pay.go.set()
+            assert pay.runs == [b"1"]
+            assert sorted({resp.status_code for resp in got}) == [201, 409]
+            for resp in got:
+                done = resp.status_code == 201
+                assert resp.headers["carobstand-outcome"] == (
+                    "done" if done else "unknown"
+                )
+
+    build.run(test)
+
+
+def test_another_body_under_the_key_is_refused_and_customers_do_not_share_keys():
+    pay = Payments()
+
+    async def test():
+        async with build.system(pay) as net:
+            assert (await net.pay("k1", body=b"1")).status_code == 201
+            assert (await net.pay("k1", body=b"2")).status_code == 422
+            other = await net.pay("k1", body=b"2", who="bolt")
+            assert (other.status_code, other.content) == (201, b"paid 2")
+            assert pay.runs == [b"1", b"2"]
+
+    build.run(test)
+
+
+def test_nothing_runs_while_the_store_is_down():
+    pay = Payments()
+
+    async def test():
+        async with build.system(pay) as net:
+            net.store.switches.down = True
+            resp = await net.pay("k1")
+            assert resp.status_code == 503
+            assert resp.headers["carobstand-outcome"] == "not-run"
+            assert int(resp.headers["retry-after"]) >= 1
+            assert pay.runs == []
+            net.store.switches.down = False
+            assert (await net.pay("k1")).status_code == 201
+            assert pay.runs == [b"1"]
+
+    build.run(test)
+
+
+def test_a_claim_whose_store_response_was_lost_is_found_and_used():
+    pay = Payments()
+
+    async def test():
+        async with build.system(pay) as net:
+            await net.pay("warm")
+            net.store.switches.lose_answers = 1
+            assert (await net.pay("k1")).status_code == 201
+            net.store.switches.lose_answers = 3
+            assert (await net.pay("k2")).status_code == 201
+            assert pay.runs == [b"1"] * 3
+
+    build.run(test)
+
+
+def test_a_call_whose_agent_was_replaced_stays_unknown_and_is_not_run_again():
+    pay = Payments(hold=True)
+
+    async def test():
+        async with build.system(pay) as net:
+            async with anyio.create_task_group() as tg:
+                got = []
+
+                async def one():
+                    got.append(await net.pay("k1"))
+
+                tg.start_soon(one)
+                await pay.started.wait()
+                await net.cut(net.agents[0], net.entries[0])
+                net.agents[0].start_id = "as1-again"
+                net.agents[0].running_attempts = 0
+                await net.agent(net.agents[0], net.entries[0])
+            pay.go.set()
+            again = await net.pay("k1")
+            for resp in (got[0], again):
+                assert resp.status_code == 502
+                assert resp.headers["carobstand-outcome"] == "unknown"
+            assert pay.runs == [b"1"]
+
+    build.run(test)
+
+
+def test_a_claim_of_an_entry_that_stopped_before_sending_is_replaced():
+    pay = Payments()
+
+    async def test():
+        async with build.system(pay, entries=2) as net:
+            claim = claims.Claim(
+                claims.request_digest("desk", "POST", "/pay", b"1"),
+                "gone-entry",
+                "vm-1",
+                "as1",
+                5,
+            )
+            key = claims.key_of("acme", "k1")
+            await net.entries[0].store.put(key, claims.encode(claim), 0)
+            assert (await net.pay("k1", 1)).status_code == 201
+            assert pay.runs == [b"1"]
+
+    build.run(test)
+
+
+def test_an_answered_call_is_found_at_its_agent_after_its_entry_stopped():
+    pay = Payments()
+
+    async def test():
+        async with build.system(pay, entries=2) as net:
+            net.store.switches.paths = "/v1/kv/claims"
+            first = await net.pay("k1")
+            await anyio.sleep(0.2)
+            key = claims.key_of("acme", "k1")
+            item = await net.entries[0].store.get(key)
+            stored = claims.decode(item.value)
+            unfinished = claims.encode(
+                claims.Claim(
+                    stored.digest,
+                    stored.entry_start_id,
+                    stored.vm,
+                    stored.agent_start_id,
+                    stored.attempt_id,
+                )
+            )
+            await net.entries[0].store.put(key, unfinished)
+            again = await net.pay("k1", 1)
+            assert (again.status_code, again.content) == (201, first.content)
+            assert pay.runs == [b"1"]
+
+    build.run(test)
+
+
+def test_the_outcome_is_stored_although_the_caller_has_gone():
+    pay = Payments(hold=True)
+
+    async def test():
+        async with build.system(pay) as net:
+            with anyio.move_on_after(0.3):
+                await net.pay("k1")
+            await net.client.aclose()
+            net.client = build.httpx.AsyncClient(timeout=20, trust_env=False)
+            pay.go.set()
+            await anyio.sleep(0.3)
+            resp = await net.pay("k1")
+            assert (resp.status_code, resp.content) == (201, b"paid 1")
+            assert pay.runs == [b"1"]
+
+    build.run(test)
+
+
+@pytest.mark.parametrize("data", [b"", b"[]", b'{"format": 9}', b"\xff", b"{}"])
+def test_a_malformed_claim_is_a_store_error(data):
+    with pytest.raises(errors.StoreError):
+        claims.decode(data)
