Relay reports of agents between entries when agents connect to a subset

Cause: above 8 entries an agent is connected to 6 of them, so the planner hears only part of the fleet and would take the rest for silent. PeerState gets an optional field (8, members) with changes of agents; a full exchange of all members each second would cost about 1 MB/s an entry at 11,000 agents.

Found by the virtual-time tests: a store error inside the planner's task group arrived as an exception group, which the loop did not catch; it would have stopped the entry. Store errors are now handled inside the group.

--- a/src/carobstand/core/membership.py
+++ b/src/carobstand/core/membership.py
@@ -21,7 +21,8 @@
     """What is known of one agent VM.
 
     Times are seconds of the caller's clock, None where it never happened. `replicas`
-    maps (service, version) to the name of the phase last reported.
+    maps (service, version) to the name of the phase last reported. `relayed` says that
+    another entry hears the member; `lost_at` is when none did any more.
     """
 
     vm: str
@@ -35,6 +36,8 @@
     goodbye: bool = False
     heard_at: float | None = None
     known_at: float = 0.0
+    relayed: bool = False
+    lost_at: float | None = None
     missing_since: float | None = None
     backend_up: bool = True
     replicas: dict = attrs.field(factory=dict)
@@ -63,7 +66,15 @@
     backend_up: bool = True
     replicas: dict = attrs.field(factory=dict)
     plan_revisions: dict = attrs.field(factory=dict)
-    age_s: float = 0.0
+    relayed: bool = False
+
+
+@attrs.frozen
+class Lost:
+    """No other entry hears the agent start `start_id` any more."""
+
+    vm: str
+    start_id: str
 
 
 @attrs.frozen
@@ -109,7 +120,7 @@
     Parameters
     ----------
     state : Members
-    event : Listed, Heard, SaidGoodbye or Tick
+    event : Listed, Heard, Lost, SaidGoodbye or Tick
     now : float
 
     Returns
@@ -120,6 +131,8 @@
         _listed(state, event, now)
     elif isinstance(event, Heard):
         return _heard(state, event, now)
+    elif isinstance(event, Lost):
+        _lost(state, event, now)
     elif isinstance(event, SaidGoodbye):
         _goodbye(state, event)
     return _forget(state, now)
@@ -151,24 +164,23 @@
     member = state.members.get(event.vm)
     if member is None:
         member = state.members[event.vm] = Member(event.vm, known_at=now)
-    heard_at = now - event.age_s
     if event.start_id in member.retired:
         state.stale_reports += 1
         return effects
     if member.start_id != event.start_id:
-        if member.heard_at is not None and heard_at < member.heard_at:
-            state.stale_reports += 1
-            return effects
         if member.start_id:
             effects.append(Replaced(event.vm, member.start_id, event.start_id))
             member.retired = (*member.retired, member.start_id)[-MAX_RETIRED:]
         member.start_id = event.start_id
         member.goodbye = False
         member.heard_at = None
-    if member.heard_at is not None and heard_at < member.heard_at:
-        state.stale_reports += 1
-        return effects
-    member.heard_at = heard_at
+        member.relayed = False
+    if event.relayed:
+        member.relayed = True
+        if _heard_directly(member, now):
+            return effects
+    else:
+        member.heard_at = now
     member.goodbye = member.goodbye or event.leaving
     for name in ("address", "failure_domain", "region", "services"):
         value = getattr(event, name)
@@ -180,6 +192,13 @@
     return effects
 
 
+def _lost(state, event, now):
+    member = state.members.get(event.vm)
+    if member is not None and member.start_id == event.start_id and member.relayed:
+        member.relayed = False
+        member.lost_at = now
+
+
 def _goodbye(state, event):
     member = state.members.get(event.vm)
     if member is not None and member.start_id == event.start_id:
@@ -191,7 +210,7 @@
         vm
         for vm, member in state.members.items()
         if not member.listed
-        and now - last_sign(member) > GONE_S
+        and now - (member.heard_at or member.known_at) > GONE_S
         and (member.missing_since is None or now - member.missing_since > GONE_S)
     ]
     for vm in gone:
@@ -199,9 +218,12 @@
     return [Forgotten(vm) for vm in gone]
 
 
-def last_sign(member):
-    """Return when `member` was last heard, or first known if it never was."""
-    return member.known_at if member.heard_at is None else member.heard_at
+def silent_s(member, now):
+    """Return how long ago `member` was last heard of, or first known, in seconds."""
+    if member.relayed:
+        return 0.0
+    signs = (member.heard_at, member.lost_at)
+    return now - max((s for s in signs if s is not None), default=member.known_at)
 
 
 def leaving(member):
@@ -209,14 +231,18 @@
     return member.goodbye or member.listed_leaving
 
 
-def heard(member, now):
-    """Return whether `member` reported recently."""
+def _heard_directly(member, now):
     return member.heard_at is not None and now - member.heard_at <= SILENT_S
 
 
+def heard(member, now):
+    """Return whether this or another entry hears `member`."""
+    return member.relayed or _heard_directly(member, now)
+
+
 def usable(member, now):
     """Return whether copies may stay on `member`: not leaving, not silent for long."""
-    return not leaving(member) and now - last_sign(member) <= GONE_S
+    return not leaving(member) and silent_s(member, now) <= GONE_S
 
 
 def of_service(state, service):
--- a/src/carobstand/core/planner.py
+++ b/src/carobstand/core/planner.py
@@ -145,7 +145,7 @@
         member.vm: assignment(previous, member.vm)
         for member in members
         if membership.leaving(member)
-        and now - membership.last_sign(member) <= membership.GONE_S
+        and membership.silent_s(member, now) <= membership.GONE_S
     }
 
 
--- a/src/carobstand/entry/control.py
+++ b/src/carobstand/entry/control.py
@@ -2,7 +2,7 @@
 
 import anyio
 
-from carobstand.entry import held, planning, reports, sharing, store_watch
+from carobstand.entry import held, planning, relays, reports, sharing, store_watch
 from carobstand.wire import handlers
 
 
@@ -20,6 +20,8 @@
     control = held.Control(state)
     state.describe_control = lambda: held.describe(control)
 
+    state.agent_lost.append(lambda vm, peer: relays.lost(control, peer))
+
     async def run():
         async with anyio.create_task_group() as tg:
             for loop in (
--- a/src/carobstand/entry/held.py
+++ b/src/carobstand/entry/held.py
@@ -45,6 +45,13 @@
     refused : str
         Why the newest content of the store was refused, empty if it was not.
     rosters_dirty : bool
+    ahead_since, asked_at : dict
+        When a peer was first ahead, and last asked, by "table" or service.
+    relays : dict of str to ttypes.MemberReport
+        Newest report of each agent, by VM, while `relaying`.
+    reassert : set of str
+        Agents that another entry lost and this one hears.
+    relaying : bool
     """
 
     state: object
@@ -63,6 +70,8 @@
     ahead_since: dict = attrs.field(factory=dict)
     asked_at: dict = attrs.field(factory=dict)
     relays: dict = attrs.field(factory=dict)
+    reassert: set = attrs.field(factory=set)
+    relaying: bool = False
     rng: object = attrs.field(factory=random.Random)
 
 
--- a/src/carobstand/entry/planning.py
+++ b/src/carobstand/entry/planning.py
@@ -72,9 +72,7 @@
             else:
                 await _look(control, lease)
             failures = 0
-        except errors.CarobstandError as exc:
-            if isinstance(exc, errors.InvariantError):
-                raise
+        except (errors.StoreError, errors.ConflictError) as exc:
             failures += 1
             logs.event("planner.failed", error=exc.message, step=exc.step)
             await anyio.sleep(store_watch.backoff(control, failures))
@@ -120,15 +118,21 @@
     """Renew the lease and plan until the lease is lost or given up."""
     async with anyio.create_task_group() as tg:
         tg.start_soon(_renew, control, lease)
-        try:
-            while holds(lease):
-                if control.state.leaving or cut_off(control):
-                    await _resign(control, lease)
-                    break
+        failures = 0
+        while holds(lease):
+            if control.state.leaving or cut_off(control):
+                await _resign(control, lease)
+                break
+            try:
                 await plan_round(control, lease)
-                await anyio.sleep(held.jitter(control, PLAN_INTERVAL_S))
-        finally:
-            tg.cancel_scope.cancel()
+                failures = 0
+                delay_s = held.jitter(control, PLAN_INTERVAL_S)
+            except (errors.StoreError, errors.ConflictError) as exc:
+                failures += 1
+                logs.event("planner.failed", error=exc.message, step=exc.step)
+                delay_s = store_watch.backoff(control, failures)
+            await anyio.sleep(delay_s)
+        tg.cancel_scope.cancel()
     lease.lease_id = ""
     logs.event("planner.ended")
 
@@ -152,11 +156,17 @@
     logs.event("planner.resigned", reason=reason)
     lease.valid_until = 0.0
     lease.started_at = anyio.current_time() + RESIGNED_S - SETTLE_S
-    await control.state.store.revoke(lease.lease_id)
+    try:
+        await control.state.store.revoke(lease.lease_id)
+    except errors.StoreError as exc:
+        # The lease lapses by itself.
+        logs.event("planner.revoke_failed", error=exc.message)
 
 
 def cut_off(control):
     """Return whether most agents are silent, so that this entry must not plan."""
+    if control.relaying and not control.state.entries:
+        return True
     now = anyio.current_time()
     known = [
         member
@@ -182,7 +192,7 @@
         control.dirty.discard(service)
         try:
             await _plan_service(control, lease, service)
-        except errors.CarobstandError:
+        except (errors.StoreError, errors.ConflictError):
             control.dirty.add(service)
             raise
 
--- a/src/carobstand/entry/reports.py
+++ b/src/carobstand/entry/reports.py
@@ -4,7 +4,7 @@
 
 from carobstand import logs
 from carobstand.core import membership, planner, table
-from carobstand.entry import held
+from carobstand.entry import held, relays
 from carobstand.wire.gen import ttypes
 
 ROSTER_INTERVAL_S = 0.5
@@ -36,13 +36,14 @@
 def _differs(old, new):
     """Return whether planning or routing depends on the difference."""
     return (
-        _phases(old) != _phases(new)
+        phases_of(old) != phases_of(new)
         or old.backend_up != new.backend_up
         or old.leaving != new.leaving
     )
 
 
-def _phases(beat):
+def phases_of(beat):
+    """Return the phase name of each (service, version) in a heartbeat or report."""
     return {
         (replica.service_name, replica.version): _PHASES.get(replica.phase, "")
         for replica in beat.replicas or ()
@@ -51,7 +52,25 @@
 
 def note(control, peer, changed):
     """Take the last heartbeat of `peer` into the members."""
-    beat, hello = peer.heartbeat, peer.hello
+    beat = peer.heartbeat
+    known = peer.hello.vm in control.members.members
+    effects = take_report(
+        control,
+        peer.hello,
+        phases_of(beat),
+        leaving=peer.leaving,
+        backend_up=beat.backend_up is not False,
+        plan_revisions=dict(beat.plan_revisions or {}),
+    )
+    if changed or effects or not known:
+        mark_changed(control, peer.hello)
+        relays.publish(control, peer)
+    elif peer.hello.vm in control.reassert:
+        relays.publish(control, peer)
+
+
+def take_report(control, hello, phases, **options):
+    """Apply one report of an agent; return the effects on the members."""
     event = membership.Heard(
         hello.vm,
         hello.start_id,
@@ -59,12 +78,9 @@
         hello.failure_domain,
         hello.region,
         tuple(hello.services or ()),
-        peer.leaving,
-        beat.backend_up is not False,
-        _phases(beat),
-        dict(beat.plan_revisions or {}),
+        replicas=phases,
+        **options,
     )
-    known = hello.vm in control.members.members
     effects = membership.step(control.members, event, anyio.current_time())
     for effect in effects:
         logs.event(
@@ -73,9 +89,13 @@
             old_start=effect.old_start_id,
             new_start=effect.new_start_id,
         )
-    if changed or effects or not known:
-        control.dirty.update(hello.services or ())
-        control.rosters_dirty = True
+    return effects
+
+
+def mark_changed(control, hello):
+    """Have the plans and rosters of the agent's services computed again."""
+    control.dirty.update(hello.services or ())
+    control.rosters_dirty = True
 
 
 async def run(control):
@@ -85,6 +105,8 @@
         # Only time makes a silent member leave a roster.
         now = anyio.current_time()
         effects = membership.step(control.members, membership.Tick(), now)
+        for effect in effects:
+            control.relays.pop(effect.vm, None)
         if control.rosters_dirty or effects:
             control.rosters_dirty = False
             rosters = all_rosters(control)
--- a/src/carobstand/entry/sharing.py
+++ b/src/carobstand/entry/sharing.py
@@ -8,7 +8,7 @@
 
 from carobstand import errors, logs
 from carobstand.core import planner, revisions
-from carobstand.entry import held
+from carobstand.entry import held, relays
 from carobstand.wire.gen import ttypes
 
 STATE_INTERVAL_S = 1.0
@@ -35,6 +35,8 @@
             return
         peer.peer_state = message
         peer.heard_at = anyio.current_time()
+        for report in message.members or ():
+            relays.take(control, conn, report)
 
     async def on_table_request(conn, message):
         held.send_table(control, conn, message.have_revision or 0)
@@ -95,6 +97,7 @@
     """Tell other entries what is held and ask those that are ahead, until cancelled."""
     while True:
         now = anyio.current_time()
+        relays.check(control)
         for peer in list(control.state.entries.values()):
             _tell(control, peer, now)
         ask(control, now)
@@ -107,7 +110,9 @@
     plans = {service: holder.revision for service, holder in control.plans.items()}
     summary = (control.table.revision, plans, state.leaving)
     last = peer.conn.extra.get("told", (None, -STATE_INTERVAL_S, 0))
-    if summary == last[0] and now - last[1] < held.jitter(control, STATE_INTERVAL_S):
+    members = relays.pending(control, peer.conn)
+    due = now - last[1] >= held.jitter(control, STATE_INTERVAL_S)
+    if summary == last[0] and not members and not due:
         return
     peer.conn.extra["told"] = (summary, now, last[2] + 1)
     held.post(
@@ -120,6 +125,7 @@
             demands=list(state.demands),
             suspects=_suspects(state),
             leaving=state.leaving,
+            members=members or None,
         ),
     )
 
--- a/src/carobstand/wire/gen/ttypes.py
+++ b/src/carobstand/wire/gen/ttypes.py
@@ -1441,6 +1441,149 @@
         return not (self == other)
 
 
+class MemberReport(object):
+    """
+    Attributes:
+     - hello
+     - stamp
+     - heard
+     - leaving
+     - backend_up
+     - replicas
+     - plan_revisions
+
+    """
+
+
+    def __init__(self, hello=None, stamp=None, heard=None, leaving=None, backend_up=None, replicas=None, plan_revisions=None,):
+        self.hello = hello
+        self.stamp = stamp
+        self.heard = heard
+        self.leaving = leaving
+        self.backend_up = backend_up
+        self.replicas = replicas
+        self.plan_revisions = plan_revisions
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRUCT:
+                    self.hello = Hello()
+                    self.hello.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.stamp = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.BOOL:
+                    self.heard = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.BOOL:
+                    self.leaving = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.BOOL:
+                    self.backend_up = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.LIST:
+                    self.replicas = []
+                    (_etype61, _size58) = iprot.readListBegin()
+                    for _i62 in range(_size58):
+                        _elem63 = Replica()
+                        _elem63.read(iprot)
+                        self.replicas.append(_elem63)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.MAP:
+                    self.plan_revisions = {}
+                    (_ktype65, _vtype66, _size64) = iprot.readMapBegin()
+                    for _i68 in range(_size64):
+                        _key69 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        _val70 = iprot.readI64()
+                        self.plan_revisions[_key69] = _val70
+                    iprot.readMapEnd()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('MemberReport')
+        if self.hello is not None:
+            oprot.writeFieldBegin('hello', TType.STRUCT, 1)
+            self.hello.write(oprot)
+            oprot.writeFieldEnd()
+        if self.stamp is not None:
+            oprot.writeFieldBegin('stamp', TType.I64, 2)
+            oprot.writeI64(self.stamp)
+            oprot.writeFieldEnd()
+        if self.heard is not None:
+            oprot.writeFieldBegin('heard', TType.BOOL, 3)
+            oprot.writeBool(self.heard)
+            oprot.writeFieldEnd()
+        if self.leaving is not None:
+            oprot.writeFieldBegin('leaving', TType.BOOL, 4)
+            oprot.writeBool(self.leaving)
+            oprot.writeFieldEnd()
+        if self.backend_up is not None:
+            oprot.writeFieldBegin('backend_up', TType.BOOL, 5)
+            oprot.writeBool(self.backend_up)
+            oprot.writeFieldEnd()
+        if self.replicas is not None:
+            oprot.writeFieldBegin('replicas', TType.LIST, 6)
+            oprot.writeListBegin(TType.STRUCT, len(self.replicas))
+            for iter71 in self.replicas:
+                iter71.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.plan_revisions is not None:
+            oprot.writeFieldBegin('plan_revisions', TType.MAP, 7)
+            oprot.writeMapBegin(TType.STRING, TType.I64, len(self.plan_revisions))
+            for kiter72, viter73 in self.plan_revisions.items():
+                oprot.writeString(kiter72.encode('utf-8') if sys.version_info[0] == 2 else kiter72)
+                oprot.writeI64(viter73)
+            oprot.writeMapEnd()
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class PeerState(object):
     """
     Attributes:
@@ -1451,11 +1594,12 @@
      - demands
      - suspects
      - leaving
+     - members
 
     """
 
 
-    def __init__(self, seq=None, table_revision=None, table_digest=None, plan_revisions=None, demands=None, suspects=None, leaving=None,):
+    def __init__(self, seq=None, table_revision=None, table_digest=None, plan_revisions=None, demands=None, suspects=None, leaving=None, members=None,):
         self.seq = seq
         self.table_revision = table_revision
         self.table_digest = table_digest
@@ -1463,6 +1607,7 @@
         self.demands = demands
         self.suspects = suspects
         self.leaving = leaving
+        self.members = members
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1491,33 +1636,33 @@
             elif fid == 4:
                 if ftype == TType.MAP:
                     self.plan_revisions = {}
-                    (_ktype59, _vtype60, _size58) = iprot.readMapBegin()
-                    for _i62 in range(_size58):
-                        _key63 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        _val64 = iprot.readI64()
-                        self.plan_revisions[_key63] = _val64
+                    (_ktype75, _vtype76, _size74) = iprot.readMapBegin()
+                    for _i78 in range(_size74):
+                        _key79 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        _val80 = iprot.readI64()
+                        self.plan_revisions[_key79] = _val80
                     iprot.readMapEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 5:
                 if ftype == TType.LIST:
                     self.demands = []
-                    (_etype68, _size65) = iprot.readListBegin()
-                    for _i69 in range(_size65):
-                        _elem70 = Demand()
-                        _elem70.read(iprot)
-                        self.demands.append(_elem70)
+                    (_etype84, _size81) = iprot.readListBegin()
+                    for _i85 in range(_size81):
+                        _elem86 = Demand()
+                        _elem86.read(iprot)
+                        self.demands.append(_elem86)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 6:
                 if ftype == TType.LIST:
                     self.suspects = []
-                    (_etype74, _size71) = iprot.readListBegin()
-                    for _i75 in range(_size71):
-                        _elem76 = Suspect()
-                        _elem76.read(iprot)
-                        self.suspects.append(_elem76)
+                    (_etype90, _size87) = iprot.readListBegin()
+                    for _i91 in range(_size87):
+                        _elem92 = Suspect()
+                        _elem92.read(iprot)
+                        self.suspects.append(_elem92)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1526,6 +1671,17 @@
                     self.leaving = iprot.readBool()
                 else:
                     iprot.skip(ftype)
+            elif fid == 8:
+                if ftype == TType.LIST:
+                    self.members = []
+                    (_etype96, _size93) = iprot.readListBegin()
+                    for _i97 in range(_size93):
+                        _elem98 = MemberReport()
+                        _elem98.read(iprot)
+                        self.members.append(_elem98)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1551,29 +1707,36 @@
         if self.plan_revisions is not None:
             oprot.writeFieldBegin('plan_revisions', TType.MAP, 4)
             oprot.writeMapBegin(TType.STRING, TType.I64, len(self.plan_revisions))
-            for kiter77, viter78 in self.plan_revisions.items():
-                oprot.writeString(kiter77.encode('utf-8') if sys.version_info[0] == 2 else kiter77)
-                oprot.writeI64(viter78)
+            for kiter99, viter100 in self.plan_revisions.items():
+                oprot.writeString(kiter99.encode('utf-8') if sys.version_info[0] == 2 else kiter99)
+                oprot.writeI64(viter100)
             oprot.writeMapEnd()
             oprot.writeFieldEnd()
         if self.demands is not None:
             oprot.writeFieldBegin('demands', TType.LIST, 5)
             oprot.writeListBegin(TType.STRUCT, len(self.demands))
-            for iter79 in self.demands:
-                iter79.write(oprot)
+            for iter101 in self.demands:
+                iter101.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.suspects is not None:
             oprot.writeFieldBegin('suspects', TType.LIST, 6)
             oprot.writeListBegin(TType.STRUCT, len(self.suspects))
-            for iter80 in self.suspects:
-                iter80.write(oprot)
+            for iter102 in self.suspects:
+                iter102.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.leaving is not None:
             oprot.writeFieldBegin('leaving', TType.BOOL, 7)
             oprot.writeBool(self.leaving)
             oprot.writeFieldEnd()
+        if self.members is not None:
+            oprot.writeFieldBegin('members', TType.LIST, 8)
+            oprot.writeListBegin(TType.STRUCT, len(self.members))
+            for iter103 in self.members:
+                iter103.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1877,11 +2040,11 @@
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.members = []
-                    (_etype84, _size81) = iprot.readListBegin()
-                    for _i85 in range(_size81):
-                        _elem86 = Member()
-                        _elem86.read(iprot)
-                        self.members.append(_elem86)
+                    (_etype107, _size104) = iprot.readListBegin()
+                    for _i108 in range(_size104):
+                        _elem109 = Member()
+                        _elem109.read(iprot)
+                        self.members.append(_elem109)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1906,8 +2069,8 @@
         if self.members is not None:
             oprot.writeFieldBegin('members', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.members))
-            for iter87 in self.members:
-                iter87.write(oprot)
+            for iter110 in self.members:
+                iter110.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -2462,11 +2625,11 @@
             elif fid == 9:
                 if ftype == TType.LIST:
                     self.headers = []
-                    (_etype91, _size88) = iprot.readListBegin()
-                    for _i92 in range(_size88):
-                        _elem93 = Header()
-                        _elem93.read(iprot)
-                        self.headers.append(_elem93)
+                    (_etype114, _size111) = iprot.readListBegin()
+                    for _i115 in range(_size111):
+                        _elem116 = Header()
+                        _elem116.read(iprot)
+                        self.headers.append(_elem116)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2550,8 +2713,8 @@
         if self.headers is not None:
             oprot.writeFieldBegin('headers', TType.LIST, 9)
             oprot.writeListBegin(TType.STRUCT, len(self.headers))
-            for iter94 in self.headers:
-                iter94.write(oprot)
+            for iter117 in self.headers:
+                iter117.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.body is not None:
@@ -2669,11 +2832,11 @@
             elif fid == 5:
                 if ftype == TType.LIST:
                     self.headers = []
-                    (_etype98, _size95) = iprot.readListBegin()
-                    for _i99 in range(_size95):
-                        _elem100 = Header()
-                        _elem100.read(iprot)
-                        self.headers.append(_elem100)
+                    (_etype121, _size118) = iprot.readListBegin()
+                    for _i122 in range(_size118):
+                        _elem123 = Header()
+                        _elem123.read(iprot)
+                        self.headers.append(_elem123)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2751,8 +2914,8 @@
         if self.headers is not None:
             oprot.writeFieldBegin('headers', TType.LIST, 5)
             oprot.writeListBegin(TType.STRUCT, len(self.headers))
-            for iter101 in self.headers:
-                iter101.write(oprot)
+            for iter124 in self.headers:
+                iter124.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.final is not None:
@@ -2832,11 +2995,11 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.frames = []
-                    (_etype105, _size102) = iprot.readListBegin()
-                    for _i106 in range(_size102):
-                        _elem107 = AnswerFrame()
-                        _elem107.read(iprot)
-                        self.frames.append(_elem107)
+                    (_etype128, _size125) = iprot.readListBegin()
+                    for _i129 in range(_size125):
+                        _elem130 = AnswerFrame()
+                        _elem130.read(iprot)
+                        self.frames.append(_elem130)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2853,8 +3016,8 @@
         if self.frames is not None:
             oprot.writeFieldBegin('frames', TType.LIST, 1)
             oprot.writeListBegin(TType.STRUCT, len(self.frames))
-            for iter108 in self.frames:
-                iter108.write(oprot)
+            for iter131 in self.frames:
+                iter131.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -3752,6 +3915,17 @@
     (2, TType.DOUBLE, 'requests_per_s', None, None, ),  # 2
     (3, TType.I32, 'in_flight', None, None, ),  # 3
 )
+all_structs.append(MemberReport)
+MemberReport.thrift_spec = (
+    None,  # 0
+    (1, TType.STRUCT, 'hello', [Hello, None], None, ),  # 1
+    (2, TType.I64, 'stamp', None, None, ),  # 2
+    (3, TType.BOOL, 'heard', None, None, ),  # 3
+    (4, TType.BOOL, 'leaving', None, None, ),  # 4
+    (5, TType.BOOL, 'backend_up', None, None, ),  # 5
+    (6, TType.LIST, 'replicas', (TType.STRUCT, [Replica, None], False), None, ),  # 6
+    (7, TType.MAP, 'plan_revisions', (TType.STRING, 'UTF8', TType.I64, None, False), None, ),  # 7
+)
 all_structs.append(PeerState)
 PeerState.thrift_spec = (
     None,  # 0
@@ -3762,6 +3936,7 @@
     (5, TType.LIST, 'demands', (TType.STRUCT, [Demand, None], False), None, ),  # 5
     (6, TType.LIST, 'suspects', (TType.STRUCT, [Suspect, None], False), None, ),  # 6
     (7, TType.BOOL, 'leaving', None, None, ),  # 7
+    (8, TType.LIST, 'members', (TType.STRUCT, [MemberReport, None], False), None, ),  # 8
 )
 all_structs.append(PlanRequest)
 PlanRequest.thrift_spec = (
--- a/src/carobstand/wire/messages.thrift
+++ b/src/carobstand/wire/messages.thrift
@@ -100,6 +100,17 @@
   3: i32 in_flight
 }
 
+// What one entry knows of an agent, for entries that the agent is not connected to.
+struct MemberReport {
+  1: Hello hello
+  2: i64 stamp               // hybrid logical clock of the entry that reports
+  3: bool heard              // false: the connection to that entry ended
+  4: bool leaving
+  5: bool backend_up
+  6: list<Replica> replicas  // service, version and phase only
+  7: map<string, i64> plan_revisions
+}
+
 struct PeerState {
   1: i64 seq
   2: i64 table_revision
@@ -108,6 +119,7 @@
   5: list<Demand> demands
   6: list<Suspect> suspects
   7: bool leaving
+  8: list<MemberReport> members        // changed since the last one on this connection
 }
 
 struct PlanRequest { 1: string service_name  2: i64 have_revision }
--- a/testing/test_control_fleet.py
+++ b/testing/test_control_fleet.py
@@ -265,3 +265,23 @@
         assert worst["writes"] <= 2 * 400 * 16 / 370
 
     simulate(scenario, entries=16, agents=4)
+
+
+def test_a_planner_knows_agents_that_are_connected_to_other_entries_only():
+    """With twelve entries each agent is connected to six of them."""
+
+    async def scenario(made):
+        await accept_and_wait(made, rows_of("v1"))
+        await fleet.wait_until(serves(made, "v1", 10), 60, "v1 served by all")
+        await accept_and_wait(made, rows_of("v2"))
+        await fleet.wait_until(serves(made, "v2", 10), 60, "v2 served by all")
+        fleet.kill(made, "a-03")
+        shown = [vm for vm in made.vms.values() if vm.vm != "a-03"]
+        made.shown = shown
+        await fleet.wait_until(
+            lambda: "a-03" not in made.nodes["e-5"].state.plans["drafter"].assignments,
+            60,
+            "plan without the VM that failed",
+        )
+
+    simulate(scenario, entries=12, agents=10)
