--- /dev/null
+++ b/src/carobstand/core/claims.py
@@ -0,0 +1,143 @@
+"""Claims of non-idempotent calls by Idempotency-Key.
+
+A claim names the one agent start and attempt that may run the call. It is created
+only if the key is absent and is replaced only by compare-and-swap, after its attempt
+was confirmed never to run.
+"""
+
+import base64
+import enum
+import hashlib
+import json
+
+import attrs
+
+from carobstand import errors
+from carobstand.core import attempts
+
+LIFETIME_S = 24 * 3600.0
+"""How long a claim is held."""
+
+FORMAT = 1
+
+
+@attrs.frozen
+class Stored:
+    """Response that repeats of the call get."""
+
+    status: int
+    headers: tuple
+    body: bytes
+
+
+@attrs.frozen
+class Claim:
+    """Content of a claim key.
+
+    `digest` is that of the request. `finished` says that the call ran to its end;
+    `response` is None if its response was too large to be held.
+    """
+
+    digest: str
+    entry_start_id: str
+    vm: str
+    agent_start_id: str
+    attempt_id: int
+    finished: bool = False
+    response: Stored | None = None
+
+
+class Step(enum.Enum):
+    """What to do with a claim that was found."""
+
+    MISMATCH = "another request has this key"
+    REPLAY = "the stored response is returned"
+    GONE = "the call ran, its response is no longer held"
+    ASK = "the agent is asked"
+
+
+def key_of(customer, idempotency_key):
+    """Return the store key of a claim; customers never share one."""
+    digest = hashlib.sha256(idempotency_key.encode()).hexdigest()
+    return f"claims/{customer}/{digest}"
+
+
+def request_digest(service, method, path, body):
+    """Return the digest by which a claim recognises a repeat of its request."""
+    hasher = hashlib.sha256()
+    for part in (service, method, path):
+        hasher.update(f"{len(part)}:{part}".encode())
+    hasher.update(body)
+    return hasher.hexdigest()
+
+
+def examine(claim, digest):
+    """Return the step for a claim found by a request with `digest`."""
+    if claim.digest != digest:
+        return Step.MISMATCH
+    if claim.finished:
+        return Step.REPLAY if claim.response is not None else Step.GONE
+    return Step.ASK
+
+
+def may_replace(phase):
+    """Whether a claim may be replaced after its agent start replied `phase`."""
+    return phase in (attempts.Phase.NOT_SEEN, attempts.Phase.REFUSED)
+
+
+def finish(claim, status, headers, body):
+    """Return the claim with the outcome of its call; `body` None is too large."""
+    if claim.finished:
+        raise errors.InvariantError("the claim has an outcome", step="claims.finish")
+    stored = None if body is None else Stored(status, tuple(headers), bytes(body))
+    return attrs.evolve(claim, finished=True, response=stored)
+
+
+def encode(claim):
+    """Return the store value of `claim`."""
+    doc = {
+        "format": FORMAT,
+        "digest": claim.digest,
+        "entry": claim.entry_start_id,
+        "vm": claim.vm,
+        "agent": claim.agent_start_id,
+        "attempt": claim.attempt_id,
+        "finished": claim.finished,
+    }
+    if claim.response is not None:
+        doc["status"] = claim.response.status
+        doc["headers"] = [list(item) for item in claim.response.headers]
+        doc["body"] = base64.b64encode(claim.response.body).decode()
+    return json.dumps(doc).encode()
+
+
+def decode(data):
+    """Return the claim of a store value.
+
+    Raises
+    ------
+    StoreError
+        If the value is malformed or of another format.
+    """
+    try:
+        doc = json.loads(data)
+        if doc["format"] != FORMAT:
+            raise ValueError(f"format {doc['format']}")
+        response = None
+        if "status" in doc:
+            headers = tuple((str(name), str(val)) for name, val in doc["headers"])
+            body = base64.b64decode(doc["body"], validate=True)
+            response = Stored(int(doc["status"]), headers, body)
+        return Claim(
+            digest=str(doc["digest"]),
+            entry_start_id=str(doc["entry"]),
+            vm=str(doc["vm"]),
+            agent_start_id=str(doc["agent"]),
+            attempt_id=int(doc["attempt"]),
+            finished=bool(doc["finished"]),
+            response=response,
+        )
+    except (ValueError, KeyError, TypeError) as exc:
+        raise errors.StoreError(
+            f"malformed claim: {exc}", step="claims.decode"
+        ) from exc
