--- a/testing/test_codec.py
+++ b/testing/test_codec.py
@@ -52,7 +52,7 @@
         b"\x16\x02\x5c" + b"\x1c" * 2_000_000,
         codec.encode(ttypes.Ping(seq=1), 1)[4:] + b"\x00",
     ],
-    ids=["huge list", "long list", "huge unknown list", "deep nesting", "longer than its message"],
+    ids=["huge list", "long list", "huge unknown list", "deep nesting", "trailing"],
 )
 def test_a_hostile_frame_is_a_wire_error(body):
     with pytest.raises(errors.WireError):
