Serve weights to the backend server through webserver.serve

Cause: agents beside engines ended with status 1 at SIGTERM, because the weights server ran hypercorn directly and its cancelled task raises InvalidStateError.

--- a/src/carobstand/agent/activation.py
+++ b/src/carobstand/agent/activation.py
@@ -1,10 +1,8 @@
 """Commands to the backend server, and the weights that it reads from the agent."""
 
 import anyio
-import hypercorn.asyncio
-import hypercorn.config
 
-from carobstand import errors, logs
+from carobstand import errors, logs, webserver
 from carobstand.core import activation, chunks
 from carobstand.core import manifest as manifests
 from carobstand.wire import handlers
@@ -180,13 +178,8 @@
 
 async def _serve_weights(state):
     """Serve manifests and files to the backend server until cancelled."""
-    config = hypercorn.config.Config()
-    config.bind = [state.cfg.weights_listen]
-    config.accesslog = config.errorlog = None
     never = anyio.Event()
-    await hypercorn.asyncio.serve(
-        weights_app(state), config, shutdown_trigger=never.wait
-    )
+    await webserver.serve(weights_app(state), state.cfg.weights_listen, never)
 
 
 def weights_app(state):
