Add bench-control and soak-control; count the bytes of each process

platform/http.py, wire/connection.py and status.py count and show bytes per process, which the bench needs.

--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 SEED ?= 1
 export PYTHONPATH := src:.
 
-.PHONY: demo test install format gen
+.PHONY: demo test install format gen bench-control soak-control
 
 $(VENV)/.installed: requirements.lock pyproject.toml
 	test -x $(PY) || python3 -m venv $(VENV)
@@ -22,6 +22,12 @@
 	$(PY) -m ruff check .
 	$(PY) -m pytest
 
+bench-control: install
+	$(PY) -m bench.control
+
+soak-control: install
+	$(PY) -m bench.soak_control --seed $(SEED)
+
 format:
 	$(PY) -m ruff format .
 	$(PY) -m ruff check --fix .
--- /dev/null
+++ b/bench/control.py
@@ -0,0 +1,321 @@
+"""Bench of control: time in force, use of resources and store calls.
+
+Starts stand-ins, entries and agents as processes on loopback addresses. A change is in
+force once every process has logged that it applied the revision or a later one; its
+time starts before the operator's program writes it.
+"""
+
+import argparse
+import json
+import statistics
+import sys
+import time
+
+import anyio
+import attrs
+
+from bench import control_fleet
+from carobstand.cli import edits
+from carobstand.core import table
+from carobstand.platform import store as stores
+
+CHANGES_PER_DAY = 15_000
+
+IN_FORCE_S = 9.0
+"""Worst case of section 9."""
+
+IN_FORCE_P99_S = 2.0
+
+MAX_CORE_SHARE = 0.012
+
+MAX_RSS_MB = 256
+
+MAX_BYTES_PER_S = 5_000
+
+MAX_READS_PER_S, MAX_WRITES_PER_S = 2_000, 400
+
+CUSTOMERS = 10
+
+
+@attrs.define(eq=False)
+class Bench:
+    """One fleet and the changes made to it, {revision: time before the write}."""
+
+    fleet: object
+    store: object
+    changes: dict = attrs.field(factory=dict)
+    number: int = 0
+
+
+def _rows(number):
+    service = table.ServiceRow("order-desk", "plain", max_in_flight=number + 1)
+    customers = (
+        table.CustomerRow(f"customer-{i}", f"{i:064x}", rate_per_s=10 + i)
+        for i in range(CUSTOMERS)
+    )
+    return (service, *customers)
+
+
+async def change(bench):
+    """Accept one change; return its revision."""
+    bench.number += 1
+    started = time.time()
+    _, base = await edits.read(bench.store)
+    author = edits.Author("bench", started, f"change-{bench.number}")
+    rows = _rows(bench.number)
+    revision = await edits.accept(bench.store, base, rows, author, "bench")
+    bench.changes[revision] = started
+    return revision
+
+
+def in_force(bench, names=None):
+    """Return {revision: seconds until the last process applied it or a later one}."""
+    result = {}
+    logs = [
+        control_fleet.applied(program)
+        for name, program in bench.fleet.programs.items()
+        if names is None or name in names
+    ]
+    for revision, started in bench.changes.items():
+        times = [
+            min((at for held, at in log.items() if held >= revision), default=None)
+            for log in logs
+        ]
+        result[revision] = None if None in times else max(times) - started
+    return result
+
+
+async def wait_in_force(bench, revision, timeout_s=30):
+    """Wait until every process has applied `revision`; return whether all did."""
+    deadline = time.monotonic() + timeout_s
+    while time.monotonic() < deadline:
+        if in_force(bench).get(revision) is not None:
+            return True
+        await anyio.sleep(0.2)
+    return False
+
+
+def summary(delays):
+    """Return median, 99th percentile and worst of `delays` in seconds."""
+    ordered = sorted(delays)
+    return {
+        "count": len(ordered),
+        "p50_s": round(statistics.median(ordered), 4),
+        "p99_s": round(ordered[min(len(ordered) - 1, int(len(ordered) * 0.99))], 4),
+        "max_s": round(ordered[-1], 4),
+    }
+
+
+async def steady(bench, seconds):
+    """Make changes at the design rate and measure what each process uses."""
+    before = await control_fleet.usage(bench.fleet)
+    calls = (await control_fleet.store_stats(bench.fleet))["calls"]
+    start = time.monotonic()
+    revisions = []
+    while time.monotonic() - start < seconds:
+        revisions.append(await change(bench))
+        await anyio.sleep(86_400 / CHANGES_PER_DAY)
+    took = time.monotonic() - start
+    after = await control_fleet.usage(bench.fleet)
+    later = (await control_fleet.store_stats(bench.fleet))["calls"]
+    await wait_in_force(bench, revisions[-1])
+    delays = in_force(bench)
+    return {
+        "in_force": summary([delays[revision] for revision in revisions]),
+        "use": roles(bench, before, after, took),
+        "store_calls_per_s": {
+            kind: round((later[kind] - calls.get(kind, 0)) / took, 2) for kind in later
+        },
+    }
+
+
+def roles(bench, before, after, took):
+    """Return the mean and largest use of resources per role."""
+    result = {}
+    for role in ("entry", "agent"):
+        names = [n for n, p in bench.fleet.programs.items() if p.role == role]
+        cpu = [(after[n].cpu_s - before[n].cpu_s) / took for n in names]
+        wire = [(after[n].wire_bytes - before[n].wire_bytes) / took for n in names]
+        http = [(after[n].http_bytes - before[n].http_bytes) / took for n in names]
+        result[role] = {
+            "count": len(names),
+            "core_share_mean": round(statistics.mean(cpu), 5),
+            "core_share_max": round(max(cpu), 5),
+            "rss_mb_max": round(max(after[n].rss_mb for n in names), 1),
+            "wire_bytes_per_s_mean": round(statistics.mean(wire)),
+            "wire_bytes_per_s_max": round(max(wire)),
+            "http_bytes_per_s_mean": round(statistics.mean(http)),
+        }
+    return result
+
+
+async def bursts(bench, count):
+    """Make bursts of ten changes without a pause."""
+    revisions = []
+    for _ in range(count):
+        for _ in range(10):
+            revisions.append(await change(bench))
+        await anyio.sleep(1.5)
+    await wait_in_force(bench, revisions[-1])
+    delays = in_force(bench)
+    return summary([delays[revision] for revision in revisions])
+
+
+async def outage(bench, seconds):
+    """Take the store down; measure the use meanwhile and the time after its return."""
+    held = max(bench.changes)
+    await control_fleet.set_store_fault(bench.fleet, down=True)
+    before = await control_fleet.usage(bench.fleet)
+    start = time.monotonic()
+    await anyio.sleep(seconds)
+    after = await control_fleet.usage(bench.fleet)
+    took = time.monotonic() - start
+    kept = 0
+    for program in bench.fleet.programs.values():
+        body = await control_fleet.status(bench.fleet, program)
+        kept += bool(body) and body["table_revision"] == held
+    await control_fleet.set_store_fault(bench.fleet, down=False)
+    revision = await change(bench)
+    reached = await wait_in_force(bench, revision)
+    return {
+        "kept": kept,
+        "use": roles(bench, before, after, took),
+        "in_force_after_return_s": in_force(bench)[revision] if reached else None,
+        "busiest_second": (await control_fleet.store_stats(bench.fleet))[
+            "busiest_second"
+        ],
+    }
+
+
+async def restart(bench):
+    """Restart a third of the processes at once, with a change meanwhile."""
+    programs = list(bench.fleet.programs.values())[::3]
+    held = max(bench.changes)
+    for program in programs:
+        control_fleet.kill(program)
+    started = time.time()
+    for program in programs:
+        control_fleet.start(program)
+    revision = await change(bench)
+    reached = await wait_in_force(bench, revision, 60)
+    names = {program.name for program in programs}
+    others = set(bench.fleet.programs) - names
+    applied = [min(control_fleet.applied(p).values(), default=None) for p in programs]
+    return {
+        "restarted": len(programs),
+        "revision_before": held,
+        "table_after_restart_s": round(max(applied) - started, 2) if reached else None,
+        "others_in_force_s": in_force(bench, others)[revision],
+        "busiest_second": (await control_fleet.store_stats(bench.fleet))[
+            "busiest_second"
+        ],
+    }
+
+
+async def run(processes, seconds, outage_s):
+    """Run all phases with one number of processes."""
+    entries = min(8, max(2, processes // 12))
+    result = {"processes": processes, "entries": entries}
+    async with control_fleet.running(entries, processes - entries) as fleet:
+        store = stores.http_store(fleet.urls["store"])
+        bench = Bench(fleet, store)
+        first = await change(bench)
+        if not await wait_in_force(bench, first, 60):
+            raise RuntimeError("the first table did not reach every process")
+        await anyio.sleep(3)
+        result["steady"] = await steady(bench, seconds)
+        result["bursts"] = await bursts(bench, 6)
+        result["outage"] = await outage(bench, outage_s)
+        result["restart"] = await restart(bench)
+        result["reverts"] = reverts(bench)
+        await store.close()
+    return result
+
+
+def reverts(bench):
+    """Return how often a process applied a lower revision than before."""
+    count = 0
+    for program in bench.fleet.programs.values():
+        revisions = list(control_fleet.applied(program))
+        count += sum(b < a for a, b in zip(revisions, revisions[1:], strict=False))
+    return count
+
+
+def misses(result):
+    """Return the targets of section 9 that a run missed."""
+    missed = []
+
+    def check(holds, what):
+        if not holds:
+            missed.append(f"{result['processes']} processes: {what}")
+
+    for phase in (result["steady"]["in_force"], result["bursts"]):
+        check(phase["p99_s"] <= IN_FORCE_P99_S, f"in force p99 {phase['p99_s']} s")
+        check(phase["max_s"] < IN_FORCE_S, f"in force worst {phase['max_s']} s")
+    for role, use in result["steady"]["use"].items():
+        share, memory = use["core_share_max"], use["rss_mb_max"]
+        check(share < MAX_CORE_SHARE, f"{role}: {share:.2%} of a core")
+        check(memory < MAX_RSS_MB, f"{role}: {memory} MB")
+        rate = use["wire_bytes_per_s_max"] + use["http_bytes_per_s_mean"]
+        check(rate < MAX_BYTES_PER_S, f"{role}: {rate} bytes/s")
+    check(result["outage"]["kept"] == result["processes"], "table lost in the outage")
+    for phase in ("outage", "restart"):
+        busiest = result[phase]["busiest_second"]
+        check(busiest.get("reads", 0) <= MAX_READS_PER_S, "store reads")
+        check(busiest.get("writes", 0) <= MAX_WRITES_PER_S, "store writes")
+    after = result["outage"]["in_force_after_return_s"]
+    check(after is not None and after < IN_FORCE_S, f"after the outage {after} s")
+    check(result["restart"]["table_after_restart_s"] is not None, "restart")
+    check(result["reverts"] == 0, "reverts")
+    return missed
+
+
+def slopes(results):
+    """Return the growth per further process from the smallest to the largest run."""
+    if len(results) < 2:
+        return {}
+    first, last = results[0], results[-1]
+    found = {}
+    for role in ("entry", "agent"):
+        one, two = first["steady"]["use"][role], last["steady"]["use"][role]
+        agents = last["steady"]["use"]["agent"]["count"]
+        more = agents - first["steady"]["use"]["agent"]["count"]
+        for name in ("core_share_mean", "rss_mb_max", "wire_bytes_per_s_mean"):
+            found[f"{role}.{name}"] = round((two[name] - one[name]) / more, 6)
+    return found
+
+
+def main():
+    """Run the bench; the last line is JSON, the exit status 1 if a target is missed."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--processes", default="10,50,200")
+    parser.add_argument("--seconds", type=float, default=60)
+    parser.add_argument("--outage", type=float, default=60)
+    args = parser.parse_args()
+    results = []
+    for processes in map(int, args.processes.split(",")):
+        result = anyio.run(run, processes, args.seconds, args.outage)
+        results.append(result)
+        _print(result)
+    missed = [line for result in results for line in misses(result)]
+    for line in missed:
+        print(f"missed: {line}")
+    print(json.dumps({"runs": results, "slopes": slopes(results), "missed": missed}))
+    sys.exit(1 if missed else 0)
+
+
+def _print(result):
+    steady_use = result["steady"]["use"]
+    print(f"{result['processes']} processes, {result['entries']} of them entries")
+    for name in ("steady", "bursts"):
+        phase = result[name].get("in_force", result[name])
+        print(f"  {name:8} in force {phase}")
+    for role, use in steady_use.items():
+        print(f"  {role:8} {use}")
+    print(f"  store    {result['steady']['store_calls_per_s']} calls/s")
+    print(f"  outage   {result['outage']}")
+    print(f"  restart  {result['restart']}", flush=True)
+
+
+if __name__ == "__main__":
+    main()
--- a/src/carobstand/agent/control.py
+++ b/src/carobstand/agent/control.py
@@ -32,6 +32,7 @@
     holders: dict = attrs.field(factory=dict)
     seq: int = 0
     asked_at: float = -ASK_AGAIN_S
+    asked_revision: int = 0
     sent: dict = attrs.field(factory=dict)
     rng: object = attrs.field(factory=random.Random)
 
@@ -146,16 +147,23 @@
     if floor > state.attempt_floors.get(start_id, 0):
         state.attempt_floors[start_id] = floor
     _drop_floors(state)
-    if (message.table_revision or 0) > control.table.revision:
-        now = anyio.current_time()
-        if now - control.asked_at >= ASK_AGAIN_S:
-            control.asked_at = now
-            have = control.table.revision
-            _post(conn, ttypes.TableRequest(have_revision=have))
+    _ask_table(control, conn, message.table_revision or 0)
     if changed:
         state.changed.notify()
 
 
+def _ask_table(control, conn, revision):
+    """Ask the first entry that announces a newer table; others only after a while."""
+    now = anyio.current_time()
+    if revision <= control.table.revision:
+        return
+    if revision > control.asked_revision or now - control.asked_at >= ASK_AGAIN_S:
+        control.asked_at = now
+        control.asked_revision = revision
+        have = control.table.revision
+        _post(conn, ttypes.TableRequest(have_revision=have))
+
+
 def take_assignment(control, entry):
     """Take an assignment if its plan is newer than the one held.
 
--- a/src/carobstand/core/planner.py
+++ b/src/carobstand/core/planner.py
@@ -197,7 +197,7 @@
     count = collections.Counter(member.failure_domain for member in picked)
     more = version.copies - len(picked)
     picked += _spread(others, more, count, preference)
-    return {member.vm for member in picked}
+    return {member.vm for member in _balance(picked, candidates, preference, now)}
 
 
 def _spread(members, wanted, count, preference):
@@ -222,6 +222,31 @@
     return picked
 
 
+def _balance(picked, candidates, preference, now):
+    """Move one copy from the fullest failure domain to the emptiest, if two apart.
+
+    Copies crowd one domain while others are cut off, and stay there otherwise.
+    """
+    count = collections.Counter(member.failure_domain for member in picked)
+    names = {member.vm for member in picked}
+    free = [
+        member
+        for member in candidates
+        if member.vm not in names
+        and membership.heard(member, now)
+        and not preference(member)[3]
+    ]
+    if not free:
+        return picked
+    new = min(free, key=lambda m: (count[m.failure_domain], preference(m)))
+    full = max(count, key=lambda name: (count[name], name), default=None)
+    if full is None or count[full] < count[new.failure_domain] + 2:
+        return picked
+    crowd = [member for member in picked if member.failure_domain == full]
+    old = max(crowd, key=preference)
+    return [member for member in picked if member is not old] + [new]
+
+
 def _targets(versions, chosen, candidates):
     """Return the final assignment of each candidate.
 
--- a/src/carobstand/platform/http.py
+++ b/src/carobstand/platform/http.py
@@ -1,7 +1,12 @@
 """HTTP calls to the platform, with its failures as typed errors."""
 
+import collections
+
 import httpx
 
+TRAFFIC = collections.Counter()
+"""Bytes of the bodies and header fields that this process exchanged over HTTP."""
+
 
 def client(base_url, timeout_s=5.0, **options):
     """Return an httpx client for one outside system.
@@ -18,8 +23,19 @@
     -------
     client : httpx.AsyncClient
     """
+
+    async def count(resp):
+        for direction, part in (("sent", resp.request), ("received", resp)):
+            fields = sum(len(name) + len(value) for name, value in part.headers.raw)
+            body = int(part.headers.get("content-length", 0))
+            TRAFFIC[direction] += fields + body
+
     return httpx.AsyncClient(
-        base_url=base_url, timeout=timeout_s, trust_env=False, **options
+        base_url=base_url,
+        timeout=timeout_s,
+        trust_env=False,
+        event_hooks={"response": [count]},
+        **options,
     )
 
 
--- a/src/carobstand/status.py
+++ b/src/carobstand/status.py
@@ -6,6 +6,8 @@
 import attrs
 
 from carobstand import metrics
+from carobstand.platform import http
+from carobstand.wire import connection
 from carobstand.wire.gen import ttypes
 
 TEXT = "text/plain; charset=utf-8"
@@ -98,6 +100,10 @@
         "leaving": state.leaving,
         "table_revision": state.table.revision if state.table else 0,
         "now": now,
+        "traffic": {
+            "wire_bytes": connection.TRAFFIC.total(),
+            "http_bytes": http.TRAFFIC.total(),
+        },
     }
     if hasattr(state, "plans"):
         return {**body, **_describe_entry(state, now)}
--- a/src/carobstand/wire/connection.py
+++ b/src/carobstand/wire/connection.py
@@ -52,6 +52,9 @@
 ACCEPT_RETRY_S = 0.2
 """Wait after a failed accept, for example without free file descriptors."""
 
+TRAFFIC = collections.Counter()
+"""Bytes of the frames that this process exchanged with others."""
+
 
 @attrs.define(eq=False)
 class Connection:
@@ -252,6 +255,7 @@
         return False
     conn.quiet_since = None
     conn.bytes_received += len(data)
+    TRAFFIC["received"] += len(data)
     framing.add(conn.frames, data)
     return True
 
@@ -272,6 +276,7 @@
         conn.write_since = None
         conn.queued_bytes -= len(data)
         conn.bytes_sent += len(data)
+        TRAFFIC["sent"] += len(data)
         conn.drained.notify()
 
 
--- a/testing/fake_store.py
+++ b/testing/fake_store.py
@@ -1,6 +1,7 @@
 """In-process configuration store with fault switches, for virtual time."""
 
 import collections
+import itertools
 import random
 
 import anyio
@@ -145,11 +146,13 @@
         while True:
             if shared.down or link["cut"]:
                 raise errors.StoreUnavailableError("closed", step="store.watch")
-            latest = {
-                item.key: item
-                for item in shared.log
-                if item.revision > after and item.key.startswith(prefix)
-            }
+            new = itertools.takewhile(
+                lambda item: item.revision > after, reversed(shared.log)
+            )
+            latest = {}
+            for item in new:
+                if item.key.startswith(prefix):
+                    latest.setdefault(item.key, item)
             if latest:
                 return stores.Changes(shared.revision, tuple(latest.values()))
             left_s = deadline - anyio.current_time()
--- a/testing/fleet.py
+++ b/testing/fleet.py
@@ -22,6 +22,9 @@
 
 PHASE = ttypes.ReplicaPhase
 
+SILENCE_NOTICED_S = 3.0
+"""Time after which section 7 has a silent connection noticed and replaced."""
+
 
 @attrs.define(eq=False)
 class Node:
@@ -216,7 +219,7 @@
         while target.link["paused"] and not source.closed.is_set():
             await anyio.sleep(0.1)
         if pair in fleet.silent:
-            await anyio.sleep(connection.PING_INTERVAL_S * connection.SILENT_PINGS)
+            await anyio.sleep(SILENCE_NOTICED_S)
             if not source.closed.is_set() and pair in fleet.conns:
                 disconnect(fleet, pair)
             return
