--- a/src/carobstand/agent/activation.py
+++ b/src/carobstand/agent/activation.py
@@ -1,13 +1,14 @@
 """Commands to the backend server, and the weights that it reads from the agent."""
 
+import socket
+
 import anyio
 import hypercorn.asyncio
-import hypercorn.config
 
-from carobstand import errors, logs
+from carobstand import errors, logs, webserver
 from carobstand.core import activation, chunks
 from carobstand.core import manifest as manifests
-from carobstand.wire import handlers
+from carobstand.wire import connection, handlers
 from carobstand.wire.gen import ttypes
 
 ASK_INTERVAL_S = 2.0
@@ -19,14 +20,17 @@
 
 def part(state):
     """Return the loop that activates versions on the backend server of `state`."""
+    if state.engine is None:
+        return handlers.Part()
+    sock = open_source(state.cfg)
 
     async def run():
-        async with anyio.create_task_group() as tg:
-            tg.start_soon(_serve_weights, state)
-            tg.start_soon(_command, state)
+        with sock:
+            host, port = sock.getsockname()[:2]
+            async with anyio.create_task_group() as tg:
+                tg.start_soon(_serve_weights, state, sock)
+                tg.start_soon(command, state, f"http://{host}:{port}")
 
-    if state.engine is None:
-        return handlers.Part()
     return handlers.Part(run=run)
 
 
@@ -55,12 +59,19 @@
     return [
         row
         for row in state.table.rows
-        if type(row).__name__ == "VersionRow" and row.service in services
+        if row.kind == "version" and row.service in services
     ]
 
 
-async def _command(state):
-    """Send the commands that `core.activation` decides on, one at a time."""
+async def command(state, source):
+    """Send the commands that `core.activation` decides on, one at a time.
+
+    Parameters
+    ----------
+    state : AgentState
+    source : str
+        URL from which the backend server reads weights.
+    """
     known = activation.Activation()
     asked_at = anyio.current_time()
 
@@ -80,12 +91,12 @@
         effects = advance(event)
         while effects:
             _publish(state, known)
-            effects = advance(await _carry_out(state, effects[0]))
+            effects = advance(await _carry_out(state, source, effects[0]))
         _publish(state, known)
         await state.changed.wait(WAKEUP_INTERVAL_S)
 
 
-async def _carry_out(state, effect):
+async def _carry_out(state, source, effect):
     """Send one command and return the event that it leads to."""
     engine = state.engine
     try:
@@ -95,7 +106,6 @@
             return activation.Reported(report.serving, report.loaded, report.fence)
         logs.event(f"backend.{type(effect).__name__.lower()}", **_fields(effect))
         if isinstance(effect, activation.Load):
-            source = f"http://{state.cfg.weights_listen}"
             await engine.load_version(
                 effect.version, effect.manifest, effect.base, source, effect.fence
             )
@@ -177,14 +187,28 @@
             )
 
 
-async def _serve_weights(state):
+def open_source(cfg):
+    """Return a socket bound to the address from which the engine reads weights."""
+    host, port = connection.split_address(cfg.weights_listen)
+    sock = socket.socket()
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    try:
+        sock.bind((host, port))
+    except OSError as exc:
+        sock.close()
+        raise errors.SettingsError(
+            f"weights_listen: cannot bind {cfg.weights_listen}: {exc.strerror}",
+            step="weights.listen",
+        ) from exc
+    return sock
+
+
+async def _serve_weights(state, sock):
     """Serve manifests and files to the backend server until cancelled."""
-    config = hypercorn.config.Config()
-    config.bind = [state.cfg.weights_listen]
-    config.accesslog = config.errorlog = None
+    config = webserver.config(f"fd://{sock.fileno()}")
     never = anyio.Event()
     await hypercorn.asyncio.serve(
-        weights_app(state), config, shutdown_trigger=never.wait
+        weights_app(state), config, shutdown_trigger=never.wait, mode="asgi"
     )
 
 
--- a/src/carobstand/agent/weights.py
+++ b/src/carobstand/agent/weights.py
@@ -6,68 +6,128 @@
 import attrs
 
 from carobstand import errors, logs
-from carobstand.core import chunks
-from carobstand.core import manifest as manifests
+from carobstand.agent import manifests as fetching
+from carobstand.agent import swarm_io
+from carobstand.core import chunks, swarm, table
+from carobstand.core import swarm_state as st
 from carobstand.wire import connection, handlers
 from carobstand.wire.gen import ttypes
 
-REPLY_TIMEOUT_S = 10.0
-"""Longest wait for a peer's reply."""
+WATCH_INTERVAL_S = 0.25
+"""Longest time until a change of the table or an assignment is noticed."""
 
-WORKERS = 4
-"""Chunks in transfer at once."""
+PROGRESS_INTERVAL_S = 0.5
+"""Shortest time between publications of bytes verified."""
 
-RETRY_S = 0.2
-"""Pause after a round in which something failed."""
+LIVE_INTERVAL_S = 0.1
+"""Time between looks at the live traffic on the connections to entries."""
+
+BEYOND = (ttypes.ReplicaPhase.LOADING, ttypes.ReplicaPhase.SERVING)
+"""Phases written by `agent.activation`."""
 
 
 @attrs.define(eq=False)
 class Loop:
-    """Requests in progress of one agent's swarm loop."""
+    """The swarm of one agent and what is in progress for it.
+
+    Attributes
+    ----------
+    state : agent.state.AgentState
+    swarm : core.swarm_state.Swarm
+    draws : dict of int to anyio.CancelScope
+        Downloads from the origin.
+    fetching : dict of str to anyio.CancelScope
+        Manifests being fetched.
+    rosters : dict of str to ttypes.Roster
+        Rosters last passed to the swarm.
+    refusals : dict of str to str
+        Reasons for which manifests were refused.
+    failure : errors.InvariantError or None
+        Raised by the loop's own task, so that the process stops.
+    """
 
     state: object
-    replies: dict = attrs.field(factory=dict)
-    next_id: int = 0
+    swarm: object
+    rng: object
+    tg: object = None
+    draws: dict = attrs.field(factory=dict)
+    fetching: dict = attrs.field(factory=dict)
+    manifest_replies: dict = attrs.field(factory=dict)
+    watched: set = attrs.field(factory=set)
+    rosters: dict = attrs.field(factory=dict)
+    refusals: dict = attrs.field(factory=dict)
+    given: dict | None = None
     origin_bytes: dict = attrs.field(factory=dict)
+    rates: object = None
+    live: dict = attrs.field(factory=dict)
+    wake: anyio.Event = attrs.field(factory=anyio.Event)
+    sleeps_until: float = 0.0
+    published_at: float = 0.0
+    failure: object = None
+
+    def feed(self, event):
+        """Process one event of the swarm and carry out its effects."""
+        if self.failure is not None or self.tg is None:
+            return
+        try:
+            effects = swarm.step(self.swarm, event, anyio.current_time())
+        except errors.InvariantError as exc:
+            self.failure = exc
+            self.wake.set()
+            return
+        for effect in effects:
+            swarm_io.carry_out(self, effect)
+        if swarm.next_step_at(self.swarm, anyio.current_time()) < self.sleeps_until:
+            self.wake.set()
+
+    def bitmap_bytes(self, digest):
+        """Return the size of the bitmap of a manifest in bytes."""
+        job = self.swarm.jobs.get(digest)
+        return (len(job.chunks) + 7) // 8 if job is not None else 0
+
+    def publish(self):
+        """Write the replicas of all wanted versions."""
+        _publish_all(self)
 
 
 def part(state):
     """Return the loop that fetches weights and serves chunks to peers."""
     if state.chunks is None:
         state.chunks = chunks.ChunkCache(state.cfg.weights_memory_bytes)
-    loop = Loop(state)
+    cfg = state.cfg
+    rng = random.Random(state.start_id)
+    core = st.Swarm(
+        cfg.vm,
+        cfg.failure_domain,
+        cfg.region,
+        state.chunks,
+        rng,
+        upload_slots=cfg.upload_slots,
+    )
+    loop = Loop(state, core, rng)
 
     async def on_manifest_request(conn, message):
         found = state.manifests.get(message.manifest)
-        content = manifests.encode(found) if found is not None else b""
-        reply = ttypes.ManifestReply(manifest=message.manifest, content=content)
-        await connection.send(conn, reply)
-
-    async def on_chunk_request(conn, message):
-        data = chunks.get(state.chunks, message.digest)
-        status = ttypes.ChunkStatus.OK if data else ttypes.ChunkStatus.ABSENT
-        reply = ttypes.ChunkReply(
-            request_id=message.request_id,
-            digest=message.digest,
-            status=status,
-            data=data or b"",
-            retry_after_ms=200,
-        )
-        await connection.send(conn, reply)
+        await connection.send(conn, fetching.reply_to(found, message))
 
     async def on_manifest_reply(conn, message):
-        _resolve(loop, ("manifest", message.manifest), message)
+        fetching.replied(loop, conn, message)
+
+    async def on_chunk_request(conn, message):
+        swarm_io.asked(loop, conn, message)
 
     async def on_chunk_reply(conn, message):
-        _resolve(loop, ("chunk", message.request_id), message)
+        swarm_io.replied(loop, conn, message)
 
     async def on_holdings(conn, message):
-        del conn, message
+        swarm_io.heard(loop, conn, message)
 
     async def run():
-        while True:
-            done = await _fetch_all(loop)
-            await state.changed.wait(RETRY_S if not done else 1.0)
+        async with anyio.create_task_group() as tg:
+            loop.tg = tg
+            tg.start_soon(_tick, loop)
+            tg.start_soon(_measure_live_traffic, loop)
+            await _follow_plan(loop)
 
     return handlers.Part(
         handlers={
@@ -81,184 +141,203 @@
     )
 
 
+async def _tick(loop):
+    """Step the swarm whenever time alone makes something due."""
+    while True:
+        if loop.failure is not None:
+            raise loop.failure
+        now = anyio.current_time()
+        loop.sleeps_until = swarm.next_step_at(loop.swarm, now)
+        loop.wake = anyio.Event()
+        with anyio.move_on_after(max(0.001, loop.sleeps_until - now)):
+            await loop.wake.wait()
+        loop.sleeps_until = 0.0
+        if anyio.current_time() - loop.published_at > PROGRESS_INTERVAL_S:
+            loop.publish()
+        loop.feed(st.Tick())
+
+
+async def _measure_live_traffic(loop):
+    """Report the bytes exchanged with entries, which go before weights."""
+    while True:
+        await anyio.sleep(LIVE_INTERVAL_S)
+        conns = list(loop.state.entries.values())
+        before = loop.live
+        loop.live = {conn: (conn.bytes_sent, conn.bytes_received) for conn in conns}
+        up = down = 0
+        for conn, (sent, received) in loop.live.items():
+            old_sent, old_received = before.get(conn, (sent, received))
+            up += sent - old_sent
+            down += received - old_received
+        if up or down:
+            loop.feed(st.LiveTraffic(up, down))
+
+
+async def _follow_plan(loop):
+    """Pass changes of the table, the assignments and the rosters to the swarm."""
+    while True:
+        _apply_rates(loop)
+        rows = wanted_versions(loop.state)
+        digests = {row.manifest for row in rows}
+        _fetch_manifests(loop, digests)
+        _apply_wanted(loop, rows)
+        _apply_rosters(loop)
+        _drop_replicas(loop, digests)
+        loop.publish()
+        await loop.state.changed.wait(WATCH_INTERVAL_S)
+
+
 def wanted_versions(state):
     """Return the version rows to hold: those assigned, and the bases of adapters."""
     if state.table is None:
         return ()
-    rows = {}
-    for row in state.table.rows:
-        if type(row).__name__ == "VersionRow":
-            rows[row.service, row.name] = row
+    rows = {(r.service, r.name): r for r in state.table.rows if r.kind == "version"}
     found = {}
     for service, assignment in state.assignments.items():
         for name in (*(assignment.fetch or ()), *(assignment.serve or ())):
-            for key in ((service, name), (service, _base(rows, service, name))):
+            row = rows.get((service, name))
+            for key in ((service, name), (service, row.base if row else "")):
                 if key in rows:
                     found[key] = rows[key]
     return tuple(found.values())
 
 
-def _base(rows, service, name):
-    row = rows.get((service, name))
-    return row.base if row is not None else ""
-
-
-def _resolve(loop, key, message):
-    waiter = loop.replies.pop(key, None)
-    if waiter is not None:
-        waiter["reply"] = message
-        waiter["event"].set()
-
-
-async def _call(loop, member, key, request):
-    """Send a request to a peer and return its reply."""
-    waiter = {"event": anyio.Event(), "reply": None}
-    loop.replies[key] = waiter
-    try:
-        conn = await loop.state.dial_peer(member.address)
-        await connection.send(conn, request)
-        with anyio.move_on_after(REPLY_TIMEOUT_S):
-            await waiter["event"].wait()
-    finally:
-        loop.replies.pop(key, None)
-    if waiter["reply"] is None:
-        raise errors.ConnectionClosedError(
-            "no reply", step="weights.call", peer=member.address
-        )
-    return waiter["reply"]
+def _apply_rates(loop):
+    if loop.state.table is None:
+        return
+    rows = [table.link(loop.state.table, name) for name in ("vm", "origin", "region")]
+    rates = st.RatesChanged(*(row and row.bytes_per_s for row in rows))
+    if rates != loop.rates:
+        loop.rates = rates
+        loop.feed(rates)
+
+
+def _fetch_manifests(loop, digests):
+    """Start to fetch the manifests not held, stop for those no longer wanted."""
+    for digest in [key for key in loop.fetching if key not in digests]:
+        loop.fetching.pop(digest).cancel()
+    for digest in digests:
+        if digest not in loop.state.manifests and digest not in loop.fetching:
+            scope = loop.fetching[digest] = anyio.CancelScope()
+            loop.tg.start_soon(_fetch_manifest, loop, digest, scope)
+
 
+async def _fetch_manifest(loop, digest, scope):
+    with scope:
+        loop.state.manifests[digest] = await fetching.fetch(loop, digest)
+        logs.event("weights.manifest", manifest=digest)
+        loop.state.changed.notify()
+    if loop.fetching.get(digest) is scope:
+        del loop.fetching[digest]
 
-async def _fetch_all(loop):
-    """Fetch what is missing of every wanted version; return whether all is held."""
+
+def _apply_wanted(loop, rows):
+    """Tell the swarm which manifests to hold, when that changed.
+
+    A manifest that was refused for want of memory is offered again each time, as the
+    memory may be free by now.
+    """
     state = loop.state
-    rows = wanted_versions(state)
-    keep = {row.manifest for row in rows}
-    for digest in [key for key in state.chunks.retained if key not in keep]:
-        chunks.release(state.chunks, digest)
-    for key in [key for key, held in state.replicas.items() if _is_stale(held, keep)]:
-        del state.replicas[key]
-    done = True
+    wanted = {}
     for row in rows:
-        try:
-            await _fetch_version(loop, row)
-        except errors.CarobstandError as exc:
-            done = False
-            refused = isinstance(exc, errors.MemoryLimitError)
-            phases = ttypes.ReplicaPhase
-            phase = phases.REFUSED if refused else phases.FETCHING
-            _publish(loop, row, phase, exc.message)
-            logs.event(
-                "weights.failed",
-                version=row.name,
-                manifest=row.manifest,
-                error=exc.message,
-                step=exc.step,
-                peer=exc.peer,
-            )
-    return done
-
-
-def _is_stale(replica, keep):
-    served = (ttypes.ReplicaPhase.SERVING, ttypes.ReplicaPhase.LOADING)
-    return replica.manifest not in keep and replica.phase not in served
-
-
-async def _fetch_version(loop, row):
+        if row.manifest in state.manifests:
+            service = table.service(state.table, row.service)
+            policy = st.Policy(service.policy) if service else st.Policy.TIME
+            wanted[row.manifest] = (state.manifests[row.manifest], policy)
+    if wanted == loop.given and not loop.refusals:
+        return
+    loop.given = wanted
+    loop.refusals.clear()
+    loop.feed(st.Wanted(wanted))
+    for digest in [key for key in loop.rosters if key not in loop.swarm.jobs]:
+        del loop.rosters[digest]
+
+
+def _apply_rosters(loop):
     state = loop.state
-    digest = row.manifest
-    if digest not in state.manifests:
-        state.manifests[digest] = await _fetch_manifest(loop, digest)
-        logs.event("weights.manifest", version=row.name, manifest=digest)
-    found = state.manifests[digest]
-    chunks.retain(state.chunks, digest, found)
-    missing = chunks.missing(state.chunks, manifests.chunk_digests(found))
-    random.Random(state.start_id).shuffle(missing)
-    failed = []
-
-    async def worker():
-        while missing and any(r.manifest == digest for r in wanted_versions(state)):
-            key = missing.pop()
-            try:
-                await _fetch_chunk(loop, digest, key)
-            except errors.CarobstandError as exc:
-                failed.append(exc)
-                return
-            _publish(loop, row, ttypes.ReplicaPhase.FETCHING, "")
-
-    async with anyio.create_task_group() as tg:
-        for _ in range(WORKERS):
-            tg.start_soon(worker)
-    if failed:
-        raise failed[0]
-    if chunks.is_complete(state.chunks, digest):
-        _publish(loop, row, ttypes.ReplicaPhase.VERIFIED, "")
-
-
-def _members(loop, digest):
-    """Return the other members that want or hold a manifest, in random order."""
-    roster = loop.state.rosters.get(digest)
-    members = [
-        member
-        for member in (roster.members if roster is not None else ())
-        if member.vm != loop.state.cfg.vm
-    ]
-    random.shuffle(members)
-    return members
+    for digest in loop.swarm.jobs:
+        roster = state.rosters.get(digest) or _own_roster(loop, digest)
+        if roster is None or loop.rosters.get(digest) == roster:
+            continue
+        loop.rosters[digest] = roster
+        members = tuple(
+            st.Member(m.vm, m.address, m.failure_domain, m.region, m.start_id)
+            for m in roster.members or ()
+        )
+        loop.feed(st.RosterChanged(digest, members))
+
+
+def _own_roster(loop, digest):
+    """Return a roster of this VM alone where none has come for a long time."""
+    job = loop.swarm.jobs[digest]
+    if anyio.current_time() - job.started_at < fetching.NO_ROSTER_S:
+        return None
+    cfg = loop.state.cfg
+    own = ttypes.Member(
+        vm=cfg.vm,
+        address=getattr(cfg, "listen", ""),
+        failure_domain=cfg.failure_domain,
+        region=cfg.region,
+        start_id=loop.state.start_id,
+    )
+    return ttypes.Roster(manifest=digest, plan_revision=0, members=[own])
 
 
-async def _fetch_manifest(loop, digest):
-    request = ttypes.ManifestRequest(manifest=digest)
-    for member in _members(loop, digest):
-        try:
-            reply = await _call(loop, member, ("manifest", digest), request)
-            if manifests.digest_of(reply.content or b"") == digest:
-                return manifests.decode(reply.content)
-        except errors.CarobstandError as exc:
-            logs.event("weights.peer_failed", error=exc.message, peer=member.address)
-    data = await loop.state.origin.manifest(digest)
-    if manifests.digest_of(data) != digest:
-        raise errors.WeightsError(
-            f"manifest {digest[:12]} failed verification", step="weights.manifest"
-        )
-    return manifests.decode(data)
+def _drop_replicas(loop, digests):
+    """Drop the replicas and manifests that are neither wanted nor served."""
+    state = loop.state
+    dropped = [
+        key
+        for key, replica in state.replicas.items()
+        if replica.manifest not in digests and replica.phase not in BEYOND
+    ]
+    for key in dropped:
+        del state.replicas[key]
+    kept = digests | {replica.manifest for replica in state.replicas.values()}
+    for digest in [key for key in state.manifests if key not in kept]:
+        del state.manifests[digest]
+    if dropped:
+        state.changed.notify()
 
 
-async def _fetch_chunk(loop, digest, key):
-    cache = loop.state.chunks
-    for member in _members(loop, digest):
-        loop.next_id += 1
-        request = ttypes.ChunkRequest(request_id=loop.next_id, digest=key)
-        try:
-            reply = await _call(loop, member, ("chunk", loop.next_id), request)
-            if reply.status == ttypes.ChunkStatus.OK:
-                chunks.put(cache, key, reply.data or b"")
-                return
-        except errors.CarobstandError as exc:
-            logs.event("weights.peer_failed", error=exc.message, peer=member.address)
-    data = await loop.state.origin.chunk(key)
-    loop.origin_bytes[digest] = loop.origin_bytes.get(digest, 0) + len(data)
-    chunks.put(cache, key, data)
-
-
-def _publish(loop, row, phase, detail):
+def _publish_all(loop):
     """Write the phases FETCHING, VERIFIED and REFUSED to `state.replicas`."""
     state = loop.state
-    key = (row.service, row.name)
-    old = state.replicas.get(key)
-    found = state.manifests.get(row.manifest)
-    beyond = (ttypes.ReplicaPhase.LOADING, ttypes.ReplicaPhase.SERVING)
-    if old is not None and old.manifest == row.manifest and old.phase in beyond:
+    loop.published_at = anyio.current_time()
+    changed = False
+    for row in wanted_versions(state):
+        key = (row.service, row.name)
+        old = state.replicas.get(key)
+        replica = _replica(loop, row, old)
+        state.replicas[key] = replica
+        changed |= old is None or (old.phase, old.manifest) != (
+            replica.phase,
+            replica.manifest,
+        )
+    if changed:
+        state.changed.notify()
+
+
+def _replica(loop, row, old):
+    phases = ttypes.ReplicaPhase
+    digest = row.manifest
+    phase, detail = phases.FETCHING, ""
+    job = loop.swarm.jobs.get(digest)
+    if digest in loop.refusals:
+        phase, detail = phases.REFUSED, loop.refusals[digest]
+    elif job is not None and job.complete:
+        phase = phases.VERIFIED
+    if old is not None and old.phase in BEYOND and old.manifest == digest:
         phase, detail = old.phase, old.detail
-    replica = ttypes.Replica(
+    if job is not None:
+        loop.origin_bytes[digest] = job.origin_bytes
+    return ttypes.Replica(
         service_name=row.service,
         version=row.name,
-        manifest=row.manifest,
+        manifest=digest,
         phase=phase,
-        bytes_verified=chunks.bytes_held(state.chunks, row.manifest),
-        bytes_total=manifests.total_bytes(found) if found is not None else 0,
+        bytes_verified=job.held_bytes if job is not None else 0,
+        bytes_total=job.total_bytes if job is not None else 0,
         detail=detail,
-        origin_bytes=loop.origin_bytes.get(row.manifest, 0),
+        origin_bytes=loop.origin_bytes.get(digest, 0),
     )
-    state.replicas[key] = replica
-    if old != replica:
-        state.changed.notify()
--- a/src/carobstand/core/limits.py
+++ b/src/carobstand/core/limits.py
@@ -19,9 +19,9 @@
     """Token bucket of one direction of a link.
 
     Live traffic is never delayed here: it takes tokens at once, also below zero, and
-    so delays weights. Weights take tokens only while the bucket is above zero, so that
-    in any interval of t seconds at most ``burst_bytes + bytes_per_s * t`` bytes of
-    weights start, plus one request.
+    so delays weights. Weights take tokens only while the bucket is not below zero, so
+    that in any interval of t seconds at most ``burst_bytes + bytes_per_s * t`` bytes of
+    weights start, plus one chunk.
 
     Attributes
     ----------
@@ -32,7 +32,7 @@
     """
 
     bytes_per_s: float | None
-    burst_bytes: float
+    burst_bytes: float = 0.0
     tokens: float = 0.0
     filled_at: float | None = None
     taken: dict = attrs.field(factory=lambda: dict.fromkeys(Traffic, 0))
@@ -41,6 +41,9 @@
 MAX_DEBT_S = 1.0
 """Live traffic delays weights by at most this time after it ends."""
 
+ROUNDING_BYTES = 1e-3
+"""Tokens by which rounding of times may leave a bucket below zero."""
+
 
 def refill(bucket, now):
     """Add the tokens of the time since the last call; time never runs backwards."""
@@ -75,9 +78,9 @@
 def weights_wait_s(bucket, now):
     """Return the seconds until weights may take tokens, 0 if they may now."""
     refill(bucket, now)
-    if bucket.bytes_per_s is None or bucket.tokens > 0:
+    if bucket.bytes_per_s is None or bucket.tokens >= -ROUNDING_BYTES:
         return 0.0
-    return -bucket.tokens / bucket.bytes_per_s + 1e-6
+    return -bucket.tokens / bucket.bytes_per_s
 
 
 def take_weights(bucket, size, now):
@@ -96,3 +99,11 @@
     bucket.taken[Traffic.WEIGHTS] += size
     if bucket.bytes_per_s is not None:
         bucket.tokens -= size
+
+
+def give_back(bucket, size, now):
+    """Return the tokens of weights that were not transferred after all."""
+    refill(bucket, now)
+    bucket.taken[Traffic.WEIGHTS] -= size
+    if bucket.bytes_per_s is not None:
+        bucket.tokens = min(bucket.burst_bytes, bucket.tokens + size)
--- /dev/null
+++ b/src/carobstand/core/swarm_duties.py
@@ -0,0 +1,281 @@
+"""Duties: which VM downloads a chunk from the origin or across a region link.
+
+The VMs of the roster are ranked for each chunk by rendezvous hashing. The first one
+downloads the chunk from the origin when its turn in the schedule has come; in each
+other region the first one of that region fetches it across the region link. The VM of
+rank k takes over k deadlines later, after it has asked those before it.
+"""
+
+import heapq
+
+from carobstand.core import limits, ranks
+from carobstand.core import swarm_peers as peers
+from carobstand.core import swarm_state as st
+
+GRACE_S = 0.5
+"""Longest wait for the first bitmaps of neighbours before anything is drawn."""
+
+LATE_SHARE = 0.05
+"""Share of the chunks held by neighbours at the start above which this VM has joined a
+rollout that is under way."""
+
+MIN_TAKEOVER_S = 1.0
+"""Shortest deadline after which the next VM in hash order takes over."""
+
+TAKEOVER_FACTOR = 4.0
+"""Takeover deadline as a multiple of the measured time of downloads."""
+
+MAX_DEFERRED = 4
+"""Answers "still fetching" after which a VM is passed over; its origin link may be
+stalled."""
+
+DEFERRED_DURING_OUTAGE = 12
+"""The same while this VM's own downloads fail, as taking over would not help."""
+
+SHORTEST_PAUSE_S = 0.002
+"""Shortest time between two looks at a duty."""
+
+ORIGIN_SLOTS = 2
+"""Downloads from the origin at once; a second one hides the delay of the first."""
+
+ORIGIN_DEADLINE_S = 2.0
+"""Part of the deadline of a download that does not follow measured rates."""
+
+LONGEST_ORIGIN_BACKOFF_S = 2.0
+
+
+def takeover_s(swarm):
+    """Return the takeover deadline in seconds, following measured rates."""
+    measured = max(swarm.seconds or 0.0, swarm.origin_seconds or 0.0)
+    return max(MIN_TAKEOVER_S, TAKEOVER_FACTOR * measured)
+
+
+def prepare(swarm, job, now):
+    """Set the order of draws of a job, the same at every VM."""
+    key = ranks.hash_of(job.digest)
+    mixed = {digest: ranks.mix(key, ranks.hash_of(digest)) for digest in job.chunks}
+    job.order = tuple(
+        sorted(range(len(job.chunks)), key=lambda idx: mixed[job.chunks[idx]])
+    )
+    rate = swarm.links.origin.bytes_per_s
+    mean = sum(job.sizes) / max(1, len(job.sizes))
+    job.due_step_s = mean / rate if rate else 0.0
+    job.started_at = now
+
+
+def schedule(swarm, job, now):
+    """Turn the chunks whose time has come into duties of this VM."""
+    if job.complete or swarm.vm not in job.members or not _may_start(job, now):
+        return
+    total = len(job.order) * (2 if job.policy is st.Policy.TIME else 1)
+    while job.cursor < total:
+        due = job.started_at + job.cursor * job.due_step_s
+        if due > now:
+            return
+        idx = job.order[job.cursor % len(job.order)]
+        second = job.cursor >= len(job.order)
+        job.cursor += 1
+        if not job.have >> idx & 1:
+            _assign(swarm, job, idx, due, second)
+
+
+def _may_start(job, now):
+    if now - job.started_at < GRACE_S and not set(job.neighbours) <= job.heard:
+        return False
+    if job.cursor == 0:
+        known = sum(1 for count in job.counts if count)
+        job.joined_late = known > LATE_SHARE * len(job.counts)
+    return True
+
+
+def _assign(swarm, job, idx, due, second):
+    order = ranks.ranked(job.hashes, ranks.hash_of(job.chunks[idx]))
+    region_of = {vm: job.members[vm].region for vm in order}
+    if second:
+        others = [vm for vm in order if region_of[vm] != region_of[order[0]]]
+        drawer = (others or order[1:2] or [""])[0]
+        if drawer == swarm.vm and not job.joined_late:
+            duty = st.Duty(job, idx, st.DutyKind.ORIGIN, 0, due, (), extra=True)
+            _push(job, due, duty)
+        return
+    rank = order.index(swarm.vm)
+    duty = st.Duty(job, idx, st.DutyKind.ORIGIN, rank, due, tuple(order[:rank]))
+    if rank == 0 and job.joined_late:
+        # Before this VM joined, the next one was the first; it is asked once.
+        duty.before = tuple(order[1:2])
+        duty.deferred = DEFERRED_DURING_OUTAGE
+    _push(job, due, duty)
+    if region_of[order[0]] != swarm.region:
+        own = [vm for vm in order if region_of[vm] == swarm.region]
+        sources = tuple(vm for vm in order if region_of[vm] != swarm.region)
+        rank = own.index(swarm.vm)
+        duty = st.Duty(
+            job, idx, st.DutyKind.ENTRY, rank, due, tuple(own[:rank]), sources
+        )
+        _push(job, due, duty)
+
+
+def _push(job, time, duty):
+    duty.at = time
+    job.pushes += 1
+    heapq.heappush(job.duties, (time, job.pushes, duty))
+
+
+def run(swarm, now, effects):
+    """Carry out the duties that are due."""
+    for job in list(swarm.jobs.values()):
+        schedule(swarm, job, now)
+        while job.duties and job.duties[0][0] <= now:
+            time, _, duty = heapq.heappop(job.duties)
+            if duty.at != time or job.have >> duty.idx & 1:
+                continue
+            due = duty.base + duty.rank * takeover_s(swarm)
+            if due > now:
+                _push(job, due, duty)
+            else:
+                again_s = _act(swarm, job, duty, now, effects)
+                _push(job, now + max(SHORTEST_PAUSE_S, again_s), duty)
+
+
+def _act(swarm, job, duty, now, effects):
+    """Do what a duty needs next; return the time until it is looked at again."""
+    takeover = takeover_s(swarm)
+    if job.chunks[duty.idx] in swarm.inflight:
+        return takeover / 2
+    if duty.kind is st.DutyKind.ENTRY:
+        return _enter(swarm, job, duty, now, effects)
+    if not duty.extra and _is_offered(swarm, job, duty.idx):
+        return takeover
+    unasked = _next_unasked(swarm, duty, duty.before, now)
+    if unasked is not None:
+        _probe(swarm, job, duty, unasked, now, effects)
+        return takeover
+    return _draw(swarm, job, duty, now, effects)
+
+
+def _is_offered(swarm, job, idx):
+    """Return whether some peer that answers holds the chunk."""
+    return any(
+        known.have.get(job.digest, 0) >> idx & 1 and known.failures < 3
+        for known in swarm.peers.values()
+    )
+
+
+def _next_unasked(swarm, duty, vms, now):
+    """Return the next VM to ask; those that just failed count as asked."""
+    for vm in vms:
+        if vm in duty.asked:
+            continue
+        known = swarm.peers.get(vm)
+        if known is None or known.failures == 0 or known.retry_at <= now:
+            return vm
+        duty.asked.add(vm)
+    return None
+
+
+def _enter(swarm, job, duty, now, effects):
+    """Fetch a chunk across the region link, from its drawer or another holder."""
+    takeover = takeover_s(swarm)
+    unasked = _next_unasked(swarm, duty, duty.before, now)
+    if unasked is None:
+        job.entry |= 1 << duty.idx
+        if now < duty.base + takeover:
+            return duty.base + takeover - now
+        if _is_offered(swarm, job, duty.idx):
+            return takeover
+        unasked = _next_unasked(swarm, duty, duty.sources, now)
+    if unasked is None:
+        duty.asked.difference_update(duty.sources)
+        return takeover
+    _probe(swarm, job, duty, unasked, now, effects)
+    return takeover
+
+
+def _probe(swarm, job, duty, vm, now, effects):
+    member = job.members.get(vm)
+    if member is None:
+        duty.asked.add(vm)
+        return
+    known = peers.peer(swarm, member)
+    deadline = now + peers.MIN_DEADLINE_S + takeover_s(swarm)
+    digest = job.chunks[duty.idx]
+    transfer = peers.new_transfer(swarm, digest, 0, vm, now, deadline)
+    transfer.probe = True
+    transfer.duty = duty
+    effects.append(st.Request(transfer.id, known.member, digest, probe=True))
+
+
+def probed(swarm, transfer, reason, now):
+    """Record the answer to a probe."""
+    duty = transfer.duty
+    job = duty.job
+    if reason is st.Refusal.BUSY:
+        known = swarm.peers.get(transfer.vm)
+        if known is not None and job.digest in swarm.jobs:
+            held = known.have.get(job.digest, 0) | 1 << duty.idx
+            peers.learn(job, known, held)
+        return
+    if reason is st.Refusal.PENDING:
+        duty.deferred += 1
+        outage = swarm.origin_failures > 0
+        if duty.deferred <= (DEFERRED_DURING_OUTAGE if outage else MAX_DEFERRED):
+            return
+    duty.asked.add(transfer.vm)
+    _push(job, now, duty)
+
+
+def _draw(swarm, job, duty, now, effects):
+    """Download a chunk from the origin when its limits allow it."""
+    if now < swarm.origin_retry_at:
+        return swarm.origin_retry_at - now
+    drawing = sum(1 for item in swarm.transfers.values() if item.vm == st.ORIGIN)
+    if drawing >= ORIGIN_SLOTS or (drawing and swarm.origin_failures):
+        return peers.MIN_DEADLINE_S / 4
+    links = swarm.links
+    wait = max(
+        limits.weights_wait_s(links.down, now), limits.weights_wait_s(links.origin, now)
+    )
+    if wait > 0:
+        return wait
+    size = job.sizes[duty.idx]
+    limits.take_weights(links.down, size, now)
+    limits.take_weights(links.origin, size, now)
+    measured = swarm.origin_seconds or peers.expected_s(swarm, size)
+    deadline = now + ORIGIN_DEADLINE_S + TAKEOVER_FACTOR * measured
+    digest = job.chunks[duty.idx]
+    transfer = peers.new_transfer(swarm, digest, size, st.ORIGIN, now, deadline)
+    transfer.duty = duty
+    swarm.inflight.setdefault(digest, set()).add(transfer.id)
+    effects.append(st.Draw(transfer.id, digest))
+    return takeover_s(swarm)
+
+
+def draw_failed(swarm, transfer, now):
+    """Back off from the origin, with jitter, and plan the next try."""
+    delay = peers.FIRST_BACKOFF_S * 2 ** min(swarm.origin_failures, 6)
+    delay = min(LONGEST_ORIGIN_BACKOFF_S, delay) * swarm.rng.uniform(0.5, 1.5)
+    swarm.origin_failures += 1
+    swarm.origin_retry_at = now + delay
+    duty = transfer.duty
+    if duty.job.digest in swarm.jobs:
+        _push(duty.job, swarm.origin_retry_at, duty)
+
+
+def next_due(swarm, job):
+    """Return the time at which a duty of a job is due, or None."""
+    times = [job.duties[0][0]] if job.duties else []
+    passes = 2 if job.policy is st.Policy.TIME else 1
+    if job.cursor < len(job.order) * passes:
+        times.append(job.started_at + job.cursor * job.due_step_s)
+    return min(times, default=None)
+
+
+def drawn(swarm, job, idx, now, effects):
+    """Tell the VM that brings a chunk into each other region that it can be fetched."""
+    order = ranks.ranked(job.hashes, ranks.hash_of(job.chunks[idx]))
+    told = {swarm.region}
+    for vm in order:
+        member = job.members[vm]
+        if member.region not in told:
+            told.add(member.region)
+            effects.append(st.Announce(member, job.digest, job.have, 0))
--- /dev/null
+++ b/src/carobstand/core/swarm_uploads.py
@@ -0,0 +1,133 @@
+"""Upload side of the swarm: queue, slots and pace of chunks sent to peers."""
+
+from carobstand import errors
+from carobstand.core import chunks, limits
+from carobstand.core import swarm_state as st
+
+REMOTE_EXTRA = 2
+"""Queue places that only requests from other regions may use: each of those serves a
+whole region."""
+
+PENDING_RETRY_S = 0.2
+"""Time after which a peer may ask again for a chunk that is on its way here."""
+
+UNLIMITED_RETRY_S = 0.05
+"""Time after which a peer may ask again where no rate limits uploads."""
+
+
+def asked(swarm, event, now, effects):
+    """Queue a peer's request, or refuse it with the reason."""
+    data = chunks.get(swarm.cache, event.digest)
+    if data is None:
+        wanted = any(event.digest in job.index for job in swarm.jobs.values())
+        reason = st.Refusal.PENDING if wanted else st.Refusal.ABSENT
+        _refuse(event, reason, PENDING_RETRY_S, effects)
+        return
+    remote = event.region != swarm.region
+    places = swarm.upload_slots + (REMOTE_EXTRA if remote else 0)
+    if event.probe or len(swarm.queue) >= places:
+        _refuse(event, st.Refusal.BUSY, retry_after_s(swarm, len(data)), effects)
+        return
+    swarm.queue.append(
+        st.Upload(
+            event.vm, event.conn, event.request_id, event.digest, len(data), remote
+        )
+    )
+
+
+def _refuse(event, reason, retry_after_s, effects):
+    effects.append(
+        st.Refuse(event.conn, event.request_id, event.digest, reason, retry_after_s)
+    )
+
+
+def retry_after_s(swarm, size):
+    """Return the time until one place of the queue is free."""
+    rate = swarm.links.up.bytes_per_s
+    return size / rate if rate else UNLIMITED_RETRY_S
+
+
+def queued(swarm):
+    """Return the number of uploads that wait or are being sent."""
+    return len(swarm.queue) + len(swarm.sending) + (swarm.paying is not None)
+
+
+def sent(swarm, event):
+    """Free the slot of an upload that was handed to its connection."""
+    swarm.sending.pop((event.conn, event.request_id), None)
+
+
+def drop(swarm, vm, have=None):
+    """Forget the queued requests of a peer, or those for chunks that it now has."""
+    swarm.queue = [
+        upload
+        for upload in swarm.queue
+        if upload.vm != vm or (have is not None and upload.digest not in have)
+    ]
+
+
+def run(swarm, now, effects):
+    """Send queued chunks, each when the links have paid for it."""
+    links = swarm.links
+    while True:
+        if swarm.paying is None:
+            swarm.paying = _next(swarm, now)
+        upload = swarm.paying
+        if upload is None or _wait_s(links, upload, now) > 0:
+            return
+        swarm.paying = None
+        _check_verified(swarm, upload)
+        swarm.sending[upload.conn, upload.request_id] = upload
+        swarm.times_sent[upload.digest] = swarm.times_sent.get(upload.digest, 0) + 1
+        effects.append(st.Send(upload.conn, upload.request_id, upload.digest))
+
+
+def _next(swarm, now):
+    """Return the upload to pay for next, or None.
+
+    Requests from other regions go first, then those for the chunks that this VM has
+    sent least often, so that new chunks spread before common ones.
+    """
+    links = swarm.links
+    if len(swarm.sending) >= swarm.upload_slots:
+        return None
+    swarm.queue = [
+        upload for upload in swarm.queue if upload.digest in swarm.cache.data
+    ]
+    ready = [upload for upload in swarm.queue if _wait_s(links, upload, now) == 0]
+    if not ready:
+        return None
+    chosen = min(
+        ready,
+        key=lambda upload: (not upload.remote, swarm.times_sent.get(upload.digest, 0)),
+    )
+    swarm.queue.remove(chosen)
+    limits.take_weights(links.up, chosen.size, now)
+    if chosen.remote:
+        limits.take_weights(links.region_up, chosen.size, now)
+    return chosen
+
+
+def _wait_s(links, upload, now):
+    wait = limits.weights_wait_s(links.up, now)
+    if upload.remote:
+        wait = max(wait, limits.weights_wait_s(links.region_up, now))
+    return wait
+
+
+def _check_verified(swarm, upload):
+    if chunks.get(swarm.cache, upload.digest) is None:
+        raise errors.InvariantError(
+            f"upload of chunk {upload.digest[:12]}, which is not verified",
+            step="swarm.upload",
+            peer=upload.vm,
+        )
+
+
+def wait_s(swarm, now):
+    """Return the time until the next upload can go on, None if none waits."""
+    if swarm.paying is not None:
+        return _wait_s(swarm.links, swarm.paying, now)
+    if swarm.queue and len(swarm.sending) < swarm.upload_slots:
+        return min(_wait_s(swarm.links, upload, now) for upload in swarm.queue)
+    return None
--- a/src/carobstand/wire/gen/ttypes.py
+++ b/src/carobstand/wire/gen/ttypes.py
@@ -1934,14 +1934,16 @@
      - manifest
      - bitmap
      - free_slots
+     - asks
 
     """
 
 
-    def __init__(self, manifest=None, bitmap=None, free_slots=None,):
+    def __init__(self, manifest=None, bitmap=None, free_slots=None, asks=None,):
         self.manifest = manifest
         self.bitmap = bitmap
         self.free_slots = free_slots
+        self.asks = asks
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1967,6 +1969,11 @@
                     self.free_slots = iprot.readI32()
                 else:
                     iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.BOOL:
+                    self.asks = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1989,6 +1996,10 @@
             oprot.writeFieldBegin('free_slots', TType.I32, 3)
             oprot.writeI32(self.free_slots)
             oprot.writeFieldEnd()
+        if self.asks is not None:
+            oprot.writeFieldBegin('asks', TType.BOOL, 4)
+            oprot.writeBool(self.asks)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2011,12 +2022,14 @@
     """
     Attributes:
      - manifest
+     - offset
 
     """
 
 
-    def __init__(self, manifest=None,):
+    def __init__(self, manifest=None, offset=None,):
         self.manifest = manifest
+        self.offset = offset
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2032,6 +2045,11 @@
                     self.manifest = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
                 else:
                     iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.offset = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -2046,6 +2064,10 @@
             oprot.writeFieldBegin('manifest', TType.STRING, 1)
             oprot.writeString(self.manifest.encode('utf-8') if sys.version_info[0] == 2 else self.manifest)
             oprot.writeFieldEnd()
+        if self.offset is not None:
+            oprot.writeFieldBegin('offset', TType.I64, 2)
+            oprot.writeI64(self.offset)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2069,13 +2091,17 @@
     Attributes:
      - manifest
      - content
+     - offset
+     - total
 
     """
 
 
-    def __init__(self, manifest=None, content=None,):
+    def __init__(self, manifest=None, content=None, offset=None, total=None,):
         self.manifest = manifest
         self.content = content
+        self.offset = offset
+        self.total = total
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2096,6 +2122,16 @@
                     self.content = iprot.readBinary()
                 else:
                     iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I64:
+                    self.offset = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I64:
+                    self.total = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -2114,6 +2150,14 @@
             oprot.writeFieldBegin('content', TType.STRING, 2)
             oprot.writeBinary(self.content)
             oprot.writeFieldEnd()
+        if self.offset is not None:
+            oprot.writeFieldBegin('offset', TType.I64, 3)
+            oprot.writeI64(self.offset)
+            oprot.writeFieldEnd()
+        if self.total is not None:
+            oprot.writeFieldBegin('total', TType.I64, 4)
+            oprot.writeI64(self.total)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2137,13 +2181,15 @@
     Attributes:
      - request_id
      - digest
+     - probe
 
     """
 
 
-    def __init__(self, request_id=None, digest=None,):
+    def __init__(self, request_id=None, digest=None, probe=None,):
         self.request_id = request_id
         self.digest = digest
+        self.probe = probe
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2164,6 +2210,11 @@
                     self.digest = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
                 else:
                     iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.BOOL:
+                    self.probe = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -2182,6 +2233,10 @@
             oprot.writeFieldBegin('digest', TType.STRING, 2)
             oprot.writeString(self.digest.encode('utf-8') if sys.version_info[0] == 2 else self.digest)
             oprot.writeFieldEnd()
+        if self.probe is not None:
+            oprot.writeFieldBegin('probe', TType.BOOL, 3)
+            oprot.writeBool(self.probe)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -3798,23 +3853,28 @@
     (1, TType.STRING, 'manifest', 'UTF8', None, ),  # 1
     (2, TType.STRING, 'bitmap', 'BINARY', None, ),  # 2
     (3, TType.I32, 'free_slots', None, None, ),  # 3
+    (4, TType.BOOL, 'asks', None, None, ),  # 4
 )
 all_structs.append(ManifestRequest)
 ManifestRequest.thrift_spec = (
     None,  # 0
     (1, TType.STRING, 'manifest', 'UTF8', None, ),  # 1
+    (2, TType.I64, 'offset', None, None, ),  # 2
 )
 all_structs.append(ManifestReply)
 ManifestReply.thrift_spec = (
     None,  # 0
     (1, TType.STRING, 'manifest', 'UTF8', None, ),  # 1
     (2, TType.STRING, 'content', 'BINARY', None, ),  # 2
+    (3, TType.I64, 'offset', None, None, ),  # 3
+    (4, TType.I64, 'total', None, None, ),  # 4
 )
 all_structs.append(ChunkRequest)
 ChunkRequest.thrift_spec = (
     None,  # 0
     (1, TType.I64, 'request_id', None, None, ),  # 1
     (2, TType.STRING, 'digest', 'UTF8', None, ),  # 2
+    (3, TType.BOOL, 'probe', None, None, ),  # 3
 )
 all_structs.append(ChunkReply)
 ChunkReply.thrift_spec = (
--- a/src/carobstand/wire/messages.thrift
+++ b/src/carobstand/wire/messages.thrift
@@ -136,18 +136,25 @@
   1: string manifest
   2: binary bitmap           // bit i (least significant first) set: chunk i verified
   3: i32 free_slots
+  4: optional bool asks      // the sender wants the receiver's bitmap in return
 }
 
-struct ManifestRequest { 1: string manifest }
+struct ManifestRequest {
+  1: string manifest
+  2: optional i64 offset     // of the part wanted; a manifest may exceed a frame
+}
 
 struct ManifestReply {
   1: string manifest
-  2: binary content          // empty: not held
+  2: binary content          // the part from the offset on; empty: not held
+  3: optional i64 offset
+  4: optional i64 total      // size of the whole manifest in bytes
 }
 
 struct ChunkRequest {
   1: i64 request_id
   2: string digest
+  3: optional bool probe     // only ask whether the chunk is held: BUSY if it is
 }
 
 struct ChunkReply {
@@ -155,7 +162,7 @@
   2: string digest
   3: ChunkStatus status
   4: binary data
-  5: i64 retry_after_ms
+  5: i64 retry_after_ms      // with ABSENT: 0 if the chunk is not being fetched
 }
 
 struct Header { 1: string name  2: string value }
--- a/testing/fakes_weights.py
+++ b/testing/fakes_weights.py
@@ -10,23 +10,12 @@
 from carobstand.agent import activation, weights
 from carobstand.agent import state as states
 from carobstand.core import manifest as manifests
+from carobstand.core import table
 from carobstand.platform import engine as engines
 from carobstand.platform import origin as origins
 from carobstand.wire.gen import ttypes
 
 
-@attrs.frozen
-class VersionRow:
-    """Version row with the fields of ``core.table.VersionRow``."""
-
-    name: str
-    service: str
-    manifest: str
-    base: str = ""
-    weight: float = 1.0
-    copies: int | None = None
-
-
 @attrs.define(eq=False)
 class FakeEngine:
     """Backend server that reads the weights it is told to load."""
@@ -92,9 +81,9 @@
 class FakeConnection:
     """One direction of a pair of connections; messages arrive in order."""
 
-    def __init__(self, owner, peer_vm):
-        self.address = peer_vm
-        self.peer = ttypes.Hello(vm=peer_vm, start_id="start-" + peer_vm)
+    def __init__(self, owner, peer):
+        self.address = peer.vm
+        self.peer = peer
         self.closed = anyio.Event()
         self.queued_bytes = 0
         self.extra = {}
@@ -137,12 +126,23 @@
         )
         return agent
 
+    def hello(self, vm):
+        cfg = self.agents[vm].cfg
+        return ttypes.Hello(
+            vm=vm,
+            address=vm,
+            start_id="start-" + vm,
+            failure_domain=cfg.failure_domain,
+            region=cfg.region,
+        )
+
     async def dial(self, vm, address):
         await anyio.sleep(0)
         if address not in self.agents:
             raise errors.ConnectionClosedError("cannot connect", peer=address)
         if (vm, address) not in self.conns:
-            near, far = FakeConnection(vm, address), FakeConnection(address, vm)
+            near = FakeConnection(vm, self.hello(address))
+            far = FakeConnection(address, self.hello(vm))
             near.back, far.back = far, near
             self.conns[vm, address] = near
             self.conns.setdefault((address, vm), far)
@@ -160,7 +160,7 @@
     def start(self, tg, vm):
         self.tg = tg
         tg.start_soon(self.parts[vm].run)
-        tg.start_soon(activation._command, self.agents[vm])
+        tg.start_soon(activation.command, self.agents[vm], "http://agent")
 
     def assign(self, version, row, revision, vms=None, serve=True):
         """Put one version in force at every agent, with its roster."""
@@ -175,7 +175,7 @@
         for vm in vms:
             agent = self.agents[vm]
             rows = tuple(agent.table.rows) if agent.table else ()
-            agent.table = types.SimpleNamespace(rows=(*rows, row))
+            agent.table = table.Table(revision, "", (*rows, row), ())
             agent.assignments[row.service] = ttypes.Assignment(
                 row.service, revision, [version], [version] if serve else []
             )
--- /dev/null
+++ b/testing/test_swarm.py
@@ -0,0 +1,174 @@
+"""Guards against rollouts that end late, incompletely or at the cost of links."""
+
+import random
+
+import pytest
+
+from bench import swarm_world
+from carobstand import errors
+from carobstand.core import chunks, limits, swarm
+from carobstand.core import manifest as manifests
+from carobstand.core import swarm_state as st
+
+
+def shape(**changes):
+    return swarm_world.Shape(**{"n": 8, "chunk_count": 64, **changes})
+
+
+@pytest.mark.parametrize("policy", list(st.Policy))
+def test_a_rollout_without_faults_meets_its_targets_in_simulated_time(policy):
+    world, digest = swarm_world.rollout(shape(policy=policy, chunk_count=128), 1)
+    found = swarm_world.report(world, digest)
+    by_time = policy is st.Policy.TIME
+    assert found["time_to_n"] <= (1.25 if by_time else 1.6)
+    assert found["origin_copies"] <= (2.0 if by_time else 1.05)
+    assert max(found["region_copies"].values()) <= 1.05
+
+
+def started(world, count, digest, made):
+    for index in range(count):
+        swarm_world.add_node(world, index)
+    members = [node.member for node in world.nodes.values()]
+    for node in world.nodes.values():
+        swarm_world.assign(world, node, {digest: made}, members)
+    return members
+
+
+def complete(world, digest):
+    return all(
+        chunks.is_complete(node.state.cache, digest)
+        for node in world.nodes.values()
+        if node.alive
+    )
+
+
+def test_a_late_joiner_takes_everything_from_peers():
+    world = swarm_world.World(shape(), random.Random(2))
+    digest, made = swarm_world.publish(world, 2)
+    members = started(world, 8, digest, made)
+    swarm_world.run(world, 100, lambda: complete(world, digest))
+    drawn = world.origin_bytes
+    late = swarm_world.add_node(world, 8)
+    for node in list(world.nodes.values()):
+        swarm_world.assign(world, node, {digest: made}, [*members, late.member])
+    swarm_world.run(world, 200, lambda: complete(world, digest))
+    assert complete(world, digest)
+    assert world.origin_bytes == drawn
+
+
+def test_a_superseded_transfer_stops_and_its_chunks_are_reused():
+    world = swarm_world.World(shape(), random.Random(3))
+    old, old_made = swarm_world.publish(world, 3)
+    new, new_made = swarm_world.publish(world, 4, old_made, 0.9)
+    members = started(world, 8, old, old_made)
+    swarm_world.run(world, 100, lambda: world.origin_bytes > 0.5 * world.copy_bytes)
+    for node in world.nodes.values():
+        swarm_world.assign(world, node, {new: new_made}, members)
+        assert all(
+            item.digest in node.state.jobs[new].index
+            for item in node.state.transfers.values()
+        )
+    swarm_world.run(world, 200, lambda: complete(world, new))
+    assert complete(world, new)
+    assert world.origin_bytes < 1.3 * world.copy_bytes
+
+
+def test_a_rollback_to_held_chunks_transfers_nothing():
+    world = swarm_world.World(shape(n=3), random.Random(5))
+    old, old_made = swarm_world.publish(world, 5)
+    new, new_made = swarm_world.publish(world, 6)
+    members = started(world, 3, old, old_made)
+    for digest, made in ((old, old_made), (new, new_made)):
+        for node in world.nodes.values():
+            swarm_world.assign(world, node, {digest: made}, members)
+        swarm_world.run(world, 500, lambda digest=digest: complete(world, digest))
+    before = world.origin_bytes
+    for node in world.nodes.values():
+        swarm_world.assign(world, node, {old: old_made}, members)
+    assert complete(world, old) and world.origin_bytes == before
+
+
+def test_a_replaced_vm_is_filled_again_by_its_peers():
+    world = swarm_world.World(shape(), random.Random(7))
+    digest, made = swarm_world.publish(world, 7)
+    started(world, 8, digest, made)
+    swarm_world.run(world, 100, lambda: complete(world, digest))
+    fresh = swarm_world.add_node(world, 3, generation=1)
+    members = [node.member for node in world.nodes.values()]
+    for node in list(world.nodes.values()):
+        swarm_world.assign(world, node, {digest: made}, members)
+    swarm_world.run(world, 300, lambda: complete(world, digest))
+    assert digest in fresh.completed
+
+
+def new_swarm():
+    cache = chunks.ChunkCache(1 << 20)
+    return st.Swarm("vm0", "fd0", "r0", cache, random.Random(1))
+
+
+def member(vm):
+    return st.Member(vm, vm, "fd0", "r0", "start")
+
+
+def test_a_peer_that_sends_corrupted_chunks_is_asked_less():
+    state = new_swarm()
+    made, parts = manifests.build([("f", random.Random(1).randbytes(640))], 64)
+    digest = manifests.digest_of(manifests.encode(made))
+    swarm.step(state, st.Wanted({digest: (made, st.Policy.TIME)}), 0.0)
+    roster = st.RosterChanged(digest, (member("vm0"), member("bad"), member("good")))
+    effects = list(swarm.step(state, roster, 0.0))
+    for vm in ("bad", "good"):
+        heard = st.Heard(member(vm), digest, (1 << 10) - 1)
+        effects += swarm.step(state, heard, 0.0)
+    asked = {"bad": 0, "good": 0}
+    now = 0.0
+    while now < 60.0 and not state.jobs[digest].complete:
+        now += 0.01
+        effects = effects or list(swarm.step(state, st.Tick(), now))
+        effect = effects.pop(0) if effects else None
+        if isinstance(effect, st.Request):
+            asked[effect.member.vm] += 1
+            bad = effect.member.vm == "bad"
+            data = b"damaged" if bad else parts[effect.digest]
+            arrived = st.Arrived(effect.transfer, effect.digest, data)
+            effects += swarm.step(state, arrived, now)
+    assert state.jobs[digest].complete
+    assert asked["bad"] < asked["good"]
+    assert state.peers["bad"].score < state.peers["good"].score
+
+
+def test_a_chunk_that_is_not_held_is_never_sent():
+    state = new_swarm()
+    asked = st.Asked("vm1", "r0", "conn", 7, "0" * 64)
+    (refused,) = swarm.step(state, asked, 0.0)
+    assert refused.reason is st.Refusal.ABSENT
+    data = b"x" * 64
+    digest = manifests.digest_of(data)
+    chunks.put(state.cache, digest, data)
+    limits.set_rate(state.links.up, 64.0, 0.0)
+    assert not swarm.step(state, st.Asked("vm1", "r0", "conn", 8, digest), 0.0)
+    state.cache.data.clear()
+    with pytest.raises(errors.InvariantError):
+        swarm.step(state, st.Tick(), 2.0)
+
+
+def test_a_stalled_transfer_is_requested_elsewhere():
+    state = new_swarm()
+    made, _ = manifests.build([("f", b"x" * 64)], 64)
+    digest = manifests.digest_of(manifests.encode(made))
+    swarm.step(state, st.Wanted({digest: (made, st.Policy.BYTES)}), 0.0)
+    roster = st.RosterChanged(digest, (member("vm0"), member("vm1"), member("vm2")))
+    swarm.step(state, roster, 0.0)
+    requests = []
+    for vm in ("vm1", "vm2"):
+        requests += swarm.step(state, st.Heard(member(vm), digest, 1), 0.0)
+    now = 0.0
+    while now < 20.0 and len({r.member.vm for r in requests}) < 2:
+        now = swarm.next_step_at(state, now)
+        requests += [
+            effect
+            for effect in swarm.step(state, st.Tick(), now)
+            if isinstance(effect, st.Request)
+        ]
+        requests = [effect for effect in requests if isinstance(effect, st.Request)]
+    assert {request.member.vm for request in requests} == {"vm1", "vm2"}
--- a/testing/test_weights_loops.py
+++ b/testing/test_weights_loops.py
@@ -6,6 +6,7 @@
 import pytest
 
 from carobstand.core import manifest as manifests
+from carobstand.core import rows
 from carobstand.wire import connection
 from carobstand.wire.gen import ttypes
 from testing import fakes_weights as fakes
@@ -57,7 +58,7 @@
         return message
 
     network.filters.append(corrupt)
-    row = fakes.VersionRow("v1", "svc", digest)
+    row = rows.VersionRow("v1", "svc", digest)
 
     async def body(tg):
         network.assign("v1", row, 1)
@@ -77,9 +78,9 @@
     agent = network.agents["vm0"]
 
     async def body(tg):
-        network.assign("v1", fakes.VersionRow("v1", "svc", small), 1)
+        network.assign("v1", rows.VersionRow("v1", "svc", small), 1)
         await fakes.until(serves(network, "v1"))
-        network.assign("v2", fakes.VersionRow("v2", "svc", large), 2)
+        network.assign("v2", rows.VersionRow("v2", "svc", large), 2)
         agent.assignments["svc"].fetch = ["v1", "v2"]
         refused = ttypes.ReplicaPhase.REFUSED
         await fakes.until(
@@ -103,9 +104,9 @@
         network.add(f"vm{index}", origin)
 
     async def body(tg):
-        network.assign("v1", fakes.VersionRow("v1", "svc", old), 1)
+        network.assign("v1", rows.VersionRow("v1", "svc", old), 1)
         await fakes.until(lambda: len(origin.drawn) > 10)
-        network.assign("v2", fakes.VersionRow("v2", "svc", new), 2)
+        network.assign("v2", rows.VersionRow("v2", "svc", new), 2)
         await fakes.until(serves(network, "v2"))
 
     run(network, body)
