--- a/src/carobstand/agent/activation.py
+++ b/src/carobstand/agent/activation.py
@@ -74,10 +74,10 @@
         target = target_of(state)
         changed = target is not None and target != known.target
         event = activation.TargetChanged(target) if changed else activation.Wakeup()
-        if anyio.current_time() - asked_at > ASK_INTERVAL_S:
-            asked_at = anyio.current_time()
-            advance(activation.Doubted())
         effects = advance(event)
+        if not effects and anyio.current_time() - asked_at > ASK_INTERVAL_S:
+            asked_at = anyio.current_time()
+            effects = advance(activation.Doubted())
         while effects:
             _publish(state, known)
             effects = advance(await _carry_out(state, effects[0]))
--- a/src/carobstand/webserver.py
+++ b/src/carobstand/webserver.py
@@ -15,6 +15,9 @@
 GRACEFUL_TIMEOUT_S = 60.0
 """Longest wait for requests in progress at a planned stop."""
 
+CANCELLED_TIMEOUT_S = 0.2
+"""Longest wait for requests in progress if the server is cancelled."""
+
 
 def check_address(name, address):
     """Raise SettingsError unless `address` can be bound.
@@ -62,9 +65,26 @@
         ``host:port``.
     stop : anyio.Event
     """
-    await hypercorn.asyncio.serve(
-        app, config(address), shutdown_trigger=stop.wait, mode="asgi"
-    )
+    cfg = config(address)
+    end = anyio.Event()
+
+    async def run():
+        # Hypercorn closes its sockets only if its own shutdown runs to the end, and
+        # raises InvalidStateError if it is cancelled with connections open.
+        with anyio.CancelScope(shield=True):
+            await hypercorn.asyncio.serve(
+                app, cfg, shutdown_trigger=end.wait, mode="asgi"
+            )
+
+    async with anyio.create_task_group() as tg:
+        tg.start_soon(run)
+        try:
+            await stop.wait()
+        except BaseException:
+            cfg.graceful_timeout = CANCELLED_TIMEOUT_S
+            raise
+        finally:
+            end.set()
 
 
 async def wait_until_bound(address, timeout_s=10.0):
