Keep deadly requests to two backend servers; enforce limits at the agent

Tests of faults over loopback connections found:

- Copies of a request that crashes its engine, sent through three entries at the same time, crashed three or four engines of six.
Entries that had only seen refusals of the dead engines moved on to a third one, and a request with one known failure ran again 3 s later without asking what other entries knew.
Now a request with a known failure, or one for which neither home can be used, waits 0.3 s and reads what the store and the other entries know first; an unreachable engine, or one that was restarted, counts as failed for 3 s.
- The in-flight limit at the agent was exceeded three-fold (24 for a limit of 8) because attempts were counted when their task started.
They are counted on arrival.

--- a/src/carobstand/agent/executor.py
+++ b/src/carobstand/agent/executor.py
@@ -245,6 +245,7 @@
     run = Run(attempt, message, conn)
     ex.runs[key] = run
     ex.state.running_attempts += 1
+    ex.active += 1
     ex.tasks.start_soon(_run_attempt, ex, run)
 
 
@@ -296,7 +297,6 @@
     budget_s = max(message.deadline_ms or 0, 0) / 1000
     grace_s = 0 if message.idempotent else CANCEL_GRACE_S
     run.scope.deadline = anyio.current_time() + budget_s + grace_s
-    ex.active += 1
     try:
         try:
             with run.scope:
@@ -337,7 +337,7 @@
     except (httpx.ConnectError, httpx.ConnectTimeout, httpx.UnsupportedProtocol) as exc:
         detail = str(exc) or type(exc).__name__
         reason = f"backend server not reached: {detail}"
-        attempts.finish(attempt, attempts.Outcome.NOT_RUN, reason)
+        attempts.finish(attempt, attempts.Outcome.NOT_RUN, reason, backend_died=True)
         return
     except httpx.HTTPError as exc:
         _finish_failed(ex, run, exc)
@@ -346,7 +346,10 @@
         served = resp.headers.get(SERVED_VERSION_HEADER)
         if run.message.version and served is None and _engine_refused(resp):
             reason = f"engine refused the request with status {resp.status_code}"
-            attempts.finish(attempt, attempts.Outcome.NOT_RUN, reason)
+            died = resp.status_code == 404
+            attempts.finish(
+                attempt, attempts.Outcome.NOT_RUN, reason, backend_died=died
+            )
             return
         if run.message.version and served not in (None, run.message.version):
             raise errors.BackendError(
--- a/src/carobstand/core/admission.py
+++ b/src/carobstand/core/admission.py
@@ -235,8 +235,16 @@
     return (ticket.order, ticket.seq)
 
 
-def put_back(state, ticket, now):
-    """Queue an admitted request again, first in line, after it was refused elsewhere.
+def put_back(state, ticket, ran, now):
+    """Queue an admitted request again, first in line.
+
+    Parameters
+    ----------
+    state : Admission
+    ticket : Ticket
+    ran : bool
+        Whether an attempt may have run; if not, its wait so far still counts.
+    now : float
 
     Raises
     ------
@@ -248,7 +256,8 @@
     queue = _queue(state, ticket.service)
     queue.in_flight -= 1
     ticket.admitted = False
-    ticket.queued_at = now
+    if ran:
+        ticket.queued_at = now
     ticket.order = queue.virtual
     _insert(queue, ticket)
 
--- a/src/carobstand/core/events.py
+++ b/src/carobstand/core/events.py
@@ -84,12 +84,16 @@
 
 @attrs.frozen
 class Ended:
-    """End of an attempt; `broken` if its answer failed verification."""
+    """End of an attempt.
+
+    `broken`: its answer failed verification; `full`: refused for lack of room.
+    """
 
     attempt_id: int
     outcome: attempts.Outcome
     reason: str = ""
     broken: bool = False
+    full: bool = False
 
 
 @attrs.frozen
--- a/src/carobstand/core/requests.py
+++ b/src/carobstand/core/requests.py
@@ -141,6 +141,9 @@
                 step="requests.ended",
             )
         req.unresolved -= 1
+        if event.full:
+            req.attempts_sent -= 1
+            req.used.discard(req.tries[event.attempt_id].placed.vm)
     del req.tries[event.attempt_id]
     if won:
         req.winner = None
--- a/src/carobstand/core/routing.py
+++ b/src/carobstand/core/routing.py
@@ -59,6 +59,8 @@
         False if it failed a moment ago, is ejected or its circuit breaker is open.
     failed : bool
         Whether it failed within `FAILED_MEMORY_S`.
+    full_until : float
+        Time before which it is not asked again after it refused for lack of room.
     """
 
     vm: str
@@ -71,6 +73,7 @@
     reported_at: float = 0.0
     usable: bool = True
     failed: bool = False
+    full_until: float = 0.0
     hash: int = attrs.field(init=False)
 
     def __attrs_post_init__(self):
@@ -128,8 +131,8 @@
 class Homes:
     """Backend servers that may run a request.
 
-    `doubtful` says that no home is left: the request may have made both fail, so it
-    must not run before this is ruled out.
+    `doubtful` says that the request may have made backend servers fail that this
+    entry does not know of; it must not run before this is ruled out.
     """
 
     by_prefix: Candidate | None
@@ -178,10 +181,10 @@
         ]
         if not spare:
             return Homes(None, None)
-        both_failed = all(c.failed for c in pair)
+        # Neither home runs it: they may have failed because of this very request.
         spare.sort(key=lambda c: _rank(c, own))
-        return Homes(spare[0], spare[0], doubtful=both_failed)
-    return Homes(open_homes[0], open_homes[-1])
+        return Homes(spare[0], spare[0], doubtful=True)
+    return Homes(open_homes[0], open_homes[-1], doubtful=failures > 0)
 
 
 def load(candidate, now):
@@ -192,7 +195,9 @@
 
 def has_room(candidate, now):
     """Whether one more request stays within the in-flight limit."""
-    return candidate.own < candidate.limit and load(candidate, now) < candidate.limit
+    if candidate.own >= candidate.limit or now < candidate.full_until:
+        return False
+    return load(candidate, now) < candidate.limit
 
 
 def _cost(candidate, now):
--- a/src/carobstand/entry/effects.py
+++ b/src/carobstand/entry/effects.py
@@ -145,11 +145,14 @@
         if final.backend_died:
             placing.mark_failed(run.dp.pool, vm)
             _suspect(run, t, final.backend_starts or 0)
+    elif final.backend_died:
+        # The backend server is down, or was restarted and serves nothing.
+        retries.failed(health, now)
+        placing.mark_failed(run.dp.pool, vm)
     elif final.retry_after_ms:
-        candidate = sent.choice.candidate
-        candidate.others = max(candidate.others, candidate.limit - candidate.own + 1)
-        candidate.reported_at = now
-    return events.Ended(t.attempt_id, outcome, final.reason or "")
+        sent.choice.candidate.full_until = now + final.retry_after_ms / 1000
+    full = outcome is attempts.Outcome.NOT_RUN and bool(final.retry_after_ms)
+    return events.Ended(t.attempt_id, outcome, final.reason or "", full=full)
 
 
 def _suspect(run, t, number):
--- a/src/carobstand/entry/placing.py
+++ b/src/carobstand/entry/placing.py
@@ -265,7 +265,8 @@
         run.post(events.NotPlaced(503, "Not run", "no backend server of the service"))
         return
     if run.ticket is not None:
-        admission.put_back(dp.queues, run.ticket, now)
+        ran = run.req.unresolved > 0
+        admission.put_back(dp.queues, run.ticket, ran, now)
     else:
         _arrive(state, dp, run, now)
     pump(state, dp, call.service.name)
--- a/src/carobstand/entry/suspecting.py
+++ b/src/carobstand/entry/suspecting.py
@@ -16,8 +16,8 @@
 WRITE_INTERVAL_S = 0.02
 """Time between writes of suspects: 50 a second, of several hundred in all."""
 
-DOUBT_S = 0.4
-"""Time in which an entry tells others of a failure, with the store's answer."""
+DOUBT_S = 0.3
+"""Time in which a failure seen by another entry reaches the store."""
 
 
 @attrs.define(eq=False)
@@ -73,7 +73,7 @@
 
 
 async def settle(state, shared, fingerprint):
-    """Learn what other entries know of a request whose homes both failed."""
+    """Learn what other entries know of a request that may make servers fail."""
     await anyio.sleep(DOUBT_S)
     merge(state, shared)
     if state.store is None:
--- a/testing/request_builders.py
+++ b/testing/request_builders.py
@@ -15,8 +15,9 @@
 from carobstand.entry import callers, dispatch
 from carobstand.entry import state as entry_states
 from carobstand.platform import store
+from carobstand.standin import engine as engine_standin
+from carobstand.standin import generation, web
 from carobstand.standin import store as store_standin
-from carobstand.standin import web
 from carobstand.wire import connection, handlers
 from carobstand.wire.gen import ttypes
 
@@ -232,6 +233,12 @@
                     entry.agents[state.cfg.vm].heartbeat = heartbeat(state)
             entry.changed.notify()
 
+    async def complete(self, entry=0, prompt="hello", tokens=5, stream=True, **kw):
+        doc = {"model": "drafter", "prompt": prompt, "max_tokens": tokens}
+        doc["stream"] = stream
+        path = "/v1/completions"
+        return await self.call(self.urls[entry], path, "POST", json=doc, **kw)
+
     async def pay(self, key, entry=0, body=b"1", who="acme"):
         return await self.call(
             self.urls[entry],
@@ -268,16 +275,32 @@
     return app
 
 
+def expected(prompt="hello", tokens=5, stream=True):
+    """Return the bytes of a completion by the stand-in engine."""
+    return generation.expected("v1", "a" * 64, prompt, tokens, stream)
+
+
 async def reply(send, body, status=200, headers=()):
     await send({"type": "http.response.start", "status": status, "headers": headers})
     await send({"type": "http.response.body", "body": body})
 
 
+async def _engine(tg, net):
+    """Start a stand-in engine that serves version v1; return its URL."""
+    engine = engine_standin.EngineState()
+    engine_standin.preload(engine, "v1", "a" * 64)
+    site = engine_standin.site(engine)
+    net.engines.append((engine, site))
+    await tg.start(web.serve, site)
+    return site.url
+
+
 @contextlib.asynccontextmanager
 async def system(handler, agents=1, entries=1, kind="plain", service="desk", **cfg):
     """Run entries, agents and a store in front of one backend application.
 
-    Yields a `Net` with `urls`, `entries`, `agents` and `store`, the stand-in's site.
+    Without a `handler` the backend servers are stand-in engines. Yields a `Net` with
+    `urls`, `entries`, `agents`, `engines` and `store`, the stand-in's site.
     """
     async with anyio.create_task_group() as tg:
         net = Net(tg)
@@ -287,8 +310,12 @@
         for state in net.entries:
             state.store = store.http_store(net.store.url, 1.0)
         net.urls = [await net.entry(state) for state in net.entries]
+        net.engines = []
         for num in range(agents):
-            url = await net.backend(answering(handler))
+            if handler is None:
+                url = await _engine(tg, net)
+            else:
+                url = await net.backend(answering(handler))
             net.agents.append(agent_state(num + 1, url, kind, service))
         for state in net.agents:
             await net.agent(state, *net.entries)
--- /dev/null
+++ b/testing/test_request_faults.py
@@ -0,0 +1,178 @@
+"""Guards against requests that a fault of a backend server or agent harms."""
+
+import anyio
+
+from carobstand.standin import web
+from testing import request_builders as build
+
+ENGINES = {"handler": None, "kind": "engine", "service": "drafter"}
+
+
+def test_copies_of_a_deadly_request_through_every_entry_reach_two_engines_at_most():
+    async def test():
+        async with build.system(**ENGINES, agents=6, entries=3) as net:
+            for _, site in net.engines:
+                site.switches.crash_marker = "BOOM"
+                site.switches.crash_s = 30
+            net.beat()
+            got = []
+
+            async def one(entry):
+                got.append(await net.complete(entry, "BOOM"))
+
+            async with anyio.create_task_group() as tg:
+                for num in range(9):
+                    tg.start_soon(one, num % 3)
+            await anyio.sleep(0.2)
+            for num in range(6):
+                got.append(await net.complete(num % 3, "BOOM"))
+            assert sum(engine.crashes > 0 for engine, _ in net.engines) <= 2
+            for resp in got:
+                assert resp.status_code >= 400
+                assert int(resp.headers["retry-after"]) >= 1
+            assert got[-1].headers["carobstand-outcome"] == "not-run"
+            other = await net.complete(0, "harmless")
+            assert other.content == build.expected("harmless")
+
+    build.run(test)
+
+
+def test_a_stream_is_resumed_on_another_engine_without_a_lost_or_doubled_byte():
+    async def test():
+        async with build.system(**ENGINES, agents=2) as net:
+            prompts = [f"prompt {num}" for num in range(8)]
+            got = {}
+
+            async def one(prompt):
+                got[prompt] = await net.complete(prompt=prompt, tokens=60)
+
+            async with anyio.create_task_group() as tg:
+                for prompt in prompts:
+                    tg.start_soon(one, prompt)
+                await anyio.sleep(0.3)
+                net.engines[0][1].switches.crash_s = 30
+                web.crash(net.engines[0][1])
+            assert net.engines[0][0].crashes == 1
+            for prompt in prompts:
+                assert got[prompt].content == build.expected(prompt, 60)
+
+    build.run(test)
+
+
+def test_a_stream_that_stalls_is_resumed_elsewhere():
+    async def test():
+        async with build.system(**ENGINES, agents=2) as net:
+            net.engines[0][1].switches.stall_share = 1.0
+            prompts = [f"prompt {num}" for num in range(4)]
+            for resp, prompt in await _all(net, prompts, 20):
+                assert resp.content == build.expected(prompt, 20)
+
+    build.run(test)
+
+
+async def _all(net, prompts, tokens):
+    got = []
+
+    async def one(prompt):
+        got.append((await net.complete(prompt=prompt, tokens=tokens), prompt))
+
+    async with anyio.create_task_group() as tg:
+        for prompt in prompts:
+            tg.start_soon(one, prompt)
+    return got
+
+
+def test_an_agent_that_leaves_finishes_its_streams_and_gets_no_new_work():
+    async def test():
+        async with build.system(**ENGINES, agents=2) as net:
+            async with anyio.create_task_group() as tg:
+                got = []
+
+                async def first():
+                    got.extend(await _all(net, [f"p{n}" for n in range(6)], 60))
+
+                tg.start_soon(first)
+                await anyio.sleep(0.2)
+                net.agents[0].leaving = True
+                served = net.engines[0][0].requests["v1"]
+                got.extend(await _all(net, [f"q{n}" for n in range(6)], 3))
+                assert net.engines[0][0].requests["v1"] == served
+            for resp, prompt in got:
+                tokens = 60 if prompt.startswith("p") else 3
+                assert resp.content == build.expected(prompt, tokens)
+            with anyio.fail_after(2):
+                while net.agents[0].running_attempts:
+                    await anyio.sleep(0.01)
+
+    build.run(test)
+
+
+def test_a_caller_that_disconnects_stops_the_engine():
+    async def test():
+        async with build.system(**ENGINES) as net:
+            with anyio.move_on_after(0.3):
+                await net.complete(tokens=2000)
+            await net.client.aclose()
+            net.client = build.httpx.AsyncClient()
+            with anyio.fail_after(3):
+                while net.engines[0][0].batch.running:
+                    await anyio.sleep(0.02)
+            assert net.entries[0].dispatcher.book.open == {}
+
+    build.run(test)
+
+
+def test_a_caller_that_reads_slowly_bounds_what_is_held_and_gets_every_byte():
+    size = 32 * 1024 * 1024
+    sent = []
+
+    async def handler(scope, body, send):
+        await send({"type": "http.response.start", "status": 200, "headers": []})
+        for _ in range(size // 65536):
+            part = {"type": "http.response.body", "body": b"x" * 65536}
+            await send({**part, "more_body": True})
+            sent.append(65536)
+        await send({"type": "http.response.body", "body": b""})
+
+    async def test():
+        async with build.system(handler, request_timeout_s=60.0) as net:
+            headers = {"authorization": f"Bearer {build.BEARERS['acme']}"}
+            url = net.urls[0] + "/services/desk/x"
+            async with net.client.stream("GET", url, headers=headers) as resp:
+                await anyio.sleep(1)
+                # The kernel's socket buffers hold several MiB beside the windows.
+                assert sum(sent) < size
+                got = 0
+                async for data in resp.aiter_raw():
+                    got += len(data)
+            assert got == size
+
+    build.run(test)
+
+
+def test_the_limit_of_a_backend_server_holds_over_all_entries():
+    peak, running = 0, 0
+
+    async def handler(scope, body, send):
+        nonlocal peak, running
+        running += 1
+        peak = max(peak, running)
+        await anyio.sleep(0.05)
+        running -= 1
+        await build.reply(send, b"ok")
+
+    async def test():
+        async with build.system(handler, entries=3) as net:
+            codes = []
+
+            async def one(entry):
+                codes.append((await net.call(net.urls[entry])).status_code)
+
+            async with anyio.create_task_group() as tg:
+                for num in range(30):
+                    tg.start_soon(one, num % 3)
+            assert peak <= 8
+            assert set(codes) <= {200, 503}
+            assert codes.count(200) >= 16
+
+    build.run(test)
