--- a/src/carobstand/wire/messages.thrift
+++ b/src/carobstand/wire/messages.thrift
@@ -100,6 +100,17 @@
   3: i32 in_flight
 }
 
+// What one entry knows of an agent, for entries that the agent is not connected to.
+struct MemberReport {
+  1: Hello hello
+  2: i64 stamp               // hybrid logical clock of the entry that reports
+  3: bool heard              // false: the connection to that entry ended
+  4: bool leaving
+  5: bool backend_up
+  6: list<Replica> replicas  // service, version and phase only
+  7: map<string, i64> plan_revisions
+}
+
 struct PeerState {
   1: i64 seq
   2: i64 table_revision
@@ -108,6 +119,7 @@
   5: list<Demand> demands
   6: list<Suspect> suspects
   7: bool leaving
+  8: list<MemberReport> members        // changed since the last one on this connection
 }
 
 struct PlanRequest { 1: string service_name  2: i64 have_revision }
@@ -136,18 +148,25 @@
   1: string manifest
   2: binary bitmap           // bit i (least significant first) set: chunk i verified
   3: i32 free_slots
+  4: optional bool asks      // the sender wants the receiver's bitmap in return
 }
 
-struct ManifestRequest { 1: string manifest }
+struct ManifestRequest {
+  1: string manifest
+  2: optional i64 offset     // of the part wanted; a manifest may exceed a frame
+}
 
 struct ManifestReply {
   1: string manifest
-  2: binary content          // empty: not held
+  2: binary content          // the part from the offset on; empty: not held
+  3: optional i64 offset
+  4: optional i64 total      // size of the whole manifest in bytes
 }
 
 struct ChunkRequest {
   1: i64 request_id
   2: string digest
+  3: optional bool probe     // only ask whether the chunk is held: BUSY if it is
 }
 
 struct ChunkReply {
@@ -155,7 +174,7 @@
   2: string digest
   3: ChunkStatus status
   4: binary data
-  5: i64 retry_after_ms
+  5: i64 retry_after_ms      // with ABSENT: 0 if the chunk is not being fetched
 }
 
 struct Header { 1: string name  2: string value }
