--- a/src/carobstand/cli/publish.py
+++ b/src/carobstand/cli/publish.py
@@ -24,14 +24,14 @@
     if root.is_file():
         return [(root.name, root)]
     if not root.is_dir():
-        _refuse(f"{root}: no such file or directory")
+        _refuse(root, "no such file or directory")
     found = [
         (path.relative_to(root).as_posix(), path)
         for path in sorted(root.rglob("*"))
         if path.is_file()
     ]
     if not found:
-        _refuse(f"{root}: directory is empty")
+        _refuse(root, "directory is empty")
     return found
 
 
@@ -74,7 +74,7 @@
     if [name for name, _ in list_files(root)] != [n for n, _ in files] or (
         _marks(files) != before
     ):
-        _refuse(f"{root}: changed while it was read; nothing was published")
+        _refuse(root, "changed while it was read; nothing was published")
     manifest = manifests.Manifest(tuple(entries), manifests.DEFAULT_CHUNK_BYTES)
     data = manifests.encode(manifest)
     manifests.decode(data)
@@ -104,7 +104,7 @@
                     return
                 yield parts
     except OSError as exc:
-        _refuse(f"{path}: {exc.strerror or exc}")
+        _refuse(path, exc.strerror or str(exc))
 
 
 def _marks(files):
@@ -112,9 +112,9 @@
     try:
         stats = [os.stat(path) for _, path in files]
     except OSError as exc:
-        _refuse(f"{exc.filename}: changed while it was read ({exc.strerror})")
+        _refuse(exc.filename, f"changed while it was read ({exc.strerror})")
     return [(stat.st_size, stat.st_mtime_ns) for stat in stats]
 
 
-def _refuse(reason):
-    raise errors.WeightsError(reason, step="publish")
+def _refuse(path, reason):
+    raise errors.WeightsError(f"{path}: {reason}", step="publish", peer=str(path))
--- a/src/carobstand/platform/http.py
+++ b/src/carobstand/platform/http.py
@@ -1,8 +1,16 @@
 """HTTP calls to the platform, with its failures as typed errors."""
 
+import functools
+
 import httpx
 
 
+@functools.cache
+def _tls_context():
+    """Return the context of all clients; reading the authorities takes 35 ms."""
+    return httpx.create_ssl_context(trust_env=False)
+
+
 def client(base_url, timeout_s=5.0, **options):
     """Return an httpx client for one outside system.
 
@@ -19,7 +27,11 @@
     client : httpx.AsyncClient
     """
     return httpx.AsyncClient(
-        base_url=base_url, timeout=timeout_s, trust_env=False, **options
+        base_url=base_url,
+        timeout=timeout_s,
+        trust_env=False,
+        verify=_tls_context(),
+        **options,
     )
 
 
--- a/src/carobstand/standin/engine.py
+++ b/src/carobstand/standin/engine.py
@@ -10,6 +10,7 @@
 
 from carobstand import errors
 from carobstand.core import manifest as manifests
+from carobstand.platform import http
 from carobstand.standin import faults, generation, web
 
 MAX_TOKENS = 4096
@@ -209,11 +210,8 @@
 
 async def _read_weights(engine, source, digest):
     """Read and verify all files of a manifest; return their size in bytes."""
-    timeout = httpx.Timeout(SOURCE_TIMEOUT_S)
     try:
-        async with httpx.AsyncClient(
-            base_url=source, timeout=timeout, trust_env=False
-        ) as client:
+        async with http.client(source, SOURCE_TIMEOUT_S) as client:
             resp = await client.get(f"/manifests/{digest}")
             _check_source(engine, resp.status_code, f"manifest {digest}")
             if hashlib.sha256(resp.content).hexdigest() != digest:
--- /dev/null
+++ b/testing/test_local.py
@@ -0,0 +1,67 @@
+"""Guards against a demonstration that reports success although something is wrong."""
+
+import io
+
+import attrs
+import pytest
+import rich.console
+
+from carobstand import local, local_traffic, settings
+from carobstand.standin import generation
+
+GOOD = local.Report(
+    intact={"vm-1": True}, tally=local_traffic.Tally(sent=2, whole=2, orders=1)
+)
+
+
+@pytest.mark.parametrize(
+    "change",
+    [
+        {"intact": {}},
+        {"intact": {"vm-1": True, "vm-2": False}},
+        {"problems": ["vm-1 did not stop in time"]},
+        {"tally": local_traffic.Tally()},
+        {"tally": local_traffic.Tally(sent=2, whole=1, not_run=1)},
+        {"tally": local_traffic.Tally(sent=2, whole=1, unknown=1)},
+        {"tally": local_traffic.Tally(sent=2, whole=1, wrong=1)},
+        {"tally": local_traffic.Tally(sent=2, whole=1, cut=1)},
+    ],
+)
+def test_each_defect_makes_the_result_a_failure(change):
+    assert local.is_success(GOOD)
+    assert not local.is_success(attrs.evolve(GOOD, **change))
+
+
+def test_a_response_of_two_versions_is_wrong():
+    order = {"prompt": "hello", "max_tokens": 4, "stream": True}
+    first = generation.expected("v1", "m1", "hello", 4, True)
+    second = generation.expected("v2", "m2", "hello", 4, True)
+    tally = local_traffic.Tally()
+    for content in (first, first[:200] + second[200:], first[:-1]):
+        resp = type("Response", (), {"content": content})
+        local_traffic._verify(tally, resp, order, {"v1": "m1", "v2": "m2"})
+    assert (tally.whole, tally.wrong) == (1, 2)
+
+
+def start(*argv):
+    """Run the demonstration; return its exit status and its output."""
+    cfg = settings.load(settings.LocalSettings, list(argv), {})
+    output = io.StringIO()
+    status = local.run(cfg, rich.console.Console(file=output, width=200))
+    return status, output.getvalue()
+
+
+def test_an_empty_or_missing_directory_is_an_error_with_step_and_peer(tmp_path):
+    for path, reason in ((tmp_path, "empty"), (tmp_path / "absent", "no such file")):
+        status, output = start("--weights", str(path))
+        assert (status, "FAILED" in output) == (1, True)
+        assert reason in output and f"[step=publish peer={path}]" in output
+
+
+def test_weights_that_do_not_fit_into_memory_are_refused_at_once(tmp_path, capsys):
+    with (tmp_path / "model.bin").open("wb") as file:
+        file.truncate(20 << 30)
+    assert start("--weights", str(tmp_path))[0] == 2
+    line = capsys.readouterr().err
+    assert line.count("\n") == 1
+    assert "--weights" in line and "expected 1 to" in line
