--- a/src/carobstand/webserver.py
+++ b/src/carobstand/webserver.py
@@ -16,7 +16,7 @@
 """Longest wait for requests in progress at a planned stop."""
 
 CANCELLED_TIMEOUT_S = 0.2
-"""Longest wait for requests in progress when the task is cancelled."""
+"""Longest wait for requests in progress if the server is cancelled."""
 
 
 def check_address(name, address):
@@ -58,9 +58,6 @@
 async def serve(app, address, stop):
     """Serve `app` until `stop` is set and requests in progress have ended.
 
-    A cancelled task of hypercorn raises InvalidStateError while connections are open,
-    so that a cancellation is turned into a stop with a short grace period.
-
     Parameters
     ----------
     app : ASGI application
@@ -69,14 +66,15 @@
     stop : anyio.Event
     """
     cfg = config(address)
-    shutdown = anyio.Event()
+    end = anyio.Event()
 
     async def run():
+        # Hypercorn closes its sockets only if its own shutdown runs to the end, and
+        # raises InvalidStateError if it is cancelled with connections open.
         with anyio.CancelScope(shield=True):
             await hypercorn.asyncio.serve(
-                app, cfg, shutdown_trigger=shutdown.wait, mode="asgi"
+                app, cfg, shutdown_trigger=end.wait, mode="asgi"
             )
-        tg.cancel_scope.cancel()
 
     async with anyio.create_task_group() as tg:
         tg.start_soon(run)
@@ -86,8 +84,7 @@
             cfg.graceful_timeout = CANCELLED_TIMEOUT_S
             raise
         finally:
-            shutdown.set()
-        await anyio.sleep_forever()
+            end.set()
 
 
 async def wait_until_bound(address, timeout_s=10.0):
