--- a/src/carobstand/local_fleet.py
+++ b/src/carobstand/local_fleet.py
@@ -30,6 +30,10 @@
 """Ports of processes; below the range from which Linux takes outgoing ports."""
 
 VM_LIST_LAG_S = 0.3
+
+TOKEN_S = 0.028
+"""Time per token of the engines; the target of section 1 of the design page."""
+
 POLL_INTERVAL_S = 0.2
 """Time between reads of the status ports."""
 
@@ -105,7 +109,7 @@
     }
     for number in range(1, count + 1):
         vm = f"vm-{number}"
-        fleet.engines[vm] = engine.EngineState(seed=seed + number)
+        fleet.engines[vm] = engine.EngineState(token_s=TOKEN_S, seed=seed + number)
         states[vm] = engine.site(fleet.engines[vm])
     fleet.sites = {name: web.bind(site) for name, site in states.items()}
     addresses = free_addresses(random.Random())
--- a/src/carobstand/local_traffic.py
+++ b/src/carobstand/local_traffic.py
@@ -13,10 +13,15 @@
 """Bearer key of the only customer; its SHA-256 is in the table."""
 
 TIMEOUT_S = 30.0
-MAX_TOKENS = 40
+MAX_TOKENS = 24
 PROMPTS = 12
 """Number of different starts of prompts; repeats hit the prefix cache."""
 
+ORDER_INTERVAL_S = 0.2
+
+REFUSED_PAUSE_S = 0.2
+"""Pause of a caller whose request was refused."""
+
 KEPT_PROBLEMS = 5
 
 
@@ -24,8 +29,8 @@
 class Tally:
     """Counts of responses by outcome.
 
-    `whole` were complete, verified and of one version; `wrong` had other bytes than
-    their version gives; `cut` ended early or never came.
+    `whole` were complete, verified and of one version, `orders` of them from the plain
+    service; `wrong` had other bytes than expected; `cut` ended early or never came.
     """
 
     sent: int = 0
@@ -34,6 +39,7 @@
     unknown: int = 0
     wrong: int = 0
     cut: int = 0
+    orders: int = 0
     by_version: dict = attrs.field(factory=dict)
     problems: list = attrs.field(factory=list)
 
@@ -73,6 +79,52 @@
             tg.start_soon(caller, number)
 
 
+async def run_orders(tally, entries, service, stop):
+    """Place orders that must run once, each with a repeat, until `stop` is set.
+
+    Parameters
+    ----------
+    tally : Tally
+    entries : list of str
+    service : str
+        A plain service; ``POST /orders`` is not idempotent.
+    stop : anyio.Event
+    """
+    number = 0
+    headers = {"Authorization": f"Bearer {CUSTOMER_KEY}"}
+    async with http.client("", TIMEOUT_S, headers=headers) as client:
+        while not stop.is_set():
+            number += 1
+            for entry in entries:
+                url = f"http://{entry}/services/{service}/orders"
+                await _order(tally, client, url, f"order-{number}")
+            await anyio.sleep(ORDER_INTERVAL_S)
+
+
+async def _order(tally, client, url, order_id):
+    tally.sent += 1
+    headers = {"Idempotency-Key": order_id}
+    try:
+        resp = await client.post(url, json={"order_id": order_id}, headers=headers)
+    except httpx.HTTPError as exc:
+        _cut(tally, exc)
+        return
+    if resp.status_code != 200:
+        _count_failure(tally, resp)
+        return
+    try:
+        body = resp.json()
+        correct = (body["order_id"], body["run"]) == (order_id, 1)
+    except (KeyError, TypeError, ValueError):
+        correct = False
+    if correct:
+        tally.whole += 1
+        tally.orders += 1
+    else:
+        tally.wrong += 1
+        _note(tally, f"wrong response to {order_id}: {resp.text[:200]}")
+
+
 async def _ask(tally, client, url, service, manifests, rng):
     start = f"patient record {rng.randrange(PROMPTS)}: " + "history, " * 20
     order = {
@@ -85,19 +137,29 @@
     try:
         resp = await client.post(url, json=order)
     except httpx.HTTPError as exc:
-        tally.cut += 1
-        _note(tally, f"no complete response: {exc or type(exc).__name__}")
+        _cut(tally, exc)
         return
-    outcome = resp.headers.get("carobstand-outcome", "")
     if resp.status_code == 200:
         _verify(tally, resp, order, manifests)
-    elif outcome == "not-run":
+    else:
+        _count_failure(tally, resp)
+        await anyio.sleep(REFUSED_PAUSE_S)
+
+
+def _cut(tally, exc):
+    tally.cut += 1
+    _note(tally, f"no complete response: {exc or type(exc).__name__}")
+
+
+def _count_failure(tally, resp):
+    """Count a response that is no answer by the outcome that it reports."""
+    not_run = resp.headers.get("carobstand-outcome") == "not-run"
+    if not_run:
         tally.not_run += 1
-        _note(tally, f"not run: status {resp.status_code} {resp.text[:200]}")
-        await anyio.sleep(0.2)
     else:
         tally.unknown += 1
-        _note(tally, f"unknown: status {resp.status_code} {resp.text[:200]}")
+    outcome = "not run" if not_run else "unknown"
+    _note(tally, f"{outcome}: status {resp.status_code} {resp.text[:200]}")
 
 
 def _verify(tally, resp, order, manifests):
