Add make soak-processes: entries, agents and stand-ins under seeded faults

Entries, agents and stand-ins run as processes on loopback addresses with mutual TLS; customers send completions, idempotent calls and calls that must run at most once, with answers that are known byte by byte, while two operators edit the table. Faults come from the seed: SIGKILL, SIGTERM with restart, SIGSTOP, relayed connections that go silent, crashes of backend servers, and outages, lost answers and corrupted chunks of store and origin.

--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 SEED ?= 1
 export PYTHONPATH := src:.
 
-.PHONY: demo test install format gen
+.PHONY: demo test install format gen soak-processes
 
 $(VENV)/.installed: requirements.lock pyproject.toml
 	test -x $(PY) || python3 -m venv $(VENV)
@@ -22,6 +22,9 @@
 	$(PY) -m ruff check .
 	$(PY) -m pytest
 
+soak-processes: install
+	$(PY) -m bench.soak_processes --seed $(SEED)
+
 format:
 	$(PY) -m ruff format .
 	$(PY) -m ruff check --fix .
--- /dev/null
+++ b/bench/fleet.py
@@ -0,0 +1,442 @@
+"""Entries, agents and stand-ins as processes on loopback, for benches and tests.
+
+Each VM has an address of its own in 127.0.0.0/8, so that restarts keep their ports and
+several fleets run side by side.
+"""
+
+import contextlib
+import hashlib
+import json
+import os
+import pathlib
+import shutil
+import signal
+import subprocess
+import sys
+import tempfile
+
+import anyio
+import attrs
+import httpx
+import trustme
+
+from bench import relay
+from carobstand.cli import edits
+from carobstand.core import manifest as manifests
+from carobstand.core import table as tables
+from carobstand.platform import origin, store
+
+ROOT = pathlib.Path(__file__).resolve().parent.parent
+
+PROCESS_PORT, STATUS_PORT, HTTP_PORT, WEIGHTS_PORT, RELAY_PORT = range(7000, 7005)
+
+STANDIN_PORT = 8000
+
+READY_TIMEOUT_S = 30.0
+
+DOMAINS = (("kutch", "kutch-bhuj"), ("surat", "surat-varachha"))
+
+CHUNK_BYTES = 256 * 1024
+
+
+@attrs.define(eq=False)
+class Program:
+    """One entry or agent; `address` is that of its relay.
+
+    `kills` holds the times at which the process was killed, `running` whether it is
+    meant to run, `busy` whether a fault has it now.
+    """
+
+    name: str
+    role: str
+    host: str
+    argv: list
+    relay: relay.Relay
+    services: tuple = ()
+    backend: str = ""
+    process: object = None
+    running: bool = False
+    busy: bool = False
+    kills: list = attrs.field(factory=list)
+    pauses: int = 0
+    exits: list = attrs.field(factory=list)
+
+    @property
+    def http_url(self):
+        """URL on which an entry answers callers."""
+        return f"http://{self.host}:{HTTP_PORT}"
+
+    @property
+    def status_url(self):
+        """URL of the status port."""
+        return f"http://{self.host}:{STATUS_PORT}"
+
+
+@attrs.define(eq=False)
+class Fleet:
+    """A running fleet.
+
+    Attributes
+    ----------
+    folder : pathlib.Path
+        Logs and certificates.
+    http, callers : httpx.AsyncClient
+        For the bench itself, and for requests of customers.
+    urls : dict of str to str
+        Stand-ins by name; the store's is that of its relay.
+    programs : dict of str to Program
+    versions : dict of str to str
+        Manifest digest of each published version.
+    keys : dict of str to str
+        Bearer key of each customer.
+    """
+
+    folder: pathlib.Path
+    base: str
+    tg: object
+    http: httpx.AsyncClient
+    callers: httpx.AsyncClient
+    seed: int
+    standins: object = None
+    urls: dict = attrs.field(factory=dict)
+    direct_store: str = ""
+    store_relay: object = None
+    programs: dict = attrs.field(factory=dict)
+    versions: dict = attrs.field(factory=dict)
+    keys: dict = attrs.field(factory=dict)
+
+    def host(self, number):
+        """Return the loopback address number `number` of this fleet."""
+        return f"{self.base}.{number}"
+
+
+def of_role(fleet, role):
+    """Return the programs of `role`."""
+    return [program for program in fleet.programs.values() if program.role == role]
+
+
+@contextlib.asynccontextmanager
+async def open_fleet(
+    seed=1, entries=2, engines=2, plains=1, secure=False, versions=("v1",), flags=()
+):
+    """Start a fleet with a table, and stop all its processes at the end.
+
+    Parameters
+    ----------
+    seed : int
+    entries, engines, plains : int
+        Numbers of entries and of backend servers, each with an agent.
+    secure : bool
+        Use TLS between the processes.
+    versions : sequence of str
+        Versions of the service salahkar that are published; the first one is served.
+    flags : sequence of str
+        Further settings of the stand-ins.
+
+    Yields
+    ------
+    fleet : Fleet
+        Once every program is ready and every engine serves the first version.
+    """
+    folder = pathlib.Path(tempfile.mkdtemp(prefix="carobstand-"))
+    number = os.getpid() % 60_000 + 256 + seed % 7
+    base = f"127.{number >> 8}.{number & 255}"
+    async with (
+        anyio.create_task_group() as tg,
+        _client(5) as http,
+        _client(60) as callers,
+    ):
+        fleet = Fleet(folder, base, tg, http, callers, seed)
+        try:
+            await _start_standins(fleet, max(engines, plains), flags)
+            tls_flags = _write_certificates(fleet) if secure else ["--insecure"]
+            for i in range(1, entries + 1):
+                await _add_entry(fleet, i, tls_flags)
+            for i in range(1, engines + 1):
+                await _add_agent(fleet, "engine", i, tls_flags)
+            for i in range(1, plains + 1):
+                await _add_agent(fleet, "plain", i, tls_flags)
+            await _publish(fleet, versions)
+            for program in fleet.programs.values():
+                await start(fleet, program)
+            for program in fleet.programs.values():
+                await until_ready(fleet, program)
+            await until(lambda: _serves(fleet, versions[0]), "first version is served")
+            yield fleet
+        finally:
+            for program in fleet.programs.values():
+                program.running = False
+                _kill_process(program.process)
+            _kill_process(fleet.standins)
+            tg.cancel_scope.cancel()
+
+
+def _client(timeout_s):
+    """Return a client that opens a connection for each request."""
+    limits = httpx.Limits(max_keepalive_connections=0, max_connections=None)
+    return httpx.AsyncClient(timeout=timeout_s, trust_env=False, limits=limits)
+
+
+def discard_logs(fleet):
+    """Remove the folder of a fleet that ran without a finding."""
+    shutil.rmtree(fleet.folder, ignore_errors=True)
+
+
+def _kill_process(process):
+    if process is not None and process.poll() is None:
+        with contextlib.suppress(ProcessLookupError):
+            process.send_signal(signal.SIGCONT)
+            process.kill()
+        process.wait()
+
+
+def _spawn(fleet, name, module, argv, **options):
+    environ = {
+        key: value for key, value in os.environ.items() if "CAROBSTAND" not in key
+    }
+    environ["PYTHONPATH"] = f"{ROOT / 'src'}{os.pathsep}{ROOT}"
+    with open(fleet.folder / f"{name}.err", "ab") as stderr:
+        return subprocess.Popen(
+            [sys.executable, "-m", module, *argv],
+            env=environ,
+            cwd=fleet.folder,
+            stderr=stderr,
+            stdin=subprocess.DEVNULL,
+            **options,
+        )
+
+
+async def _start_standins(fleet, count, flags):
+    argv = ["all", "--listen", f"{fleet.host(250)}:{STANDIN_PORT}"]
+    argv += ["--count", str(max(2, count)), "--seed", str(fleet.seed)]
+    argv += ["--log-file", str(fleet.folder / "standins.log"), *flags]
+    fleet.standins = _spawn(
+        fleet, "standins", "carobstand.standin.main", argv, stdout=subprocess.PIPE
+    )
+    line = await anyio.to_thread.run_sync(fleet.standins.stdout.readline)
+    fleet.urls = {name: f"http://{at}" for name, at in json.loads(line).items()}
+    fleet.direct_store = fleet.urls["store"]
+    at = f"{fleet.host(249)}:{RELAY_PORT}"
+    fleet.store_relay = relay.Relay(at, fleet.direct_store.removeprefix("http://"))
+    await fleet.tg.start(relay.serve, fleet.store_relay)
+    fleet.urls["store"] = f"http://{at}"
+
+
+def _write_certificates(fleet):
+    ca = trustme.CA()
+    cert = ca.issue_cert("carobstand.internal")
+    paths = {name: str(fleet.folder / f"{name}.pem") for name in ("cert", "key", "ca")}
+    cert.cert_chain_pems[0].write_to_path(paths["cert"])
+    cert.private_key_pem.write_to_path(paths["key"])
+    ca.cert_pem.write_to_path(paths["ca"])
+    return [part for name in paths for part in (f"--tls-{name}", paths[name])]
+
+
+async def _add(fleet, name, role, host, argv, **fields):
+    region, domain = DOMAINS[len(fleet.programs) % len(DOMAINS)]
+    at = relay.Relay(f"{host}:{RELAY_PORT}", f"{host}:{PROCESS_PORT}")
+    await fleet.tg.start(relay.serve, at)
+    common = {
+        "vm": name,
+        "failure-domain": domain,
+        "region": region,
+        "listen": at.target,
+        "address": at.address,
+        "status-listen": f"{host}:{STATUS_PORT}",
+        "vms-url": fleet.urls["vms"],
+        "log-file": str(fleet.folder / f"{name}.log"),
+    }
+    flags = [part for key, value in common.items() for part in (f"--{key}", value)]
+    program = Program(name, role, host, [*flags, *argv], at, **fields)
+    fleet.programs[name] = program
+    await list_vm(fleet, program, domain, region)
+
+
+async def list_vm(fleet, program, domain, region, leaving=False):
+    """Put the VM of `program` on the VM list."""
+    line = {
+        "address": program.relay.address,
+        "failure_domain": domain,
+        "region": region,
+        "services": list(program.services),
+        "leaving": leaving,
+    }
+    path = f"/v1/vms/{program.role}/{program.name}"
+    (await fleet.http.put(fleet.urls["vms"] + path, json=line)).raise_for_status()
+
+
+async def _add_entry(fleet, i, tls_flags):
+    host = fleet.host(i)
+    argv = ["--http-listen", f"{host}:{HTTP_PORT}", "--store-url", fleet.urls["store"]]
+    argv += ["--request-timeout-s", "20", "--leave-delay-s", "1", *tls_flags]
+    await _add(fleet, f"entry-{i}", "entry", host, argv)
+
+
+async def _add_agent(fleet, kind, i, tls_flags):
+    host = fleet.host((50 if kind == "engine" else 150) + i)
+    service = "salahkar" if kind == "engine" else "order-desk"
+    backend = f"{kind}-{i}"
+    argv = ["--services", service, "--backend-type", kind]
+    argv += ["--backend-url", fleet.urls[backend], *tls_flags]
+    argv += ["--origin-url", fleet.urls["origin"]]
+    argv += ["--weights-listen", f"{host}:{WEIGHTS_PORT}", "--drain-timeout-s", "30"]
+    argv += ["--weights-memory-bytes", str(64 * 1024 * 1024)]
+    name = f"agent-{kind}-{i}"
+    await _add(fleet, name, "agent", host, argv, services=(service,), backend=backend)
+
+
+async def _publish(fleet, versions):
+    """Upload the weights of each version and write the first table."""
+    client = origin.http_origin(fleet.urls["origin"])
+    for i, name in enumerate(versions):
+        data = b"".join(
+            hashlib.sha256(f"{fleet.seed} {i if n % 3 else 0} {n}".encode()).digest()
+            * (CHUNK_BYTES // 32)
+            for n in range(8)
+        )
+        manifest, chunks = manifests.build([("weights.bin", data)], CHUNK_BYTES)
+        for digest, chunk in chunks.items():
+            await client.publish_chunk(digest, chunk)
+        content = manifests.encode(manifest)
+        fleet.versions[name] = manifests.digest_of(content)
+        await client.publish_manifest(fleet.versions[name], content)
+    await client.close()
+    fleet.keys = {f"customer-{i}": f"key-{i}-{fleet.seed}" for i in range(1, 5)}
+    rows = [
+        tables.ServiceRow("salahkar", "engine", 16, 64, "time", 0.5),
+        tables.ServiceRow(
+            "order-desk", "plain", 16, 64, max_out=0.5, non_idempotent=("POST /orders",)
+        ),
+    ]
+    for i, (name, digest) in enumerate(fleet.versions.items()):
+        rows.append(tables.VersionRow(name, "salahkar", digest, weight=float(not i)))
+    for program in of_role(fleet, "agent"):
+        rows.append(tables.BackendRow(program.name, program.services[0], 1.0))
+    for name, key in fleet.keys.items():
+        digest = hashlib.sha256(key.encode()).hexdigest()
+        rows.append(tables.CustomerRow(name, digest, 1.0, 1000.0, 200, 5))
+    client = store.http_store(fleet.direct_store)
+    author = edits.Author("bench", 1.0, "first")
+    await edits.accept(client, tables.EMPTY, tuple(rows), author, "first table")
+    await client.close()
+
+
+async def start(fleet, program):
+    """Start the process of `program`."""
+    module = f"carobstand.{program.role}.main"
+    program.process = _spawn(fleet, program.name, module, program.argv)
+    program.running = True
+
+
+async def stop(program, how, timeout_s=40.0):
+    """Send SIGTERM or SIGKILL and wait; return the exit status, None if it hangs."""
+    program.running = False
+    if how == signal.SIGKILL:
+        program.kills.append(anyio.current_time())
+    program.process.send_signal(how)
+    with anyio.move_on_after(timeout_s):
+        while program.process.poll() is None:
+            await anyio.sleep(0.02)
+        program.exits.append((how.name, program.process.returncode))
+        return program.process.returncode
+    program.exits.append((how.name, None))
+    _kill_process(program.process)
+    return None
+
+
+async def pause(program, seconds):
+    """Stop the process with SIGSTOP for `seconds`."""
+    program.pauses += 1
+    program.process.send_signal(signal.SIGSTOP)
+    try:
+        await anyio.sleep(seconds)
+    finally:
+        program.process.send_signal(signal.SIGCONT)
+
+
+async def is_ready(fleet, program):
+    """Return whether the readiness check of `program` passes."""
+    try:
+        url = f"{program.status_url}/readyz"
+        return (await fleet.http.get(url, timeout=0.7)).status_code == 200
+    except httpx.HTTPError:
+        return False
+
+
+async def status(fleet, program):
+    """Return the status of `program`, or None if it does not answer."""
+    try:
+        answer = await fleet.http.get(f"{program.status_url}/status", timeout=1.5)
+        return answer.json() if answer.status_code == 200 else None
+    except (httpx.HTTPError, ValueError):
+        return None
+
+
+async def until(condition, what, timeout_s=READY_TIMEOUT_S):
+    """Wait until the async callable `condition` returns true.
+
+    Raises
+    ------
+    TimeoutError
+        That names `what`.
+    """
+    with anyio.move_on_after(timeout_s):
+        while not await condition():
+            await anyio.sleep(0.1)
+        return
+    raise TimeoutError(f"not within {timeout_s} s: {what}")
+
+
+async def until_ready(fleet, program, timeout_s=READY_TIMEOUT_S):
+    """Wait until `program` is ready."""
+
+    async def ready():
+        if program.process.poll() is not None:
+            raise RuntimeError(f"{program.name} exited: {program.process.returncode}")
+        return await is_ready(fleet, program)
+
+    await until(ready, f"{program.name} is ready", timeout_s)
+
+
+async def _serves(fleet, version):
+    return await serving(fleet) == {
+        program.name: [version]
+        for program in of_role(fleet, "agent")
+        if program.services == ("salahkar",)
+    }
+
+
+async def serving(fleet):
+    """Return what each engine itself says that it serves, by the agent's name."""
+    found = {}
+    for program in of_role(fleet, "agent"):
+        if program.services == ("salahkar",):
+            answer = await fleet.http.get(fleet.urls[program.backend] + "/admin/state")
+            found[program.name] = sorted(answer.json()["serving"])
+    return found
+
+
+async def faults(fleet, standin, **switches):
+    """Set fault switches of a stand-in; without arguments reset them."""
+    url = fleet.direct_store if standin == "store" else fleet.urls[standin]
+    url += "/standin/faults"
+    if switches:
+        answer = await fleet.http.post(url, json=switches)
+    else:
+        answer = await fleet.http.delete(url)
+    answer.raise_for_status()
+
+
+async def stats(fleet, standin):
+    """Return the counters of a stand-in."""
+    url = fleet.direct_store if standin == "store" else fleet.urls[standin]
+    return (await fleet.http.get(f"{url}/standin/stats")).json()
+
+
+def errors_of(fleet):
+    """Return what the processes wrote to standard error, by name."""
+    found = {}
+    for path in sorted(fleet.folder.glob("*.err")):
+        if text := path.read_text(errors="replace").strip():
+            found[path.stem] = text
+    return found
--- /dev/null
+++ b/bench/soak_checks.py
@@ -0,0 +1,266 @@
+"""Operators and observers of a soak run: edits, revisions, versions, processes."""
+
+import collections
+
+import anyio
+import attrs
+
+from bench import callers
+from bench import fleet as fleets
+from carobstand import errors
+from carobstand.cli import edits
+from carobstand.core import table as tables
+from carobstand.platform import store
+
+FAULTS = (
+    "table_reverts",
+    "changes_lost",
+    "changes_late",
+    "weights_violations",
+    "not_converged",
+    "bad_exit",
+    "stuck_requests",
+)
+"""Findings that must be 0."""
+
+IN_FORCE_S = 9.0
+"""Longest time until an accepted change is in force everywhere."""
+
+
+@attrs.define(eq=False)
+class Operators:
+    """Edits: `accepted` maps change ids to revisions, `refused` holds change ids."""
+
+    rng: object
+    accepted: dict = attrs.field(factory=dict)
+    refused: set = attrs.field(factory=set)
+    counts: collections.Counter = attrs.field(factory=collections.Counter)
+    number: int = 0
+
+
+@attrs.define(eq=False)
+class Watch:
+    """What the status ports showed: highest revision per start id, ready entries."""
+
+    revisions: dict = attrs.field(factory=dict)
+    ready: dict = attrs.field(factory=dict)
+    events: list = attrs.field(factory=list)
+
+
+def disturb(watch, what):
+    """Note a fault, for the report."""
+    watch.events.append((anyio.current_time(), what))
+
+
+def ready_entries(soak):
+    """Return the entries whose readiness check passed last, as a load balancer."""
+    return [
+        program
+        for program in fleets.of_role(soak.fleet, "entry")
+        if soak.watch.ready.get(program.name)
+    ]
+
+
+async def watch_loop(soak):
+    """Read the readiness and status of each process again and again."""
+
+    async def one(program):
+        while True:
+            if program.role == "entry":
+                ready = await fleets.is_ready(soak.fleet, program)
+                soak.watch.ready[program.name] = ready
+            body = await fleets.status(soak.fleet, program)
+            if body is not None:
+                _note_revision(soak, program, body)
+            await anyio.sleep(0.3)
+
+    async with anyio.create_task_group() as tg:
+        for program in soak.fleet.programs.values():
+            tg.start_soon(one, program)
+
+
+def _note_revision(soak, program, body):
+    key = (program.name, body["start_id"])
+    seen = {"table": body["table_revision"], **body["plan_revisions"]}
+    former = soak.watch.revisions.setdefault(key, {})
+    for name, revision in seen.items():
+        if revision < former.get(name, 0):
+            callers.find(
+                soak.tally,
+                "table_reverts",
+                f"{program.name}: {name} from {former[name]} to {revision}",
+            )
+        former[name] = max(revision, former.get(name, 0))
+
+
+async def planner(fleet):
+    """Return the entry that holds the planner lease, or None."""
+    client = store.http_store(fleet.direct_store)
+    try:
+        item = await client.get("lease/planner")
+    except errors.StoreError:
+        return None
+    finally:
+        await client.close()
+    for program in fleets.of_role(fleet, "entry"):
+        body = await fleets.status(fleet, program)
+        if item is not None and body and body["start_id"].encode() in item.value:
+            return program
+    return None
+
+
+def _edited(operators, current):
+    """Return rows with one random edit: the version served, or a limit."""
+    rng = operators.rng
+    if rng.random() < 0.5:
+        versions = [row.name for row in tables.versions(current, "salahkar")]
+        chosen = rng.choice(versions)
+        for name in versions:
+            key = ("version", name, "salahkar")
+            weight = "1" if name == chosen else "0"
+            rows = tables.set_cells(current, key, {"weight": weight})
+            current = attrs.evolve(current, rows=rows, digest_sum=0)
+        return current.rows, f"serve {chosen}"
+    name = rng.choice([row.name for row in current.rows if row.kind == "customer"])
+    rate = str(rng.randrange(500, 2000))
+    key = ("customer", name, "")
+    return tables.set_cells(current, key, {"rate_per_s": rate}), f"{name} {rate}/s"
+
+
+async def operator_loop(soak, name):
+    """Edit the table until the run stops, as a second operator does the same."""
+    operators = soak.operators
+    client = store.http_store(soak.fleet.urls["store"])
+    while not soak.stop.is_set():
+        await anyio.sleep(operators.rng.uniform(0.5, 5))
+        await _edit(soak, client, name)
+    await client.close()
+
+
+async def _edit(soak, client, name):
+    operators = soak.operators
+    operators.number += 1
+    change_id = f"{name}-{operators.number}"
+    try:
+        _, base = await edits.read(client)
+        rows, summary = _edited(operators, base)
+        await anyio.sleep(operators.rng.uniform(0, 0.5))
+        author = edits.Author(name, float(operators.number), change_id)
+        revision = await edits.accept(client, base, rows, author, summary)
+    except errors.ConflictError:
+        operators.counts["conflict"] += 1
+        operators.refused.add(change_id)
+    except errors.StoreUnavailableError as exc:
+        operators.counts["store unavailable"] += 1
+        if "was not accepted" in exc.message:
+            operators.refused.add(change_id)
+    except errors.TableError:
+        operators.counts["store garbage"] += 1
+    else:
+        operators.counts["accepted"] += 1
+        operators.accepted[change_id] = revision
+        return revision
+    return None
+
+
+async def settle(soak, timeout_s):
+    """Wait until requests have ended, then change the table and see it in force."""
+    fleet = soak.fleet
+    for program in fleet.programs.values():
+        if program.process.poll() is None:
+            await fleets.until_ready(fleet, program, 60)
+    with anyio.move_on_after(timeout_s):
+        while soak.tally.open:
+            await anyio.sleep(0.1)
+    if soak.tally.open:
+        callers.find(soak.tally, "stuck_requests", f"{soak.tally.open} open")
+    client = store.http_store(fleet.direct_store)
+    for _ in range(3):
+        await _edit_and_wait(soak, client)
+    await client.close()
+    await _converge(soak, timeout_s)
+
+
+async def _edit_and_wait(soak, client):
+    revision = await _edit(soak, client, "final")
+    if revision is None:
+        callers.find(soak.tally, "changes_lost", "no change was accepted in calm")
+        return
+
+    async def behind():
+        found = []
+        for program in soak.fleet.programs.values():
+            body = await fleets.status(soak.fleet, program)
+            if body is None or body["table_revision"] < revision:
+                found.append(program.name)
+        return found
+
+    with anyio.move_on_after(IN_FORCE_S):
+        while await behind():
+            await anyio.sleep(0.1)
+        return
+    late = await behind()
+    callers.find(soak.tally, "changes_late", f"revision {revision}: {late}")
+
+
+async def _converge(soak, timeout_s):
+    """Wait until every engine serves exactly the version with weight."""
+    client = store.http_store(soak.fleet.direct_store)
+    _, current = await edits.read(client)
+    await client.close()
+    rows = tables.versions(current, "salahkar")
+    wanted = [row.name for row in rows if row.weight > 0]
+    found = {}
+
+    async def converged():
+        nonlocal found
+        found = await fleets.serving(soak.fleet)
+        return all(wanted[0] in served for served in found.values())
+
+    try:
+        await fleets.until(converged, f"engines serve {wanted}", timeout_s)
+    except TimeoutError:
+        callers.find(soak.tally, "not_converged", f"{wanted}, engines serve {found}")
+
+
+async def check_backends(soak):
+    """Compare orders with what the plain services ran; check engines and exits."""
+    runs = collections.Counter()
+    for program in fleets.of_role(soak.fleet, "agent"):
+        found = await fleets.stats(soak.fleet, program.backend)
+        if program.services == ("salahkar",):
+            for kind, count in found["violations"].items():
+                detail = f"{program.backend}: {count} {kind}"
+                callers.find(soak.tally, "weights_violations", detail)
+        else:
+            runs.update(found["runs"])
+    callers.check_orders(soak.tally, runs)
+
+
+async def check_operators(soak):
+    """Check that accepted changes are in the history and refused ones are not."""
+    client = store.http_store(soak.fleet.direct_store)
+    _, current = await edits.read(client)
+    written = {}
+    for revision in range(1, current.revision + 1):
+        found = await edits.read_revision(client, revision)
+        written[found.change_id] = revision
+    await client.close()
+    for change_id, revision in soak.operators.accepted.items():
+        if written.get(change_id) != revision:
+            detail = f"{change_id} accepted as {revision}: {written.get(change_id)}"
+            callers.find(soak.tally, "changes_lost", detail)
+    for change_id in soak.operators.refused & set(written):
+        detail = f"{change_id} refused, but is revision {written[change_id]}"
+        callers.find(soak.tally, "changes_lost", detail)
+
+
+def check_processes(soak):
+    """Check that no process ended on its own or wrote a traceback."""
+    for program in soak.fleet.programs.values():
+        status = program.process.poll()
+        if program.running and status is not None:
+            detail = f"{program.name} exited on its own: {status}"
+            callers.find(soak.tally, "bad_exit", detail)
+    for name, text in fleets.errors_of(soak.fleet).items():
+        callers.find(soak.tally, "bad_exit", f"{name} wrote: {text[-600:]}")
