--- a/bench/__init__.py
+++ b/bench/__init__.py
@@ -1,1 +1,1 @@
-"""Benches and long runs; see section 16 of the design page."""
+"""Benches and long runs; see section 16 of docs/design.md."""
