--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,9 @@
 SEED ?= 1
 export PYTHONPATH := src:.
 
-.PHONY: demo test install format gen bench-control soak-control
+.PHONY: demo test install format gen
+.PHONY: bench-weights bench-requests bench-control
+.PHONY: soak-weights soak-requests soak-control soak-processes
 
 $(VENV)/.installed: requirements.lock pyproject.toml
 	test -x $(PY) || python3 -m venv $(VENV)
@@ -22,12 +24,27 @@
 	$(PY) -m ruff check .
 	$(PY) -m pytest
 
+bench-weights: install
+	$(PY) -m bench.weights
+
+bench-requests: install
+	$(PY) -m bench.requests
+
 bench-control: install
 	$(PY) -m bench.control
 
+soak-weights: install
+	$(PY) -m bench.soak_weights --seed $(SEED)
+
+soak-requests: install
+	$(PY) -m bench.soak_requests --seed $(SEED)
+
 soak-control: install
 	$(PY) -m bench.soak_control --seed $(SEED)
 
+soak-processes: install
+	$(PY) -m bench.soak_processes --seed $(SEED)
+
 format:
 	$(PY) -m ruff format .
 	$(PY) -m ruff check --fix .
