--- a/src/carobstand/agent/activation.py
+++ b/src/carobstand/agent/activation.py
@@ -3,7 +3,6 @@
 import socket
 
 import anyio
-import hypercorn.asyncio
 
 from carobstand import errors, logs, webserver
 from carobstand.core import activation, chunks
@@ -25,11 +24,12 @@
     sock = open_source(state.cfg)
 
     async def run():
-        with sock:
-            host, port = sock.getsockname()[:2]
-            async with anyio.create_task_group() as tg:
-                tg.start_soon(_serve_weights, state, sock)
-                tg.start_soon(command, state, f"http://{host}:{port}")
+        host, port = sock.getsockname()[:2]
+        async with anyio.create_task_group() as tg:
+            # The server closes the descriptor, so the socket object gives it up.
+            bind = f"fd://{sock.detach()}"
+            tg.start_soon(webserver.serve, weights_app(state), bind, anyio.Event())
+            tg.start_soon(command, state, f"http://{host}:{port}")
 
     return handlers.Part(run=run)
 
@@ -204,15 +204,6 @@
     return sock
 
 
-async def _serve_weights(state, sock):
-    """Serve manifests and files to the backend server until cancelled."""
-    config = webserver.config(f"fd://{sock.fileno()}")
-    never = anyio.Event()
-    await hypercorn.asyncio.serve(
-        weights_app(state), config, shutdown_trigger=never.wait, mode="asgi"
-    )
-
-
 def weights_app(state):
     """Return the ASGI application of ``/manifests`` and ``/weights``."""
 
