Let served versions answer until the version with the share is served

Cause: one change that moved the whole share from v1 to v2 left no served version with a share, and requests were refused until the first VM served v2. Ruled out: overload (10 requests/s) and the length of the queue itself.

--- a/src/carobstand/core/routing.py
+++ b/src/carobstand/core/routing.py
@@ -102,6 +102,9 @@
 def choose_version(weights, served, wanted, fingerprint):
     """Return the version that a request goes to, or None.
 
+    While no version with a share is served yet, for example when one change moves the
+    whole share to a new version, the versions that are still served take the requests.
+
     Parameters
     ----------
     weights : dict of str to float
@@ -118,7 +121,10 @@
     shares = [(name, weights[name]) for name in sorted(weights) if name in served]
     total = sum(weight for _, weight in shares)
     if total <= 0:
-        return None
+        if not any(weight > 0 for weight in weights.values()):
+            return None
+        shares = [(name, 1.0) for name in sorted(served)]
+        total = len(shares)
     point = hash_of("version", fingerprint) / (_MASK + 1) * total
     for name, weight in shares:
         point -= weight
--- /dev/null
+++ b/testing/test_rollout_routing.py
@@ -0,0 +1,21 @@
+"""Guards against refused requests while the whole share moves to a new version."""
+
+from carobstand.core import routing
+
+
+def test_the_old_version_answers_until_the_new_one_is_served():
+    weights = {"v1": 0.0, "v2": 1.0}
+    assert routing.choose_version(weights, {"v1"}, "", "f") == "v1"
+    assert routing.choose_version(weights, {"v1", "v2"}, "", "f") == "v2"
+
+
+def test_a_service_without_any_share_gets_no_requests():
+    assert routing.choose_version({"v1": 0.0}, {"v1"}, "", "f") is None
+
+
+def test_a_version_whose_row_was_replaced_answers_until_its_successor_is_served():
+    assert routing.choose_version({"v2": 1.0}, {"v1"}, "", "f") == "v1"
+
+
+def test_a_version_that_the_caller_names_is_never_replaced_by_another():
+    assert routing.choose_version({"v2": 1.0}, {"v1"}, "v2", "f") is None
