Keep serving versions without a share until one with a share is served

Cause of the 125 refused requests of carobstand-local: the table moves all traffic from v1 to v2 in one change, and until the first VM serves v2 no served version has a weight above 0, so that requests waited and were refused as "queue too long". The served versions go on then (core/routing.py, lane requests).

--- a/src/carobstand/core/routing.py
+++ b/src/carobstand/core/routing.py
@@ -99,6 +99,9 @@
 def choose_version(weights, served, wanted, fingerprint):
     """Return the version that a request goes to, or None.
 
+    While no version with a share is served, such as after all traffic was moved to a
+    version that is still being fetched, the served versions without a share go on.
+
     Parameters
     ----------
     weights : dict of str to float
@@ -113,9 +116,12 @@
     if wanted:
         return wanted if wanted in served else None
     shares = [(name, weights[name]) for name in sorted(weights) if name in served]
+    if not shares:
+        return None
     total = sum(weight for _, weight in shares)
     if total <= 0:
-        return None
+        shares = [(name, 1.0) for name, _ in shares]
+        total = float(len(shares))
     point = hash_of("version", fingerprint) / (_MASK + 1) * total
     for name, weight in shares:
         point -= weight
--- a/src/carobstand/local.py
+++ b/src/carobstand/local.py
@@ -31,6 +31,9 @@
 FIRST_BYTES = 8 * MIB
 """Size of the version that is served before the rollout."""
 
+SEEDED_FILE_BYTES = 8 * MIB
+"""Size of a file of the seeded data; engines read several files at a time."""
+
 MEMORY_LIMIT_BYTES = 8 * 1024 * MIB
 """Memory that the weights on all VMs together may take on this machine."""
 
@@ -235,7 +238,9 @@
 
 async def _inspect(source, report, fleet, manifest):
     """Compare the weights on every VM with the source, and read the counters."""
-    for vm, status in (await local_fleet.statuses(fleet)).items():
+    async with http.client("", local_fleet.STATUS_TIMEOUT_S) as client:
+        statuses = await local_fleet.statuses(fleet, client)
+    for vm, status in statuses.items():
         held = local_fleet.replica(status, manifest)
         report.origin_bytes[vm] = held["origin_bytes"] if held else None
     for order in plain.doubled(fleet.plain):
@@ -367,7 +372,7 @@
     left, number = cfg.weights_bytes, 0
     while left:
         number += 1
-        size = min(left, 24 * MIB)
+        size = min(left, SEEDED_FILE_BYTES)
         root.joinpath(f"model-{number:03}.bin").write_bytes(rng.randbytes(size))
         left -= size
     return root
--- a/src/carobstand/local_fleet.py
+++ b/src/carobstand/local_fleet.py
@@ -34,9 +34,11 @@
 TOKEN_S = 0.028
 """Time per token of the engines; the target of section 1 of the design page."""
 
-POLL_INTERVAL_S = 0.2
+POLL_INTERVAL_S = 0.4
 """Time between reads of the status ports."""
 
+STATUS_TIMEOUT_S = 2.0
+
 
 @attrs.define(eq=False)
 class Fleet:
@@ -220,21 +222,20 @@
     return sorted(vm for vm, ended in fleet.ended.items() if not ended.is_set())
 
 
-async def statuses(fleet):
+async def statuses(fleet, client):
     """Return the status of each engine's agent, by VM; None where it gives none."""
     found = dict.fromkeys(fleet.agents)
 
-    async def ask(client, vm, cfg):
+    async def ask(vm, cfg):
         try:
             resp = await client.get(f"http://{cfg.status_listen}/status")
             found[vm] = resp.json()
         except (httpx.HTTPError, ValueError):
             return
 
-    async with http.client("", 2.0) as client:
-        async with anyio.create_task_group() as tg:
-            for vm, cfg in fleet.agents.items():
-                tg.start_soon(ask, client, vm, cfg)
+    async with anyio.create_task_group() as tg:
+        for vm, cfg in fleet.agents.items():
+            tg.start_soon(ask, vm, cfg)
     return found
 
 
@@ -268,20 +269,21 @@
     """
     began = anyio.current_time()
     served, seen = {}, {}
-    while len(served) < len(fleet.agents):
-        elapsed_s = anyio.current_time() - began
-        if elapsed_s > timeout_s:
-            raise errors.WeightsError(
-                f"not served within {timeout_s:.0f} s; {_missing(seen, served)}",
-                step="local.rollout",
-                peer=",".join(vm for vm in fleet.agents if vm not in served),
-            )
-        for vm, status in (await statuses(fleet)).items():
-            seen[vm] = replica(status, manifest)
-            on_progress(vm, seen[vm], elapsed_s)
-            if seen[vm] and seen[vm]["phase"] == "serving":
-                served.setdefault(vm, anyio.current_time() - began)
-        await anyio.sleep(POLL_INTERVAL_S)
+    async with http.client("", STATUS_TIMEOUT_S) as client:
+        while len(served) < len(fleet.agents):
+            elapsed_s = anyio.current_time() - began
+            if elapsed_s > timeout_s:
+                raise errors.WeightsError(
+                    f"not served within {timeout_s:.0f} s; {_missing(seen, served)}",
+                    step="local.rollout",
+                    peer=",".join(vm for vm in fleet.agents if vm not in served),
+                )
+            for vm, status in (await statuses(fleet, client)).items():
+                seen[vm] = replica(status, manifest)
+                on_progress(vm, seen[vm], elapsed_s)
+                if seen[vm] and seen[vm]["phase"] == "serving":
+                    served.setdefault(vm, anyio.current_time() - began)
+            await anyio.sleep(POLL_INTERVAL_S)
     return served
 
 
--- a/src/carobstand/local_traffic.py
+++ b/src/carobstand/local_traffic.py
@@ -17,7 +17,7 @@
 PROMPTS = 12
 """Number of different starts of prompts; repeats hit the prefix cache."""
 
-ORDER_INTERVAL_S = 0.2
+ORDER_INTERVAL_S = 0.5
 
 REFUSED_PAUSE_S = 0.2
 """Pause of a caller whose request was refused."""
