--- a/src/carobstand/agent/executor.py
+++ b/src/carobstand/agent/executor.py
@@ -95,10 +95,17 @@
     active: int = 0
 
 
-def part(state):
-    """Return the handlers and the loop that run attempts on this agent."""
-    ex = Executor(state, _client(state.cfg.backend_url), attempts.Attempts("unset"))
-    ex.held.start_id = state.start_id
+def part(state, client=None):
+    """Return the handlers and the loop that run attempts on this agent.
+
+    Parameters
+    ----------
+    state : agent.state.AgentState
+    client : httpx.AsyncClient or None
+        None connects to the backend server of the settings.
+    """
+    client = client or _client(state.cfg.backend_url)
+    ex = Executor(state, client, attempts.Attempts(state.start_id))
 
     async def on_attempt(conn, message):
         _on_attempt(ex, conn, message)
--- a/src/carobstand/entry/claimstore.py
+++ b/src/carobstand/entry/claimstore.py
@@ -50,6 +50,8 @@
         item = await state.store.put(key, claims.encode(claim), expect, lease)
         return events.ClaimWritten(item.revision)
     except errors.ConflictError:
+        # The lease may have lapsed, for example because the store lost it.
+        claiming.lease.id = None
         return events.ClaimNotWritten(conflict=True)
     except errors.StoreError as exc:
         logs.event("claim.unwritten", error=exc.message, step=exc.step)
@@ -105,7 +107,7 @@
 
 async def ask(state, claiming, claim):
     """Ask the agent that a claim names; return the event with its reply."""
-    peer = state.agents.get(claim.vm)
+    peer = await _connected(state, claim.vm)
     if peer is None:
         return events.AgentSilent(gone=False)
     if peer.hello.start_id != claim.agent_start_id:
@@ -132,6 +134,14 @@
     return events.AgentReplied(_PHASES[waiter.reply.phase], _stored(waiter.reply))
 
 
+async def _connected(state, vm):
+    """Return the agent on `vm`, which an entry that has just started may lack."""
+    deadline = anyio.current_time() + ASK_TIMEOUT_S
+    while vm not in state.agents and anyio.current_time() < deadline:
+        await state.changed.wait(0.1)
+    return state.agents.get(vm)
+
+
 @attrs.define(eq=False)
 class Waiter:
     """One question to an agent."""
--- a/src/carobstand/wire/connection.py
+++ b/src/carobstand/wire/connection.py
@@ -297,7 +297,7 @@
         now = anyio.current_time()
         if now - wake_at > PING_INTERVAL_S / 2 and conn.quiet_since is not None:
             conn.quiet_since = now
-        if conn.quiet_since is not None and now - conn.quiet_since >= SILENT_S:
+        if conn.quiet_since is not None and now >= conn.quiet_since + SILENT_S:
             _fail(conn, f"peer silent for {now - conn.quiet_since:.1f} s")
         if conn.write_since is not None and now - conn.write_since >= STALL_S:
             _fail(conn, f"peer does not read for {now - conn.write_since:.1f} s")
