--- a/bench/soak_requests.py
+++ b/bench/soak_requests.py
@@ -448,7 +448,7 @@
     return [(), *singles, *itertools.combinations(names, 2)]
 
 
-def main(*, seed: str = "1", only: str | None = None, part: str = "1/1"):
+def main(*, seed: str = "1", only: str = "all", part: str = "1/1"):
     """Run all scenarios of a seed; exit status 1 if a count that must be 0 is not.
 
     Parameters
@@ -456,14 +456,14 @@
     seed : str
         Decides every delay and fault.
     only : str
-        Faults joined by ``+``; only they are run, together. Empty: no fault.
+        Faults joined by ``+``: only they are run, together; ``none`` for no fault.
     part : str
         ``i/n`` runs the i-th of n parts of the scenarios.
     """
     number, parts = map(int, part.split("/"))
     chosen = scenarios(list(FAULTS))[number - 1 :: parts]
-    if only is not None:
-        chosen = [tuple(name for name in only.split("+") if name)]
+    if only != "all":
+        chosen = [tuple(name for name in only.split("+") if name != "none")]
     total, failures = collections.Counter(), []
     begun = time.monotonic()
     for kinds in chosen:
--- a/src/carobstand/agent/executor.py
+++ b/src/carobstand/agent/executor.py
@@ -45,6 +45,9 @@
 )
 """Headers that concern one connection only and are not forwarded."""
 
+DROPPED_HEADERS = HOP_HEADERS | {"date", "server"}
+"""Headers of an answer that are not passed on; the entry's own server adds some."""
+
 _OUTCOMES = {
     attempts.Outcome.DONE: ttypes.Outcome.DONE,
     attempts.Outcome.NOT_RUN: ttypes.Outcome.NOT_RUN,
@@ -418,7 +421,7 @@
     return tuple(
         (name.decode("latin-1"), value.decode("latin-1"))
         for name, value in resp.headers.raw
-        if name.decode("latin-1").lower() not in HOP_HEADERS
+        if name.decode("latin-1").lower() not in DROPPED_HEADERS
     )
 
 
