--- a/src/carobstand/agent/executor.py
+++ b/src/carobstand/agent/executor.py
@@ -45,6 +45,9 @@
 )
 """Headers that concern one connection only and are not forwarded."""
 
+DROPPED_HEADERS = HOP_HEADERS | {"date", "server"}
+"""Headers of an answer that are not passed on; the entry's own server adds some."""
+
 _OUTCOMES = {
     attempts.Outcome.DONE: ttypes.Outcome.DONE,
     attempts.Outcome.NOT_RUN: ttypes.Outcome.NOT_RUN,
@@ -95,10 +98,17 @@
     active: int = 0
 
 
-def part(state):
-    """Return the handlers and the loop that run attempts on this agent."""
-    ex = Executor(state, _client(state.cfg.backend_url), attempts.Attempts("unset"))
-    ex.held.start_id = state.start_id
+def part(state, client=None):
+    """Return the handlers and the loop that run attempts on this agent.
+
+    Parameters
+    ----------
+    state : agent.state.AgentState
+    client : httpx.AsyncClient or None
+        None connects to the backend server of the settings.
+    """
+    client = client or _client(state.cfg.backend_url)
+    ex = Executor(state, client, attempts.Attempts(state.start_id))
 
     async def on_attempt(conn, message):
         _on_attempt(ex, conn, message)
@@ -411,7 +421,7 @@
     return tuple(
         (name.decode("latin-1"), value.decode("latin-1"))
         for name, value in resp.headers.raw
-        if name.decode("latin-1").lower() not in HOP_HEADERS
+        if name.decode("latin-1").lower() not in DROPPED_HEADERS
     )
 
 
