--- a/src/carobstand/agent/activation.py
+++ b/src/carobstand/agent/activation.py
@@ -26,7 +26,9 @@
     async def run():
         host, port = sock.getsockname()[:2]
         async with anyio.create_task_group() as tg:
-            tg.start_soon(_serve_weights, state, sock)
+            # The server closes the descriptor, so the socket object gives it up.
+            bind = f"fd://{sock.detach()}"
+            tg.start_soon(webserver.serve, weights_app(state), bind, anyio.Event())
             tg.start_soon(command, state, f"http://{host}:{port}")
 
     return handlers.Part(run=run)
@@ -202,14 +204,6 @@
     return sock
 
 
-async def _serve_weights(state, sock):
-    """Serve manifests and files to the backend server until cancelled."""
-    never = anyio.Event()
-    # hypercorn closes the descriptor that it is given.
-    address = f"fd://{sock.detach()}"
-    await webserver.serve(weights_app(state), address, never)
-
-
 def weights_app(state):
     """Return the ASGI application of ``/manifests`` and ``/weights``."""
 
