Measure the forwarding rate of a saturated entry

An agent without a backend server feeds the entry, so that stand-in engines do not limit the rate; the proxy of hypercorn and httpx alone is fed by plain streams.

--- a/bench/plain_proxy.py
+++ b/bench/plain_proxy.py
@@ -1,10 +1,14 @@
-"""A proxy of hypercorn and httpx alone, the baseline for the forwarding rate."""
+"""A proxy of hypercorn and httpx alone, the baseline for the forwarding rate.
+
+Without a URL to pass on to it is the source of streams behind such a proxy.
+"""
 
 import sys
 
 import anyio
 import httpx
 
+from bench import fake_agent
 from carobstand import webserver
 
 
@@ -40,10 +44,30 @@
     return application
 
 
+async def source(scope, receive, send):
+    """Answer every request with the stream that `bench.fake_agent` sends."""
+    if scope["type"] == "lifespan":
+        while True:
+            message = await receive()
+            await send({"type": f"{message['type']}.complete"})
+            if message["type"] == "lifespan.shutdown":
+                return
+    headers = [(b"content-type", b"text/event-stream")]
+    await send({"type": "http.response.start", "status": 200, "headers": headers})
+    due = anyio.current_time()
+    for _ in range(fake_agent.TOKENS):
+        due += fake_agent.STEP_S
+        await anyio.sleep_until(due)
+        part = {"type": "http.response.body", "body": fake_agent.TOKEN}
+        await send({**part, "more_body": True})
+    await send({"type": "http.response.body", "body": b""})
+
+
 def main():
-    """Serve on the address given first; pass on to the URL given second."""
-    address, url = sys.argv[1:]
-    anyio.run(webserver.serve, app(url), address, anyio.Event())
+    """Serve on the address given first; pass on to the URL given second, if any."""
+    address, *url = sys.argv[1:]
+    application = app(url[0]) if url else source
+    anyio.run(webserver.serve, application, address, anyio.Event())
 
 
 if __name__ == "__main__":
--- a/bench/request_fleet.py
+++ b/bench/request_fleet.py
@@ -76,7 +76,7 @@
     flags : sequence of str
         Further settings of the engines.
     """
-    folder = pathlib.Path(tempfile.mkdtemp(prefix="carobstand-"))
+    folder = pathlib.Path(tempfile.mkdtemp(prefix="bench-requests-"))
     number = os.getpid() % 60_000 + 4000
     base = f"127.{number >> 8}.{number & 255}"
     async with httpx.AsyncClient(timeout=5, trust_env=False) as http:
@@ -122,7 +122,10 @@
         argv += ["--origin-url", fleet.urls["origin"]]
         argv += ["--weights-listen", f"{host}:7003"]
         await _program(fleet, "agent", f"agent-{num}", host, argv, ("salahkar",))
-    await publish(fleet, "v1")
+    if engines:
+        await publish(fleet, "v1")
+    else:
+        fleet.manifests["v1"] = "a" * 64
     await set_weights(fleet, {"v1": 1.0})
     await until_serving(fleet, "v1")
     # Entries and agents need a moment more to learn of it.
--- a/bench/requests.py
+++ b/bench/requests.py
@@ -159,50 +159,66 @@
 
 
 async def forwarding(seconds):
-    """Return tokens per CPU second of an entry, and of the libraries alone."""
-    flags = ("--token-s", "0.02", "--prefill-miss-s", "0")
+    """Return tokens per second of a saturated entry, and of the libraries alone.
+
+    An entry is fed by agents without a backend server, the proxy of the libraries by
+    plain streams. The load is raised until the process uses a whole core.
+    """
     found = {}
-    async with fleets.open_fleet(engines=4, entries=1, limit=64, flags=flags) as fleet:
+    async with fleets.open_fleet(engines=0, entries=1, limit=2000) as fleet:
+        host = f"{fleet.base}.90"
+        source = ["bench.plain_proxy", [f"{host}:7003"]]
+        fleets.spawn(fleet, "source", *source)
         proxy = fleets.spawn(
-            fleet,
-            "proxy",
-            "bench.plain_proxy",
-            [f"{fleet.base}.90:7002", fleet.engines[0]],
+            fleet, "proxy", "bench.plain_proxy", [f"{host}:7002", f"http://{host}:7003"]
         )
-        await anyio.sleep(1.5)
-        cases = {
-            "entry": (fleet.processes["entry-1"], fleet.entries, 48),
-            "libraries": (proxy, [f"http://{fleet.base}.90:7002"], 12),
-        }
-        for name, (process, urls, rate_per_s) in cases.items():
-            plan = loads.Plan(
-                urls=urls,
-                keys=fleet.keys,
-                shares={"small-1": 1.0},
-                rate_per_s=rate_per_s / 2,
-                seconds=seconds,
-                prefixes=64,
-                prefix_chars=64,
-                tail_chars=64,
-                tokens=200,
-                seed=3,
-                model="salahkar",
-            )
-            before = fleets.cpu_s(process)
-            plans = [plan, attrs.evolve(plan, seed=4)]
-            samples = _samples(await fleets.load(fleet, plans))
-            used = fleets.cpu_s(process) - before
-            result = loads.summary(samples, seconds)
-            found[name] = {
-                "tokens_per_core_s": result["tokens"] / max(used, 1e-9),
-                "tokens": result["tokens"],
-                "cpu_s": used,
-                "gap_p95_ms": 1000 * (result["gap_p95_s"] or 0),
-            }
-            print(f"forwarding by {name}: {found[name]}", flush=True)
+        for num in range(2):
+            argv = [f"fake-{num}", f"{fleet.base}.1:7000"]
+            fleets.spawn(fleet, f"fake-{num}", "bench.fake_agent", argv)
+        await anyio.sleep(3)
+        cases = [
+            ("libraries", proxy, [f"http://{host}:7002"], (10, 20, 40)),
+            ("entry", fleet.processes["entry-1"], fleet.entries, (20, 40, 80, 120)),
+        ]
+        for name, process, urls, rates in cases:
+            steps = []
+            for rate_per_s in rates:
+                steps.append(await _forward(fleet, process, urls, rate_per_s, seconds))
+                print(f"forwarding by {name}: {steps[-1]}", flush=True)
+                if steps[-1]["cores"] > 0.95:
+                    break
+            found[name] = max(steps, key=lambda step: step["tokens_per_core_s"])
+            found[f"{name}_steps"] = steps
     return found
 
 
+async def _forward(fleet, process, urls, rate_per_s, seconds):
+    plan = loads.Plan(
+        urls=urls,
+        keys=fleet.keys,
+        shares=dict.fromkeys(fleets.CUSTOMERS, 1.0),
+        rate_per_s=rate_per_s / 3,
+        seconds=seconds,
+        prefixes=64,
+        prefix_chars=64,
+        tail_chars=64,
+        seed=3,
+    )
+    plans = [attrs.evolve(plan, seed=seed) for seed in (3, 4, 5)]
+    before, began = fleets.cpu_s(process), anyio.current_time()
+    samples = _samples(await fleets.load(fleet, plans))
+    used_s = fleets.cpu_s(process) - before
+    result = loads.summary(samples, seconds)
+    return {
+        "offered_tokens_per_s": rate_per_s * 200,
+        "tokens_per_core_s": result["tokens"] / max(used_s, 1e-9),
+        "cores": used_s / (anyio.current_time() - began),
+        "whole": result["whole"],
+        "sent": result["sent"],
+        "gap_p95_ms": 1000 * (result["gap_p95_s"] or 0),
+    }
+
+
 async def while_weights_arrive(seconds):
     """Return the figures of half load while a new version is rolled out."""
     async with fleets.open_fleet(
