Estimate the drain of a queue from requests in flight and their time in service

The rate of completions equals that of the arrivals after a quiet time, and its average starts at 0: five completions in 0.1 s counted as 1.7/s, and a burst was refused as too long although there was room. The estimate is now waiting requests times mean time in service over requests in flight; without either nothing is refused for its length.

The virtual time of a fair queue followed the request that was admitted, also one that overtook the first in line; requests that came later had to queue behind its place. It follows the first in line now. Both have tests that fail without the change.

--- a/src/carobstand/core/admission.py
+++ b/src/carobstand/core/admission.py
@@ -1,6 +1,7 @@
 """Limits per customer, weighted fair queues and early refusal."""
 
 import bisect
+import collections
 import enum
 import itertools
 
@@ -15,7 +16,13 @@
 """Queue limit of a service that has none in the table."""
 
 RATE_HALF_LIFE_S = 2.0
-"""Time in which the weight of an arrival or completion halves in a rate."""
+"""Time in which the weight of an arrival halves in a rate."""
+
+SERVICE_TIMES = 50
+"""Latest requests whose mean time in service is used."""
+
+MIN_SERVICE_TIMES = 5
+"""Requests from which the mean time in service is known."""
 
 BURST_S = 1.0
 """Seconds of a customer's rate that may arrive at once."""
@@ -23,6 +30,12 @@
 TOKENS_PER_COST = 64
 """Tokens of a completion that count as much as one call of a plain service."""
 
+DEFAULT_RETRY_S = 1.0
+"""Retry-After while the time in service is not known."""
+
+MAX_RETRY_S = 30.0
+"""Longest Retry-After of a full queue."""
+
 IDLE_S = 60.0
 """Time after which the counters of a customer without requests are dropped."""
 
@@ -92,6 +105,7 @@
     arrived: float
     deadline: float
     queued_at: float = 0.0
+    admitted_at: float = 0.0
     order: float = 0.0
     seq: int = 0
     queued: bool = False
@@ -107,8 +121,10 @@
     waiting: list = attrs.field(factory=list)
     virtual: float = 0.0
     finish: dict = attrs.field(factory=dict)
-    completions: Rate = attrs.field(factory=Rate)
     in_flight: int = 0
+    service_s: collections.deque = attrs.field(
+        factory=lambda: collections.deque(maxlen=SERVICE_TIMES)
+    )
 
 
 @attrs.define(eq=False)
@@ -193,11 +209,11 @@
         allowed = max(1, int(max_in_flight * customer.share + 0.5))
         if customer.in_flight >= allowed:
             ticket.closed = True
-            return [Refusal(ticket, Verdict.IN_FLIGHT, _drain_s(queue, 1, now))]
+            return [Refusal(ticket, Verdict.IN_FLIGHT, _retry_s(queue, 1))]
     customer.in_flight += 1
     ticket.queued_at = now
     _enqueue(state, queue, ticket)
-    return _shed(state, queue, max_queue, now)
+    return _shed(state, queue, max_queue)
 
 
 def _take_token(customer, rate_per_s, now):
@@ -262,38 +278,43 @@
     _insert(queue, ticket)
 
 
-def _drain_s(queue, ahead, now):
-    """Return the estimated time in which `ahead` requests are taken from the queue."""
-    rate = rate_now(queue.completions, now)
-    if rate < 0.1:
-        return 1.0
-    return min(30.0, ahead / rate)
+def _drain_s(queue, ahead):
+    """Return the estimated time in which `ahead` requests are taken from the queue.
+
+    It follows from the requests in flight and their mean time in service. The rate of
+    completions would not do: after a quiet time it is that of the arrivals, and a burst
+    would be refused although there is room.
+    """
+    if len(queue.service_s) < MIN_SERVICE_TIMES or queue.in_flight == 0:
+        return None
+    mean_s = sum(queue.service_s) / len(queue.service_s)
+    return min(MAX_RETRY_S, ahead * mean_s / queue.in_flight)
 
 
-def _shed(state, queue, max_queue, now):
+def _retry_s(queue, ahead):
+    drain_s = _drain_s(queue, ahead)
+    return DEFAULT_RETRY_S if drain_s is None else drain_s
+
+
+def _shed(state, queue, max_queue):
     """Refuse requests while the queue is too long for all to be served in time."""
     refusals = []
     limit = DEFAULT_QUEUE if max_queue is None else max_queue
     while len(queue.waiting) > 1:
+        drain_s = _drain_s(queue, len(queue.waiting))
         if len(queue.waiting) > max(1, limit):
             verdict = Verdict.QUEUE_FULL
-        elif _drain_s(queue, len(queue.waiting), now) > MAX_WAIT_S and _measured(
-            queue, now
-        ):
+        elif drain_s is not None and drain_s > MAX_WAIT_S:
             verdict = Verdict.TOO_LONG
         else:
             break
         victim = max(queue.waiting, key=lambda t: (-t.priority, t.order, t.seq))
-        retry_s = _drain_s(queue, len(queue.waiting), now)
+        retry_s = _retry_s(queue, len(queue.waiting))
         _remove(state, queue, victim)
         refusals.append(Refusal(victim, verdict, retry_s))
     return refusals
 
 
-def _measured(queue, now):
-    return rate_now(queue.completions, now) >= 1.0
-
-
 def _remove(state, queue, ticket):
     """Take a waiting request out of the queue without running it."""
     queue.waiting.remove(ticket)
@@ -306,7 +327,7 @@
         queue.finish[ticket.customer] = last - ticket.cost / ticket.weight
 
 
-def next_admitted(state, service, can_run, scan=64):
+def next_admitted(state, service, can_run, now, scan=64):
     """Admit the first waiting request that some backend server has room for.
 
     Parameters
@@ -314,6 +335,7 @@
     state : Admission
     service : str
     can_run : callable of (ticket,) returning bool
+    now : float
     scan : int
         Requests looked at; those behind one that has to wait may overtake it.
 
@@ -324,12 +346,14 @@
     queue = _queue(state, service)
     for ticket in queue.waiting[:scan]:
         if can_run(ticket):
+            # The first in line sets the virtual time. One that overtakes it may be far
+            # ahead, and later requests would have to queue behind its place.
+            first = queue.waiting[0]
+            queue.virtual = max(queue.virtual, first.order - first.cost / first.weight)
             queue.waiting.remove(ticket)
             ticket.queued = False
             ticket.admitted = True
-            queue.virtual = max(
-                queue.virtual, ticket.order - ticket.cost / ticket.weight
-            )
+            ticket.admitted_at = now
             queue.in_flight += 1
             return ticket
     return None
@@ -345,7 +369,7 @@
     ]
     for ticket in late:
         _remove(state, queue, ticket)
-    wait_s = _drain_s(queue, max(1, len(queue.waiting)), now)
+    wait_s = _retry_s(queue, max(1, len(queue.waiting)))
     return [Refusal(ticket, Verdict.WAITED, wait_s) for ticket in late]
 
 
@@ -362,7 +386,7 @@
     customer.in_flight -= 1
     if ticket.admitted:
         queue.in_flight -= 1
-        _count(queue.completions, now)
+        queue.service_s.append(now - ticket.admitted_at)
     if customer.in_flight < 0 or queue.in_flight < 0:
         raise errors.InvariantError(
             f"more requests of {ticket.customer} ended than were admitted",
--- a/src/carobstand/entry/placing.py
+++ b/src/carobstand/entry/placing.py
@@ -332,7 +332,7 @@
         return chosen is not None
 
     while True:
-        ticket = admission.next_admitted(dp.queues, service, can_run)
+        ticket = admission.next_admitted(dp.queues, service, can_run, now)
         if ticket is None:
             return
         run = ticket.data
--- /dev/null
+++ b/testing/test_request_core.py
@@ -0,0 +1,305 @@
+"""Guards against wrong decisions on admission, routing and retries."""
+
+import collections
+
+import pytest
+
+from carobstand import errors
+from carobstand.core import (
+    admission,
+    attempts,
+    claims,
+    course,
+    events,
+    requests,
+    retries,
+    routing,
+    suspects,
+)
+
+
+def ticket(number, customer="acme", weight=1.0, priority=0, now=0.0):
+    return admission.Ticket(str(number), customer, "s", weight, priority, 1.0, now, 99)
+
+
+def arrive(state, item, now=0.0, rate=None, in_flight=None, queue=None):
+    return admission.arrive(state, item, rate, in_flight, queue, now)
+
+
+def serve(state, count, seconds=0.1, now=0.0):
+    """Admit and end `count` requests that take `seconds` each."""
+    for number in range(count):
+        arrive(state, ticket(f"warm{number}"), now)
+        done = admission.next_admitted(state, "s", lambda t: True, now)
+        now += seconds
+        admission.leave(state, done, now)
+    return now
+
+
+def test_a_burst_after_a_quiet_time_is_not_refused_while_there_is_room():
+    state = admission.Admission()
+    now = serve(state, 5) + 30
+    for number in range(12):
+        assert arrive(state, ticket(number), now) == []
+        assert admission.next_admitted(state, "s", lambda t: True, now)
+
+
+def test_a_queue_that_cannot_be_served_in_time_refuses_at_once():
+    state = admission.Admission()
+    now = serve(state, 10, seconds=0.5)
+    for number in range(2):
+        arrive(state, ticket(number), now)
+        admission.next_admitted(state, "s", lambda t: True, now)
+    refusals = []
+    for number in range(2, 10):
+        refusals += arrive(state, ticket(number), now)
+    assert {item.verdict for item in refusals} == {admission.Verdict.TOO_LONG}
+    assert len(refusals) == 6
+    assert all(item.retry_after_s > 0.6 for item in refusals)
+
+
+def test_a_small_customer_is_served_before_the_backlog_of_a_large_one():
+    state = admission.Admission()
+    for number in range(20):
+        arrive(state, ticket(number, "large"))
+    arrive(state, ticket("small", "small"))
+    order = []
+    while item := admission.next_admitted(state, "s", lambda t: True, 0.0):
+        order.append(item.request_id)
+    assert order.index("small") <= 1
+
+
+def test_a_request_that_overtakes_does_not_move_others_behind_its_place():
+    state = admission.Admission()
+    arrive(state, ticket("blocked", "small"))
+    for number in range(20):
+        arrive(state, ticket(number, "large"))
+    for _ in range(15):
+        item = admission.next_admitted(state, "s", lambda t: t.customer != "small", 0.0)
+        assert item.customer == "large"
+    arrive(state, ticket("late", "other"))
+    assert admission.next_admitted(state, "s", lambda t: t.customer != "small", 0.0)
+    assert [item.customer for item in state.queues["s"].waiting].count("other") == 0
+
+
+def test_shares_follow_the_weights():
+    state = admission.Admission()
+    for number in range(40):
+        arrive(state, ticket(number, "heavy", weight=3.0))
+        arrive(state, ticket(number, "light", weight=1.0))
+    taken = collections.Counter(
+        admission.next_admitted(state, "s", lambda t: True, 0.0).customer
+        for _ in range(40)
+    )
+    assert 28 <= taken["heavy"] <= 32
+
+
+def test_a_full_queue_sheds_low_priority_first():
+    state = admission.Admission()
+    for number in range(3):
+        arrive(state, ticket(number, priority=1), queue=3)
+    refused = arrive(state, ticket("vip", "bolt", priority=5), queue=3)
+    assert [item.ticket.priority for item in refused] == [1]
+
+
+def test_the_rate_limit_is_divided_by_demand():
+    state = admission.Admission()
+    for number in range(10):
+        arrive(state, ticket(number), 0.1 * number)
+    admission.set_shares(state, {"acme": 3 * 5.0}, 0, 1.0)
+    share = state.customers["acme"].share
+    own = admission.rate_now(state.customers["acme"].demand, 1.0)
+    assert share == pytest.approx(own / (own + 15))
+    refused = [
+        item
+        for number in range(100)
+        for item in arrive(state, ticket(f"n{number}"), 1.0 + number / 100, rate=10)
+    ]
+    assert {item.verdict for item in refused} == {admission.Verdict.RATE}
+    assert 100 - len(refused) <= 2 * 10 * share + 2
+
+
+def test_counts_return_to_zero_whatever_way_requests_end():
+    state = admission.Admission()
+    items = [ticket(number) for number in range(6)]
+    for item in items:
+        arrive(state, item, in_flight=100)
+    first = admission.next_admitted(state, "s", lambda t: True, 0.0)
+    admission.put_back(state, first, False, 0.1)
+    admission.next_admitted(state, "s", lambda t: True, 0.2)
+    admission.expire(state, "s", 5.0)
+    for item in items:
+        admission.leave(state, item, 6.0)
+    assert state.customers["acme"].in_flight == 0
+    assert state.queues["s"].in_flight == 0
+
+
+def servers(count, **changes):
+    return [
+        routing.Candidate(f"vm-{number}", frozenset(["v1"]), limit=4, **changes)
+        for number in range(count)
+    ]
+
+
+def test_all_copies_of_a_request_have_the_same_two_homes():
+    for number in range(50):
+        reached = set()
+        for order in range(3):
+            pool = servers(9)
+            pool = pool[order:] + pool[:order]
+            for _ in range(8):
+                homes = routing.find_homes(pool, "v1", "p", f"f{number}")
+                chosen = routing.pick(homes, 0.0)
+                routing.take(chosen)
+                reached.add(chosen.vm)
+        assert len(reached) == 2
+
+
+def test_a_request_never_moves_to_a_third_server_without_a_doubt():
+    pool = servers(9)
+    homes = routing.find_homes(pool, "v1", "p", "f")
+    for home in (homes.by_prefix, homes.by_fingerprint):
+        home.failed = True
+    after = routing.find_homes(pool, "v1", "p", "f")
+    assert after.doubtful
+    assert after.by_prefix not in (homes.by_prefix, homes.by_fingerprint)
+    assert routing.find_homes(pool, "v1", "p", "f", failures=1).by_prefix is None
+
+
+def test_a_popular_prefix_spreads_over_all_servers():
+    pool = servers(8, weight=1.0)
+    for candidate in pool:
+        candidate.limit = 100
+    for number in range(400):
+        homes = routing.find_homes(pool, "v1", "popular", f"f{number}")
+        routing.take(routing.pick(homes, 0.0))
+    assert max(c.own for c in pool) <= 2.5 * min(c.own for c in pool)
+
+
+def test_traffic_shares_follow_weights_and_ignore_versions_without_a_server():
+    weights = {"v1": 3.0, "v2": 1.0, "v3": 96.0}
+    served = {"v1", "v2"}
+    taken = collections.Counter(
+        routing.choose_version(weights, served, "", f"f{number}")
+        for number in range(4000)
+    )
+    assert set(taken) == served
+    assert taken["v1"] == pytest.approx(3000, rel=0.05)
+    assert routing.choose_version(weights, served, "v3", "f") is None
+
+
+def test_at_most_half_of_the_servers_are_ejected():
+    healths = {f"vm-{number}": retries.Health() for number in range(5)}
+    for health in healths.values():
+        for second in range(20):
+            retries.failed(health, float(second))
+    assert len(retries.ejected(healths, 20.0)) == 2
+
+
+def test_the_breaker_opens_and_one_probe_closes_it():
+    health = retries.Health()
+    for second in range(5):
+        retries.failed(health, float(second))
+    assert retries.badness(health, 4.5) > 0
+    retries.started(health, 6.0)
+    assert retries.badness(health, 6.0) > 0
+    retries.succeeded(health, 6.1)
+    assert retries.badness(health, 6.1) == 0
+
+
+def test_retries_stay_within_a_tenth_of_the_requests():
+    budget = retries.Budget()
+    made = 0
+    for _ in range(1000):
+        retries.deposit(budget)
+        made += retries.withdraw(budget)
+    assert made <= 1000 * retries.BUDGET_SHARE + retries.BUDGET_START
+
+
+def test_failures_are_counted_once_however_many_entries_tell_them():
+    state = suspects.Suspects()
+    for _ in range(5):
+        suspects.add(state, "f", [suspects.failure_id("vm-1", "a", 0)], 0.0)
+    assert not suspects.is_refused(state, "f", 0.0)
+    suspects.add(state, "f", [suspects.failure_id("vm-2", "b", 0)], 0.0)
+    assert suspects.is_refused(state, "f", 1.0)
+    assert not suspects.is_refused(state, "f", suspects.LIFETIME_S + 1)
+
+
+def call(idempotent=False):
+    return course.Request(idempotent, "d", "e1", False, retries.Budget())
+
+
+def test_a_non_idempotent_attempt_is_not_sent_without_its_claim():
+    req = call()
+    requests.begin(req)
+    requests.step(req, events.ClaimRead(None))
+    requests.step(req, events.Placed(1, "vm", "a", ""))
+    with pytest.raises(errors.InvariantError):
+        course.send(req, 1)
+
+
+def test_a_call_that_may_have_run_is_never_reported_as_not_run():
+    req = call()
+    requests.begin(req)
+    requests.step(req, events.ClaimRead(None))
+    requests.step(req, events.Placed(1, "vm", "a", ""))
+    requests.step(req, events.ClaimWritten(7))
+    (last,) = [
+        effect
+        for effect in requests.step(req, events.Ended(1, attempts.Outcome.UNKNOWN))
+        if isinstance(effect, events.Refuse)
+    ]
+    assert last.outcome is attempts.Outcome.UNKNOWN
+    with pytest.raises(errors.InvariantError):
+        course.end(req, None, attempts.Outcome.NOT_RUN)
+
+
+def test_a_claim_that_conflicts_leads_to_the_other_claim_and_not_to_a_run():
+    req = call()
+    requests.begin(req)
+    requests.step(req, events.ClaimRead(None))
+    requests.step(req, events.Placed(1, "vm", "a", ""))
+    requests.step(req, events.ClaimNotWritten(conflict=True))
+    other = claims.Claim("d", "e2", "vm-9", "a9", 4)
+    effects = requests.step(req, events.ClaimRead(other, 8))
+    assert [type(effect) for effect in effects] == [events.Close, events.AskAgent]
+
+
+def held(keep=True):
+    state = attempts.Attempts("a")
+    return state, attempts.accept(state, "e", "a", 1, keep, 0, 0.0)
+
+
+def test_a_revoked_attempt_is_refused_for_ever_however_many_are_revoked():
+    state = attempts.Attempts("a")
+    for number in range(1, 5000, 2):
+        assert attempts.revoke(state, "e", number, 0.0) is attempts.Phase.NOT_SEEN
+    assert all(attempts.refusal(state, "e", "a", n, 0.0) for n in range(1, 5000, 2))
+    assert len(state.entries["e"].revoked) <= attempts.MAX_REVOKED
+
+
+def test_an_attempt_below_the_floor_may_have_run():
+    state, attempt = held()
+    attempts.finish(attempt, attempts.Outcome.DONE)
+    attempts.raise_floor(state, "e", 2, 0.0)
+    assert attempts.revoke(state, "e", 1, 0.0) is attempts.Phase.FINISHED
+    assert attempts.refusal(state, "e", "a", 1, 0.0)
+
+
+def test_an_answer_is_replayed_from_any_offset_that_was_not_acknowledged():
+    _, attempt = held(keep=False)
+    attempts.start_answer(attempt, 200, ())
+    attempts.append(attempt, b"0123456789")
+    assert b"".join(f.data for f in attempts.take_frames(attempt, 100)) == b"0123456789"
+    attempts.acknowledge(attempt, 4)
+    assert attempts.resume(attempt, 6)
+    assert attempts.take_frames(attempt, 100)[0].data == b"6789"
+    assert not attempts.resume(attempt, 3)
+
+
+def test_an_answer_that_arrived_is_not_reported_as_not_run():
+    _, attempt = held()
+    attempts.start_answer(attempt, 200, ())
+    with pytest.raises(errors.InvariantError):
+        attempts.finish(attempt, attempts.Outcome.NOT_RUN)
