Tell entries the load with each answer; use one timer loop for all requests

The last frame of an answer now carries the attempts in progress at the agent.

A profile of an entry that forwards showed a sixth of its time in cancel scopes of waits and writes. One loop wakes requests whose timer has ended and ends writes that take too long.

--- a/src/carobstand/agent/executor.py
+++ b/src/carobstand/agent/executor.py
@@ -5,6 +5,7 @@
 import httpx
 
 from carobstand import errors, logs
+from carobstand.agent import frames
 from carobstand.core import attempts
 from carobstand.core import table as tables
 from carobstand.wire import connection, handlers
@@ -36,24 +37,8 @@
 OUTBOX_IDLE_S = 1.0
 """Time between checks whether a connection with nothing to send has ended."""
 
-STREAM_OFFSET_HEADER = "X-Stream-Offset"
 SERVED_VERSION_HEADER = "X-Served-Version"
 
-HOP_HEADERS = frozenset(
-    "connection keep-alive proxy-authenticate proxy-authorization te trailer "
-    "transfer-encoding upgrade host content-length expect".split()
-)
-"""Headers that concern one connection only and are not forwarded."""
-
-DROPPED_HEADERS = HOP_HEADERS | {"date", "server"}
-"""Headers of an answer that are not passed on; the entry's own server adds some."""
-
-_OUTCOMES = {
-    attempts.Outcome.DONE: ttypes.Outcome.DONE,
-    attempts.Outcome.NOT_RUN: ttypes.Outcome.NOT_RUN,
-    attempts.Outcome.UNKNOWN: ttypes.Outcome.UNKNOWN,
-}
-
 _PHASES = {
     attempts.Phase.NOT_SEEN: ttypes.AttemptPhase.NOT_SEEN,
     attempts.Phase.RUNNING: ttypes.AttemptPhase.RUNNING,
@@ -270,7 +255,7 @@
     attempt = attempts.find(ex.held, message.entry_start_id, message.attempt_id)
     whole = attempts.whole_answer(attempt) if attempt else None
     if whole is not None:
-        reply.answer = _frame(message.attempt_id, whole, attempt, "")
+        reply.answer = frames.message_of(message.attempt_id, whole, "")
     logs.event("attempt.revoked", attempt=message.attempt_id, phase=phase.name)
     _post(conn, reply)
 
@@ -338,7 +323,7 @@
     """Run the attempt and record the end of its answer, unless it is cancelled."""
     attempt = run.attempt
     try:
-        req = _request(ex.client, run.message)
+        req = frames.request_of(ex.client, run.message)
     except (httpx.InvalidURL, ValueError, TypeError) as exc:
         attempts.finish(attempt, attempts.Outcome.NOT_RUN, f"malformed request: {exc}")
         return
@@ -365,7 +350,7 @@
             raise errors.BackendError(
                 f"answered by version {served}", step="attempt.run", peer="backend"
             )
-        attempts.start_answer(attempt, resp.status_code, _headers(resp))
+        attempts.start_answer(attempt, resp.status_code, frames.headers_of(resp))
         _mark_dirty(ex, run)
         async for data in resp.aiter_raw():
             attempts.append(attempt, data)
@@ -401,49 +386,25 @@
     )
 
 
-def _request(client, message):
-    headers = [
-        (item.name.encode("latin-1"), item.value.encode("latin-1"))
-        for item in message.headers or ()
-        if item.name.lower() not in HOP_HEADERS
-    ]
-    names = {name.lower() for name, _ in headers}
-    if b"accept-encoding" not in names:
-        headers.append((b"accept-encoding", b"identity"))
-    if message.offset:
-        headers.append((STREAM_OFFSET_HEADER.encode(), str(message.offset).encode()))
-    return client.build_request(
-        message.method, message.path, headers=headers, content=message.body or b""
-    )
-
-
-def _headers(resp):
-    return tuple(
-        (name.decode("latin-1"), value.decode("latin-1"))
-        for name, value in resp.headers.raw
-        if name.decode("latin-1").lower() not in DROPPED_HEADERS
-    )
-
-
 def _mark_dirty(ex, run):
     if ex.tasks is None or run.conn.closed.is_set():
         return
     outbox = ex.outboxes.get(run.conn)
     if outbox is None:
         outbox = ex.outboxes[run.conn] = Outbox()
-        ex.tasks.start_soon(_flush, run.conn, outbox)
+        ex.tasks.start_soon(_flush, ex, run.conn, outbox)
     outbox.dirty[run] = None
     outbox.wake.set()
 
 
-async def _flush(conn, outbox):
+async def _flush(ex, conn, outbox):
     while not conn.closed.is_set():
         if not outbox.dirty:
             outbox.wake = anyio.Event()
             with anyio.move_on_after(OUTBOX_IDLE_S):
                 await outbox.wake.wait()
             continue
-        batch = _take_batch(conn, outbox)
+        batch = _take_batch(ex, conn, outbox)
         if not batch:
             continue
         try:
@@ -452,7 +413,7 @@
             return
 
 
-def _take_batch(conn, outbox):
+def _take_batch(ex, conn, outbox):
     batch = []
     taken = 0
     while outbox.dirty and taken < BATCH_BYTES:
@@ -462,7 +423,10 @@
             continue
         for frame in attempts.take_frames(run.attempt, BATCH_BYTES - taken):
             version = run.message.version
-            batch.append(_frame(run.message.attempt_id, frame, run.attempt, version))
+            out = frames.message_of(run.message.attempt_id, frame, version)
+            if out.final:
+                out.running = ex.active
+            batch.append(out)
             taken += len(frame.data) + 1
         if attempts.unsent(run.attempt):
             outbox.dirty[run] = None
@@ -470,26 +434,6 @@
     return batch
 
 
-def _frame(attempt_id, frame, attempt, version):
-    out = ttypes.AnswerFrame(attempt_id=attempt_id, offset=frame.offset)
-    if frame.data:
-        out.data = frame.data
-    if frame.status is not None:
-        out.status = frame.status
-        out.headers = [ttypes.Header(name, value) for name, value in frame.headers]
-        out.version = version
-    final = frame.final
-    if final is not None:
-        out.final = True
-        out.total_length = final.length
-        out.digest = final.digest
-        out.outcome = _OUTCOMES[final.outcome]
-        out.reason = final.reason
-        out.backend_died = final.backend_died
-        out.backend_starts = final.backend_starts
-    return out
-
-
 def _post_final(conn, attempt_id, outcome, reason, retry_after_ms=None):
     frame = ttypes.AnswerFrame(
         attempt_id=attempt_id,
--- a/src/carobstand/entry/callers.py
+++ b/src/carobstand/entry/callers.py
@@ -29,9 +29,6 @@
 BODY_TIMEOUT_S = 15.0
 """Longest time in which a caller may send its body."""
 
-WRITE_TIMEOUT_S = 30.0
-"""Longest wait for a caller to read a part of its answer."""
-
 PREFIX_CHARS = 256
 """Start of a prompt that decides which prefix cache is likely to hold it."""
 
@@ -73,12 +70,18 @@
 
 @attrs.define(eq=False)
 class Sink:
-    """Writes one answer to a caller."""
+    """Writes one answer to a caller.
+
+    `write_since` is the time at which the write in progress began, for the loop that
+    ends slow ones. A `bounded` sink ends them itself.
+    """
 
     send: object
     request_id: str
     started: bool = False
     gone: bool = False
+    bounded: bool = False
+    write_since: float | None = None
     on_gone: object = None
     bytes_sent: int = 0
 
@@ -117,12 +120,21 @@
     async def _write(self, message):
         if self.gone:
             raise calls.CallerGoneError("caller disconnected", step="callers.write")
-        with anyio.move_on_after(WRITE_TIMEOUT_S):
+        if self.bounded:
+            await self._write_bounded(message)
+            return
+        self.write_since = anyio.current_time()
+        await self.send(message)
+        self.write_since = None
+
+    async def _write_bounded(self, message):
+        limit_s = dispatch.WRITE_TIMEOUT_S
+        with anyio.move_on_after(limit_s):
             await self.send(message)
             return
         self.gone = True
         raise calls.CallerGoneError(
-            f"caller read nothing for {WRITE_TIMEOUT_S} s", step="callers.write"
+            f"caller read nothing for {limit_s} s", step="callers.write"
         )
 
 
@@ -171,6 +183,7 @@
     if sink.started:
         logs.event("answer.cut", request=sink.request_id, error=exc.detail)
         return
+    sink.bounded = True
     doc = {
         "type": "about:blank",
         "title": exc.title,
--- a/src/carobstand/entry/dispatch.py
+++ b/src/carobstand/entry/dispatch.py
@@ -23,6 +23,12 @@
 Its response is stored for repeats; the agent gives it 30 s.
 """
 
+TICK_S = 0.02
+"""Precision of the timers of requests; a hedge is due after some tenths of a second."""
+
+WRITE_TIMEOUT_S = 30.0
+"""Longest wait for a caller to read a part of its answer."""
+
 STALL_S = 5.0
 """Silence of a started stream of an engine after which it is resumed elsewhere.
 
@@ -42,7 +48,12 @@
     budget: retries.Budget = attrs.field(factory=retries.Budget)
     first_bytes: dict = attrs.field(factory=dict)
     tasks: object = None
-    open_requests: int = 0
+    runs: set = attrs.field(factory=set)
+
+    @property
+    def open_requests(self):
+        """Number of requests that have not ended."""
+        return len(self.runs)
 
 
 def attach(state):
@@ -78,6 +89,7 @@
             tasks.start_soon(tries.watch, state, dp.book)
             tasks.start_soon(placing.run, state, dp)
             tasks.start_soon(suspecting.run, state, dp.shared)
+            tasks.start_soon(_tick, dp)
 
     return handlers.Part(
         {ttypes.AnswerBatch: on_batch, ttypes.RevokeReply: on_revoke_reply}, run
@@ -116,9 +128,13 @@
 
     sink.on_gone = on_gone
     if call.idempotent:
-        await _drive(run)
+        with run.scope:
+            await _drive(run)
+        if run.scope.cancelled_caught:
+            raise calls.CallerGoneError("caller reads too slowly", step="request.write")
     else:
         # The call goes on when its caller disconnects, and its outcome is stored.
+        sink.bounded = True
         dp.tasks.start_soon(_drive, run)
         await run.answered.wait()
     if run.failure is None and run.req.gone:
@@ -140,7 +156,7 @@
 
 async def _drive(run):
     """Carry out the effects of one request until it has ended."""
-    run.dp.open_requests += 1
+    run.dp.runs.add(run)
     try:
         await effects.apply_all(run, requests.begin(run.req))
         while run.req.stage is not course.Stage.ENDED or run.events:
@@ -153,7 +169,7 @@
         run.dp.tasks.start_soon(_stop_process, exc)
         raise
     finally:
-        run.dp.open_requests -= 1
+        run.dp.runs.discard(run)
         effects.clean_up(run)
         _note_end(run)
         run.answered.set()
@@ -164,14 +180,31 @@
     raise exc
 
 
+async def _tick(dp):
+    """Wake requests whose timer has ended, and end those that cannot be written.
+
+    One loop for all requests: a timer for each wait took a sixth of the time that an
+    entry spends on a token.
+    """
+    while True:
+        await anyio.sleep(TICK_S)
+        now = anyio.current_time()
+        for run in list(dp.runs):
+            if run.due <= now:
+                run.wake.set()
+            since = run.sink.write_since
+            if since is not None and now - since > WRITE_TIMEOUT_S:
+                run.scope.cancel()
+
+
 async def _wait(run):
     """Wait for the next event of a request, or for its next timer."""
     now = anyio.current_time()
     due, event = _next_timer(run, now)
     if due > now:
+        run.due = due
         run.wake = anyio.Event()
-        with anyio.move_on_after(due - now):
-            await run.wake.wait()
+        await run.wake.wait()
     effects.collect(run)
     if not run.events and anyio.current_time() >= due:
         _fire(run, event)
--- a/src/carobstand/entry/effects.py
+++ b/src/carobstand/entry/effects.py
@@ -41,8 +41,8 @@
 class Run:
     """One request in progress.
 
-    `heard_at` is the time of the last answer bytes; `queued_s` the time spent in
-    queues.
+    `heard_at` is the time of the last answer bytes, `queued_s` the time spent in
+    queues, `due` the end of the next timer. `scope` ends an idempotent request.
     """
 
     state: object
@@ -53,6 +53,8 @@
     events: collections.deque = attrs.field(factory=collections.deque)
     wake: anyio.Event = attrs.field(factory=anyio.Event)
     answered: anyio.Event = attrs.field(factory=anyio.Event)
+    scope: anyio.CancelScope = attrs.field(factory=anyio.CancelScope)
+    due: float = float("inf")
     attempts: dict = attrs.field(factory=dict)
     ticket: object = None
     used: frozenset = frozenset()
@@ -137,6 +139,10 @@
         )
     final = t.final
     outcome = _OUTCOMES[final.outcome]
+    if final.running is not None:
+        candidate = sent.choice.candidate
+        candidate.others = max(0, final.running - candidate.own + 1)
+        candidate.reported_at = now
     if outcome is attempts.Outcome.DONE:
         bad = t.answer.status is not None and t.answer.status >= 500
         (retries.failed if bad else retries.succeeded)(health, now)
--- a/src/carobstand/wire/gen/ttypes.py
+++ b/src/carobstand/wire/gen/ttypes.py
@@ -2835,11 +2835,12 @@
      - retry_after_ms
      - backend_died
      - backend_starts
+     - running
 
     """
 
 
-    def __init__(self, attempt_id=None, offset=None, data=None, status=None, headers=None, final=None, total_length=None, digest=None, outcome=None, reason=None, version=None, retry_after_ms=None, backend_died=None, backend_starts=None,):
+    def __init__(self, attempt_id=None, offset=None, data=None, status=None, headers=None, final=None, total_length=None, digest=None, outcome=None, reason=None, version=None, retry_after_ms=None, backend_died=None, backend_starts=None, running=None,):
         self.attempt_id = attempt_id
         self.offset = offset
         self.data = data
@@ -2854,6 +2855,7 @@
         self.retry_after_ms = retry_after_ms
         self.backend_died = backend_died
         self.backend_starts = backend_starts
+        self.running = running
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2940,6 +2942,11 @@
                     self.backend_starts = iprot.readI64()
                 else:
                     iprot.skip(ftype)
+            elif fid == 15:
+                if ftype == TType.I32:
+                    self.running = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -3009,6 +3016,10 @@
             oprot.writeFieldBegin('backend_starts', TType.I64, 14)
             oprot.writeI64(self.backend_starts)
             oprot.writeFieldEnd()
+        if self.running is not None:
+            oprot.writeFieldBegin('running', TType.I32, 15)
+            oprot.writeI32(self.running)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -4103,6 +4114,7 @@
     (12, TType.I64, 'retry_after_ms', None, None, ),  # 12
     (13, TType.BOOL, 'backend_died', None, None, ),  # 13
     (14, TType.I64, 'backend_starts', None, None, ),  # 14
+    (15, TType.I32, 'running', None, None, ),  # 15
 )
 all_structs.append(AnswerBatch)
 AnswerBatch.thrift_spec = (
--- a/src/carobstand/wire/messages.thrift
+++ b/src/carobstand/wire/messages.thrift
@@ -213,6 +213,7 @@
   12: i64 retry_after_ms
   13: bool backend_died      // the backend server died while the attempt ran
   14: i64 backend_starts     // failures of the backend server before the attempt
+  15: i32 running            // attempts in progress at the agent, in the final frame
 }
 
 struct AnswerBatch { 1: list<AnswerFrame> frames }
