Ping only peers that were not heard lately

Cause: both ends of each connection sent a ping every 0.8 s, also while other frames flowed; pings and their answers were most of an idle entry's frames. A peer that is silent still gets three pings before it is given up (2.6 s), and a process whose handler is busy still pings, so that its peer does not give up. Ruled out: no pings while a handler runs; a test showed that the peer gives up.

--- a/src/carobstand/wire/connection.py
+++ b/src/carobstand/wire/connection.py
@@ -18,7 +18,7 @@
 PROTOCOL_VERSION = hellos.PROTOCOL_VERSION
 
 PING_INTERVAL_S = 0.8
-"""Time between pings."""
+"""Time between pings of a quiet peer."""
 
 SILENT_S = 2.6
 """Silence after which a connection is replaced: three pings of `PING_INTERVAL_S`, the
@@ -281,14 +281,18 @@
 
 
 async def _watch_peer(conn):
-    """Send pings; raise ConnectionClosedError once the peer is silent or stalled.
+    """Ping a quiet peer; raise ConnectionClosedError once it is silent or stalled.
 
-    After a pause of this process itself the peer gets `SILENT_S` again, because its
-    frames may wait unread in the socket.
+    A peer that was heard within `PING_INTERVAL_S` needs no ping, so that a silent one
+    gets three before it is given up and a busy one gets none. While a message is
+    handled nothing is read, and pings tell the peer that this process lives. After a
+    pause of this process itself the peer gets `SILENT_S` again, because its frames may
+    wait unread in the socket.
     """
-    ping_at = anyio.current_time() + PING_INTERVAL_S
+    pinged_at = anyio.current_time()
     seq = 0
     while True:
+        ping_at = _ping_at(conn, pinged_at)
         silent_at = ping_at
         if conn.quiet_since is not None:
             silent_at = conn.quiet_since + SILENT_S
@@ -301,12 +305,18 @@
             _fail(conn, f"peer silent for {now - conn.quiet_since:.1f} s")
         if conn.write_since is not None and now - conn.write_since >= STALL_S:
             _fail(conn, f"peer does not read for {now - conn.write_since:.1f} s")
-        if now >= ping_at:
+        if now >= _ping_at(conn, pinged_at):
             seq += 1
-            ping_at = now + PING_INTERVAL_S
+            pinged_at = now
             post(conn, ttypes.Ping(seq=seq))
 
 
+def _ping_at(conn, pinged_at):
+    """Return when the next ping is due unless the peer is heard before."""
+    quiet_since = pinged_at if conn.quiet_since is None else conn.quiet_since
+    return max(pinged_at, quiet_since) + PING_INTERVAL_S
+
+
 def _fail(conn, message):
     raise errors.ConnectionClosedError(message, step="wire.watch", peer=conn.address)
 
