Show versions per service and failure domain in status; name silent agents

status and watch now print, for each service, version and failure domain, how many replicas serve, percent verified, rate, expected end, and origin bytes in copies. Agents of the VM list that no entry hears, and entries that were not asked themselves, are named too: before, a process cut off from every entry was not shown as behind at all.

--- a/src/carobstand/cli/fleet.py
+++ b/src/carobstand/cli/fleet.py
@@ -18,10 +18,10 @@
     vm, role : str
     table_revision : int
     plan_revisions : dict of str to int
-    services : tuple of str
-        Services whose plans concern the process; None means all.
     error : str
         Why nothing is known, empty otherwise.
+    since : float or None
+        When a silent process was last heard, seconds since the epoch.
     """
 
     vm: str
@@ -29,6 +29,7 @@
     table_revision: int = 0
     plan_revisions: dict = attrs.field(factory=dict)
     error: str = ""
+    since: float | None = None
 
 
 @attrs.frozen
@@ -76,16 +77,32 @@
     async with anyio.create_task_group() as tg:
         for address in entries:
             tg.start_soon(fetch, address)
-    return sorted([*_processes(bodies), *failed], key=lambda p: (p.role, p.vm)), bodies
+    return sorted([*merge(bodies), *failed], key=lambda p: (p.role, p.vm)), bodies
 
 
-def _processes(bodies):
+def merge(bodies):
+    """Return the processes that the answers of several entries name, each once."""
     found = {}
     for body in bodies:
         _add(found, body["vm"], "entry", body)
         for vm, agent in body.get("agents", {}).items():
             _add(found, vm, "agent", agent)
-    return found.values()
+        for vm, peer in body.get("control", {}).get("peers", {}).items():
+            _add(found, vm, "entry", peer)
+    return [*found.values(), *_silent(bodies, found)]
+
+
+def _silent(bodies, found):
+    """Return the agents that are in the VM list and that no asked entry hears."""
+    since = {}
+    for body in bodies:
+        for vm, at in body.get("control", {}).get("silent", {}).items():
+            if ("agent", vm) not in found:
+                since[vm] = max(at, since.get(vm, at))
+    return [
+        Process(vm, "agent", error="no entry hears it", since=at)
+        for vm, at in since.items()
+    ]
 
 
 def _add(found, vm, role, body):
--- a/src/carobstand/cli/table.py
+++ b/src/carobstand/cli/table.py
@@ -12,7 +12,7 @@
 import rich.progress
 
 from carobstand import errors, settings
-from carobstand.cli import edits, fleet, publish
+from carobstand.cli import edits, fleet, progress, publish
 from carobstand.core import table
 from carobstand.platform import origin as origins
 from carobstand.platform import store as stores
@@ -146,6 +146,10 @@
     return moment.strftime("%Y-%m-%dT%H:%M:%SZ")
 
 
+def _ago(at, now):
+    return f"{_time(at)} ({max(0, now - at):.1f} s)"
+
+
 async def _current(store, bodies):
     """Return the newest table; without the store only its revision is known."""
     if store is not None:
@@ -157,11 +161,8 @@
     return table.Table(revision)
 
 
-async def status_lines(cfg, store):
-    """Return the lines of `status`, and whether everything is in force."""
-    if not cfg.entries:
-        raise errors.SettingsError("--entries is missing", step="settings")
-    processes, bodies = await fleet.ask(cfg.entries)
+async def status_lines(store, processes, bodies):
+    """Return the lines on processes that are behind, and whether none is."""
     current = await _current(store, bodies)
     plans, plans_at = {}, {}
     for body in bodies:
@@ -178,11 +179,13 @@
         f"table revision {current.revision}; {len(processes)} processes, "
         f"{len({(lag.role, lag.vm) for lag in behind})} behind, {len(silent)} silent"
     ]
-    lines += [f"{process.vm}: {process.error}" for process in silent]
+    for process in silent:
+        since = "" if process.since is None else f", since {_ago(process.since, now)}"
+        lines.append(f"{process.role} {process.vm}: {process.error}{since}")
     for lag in behind:
         since = "an unknown time"
         if lag.since is not None:
-            since = f"{_time(lag.since)} ({max(0, now - lag.since):.1f} s)"
+            since = _ago(lag.since, now)
         lines.append(
             f"{lag.role} {lag.vm}: {lag.what} revision {lag.held}, "
             f"{lag.current - lag.held} behind {lag.current}, since {since}"
@@ -194,20 +197,41 @@
     return lines, not behind and not silent
 
 
+async def _ask(cfg):
+    if not cfg.entries:
+        raise errors.SettingsError("--entries is missing", step="settings")
+    return await fleet.ask(cfg.entries)
+
+
 async def _status(cfg, store):
-    lines, in_force = await status_lines(cfg, store)
-    print("\n".join(lines))
+    processes, bodies = await _ask(cfg)
+    found = progress.collect(bodies)
+    earlier, seconds = None, 0.0
+    if progress.fetching(found):
+        # A second look gives the rate.
+        earlier, start = found, time.monotonic()
+        await anyio.sleep(WATCH_INTERVAL_S)
+        processes, bodies = await _ask(cfg)
+        found, seconds = progress.collect(bodies), time.monotonic() - start
+    lines, in_force = await status_lines(store, processes, bodies)
+    print("\n".join([*lines, *progress.lines(found, earlier, seconds)]))
     return 0 if in_force else EXIT_REFUSED
 
 
 async def _watch(cfg, store):
-    last = None
+    last, earlier, looked_at = None, None, 0.0
     while True:
-        lines, _ = await status_lines(cfg, store)
+        processes, bodies = await _ask(cfg)
+        now = time.monotonic()
+        found = progress.collect(bodies)
+        lines, _ = await status_lines(store, processes, bodies)
         shape = [line.partition(", since")[0] for line in lines]
+        lines += progress.lines(found, earlier, now - looked_at)
+        shape += progress.lines(found)
         if shape != last:
             print(f"{_time(time.time())}  " + "\n    ".join(lines), flush=True)
             last = shape
+        earlier, looked_at = found, now
         await anyio.sleep(WATCH_INTERVAL_S)
 
 
--- a/src/carobstand/entry/held.py
+++ b/src/carobstand/entry/held.py
@@ -77,9 +77,25 @@
 
 def describe(control):
     """Return what the status port shows of control; times are since the epoch."""
-    offset = time.time() - anyio.current_time()
+    now = anyio.current_time()
+    offset = time.time() - now
     store = control.state.store
+    peers = {
+        vm: {
+            "table_revision": peer.peer_state.table_revision or 0,
+            "plan_revisions": dict(peer.peer_state.plan_revisions or {}),
+        }
+        for vm, peer in control.state.entries.items()
+        if peer.peer_state is not None
+    }
+    silent = {
+        member.vm: now - membership.silent_s(member, now) + offset
+        for member in control.members.members.values()
+        if not membership.heard(member, now)
+    }
     return {
+        "peers": peers,
+        "silent": silent,
         "table": {
             "revision": control.table.revision,
             "digest": control.table.digest,
