--- a/src/carobstand/core/routing.py
+++ b/src/carobstand/core/routing.py
@@ -59,6 +59,8 @@
         False if it failed a moment ago, is ejected or its circuit breaker is open.
     failed : bool
         Whether it failed within `FAILED_MEMORY_S`.
+    full_until : float
+        Time before which it is not asked again after it refused for lack of room.
     """
 
     vm: str
@@ -71,6 +73,7 @@
     reported_at: float = 0.0
     usable: bool = True
     failed: bool = False
+    full_until: float = 0.0
     hash: int = attrs.field(init=False)
 
     def __attrs_post_init__(self):
@@ -99,6 +102,9 @@
 def choose_version(weights, served, wanted, fingerprint):
     """Return the version that a request goes to, or None.
 
+    While no version with a share is served yet, for example when one change moves the
+    whole share to a new version, the versions that are still served take the requests.
+
     Parameters
     ----------
     weights : dict of str to float
@@ -115,7 +121,10 @@
     shares = [(name, weights[name]) for name in sorted(weights) if name in served]
     total = sum(weight for _, weight in shares)
     if total <= 0:
-        return None
+        if not any(weight > 0 for weight in weights.values()):
+            return None
+        shares = [(name, 1.0) for name in sorted(served)]
+        total = len(shares)
     point = hash_of("version", fingerprint) / (_MASK + 1) * total
     for name, weight in shares:
         point -= weight
@@ -128,8 +137,8 @@
 class Homes:
     """Backend servers that may run a request.
 
-    `doubtful` says that no home is left: the request may have made both fail, so it
-    must not run before this is ruled out.
+    `doubtful` says that the request may have made backend servers fail that this
+    entry does not know of; it must not run before this is ruled out.
     """
 
     by_prefix: Candidate | None
@@ -178,10 +187,10 @@
         ]
         if not spare:
             return Homes(None, None)
-        both_failed = all(c.failed for c in pair)
+        # Neither home runs it: they may have failed because of this very request.
         spare.sort(key=lambda c: _rank(c, own))
-        return Homes(spare[0], spare[0], doubtful=both_failed)
-    return Homes(open_homes[0], open_homes[-1])
+        return Homes(spare[0], spare[0], doubtful=True)
+    return Homes(open_homes[0], open_homes[-1], doubtful=failures > 0)
 
 
 def load(candidate, now):
@@ -192,7 +201,9 @@
 
 def has_room(candidate, now):
     """Whether one more request stays within the in-flight limit."""
-    return candidate.own < candidate.limit and load(candidate, now) < candidate.limit
+    if candidate.own >= candidate.limit or now < candidate.full_until:
+        return False
+    return load(candidate, now) < candidate.limit
 
 
 def _cost(candidate, now):
