--- a/src/carobstand/agent/executor.py
+++ b/src/carobstand/agent/executor.py
@@ -45,6 +45,9 @@
 )
 """Headers that concern one connection only and are not forwarded."""
 
+DROPPED_HEADERS = HOP_HEADERS | {"date", "server"}
+"""Headers of an answer that are not passed on; the entry's own server adds some."""
+
 _OUTCOMES = {
     attempts.Outcome.DONE: ttypes.Outcome.DONE,
     attempts.Outcome.NOT_RUN: ttypes.Outcome.NOT_RUN,
@@ -95,10 +98,17 @@
     active: int = 0
 
 
-def part(state):
-    """Return the handlers and the loop that run attempts on this agent."""
-    ex = Executor(state, _client(state.cfg.backend_url), attempts.Attempts("unset"))
-    ex.held.start_id = state.start_id
+def part(state, client=None):
+    """Return the handlers and the loop that run attempts on this agent.
+
+    Parameters
+    ----------
+    state : agent.state.AgentState
+    client : httpx.AsyncClient or None
+        None connects to the backend server of the settings.
+    """
+    client = client or _client(state.cfg.backend_url)
+    ex = Executor(state, client, attempts.Attempts(state.start_id))
 
     async def on_attempt(conn, message):
         _on_attempt(ex, conn, message)
@@ -245,6 +255,7 @@
     run = Run(attempt, message, conn)
     ex.runs[key] = run
     ex.state.running_attempts += 1
+    ex.active += 1
     ex.tasks.start_soon(_run_attempt, ex, run)
 
 
@@ -296,7 +307,6 @@
     budget_s = max(message.deadline_ms or 0, 0) / 1000
     grace_s = 0 if message.idempotent else CANCEL_GRACE_S
     run.scope.deadline = anyio.current_time() + budget_s + grace_s
-    ex.active += 1
     try:
         try:
             with run.scope:
@@ -337,7 +347,7 @@
     except (httpx.ConnectError, httpx.ConnectTimeout, httpx.UnsupportedProtocol) as exc:
         detail = str(exc) or type(exc).__name__
         reason = f"backend server not reached: {detail}"
-        attempts.finish(attempt, attempts.Outcome.NOT_RUN, reason)
+        attempts.finish(attempt, attempts.Outcome.NOT_RUN, reason, backend_died=True)
         return
     except httpx.HTTPError as exc:
         _finish_failed(ex, run, exc)
@@ -346,7 +356,10 @@
         served = resp.headers.get(SERVED_VERSION_HEADER)
         if run.message.version and served is None and _engine_refused(resp):
             reason = f"engine refused the request with status {resp.status_code}"
-            attempts.finish(attempt, attempts.Outcome.NOT_RUN, reason)
+            died = resp.status_code == 404
+            attempts.finish(
+                attempt, attempts.Outcome.NOT_RUN, reason, backend_died=died
+            )
             return
         if run.message.version and served not in (None, run.message.version):
             raise errors.BackendError(
@@ -408,7 +421,7 @@
     return tuple(
         (name.decode("latin-1"), value.decode("latin-1"))
         for name, value in resp.headers.raw
-        if name.decode("latin-1").lower() not in HOP_HEADERS
+        if name.decode("latin-1").lower() not in DROPPED_HEADERS
     )
 
 
--- a/src/carobstand/wire/connection.py
+++ b/src/carobstand/wire/connection.py
@@ -52,6 +52,9 @@
 ACCEPT_RETRY_S = 0.2
 """Wait after a failed accept, for example without free file descriptors."""
 
+TRAFFIC = collections.Counter()
+"""Bytes of the frames that this process exchanged with others."""
+
 
 @attrs.define(eq=False)
 class Connection:
@@ -252,6 +255,7 @@
         return False
     conn.quiet_since = None
     conn.bytes_received += len(data)
+    TRAFFIC["received"] += len(data)
     framing.add(conn.frames, data)
     return True
 
@@ -272,6 +276,7 @@
         conn.write_since = None
         conn.queued_bytes -= len(data)
         conn.bytes_sent += len(data)
+        TRAFFIC["sent"] += len(data)
         conn.drained.notify()
 
 
@@ -292,7 +297,7 @@
         now = anyio.current_time()
         if now - wake_at > PING_INTERVAL_S / 2 and conn.quiet_since is not None:
             conn.quiet_since = now
-        if conn.quiet_since is not None and now - conn.quiet_since >= SILENT_S:
+        if conn.quiet_since is not None and now >= conn.quiet_since + SILENT_S:
             _fail(conn, f"peer silent for {now - conn.quiet_since:.1f} s")
         if conn.write_since is not None and now - conn.write_since >= STALL_S:
             _fail(conn, f"peer does not read for {now - conn.write_since:.1f} s")
