--- a/bench/swarm_world.py
+++ b/bench/swarm_world.py
@@ -5,12 +5,14 @@
 transmit one chunk after another at their rates.
 """
 
+import collections
 import heapq
 import itertools
 import random
 
 import attrs
 
+from carobstand import errors
 from carobstand.core import chunks, swarm, swarm_state
 from carobstand.core import manifest as manifests
 
@@ -18,6 +20,10 @@
 """Approximate size of a message without chunk data, for control bytes."""
 
 
+ROUNDING_S = 1e-4
+"""Difference of times that is due to `limits.ROUNDING_BYTES`."""
+
+
 @attrs.frozen
 class Shape:
     """Shape of a rollout.
@@ -60,7 +66,9 @@
     completed: dict = attrs.field(factory=dict)
     control_bytes: int = 0
     wanted: dict = attrs.field(factory=dict)
+    refused: set = attrs.field(factory=set)
     up_free: float = 0.0
+    told: int = 0
 
 
 @attrs.define(eq=False)
@@ -88,6 +96,7 @@
     late_draws: set = attrs.field(factory=set)
     on_complete: object = None
     steps: int = 0
+    messages: object = attrs.field(factory=collections.Counter)
 
 
 def at(world, time, action, *args):
@@ -190,6 +199,10 @@
 def _post(world, node, vm, event, control=True):
     """Deliver an event to another VM after the delay of the link."""
     target = world.nodes.get(vm)
+    name = type(event).__name__
+    world.messages[
+        name, str(getattr(event, "probe", getattr(event, "reason", "")))
+    ] += 1
     if control:
         node.control_bytes += MESSAGE_BYTES
     if (
@@ -233,6 +246,7 @@
 def _send(world, node, effect):
     vm, generation = effect.conn
     data = node.state.cache.data[effect.digest]
+    _check_rate(world, node, len(data))
     sent = swarm_state.Sent(effect.conn, effect.request_id)
     at(world, world.now, feed, world, node, sent)
     target = world.nodes.get(vm)
@@ -247,6 +261,16 @@
     at(world, ready, _post, world, node, vm, event, False)
 
 
+def _check_rate(world, node, size):
+    """Raise InvariantError if a VM sends faster than its link allows."""
+    rate = node.state.links.up.bytes_per_s
+    if rate is None:
+        return
+    if world.now < node.up_free - ROUNDING_S:
+        raise errors.InvariantError(f"{node.vm} sends above {rate} bytes/s")
+    node.up_free = world.now + size / rate
+
+
 def _cross(world, near, far, size):
     """Transmit over the shared links of two regions, one chunk after another."""
     copy = world.shape.chunk_count * 64
@@ -293,6 +317,11 @@
         world.on_complete(node, effect.manifest)
 
 
+def _memory_refused(world, node, effect):
+    del world
+    node.refused.add(effect.manifest)
+
+
 def _ignore(world, node, effect):
     del world, node, effect
 
@@ -305,13 +334,14 @@
     swarm_state.Drop: _ignore,
     swarm_state.Announce: _announce,
     swarm_state.Completed: _completed,
-    swarm_state.MemoryRefused: _ignore,
+    swarm_state.MemoryRefused: _memory_refused,
 }
 
 
 def assign(world, node, wanted, members):
     """Tell a VM which manifests to hold, and who else does."""
     node.wanted = dict(wanted)
+    node.refused.clear()
     policy = world.shape.policy
     event = swarm_state.Wanted({key: (made, policy) for key, made in wanted.items()})
     feed(world, node, event)
--- a/src/carobstand/agent/swarm_io.py
+++ b/src/carobstand/agent/swarm_io.py
@@ -115,6 +115,11 @@
 
 def _send(loop, effect):
     data = chunks.get(loop.state.chunks, effect.digest)
+    if data is None:
+        raise errors.InvariantError(
+            f"chunk {effect.digest[:12]} is to be sent but was not verified",
+            step="weights.send",
+        )
     loop.tg.start_soon(_send_chunk, loop, effect, data)
 
 
--- a/src/carobstand/agent/weights.py
+++ b/src/carobstand/agent/weights.py
@@ -70,13 +70,12 @@
         if self.failure is not None or self.tg is None:
             return
         try:
-            effects = swarm.step(self.swarm, event, anyio.current_time())
+            for effect in swarm.step(self.swarm, event, anyio.current_time()):
+                swarm_io.carry_out(self, effect)
         except errors.InvariantError as exc:
             self.failure = exc
             self.wake.set()
             return
-        for effect in effects:
-            swarm_io.carry_out(self, effect)
         if swarm.next_step_at(self.swarm, anyio.current_time()) < self.sleeps_until:
             self.wake.set()
 
--- a/src/carobstand/core/swarm.py
+++ b/src/carobstand/core/swarm.py
@@ -108,6 +108,7 @@
     job.index = {key: idx for idx, key in enumerate(job.chunks)}
     job.counts = [0] * len(job.chunks)
     job.total_bytes = sum(job.sizes)
+    job.largest = max(job.sizes, default=0)
     for key, idx in job.index.items():
         if chunks.get(swarm.cache, key) is not None:
             job.have |= 1 << idx
--- a/src/carobstand/core/swarm_duties.py
+++ b/src/carobstand/core/swarm_duties.py
@@ -3,7 +3,8 @@
 The VMs of the roster are ranked for each chunk by rendezvous hashing. The first one
 downloads the chunk from the origin when its turn in the schedule has come; in each
 other region the first one of that region fetches it across the region link. The VM of
-rank k takes over k deadlines later, after it has asked those before it.
+rank k looks whether the chunk has come, asks those before it, and takes over when none
+of them fetches it or when their answers "still fetching" have used up the deadlines.
 """
 
 import heapq
@@ -19,6 +20,10 @@
 """Share of the chunks held by neighbours at the start above which this VM has joined a
 rollout that is under way."""
 
+FIRST_LOOK_S = 1.0
+"""Time after which ranks 1, 2 and 3, 4 to 7 and so on first look for a chunk: 1, 2, 3
+times this. The answers of those before a VM keep it from acting, not this time."""
+
 MIN_TAKEOVER_S = 1.0
 """Shortest deadline after which the next VM in hash order takes over."""
 
@@ -44,10 +49,16 @@
 LONGEST_ORIGIN_BACKOFF_S = 2.0
 
 
-def takeover_s(swarm):
-    """Return the takeover deadline in seconds, following measured rates."""
-    measured = max(swarm.seconds or 0.0, swarm.origin_seconds or 0.0)
-    return max(MIN_TAKEOVER_S, TAKEOVER_FACTOR * measured)
+def takeover_s(swarm, job):
+    """Return the takeover deadline in seconds.
+
+    It follows measured times, and is not below what the limits allow for a chunk.
+    """
+    rates = (swarm.links.down.bytes_per_s, swarm.links.origin.bytes_per_s)
+    size = job.largest
+    times = [size / rate for rate in rates if rate]
+    times += [swarm.seconds or 0.0, swarm.origin_seconds or 0.0]
+    return max(MIN_TAKEOVER_S, TAKEOVER_FACTOR * max(times))
 
 
 def prepare(swarm, job, now):
@@ -105,14 +116,12 @@
         duty.before = tuple(order[1:2])
         duty.deferred = DEFERRED_DURING_OUTAGE
     _push(job, due, duty)
-    if region_of[order[0]] != swarm.region:
-        own = [vm for vm in order if region_of[vm] == swarm.region]
-        sources = tuple(vm for vm in order if region_of[vm] != swarm.region)
-        rank = own.index(swarm.vm)
-        duty = st.Duty(
-            job, idx, st.DutyKind.ENTRY, rank, due, tuple(own[:rank]), sources
-        )
-        _push(job, due, duty)
+    # Also in the region of the first one: other regions may hold the chunk already.
+    own = [vm for vm in order if region_of[vm] == swarm.region]
+    sources = tuple(vm for vm in order if region_of[vm] != swarm.region)
+    rank = own.index(swarm.vm)
+    duty = st.Duty(job, idx, st.DutyKind.ENTRY, rank, due, tuple(own[:rank]), sources)
+    _push(job, due, duty)
 
 
 def _push(job, time, duty):
@@ -129,7 +138,7 @@
             time, _, duty = heapq.heappop(job.duties)
             if duty.at != time or job.have >> duty.idx & 1:
                 continue
-            due = duty.base + duty.rank * takeover_s(swarm)
+            due = duty.base + FIRST_LOOK_S * duty.rank.bit_length()
             if due > now:
                 _push(job, due, duty)
             else:
@@ -139,7 +148,7 @@
 
 def _act(swarm, job, duty, now, effects):
     """Do what a duty needs next; return the time until it is looked at again."""
-    takeover = takeover_s(swarm)
+    takeover = takeover_s(swarm, job)
     if job.chunks[duty.idx] in swarm.inflight:
         return takeover / 2
     if duty.kind is st.DutyKind.ENTRY:
@@ -153,10 +162,12 @@
     return _draw(swarm, job, duty, now, effects)
 
 
-def _is_offered(swarm, job, idx):
-    """Return whether some peer that answers holds the chunk."""
+def _is_offered(swarm, job, idx, region=None):
+    """Return whether some peer that answers, of a region or any, holds the chunk."""
     return any(
-        known.have.get(job.digest, 0) >> idx & 1 and known.failures < 3
+        known.have.get(job.digest, 0) >> idx & 1
+        and known.failures < 3
+        and region in (None, known.member.region)
         for known in swarm.peers.values()
     )
 
@@ -175,7 +186,9 @@
 
 def _enter(swarm, job, duty, now, effects):
     """Fetch a chunk across the region link, from its drawer or another holder."""
-    takeover = takeover_s(swarm)
+    takeover = takeover_s(swarm, job)
+    if duty.rank and _is_offered(swarm, job, duty.idx, swarm.region):
+        return takeover
     unasked = _next_unasked(swarm, duty, duty.before, now)
     if unasked is None:
         job.entry |= 1 << duty.idx
@@ -197,7 +210,7 @@
         duty.asked.add(vm)
         return
     known = peers.peer(swarm, member)
-    deadline = now + peers.MIN_DEADLINE_S + takeover_s(swarm)
+    deadline = now + peers.MIN_DEADLINE_S + takeover_s(swarm, job)
     digest = job.chunks[duty.idx]
     transfer = peers.new_transfer(swarm, digest, 0, vm, now, deadline)
     transfer.probe = True
@@ -247,7 +260,7 @@
     transfer.duty = duty
     swarm.inflight.setdefault(digest, set()).add(transfer.id)
     effects.append(st.Draw(transfer.id, digest))
-    return takeover_s(swarm)
+    return takeover_s(swarm, job)
 
 
 def draw_failed(swarm, transfer, now):
--- a/src/carobstand/core/swarm_peers.py
+++ b/src/carobstand/core/swarm_peers.py
@@ -28,6 +28,14 @@
 """The same across a region link, where a repeated chunk costs a scarce link and the
 queue of the link may be long."""
 
+HEDGE_FACTOR = 1.5
+"""Multiple of the expected time after which a chunk is requested a second time, if
+there is nothing else to request."""
+
+UNMEASURED_CHUNKS = 3
+"""Assumed time of a transfer before the first measurement, in chunks that the sender's
+link carries in that time: others are served first."""
+
 UNMEASURED_S = 2.0
 """Assumed time of a transfer where neither a measurement nor a limit is known."""
 
@@ -153,7 +161,7 @@
     measured = max((known and known.seconds) or 0.0, overall or 0.0)
     if measured:
         return max(measured, floor)
-    return floor * (swarm.upload_slots + 2) if rate else UNMEASURED_S
+    return floor * UNMEASURED_CHUNKS if rate else UNMEASURED_S
 
 
 def usable(known, now):
@@ -172,8 +180,10 @@
     while swarm.jobs and len(swarm.inflight) < WINDOW:
         if limits.weights_wait_s(swarm.links.down, now) > 0:
             return
-        if not any(_request_next(swarm, job, now, effects) for job in _open(swarm)):
-            return
+        jobs = _open(swarm)
+        if not any(_request_next(swarm, job, now, effects) for job in jobs):
+            if not any(_request_again(swarm, job, now, effects) for job in jobs):
+                return
 
 
 def _open(swarm):
@@ -209,6 +219,35 @@
     return True
 
 
+def _request_again(swarm, job, now, effects):
+    """Request a chunk that is overdue from a second holder, nearest first.
+
+    It happens only while nothing else can be requested, so mostly for the last chunks.
+    """
+    for digest, ids in swarm.inflight.items():
+        if digest not in job.index or len(ids) > 1:
+            continue
+        transfer = swarm.transfers[next(iter(ids))]
+        source = swarm.peers.get(transfer.vm)
+        overdue = HEDGE_FACTOR * expected_s(swarm, transfer.size, source)
+        if transfer.vm == st.ORIGIN or now - transfer.started_at < overdue:
+            continue
+        bit = 1 << job.index[digest]
+        holders = [
+            known
+            for known in swarm.peers.values()
+            if known is not source
+            and usable(known, now)
+            and known.member.region == swarm.region
+            and allowed(swarm, job, known) & bit
+        ]
+        if holders:
+            nearest = _cheapest(swarm, holders)
+            request(swarm, job, job.index[digest], nearest, now, effects)
+            return True
+    return False
+
+
 def _rarest(swarm, job, offered):
     """Return a chunk with the fewest known holders, at random among equals."""
     length = len(job.chunks)
--- a/src/carobstand/core/swarm_state.py
+++ b/src/carobstand/core/swarm_state.py
@@ -91,8 +91,8 @@
     have, entry : int
         Bitmaps of the chunks held, and of those that this VM may fetch from another
         region.
-    total_bytes, held_bytes : int
-        Size of all chunks, and of those held.
+    total_bytes, largest, held_bytes : int
+        Size of all chunks, of the largest one, and of those held.
     members : dict of str to Member
         All VMs of the roster, this one included.
     hashes : dict of str to int
@@ -120,6 +120,7 @@
     index: dict = attrs.field(factory=dict)
     have: int = 0
     total_bytes: int = 0
+    largest: int = 0
     held_bytes: int = 0
     entry: int = 0
     members: dict = attrs.field(factory=dict)
--- a/src/carobstand/core/swarm_uploads.py
+++ b/src/carobstand/core/swarm_uploads.py
@@ -1,6 +1,5 @@
 """Upload side of the swarm: queue, slots and pace of chunks sent to peers."""
 
-from carobstand import errors
 from carobstand.core import chunks, limits
 from carobstand.core import swarm_state as st
 
@@ -71,12 +70,15 @@
     links = swarm.links
     while True:
         if swarm.paying is None:
+            _refuse_evicted(swarm, effects)
             swarm.paying = _next(swarm, now)
         upload = swarm.paying
         if upload is None or _wait_s(links, upload, now) > 0:
             return
         swarm.paying = None
-        _check_verified(swarm, upload)
+        if chunks.get(swarm.cache, upload.digest) is None:
+            _refuse(upload, st.Refusal.ABSENT, 0.0, effects)
+            continue
         swarm.sending[upload.conn, upload.request_id] = upload
         swarm.times_sent[upload.digest] = swarm.times_sent.get(upload.digest, 0) + 1
         effects.append(st.Send(upload.conn, upload.request_id, upload.digest))
@@ -91,9 +93,6 @@
     links = swarm.links
     if len(swarm.sending) >= swarm.upload_slots:
         return None
-    swarm.queue = [
-        upload for upload in swarm.queue if upload.digest in swarm.cache.data
-    ]
     ready = [upload for upload in swarm.queue if _wait_s(links, upload, now) == 0]
     if not ready:
         return None
@@ -115,13 +114,11 @@
     return wait
 
 
-def _check_verified(swarm, upload):
-    if chunks.get(swarm.cache, upload.digest) is None:
-        raise errors.InvariantError(
-            f"upload of chunk {upload.digest[:12]}, which is not verified",
-            step="swarm.upload",
-            peer=upload.vm,
-        )
+def _refuse_evicted(swarm, effects):
+    """Refuse the queued requests for chunks that are no longer held."""
+    for upload in [item for item in swarm.queue if item.digest not in swarm.cache.data]:
+        swarm.queue.remove(upload)
+        _refuse(upload, st.Refusal.ABSENT, 0.0, effects)
 
 
 def wait_s(swarm, now):
