--- a/src/carobstand/local.py
+++ b/src/carobstand/local.py
@@ -24,12 +24,16 @@
 from carobstand.platform import http
 from carobstand.platform import origin as origins
 from carobstand.platform import store as stores
+from carobstand.standin import plain
 
 MIB = 1024 * 1024
 
 FIRST_BYTES = 8 * MIB
 """Size of the version that is served before the rollout."""
 
+SEEDED_FILE_BYTES = 8 * MIB
+"""Size of a file of the seeded data; engines read several files at a time."""
+
 MEMORY_LIMIT_BYTES = 8 * 1024 * MIB
 """Memory that the weights on all VMs together may take on this machine."""
 
@@ -208,6 +212,13 @@
             cfg.seed,
             CLIENTS,
         )
+        tg.start_soon(
+            local_traffic.run_orders,
+            report.tally,
+            entries,
+            local_fleet.PLAIN_SERVICE,
+            stop,
+        )
         try:
             await anyio.sleep(WARM_UP_S)
             sent_before = fleet.origin.sent_bytes["chunk"]
@@ -227,9 +238,13 @@
 
 async def _inspect(source, report, fleet, manifest):
     """Compare the weights on every VM with the source, and read the counters."""
-    for vm, status in (await local_fleet.statuses(fleet)).items():
+    async with http.client("", local_fleet.STATUS_TIMEOUT_S) as client:
+        statuses = await local_fleet.statuses(fleet, client)
+    for vm, status in statuses.items():
         held = local_fleet.replica(status, manifest)
         report.origin_bytes[vm] = held["origin_bytes"] if held else None
+    for order in plain.doubled(fleet.plain):
+        report.problems.append(f"{order} ran {fleet.plain.started[order]} times")
     for vm, cfg in fleet.agents.items():
         report.intact[vm] = await _is_intact(source, cfg.weights_listen, manifest)
         engine = fleet.engines[vm]
@@ -337,9 +352,10 @@
         f"{report.window_s / 2:.1f} s)"
     )
     tally = report.tally
-    versions = ", ".join(f"{n} by {v}" for v, n in sorted(tally.by_version.items()))
+    parts = [f"{n} by {v}" for v, n in sorted(tally.by_version.items())]
+    parts.append(f"{tally.orders} orders that ran once")
     console.print(
-        f"requests: {tally.sent} sent, {tally.whole} whole ({versions}), "
+        f"requests: {tally.sent} sent, {tally.whole} whole ({', '.join(parts)}), "
         f"{tally.not_run} not run, {tally.unknown} unknown, {tally.wrong} wrong, "
         f"{tally.cut} cut"
     )
@@ -356,28 +372,31 @@
     left, number = cfg.weights_bytes, 0
     while left:
         number += 1
-        size = min(left, 24 * MIB)
+        size = min(left, SEEDED_FILE_BYTES)
         root.joinpath(f"model-{number:03}.bin").write_bytes(rng.randbytes(size))
         left -= size
     return root
 
 
-def _check_size(cfg, size_bytes):
-    needed = (cfg.agents + 1) * (size_bytes + FIRST_BYTES)
-    if size_bytes == 0 or needed > MEMORY_LIMIT_BYTES:
-        allowed = MEMORY_LIMIT_BYTES // (cfg.agents + 1) - FIRST_BYTES
+def _check_size(cfg, root):
+    """Refuse weights that are empty or too large, before any of them is read."""
+    size_bytes = sum(path.stat().st_size for _, path in publish.list_files(root))
+    allowed = MEMORY_LIMIT_BYTES // (cfg.agents + 1) - FIRST_BYTES
+    if not 0 < size_bytes <= allowed:
         raise errors.SettingsError(
-            f"--weights: {size_bytes} bytes for {cfg.agents} agents are not allowed, "
-            f"expected 1 to {allowed} bytes",
+            f"--weights: {root} has {size_bytes} bytes; expected 1 to {allowed} bytes "
+            f"for {cfg.agents} agents",
             step="local.source",
+            peer=str(root),
         )
 
 
 async def serve(cfg, stop, console, report):
     """Run the demonstration until it ends or `stop` is set."""
     with tempfile.TemporaryDirectory(prefix="carobstand-") as directory:
+        if cfg.weights:
+            _check_size(cfg, cfg.weights)
         source = read_source(cfg.weights or _seeded_source(cfg, directory))
-        _check_size(cfg, source.size_bytes)
 
         async def cancel_on_stop(scope):
             await stop.wait()
@@ -389,12 +408,19 @@
             tg.cancel_scope.cancel()
 
 
-def main():
-    """Run the program with the settings of the command line and environment."""
-    cfg = settings.load(settings.LocalSettings, sys.argv[1:], os.environ)
-    if cfg.log_file:
-        logs.open_log(cfg.log_file)
-    console = rich.console.Console(highlight=False)
+def run(cfg, console):
+    """Run the demonstration and print its report.
+
+    Parameters
+    ----------
+    cfg : settings.LocalSettings
+    console : rich.console.Console
+
+    Returns
+    -------
+    status : int
+        0 if everything was as it should be, 1 if not, 2 for a wrong setting.
+    """
     report = Report()
     interrupted = []
 
@@ -409,15 +435,22 @@
         found = _carobstand_errors(exc)
         if not found:
             raise
-        for each in found:
-            report.problems.append(str(each))
+        report.problems += map(str, found)
         status = 1
     if status == settings.EXIT_STATUS:
-        sys.exit(status)
+        return status
     if interrupted:
-        sys.exit(EXIT_INTERRUPTED)
+        return EXIT_INTERRUPTED
     show(report, console)
-    sys.exit(0 if is_success(report) else 1)
+    return 0 if is_success(report) else 1
+
+
+def main():
+    """Run the program with the settings of the command line and environment."""
+    cfg = settings.load(settings.LocalSettings, sys.argv[1:], os.environ)
+    if cfg.log_file:
+        logs.open_log(cfg.log_file)
+    sys.exit(run(cfg, rich.console.Console(highlight=False)))
 
 
 def _carobstand_errors(exc):
