--- a/src/carobstand/agent/swarm_io.py
+++ b/src/carobstand/agent/swarm_io.py
@@ -70,6 +70,8 @@
     async def wait():
         await conn.closed.wait()
         loop.watched.discard(conn)
+        loop.traffic.closed_sent += conn.bytes_sent
+        loop.traffic.closed_received += conn.bytes_received
         loop.feed(st.PeerLost(conn.peer.vm))
 
     loop.tg.start_soon(wait)
@@ -85,6 +87,8 @@
     event = None
     with scope:
         try:
+            if loop.state.origin is None:
+                raise errors.OriginError("no origin is set", step="weights.draw")
             data = await loop.state.origin.chunk(effect.digest)
             event = st.Arrived(effect.transfer, effect.digest, data)
         except errors.OriginError as exc:
@@ -115,6 +119,11 @@
 
 def _send(loop, effect):
     data = chunks.get(loop.state.chunks, effect.digest)
+    if data is None:
+        raise errors.InvariantError(
+            f"chunk {effect.digest[:12]} is to be sent but was not verified",
+            step="weights.send",
+        )
     loop.tg.start_soon(_send_chunk, loop, effect, data)
 
 
@@ -127,6 +136,7 @@
     )
     try:
         await connection.send(effect.conn, reply)
+        loop.traffic.chunk_bytes_sent += len(data)
     except errors.CarobstandError as exc:
         logs.event("weights.send_failed", peer=effect.conn.peer.vm, error=exc.message)
     loop.feed(st.Sent(effect.conn, effect.request_id))
