Retry a lost stream at once and never cut a started answer for a full queue

When the connection of an idempotent attempt ends, another attempt is now made beside it at once, from the retry budget; the first one that answers wins, also if the agent comes back. This happens once per request: if the second connection ends too, the request may be what makes backend servers fail, which is known only after the grace of 4 s. A started answer is not shed, not refused as a suspect while a failure may still turn out to be a lost connection, and waits for a replica of its version, or for its agent, until its deadline. Non-idempotent calls keep the grace.

--- a/src/carobstand/core/admission.py
+++ b/src/carobstand/core/admission.py
@@ -93,7 +93,8 @@
 class Ticket:
     """A request in admission.
 
-    `order` is its place in the queue: the virtual time at which it would end.
+    `order` is its place in the queue: the virtual time at which it would end. A
+    `protected` one has a started answer: it is not shed and waits until its deadline.
     """
 
     request_id: str
@@ -109,6 +110,7 @@
     order: float = 0.0
     seq: int = 0
     queued: bool = False
+    protected: bool = False
     admitted: bool = False
     closed: bool = False
     data: object = None
@@ -308,7 +310,10 @@
             verdict = Verdict.TOO_LONG
         else:
             break
-        victim = max(queue.waiting, key=lambda t: (-t.priority, t.order, t.seq))
+        able = [item for item in queue.waiting if not item.protected]
+        if not able:
+            break
+        victim = max(able, key=lambda t: (-t.priority, t.order, t.seq))
         retry_s = _retry_s(queue, len(queue.waiting))
         _remove(state, queue, victim)
         refusals.append(Refusal(victim, verdict, retry_s))
@@ -365,7 +370,8 @@
     late = [
         ticket
         for ticket in queue.waiting
-        if now - ticket.queued_at > 2 * MAX_WAIT_S or now >= ticket.deadline
+        if now >= ticket.deadline
+        or (now - ticket.queued_at > 2 * MAX_WAIT_S and not ticket.protected)
     ]
     for ticket in late:
         _remove(state, queue, ticket)
--- a/src/carobstand/core/course.py
+++ b/src/carobstand/core/course.py
@@ -68,10 +68,16 @@
         Answer bytes passed on to the caller.
     gone : bool
         Whether the caller gets nothing more.
+    placing : bool
+        Whether a backend server was asked for and is not there yet.
+    detoured : bool
+        Whether an attempt was made beside one whose connection had ended.
     head : tuple or None
         Status, headers and whether the answer is an event stream.
     held, keep : bytearray
         Bytes not yet delivered; answer to be stored, None once it is too large.
+    held_of : int or None
+        Attempt that `head` and `held` come from.
     """
 
     idempotent: bool
@@ -100,6 +106,9 @@
     claim_writes: int = 0
     pending: events.Placed | None = None
     hedged: bool = False
+    placing: bool = False
+    detoured: bool = False
+    held_of: int | None = None
     outcome: attempts.Outcome | None = None
 
 
@@ -107,6 +116,7 @@
     """Ask for a backend server."""
     if not hedge:
         req.stage = Stage.PLACING
+        req.placing = True
     return events.Place(frozenset(req.used), req.version, hedge)
 
 
--- a/src/carobstand/core/events.py
+++ b/src/carobstand/core/events.py
@@ -96,6 +96,13 @@
     full: bool = False
 
 
+@attrs.frozen
+class Detached:
+    """The connection of an attempt ended; its agent may come back with it."""
+
+    attempt_id: int
+
+
 @attrs.frozen
 class NotSent:
     """The attempt could not be sent; nothing left this process."""
--- a/src/carobstand/core/requests.py
+++ b/src/carobstand/core/requests.py
@@ -47,6 +47,10 @@
 
 
 def _on_placed(req, event):
+    req.placing = False
+    if req.winner is not None:
+        # An attempt that seemed lost answers again.
+        return [events.Close(event.attempt_id)]
     req.tries[event.attempt_id] = course.Try(event)
     req.used.add(event.vm)
     if req.idempotent:
@@ -55,6 +59,7 @@
 
 
 def _on_not_placed(req, event):
+    req.placing = False
     if req.tries:
         return []
     if req.started:
@@ -72,6 +77,7 @@
     effects = _elect(req, event.attempt_id)
     if req.winner != event.attempt_id:
         return effects
+    req.stage = course.Stage.RUNNING
     if event.head is not None:
         if req.started and event.head[0] != req.head[0]:
             reason = f"status {event.head[0]} instead of the rest of the answer"
@@ -91,6 +97,9 @@
     if req.winner is not None:
         return []
     req.winner = attempt_id
+    if req.held_of != attempt_id:
+        _forget_held(req)
+        req.held_of = attempt_id
     effects = []
     for other in [num for num in req.tries if num != attempt_id]:
         if req.tries.pop(other).sent:
@@ -148,7 +157,7 @@
     if won:
         req.winner = None
     effects = [events.Close(event.attempt_id)]
-    if req.tries:
+    if req.tries or req.placing:
         return effects
     return effects + _again(req, event)
 
@@ -177,11 +186,32 @@
 def _restart(req):
     """Forget an answer of which nothing was delivered."""
     req.winner = None
+    _forget_held(req)
+
+
+def _forget_held(req):
     req.held.clear()
     if not req.started:
         req.head = None
 
 
+def _on_detached(req, event):
+    """Make another attempt beside one whose connection ended.
+
+    It happens once. If the second connection ends too, the request may be what makes
+    backend servers fail, which is known only after some seconds.
+    """
+    able = req.idempotent and (req.resumable or not req.started)
+    alone = set(req.tries) == {event.attempt_id} and not req.placing
+    if not (able and alone) or req.detoured or req.gone:
+        return []
+    if req.attempts_sent >= MAX_ATTEMPTS or not _may_retry(req):
+        return []
+    req.detoured = True
+    req.winner = None
+    return [course.place(req)]
+
+
 def _again(req, event):
     """Continue after the last open attempt ended without a whole answer."""
     left = req.attempts_sent < MAX_ATTEMPTS and not req.gone
@@ -254,6 +284,7 @@
     events.AgentSilent: claiming.on_agent_silent,
     events.Data: _on_data,
     events.Ended: _on_ended,
+    events.Detached: _on_detached,
     events.NotSent: _on_not_sent,
     events.HedgeDue: _on_hedge_due,
     events.DeadlinePassed: _on_deadline,
--- a/src/carobstand/entry/effects.py
+++ b/src/carobstand/entry/effects.py
@@ -35,6 +35,8 @@
     sent_at: float | None = None
     head_passed: bool = False
     end_passed: bool = False
+    detach_passed: float | None = None
+    unreachable_passed: bool = False
 
 
 @attrs.define(eq=False)
@@ -108,6 +110,12 @@
         if tries.ended(t):
             sent.end_passed = True
             run.events.append(_ended(run, sent))
+        elif t.detached_at is not None and sent.detach_passed != t.detached_at:
+            sent.detach_passed = t.detached_at
+            run.events.append(events.Detached(attempt_id))
+        elif t.unreachable and not sent.unreachable_passed:
+            sent.unreachable_passed = True
+            _suspect(run, t, "lost")
 
 
 def _is_stream(headers):
@@ -170,7 +178,9 @@
     """End the attempts of a stream that has been silent for too long."""
     run.heard_at = None
     for attempt_id, sent in run.attempts.items():
-        if sent.sent_at is not None and not sent.end_passed:
+        # An agent that is unreachable may come back with the rest of the answer.
+        silent = sent.t.detached_at is None
+        if sent.sent_at is not None and not sent.end_passed and silent:
             sent.end_passed = True
             tries.cancel(sent.t)
             health = placing.health_of(run.dp.pool, sent.choice.candidate.vm)
@@ -188,6 +198,8 @@
 
 async def _place(run, effect):
     run.used, run.version = effect.used, effect.version
+    for sent in run.attempts.values():
+        sent.t.patient = run.req.started and sent.t.detached_at is not None
     if not effect.hedge:
         placing.enqueue(run.state, run.dp, run)
         return
--- a/src/carobstand/entry/placing.py
+++ b/src/carobstand/entry/placing.py
@@ -256,15 +256,17 @@
     """Put the request of `run` into its queue, the first time or again."""
     call = run.call
     now = anyio.current_time()
+    started = run.req.started
     refusal = refused(dp, call)
-    if refusal is not None:
+    if refusal is not None and not started:
         run.post(refusal)
         return
     found = view(state, dp.pool, call.service)
-    if not found.candidates:
+    if not found.candidates and not started:
         run.post(events.NotPlaced(503, "Not run", "no backend server of the service"))
         return
-    if run.ticket is not None:
+    if run.ticket is not None and not run.ticket.closed:
+        run.ticket.protected = started
         ran = run.req.unresolved > 0
         admission.put_back(dp.queues, run.ticket, ran, now)
     else:
@@ -283,13 +285,15 @@
         call.cost,
         call.arrived,
         call.deadline,
+        protected=run.req.started,
         data=run,
     )
+    again = run.req.attempts_sent > 0
     refusals = admission.arrive(
         dp.queues,
         run.ticket,
-        call.customer.rate_per_s,
-        call.customer.max_in_flight,
+        None if again else call.customer.rate_per_s,
+        None if again else call.customer.max_in_flight,
         call.service.max_queue,
         now,
     )
@@ -329,7 +333,10 @@
         nonlocal chosen
         run = ticket.data
         chosen = choose(state, dp, run.call, run.used, run.version, now)
-        return chosen is not None
+        if chosen is None:
+            return False
+        # A started answer waits: a failure may turn out to be a lost connection.
+        return not run.req.started or refused(dp, run.call) is None
 
     while True:
         ticket = admission.next_admitted(dp.queues, service, can_run, now)
--- a/src/carobstand/entry/tries.py
+++ b/src/carobstand/entry/tries.py
@@ -33,7 +33,11 @@
 
 @attrs.define(eq=False)
 class Try:
-    """One attempt: sent over `conn` to one start of one agent."""
+    """One attempt: sent over `conn` to one start of one agent.
+
+    `unreachable` is set when its agent was not connected for `RECONNECT_GRACE_S`; a
+    `patient` one is not lost then, but only if the agent restarts.
+    """
 
     attempt_id: int
     vm: str = ""
@@ -47,6 +51,8 @@
     version: str = ""
     acked: int = 0
     detached_at: float | None = None
+    patient: bool = False
+    unreachable: bool = False
     resuming: bool = False
     on_change: object = None
 
@@ -216,11 +222,17 @@
         _lose(t, "agent restarted")
     elif peer is not None and peer.conn is not t.conn and not peer.conn.closed.is_set():
         t.conn, t.detached_at, t.resuming = peer.conn, None, True
+        t.unreachable = False
         logs.event("attempt.resumed", attempt=t.attempt_id, offset=t.answer.end)
         _post(t.conn, ttypes.Resume(t.attempt_id, t.answer.end))
     elif t.conn.closed.is_set():
-        t.detached_at = now if t.detached_at is None else t.detached_at
-        if now - t.detached_at > RECONNECT_GRACE_S:
+        if t.detached_at is None:
+            t.detached_at = now
+            t.on_change()
+        if now - t.detached_at > RECONNECT_GRACE_S and not t.unreachable:
+            t.unreachable = True
+            t.on_change()
+        if t.unreachable and not t.patient:
             _lose(t, f"agent unreachable for {RECONNECT_GRACE_S} s")
 
 
--- a/testing/test_request_core.py
+++ b/testing/test_request_core.py
@@ -119,6 +119,22 @@
     assert 100 - len(refused) <= 2 * 10 * share + 2
 
 
+def test_a_started_answer_is_not_shed_and_waits_until_its_deadline():
+    state = admission.Admission()
+    started = ticket("started")
+    arrive(state, started)
+    assert admission.next_admitted(state, "s", lambda t: True, 0.0) is started
+    started.protected = True
+    admission.put_back(state, started, True, 1.0)
+    refused = [
+        item for number in range(9) for item in arrive(state, ticket(number), queue=2)
+    ]
+    assert started not in [item.ticket for item in refused]
+    late = admission.expire(state, "s", 50.0)
+    assert started not in [item.ticket for item in late]
+    assert [item.ticket for item in admission.expire(state, "s", 99.0)] == [started]
+
+
 def test_counts_return_to_zero_whatever_way_requests_end():
     state = admission.Admission()
     items = [ticket(number) for number in range(6)]
@@ -255,6 +271,36 @@
         course.end(req, None, attempts.Outcome.NOT_RUN)
 
 
+def stream():
+    req = course.Request(True, "d", "e1", True, retries.Budget())
+    requests.begin(req)
+    requests.step(req, events.Placed(1, "vm-1", "a", "v1"))
+    requests.step(req, events.Data(1, b"abc", (200, (), True)))
+    return req
+
+
+def test_a_stream_whose_connection_ended_is_tried_elsewhere_at_once():
+    req = stream()
+    (place,) = requests.step(req, events.Detached(1))
+    assert (place.version, place.used) == ("v1", frozenset(["vm-1"]))
+    assert requests.step(req, events.NotPlaced(503, "", "")) == []
+    assert requests.step(req, events.Placed(2, "vm-2", "b", "v1")) == [
+        events.Send(2, offset=3)
+    ]
+    effects = requests.step(req, events.Data(2, b"def", (200, (), True)))
+    assert effects == [events.Cancel(1), events.Close(1), events.Body(b"def")]
+
+
+def test_a_stream_goes_on_where_its_agent_comes_back_first():
+    req = stream()
+    requests.step(req, events.Detached(1))
+    assert requests.step(req, events.Data(1, b"def")) == [events.Body(b"def")]
+    assert requests.step(req, events.Placed(2, "vm-2", "b", "v1")) == [events.Close(2)]
+    assert events.Complete() in requests.step(
+        req, events.Ended(1, attempts.Outcome.DONE)
+    )
+
+
 def test_a_claim_that_conflicts_leads_to_the_other_claim_and_not_to_a_run():
     req = call()
     requests.begin(req)
