Share the dial loop of entries and agents; back off from lost entries

Cause: the loops of entry/peers.py and agent/peers.py were the same 20 lines, and an entry that is gone but still listed was dialled twice a second by each agent: with 11,000 agents and 6 entries each, a failure domain with a fourteenth of the entries would get about 9,400 dials a second. The pause now doubles up to 5 s with jitter. An entry that both sides dial keeps its first connection, and a VM that took over a listed address is not used.

Ruled out: dropping an entry from the list at the first refusal, since a restart takes less time than the VM list lags.

--- a/src/carobstand/agent/peers.py
+++ b/src/carobstand/agent/peers.py
@@ -6,12 +6,9 @@
 
 from carobstand import errors, logs, settings
 from carobstand.core import topology
-from carobstand.wire import connection, handlers, tls
+from carobstand.wire import connection, dialing, handlers, tls
 from carobstand.wire.gen import ttypes
 
-REDIAL_S = 0.5
-"""Time between looks at which entries to dial."""
-
 VM_LIST_INTERVAL_S = 20.0
 """Time between reads of the VM list while connected: 550 a second by 11,000 agents."""
 
@@ -64,15 +61,7 @@
 
 
 async def _run(conn, table):
-    async def on_message(conn, message):
-        await handlers.dispatch(table, conn, message)
-
-    try:
-        await connection.run(conn, on_message)
-    except errors.InvariantError:
-        raise
-    except errors.CarobstandError as exc:
-        logs.event("connection.failed", error=exc.message, peer=conn.peer.vm)
+    await dialing.exchange(conn, dialing.dispatcher(table))
 
 
 def peer_dialer(state, tg, table):
@@ -129,30 +118,17 @@
 
 async def dial_entries(state, table):
     """Keep a connection to each entry that `core.topology` names."""
-    dialing = set()
 
-    async def dial(vm):
-        try:
-            context = tls.client_context(state.cfg)
-            conn = await connection.dial(vm.address, hello_of(state), context)
-            await _run_entry(state, conn, table)
-        except errors.InvariantError:
-            raise
-        except errors.CarobstandError as exc:
-            logs.event("connection.failed", error=exc.message, peer=vm.vm)
-        finally:
-            dialing.discard(vm.vm)
-
-    async with anyio.create_task_group() as tg:
-        while True:
-            live = {
-                vm.vm: vm for vm in state.vms if vm.role == "entry" and not vm.leaving
-            }
-            for name in topology.entries_of_agent(state.cfg.vm, live):
-                if name not in dialing:
-                    dialing.add(name)
-                    tg.start_soon(dial, live[name])
-            await anyio.sleep(REDIAL_S * random.uniform(0.7, 1.3))
+    async def run(conn):
+        await _run_entry(state, conn, table)
+
+    await dialing.keep_connected(
+        state,
+        lambda: hello_of(state),
+        lambda names: topology.entries_of_agent(state.cfg.vm, names),
+        lambda name: name in state.entries,
+        run,
+    )
 
 
 async def _run_entry(state, conn, table):
--- a/src/carobstand/entry/peers.py
+++ b/src/carobstand/entry/peers.py
@@ -2,15 +2,12 @@
 
 import anyio
 
-from carobstand import errors, logs, settings
+from carobstand import logs, settings
 from carobstand.core import topology
 from carobstand.entry import state as states
-from carobstand.wire import connection, handlers, tls
+from carobstand.wire import connection, dialing, handlers, tls
 from carobstand.wire.gen import ttypes
 
-REDIAL_S = 1.0
-"""Time between looks at which entries to dial."""
-
 
 def hello_of(state):
     """Return the hello of this entry."""
@@ -79,11 +76,7 @@
         await handlers.dispatch(table, conn, message)
 
     try:
-        await connection.run(conn, on_message)
-    except errors.InvariantError:
-        raise
-    except errors.CarobstandError as exc:
-        logs.event("connection.failed", error=exc.message, peer=conn.peer.vm)
+        await dialing.exchange(conn, on_message)
     finally:
         _remove(state, peer)
 
@@ -123,27 +116,14 @@
 
 async def dial_entries(state, table):
     """Keep a connection to each entry that `core.topology` names."""
-    dialing = set()
-
-    async def dial(vm):
-        try:
-            context = tls.client_context(state.cfg)
-            conn = await connection.dial(vm.address, hello_of(state), context)
-            await run_peer(state, conn, table)
-        except errors.InvariantError:
-            raise
-        except errors.CarobstandError as exc:
-            logs.event("connection.failed", error=exc.message, peer=vm.vm)
-        finally:
-            dialing.discard(vm.vm)
-
-    async with anyio.create_task_group() as tg:
-        while True:
-            live = {
-                vm.vm: vm for vm in state.vms if vm.role == "entry" and not vm.leaving
-            }
-            for name in topology.entries_to_dial(state.cfg.vm, live):
-                if name not in dialing and name not in state.entries:
-                    dialing.add(name)
-                    tg.start_soon(dial, live[name])
-            await anyio.sleep(REDIAL_S)
+
+    async def run(conn):
+        await run_peer(state, conn, table)
+
+    await dialing.keep_connected(
+        state,
+        lambda: hello_of(state),
+        lambda names: topology.entries_to_dial(state.cfg.vm, names),
+        lambda name: name in state.entries,
+        run,
+    )
