--- a/src/carobstand/wire/dialing.py
+++ b/src/carobstand/wire/dialing.py
@@ -36,7 +36,7 @@
 
 
 def dispatcher(table):
-    """Return an async callable of (conn, message) that calls the handlers of `table`."""
+    """Return an async callable of (conn, message) that calls the handlers."""
 
     async def on_message(conn, message):
         await handlers.dispatch(table, conn, message)
