--- a/bench/soak_control.py
+++ b/bench/soak_control.py
@@ -194,12 +194,26 @@
     """The planner is paused for longer than its lease, twice."""
     for _ in range(2):
         node = run.made.nodes[fleet.planner_of(run.made) or _entry(run)]
-        node.link["paused"] = True
-        await anyio.sleep(FAULT_S / 2 - 1)
+        # Between its look at the lease and its write a holder is the most dangerous.
+        node.link["pause_at_plan"] = True
+        for _ in range(50):
+            if node.link["paused"]:
+                break
+            await anyio.sleep(0.1)
+        node.link.update(paused=True, pause_at_plan=False)
+        await anyio.sleep(FAULT_S / 2)
         node.link["paused"] = False
         await anyio.sleep(1)
 
 
+async def planner_cut_from_agents(run):
+    """The planner reaches the store but no agent and no other entry."""
+    name = fleet.planner_of(run.made) or _entry(run)
+    run.made.cut = lambda a, b: name in (a.vm, b.vm)
+    await anyio.sleep(FAULT_S)
+    run.made.cut = lambda a, b: False
+
+
 async def entries_restart(run):
     """Entries fail and start again, at last all at once."""
     for _ in range(3):
@@ -282,6 +296,7 @@
     entry_cut_from_store,
     silent_watch,
     planner_paused,
+    planner_cut_from_agents,
     entries_restart,
     agents_replaced,
     agents_leave,
@@ -313,7 +328,7 @@
         if name not in made.nodes:
             fleet.start(made, name)
     for node in made.nodes.values():
-        node.link.update(cut=False, silent=False, paused=False)
+        node.link.update(dict.fromkeys(node.link, False))
 
 
 async def scenario(seed, faults, entries, agents, result):
@@ -365,6 +380,9 @@
     _require(not false, f"refused, but accepted: {false}")
     plans = [planner.from_json(i.value) for i in log if "config/plan/" in i.key]
     _require([p.revision for p in plans] == list(range(1, len(plans) + 1)), "plans")
+    first = next(n for n, p in enumerate(plans) if p.assignments)
+    _require(all(p.assignments for p in plans[first:]), "a plan without assignments")
+    _check_authors(log)
     last, plan = chain[-1], plans[-1]
     for name, node in run.made.nodes.items():
         held = node.state.table
@@ -374,6 +392,18 @@
     _check_plan(run, last, plan)
 
 
+def _check_authors(log):
+    """Check that no former planner writes once its successor has written a plan."""
+    holder, written = None, False
+    for item in log:
+        if item.key == "lease/planner" and item.value is not None:
+            holder, written = item.value.decode(), False
+        elif item.key.startswith("config/plan/"):
+            author = planner.from_json(item.value).author
+            _require(author == holder or not written, "a former planner wrote a plan")
+            written = written or author == holder
+
+
 def _check_plan(run, last, plan):
     """Check that the last plan is in force and does what the table says."""
     agents = {n: node for n, node in run.made.nodes.items() if node.vm.role == "agent"}
--- a/src/carobstand/entry/store_watch.py
+++ b/src/carobstand/entry/store_watch.py
@@ -13,6 +13,11 @@
 3.6 s, the timeout of 2 s and a delay of 1 s, which leaves 2 s of the 9 s for the way to
 the agents. 370 entries make about 125 such calls/s of the store's 2,000."""
 
+MIN_GAP_S = 0.25
+"""Shortest mean time between two watch calls. 370 entries make at most 1,500 calls/s of
+the 2,000 while changes follow each other closely, or while a store replica that lags
+answers each watch at once."""
+
 BACKOFF_S = 0.5
 """First delay after a failed call, doubled up to `MAX_BACKOFF_S`."""
 
@@ -29,6 +34,7 @@
     after = None
     failures = 0
     while True:
+        start = anyio.current_time()
         try:
             if after is None:
                 changes = await control.state.store.list(PREFIX)
@@ -48,6 +54,7 @@
             take_item(control, item)
         # A lower revision is a stale read: what was seen since must not be lost.
         after = max(after or 0, changes.revision)
+        await anyio.sleep_until(start + held.jitter(control, MIN_GAP_S))
 
 
 def backoff(control, failures):
--- a/testing/fake_store.py
+++ b/testing/fake_store.py
@@ -67,9 +67,10 @@
     """Return (Store, link) of one client; ``link["cut"]`` cuts it off.
 
     ``link["silent"]`` makes its watches wait without an answer; while
-    ``link["paused"]`` a call waits between the caller's checks and the store.
+    ``link["paused"]`` a call waits between the caller's checks and the store, and
+    ``link["pause_at_plan"]`` pauses the client when it is about to write a plan.
     """
-    link = {"cut": False, "silent": False, "paused": False}
+    link = {"cut": False, "silent": False, "paused": False, "pause_at_plan": False}
     calls = collections.Counter()
 
     async def reach(kind):
@@ -101,6 +102,14 @@
     def stale():
         return shared.log and shared.rng.random() < shared.stale_reads
 
+    def as_of(revision):
+        """Return the items as they were at an earlier store revision."""
+        found = {}
+        for item in shared.log:
+            if item.revision <= revision:
+                found[item.key] = item
+        return found
+
     async def get(key):
         await reach("get")
         item = shared.items.get(key)
@@ -111,6 +120,8 @@
         return item
 
     async def put(key, value, expect=None, lease=None):
+        if link["pause_at_plan"] and key.startswith("config/plan/"):
+            link.update(paused=True, pause_at_plan=False)
         await reach("put")
         check(key, expect)
         if lease is not None and lease not in shared.leases:
@@ -130,8 +141,16 @@
 
     async def list_prefix(prefix):
         await reach("list")
-        items = tuple(item for k, item in shared.items.items() if k.startswith(prefix))
-        changes = stores.Changes(shared.revision, items)
+        revision, found = shared.revision, shared.items
+        if stale():
+            revision = max(0, shared.revision - shared.rng.randrange(9))
+            found = as_of(revision)
+        items = tuple(
+            item
+            for key, item in found.items()
+            if key.startswith(prefix) and item.value is not None
+        )
+        changes = stores.Changes(revision, items)
         await answer("list")
         return changes
 
@@ -141,7 +160,10 @@
             await anyio.sleep(wait_s + 2)
             raise errors.StoreUnavailableError("silent", step="store.watch")
         if stale():
-            return stores.Changes(max(0, after - 3), ())
+            # A replica that lags may even send items that the caller has seen.
+            revision = max(0, after - 3)
+            items = [i for k, i in as_of(after).items() if k.startswith(prefix)]
+            return stores.Changes(revision, tuple(i for i in items if i.value)[-1:])
         deadline = anyio.current_time() + wait_s
         while True:
             if shared.down or link["cut"]:
