Test that a paused planner cannot revive a change that was taken back

Without the first rewrite of each plan by a new holder this test fails: the successor finds the plan as it should be, writes nothing, and the write of the paused holder passes its compare-and-swap.

--- a/testing/test_control_fleet.py
+++ b/testing/test_control_fleet.py
@@ -169,6 +169,32 @@
     simulate(scenario, entries=3)
 
 
+def test_a_paused_planner_cannot_write_a_plan_of_a_change_that_was_taken_back():
+    """Its successor finds the plan as it should be and has no other reason to write."""
+
+    async def scenario(made):
+        await started(made)
+        await fleet.wait_until(lambda: fleet.planner_of(made), 20, "planner")
+        old = made.nodes[fleet.planner_of(made)]
+        old.link["pause_at_plan"] = True
+        await accept(made, rows_of("v1", copies=2))
+        await fleet.wait_until(lambda: old.link["paused"], 20, "a plan to write")
+        await accept(made, rows_of("v1"))
+        await fleet.wait_until(
+            lambda: fleet.planner_of(made) not in (None, old.vm.vm), 60, "takeover"
+        )
+        await anyio.sleep(5)
+        before = len(made.shared.log)
+        old.link["paused"] = False
+        await anyio.sleep(3)
+        plans = [i for i in made.shared.log[before:] if "config/plan/" in i.key]
+        authors = {planner.from_json(item.value).author for item in plans}
+        assert old.state.start_id not in authors
+        assert fleet.in_force(made, 3)
+
+    simulate(scenario, entries=3)
+
+
 def test_a_table_of_a_newer_format_is_refused_whole():
     async def scenario(made):
         await started(made)
