Reuse peer connections in both directions and close idle ones

Cause: two VMs that exchanged chunks kept two connections, one dialed by each, and no connection was ever closed. At N = 24 an agent held 42 connections, whose pings are a good part of the 5.6 KB/s of control traffic measured there; with 200 VMs pings alone would exceed 5 KB/s for ever. A connection is now used whichever side opened it, and the side that opened it closes it after 20 s without a message of the swarm, with a Goodbye, so that the end is not taken for a failure of the peer.

--- a/bench/weights.py
+++ b/bench/weights.py
@@ -12,6 +12,7 @@
 import json
 import pathlib
 import random
+import shutil
 import sys
 
 import anyio
@@ -73,6 +74,7 @@
             tg.cancel_scope.cancel()
     finally:
         fleets.stop(fleet)
+    shutil.rmtree(fleet.directory)
     return found
 
 
--- a/src/carobstand/agent/manifests.py
+++ b/src/carobstand/agent/manifests.py
@@ -3,6 +3,7 @@
 import anyio
 
 from carobstand import errors, logs
+from carobstand.agent import peer_links
 from carobstand.core import manifest as manifests
 from carobstand.core import ranks
 from carobstand.wire import connection
@@ -128,7 +129,7 @@
 
 async def _ask(loop, member, digest, offset):
     """Request one part of a manifest from a peer and return the reply."""
-    conn = await loop.state.dial_peer(member.address)
+    conn = await peer_links.connect(loop, member)
     key = (conn, digest, offset)
     waiting = loop.manifest_replies[key] = [anyio.Event(), None]
     request = ttypes.ManifestRequest(manifest=digest, offset=offset)
--- a/src/carobstand/agent/swarm_io.py
+++ b/src/carobstand/agent/swarm_io.py
@@ -3,6 +3,7 @@
 import anyio
 
 from carobstand import errors, logs
+from carobstand.agent import peer_links
 from carobstand.core import chunks
 from carobstand.core import swarm_state as st
 from carobstand.wire import connection
@@ -51,8 +52,7 @@
 async def _post(loop, member, message):
     """Send a message to a member; a failure is an event of the swarm."""
     try:
-        conn = await loop.state.dial_peer(member.address)
-        watch(loop, conn)
+        conn = await peer_links.connect(loop, member)
         connection.post(conn, message)
     except errors.InvariantError:
         raise
@@ -61,22 +61,6 @@
         loop.feed(st.PeerLost(member.vm))
 
 
-def watch(loop, conn):
-    """Tell the swarm when a connection to a peer ends."""
-    if conn in loop.watched:
-        return
-    loop.watched.add(conn)
-
-    async def wait():
-        await conn.closed.wait()
-        loop.watched.discard(conn)
-        loop.traffic.closed_sent += conn.bytes_sent
-        loop.traffic.closed_received += conn.bytes_received
-        loop.feed(st.PeerLost(conn.peer.vm))
-
-    loop.tg.start_soon(wait)
-
-
 def _draw(loop, effect):
     scope = anyio.CancelScope()
     loop.draws[effect.transfer] = scope
@@ -181,7 +165,7 @@
 
 def asked(loop, conn, message):
     """Pass a peer's chunk request to the swarm."""
-    watch(loop, conn)
+    peer_links.note(loop, conn)
     if conn.queued_bytes > MAX_CONNECTION_BACKLOG_BYTES:
         _refuse(
             loop,
@@ -216,7 +200,7 @@
 
 def heard(loop, conn, message):
     """Pass a peer's bitmap to the swarm."""
-    watch(loop, conn)
+    peer_links.note(loop, conn)
     slots = loop.state.cfg.upload_slots
     free = message.free_slots if message.free_slots is not None else slots
     event = st.Heard(
--- a/src/carobstand/agent/weights.py
+++ b/src/carobstand/agent/weights.py
@@ -7,7 +7,7 @@
 
 from carobstand import errors, logs
 from carobstand.agent import manifests as fetching
-from carobstand.agent import swarm_io
+from carobstand.agent import peer_links, swarm_io
 from carobstand.core import chunks, swarm, table
 from carobstand.core import swarm_state as st
 from carobstand.wire import connection, handlers
@@ -31,11 +31,9 @@
 
 @attrs.define
 class Traffic:
-    """Bytes on connections to peers: chunks sent, and totals of closed connections."""
+    """Bytes of chunks sent to peers, and what was logged last."""
 
     chunk_bytes_sent: int = 0
-    closed_sent: int = 0
-    closed_received: int = 0
     logged: tuple = ()
 
 
@@ -66,7 +64,7 @@
     draws: dict = attrs.field(factory=dict)
     fetching: dict = attrs.field(factory=dict)
     manifest_replies: dict = attrs.field(factory=dict)
-    watched: set = attrs.field(factory=set)
+    links: object = attrs.field(factory=peer_links.PeerLinks)
     rosters: dict = attrs.field(factory=dict)
     refusals: dict = attrs.field(factory=dict)
     given: dict | None = None
@@ -138,9 +136,11 @@
     async def run():
         async with anyio.create_task_group() as tg:
             loop.tg = tg
+            core.has_origin = state.origin is not None
             tg.start_soon(_tick, loop)
             tg.start_soon(_measure_live_traffic, loop)
             tg.start_soon(_log_traffic, loop)
+            tg.start_soon(peer_links.close_idle, loop)
             await _follow_plan(loop)
 
     return handlers.Part(
@@ -196,17 +196,16 @@
         if moved == traffic.logged:
             continue
         traffic.logged = moved
-        conns = loop.watched
+        sent, received = peer_links.totals(loop.links)
         logs.event(
             "weights.traffic",
             chunk_bytes_sent=traffic.chunk_bytes_sent,
-            bytes_sent=traffic.closed_sent + sum(c.bytes_sent for c in conns),
-            bytes_received=traffic.closed_received
-            + sum(c.bytes_received for c in conns),
+            bytes_sent=sent,
+            bytes_received=received,
             region_bytes=loop.swarm.region_bytes,
             wasted_bytes=loop.swarm.wasted_bytes,
             corrupted_chunks=loop.swarm.corrupted,
-            connections=len(conns),
+            connections=len(loop.links.used_at),
         )
 
 
--- a/src/carobstand/core/swarm_duties.py
+++ b/src/carobstand/core/swarm_duties.py
@@ -153,7 +153,8 @@
         return takeover / 2
     if duty.kind is st.DutyKind.ENTRY:
         return _enter(swarm, job, duty, now, effects)
-    if not duty.extra and _is_offered(swarm, job, duty.idx):
+    offered = not duty.extra and _is_offered(swarm, job, duty.idx)
+    if offered or not swarm.has_origin:
         return takeover
     unasked = _next_unasked(swarm, duty, duty.before, now)
     if unasked is not None:
--- a/src/carobstand/core/swarm_state.py
+++ b/src/carobstand/core/swarm_state.py
@@ -234,6 +234,7 @@
     cache: object
     rng: object
     upload_slots: int = 4
+    has_origin: bool = True
     links: Links = attrs.field(factory=Links)
     jobs: dict = attrs.field(factory=dict)
     peers: dict = attrs.field(factory=dict)
--- a/src/carobstand/core/swarm_uploads.py
+++ b/src/carobstand/core/swarm_uploads.py
@@ -21,8 +21,7 @@
     """Queue a peer's request, or refuse it with the reason."""
     data = chunks.get(swarm.cache, event.digest)
     if data is None:
-        wanted = any(event.digest in job.index for job in swarm.jobs.values())
-        reason = st.Refusal.PENDING if wanted else st.Refusal.ABSENT
+        reason = st.Refusal.PENDING if _fetches(swarm, event) else st.Refusal.ABSENT
         _refuse(event, reason, PENDING_RETRY_S, effects)
         return
     remote = event.region != swarm.region
@@ -37,6 +36,14 @@
     )
 
 
+def _fetches(swarm, event):
+    """Return whether this VM is going to have a chunk without the help of the asker."""
+    if event.digest in swarm.inflight:
+        return True
+    wanted = any(event.digest in job.index for job in swarm.jobs.values())
+    return wanted and swarm.has_origin
+
+
 def _refuse(event, reason, retry_after_s, effects):
     effects.append(
         st.Refuse(event.conn, event.request_id, event.digest, reason, retry_after_s)
--- a/testing/fakes_weights.py
+++ b/testing/fakes_weights.py
@@ -85,7 +85,7 @@
         self.address = peer.vm
         self.peer = peer
         self.closed = anyio.Event()
-        self.queued_bytes = 0
+        self.queued_bytes = self.bytes_sent = self.bytes_received = 0
         self.extra = {}
         self.owner = owner
         self.back = None
@@ -149,6 +149,9 @@
         return self.conns[vm, address]
 
     def deliver(self, conn, message):
+        if isinstance(message, ttypes.Goodbye):
+            conn.back.extra["goodbye"] = True
+            return
         for change in self.filters:
             message = change(conn.owner, conn.address, message)
             if message is None:
--- a/testing/test_weights_loops.py
+++ b/testing/test_weights_loops.py
@@ -5,6 +5,7 @@
 import anyio
 import pytest
 
+from carobstand.agent import peer_links
 from carobstand.core import manifest as manifests
 from carobstand.core import rows
 from carobstand.wire import connection
@@ -20,7 +21,13 @@
         made.deliver(conn, message)
 
     monkeypatch.setattr(connection, "send", send)
+
+    def close(conn):
+        conn.closed.set()
+        conn.back.closed.set()
+
     monkeypatch.setattr(connection, "post", made.deliver)
+    monkeypatch.setattr(connection, "close", close)
     return made
 
 
@@ -115,3 +122,39 @@
             manifests.digest_of(base[:32768] + content(3, 32768))
         )
         assert agent.engine.serving == {"v2": new}
+
+
+def test_a_connection_without_use_is_closed_and_is_not_taken_for_a_failure(
+    network, monkeypatch
+):
+    """Pings to every VM of a rollout would go on for ever."""
+    monkeypatch.setattr(peer_links, "IDLE_S", 0.1)
+    monkeypatch.setattr(peer_links, "SWEEP_INTERVAL_S", 0.05)
+    origin = fakes.FakeOrigin()
+    digest = origin.add([("m", content(1))], 4096)
+    for index in range(3):
+        network.add(f"vm{index}", origin)
+
+    async def body(tg):
+        network.assign("v1", rows.VersionRow("v1", "svc", digest), 1)
+        await fakes.until(serves(network, "v1"))
+        conns = list(network.conns.values())
+        assert conns
+        await fakes.until(lambda: all(conn.closed.is_set() for conn in conns))
+        assert all(conn.extra.get("goodbye") for conn in conns)
+
+    run(network, body)
+
+
+def test_an_agent_without_an_origin_gets_everything_from_its_peers(network):
+    origin = fakes.FakeOrigin()
+    digest = origin.add([("m", content(1))], 4096)
+    for index in range(3):
+        network.add(f"vm{index}", origin)
+    network.agents["vm1"].origin = network.agents["vm2"].origin = None
+
+    async def body(tg):
+        network.assign("v1", rows.VersionRow("v1", "svc", digest), 1)
+        await fakes.until(serves(network, "v1"))
+
+    run(network, body)
