Add tests over real processes; answer 503 while no version is served

testing/test_processes.py runs one fleet of seven processes and checks streams byte for byte over the kill, planned stop and silence of connections, an order during a store outage, a claim whose answer was lost, and a paused planner.

Found by it: choose_version raised IndexError while no backend server served any version, so each request got a 500 until the first heartbeat with a served version. It now returns None, which is refused as not run. Hypercorn drops the error of an application; webserver.serve logs it first.

--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -172,6 +172,8 @@
             for program in fleet.programs.values():
                 await until_ready(fleet, program)
             await until(lambda: _serves(fleet, versions[0]), "first version is served")
+            for program in of_role(fleet, "agent"):
+                await until_known(fleet, program)
             yield fleet
         finally:
             for program in fleet.programs.values():
@@ -416,6 +418,23 @@
     }
 
 
+async def until_known(fleet, program):
+    """Wait until all entries know that an agent's backend server serves."""
+
+    async def known():
+        for entry in of_role(fleet, "entry"):
+            body = await status(fleet, entry)
+            agent = body and body["agents"].get(program.name)
+            if not agent:
+                return False
+            phases = [replica["phase"] for replica in agent["replicas"]]
+            if program.services == ("salahkar",) and "serving" not in phases:
+                return False
+        return True
+
+    await until(known, f"entries know {program.name}")
+
+
 async def serving(fleet):
     """Return what each engine itself says that it serves, by the agent's name."""
     found = {}
--- a/src/carobstand/core/routing.py
+++ b/src/carobstand/core/routing.py
@@ -121,7 +121,7 @@
     shares = [(name, weights[name]) for name in sorted(weights) if name in served]
     total = sum(weight for _, weight in shares)
     if total <= 0:
-        if not any(weight > 0 for weight in weights.values()):
+        if not served or not any(weight > 0 for weight in weights.values()):
             return None
         shares = [(name, 1.0) for name in sorted(served)]
         total = len(shares)
--- a/src/carobstand/webserver.py
+++ b/src/carobstand/webserver.py
@@ -1,12 +1,13 @@
 """HTTP servers of a process, run by hypercorn in the process's own event loop."""
 
 import socket
+import traceback
 
 import anyio
 import hypercorn.asyncio
 import hypercorn.config
 
-from carobstand import errors
+from carobstand import errors, logs
 from carobstand.wire import connection
 
 KEEP_ALIVE_S = 30.0
@@ -55,6 +56,24 @@
     return cfg
 
 
+def logged(app):
+    """Return `app` with its errors logged; hypercorn answers 500 and drops them."""
+
+    async def application(scope, receive, send):
+        try:
+            await app(scope, receive, send)
+        except Exception as exc:
+            logs.event(
+                "http.failed",
+                path=scope.get("path", ""),
+                error=repr(exc),
+                traceback="".join(traceback.format_exception(exc)),
+            )
+            raise
+
+    return application
+
+
 async def serve(app, address, stop):
     """Serve `app` until `stop` is set and requests in progress have ended.
 
@@ -73,7 +92,7 @@
         # raises InvalidStateError if it is cancelled with connections open.
         with anyio.CancelScope(shield=True):
             await hypercorn.asyncio.serve(
-                app, cfg, shutdown_trigger=end.wait, mode="asgi"
+                logged(app), cfg, shutdown_trigger=end.wait, mode="asgi"
             )
 
     async with anyio.create_task_group() as tg:
--- /dev/null
+++ b/testing/test_processes.py
@@ -0,0 +1,269 @@
+"""Guards over real processes: kill, pause, silence, store outage and planned stops.
+
+The tests share one fleet, which has enough VMs that stopped ones are not started again.
+Each waits for conditions, not for times.
+"""
+
+import json
+import signal
+
+import anyio
+import pytest
+from anyio import from_thread
+
+from bench import callers, relay
+from bench import fleet as fleets
+from bench import soak_checks as checks
+from carobstand.cli import edits
+from carobstand.core import planner as plans
+from carobstand.core import table as tables
+from carobstand.platform import store
+from carobstand.standin import generation
+
+TOKENS = 150
+"""Tokens of a stream; the stand-in engine takes 1.5 s for them."""
+
+
+@pytest.fixture(scope="module")
+def portal():
+    with from_thread.start_blocking_portal() as opened:
+        yield opened
+
+
+@pytest.fixture(scope="module")
+def fleet(portal):
+    manager = fleets.open_fleet(
+        entries=3,
+        engines=3,
+        plains=1,
+        versions=("v1", "v2"),
+        flags=("--work-s", "0.3"),
+        domains=fleets.DOMAINS[:1],
+    )
+    with portal.wrap_async_context_manager(manager) as opened:
+        yield opened
+        problems = fleets.errors_of(opened)
+        if not problems:
+            fleets.discard_logs(opened)
+    assert problems == {}
+
+
+def entry(fleet, number=1):
+    return fleet.programs[f"entry-{number}"]
+
+
+async def stream(fleet, at, prompt, during):
+    """Read a stream and run `during(agent)` once its first part has arrived.
+
+    `agent` is the program that runs it. Returns the whole body.
+    """
+    order = {"model": "salahkar", "prompt": prompt, "max_tokens": TOKENS}
+    body = bytearray()
+    async with (
+        fleet.callers.stream(
+            "POST",
+            f"{at.http_url}/v1/completions",
+            json={**order, "stream": True},
+            headers={"Authorization": f"Bearer {fleet.keys['customer-1']}"},
+        ) as answer,
+        anyio.create_task_group() as tg,
+    ):
+        assert answer.status_code == 200
+        async for piece in answer.aiter_raw():
+            if not body:
+                tg.start_soon(during, await running_agent(fleet))
+            body += piece
+    return bytes(body)
+
+
+async def running_agent(fleet):
+    """Return the engine's agent that runs an attempt."""
+    while True:
+        for program in fleets.of_role(fleet, "agent"):
+            body = await fleets.status(fleet, program)
+            if body and body["running_attempts"] and "engine" in program.name:
+                return program
+
+
+def whole(fleet, prompt):
+    """Return the expected bodies of a stream, one per version."""
+    return [
+        generation.expected(name, digest, prompt, TOKENS, True)
+        for name, digest in fleet.versions.items()
+    ]
+
+
+def test_a_stream_survives_the_kill_of_its_agent(portal, fleet):
+    async def kill(agent):
+        await fleets.stop(agent, signal.SIGKILL)
+
+    async def body():
+        return await stream(fleet, entry(fleet), "kill", kill)
+
+    assert portal.call(body) in whole(fleet, "kill")
+
+
+def test_a_stream_survives_the_planned_stop_of_its_agent(portal, fleet):
+    stopped = []
+
+    async def terminate(agent):
+        stopped.append(await fleets.stop(agent, signal.SIGTERM))
+
+    async def body():
+        return await stream(fleet, entry(fleet), "term agent", terminate)
+
+    assert portal.call(body) in whole(fleet, "term agent")
+    assert stopped == [0]
+
+
+def test_a_stream_survives_the_planned_stop_of_its_entry(portal, fleet):
+    at = entry(fleet, 3)
+    seen = []
+
+    async def terminate(agent):
+        at.process.send_signal(signal.SIGTERM)
+
+        async def not_ready():
+            answer = await fleet.http.get(f"{at.status_url}/readyz")
+            return answer.status_code == 503
+
+        await fleets.until(not_ready, "readiness fails")
+        # Callers still come until the load balancer has noticed.
+        answer = await fleet.http.get(f"{at.http_url}/v1/completions")
+        seen.append(answer.status_code)
+
+    async def body():
+        got = await stream(fleet, at, "term entry", terminate)
+        return got, await fleets.stop(at, signal.SIGCONT)
+
+    got, status = portal.call(body)
+    assert got in whole(fleet, "term entry")
+    assert (seen, status) == ([401], 0)
+
+
+def test_a_stream_over_a_connection_that_goes_silent_is_resumed(portal, fleet):
+    at = entry(fleet)
+
+    async def silence(agent):
+        relay.silence(at.relay)
+
+    async def body():
+        return await stream(fleet, at, "silence", silence)
+
+    assert portal.call(body) in whole(fleet, "silence")
+
+
+async def post_order(fleet, order_id, key):
+    return await callers.request(
+        fleet,
+        entry(fleet),
+        "customer-1",
+        "POST",
+        "/services/order-desk/orders",
+        {"Idempotency-Key": key},
+        json={"order_id": order_id},
+    )
+
+
+async def runs(fleet, order_id):
+    agents = [p for p in fleets.of_role(fleet, "agent") if "plain" in p.name]
+    found = [await fleets.stats(fleet, program.backend) for program in agents]
+    return sum(one["runs"].get(order_id, 0) for one in found)
+
+
+def test_an_order_during_a_store_outage_does_not_run_until_it_is_repeated(
+    portal, fleet
+):
+    async def body():
+        await fleets.faults(fleet, "store", down=True)
+        try:
+            refused = await post_order(fleet, "outage", "k-outage")
+            ran = await runs(fleet, "outage")
+        finally:
+            await fleets.faults(fleet, "store")
+        done = None
+
+        async def accepted():
+            nonlocal done
+            done = await post_order(fleet, "outage", "k-outage")
+            return done.status == 200
+
+        await fleets.until(accepted, "the order is accepted")
+        return refused, ran, done, await runs(fleet, "outage")
+
+    refused, ran, done, ran_at_last = portal.call(body)
+    assert (refused.status, refused.outcome, ran) == (503, "not-run", 0)
+    assert int(refused.headers["retry-after"]) >= 1
+    assert json.loads(done.body)["order_id"] == "outage"
+    assert ran_at_last == 1
+
+
+def test_a_claim_whose_answer_was_lost_runs_once(portal, fleet):
+    async def body():
+        await fleets.faults(fleet, "store", lose_answers=1, paths="/v1/kv/claims/")
+        first = await post_order(fleet, "lost", "k-lost")
+        await fleets.faults(fleet, "store")
+        again = await post_order(fleet, "lost", "k-lost")
+        return first, again, await runs(fleet, "lost")
+
+    first, again, ran = portal.call(body)
+    assert ran <= 1
+    if first.outcome == "done":
+        assert again.body == first.body and ran == 1
+    elif first.outcome == "not-run":
+        assert again.outcome != "done" or ran == 1
+
+
+def test_a_paused_planner_does_not_revert_the_plan_of_its_successor(portal, fleet):
+    async def body():
+        former = await checks.planner(fleet)
+        client = store.http_store(fleet.direct_store)
+        former.process.send_signal(signal.SIGSTOP)
+        try:
+            await _expire_planner_lease(client)
+
+            async def succeeded():
+                found = await checks.planner(fleet)
+                return found is not None and found is not former
+
+            await fleets.until(succeeded, "another entry is planner")
+            _, base = await edits.read(client)
+            key = ("version", "v2", "salahkar")
+            rows = tables.set_cells(base, key, {"weight": "1"})
+            author = edits.Author("asha", 1.0, "pause")
+            await edits.accept(client, base, rows, author, "serve v2 too")
+            await fleets.until(lambda: _served(fleet, "v2"), "v2 is served")
+            planned = await client.get("config/plan/salahkar")
+        finally:
+            former.process.send_signal(signal.SIGCONT)
+        await fleets.until_ready(fleet, former)
+        revision = (await edits.read(client))[1].revision
+        await fleets.until(lambda: _holds(fleet, former, revision), "it has the table")
+        still = await client.get("config/plan/salahkar")
+        await client.close()
+        return planned, still
+
+    planned, still = portal.call(body)
+    assert still.revision >= planned.revision
+    before = plans.from_json(planned.value)
+    after = plans.from_json(still.value)
+    assert (after.revision, after.table_revision) >= (
+        before.revision,
+        before.table_revision,
+    )
+    assert any("v2" in assigned.serve for assigned in after.assignments.values())
+
+
+async def _expire_planner_lease(client):
+    """End the lease in the store, as if the pause had outlasted it."""
+    item = await client.get("lease/planner")
+    await client.delete(item.key, expect=item.revision)
+
+
+async def _served(fleet, version):
+    return any(version in served for served in (await fleets.serving(fleet)).values())
+
+
+async def _holds(fleet, program, revision):
+    body = await fleets.status(fleet, program)
+    return body is not None and body["table_revision"] >= revision
