Soak: poison requests and VMs that leave; test the checker

A request that crashes each engine may make two fail; a VM listed as leaving gets no new work after 2 s. testing/test_soak_checks.py shows that each kind of wrong answer and of wrong outcome is found.

--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -53,6 +53,8 @@
     host: str
     argv: list
     relay: relay.Relay
+    region: str
+    domain: str
     services: tuple = ()
     backend: str = ""
     process: object = None
@@ -259,17 +261,17 @@
         "log-file": str(fleet.folder / f"{name}.log"),
     }
     flags = [part for key, value in common.items() for part in (f"--{key}", value)]
-    program = Program(name, role, host, [*flags, *argv], at, **fields)
+    program = Program(name, role, host, [*flags, *argv], at, region, domain, **fields)
     fleet.programs[name] = program
-    await list_vm(fleet, program, domain, region)
+    await list_vm(fleet, program)
 
 
-async def list_vm(fleet, program, domain, region, leaving=False):
+async def list_vm(fleet, program, leaving=False):
     """Put the VM of `program` on the VM list."""
     line = {
         "address": program.relay.address,
-        "failure_domain": domain,
-        "region": region,
+        "failure_domain": program.domain,
+        "region": program.region,
         "services": list(program.services),
         "leaving": leaving,
     }
--- a/bench/soak_checks.py
+++ b/bench/soak_checks.py
@@ -18,11 +18,25 @@
     "changes_late",
     "weights_violations",
     "not_converged",
+    "work_after_leaving",
+    "poison_spread",
     "bad_exit",
     "stuck_requests",
 )
 """Findings that must be 0."""
 
+LEAVING_S = 2.0
+"""Time after which a leaving VM gets no new work."""
+
+VMS_LAG_S = 1.0
+"""Age of the stand-in's VM list."""
+
+POISON = "crash this engine"
+"""Part of a prompt that crashes an engine."""
+
+POISON_FAILURES = 2
+"""Failures of backend servers after which a request is refused everywhere."""
+
 IN_FORCE_S = 9.0
 """Longest time until an accepted change is in force everywhere."""
 
@@ -40,11 +54,17 @@
 
 @attrs.define(eq=False)
 class Watch:
-    """What the status ports showed: highest revision per start id, ready entries."""
+    """What the status ports showed: highest revision per start id, ready entries.
+
+    `crashes` counts the crashes of engines that the bench caused itself, `poisons` the
+    different requests that crash each engine that runs them.
+    """
 
     revisions: dict = attrs.field(factory=dict)
     ready: dict = attrs.field(factory=dict)
     events: list = attrs.field(factory=list)
+    crashes: int = 0
+    poisons: int = 0
 
 
 def disturb(watch, what):
@@ -93,6 +113,31 @@
         former[name] = max(revision, former.get(name, 0))
 
 
+async def work_of(fleet, program):
+    """Return the number of calls that reached a backend server."""
+    found = await fleets.stats(fleet, program.backend)
+    return sum(found.get("requests", found.get("runs")).values())
+
+
+async def poison_loop(soak):
+    """Send a request that crashes engines, several times through all entries."""
+    for program in fleets.of_role(soak.fleet, "agent"):
+        if program.services == ("salahkar",):
+            await fleets.faults(soak.fleet, program.backend, crash_marker=POISON)
+    while not soak.stop.is_set():
+        await anyio.sleep(soak.operators.rng.uniform(10, 20))
+        soak.watch.poisons += 1
+        order = {"model": "salahkar", "prompt": f"{POISON} {soak.watch.poisons}"}
+        for _ in range(5):
+            if soak.stop.is_set() or not ready_entries(soak):
+                break
+            at = soak.operators.rng.choice(ready_entries(soak))
+            await callers.request(
+                soak.fleet, at, "customer-4", "POST", "/v1/completions", json=order
+            )
+            await anyio.sleep(1)
+
+
 async def planner(fleet):
     """Return the entry that holds the planner lease, or None."""
     client = store.http_store(fleet.direct_store)
@@ -227,15 +272,21 @@
 async def check_backends(soak):
     """Compare orders with what the plain services ran; check engines and exits."""
     runs = collections.Counter()
+    crashes = 0
     for program in fleets.of_role(soak.fleet, "agent"):
         found = await fleets.stats(soak.fleet, program.backend)
         if program.services == ("salahkar",):
+            crashes += found["crashes"]
             for kind, count in found["violations"].items():
                 detail = f"{program.backend}: {count} {kind}"
                 callers.find(soak.tally, "weights_violations", detail)
         else:
             runs.update(found["runs"])
     callers.check_orders(soak.tally, runs)
+    spread = crashes - soak.watch.crashes
+    if spread > POISON_FAILURES * soak.watch.poisons:
+        detail = f"{spread} crashes by {soak.watch.poisons} requests"
+        callers.find(soak.tally, "poison_spread", detail)
 
 
 async def check_operators(soak):
--- a/bench/soak_processes.py
+++ b/bench/soak_processes.py
@@ -126,6 +126,7 @@
 
 async def crash_engine(soak, program):
     """Crash the backend server of an agent; it is back without weights in 1 s."""
+    soak.watch.crashes += 1
     url = soak.fleet.urls[program.backend] + "/standin/crash"
     try:
         await soak.fleet.http.post(url)
@@ -134,12 +135,28 @@
     await anyio.sleep(6)
 
 
+async def list_as_leaving(soak, program):
+    """List a VM as leaving; it must get no new work after 2 s."""
+    fleet = soak.fleet
+    await fleets.list_vm(fleet, program, leaving=True)
+    await anyio.sleep(checks.VMS_LAG_S + checks.LEAVING_S)
+    before = await checks.work_of(fleet, program)
+    await anyio.sleep(2)
+    after = await checks.work_of(fleet, program)
+    if after > before:
+        detail = f"{program.name}: {after - before} calls 2 s after it left"
+        callers.find(soak.tally, "work_after_leaving", detail)
+    await fleets.list_vm(fleet, program)
+    await anyio.sleep(2)
+
+
 ON_PROGRAMS = (
     ("agent", kill_program, 3),
     ("agent", terminate_program, 3),
     ("agent", pause_program, 3),
     ("agent", silence_program, 2),
     ("agent", crash_engine, 2),
+    ("agent", list_as_leaving, 2),
     ("entry", kill_program, 2),
     ("entry", terminate_program, 2),
     ("entry", pause_program, 2),
@@ -217,6 +234,7 @@
         )
         async with anyio.create_task_group() as tg:
             tg.start_soon(checks.watch_loop, soak)
+            tg.start_soon(checks.poison_loop, soak)
             for i, customer in enumerate(list(fleet.keys) * LOOPS_PER_CUSTOMER):
                 tg.start_soon(
                     callers.customer_loop,
--- /dev/null
+++ b/testing/test_soak_checks.py
@@ -0,0 +1,78 @@
+"""Guards against a soak run that cannot tell a wrong answer from a right one."""
+
+import attrs
+import pytest
+
+from bench import callers
+from carobstand.standin import generation
+
+
+@attrs.frozen
+class Fleet:
+    versions: dict = attrs.field(factory=lambda: {"v1": "a" * 64, "v2": "b" * 64})
+
+
+def body(version, prompt, stream=True):
+    digest = Fleet().versions[version]
+    return generation.expected(version, digest, prompt, 5, stream)
+
+
+def events(version, prompt):
+    return body(version, prompt).split(b"\n\n")
+
+
+@pytest.mark.parametrize(
+    ("received", "finding"),
+    [
+        (body("v1", "mine"), "done"),
+        (body("v2", "mine"), "done"),
+        (body("v1", "mine")[:-20], "cut"),
+        (b"", "cut"),
+        (body("v1", "other"), "crossed"),
+        (b"\n\n".join(events("v1", "mine")[:2] + events("v2", "mine")[2:]), "mixed"),
+        (body("v1", "mine") + b"data: more\n\n", "wrong_answer"),
+    ],
+)
+def test_each_kind_of_wrong_completion_is_found(received, finding):
+    tally = callers.Tally()
+    tally.prompts.update({"mine": (5, True), "other": (5, True)})
+    reply = callers.Reply(None, 0.0, 1.0, "done", 200, {}, received)
+    callers._verify(Fleet(), tally, "call", "mine", reply, "")
+    finding = "mixed_versions" if finding == "mixed" else finding
+    assert dict(tally.counts) == {finding: 1}
+
+
+@pytest.mark.parametrize(
+    ("outcomes", "ran", "findings"),
+    [
+        (["done"], 1, []),
+        (["done"], 0, ["lost"]),
+        (["unknown", "done"], 2, ["doubled"]),
+        (["not-run", "not-run"], 1, ["false_not_run"]),
+        (["not-run"], 0, []),
+        (["unknown", "not-run"], 1, []),
+    ],
+)
+def test_orders_are_compared_with_what_ran(outcomes, ran, findings):
+    tally = callers.Tally()
+    tally.orders["o"] = callers.Order("o", "c", "k", outcomes)
+    callers.check_orders(tally, {"o": ran})
+    assert sorted(tally.counts) == findings
+
+
+@attrs.define
+class Entry:
+    name: str = "entry-1"
+    kills: list = attrs.field(factory=list)
+
+
+@pytest.mark.parametrize(
+    ("status", "killed_at", "finding"),
+    [(200, None, "cut"), (0, None, "lost"), (200, 5.0, "broken_by_kill")],
+)
+def test_a_broken_response_is_excused_only_by_a_kill(status, killed_at, finding):
+    tally = callers.Tally()
+    entry = Entry(kills=[killed_at] if killed_at else [])
+    reply = callers.Reply(entry, 4.0, 6.0, "broken", status)
+    assert callers.judge_failure(tally, "call", reply)
+    assert dict(tally.counts) == {finding: 1}
