--- a/testing/test_rollout_routing.py
+++ b/testing/test_rollout_routing.py
@@ -23,3 +23,7 @@
 
 def test_a_version_that_the_caller_names_is_never_replaced_by_another():
     assert routing.choose_version({"v2": 1.0}, {"v1"}, "v2", "f") is None
+
+
+def test_a_service_that_no_backend_server_serves_yet_gets_no_requests():
+    assert routing.choose_version({"v2": 1.0}, set(), "", "f") is None
