--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -53,6 +53,8 @@
     host: str
     argv: list
     relay: relay.Relay
+    region: str
+    domain: str
     services: tuple = ()
     backend: str = ""
     process: object = None
@@ -172,6 +174,8 @@
             for program in fleet.programs.values():
                 await until_ready(fleet, program)
             await until(lambda: _serves(fleet, versions[0]), "first version is served")
+            for program in of_role(fleet, "agent"):
+                await until_known(fleet, program)
             yield fleet
         finally:
             for program in fleet.programs.values():
@@ -257,17 +261,17 @@
         "log-file": str(fleet.folder / f"{name}.log"),
     }
     flags = [part for key, value in common.items() for part in (f"--{key}", value)]
-    program = Program(name, role, host, [*flags, *argv], at, **fields)
+    program = Program(name, role, host, [*flags, *argv], at, region, domain, **fields)
     fleet.programs[name] = program
-    await list_vm(fleet, program, domain, region)
+    await list_vm(fleet, program)
 
 
-async def list_vm(fleet, program, domain, region, leaving=False):
+async def list_vm(fleet, program, leaving=False):
     """Put the VM of `program` on the VM list."""
     line = {
         "address": program.relay.address,
-        "failure_domain": domain,
-        "region": region,
+        "failure_domain": program.domain,
+        "region": program.region,
         "services": list(program.services),
         "leaving": leaving,
     }
@@ -416,6 +420,23 @@
     }
 
 
+async def until_known(fleet, program):
+    """Wait until all entries know that an agent's backend server serves."""
+
+    async def known():
+        for entry in of_role(fleet, "entry"):
+            body = await status(fleet, entry)
+            agent = body and body["agents"].get(program.name)
+            if not agent:
+                return False
+            phases = [replica["phase"] for replica in agent["replicas"]]
+            if program.services == ("salahkar",) and "serving" not in phases:
+                return False
+        return True
+
+    await until(known, f"entries know {program.name}")
+
+
 async def serving(fleet):
     """Return what each engine itself says that it serves, by the agent's name."""
     found = {}
