--- a/src/carobstand/cli/edits.py
+++ b/src/carobstand/cli/edits.py
@@ -103,6 +103,7 @@
     """
     table.check(rows)
     pending = set()
+    peer = ""
     deadline = anyio.current_time() + DEADLINE_S
     delay_s = RETRY_S
     while anyio.current_time() < deadline:
@@ -110,8 +111,8 @@
             accepted = await _try(store, base, rows, author, summary, pending)
             if accepted is not None:
                 return accepted
-        except errors.StoreUnavailableError:
-            pass
+        except errors.StoreUnavailableError as exc:
+            peer = exc.peer
         await anyio.sleep(rng.uniform(delay_s / 2, delay_s))
         delay_s = min(MAX_RETRY_S, delay_s * 2)
     if pending:
@@ -120,10 +121,12 @@
             f"{', '.join(map(str, sorted(pending)))}: the store gives no answer; "
             "look for the change id in the history before repeating it",
             step="table.accept",
+            peer=peer,
         )
     raise errors.StoreUnavailableError(
         f"change {author.change_id} was not accepted: the store gives no answer",
         step="table.accept",
+        peer=peer,
     )
 
 
--- a/src/carobstand/cli/publish.py
+++ b/src/carobstand/cli/publish.py
@@ -60,7 +60,7 @@
     total = sum(mark[0] for mark in before)
     entries, uploaded = [], set()
     done = 0
-    for name, path in files:
+    for (name, path), (expected, _) in zip(files, before, strict=True):
         digests = []
         size = 0
         for parts in _read_groups(path):
@@ -70,6 +70,9 @@
             size += sum(map(len, parts))
             done += sum(map(len, parts))
             on_chunk(done, total)
+            if size > expected:
+                # A file that grows as fast as it is read would never end.
+                _refuse(path, "changed while it was read; nothing was published")
         entries.append(manifests.File(name, size, tuple(digests)))
     if [name for name, _ in list_files(root)] != [n for n, _ in files] or (
         _marks(files) != before
--- a/src/carobstand/entry/store_watch.py
+++ b/src/carobstand/entry/store_watch.py
@@ -59,7 +59,9 @@
 def _store_up(control, up, exc=None):
     state = control.state
     if state.store_up != up:
-        detail = {} if exc is None else {"error": exc.message, "step": exc.step}
+        detail = {}
+        if exc is not None:
+            detail = {"error": exc.message, "step": exc.step, "peer": exc.peer}
         logs.event("store.up" if up else "store.down", **detail)
         state.store_up = up
         state.changed.notify()
@@ -89,7 +91,13 @@
             held.take_plan(control, plan, item.value, "store")
     except errors.TableError as exc:
         control.refused = exc.message
-        logs.event("store.content_refused", key=item.key, error=exc.message)
+        logs.event(
+            "store.content_refused",
+            key=item.key,
+            error=exc.message,
+            step=exc.step,
+            peer=exc.peer,
+        )
 
 
 async def read_vms(control):
--- a/src/carobstand/local.py
+++ b/src/carobstand/local.py
@@ -108,7 +108,7 @@
     return max(SHORTEST_WINDOW_S, 2 * agents * size_bytes / FLEET_BYTES_PER_S)
 
 
-def _rows(fleet, versions, rates):
+def table_rows(fleet, versions, rates):
     """Return the rows of the table.
 
     `versions` maps each version to (manifest digest, traffic weight).
@@ -138,7 +138,8 @@
     return table.parse_csv("\n".join(text).encode(), "local table")
 
 
-async def _accept(store, rows, summary):
+async def accept(store, rows, summary):
+    """Make `rows` the table in the store."""
     _, base = await edits.read(store)
     author = edits.Author("carobstand-local", time.time(), os.urandom(8).hex())
     await edits.accept(store, base, rows, author, summary)
@@ -199,7 +200,7 @@
         await origin.publish_chunk(digest, data)
     await origin.publish_manifest(old, encoded)
     new = await publish.publish(origin, source.root)
-    await _accept(store, _rows(fleet, {"v1": (old, 1)}, rates), "serve v1")
+    await accept(store, table_rows(fleet, {"v1": (old, 1)}, rates), "serve v1")
     await local_fleet.wait_serving(fleet, old, START_TIMEOUT_S, lambda *_: None)
     console.print(f"v1 ({FIRST_BYTES // MIB} MiB) is served; traffic starts")
     stop = anyio.Event()
@@ -226,8 +227,8 @@
         try:
             await anyio.sleep(WARM_UP_S)
             sent_before = fleet.origin.sent_bytes["chunk"]
-            rows = _rows(fleet, {"v1": (old, 0), "v2": (new, 1)}, rates)
-            await _accept(store, rows, "move all traffic from v1 to v2")
+            rows = table_rows(fleet, {"v1": (old, 0), "v2": (new, 1)}, rates)
+            await accept(store, rows, "move all traffic from v1 to v2")
             console.print("table changed: all traffic moves from v1 to v2")
             with _progress(fleet, source, console) as on_progress:
                 report.seconds = await local_fleet.wait_serving(
--- a/testing/test_local.py
+++ b/testing/test_local.py
@@ -7,6 +7,7 @@
 import rich.console
 
 from carobstand import local, local_traffic, settings
+from carobstand.entry import planning
 from carobstand.standin import generation
 
 GOOD = local.Report(
@@ -72,6 +73,7 @@
 ):
     monkeypatch.setattr(local, "FIRST_BYTES", 300_000)
     monkeypatch.setattr(local, "WARM_UP_S", 0.2)
+    monkeypatch.setattr(planning, "SETTLE_S", 0.3)
     monkeypatch.setattr(local, "SHORTEST_WINDOW_S", 0.5)
     (tmp_path / "sub").mkdir()
     (tmp_path / "model.bin").write_bytes(bytes(range(256)) * 8192)
