--- a/src/carobstand/cli/timeline.py
+++ b/src/carobstand/cli/timeline.py
@@ -166,6 +166,8 @@
     text = value if isinstance(value, str) else json.dumps(value)
     if len(text) > MAX_VALUE_CHARS:
         text = text[:MAX_VALUE_CHARS] + "…"
+    if not isinstance(value, str):
+        return text
     quoted = not text or not text.isprintable() or any(c in ' "=' for c in text)
     return json.dumps(text, ensure_ascii=False) if quoted else text
 
--- a/src/carobstand/settings.py
+++ b/src/carobstand/settings.py
@@ -46,7 +46,7 @@
     listen
         Address on which other carobstand processes connect.
     address
-        Address given to other processes, if `listen` is a wildcard.
+        Address given to other processes, if --listen is a wildcard.
     status_listen
         Address of /healthz, /readyz, /metrics and /status (HTTP).
     vms_url
@@ -340,9 +340,20 @@
 
 def _value(field, text):
     if isinstance(text, tuple):
-        return tuple(_value(field, part) for part in text)
+        return tuple(_element(field, part) for part in text)
     if text == "" and field.default in ("", ()):
         return field.default
+    return _parse(field, text)
+
+
+def _element(field, text):
+    """Return one positional argument; free text may be empty, as in ``set``."""
+    if text == "" and field.metadata["parse"] is setting_types.free_text:
+        return text
+    return _parse(field, text)
+
+
+def _parse(field, text):
     try:
         return field.metadata["parse"](text)
     except ValueError as exc:
--- a/testing/test_settings.py
+++ b/testing/test_settings.py
@@ -29,6 +29,13 @@
     assert cfg.author == "asha"
 
 
+def test_an_empty_argument_of_a_command_stays_empty_and_others_are_refused():
+    argv = ["set", "customer", "kutch-clinic", "", "rate_per_s=50"]
+    assert settings.load(settings.TableSettings, argv, {}).arguments == tuple(argv)
+    with pytest.raises(errors.SettingsError, match="''"):
+        settings.parse(settings.TimelineSettings, ["a.log", ""], {})
+
+
 @pytest.mark.parametrize(
     ("change", "names"),
     [
