Mark only unannounced ends of connections as trouble in the timeline

A demonstration without faults showed 30 failures, all of them connections that ended after a goodbye.

--- a/src/carobstand/cli/timeline.py
+++ b/src/carobstand/cli/timeline.py
@@ -192,11 +192,11 @@
             (event.hlc >> clock.COUNTER_BITS) - first,
             index[event.process],
             event.name,
-            int(is_trouble(event)),
+            int(trouble),
             event.start_id,
             event.fields,
         ]
-        for event in events
+        for event, trouble in zip(events, troubles(events), strict=True)
     ]
     data = {"title": title, "start_ms": first, "lanes": lanes, "events": rows}
     # "<" is escaped so that no value can end the script element.
@@ -205,10 +205,24 @@
     return string.Template(template.read_text("utf-8")).substitute(data=text)
 
 
-def is_trouble(event):
-    """Return whether the event reports a failure, refusal or loss."""
-    last = event.name.rpartition(".")[2]
-    return any(part in last for part in TROUBLE)
+def troubles(events):
+    """Return for each event whether it reports a failure, refusal or loss.
+
+    A connection that ends after its peer announced a planned stop is none.
+    """
+    leaving, found = set(), []
+    for event in events:
+        link = (event.process, event.fields.get("peer"))
+        last = event.name.rpartition(".")[2]
+        trouble = any(part in last for part in TROUBLE)
+        if event.name == "peer.leaving":
+            leaving.add(link)
+        elif event.name == "peer.connected":
+            leaving.discard(link)
+        elif event.name == "peer.lost":
+            trouble = link not in leaving
+        found.append(trouble)
+    return found
 
 
 def _lanes(events):
--- a/testing/test_timeline.py
+++ b/testing/test_timeline.py
@@ -67,6 +67,19 @@
     assert stamps(vm="v1", version="b") == [3]
 
 
+def test_only_a_connection_that_ends_unannounced_is_trouble(tmp_path):
+    path = write(
+        tmp_path / "log",
+        line(1, "peer.leaving", peer="v1"),
+        line(2, "peer.lost", peer="v1"),
+        line(3, "peer.connected", peer="v1"),
+        line(4, "peer.lost", peer="v1"),
+        line(5, "peer.lost", peer="v2"),
+    )
+    events, _ = timeline.read([path])
+    assert timeline.troubles(events) == [False, False, False, True, True]
+
+
 def test_the_page_holds_every_event_and_no_value_ends_its_script(tmp_path):
     value = "</script><b>$data ${x}"
     path = write(
