Add stale reads and frozen connections to the stand-ins

The system test now freezes the store's connections and needs the next change in force at the entries.

--- a/src/carobstand/standin/faults.py
+++ b/src/carobstand/standin/faults.py
@@ -37,6 +37,8 @@
         Requests get no answer and their connections stay open.
     garbage : bool
         Answers carry random bytes.
+    stale : bool
+        Reads of the store see it as it was when this was set.
     lose_answers : int
         The next so many writes take effect and are closed without an answer.
     lose_share : float
@@ -60,6 +62,7 @@
     slow_s: float = attrs.field(default=0.0, converter=float, validator=_not_negative)
     never: bool = False
     garbage: bool = False
+    stale: bool = False
     lose_answers: int = attrs.field(default=0, converter=int, validator=_not_negative)
     lose_share: float = attrs.field(default=0.0, converter=float, validator=_share)
     corrupt_share: float = attrs.field(default=0.0, converter=float, validator=_share)
--- a/src/carobstand/standin/store.py
+++ b/src/carobstand/standin/store.py
@@ -57,6 +57,7 @@
     second: int = 0
     free_at: dict = attrs.field(factory=dict)
     changed: signals.Signal = attrs.field(factory=signals.Signal)
+    snapshot: object = None
 
 
 def site(state=None):
@@ -64,7 +65,7 @@
     state = state or StoreState()
 
     async def handle(req):
-        return await _handle(state, req)
+        return await _handle(state, host.switches, req)
 
     def stats():
         return {
@@ -74,18 +75,28 @@
             "keys": len(state.entries),
         }
 
-    return web.Site("store", handle, stats)
+    host = web.Site("store", handle, stats)
+    return host
 
 
-async def _handle(state, req):
+async def _handle(state, switches, req):
     kind, action = _route(req)
     if action is None:
         return web.error_response(404, f"no such call: {req.method} {req.path}")
     await _count(state, kind)
     _expire(state, anyio.current_time())
+    if not switches.stale:
+        state.snapshot = None
+    elif state.snapshot is None:
+        state.snapshot = (dict(state.entries), state.revision)
     return await action(state, req)
 
 
+def _readable(state):
+    """Return the entries and the revision that `get` and `list` show."""
+    return state.snapshot or (state.entries, state.revision)
+
+
 def _route(req):
     method, path = req.method, req.path
     if path.startswith("/v1/kv/") and len(path) > len("/v1/kv/"):
@@ -133,7 +144,7 @@
 
 
 async def _get(state, req):
-    entry = state.entries.get(_key(req))
+    entry = _readable(state)[0].get(_key(req))
     if entry is None:
         return web.error_response(404, "no such key")
     return web.Response(200, entry.value, (("X-Revision", entry.revision),))
@@ -187,12 +198,10 @@
     state.changed.notify()
 
 
-def _items(state, prefix, after=0, tombstones=False):
+def _items(sources, prefix, after=0):
     found = [
         (key, entry)
-        for source in (
-            (state.entries, state.tombstones) if tombstones else (state.entries,)
-        )
+        for source in sources
         for key, entry in source.items()
         if key.startswith(prefix) and entry.revision > after
     ]
@@ -210,8 +219,9 @@
 
 
 async def _list(state, req):
-    items = _items(state, req.query.get("prefix", ""))
-    return web.json_response({"revision": state.revision, "items": items})
+    entries, revision = _readable(state)
+    items = _items((entries,), req.query.get("prefix", ""))
+    return web.json_response({"revision": revision, "items": items})
 
 
 async def _watch(state, req):
@@ -221,7 +231,7 @@
     while True:
         now = anyio.current_time()
         _expire(state, now)
-        items = _items(state, prefix, after, tombstones=True)
+        items = _items((state.entries, state.tombstones), prefix, after)
         if items or now >= deadline:
             return web.json_response({"revision": state.revision, "items": items})
         lapses = [lease.expires_at for lease in state.leases.values()]
--- a/src/carobstand/standin/web.py
+++ b/src/carobstand/standin/web.py
@@ -101,6 +101,8 @@
     switches : faults.Switches
     on_crash : callable
         Called at a crash; drops what a restarted process would not have.
+    frozen : set of tuple
+        Addresses of clients whose connections are unresponsive.
     address : str
         ``host:port``, known once bound.
     """
@@ -113,6 +115,7 @@
     listener: object = None
     address: str = ""
     crashed: anyio.Event = attrs.field(factory=anyio.Event)
+    frozen: set = attrs.field(factory=set)
 
     @property
     def url(self):
@@ -160,6 +163,18 @@
                 pass
 
 
+def freeze(site):
+    """Make the open connections unresponsive for good; new ones work."""
+    accepted = getattr(site.listener, "accepted", {})
+    site.frozen = {peer for peer, conn in accepted.items() if conn.fileno() != -1}
+
+
+async def _pass(site, client):
+    """Return unless the connection of `client` is frozen."""
+    if client in site.frozen:
+        await anyio.sleep_forever()
+
+
 def crash(site):
     """Close all connections and refuse new ones for ``switches.crash_s``."""
     site.on_crash()
@@ -265,7 +280,14 @@
     async with anyio.create_task_group() as tg:
         tg.start_soon(watch, tg.cancel_scope)
         try:
-            await _send(await _respond(site, req), send)
+            await _pass(site, req.client)
+            resp = await _respond(site, req)
+
+            async def send_unless_frozen(message):
+                await _pass(site, req.client)
+                await send(message)
+
+            await _send(resp, send_unless_frozen)
         except HangUp:
             hang_up(site, req.client)
             # The task ends when the closed connection is noticed; returning
@@ -304,6 +326,10 @@
     name = req.path.removeprefix(CONTROL_PREFIX)
     if name == "stats" and req.method == "GET":
         return json_response(site.stats())
+    if name == "freeze" and req.method == "POST":
+        freeze(site)
+        site.frozen.discard(req.client)
+        return json_response({"connections": len(site.frozen)})
     if name == "crash" and req.method == "POST":
         crash(site)
         raise HangUp
--- a/testing/test_bad_input.py
+++ b/testing/test_bad_input.py
@@ -126,6 +126,10 @@
                     faults.reset(store_site.switches)
                     await _until(lambda: _named(events, "store.up"))
                     await _ask(fleet, digest)
+                del events[:]
+                web.freeze(store_site)
+                await _change(fleet, digest, weight=50)
+                await _until(lambda: _named(events, "table.applied"))
                 store.write(fleet.store, "config/table", b"\xff garbage")
                 await _until(lambda: _named(events, "store.content_refused"))
                 await _ask(fleet, digest)
--- a/testing/test_standins.py
+++ b/testing/test_standins.py
@@ -133,6 +133,35 @@
     run(main)
 
 
+def test_a_stale_read_shows_an_older_state_but_a_write_is_checked_against_the_new():
+    async def main():
+        async with serving_store() as (site, client):
+            old = await client.put("config/table", b"old")
+            faults.update(site.switches, {"stale": True})
+            assert (await client.get("config/table")).value == b"old"
+            await client.put("config/table", b"new", expect=old.revision)
+            assert (await client.get("config/table")) == old
+            assert (await client.list("config/")).items == (old,)
+            with pytest.raises(errors.ConflictError):
+                await client.put("config/table", b"lost", expect=old.revision)
+            faults.reset(site.switches)
+            assert (await client.get("config/table")).value == b"new"
+
+    run(main)
+
+
+def test_a_frozen_connection_stays_open_without_an_answer_and_a_new_one_works():
+    async def main():
+        async with serving_store(timeout_s=0.3) as (site, client):
+            await client.put("key", b"1")
+            web.freeze(site)
+            with pytest.raises(errors.StoreUnavailableError, match="ReadTimeout"):
+                await client.get("key")
+            assert (await client.get("key")).value == b"1"
+
+    run(main)
+
+
 def test_an_unknown_switch_or_value_changes_no_switch():
     switches = faults.Switches()
     for values in ({"down": True, "dwon": 1}, {"down": True, "lose_share": 2}):
