--- a/src/carobstand/wire/connection.py
+++ b/src/carobstand/wire/connection.py
@@ -2,6 +2,7 @@
 
 import collections
 import contextlib
+import random
 import ssl
 import traceback
 
@@ -290,9 +291,11 @@
     wait unread in the socket.
     """
     pinged_at = anyio.current_time()
+    # Without it both ends would ping at the same moment, each time.
+    head_start_s = random.uniform(0, PING_INTERVAL_S / 8)
     seq = 0
     while True:
-        ping_at = _ping_at(conn, pinged_at)
+        ping_at = _ping_at(conn, pinged_at, head_start_s)
         silent_at = ping_at
         if conn.quiet_since is not None:
             silent_at = conn.quiet_since + SILENT_S
@@ -305,16 +308,21 @@
             _fail(conn, f"peer silent for {now - conn.quiet_since:.1f} s")
         if conn.write_since is not None and now - conn.write_since >= STALL_S:
             _fail(conn, f"peer does not read for {now - conn.write_since:.1f} s")
-        if now >= _ping_at(conn, pinged_at):
+        if now >= _ping_at(conn, pinged_at, head_start_s):
             seq += 1
             pinged_at = now
             post(conn, ttypes.Ping(seq=seq))
 
 
-def _ping_at(conn, pinged_at):
-    """Return when the next ping is due unless the peer is heard before."""
-    quiet_since = pinged_at if conn.quiet_since is None else conn.quiet_since
-    return max(pinged_at, quiet_since) + PING_INTERVAL_S
+def _ping_at(conn, pinged_at, head_start_s):
+    """Return when the next ping is due unless the peer is heard before.
+
+    The end with the shorter `head_start_s` pings first; its ping makes that of the
+    other end needless.
+    """
+    if conn.quiet_since is None or conn.quiet_since <= pinged_at:
+        return pinged_at + PING_INTERVAL_S
+    return conn.quiet_since + PING_INTERVAL_S + head_start_s
 
 
 def _fail(conn, message):
