Read the VM list in turn and share the readings

Cause: each entry read the whole VM list each second; at about 160 bytes a VM that is 5 KB/s at 31 VMs and 1.8 MB/s at 11,000. Entries now read it in turn: whoever does so first after about a second tells the others at once what changed and a digest of the whole list (PeerState fields 9 to 11, optional); an entry whose list does not match the digest reads it itself.

Twelve entries in virtual time: at most 2 readings/s in all instead of 12, and each entry sees a VM as leaving within 2 s (test). Ruled out: a fixed reader, because its failure must be noticed within the same 2 s.

--- a/src/carobstand/entry/control.py
+++ b/src/carobstand/entry/control.py
@@ -2,7 +2,15 @@
 
 import anyio
 
-from carobstand.entry import held, planning, relays, reports, sharing, store_watch
+from carobstand.entry import (
+    held,
+    planning,
+    relays,
+    reports,
+    sharing,
+    store_watch,
+    vm_readings,
+)
 from carobstand.wire import handlers
 
 
@@ -26,7 +34,7 @@
         async with anyio.create_task_group() as tg:
             for loop in (
                 store_watch.watch,
-                store_watch.read_vms,
+                vm_readings.run,
                 planning.run,
                 sharing.run,
                 reports.run,
--- a/src/carobstand/entry/held.py
+++ b/src/carobstand/entry/held.py
@@ -41,7 +41,11 @@
     dirty : set of str
         Services whose plan must be computed again.
     vms_read_at : float or None
-        When the VM list was last read.
+        When the VM list was last read, here or by another entry.
+    vms_stamp, vms_digest : int, str
+        Hybrid logical clock and digest of that reading.
+    vms_wrong : bool
+        Whether a reading of another entry could not be followed.
     refused : str
         Why the newest content of the store was refused, empty if it was not.
     rosters_dirty : bool
@@ -65,6 +69,9 @@
     deltas: dict = attrs.field(factory=dict)
     dirty: set = attrs.field(factory=set)
     vms_read_at: float | None = None
+    vms_stamp: int = 0
+    vms_digest: str = ""
+    vms_wrong: bool = False
     refused: str = ""
     rosters_dirty: bool = True
     ahead_since: dict = attrs.field(factory=dict)
--- a/src/carobstand/entry/sharing.py
+++ b/src/carobstand/entry/sharing.py
@@ -8,7 +8,7 @@
 
 from carobstand import errors, logs
 from carobstand.core import planner, revisions
-from carobstand.entry import held, relays
+from carobstand.entry import held, relays, vm_readings
 from carobstand.wire.gen import ttypes
 
 STATE_INTERVAL_S = 1.0
@@ -33,6 +33,9 @@
         peer = state.entries.get(conn.peer.vm)
         if peer is None or peer.conn is not conn:
             return
+        if message.seq is None:
+            vm_readings.take(control, conn, message)
+            return
         peer.peer_state = message
         peer.heard_at = anyio.current_time()
         for report in message.members or ():
--- a/src/carobstand/entry/store_watch.py
+++ b/src/carobstand/entry/store_watch.py
@@ -1,9 +1,9 @@
-"""The entry's one watch on the store, and its reads of the VM list."""
+"""The entry's one watch on the store."""
 
 import anyio
 
 from carobstand import errors, logs
-from carobstand.core import membership, planner, table
+from carobstand.core import planner, table
 from carobstand.entry import held
 
 PREFIX = "config/"
@@ -25,9 +25,6 @@
 """Longest delay between tries. 370 entries make 185 tries/s during an outage, and a
 change accepted as the store returns is read within 9 s."""
 
-VM_LIST_INTERVAL_S = 1.0
-"""Time between reads of the VM list; a leaving VM gets no new work within 2 s."""
-
 
 async def watch(control):
     """List ``config/``, then follow it until cancelled."""
@@ -97,30 +94,3 @@
     except errors.TableError as exc:
         control.refused = exc.message
         logs.event("store.content_refused", key=item.key, error=exc.message)
-
-
-async def read_vms(control):
-    """Read the VM list about each second until cancelled."""
-    while True:
-        try:
-            vms = await control.state.vm_list.fetch()
-        except errors.CarobstandError as exc:
-            logs.event("vms.failed", error=exc.message, step=exc.step, peer=exc.peer)
-        else:
-            take_vms(control, vms)
-        await anyio.sleep(held.jitter(control, VM_LIST_INTERVAL_S))
-
-
-def take_vms(control, vms):
-    """Apply one reading of the VM list."""
-    state = control.state
-    now = anyio.current_time()
-    agents = tuple(vm for vm in vms if vm.role == "agent")
-    effects = membership.step(control.members, membership.Listed(agents), now)
-    control.vms_read_at = now
-    if vms != state.vms or effects:
-        state.vms = vms
-        control.dirty.update(control.plans)
-        control.dirty.update(service for vm in agents for service in vm.services)
-        control.rosters_dirty = True
-        state.changed.notify()
--- a/src/carobstand/wire/gen/ttypes.py
+++ b/src/carobstand/wire/gen/ttypes.py
@@ -1584,6 +1584,148 @@
         return not (self == other)
 
 
+class VmReport(object):
+    """
+    Attributes:
+     - vm
+     - role
+     - address
+     - failure_domain
+     - region
+     - services
+     - leaving
+     - gone
+
+    """
+
+
+    def __init__(self, vm=None, role=None, address=None, failure_domain=None, region=None, services=None, leaving=None, gone=None,):
+        self.vm = vm
+        self.role = role
+        self.address = address
+        self.failure_domain = failure_domain
+        self.region = region
+        self.services = services
+        self.leaving = leaving
+        self.gone = gone
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.vm = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.role = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.STRING:
+                    self.address = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.STRING:
+                    self.failure_domain = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.STRING:
+                    self.region = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.LIST:
+                    self.services = []
+                    (_etype77, _size74) = iprot.readListBegin()
+                    for _i78 in range(_size74):
+                        _elem79 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.services.append(_elem79)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.BOOL:
+                    self.leaving = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 8:
+                if ftype == TType.BOOL:
+                    self.gone = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('VmReport')
+        if self.vm is not None:
+            oprot.writeFieldBegin('vm', TType.STRING, 1)
+            oprot.writeString(self.vm.encode('utf-8') if sys.version_info[0] == 2 else self.vm)
+            oprot.writeFieldEnd()
+        if self.role is not None:
+            oprot.writeFieldBegin('role', TType.STRING, 2)
+            oprot.writeString(self.role.encode('utf-8') if sys.version_info[0] == 2 else self.role)
+            oprot.writeFieldEnd()
+        if self.address is not None:
+            oprot.writeFieldBegin('address', TType.STRING, 3)
+            oprot.writeString(self.address.encode('utf-8') if sys.version_info[0] == 2 else self.address)
+            oprot.writeFieldEnd()
+        if self.failure_domain is not None:
+            oprot.writeFieldBegin('failure_domain', TType.STRING, 4)
+            oprot.writeString(self.failure_domain.encode('utf-8') if sys.version_info[0] == 2 else self.failure_domain)
+            oprot.writeFieldEnd()
+        if self.region is not None:
+            oprot.writeFieldBegin('region', TType.STRING, 5)
+            oprot.writeString(self.region.encode('utf-8') if sys.version_info[0] == 2 else self.region)
+            oprot.writeFieldEnd()
+        if self.services is not None:
+            oprot.writeFieldBegin('services', TType.LIST, 6)
+            oprot.writeListBegin(TType.STRING, len(self.services))
+            for iter80 in self.services:
+                oprot.writeString(iter80.encode('utf-8') if sys.version_info[0] == 2 else iter80)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.leaving is not None:
+            oprot.writeFieldBegin('leaving', TType.BOOL, 7)
+            oprot.writeBool(self.leaving)
+            oprot.writeFieldEnd()
+        if self.gone is not None:
+            oprot.writeFieldBegin('gone', TType.BOOL, 8)
+            oprot.writeBool(self.gone)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class PeerState(object):
     """
     Attributes:
@@ -1595,11 +1737,14 @@
      - suspects
      - leaving
      - members
+     - vms_stamp
+     - vms_digest
+     - vms
 
     """
 
 
-    def __init__(self, seq=None, table_revision=None, table_digest=None, plan_revisions=None, demands=None, suspects=None, leaving=None, members=None,):
+    def __init__(self, seq=None, table_revision=None, table_digest=None, plan_revisions=None, demands=None, suspects=None, leaving=None, members=None, vms_stamp=None, vms_digest=None, vms=None,):
         self.seq = seq
         self.table_revision = table_revision
         self.table_digest = table_digest
@@ -1608,6 +1753,9 @@
         self.suspects = suspects
         self.leaving = leaving
         self.members = members
+        self.vms_stamp = vms_stamp
+        self.vms_digest = vms_digest
+        self.vms = vms
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1636,33 +1784,33 @@
             elif fid == 4:
                 if ftype == TType.MAP:
                     self.plan_revisions = {}
-                    (_ktype75, _vtype76, _size74) = iprot.readMapBegin()
-                    for _i78 in range(_size74):
-                        _key79 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        _val80 = iprot.readI64()
-                        self.plan_revisions[_key79] = _val80
+                    (_ktype82, _vtype83, _size81) = iprot.readMapBegin()
+                    for _i85 in range(_size81):
+                        _key86 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        _val87 = iprot.readI64()
+                        self.plan_revisions[_key86] = _val87
                     iprot.readMapEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 5:
                 if ftype == TType.LIST:
                     self.demands = []
-                    (_etype84, _size81) = iprot.readListBegin()
-                    for _i85 in range(_size81):
-                        _elem86 = Demand()
-                        _elem86.read(iprot)
-                        self.demands.append(_elem86)
+                    (_etype91, _size88) = iprot.readListBegin()
+                    for _i92 in range(_size88):
+                        _elem93 = Demand()
+                        _elem93.read(iprot)
+                        self.demands.append(_elem93)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 6:
                 if ftype == TType.LIST:
                     self.suspects = []
-                    (_etype90, _size87) = iprot.readListBegin()
-                    for _i91 in range(_size87):
-                        _elem92 = Suspect()
-                        _elem92.read(iprot)
-                        self.suspects.append(_elem92)
+                    (_etype97, _size94) = iprot.readListBegin()
+                    for _i98 in range(_size94):
+                        _elem99 = Suspect()
+                        _elem99.read(iprot)
+                        self.suspects.append(_elem99)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1674,11 +1822,32 @@
             elif fid == 8:
                 if ftype == TType.LIST:
                     self.members = []
-                    (_etype96, _size93) = iprot.readListBegin()
-                    for _i97 in range(_size93):
-                        _elem98 = MemberReport()
-                        _elem98.read(iprot)
-                        self.members.append(_elem98)
+                    (_etype103, _size100) = iprot.readListBegin()
+                    for _i104 in range(_size100):
+                        _elem105 = MemberReport()
+                        _elem105.read(iprot)
+                        self.members.append(_elem105)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 9:
+                if ftype == TType.I64:
+                    self.vms_stamp = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 10:
+                if ftype == TType.STRING:
+                    self.vms_digest = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 11:
+                if ftype == TType.LIST:
+                    self.vms = []
+                    (_etype109, _size106) = iprot.readListBegin()
+                    for _i110 in range(_size106):
+                        _elem111 = VmReport()
+                        _elem111.read(iprot)
+                        self.vms.append(_elem111)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1707,23 +1876,23 @@
         if self.plan_revisions is not None:
             oprot.writeFieldBegin('plan_revisions', TType.MAP, 4)
             oprot.writeMapBegin(TType.STRING, TType.I64, len(self.plan_revisions))
-            for kiter99, viter100 in self.plan_revisions.items():
-                oprot.writeString(kiter99.encode('utf-8') if sys.version_info[0] == 2 else kiter99)
-                oprot.writeI64(viter100)
+            for kiter112, viter113 in self.plan_revisions.items():
+                oprot.writeString(kiter112.encode('utf-8') if sys.version_info[0] == 2 else kiter112)
+                oprot.writeI64(viter113)
             oprot.writeMapEnd()
             oprot.writeFieldEnd()
         if self.demands is not None:
             oprot.writeFieldBegin('demands', TType.LIST, 5)
             oprot.writeListBegin(TType.STRUCT, len(self.demands))
-            for iter101 in self.demands:
-                iter101.write(oprot)
+            for iter114 in self.demands:
+                iter114.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.suspects is not None:
             oprot.writeFieldBegin('suspects', TType.LIST, 6)
             oprot.writeListBegin(TType.STRUCT, len(self.suspects))
-            for iter102 in self.suspects:
-                iter102.write(oprot)
+            for iter115 in self.suspects:
+                iter115.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.leaving is not None:
@@ -1733,8 +1902,23 @@
         if self.members is not None:
             oprot.writeFieldBegin('members', TType.LIST, 8)
             oprot.writeListBegin(TType.STRUCT, len(self.members))
-            for iter103 in self.members:
-                iter103.write(oprot)
+            for iter116 in self.members:
+                iter116.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.vms_stamp is not None:
+            oprot.writeFieldBegin('vms_stamp', TType.I64, 9)
+            oprot.writeI64(self.vms_stamp)
+            oprot.writeFieldEnd()
+        if self.vms_digest is not None:
+            oprot.writeFieldBegin('vms_digest', TType.STRING, 10)
+            oprot.writeString(self.vms_digest.encode('utf-8') if sys.version_info[0] == 2 else self.vms_digest)
+            oprot.writeFieldEnd()
+        if self.vms is not None:
+            oprot.writeFieldBegin('vms', TType.LIST, 11)
+            oprot.writeListBegin(TType.STRUCT, len(self.vms))
+            for iter117 in self.vms:
+                iter117.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -2040,11 +2224,11 @@
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.members = []
-                    (_etype107, _size104) = iprot.readListBegin()
-                    for _i108 in range(_size104):
-                        _elem109 = Member()
-                        _elem109.read(iprot)
-                        self.members.append(_elem109)
+                    (_etype121, _size118) = iprot.readListBegin()
+                    for _i122 in range(_size118):
+                        _elem123 = Member()
+                        _elem123.read(iprot)
+                        self.members.append(_elem123)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2069,8 +2253,8 @@
         if self.members is not None:
             oprot.writeFieldBegin('members', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.members))
-            for iter110 in self.members:
-                iter110.write(oprot)
+            for iter124 in self.members:
+                iter124.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -2680,11 +2864,11 @@
             elif fid == 9:
                 if ftype == TType.LIST:
                     self.headers = []
-                    (_etype114, _size111) = iprot.readListBegin()
-                    for _i115 in range(_size111):
-                        _elem116 = Header()
-                        _elem116.read(iprot)
-                        self.headers.append(_elem116)
+                    (_etype128, _size125) = iprot.readListBegin()
+                    for _i129 in range(_size125):
+                        _elem130 = Header()
+                        _elem130.read(iprot)
+                        self.headers.append(_elem130)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2768,8 +2952,8 @@
         if self.headers is not None:
             oprot.writeFieldBegin('headers', TType.LIST, 9)
             oprot.writeListBegin(TType.STRUCT, len(self.headers))
-            for iter117 in self.headers:
-                iter117.write(oprot)
+            for iter131 in self.headers:
+                iter131.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.body is not None:
@@ -2887,11 +3071,11 @@
             elif fid == 5:
                 if ftype == TType.LIST:
                     self.headers = []
-                    (_etype121, _size118) = iprot.readListBegin()
-                    for _i122 in range(_size118):
-                        _elem123 = Header()
-                        _elem123.read(iprot)
-                        self.headers.append(_elem123)
+                    (_etype135, _size132) = iprot.readListBegin()
+                    for _i136 in range(_size132):
+                        _elem137 = Header()
+                        _elem137.read(iprot)
+                        self.headers.append(_elem137)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2969,8 +3153,8 @@
         if self.headers is not None:
             oprot.writeFieldBegin('headers', TType.LIST, 5)
             oprot.writeListBegin(TType.STRUCT, len(self.headers))
-            for iter124 in self.headers:
-                iter124.write(oprot)
+            for iter138 in self.headers:
+                iter138.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.final is not None:
@@ -3050,11 +3234,11 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.frames = []
-                    (_etype128, _size125) = iprot.readListBegin()
-                    for _i129 in range(_size125):
-                        _elem130 = AnswerFrame()
-                        _elem130.read(iprot)
-                        self.frames.append(_elem130)
+                    (_etype142, _size139) = iprot.readListBegin()
+                    for _i143 in range(_size139):
+                        _elem144 = AnswerFrame()
+                        _elem144.read(iprot)
+                        self.frames.append(_elem144)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -3071,8 +3255,8 @@
         if self.frames is not None:
             oprot.writeFieldBegin('frames', TType.LIST, 1)
             oprot.writeListBegin(TType.STRUCT, len(self.frames))
-            for iter131 in self.frames:
-                iter131.write(oprot)
+            for iter145 in self.frames:
+                iter145.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -3981,6 +4165,18 @@
     (6, TType.LIST, 'replicas', (TType.STRUCT, [Replica, None], False), None, ),  # 6
     (7, TType.MAP, 'plan_revisions', (TType.STRING, 'UTF8', TType.I64, None, False), None, ),  # 7
 )
+all_structs.append(VmReport)
+VmReport.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'vm', 'UTF8', None, ),  # 1
+    (2, TType.STRING, 'role', 'UTF8', None, ),  # 2
+    (3, TType.STRING, 'address', 'UTF8', None, ),  # 3
+    (4, TType.STRING, 'failure_domain', 'UTF8', None, ),  # 4
+    (5, TType.STRING, 'region', 'UTF8', None, ),  # 5
+    (6, TType.LIST, 'services', (TType.STRING, 'UTF8', False), None, ),  # 6
+    (7, TType.BOOL, 'leaving', None, None, ),  # 7
+    (8, TType.BOOL, 'gone', None, None, ),  # 8
+)
 all_structs.append(PeerState)
 PeerState.thrift_spec = (
     None,  # 0
@@ -3992,6 +4188,9 @@
     (6, TType.LIST, 'suspects', (TType.STRUCT, [Suspect, None], False), None, ),  # 6
     (7, TType.BOOL, 'leaving', None, None, ),  # 7
     (8, TType.LIST, 'members', (TType.STRUCT, [MemberReport, None], False), None, ),  # 8
+    (9, TType.I64, 'vms_stamp', None, None, ),  # 9
+    (10, TType.STRING, 'vms_digest', 'UTF8', None, ),  # 10
+    (11, TType.LIST, 'vms', (TType.STRUCT, [VmReport, None], False), None, ),  # 11
 )
 all_structs.append(PlanRequest)
 PlanRequest.thrift_spec = (
--- a/src/carobstand/wire/messages.thrift
+++ b/src/carobstand/wire/messages.thrift
@@ -111,6 +111,18 @@
   7: map<string, i64> plan_revisions
 }
 
+struct VmReport {
+  1: string vm
+  2: string role
+  3: string address
+  4: string failure_domain
+  5: string region
+  6: list<string> services
+  7: bool leaving
+  8: bool gone               // no longer in the VM list
+}
+
+// Without seq it carries only what a reading of the VM list changed.
 struct PeerState {
   1: i64 seq
   2: i64 table_revision
@@ -120,6 +132,9 @@
   6: list<Suspect> suspects
   7: bool leaving
   8: list<MemberReport> members        // changed since the last one on this connection
+  9: i64 vms_stamp           // hybrid logical clock of a reading of the VM list
+  10: string vms_digest      // of the list that was read
+  11: list<VmReport> vms     // lines that differ from the reader's former list
 }
 
 struct PlanRequest { 1: string service_name  2: i64 have_revision }
--- a/testing/fleet.py
+++ b/testing/fleet.py
@@ -49,6 +49,7 @@
     cut: object = lambda a, b: False
     silent: set = attrs.field(factory=set)
     starts: int = 0
+    readings: int = 0
 
 
 @contextlib.asynccontextmanager
@@ -87,6 +88,7 @@
     store, link = fake_store.client(fleet.shared)
 
     async def fetch():
+        fleet.readings += 1
         await anyio.sleep(0.002)
         shown = fleet.vms.values() if fleet.shown is None else fleet.shown
         return tuple(shown)
--- a/testing/test_control_fleet.py
+++ b/testing/test_control_fleet.py
@@ -3,6 +3,7 @@
 import random
 
 import anyio
+import attrs
 import pytest
 
 from carobstand import errors
@@ -311,3 +312,22 @@
         )
 
     simulate(scenario, entries=12, agents=10)
+
+
+def test_entries_read_the_vm_list_in_turn_and_notice_changes_within_two_seconds():
+    async def scenario(made):
+        await accept_and_wait(made, rows_of("v1"))
+        await anyio.sleep(5)
+        before, start = made.readings, anyio.current_time()
+        for _ in range(5):
+            name = made.rng.choice(sorted(made.vms))
+            made.vms[name] = attrs.evolve(made.vms[name], leaving=True)
+            await anyio.sleep(2)
+            for node in made.nodes.values():
+                if node.vm.role == "entry":
+                    seen = {vm.vm: vm.leaving for vm in node.state.vms}
+                    assert seen[name]
+        rate = (made.readings - before) / (anyio.current_time() - start)
+        assert rate <= 2, "each entry for itself would make 12 or more"
+
+    simulate(scenario, entries=12, agents=4)
