--- a/src/carobstand/core/table.py
+++ b/src/carobstand/core/table.py
@@ -6,7 +6,7 @@
 
 from carobstand import errors
 from carobstand.core import rows as row_module
-from carobstand.core import table_csv
+from carobstand.core import table_csv, table_edits
 
 FORMAT = 1
 """Format number of the JSON; a table with a higher one is refused as a whole."""
@@ -19,7 +19,6 @@
 
 MODULUS = 2**256
 
-_KEY_COLUMNS = ("kind", "name", "service")
 
 ServiceRow = row_module.ServiceRow
 VersionRow = row_module.VersionRow
@@ -30,6 +29,12 @@
 row_digest = row_module.row_digest
 is_non_idempotent = row_module.is_non_idempotent
 parse_csv = table_csv.parse_csv
+check = table_edits.check
+Change = table_edits.Change
+Conflict = table_edits.Conflict
+diff = table_edits.diff
+merge = table_edits.merge
+set_cells = table_edits.set_cells
 
 
 @attrs.frozen
@@ -134,16 +139,7 @@
 
 def to_csv(table):
     """Return a table, or rows, as the bytes of a CSV file."""
-    return table_csv.to_csv(_rows(table))
-
-
-def check(all_rows, source="table"):
-    """Raise TableError if rows contradict each other."""
-    for row, column, reason in row_module.problems(_rows(all_rows)):
-        key = " ".join(part for part in row_module.row_key(row) if part)
-        raise errors.TableError(
-            f"{source}: {key}: column {column}: {reason}", step="table.check"
-        )
+    return table_csv.to_csv(table_edits.rows_of(table))
 
 
 def to_json(table):
@@ -255,137 +251,6 @@
     return body
 
 
-@attrs.frozen
-class Change:
-    """One changed cell; `column` is empty where a whole row came or went.
-
-    `old` and `new` are cell texts, or the row's CSV cells if a whole row came or went;
-    None stands for an absent row.
-    """
-
-    key: tuple
-    column: str
-    old: str | None
-    new: str | None
-
-
-def diff(old, new):
-    """Return the changed cells from `old` to `new` (tables or rows)."""
-    before, after = _by_key(old), _by_key(new)
-    return tuple(
-        change
-        for key in sorted(before.keys() | after.keys())
-        for change in _row_changes(key, before.get(key), after.get(key))
-    )
-
-
-def _row_changes(key, before, after):
-    if before == after:
-        return
-    if before is None or after is None:
-        yield Change(key, "", _text(before), _text(after))
-        return
-    for column in row_module.FIELDS[key[0]]:
-        old, new = row_module.cell(before, column), row_module.cell(after, column)
-        if old != new:
-            yield Change(key, column, old, new)
-
-
-def _text(row):
-    if row is None:
-        return None
-    cells = ((name, row_module.cell(row, name)) for name in row_module.FIELDS[row.kind])
-    return " ".join(f"{name}={text}" for name, text in cells if text)
-
-
-@attrs.frozen
-class Conflict:
-    """A cell, or with an empty column a row, that both sides changed differently."""
-
-    key: tuple
-    column: str
-    base: str | None
-    theirs: str | None
-    mine: str | None
-
-    def __str__(self):
-        where = " ".join(part for part in (*self.key, self.column) if part)
-        shown = (
-            f"{who} {'(absent)' if text is None else repr(text)}"
-            for who, text in (
-                ("was", self.base),
-                ("theirs", self.theirs),
-                ("mine", self.mine),
-            )
-        )
-        return f"{where}: {', '.join(shown)}"
-
-
-def merge(base, theirs, mine):
-    """Return the rows of a three-way merge by row key and column.
-
-    Parameters
-    ----------
-    base, theirs, mine : Table or rows
-        What was edited, what the store holds now, the edited rows.
-
-    Returns
-    -------
-    merged : tuple of rows
-
-    Raises
-    ------
-    ConflictError
-        Naming each cell that both sides changed differently, with both values.
-    TableError
-        If the merged rows contradict each other.
-    """
-    merged, conflicts = merge_rows(base, theirs, mine)
-    if conflicts:
-        raise errors.ConflictError(
-            "both edits change: " + "; ".join(map(str, conflicts)), step="table.merge"
-        )
-    check(merged, "merged table")
-    return merged
-
-
-def merge_rows(base, theirs, mine):
-    """Return (merged rows, conflicts) of a three-way merge."""
-    olds, ours, edits = _by_key(base), _by_key(theirs), _by_key(mine)
-    merged, conflicts = [], []
-    for key in sorted(ours.keys() | edits.keys()):
-        old, their, my = olds.get(key), ours.get(key), edits.get(key)
-        if my == old or my == their:
-            row = their
-        elif their == old:
-            row = my
-        elif their is None or my is None:
-            conflicts.append(Conflict(key, "", _text(old), _text(their), _text(my)))
-            continue
-        else:
-            row = _merge_cells(key, old, their, my, conflicts)
-        if row is not None:
-            merged.append(row)
-    return tuple(merged), tuple(conflicts)
-
-
-def _merge_cells(key, old, their, my, conflicts):
-    cells = {}
-    for column in row_module.FIELDS[key[0]]:
-        was = None if old is None else getattr(old, column)
-        theirs, mine = getattr(their, column), getattr(my, column)
-        unchanged = old is not None and mine == was
-        cells[column] = theirs if unchanged else mine
-        if unchanged or mine == theirs or (old is not None and theirs == was):
-            continue
-        texts = (
-            None if row is None else row_module.cell(row, column)
-            for row in (old, their, my)
-        )
-        conflicts.append(Conflict(key, column, *texts))
-    return row_module.ROW_TYPES[key[0]](**cells)
-
-
 def delta(old, new):
     """Return the JSON bytes that turn `old` into `new` by `apply_delta`.
 
@@ -462,46 +327,3 @@
     history = (*current.history, record)[-MAX_HISTORY:]
     ordered = sorted(all_rows, key=row_module.row_key)
     return Table(current.revision + 1, change_id, ordered, history)
-
-
-def set_cells(table, key, changes):
-    """Return the rows of `table` with some cells of one row changed.
-
-    Parameters
-    ----------
-    key : tuple
-        Row key; a row that is not there yet is created.
-    changes : dict of str to str
-        Column to text.
-
-    Raises
-    ------
-    TableError
-        If a cell or the resulting rows are invalid.
-    """
-    row = table.index.get(key)
-    cells = dict.fromkeys(row_module.COLUMNS, "")
-    if row is not None:
-        cells = {name: row_module.cell(row, name) for name in cells}
-    cells.update(kind=key[0], name=key[1], service=key[2])
-    for column in changes:
-        if column not in row_module.FIELDS.get(key[0], ()) or column in _KEY_COLUMNS:
-            raise errors.TableError(
-                f"{key[0]} rows have no column {column!r} to set", step="table.set"
-            )
-    try:
-        changed = table_csv.parse_row({**cells, **changes})
-    except ValueError as exc:
-        column, reason = exc.args
-        raise errors.TableError(f"column {column}: {reason}", step="table.set") from exc
-    result = tuple({**table.index, key: changed}.values())
-    check(result)
-    return result
-
-
-def _rows(table_or_rows):
-    return getattr(table_or_rows, "rows", table_or_rows)
-
-
-def _by_key(table_or_rows):
-    return {row_module.row_key(row): row for row in _rows(table_or_rows)}
