--- /dev/null
+++ b/bench/control_core.py
@@ -0,0 +1,196 @@
+"""Processor time and sizes of the parts of control at growing sizes, in one process.
+
+Gives the slopes that docs/CAPACITY.md extrapolates from. Times are processor time, so
+that other load on the machine matters little.
+"""
+
+import json
+import time
+
+import attrs
+
+from carobstand.core import membership, planner, rows, table, topology
+from carobstand.platform import vms
+from carobstand.wire import codec
+from carobstand.wire.gen import ttypes
+
+SIZES = (100, 1_000, 11_000)
+
+REPEATS = 5
+
+MEMBERS_PER_SERVICE = 200
+
+
+def seconds(func):
+    """Return the shortest processor time of a call over some repeats."""
+    best = None
+    for _ in range(REPEATS):
+        start = time.process_time()
+        func()
+        took = time.process_time() - start
+        best = took if best is None else min(best, took)
+    return best
+
+
+def a_table(backends):
+    """Return a table with a backend row for each VM and 200 VMs a service."""
+    found = []
+    for number in range(max(1, backends // MEMBERS_PER_SERVICE)):
+        service = f"service-{number}"
+        found.append(table.ServiceRow(service, max_out=0.25))
+        digest = f"{number:064x}"
+        found.append(table.VersionRow(f"v{number}", service, digest, weight=1))
+    count = len(found) // 2
+    found += [
+        table.BackendRow(f"vm-{n:05}", f"service-{n % count}") for n in range(backends)
+    ]
+    return table.Table(1, "c1", sorted(found, key=rows.row_key))
+
+
+def members(count):
+    """Return `count` members that serve v0, and a plan for them."""
+    made = [
+        membership.Member(
+            f"vm-{n:05}",
+            start_id=f"s{n}",
+            address="10.0.0.1:7000",
+            failure_domain=f"domain-{n % 14}",
+            services=("service-0",),
+            heard_at=0.0,
+            replicas={("service-0", "v0"): "SERVING"},
+        )
+        for n in range(count)
+    ]
+    return made
+
+
+def measure_table(size):
+    """Return sizes and times of a table with `size` backend rows."""
+    old = a_table(size)
+    key = ("version", "v0", "service-0")
+    changed = table.set_cells(old, key, {"weight": "2"})
+    new = table.next_revision(old, changed, "c2", "bench", 1.0, "bench")
+    content = table.to_json(new)
+    delta = table.delta(old, new)
+    digest = table.digest(new)
+    return {
+        "rows": len(old.rows),
+        "json_bytes": len(content),
+        "delta_bytes": len(delta),
+        "read_all_s": seconds(lambda: table.from_json(content)),
+        "read_after_change_s": seconds(lambda: table.from_json(content, "t", old)),
+        "make_delta_s": seconds(lambda: table.delta(old, new)),
+        "apply_delta_s": seconds(lambda: table.apply_delta(old, delta, digest)),
+    }
+
+
+def measure_plan(size):
+    """Return sizes and times of planning one service on `size` VMs."""
+    current = a_table(MEMBERS_PER_SERVICE)
+    found = members(size)
+    plan = planner.plan(current, "service-0", found, None, 1.0)
+    content = planner.to_json(plan)
+    return {
+        "plan_bytes": len(content),
+        "plan_s": seconds(lambda: planner.plan(current, "service-0", found, plan, 1.0)),
+        "read_plan_s": seconds(lambda: planner.from_json(content)),
+    }
+
+
+def measure_vms(size):
+    """Return size and time of a VM list and of the choice of entries by an agent."""
+    listed = [
+        vms.Vm(
+            f"vm-{n:05}",
+            "agent",
+            "10.0.0.1:7000",
+            "domain-1",
+            "region-1",
+            ("service-1",),
+        )
+        for n in range(size)
+    ]
+    data = json.dumps({"vms": [attrs.asdict(vm) for vm in listed]}).encode()
+
+    def read():
+        return [vms.Vm(**line) for line in json.loads(data)["vms"]]
+
+    names = [f"entry-{n}" for n in range(max(1, size // 30))]
+    return {
+        "vm_list_bytes": len(data),
+        "read_vm_list_s": seconds(read),
+        "choose_entries_s": seconds(lambda: topology.entries_of_agent("vm", names)),
+    }
+
+
+def measure_messages():
+    """Return sizes in bytes of the frames of a quiet fleet."""
+    digest = "0" * 64
+    replica = ttypes.Replica(
+        service_name="service-1",
+        version="v1",
+        manifest=digest,
+        phase=ttypes.ReplicaPhase.SERVING,
+        bytes_verified=10**10,
+        bytes_total=10**10,
+        detail="",
+        origin_bytes=10**9,
+    )
+    beat = ttypes.Heartbeat(
+        seq=1000,
+        table_revision=10**6,
+        table_digest=digest,
+        plan_revisions={"service-1": 1000},
+        replicas=[replica],
+        load=ttypes.Load(running=8, waiting=0, age_ms=500, cache_used=0.5),
+        leaving=False,
+        running_attempts=8,
+        backend_up=True,
+        cached_prefixes=[],
+    )
+    reply = ttypes.HeartbeatReply(
+        seq=1000,
+        table_revision=10**6,
+        table_digest=digest,
+        assignments=[],
+        attempt_floor=10**6,
+    )
+    state = ttypes.PeerState(
+        seq=1000,
+        table_revision=10**6,
+        table_digest=digest,
+        plan_revisions={f"service-{n}": 1000 for n in range(55)},
+        demands=[],
+        suspects=[],
+        leaving=False,
+    )
+    reading = ttypes.PeerState(vms_stamp=1 << 57, vms_digest="0" * 16)
+    messages = {
+        "ping": ttypes.Ping(seq=1000),
+        "heartbeat": beat,
+        "heartbeat_reply": reply,
+        "peer_state_55_services": state,
+        "vm_reading": reading,
+    }
+    return {name: len(codec.encode(msg, 1 << 57)) for name, msg in messages.items()}
+
+
+def main():
+    """Measure all sizes; the last line is JSON."""
+    result = {"frame_bytes": measure_messages()}
+    for size in SIZES:
+        result[str(size)] = {
+            **measure_table(size),
+            **measure_plan(size),
+            **measure_vms(size),
+        }
+    for name, part in result.items():
+        print(name)
+        for key, value in part.items():
+            shown = f"{value * 1000:.2f} ms" if key.endswith("_s") else value
+            print(f"  {key:24} {shown}")
+    print(json.dumps(result))
+
+
+if __name__ == "__main__":
+    main()
