Plan only services whose members changed, and digest the VM list by changes

Cause: a planner planned all services every 5 s to notice silent members; at 55 services of 200 VMs that is about 55 x 2.6 ms and 55 scans of 11,000 members, 4% of a core. It now compares which members are heard, and which are given up, every 2 s and plans their services only; a full round is made each minute. The digest of the VM list is a sum of line hashes, so that a changed line costs one hash instead of the text of 11,000 lines (about 60 ms).

--- a/src/carobstand/core/membership.py
+++ b/src/carobstand/core/membership.py
@@ -245,6 +245,24 @@
     return not leaving(member) and silent_s(member, now) <= GONE_S
 
 
+def conditions(state, now):
+    """Return what time alone may change of each member, by VM name."""
+    return {
+        vm: (heard(member, now), silent_s(member, now) <= GONE_S)
+        for vm, member in state.members.items()
+    }
+
+
+def by_service(state):
+    """Return the members of each service, sorted by VM name."""
+    found = {}
+    for vm in sorted(state.members):
+        member = state.members[vm]
+        for service in member.services:
+            found.setdefault(service, []).append(member)
+    return found
+
+
 def of_service(state, service):
     """Return the members with a backend server of `service`, sorted by VM name."""
     found = [m for m in state.members.values() if service in m.services]
--- a/src/carobstand/entry/planning.py
+++ b/src/carobstand/entry/planning.py
@@ -34,8 +34,11 @@
 PLAN_INTERVAL_S = 0.5
 """Shortest time between rounds of planning."""
 
-FULL_ROUND_S = 5.0
-"""Time between rounds over all services, for members that fell silent."""
+CONDITIONS_S = 2.0
+"""Time between looks for members that fell silent or came back."""
+
+FULL_ROUND_S = 60.0
+"""Time between rounds over all services; changes are planned as they are seen."""
 
 CUT_OFF_SHARE = 0.5
 """Share of silent members above which the entry takes itself for cut off: no single
@@ -54,6 +57,8 @@
     started_at: float = 0.0
     claimed: set = attrs.field(factory=set)
     full_round_at: float = 0.0
+    conditions: dict = attrs.field(factory=dict)
+    conditions_at: float = 0.0
 
 
 def holds(lease):
@@ -109,6 +114,7 @@
     lease.lease_id = lease_id
     lease.valid_until = asked_at + LEASE_TTL_S - MARGIN_S
     lease.claimed.clear()
+    lease.full_round_at = 0.0
     control.dirty.update(control.plans)
     control.dirty.update(row.name for row in table.services(control.table.content))
     logs.event("planner.elected", lease=lease_id)
@@ -180,27 +186,40 @@
 async def plan_round(control, lease):
     """Compute the plans of the services that may have changed, and write them."""
     now = anyio.current_time()
-    membership.step(control.members, membership.Tick(), now)
     current = control.table.content
     if now >= lease.full_round_at:
         lease.full_round_at = now + FULL_ROUND_S
         control.dirty.update(control.plans)
         control.dirty.update(row.name for row in table.services(current))
+    if now >= lease.conditions_at:
+        lease.conditions_at = now + CONDITIONS_S
+        _note_conditions(control, lease, now)
+    if not control.dirty:
+        return
+    members = membership.by_service(control.members)
     for service in sorted(control.dirty):
         if not holds(lease):
             return
         control.dirty.discard(service)
         try:
-            await _plan_service(control, lease, service)
+            await _plan_service(control, lease, service, members.get(service, ()))
         except (errors.StoreError, errors.ConflictError):
             control.dirty.add(service)
             raise
 
 
-async def _plan_service(control, lease, service):
+def _note_conditions(control, lease, now):
+    """Plan the services of members that fell silent, were given up or came back."""
+    conditions = membership.conditions(control.members, now)
+    for vm, condition in conditions.items():
+        if lease.conditions.get(vm) != condition:
+            control.dirty.update(control.members.members[vm].services)
+    lease.conditions = conditions
+
+
+async def _plan_service(control, lease, service, members):
     state = control.state
     previous = state.plans.get(service)
-    members = membership.of_service(control.members, service)
     plan = planner.plan(
         control.table.content,
         service,
--- a/src/carobstand/entry/reports.py
+++ b/src/carobstand/entry/reports.py
@@ -138,10 +138,11 @@
     now = anyio.current_time()
     current = control.table.content or table.EMPTY
     rosters = {}
+    by_service = membership.by_service(control.members)
     for service, plan in control.state.plans.items():
         manifests = {row.name: row for row in table.versions(current, service)}
         members = {name: [] for name in manifests}
-        for member in membership.of_service(control.members, service):
+        for member in by_service.get(service, ()):
             if not member.address or not membership.usable(member, now):
                 continue
             for name in planner.assignment(plan, member.vm).fetch:
--- a/src/carobstand/entry/vm_readings.py
+++ b/src/carobstand/entry/vm_readings.py
@@ -65,9 +65,10 @@
     control.vms_read_at = now
     if vms == state.vms and not effects:
         return []
-    changes = _changes(state.vms, vms)
+    former = {(vm.role, vm.vm): vm for vm in state.vms}
+    changes = _changes(former, vms)
     state.vms = vms
-    control.vms_digest = hashlib.sha256(repr(vms).encode()).hexdigest()[:16]
+    control.vms_digest = _digest_after(control.vms_digest, changes, former)
     control.dirty.update(control.plans)
     control.dirty.update(service for vm in agents for service in vm.services)
     control.rosters_dirty = True
@@ -75,8 +76,27 @@
     return changes
 
 
-def _changes(old, new):
-    before = {(vm.role, vm.vm): vm for vm in old}
+def _line_hash(vm):
+    """Return 64 bits of the SHA-256 of a line of the list."""
+    services = sorted(vm.services)
+    text = "\0".join(
+        (vm.role, vm.vm, vm.address, vm.failure_domain, vm.region, *services)
+    )
+    digest = hashlib.sha256(f"{text}\0{int(vm.leaving)}".encode()).digest()
+    return int.from_bytes(digest[:8], "big")
+
+
+def _digest_after(digest, changes, former):
+    """Return the sum modulo 2^64 of the hashes of all lines, after `changes`."""
+    total = int(digest or "0", 16)
+    for report in changes:
+        old = former.get((report.role, report.vm))
+        total -= 0 if old is None else _line_hash(old)
+        total += 0 if report.gone else _line_hash(report)
+    return f"{total % 2**64:016x}"
+
+
+def _changes(before, new):
     after = {(vm.role, vm.vm): vm for vm in new}
     gone = [_report(vm, True) for key, vm in before.items() if key not in after]
     return gone + [
