Rank chunks by the present roster, and let a replaced version linger

Cause: the rank of a VM, and whom it may ask, were computed once from the roster of that moment; a roster grows while agents connect, and with one that named the own region only nobody asked the other region. Ranks are now computed again when the roster changes. A simulated growth of rosters failed before and passes now.

A VM that hears "still fetching" now asks again after one transfer time, and passes the other over after four deadlines as before.

The base of an adapter stays loaded as long as the adapter.

--- a/src/carobstand/core/activation.py
+++ b/src/carobstand/core/activation.py
@@ -46,6 +46,11 @@
         Failed commands since the last success.
     retry_at : float
         No command is sent before this time.
+    lingering : dict of str to float
+        Served versions that the target no longer names, to the time until which they
+        stay in service.
+    bases : dict of str to str
+        Adapter version to its base, as in all targets so far.
     """
 
     target: Target | None = None
@@ -55,6 +60,8 @@
     pending: object = None
     failures: int = 0
     retry_at: float = 0.0
+    lingering: dict = attrs.field(factory=dict)
+    bases: dict = attrs.field(factory=dict)
 
 
 @attrs.frozen
@@ -132,6 +139,10 @@
 FIRST_RETRY_S = 0.2
 LONGEST_RETRY_S = 5.0
 
+LINGER_S = 10.0
+"""Time for which a version stays in service after its successor, so that streams that
+began on it can be resumed on it elsewhere."""
+
 
 def step(state, event, is_verified, now):
     """Return the next command for the backend server.
@@ -157,7 +168,7 @@
     _apply(state, event, now)
     if state.pending is not None or now < state.retry_at:
         return ()
-    effect = _next(state, is_verified)
+    effect = _next(state, is_verified, now)
     if effect is None:
         return ()
     _check(state, effect, is_verified)
@@ -170,6 +181,7 @@
         if state.target is None or event.target.fence >= state.target.fence:
             if event.target != state.target:
                 state.target = event.target
+                state.bases.update(event.target.bases)
                 state.retry_at = 0.0
         return
     if isinstance(event, Wakeup):
@@ -188,6 +200,9 @@
         _record(state, done)
     elif isinstance(event, Failed):
         state.serving = state.loaded = None
+        if isinstance(done, Load):
+            # There may be no room beside the versions that linger.
+            state.lingering = dict.fromkeys(state.lingering, now)
         delay = min(LONGEST_RETRY_S, FIRST_RETRY_S * 2 ** min(state.failures, 10))
         state.failures += 1
         state.retry_at = now + delay
@@ -204,23 +219,29 @@
         state.serving = state.loaded = None
 
 
-def _next(state, is_verified):
+def _next(state, is_verified, now):
     if state.serving is None:
         return Ask()
     target = state.target
     if target is None or target.fence < state.fence:
         return None
     ready = _ready(target, state.loaded, is_verified)
+    wanted = _wanted(state, ready, now)
+    rest = set(state.serving) & wanted
+    if rest and rest != set(state.serving):
+        return Activate(tuple(sorted(rest)), target.fence)
+    spare = _spare(state, target)
+    if spare is not None:
+        return spare
     renamed = name_conflicts(state)
     for version, digest in ready.items():
         if version not in state.loaded:
             return Load(version, digest, target.bases.get(version, ""), target.fence)
         if state.loaded[version] != digest and version not in renamed:
             return Unload(version, target.fence)
-    wanted = _wanted(state, ready)
     if wanted and wanted != set(state.serving):
         return Activate(tuple(sorted(wanted)), target.fence)
-    return _drop_spare(state, target)
+    return None
 
 
 def name_conflicts(state):
@@ -252,21 +273,33 @@
     return ready
 
 
-def _wanted(state, ready):
+def _wanted(state, ready, now):
     """Return the versions to serve now.
 
     Versions that the target no longer names stay in service until all that it names
-    are ready, so that the VM never serves less than before.
+    are ready, so that the VM never serves less than before, and `LINGER_S` longer.
     """
     target = state.target
     wanted = {key for key in target.serve if state.loaded.get(key) == ready.get(key, 0)}
-    if wanted != target.serve:
-        wanted |= set(state.serving)
-    return wanted
+    former = set(state.serving) - target.serve
+    for version in set(state.lingering) - former:
+        del state.lingering[version]
+    if wanted == target.serve:
+        for version in former:
+            state.lingering.setdefault(version, now + LINGER_S)
+    return (
+        wanted | (former - _expired(state, now)) | (target.serve & set(state.serving))
+    )
+
+
+def _expired(state, now):
+    return {version for version, until in state.lingering.items() if until <= now}
 
 
-def _drop_spare(state, target):
-    spare = set(state.loaded) - set(target.manifests) - set(state.serving)
+def _spare(state, target):
+    """Return the command that makes room by unloading a version, or None."""
+    in_use = set(state.serving) | {state.bases.get(key) for key in state.serving}
+    spare = set(state.loaded) - set(target.manifests) - in_use
     return Unload(min(spare), target.fence) if spare else None
 
 
--- a/src/carobstand/core/swarm.py
+++ b/src/carobstand/core/swarm.py
@@ -134,6 +134,7 @@
         return
     first = not job.members
     job.members = {member.vm: member for member in event.members}
+    job.roster += 1
     job.hashes = {vm: ranks.hash_of(vm) for vm in job.members}
     for member in event.members:
         if member.vm != swarm.vm:
--- a/src/carobstand/core/swarm_duties.py
+++ b/src/carobstand/core/swarm_duties.py
@@ -31,8 +31,8 @@
 """Takeover deadline as a multiple of the measured time of downloads."""
 
 MAX_DEFERRED = 4
-"""Answers "still fetching" after which a VM is passed over; its origin link may be
-stalled."""
+"""Deadlines for which a VM may answer "still fetching" before it is passed over; its
+origin link may be stalled."""
 
 DEFERRED_DURING_OUTAGE = 12
 """The same while this VM's own downloads fail, as taking over would not help."""
@@ -61,6 +61,11 @@
     return max(MIN_TAKEOVER_S, TAKEOVER_FACTOR * max(times))
 
 
+def _look_s(swarm, job):
+    """Return the time until a VM that is still fetching is asked again."""
+    return max(MIN_TAKEOVER_S, takeover_s(swarm, job) / TAKEOVER_FACTOR)
+
+
 def prepare(swarm, job, now):
     """Set the order of draws of a job, the same at every VM."""
     key = ranks.hash_of(job.digest)
@@ -100,28 +105,51 @@
 
 
 def _assign(swarm, job, idx, due, second):
-    order = ranks.ranked(job.hashes, ranks.hash_of(job.chunks[idx]))
-    region_of = {vm: job.members[vm].region for vm in order}
+    """Add the duties of this VM for a chunk whose time has come."""
     if second:
-        others = [vm for vm in order if region_of[vm] != region_of[order[0]]]
-        drawer = (others or order[1:2] or [""])[0]
-        if drawer == swarm.vm and not job.joined_late:
-            duty = st.Duty(job, idx, st.DutyKind.ORIGIN, 0, due, (), extra=True)
+        if _second_drawer(job, idx) == swarm.vm and not job.joined_late:
+            duty = st.Duty(job, idx, st.DutyKind.ORIGIN, due, extra=True)
             _push(job, due, duty)
         return
-    rank = order.index(swarm.vm)
-    duty = st.Duty(job, idx, st.DutyKind.ORIGIN, rank, due, tuple(order[:rank]))
-    if rank == 0 and job.joined_late:
+    for kind in st.DutyKind:
+        duty = st.Duty(job, idx, kind, due)
+        if kind is st.DutyKind.ORIGIN and job.joined_late:
+            duty.deferred_since = float("-inf")
+        _push(job, due, duty)
+
+
+def _order(job, idx):
+    return ranks.ranked(job.hashes, ranks.hash_of(job.chunks[idx]))
+
+
+def _second_drawer(job, idx):
+    """Return the VM that downloads a second copy: the first one of another region."""
+    order = _order(job, idx)
+    region = job.members[order[0]].region
+    others = [vm for vm in order if job.members[vm].region != region]
+    return (others or order[1:2] or [""])[0]
+
+
+def _rank(swarm, job, duty):
+    """Set the rank of a duty and the VMs to ask, from the present roster.
+
+    A roster grows while agents connect, so a rank is not for ever.
+    """
+    duty.roster = job.roster
+    if duty.extra or swarm.vm not in job.members:
+        duty.rank, duty.before, duty.sources = 0, (), ()
+        return
+    order = _order(job, duty.idx)
+    region_of = {vm: job.members[vm].region for vm in order}
+    if duty.kind is st.DutyKind.ENTRY:
+        # Also in the region of the first one: other regions may hold the chunk already.
+        duty.sources = tuple(vm for vm in order if region_of[vm] != swarm.region)
+        order = [vm for vm in order if region_of[vm] == swarm.region]
+    duty.rank = order.index(swarm.vm)
+    duty.before = tuple(order[: duty.rank])
+    if duty.kind is st.DutyKind.ORIGIN and duty.rank == 0 and job.joined_late:
         # Before this VM joined, the next one was the first; it is asked once.
         duty.before = tuple(order[1:2])
-        duty.deferred = DEFERRED_DURING_OUTAGE
-    _push(job, due, duty)
-    # Also in the region of the first one: other regions may hold the chunk already.
-    own = [vm for vm in order if region_of[vm] == swarm.region]
-    sources = tuple(vm for vm in order if region_of[vm] != swarm.region)
-    rank = own.index(swarm.vm)
-    duty = st.Duty(job, idx, st.DutyKind.ENTRY, rank, due, tuple(own[:rank]), sources)
-    _push(job, due, duty)
 
 
 def _push(job, time, duty):
@@ -138,6 +166,8 @@
             time, _, duty = heapq.heappop(job.duties)
             if duty.at != time or job.have >> duty.idx & 1:
                 continue
+            if duty.roster != job.roster:
+                _rank(swarm, job, duty)
             due = duty.base + FIRST_LOOK_S * duty.rank.bit_length()
             if due > now:
                 _push(job, due, duty)
@@ -193,8 +223,8 @@
     unasked = _next_unasked(swarm, duty, duty.before, now)
     if unasked is None:
         job.entry |= 1 << duty.idx
-        if now < duty.base + takeover:
-            return duty.base + takeover - now
+        if now < duty.base + FIRST_LOOK_S:
+            return duty.base + FIRST_LOOK_S - now
         if _is_offered(swarm, job, duty.idx):
             return takeover
         unasked = _next_unasked(swarm, duty, duty.sources, now)
@@ -230,11 +260,16 @@
             peers.learn(job, known, held)
         return
     if reason is st.Refusal.PENDING:
-        duty.deferred += 1
+        if duty.deferred_since is None:
+            duty.deferred_since = now
         outage = swarm.origin_failures > 0
-        if duty.deferred <= (DEFERRED_DURING_OUTAGE if outage else MAX_DEFERRED):
+        deadlines = DEFERRED_DURING_OUTAGE if outage else MAX_DEFERRED
+        if now - duty.deferred_since < deadlines * takeover_s(swarm, job):
+            _push(job, now + _look_s(swarm, job), duty)
             return
     duty.asked.add(transfer.vm)
+    if duty.deferred_since != float("-inf"):
+        duty.deferred_since = None
     _push(job, now, duty)
 
 
--- a/src/carobstand/core/swarm_state.py
+++ b/src/carobstand/core/swarm_state.py
@@ -97,6 +97,8 @@
         All VMs of the roster, this one included.
     hashes : dict of str to int
         `ranks.hash_of` each member.
+    roster : int
+        Number of rosters received.
     neighbours : tuple of str
         VMs with which bitmaps are exchanged at this VM's initiative.
     announced : dict of str to int
@@ -125,6 +127,7 @@
     entry: int = 0
     members: dict = attrs.field(factory=dict)
     hashes: dict = attrs.field(factory=dict)
+    roster: int = 0
     neighbours: tuple = ()
     announced: dict = attrs.field(factory=dict)
     announce_at: float = 0.0
@@ -155,6 +158,8 @@
     ----------
     base : float
         Time at which the VM of rank 0 acts.
+    roster : int
+        `Job.roster` for which the next three were computed.
     before : tuple of str
         VMs to ask first: those of lower rank.
     sources : tuple of str
@@ -163,8 +168,8 @@
         Whether the chunk is downloaded although other VMs hold it.
     asked : set of str
         VMs of lower rank that do not have the chunk and do not fetch it.
-    deferred : int
-        How often a VM of lower rank answered that it is still fetching.
+    deferred_since : float or None
+        Since when the VM asked last has answered that it is still fetching.
     at : float
         Time at which it is looked at next.
     """
@@ -172,13 +177,14 @@
     job: object
     idx: int
     kind: DutyKind
-    rank: int
     base: float
-    before: tuple
+    roster: int = -1
+    rank: int = 0
+    before: tuple = ()
     sources: tuple = ()
     extra: bool = False
     asked: set = attrs.field(factory=set)
-    deferred: int = 0
+    deferred_since: float | None = None
     at: float = 0.0
 
 
--- a/testing/test_swarm.py
+++ b/testing/test_swarm.py
@@ -124,6 +124,27 @@
     assert digest in fresh.completed
 
 
+def test_rosters_that_grow_while_agents_connect_leave_no_chunk_behind():
+    """Processes of two regions stalled: each had ranked the chunks by a roster of its
+    own region only, and nobody asked the other region for the last ones."""
+    domains = (("fd0", "r0"), ("fd1", "r1"))
+    world = swarm_world.World(shape(n=4, domains=domains), random.Random(9))
+    digest, made = swarm_world.publish(world, 9)
+    nodes = [swarm_world.add_node(world, index) for index in range(4)]
+    for node in nodes:
+        same = [n.member for n in nodes if n.member.region == node.member.region]
+        swarm_world.assign(world, node, {digest: made}, same)
+    # The origin ends early: what one region has must reach the other.
+    world.origin_down = ((15.0, 1e9),)
+    world.stalls = {("", "vm1"): 1e9, ("", "vm3"): 1e9}
+    swarm_world.run(world, 15)
+    members = [node.member for node in nodes]
+    for node in nodes:
+        swarm_world.assign(world, node, {digest: made}, members)
+    swarm_world.run(world, 300, lambda: complete(world, digest))
+    assert complete(world, digest)
+
+
 def test_an_overdue_chunk_is_requested_from_a_second_peer_before_its_deadline():
     """With chunks of seconds each, a lost request kept a VM waiting for minutes."""
     state = new_swarm()
