--- a/bench/callers.py
+++ b/bench/callers.py
@@ -54,6 +54,8 @@
         Recent prompts and their request, to recognise answers of other requests.
     seconds : list of float
         Duration of each completed request.
+    cuts : list of (str, str)
+        Request id and detail of each answer that ended early.
     """
 
     counts: collections.Counter = attrs.field(factory=collections.Counter)
@@ -61,6 +63,7 @@
     orders: dict = attrs.field(factory=dict)
     prompts: collections.OrderedDict = attrs.field(factory=collections.OrderedDict)
     seconds: list = attrs.field(factory=list)
+    cuts: list = attrs.field(factory=list)
     open: int = 0
     next_id: int = 0
 
@@ -127,7 +130,8 @@
         if excused(reply):
             tally.counts["broken_by_kill"] += 1
         elif reply.status:
-            find(tally, "cut", f"{what}: {reply.problem} after {len(reply.body)} bytes")
+            detail = f"{what}: {reply.problem[:40]} after {len(reply.body)} bytes"
+            tally.cuts.append((reply.headers.get("x-request-id"), detail))
         else:
             find(tally, "lost", f"{what}: {reply.problem} at {reply.entry.name}")
     elif reply.status == 500 or reply.outcome == "none" and reply.status >= 400:
--- a/bench/soak_checks.py
+++ b/bench/soak_checks.py
@@ -1,6 +1,7 @@
 """Operators and observers of a soak run: edits, revisions, versions, processes."""
 
 import collections
+import json
 
 import anyio
 import attrs
@@ -20,6 +21,7 @@
     "not_converged",
     "work_after_leaving",
     "poison_spread",
+    "secrets_logged",
     "bad_exit",
     "stuck_requests",
 )
@@ -34,6 +36,9 @@
 POISON = "crash this engine"
 """Part of a prompt that crashes an engine."""
 
+SUSPECT = "backend servers failed while they ran this request"
+"""Reason of the entry for the end of a request that became a suspect."""
+
 POISON_FAILURES = 2
 """Failures of backend servers after which a request is refused everywhere."""
 
@@ -316,3 +321,28 @@
             callers.find(soak.tally, "bad_exit", detail)
     for name, text in fleets.errors_of(soak.fleet).items():
         callers.find(soak.tally, "bad_exit", f"{name} wrote: {text[-600:]}")
+
+
+def check_logs(soak):
+    """Check that no log holds a customer's key; excuse answers cut as suspects.
+
+    A request that two backend servers ran when they crashed is refused everywhere,
+    also when it is not the one that made them crash (section 7 of the design page).
+    """
+    ended = {}
+    for path in sorted(soak.fleet.folder.glob("*.log")):
+        text = path.read_text(errors="replace")
+        for customer, key in soak.fleet.keys.items():
+            if key in text:
+                detail = f"{path.name} holds the key of {customer}"
+                callers.find(soak.tally, "secrets_logged", detail)
+        for line in text.splitlines():
+            if '"request.ended"' in line:
+                event = json.loads(line)
+                ended[event["request"]] = event
+    for request_id, detail in soak.tally.cuts:
+        event = ended.get(request_id, {})
+        if SUSPECT in event.get("error", "") and event.get("attempts", 0) >= 2:
+            soak.tally.counts["cut_as_suspect"] += 1
+        else:
+            callers.find(soak.tally, "cut", f"{detail}: {event.get('error')}")
--- a/bench/soak_processes.py
+++ b/bench/soak_processes.py
@@ -263,6 +263,7 @@
     await checks.check_backends(soak)
     await checks.check_operators(soak)
     checks.check_processes(soak)
+    checks.check_logs(soak)
     names = (*callers.FAULTS, *checks.FAULTS)
     found = {name: tally.counts.pop(name, 0) for name in names}
     return {
--- a/src/carobstand/wire/tls.py
+++ b/src/carobstand/wire/tls.py
@@ -8,6 +8,7 @@
 import os
 import ssl
 
+import anyio
 import attrs
 from anyio.streams import tls as anyio_tls
 
@@ -101,10 +102,12 @@
 
 def reason(exc):
     """Return why a TLS handshake failed, as one line."""
+    if isinstance(exc, anyio.EndOfStream | anyio.BrokenResourceError):
+        if not isinstance(exc.__cause__, ssl.SSLError):
+            return REASONS["UNEXPECTED_EOF_WHILE_READING"]
+        exc = exc.__cause__
     code = getattr(exc, "reason", None)
-    if code is None and isinstance(exc.__cause__, ssl.SSLError):
-        code = exc.__cause__.reason
-    return REASONS.get(code) or f"TLS failed: {code or exc or type(exc).__name__}"
+    return REASONS.get(code) or f"TLS failed: {code or str(exc) or type(exc).__name__}"
 
 
 def _current(cfg, protocol):
--- a/testing/test_tls.py
+++ b/testing/test_tls.py
@@ -164,6 +164,11 @@
     run(body)
 
 
+def test_a_handshake_that_ends_early_is_named():
+    assert tls.reason(anyio.EndOfStream()) == "peer closed during the TLS handshake"
+    assert "ValueError" in tls.reason(ValueError())
+
+
 def test_tls_1_2_is_refused(cfg):
     context = tls.ssl.SSLContext(tls.ssl.PROTOCOL_TLS_CLIENT)
     context.check_hostname = False
