--- a/src/carobstand/wire/connection.py
+++ b/src/carobstand/wire/connection.py
@@ -12,26 +12,11 @@
 from anyio.streams import tls as anyio_tls
 
 from carobstand import errors, logs, signals
-from carobstand.wire import codec, framing, hellos, tls
+from carobstand.wire import codec, framing, hellos, liveness, tls
 from carobstand.wire.gen import ttypes
 
 PROTOCOL_VERSION = hellos.PROTOCOL_VERSION
 
-PING_INTERVAL_S = 0.8
-"""Time between pings of a quiet peer."""
-
-SILENT_S = 2.6
-"""Silence after which a connection is replaced: three pings of `PING_INTERVAL_S`, the
-last of which had 0.2 s for its answer. A silent connection is found within 3 s."""
-
-ACCEPTOR_WAIT_S = 0.2
-"""Added to the first ping of the side that accepted the connection: the ping of the
-other side and its answer show both that the peer lives, so that an idle connection
-carries one ping, not two, per interval."""
-
-STALL_S = 10.0
-"""Time without progress of a write after which a peer that does not read is dropped."""
-
 HANDSHAKE_TIMEOUT_S = 3.0
 """Longest wait for the TLS handshake, and then for the peer's hello."""
 
@@ -135,7 +120,7 @@
 async def send(conn, message):
     """Queue `message`, waiting while more than `MAX_QUEUED_BYTES` are queued."""
     while conn.queued_bytes > MAX_QUEUED_BYTES and not conn.closed.is_set():
-        await conn.drained.wait(STALL_S)
+        await conn.drained.wait(liveness.STALL_S)
     post(conn, message)
 
 
@@ -168,7 +153,7 @@
         If the peer sent a malformed frame, or a message that its handler could not
         process. The connection is closed.
     ConnectionClosedError
-        If the peer was silent for `SILENT_S`, or did not read for `STALL_S`.
+        If the peer was silent or did not read for too long; see `liveness`.
     InvariantError
         As raised by a handler; the process must not go on.
     """
@@ -176,7 +161,7 @@
         async with anyio.create_task_group() as tg:
             tg.start_soon(_cancel_when_closed, conn, tg.cancel_scope)
             tg.start_soon(_write, conn)
-            tg.start_soon(_watch_peer, conn)
+            tg.start_soon(liveness.watch, conn, post)
             await _read(conn, on_message)
             close(conn)
     except BaseExceptionGroup as group:
@@ -288,50 +273,6 @@
         conn.drained.notify()
 
 
-async def _watch_peer(conn):
-    """Ping a quiet peer; raise ConnectionClosedError once it is silent or stalled.
-
-    A peer that was heard within `PING_INTERVAL_S` needs no ping, so that a silent one
-    gets three before it is given up and a busy one gets none. While a message is
-    handled nothing is read, and pings tell the peer that this process lives. After a
-    pause of this process itself the peer gets `SILENT_S` again, because its frames may
-    wait unread in the socket.
-    """
-    pinged_at = anyio.current_time()
-    seq = 0
-    while True:
-        ping_at = _ping_at(conn, pinged_at)
-        silent_at = ping_at
-        if conn.quiet_since is not None:
-            silent_at = conn.quiet_since + SILENT_S
-        wake_at = min(ping_at, silent_at)
-        await anyio.sleep_until(wake_at)
-        now = anyio.current_time()
-        if now - wake_at > PING_INTERVAL_S / 2 and conn.quiet_since is not None:
-            conn.quiet_since = now
-        if conn.quiet_since is not None and now >= conn.quiet_since + SILENT_S:
-            _fail(conn, f"peer silent for {now - conn.quiet_since:.1f} s")
-        if conn.write_since is not None and now - conn.write_since >= STALL_S:
-            _fail(conn, f"peer does not read for {now - conn.write_since:.1f} s")
-        if now >= _ping_at(conn, pinged_at):
-            seq += 1
-            pinged_at = now
-            post(conn, ttypes.Ping(seq=seq))
-
-
-def _ping_at(conn, pinged_at):
-    """Return when the next ping is due unless the peer is heard before."""
-    if conn.quiet_since is None or conn.quiet_since <= pinged_at:
-        return pinged_at + PING_INTERVAL_S
-    return (
-        conn.quiet_since + PING_INTERVAL_S + (ACCEPTOR_WAIT_S if conn.accepted else 0)
-    )
-
-
-def _fail(conn, message):
-    raise errors.ConnectionClosedError(message, step="wire.watch", peer=conn.address)
-
-
 async def handshake(stream, hello, address):
     """Exchange hellos on a new stream.
 
--- /dev/null
+++ b/src/carobstand/wire/liveness.py
@@ -0,0 +1,71 @@
+"""Pings of a connection, and the discovery of peers that are silent or do not read."""
+
+import anyio
+
+from carobstand import errors
+from carobstand.wire.gen import ttypes
+
+PING_INTERVAL_S = 0.8
+"""Time between pings of a quiet peer."""
+
+SILENT_S = 2.6
+"""Silence after which a connection is replaced: three pings of `PING_INTERVAL_S`, the
+last of which had 0.2 s for its answer. A silent connection is found within 3 s."""
+
+ACCEPTOR_WAIT_S = 0.2
+"""Added to the first ping of the side that accepted the connection: the ping of the
+other side and its answer show both that the peer lives, so that an idle connection
+carries one ping, not two, per interval."""
+
+STALL_S = 10.0
+"""Time without progress of a write after which a peer that does not read is dropped."""
+
+
+async def watch(conn, post):
+    """Ping a quiet peer; raise ConnectionClosedError once it is silent or stalled.
+
+    A peer that was heard within `PING_INTERVAL_S` needs no ping, so that a silent one
+    gets three (two from the side that accepted) before it is given up and a busy one
+    gets none. While a message is
+    handled nothing is read, and pings tell the peer that this process lives. After a
+    pause of this process itself the peer gets `SILENT_S` again, because its frames may
+    wait unread in the socket.
+
+    Parameters
+    ----------
+    conn : connection.Connection
+    post : callable of (conn, message)
+        Queues a message without waiting.
+    """
+    pinged_at = anyio.current_time()
+    seq = 0
+    while True:
+        ping_at = _ping_at(conn, pinged_at)
+        silent_at = ping_at
+        if conn.quiet_since is not None:
+            silent_at = conn.quiet_since + SILENT_S
+        wake_at = min(ping_at, silent_at)
+        await anyio.sleep_until(wake_at)
+        now = anyio.current_time()
+        if now - wake_at > PING_INTERVAL_S / 2 and conn.quiet_since is not None:
+            conn.quiet_since = now
+        if conn.quiet_since is not None and now >= conn.quiet_since + SILENT_S:
+            _fail(conn, f"peer silent for {now - conn.quiet_since:.1f} s")
+        if conn.write_since is not None and now - conn.write_since >= STALL_S:
+            _fail(conn, f"peer does not read for {now - conn.write_since:.1f} s")
+        if now >= _ping_at(conn, pinged_at):
+            seq += 1
+            pinged_at = now
+            post(conn, ttypes.Ping(seq=seq))
+
+
+def _ping_at(conn, pinged_at):
+    """Return when the next ping is due unless the peer is heard before."""
+    if conn.quiet_since is None or conn.quiet_since <= pinged_at:
+        return pinged_at + PING_INTERVAL_S
+    wait_s = ACCEPTOR_WAIT_S if conn.accepted else 0.0
+    return conn.quiet_since + PING_INTERVAL_S + wait_s
+
+
+def _fail(conn, message):
+    raise errors.ConnectionClosedError(message, step="wire.watch", peer=conn.address)
--- a/testing/test_connection.py
+++ b/testing/test_connection.py
@@ -7,7 +7,7 @@
 import pytest
 
 from carobstand import errors
-from carobstand.wire import codec, connection
+from carobstand.wire import codec, connection, liveness
 from carobstand.wire.gen import ttypes
 
 
@@ -179,8 +179,8 @@
 
 
 def test_a_silent_connection_ends_within_three_seconds():
-    assert connection.SILENT_S < 3
-    assert connection.SILENT_S > 3 * connection.PING_INTERVAL_S
+    assert liveness.SILENT_S < 3
+    assert liveness.SILENT_S > 3 * liveness.PING_INTERVAL_S
     ended = []
 
     async def body():
@@ -193,8 +193,8 @@
 
 
 def test_a_handler_that_takes_longer_than_three_pings_keeps_the_connection(monkeypatch):
-    monkeypatch.setattr(connection, "PING_INTERVAL_S", 0.05)
-    monkeypatch.setattr(connection, "SILENT_S", 0.2)
+    monkeypatch.setattr(liveness, "PING_INTERVAL_S", 0.05)
+    monkeypatch.setattr(liveness, "SILENT_S", 0.2)
     answers = []
 
     async def slow(conn, message):
@@ -216,7 +216,7 @@
 
 
 def test_closing_a_connection_to_a_silent_peer_ends_it_at_once(monkeypatch):
-    monkeypatch.setattr(connection, "SILENT_S", 60)
+    monkeypatch.setattr(liveness, "SILENT_S", 60)
 
     async def silent(stream):
         await stream.send(codec.encode(hello(), 1))
@@ -238,8 +238,8 @@
 
 
 def test_a_peer_that_stops_reading_is_bounded_and_dropped(monkeypatch):
-    monkeypatch.setattr(connection, "STALL_S", 0.3)
-    monkeypatch.setattr(connection, "PING_INTERVAL_S", 0.05)
+    monkeypatch.setattr(liveness, "STALL_S", 0.3)
+    monkeypatch.setattr(liveness, "PING_INTERVAL_S", 0.05)
     ended = []
     chunk = ttypes.ChunkReply(request_id=1, data=b"x" * 1024 * 1024)
 
