Acknowledge again after a connection was replaced

Cause: an acknowledgement that was lost with its connection was never repeated. The agent waited for it with a full window (256 KiB), the entry for further bytes, so the answer stopped until its deadline and was cut.

Ruled out: to let Resume acknowledge its offset, since bytes that were received but not delivered would leave the window.

--- a/src/carobstand/entry/tries.py
+++ b/src/carobstand/entry/tries.py
@@ -225,6 +225,9 @@
         t.unreachable = False
         logs.event("attempt.resumed", attempt=t.attempt_id, offset=t.answer.end)
         _post(t.conn, ttypes.Resume(t.attempt_id, t.answer.end))
+        # An acknowledgement may have been lost with the former connection, and the
+        # agent waits for it once its window is full.
+        _post(t.conn, ttypes.AnswerAck(t.attempt_id, t.acked))
     elif t.conn.closed.is_set():
         if t.detached_at is None:
             t.detached_at = now
--- a/testing/test_requests.py
+++ b/testing/test_requests.py
@@ -4,6 +4,8 @@
 
 import anyio
 
+from carobstand.core import attempts
+from carobstand.entry import tries
 from carobstand.wire.gen import ttypes
 from testing import request_builders as build
 
@@ -68,6 +70,49 @@
     build.run(test)
 
 
+def test_an_acknowledgement_lost_with_its_connection_does_not_stall_the_answer(
+    monkeypatch,
+):
+    size = 3 * attempts.WINDOW_BYTES
+    lost = []
+    post = tries._post
+
+    async def handler(scope, body, send):
+        headers = [(b"content-type", b"text/event-stream")]
+        await send({"type": "http.response.start", "status": 200, "headers": headers})
+        await send({"type": "http.response.body", "body": b"x" * size})
+
+    async def test():
+        async with build.system(handler) as net:
+            first = net.entries[0].agents["vm-1"].conn
+
+            def drop_acknowledgements(conn, message):
+                if conn is first and isinstance(message, ttypes.AnswerAck):
+                    lost.append(message.offset)
+                else:
+                    post(conn, message)
+
+            monkeypatch.setattr(tries, "_post", drop_acknowledgements)
+            got = []
+
+            async def read():
+                headers = {"authorization": f"Bearer {build.BEARERS['acme']}"}
+                url = net.urls[0] + "/services/desk/x"
+                got.append(await net.client.get(url, headers=headers))
+
+            async with anyio.create_task_group() as tg:
+                tg.start_soon(read)
+                while not lost or lost[-1] < attempts.WINDOW_BYTES // 2:
+                    await anyio.sleep(0.01)
+                await anyio.sleep(0.1)
+                old, _ = net.conns[("vm-1", "entry-1")]
+                await old.stream.aclose()
+                await net.connect(net.agents[0], net.entries[0])
+            assert got[0].content == b"x" * size
+
+    build.run(test)
+
+
 def test_an_attempt_for_another_agent_start_is_refused_as_not_run():
     ran = []
 
