Discard answers of entries that have gone

An agent held the answers of an entry start until that entry raised its floor, so those of an entry that failed were held for ever. They are discarded after 15 minutes without a connection of the entry; their attempts then count as finished without an answer, so that a repeat is `unknown` and nothing runs again. The time at which an entry was last heard was set by each look at its floor; it is that of its connection now.

--- a/src/carobstand/agent/executor.py
+++ b/src/carobstand/agent/executor.py
@@ -162,9 +162,12 @@
                 run = ex.runs.get((start_id, attempt.attempt_id))
                 if run is not None:
                     _cancel(run)
-            for key in [k for k in ex.runs if k[0] == start_id and k[1] < floor]:
-                if ex.runs[key].attempt.final is not None:
-                    del ex.runs[key]
+        connected = {conn.peer.start_id for conn in ex.state.entries.values()}
+        for attempt in attempts.abandon_entries(ex.held, connected, now):
+            _cancel(ex.runs[(attempt.entry_start_id, attempt.attempt_id)])
+        for key in [key for key in ex.runs if attempts.find(ex.held, *key) is None]:
+            if ex.runs[key].attempt.final is not None:
+                del ex.runs[key]
         attempts.forget_idle_entries(ex.held, now)
         for conn in [conn for conn in ex.outboxes if conn.closed.is_set()]:
             del ex.outboxes[conn]
--- a/src/carobstand/core/attempts.py
+++ b/src/carobstand/core/attempts.py
@@ -27,6 +27,12 @@
 MAX_REVOKED = 1024
 """Revoked ids held per entry start; beyond it the refusal floor rises instead."""
 
+RETAIN_S = 900.0
+"""Time for which answers are held after their entry has gone.
+
+Repeats of a call through other entries find its response at the agent until then.
+"""
+
 ENTRY_IDLE_S = 24 * 3600.0
 """Time after which an entry start is forgotten; a claim lasts as long."""
 
@@ -354,7 +360,9 @@
     attempts : list of Attempt
         Discarded ones that are still running, to be cancelled.
     """
-    entry = _entry(state, entry_start_id, now)
+    if entry_start_id not in state.entries:
+        _entry(state, entry_start_id, now)
+    entry = state.entries[entry_start_id]
     if floor <= entry.floor:
         return []
     entry.floor = floor
@@ -363,6 +371,32 @@
     return [attempt for attempt in dropped if attempt.phase is Phase.RUNNING]
 
 
+def abandon_entries(state, connected, now):
+    """Discard what is held for entry starts that have gone.
+
+    Their attempts count as finished without an answer from then on.
+
+    Parameters
+    ----------
+    state : Attempts
+    connected : container of str
+        Entry start ids with a connection.
+    now : float
+
+    Returns
+    -------
+    attempts : list of Attempt
+        Discarded ones that are still running, to be cancelled.
+    """
+    running = []
+    for start_id, entry in state.entries.items():
+        if start_id in connected:
+            entry.heard_at = now
+        elif entry.open and now - entry.heard_at > RETAIN_S:
+            running += raise_floor(state, start_id, max(entry.open) + 1, now)
+    return running
+
+
 def forget_idle_entries(state, now):
     """Forget entry starts that were not heard from for `ENTRY_IDLE_S`."""
     for start_id, entry in list(state.entries.items()):
--- a/testing/test_request_core.py
+++ b/testing/test_request_core.py
@@ -333,6 +333,17 @@
     assert attempts.refusal(state, "e", "a", 1, 0.0)
 
 
+def test_answers_for_an_entry_that_has_gone_are_discarded_but_never_run_again():
+    state, attempt = held()
+    attempts.finish(attempt, attempts.Outcome.DONE)
+    assert attempts.abandon_entries(state, {"e"}, 800.0) == []
+    attempts.abandon_entries(state, (), 800.0 + attempts.RETAIN_S)
+    assert attempts.find(state, "e", 1) is attempt
+    attempts.abandon_entries(state, (), 801.0 + attempts.RETAIN_S)
+    assert attempts.find(state, "e", 1) is None
+    assert attempts.revoke(state, "e", 1, 2000.0) is attempts.Phase.FINISHED
+
+
 def test_an_answer_is_replayed_from_any_offset_that_was_not_acknowledged():
     _, attempt = held(keep=False)
     attempts.start_answer(attempt, 200, ())
