Let one failure leave one home, the same at every entry; probe a failed server

After a failure the only server left is now the first in a fixed order that is not known to have failed with the request, whatever is up; if it cannot be used the request waits or is refused.

A server that breaks off one answer but accepts connections was shut out for 3 s, also if it was the only one of its service: other requests got 503. The agent now tries a connection and tells the entry; the failure still counts for the request itself.

--- a/src/carobstand/agent/executor.py
+++ b/src/carobstand/agent/executor.py
@@ -17,6 +17,9 @@
 CONNECT_TIMEOUT_S = 2.0
 """Longest wait for a connection to the backend server, which is on the same VM."""
 
+PROBE_TIMEOUT_S = 0.3
+"""Longest wait for a connection that shows that the backend server is up."""
+
 CANCEL_GRACE_S = 30.0
 """How long a non-idempotent call may run past its deadline.
 
@@ -76,6 +79,7 @@
     state: object
     client: httpx.AsyncClient
     held: attempts.Attempts
+    probe: object
     tasks: object = None
     runs: dict = attrs.field(factory=dict)
     outboxes: dict = attrs.field(factory=dict)
@@ -83,7 +87,7 @@
     active: int = 0
 
 
-def part(state, client=None):
+def part(state, client=None, probe=None):
     """Return the handlers and the loop that run attempts on this agent.
 
     Parameters
@@ -91,9 +95,11 @@
     state : agent.state.AgentState
     client : httpx.AsyncClient or None
         None connects to the backend server of the settings.
+    probe : async callable without arguments, or None
+        Returns whether the backend server accepts connections; None tries one.
     """
     client = client or _client(state.cfg.backend_url)
-    ex = Executor(state, client, attempts.Attempts(state.start_id))
+    ex = Executor(state, client, attempts.Attempts(state.start_id), probe or _probe)
 
     async def on_attempt(conn, message):
         _on_attempt(ex, conn, message)
@@ -338,7 +344,7 @@
         attempts.finish(attempt, attempts.Outcome.NOT_RUN, reason, backend_died=True)
         return
     except httpx.HTTPError as exc:
-        _finish_failed(ex, run, exc)
+        await _finish_failed(ex, run, exc)
         return
     try:
         served = resp.headers.get(SERVED_VERSION_HEADER)
@@ -363,7 +369,7 @@
                 await run.acked.wait()
         attempts.finish(attempt, attempts.Outcome.DONE)
     except httpx.HTTPError as exc:
-        _finish_failed(ex, run, exc)
+        await _finish_failed(ex, run, exc)
     except errors.BackendError as exc:
         attempts.finish(attempt, attempts.Outcome.UNKNOWN, exc.message)
     finally:
@@ -376,8 +382,25 @@
     return resp.status_code in (404, 429, 503)
 
 
-def _finish_failed(ex, run, exc):
-    """Record that the backend server closed the connection before its answer ended."""
+async def _probe(url):
+    """Whether the backend server accepts connections."""
+    with anyio.move_on_after(PROBE_TIMEOUT_S):
+        try:
+            stream = await anyio.connect_tcp(url.host, url.port or 80)
+        except OSError:
+            return False
+        await anyio.aclose_forcefully(stream)
+        return True
+    return False
+
+
+async def _finish_failed(ex, run, exc):
+    """Record that the backend server closed the connection before its answer ended.
+
+    If it accepts connections, only this request is affected, and the server goes on to
+    get others; it may be the only one of its service.
+    """
+    up = await ex.probe(ex.client.base_url)
     if run.backend_starts == ex.backend_starts:
         ex.backend_starts += 1
     attempts.finish(
@@ -386,6 +409,7 @@
         f"backend server failed: {exc or type(exc).__name__}",
         backend_died=True,
         backend_starts=run.backend_starts,
+        backend_up=up,
     )
 
 
--- a/src/carobstand/agent/frames.py
+++ b/src/carobstand/agent/frames.py
@@ -64,4 +64,5 @@
         out.reason = final.reason
         out.backend_died = final.backend_died
         out.backend_starts = final.backend_starts
+        out.backend_up = final.backend_up
     return out
--- a/src/carobstand/core/attempts.py
+++ b/src/carobstand/core/attempts.py
@@ -67,6 +67,7 @@
     digest: str = ""
     backend_died: bool = False
     backend_starts: int = 0
+    backend_up: bool = False
     retry_after_ms: int = 0
 
 
--- a/src/carobstand/core/routing.py
+++ b/src/carobstand/core/routing.py
@@ -155,7 +155,7 @@
     doubtful: bool = False
 
 
-def find_homes(candidates, version, prefix, fingerprint, used=(), failures=0):
+def find_homes(candidates, version, prefix, fingerprint, used=(), failed_on=()):
     """Return the homes of a request.
 
     Parameters
@@ -166,7 +166,7 @@
     prefix, fingerprint : str
     used : container of str
         Backend servers that already had an attempt of this request.
-    failures : int
+    failed_on : container of str
         Backend servers that failed while running the fingerprint. After one, only
         one home is left.
 
@@ -183,23 +183,34 @@
     rest = [c for c in able if c is not first] or [first]
     second = min(rest, key=lambda c: _rank(c, own))
     pair = [first] if second is first else [first, second]
-    open_homes = [c for c in pair if c.usable and not c.failed and c.vm not in used]
-    if failures:
-        open_homes = open_homes[-1:]
-    if not open_homes:
-        if failures:
-            return Homes(None, None)
-        spare = [
-            c
-            for c in able
-            if c not in pair and c.usable and not c.failed and c.vm not in used
-        ]
-        if not spare:
-            return Homes(None, None)
-        # Neither home runs it: they may have failed because of this very request.
-        spare.sort(key=lambda c: _rank(c, own))
-        return Homes(spare[0], spare[0], doubtful=True)
-    return Homes(open_homes[0], open_homes[-1], doubtful=failures > 0)
+    if failed_on:
+        return _last_home(able, first, second, own, used, failed_on)
+    open_homes = [c for c in pair if _is_open(c, used)]
+    if open_homes:
+        return Homes(open_homes[0], open_homes[-1])
+    spare = [c for c in able if c not in pair and _is_open(c, used)]
+    if not spare:
+        return Homes(None, None)
+    # Neither home runs it: they may have failed because of this very request.
+    best = min(spare, key=lambda c: _rank(c, own))
+    return Homes(best, best, doubtful=True)
+
+
+def _is_open(candidate, used):
+    return candidate.usable and not candidate.failed and candidate.vm not in used
+
+
+def _last_home(able, first, second, own, used, failed_on):
+    """Return the one backend server that may still run a request that made one fail.
+
+    It depends on nothing that entries see differently, such as which servers are up:
+    two entries that chose by that would each cost another server.
+    """
+    order = [second, first, *sorted(able, key=lambda c: _rank(c, own))]
+    left = [c for c in order if c.vm not in failed_on] or order
+    if not _is_open(left[0], used):
+        return Homes(None, None)
+    return Homes(left[0], left[0], doubtful=True)
 
 
 def load(candidate, now):
--- a/src/carobstand/core/suspects.py
+++ b/src/carobstand/core/suspects.py
@@ -87,6 +87,14 @@
     return len(suspect.failures)
 
 
+def failed_on(state, fingerprint, now):
+    """Return the VMs whose backend servers failed while running `fingerprint`."""
+    suspect = state.held.get(fingerprint)
+    if suspect is None or suspect.until <= now:
+        return frozenset()
+    return frozenset(item.partition("/")[0] for item in suspect.failures)
+
+
 def is_refused(state, fingerprint, now):
     """Whether the request must not be run again."""
     return failures(state, fingerprint, now) >= REFUSED_FROM
--- a/src/carobstand/entry/effects.py
+++ b/src/carobstand/entry/effects.py
@@ -157,7 +157,8 @@
     elif outcome is attempts.Outcome.UNKNOWN:
         retries.failed(health, now)
         if final.backend_died:
-            placing.mark_failed(run.dp.pool, vm)
+            if not final.backend_up:
+                placing.mark_failed(run.dp.pool, vm)
             _suspect(run, t, final.backend_starts or 0)
     elif final.backend_died:
         # The backend server is down, or was restarted and serves nothing.
--- a/src/carobstand/entry/placing.py
+++ b/src/carobstand/entry/placing.py
@@ -184,10 +184,10 @@
     now : float
     """
     found = view(state, dp.pool, call.service)
-    failures = suspects.failures(dp.shared.core, call.fingerprint, now)
-    key = (found.signature, version, failures, frozenset(used))
+    failed_on = suspects.failed_on(dp.shared.core, call.fingerprint, now)
+    key = (found.signature, version, failed_on, frozenset(used))
     if call.route is None or call.route[0] != key:
-        call.route = (key, *_route(found, call, version, used, failures))
+        call.route = (key, *_route(found, call, version, used, failed_on))
     _, wanted, homes = call.route
     if wanted is None:
         return None
@@ -200,7 +200,7 @@
     return Choice(candidate, wanted, peer)
 
 
-def _route(found, call, version, used, failures):
+def _route(found, call, version, used, failed_on):
     """Return the version that a call goes to, or None, and its homes."""
     wanted = ""
     if call.service.type != "plain":
@@ -210,7 +210,7 @@
     if wanted is None:
         return None, None
     homes = routing.find_homes(
-        found.candidates, wanted, call.prefix, call.fingerprint, used, failures
+        found.candidates, wanted, call.prefix, call.fingerprint, used, failed_on
     )
     return wanted, homes
 
--- a/src/carobstand/wire/gen/ttypes.py
+++ b/src/carobstand/wire/gen/ttypes.py
@@ -3020,11 +3020,12 @@
      - backend_died
      - backend_starts
      - running
+     - backend_up
 
     """
 
 
-    def __init__(self, attempt_id=None, offset=None, data=None, status=None, headers=None, final=None, total_length=None, digest=None, outcome=None, reason=None, version=None, retry_after_ms=None, backend_died=None, backend_starts=None, running=None,):
+    def __init__(self, attempt_id=None, offset=None, data=None, status=None, headers=None, final=None, total_length=None, digest=None, outcome=None, reason=None, version=None, retry_after_ms=None, backend_died=None, backend_starts=None, running=None, backend_up=None,):
         self.attempt_id = attempt_id
         self.offset = offset
         self.data = data
@@ -3040,6 +3041,7 @@
         self.backend_died = backend_died
         self.backend_starts = backend_starts
         self.running = running
+        self.backend_up = backend_up
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -3131,6 +3133,11 @@
                     self.running = iprot.readI32()
                 else:
                     iprot.skip(ftype)
+            elif fid == 16:
+                if ftype == TType.BOOL:
+                    self.backend_up = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -3204,6 +3211,10 @@
             oprot.writeFieldBegin('running', TType.I32, 15)
             oprot.writeI32(self.running)
             oprot.writeFieldEnd()
+        if self.backend_up is not None:
+            oprot.writeFieldBegin('backend_up', TType.BOOL, 16)
+            oprot.writeBool(self.backend_up)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -4314,6 +4325,7 @@
     (13, TType.BOOL, 'backend_died', None, None, ),  # 13
     (14, TType.I64, 'backend_starts', None, None, ),  # 14
     (15, TType.I32, 'running', None, None, ),  # 15
+    (16, TType.BOOL, 'backend_up', None, None, ),  # 16
 )
 all_structs.append(AnswerBatch)
 AnswerBatch.thrift_spec = (
--- a/src/carobstand/wire/messages.thrift
+++ b/src/carobstand/wire/messages.thrift
@@ -229,6 +229,7 @@
   13: bool backend_died      // the backend server died while the attempt ran
   14: i64 backend_starts     // failures of the backend server before the attempt
   15: i32 running            // attempts in progress at the agent, in the final frame
+  16: bool backend_up        // with backend_died: it accepts connections all the same
 }
 
 struct AnswerBatch { 1: list<AnswerFrame> frames }
--- a/testing/test_request_faults.py
+++ b/testing/test_request_faults.py
@@ -107,6 +107,24 @@
     build.run(test)
 
 
+def test_a_call_that_the_only_server_breaks_off_does_not_shut_it_out():
+    async def handler(scope, body, send):
+        if scope["path"] == "/broken":
+            headers = [(b"content-length", b"9")]
+            start = {"type": "http.response.start", "status": 200}
+            await send({**start, "headers": headers})
+            return
+        await build.reply(send, b"ok")
+
+    async def test():
+        async with build.system(handler) as net:
+            broken = await net.call(net.urls[0], "/services/desk/broken")
+            assert broken.headers["carobstand-outcome"] == "unknown"
+            assert (await net.call(net.urls[0])).status_code == 200
+
+    build.run(test)
+
+
 def test_a_caller_that_disconnects_stops_the_engine():
     async def test():
         async with build.system(**ENGINES) as net:
