Let the loops of requests sleep while there is no work

The timer loop now waits for a request, the queue loop for a waiting one, and the others look twice a second.

--- a/src/carobstand/entry/dispatch.py
+++ b/src/carobstand/entry/dispatch.py
@@ -49,6 +49,7 @@
     first_bytes: dict = attrs.field(factory=dict)
     tasks: object = None
     runs: set = attrs.field(factory=set)
+    busy: anyio.Event = attrs.field(factory=anyio.Event)
 
     @property
     def open_requests(self):
@@ -88,6 +89,7 @@
             dp.tasks = tasks
             tasks.start_soon(tries.watch, state, dp.book)
             tasks.start_soon(placing.run, state, dp)
+            tasks.start_soon(placing.serve_queues, state, dp)
             tasks.start_soon(suspecting.run, state, dp.shared)
             tasks.start_soon(_tick, dp)
 
@@ -157,6 +159,7 @@
 async def _drive(run):
     """Carry out the effects of one request until it has ended."""
     run.dp.runs.add(run)
+    run.dp.busy.set()
     try:
         await effects.apply_all(run, requests.begin(run.req))
         while run.req.stage is not course.Stage.ENDED or run.events:
@@ -187,6 +190,9 @@
     entry spends on a token.
     """
     while True:
+        if not dp.runs:
+            dp.busy = anyio.Event()
+            await dp.busy.wait()
         await anyio.sleep(TICK_S)
         now = anyio.current_time()
         for run in list(dp.runs):
--- a/src/carobstand/entry/placing.py
+++ b/src/carobstand/entry/placing.py
@@ -9,6 +9,12 @@
 from carobstand.entry import measure, suspecting
 from carobstand.wire.gen import ttypes
 
+QUEUE_S = 0.05
+"""Time between looks at queues with waiting requests."""
+
+IDLE_S = 0.5
+"""Longest time between rebuilds of views, and between divisions of limits."""
+
 VIEW_S = 0.02
 """Longest age of the view of the backend servers, and shortest between rebuilds."""
 
@@ -49,6 +55,7 @@
     turn: int = 0
     vms: tuple = ()
     leaving: frozenset = frozenset()
+    waiting: anyio.Event = attrs.field(factory=anyio.Event)
 
 
 def mark_failed(pool, vm):
@@ -275,6 +282,8 @@
     else:
         _arrive(state, dp, run, now)
     pump(state, dp, call.service.name)
+    if run.ticket.queued:
+        dp.pool.waiting.set()
 
 
 def _arrive(state, dp, run, now):
@@ -357,21 +366,33 @@
 
 
 async def run(state, dp):
-    """Rebuild views, serve queues and divide limits until cancelled."""
+    """Rebuild views and divide limits when something changed, until cancelled."""
     shares_at = 0.0
     while True:
-        await state.changed.wait(0.05)
+        await state.changed.wait(IDLE_S)
         now = anyio.current_time()
         dp.pool.epoch += 1
         for service in list(dp.queues.queues):
-            _refuse(state, admission.expire(dp.queues, service, now))
             pump(state, dp, service)
-        if now - shares_at > 0.5:
+        if now - shares_at > IDLE_S:
             shares_at = now
             _divide(state, dp, now)
         await anyio.sleep(VIEW_S)
 
 
+async def serve_queues(state, dp):
+    """Look at queues that have waiting requests, until cancelled."""
+    while True:
+        if not any(queue.waiting for queue in dp.queues.queues.values()):
+            dp.pool.waiting = anyio.Event()
+            await dp.pool.waiting.wait()
+        await anyio.sleep(QUEUE_S)
+        now = anyio.current_time()
+        for service in list(dp.queues.queues):
+            _refuse(state, admission.expire(dp.queues, service, now))
+            pump(state, dp, service)
+
+
 def _divide(state, dp, now):
     others, unheard = {}, 0
     for peer in state.entries.values():
--- a/src/carobstand/entry/suspecting.py
+++ b/src/carobstand/entry/suspecting.py
@@ -13,6 +13,9 @@
 MAX_PENDING = 512
 """Suspects waiting to be written to the store; more are only told to entries."""
 
+MERGE_S = 0.5
+"""Time between looks at what other entries told; they tell it once a second."""
+
 WRITE_INTERVAL_S = 0.02
 """Time between writes of suspects: 50 a second, of several hundred in all."""
 
@@ -33,6 +36,7 @@
     changes: int = 0
     pending: dict = attrs.field(factory=dict)
     merged: dict = attrs.field(factory=dict)
+    wake: anyio.Event = attrs.field(factory=anyio.Event)
 
 
 def failed(state, shared, fingerprint, failure):
@@ -44,6 +48,7 @@
     _tell(shared, fingerprint)
     if len(shared.pending) < MAX_PENDING:
         shared.pending[fingerprint] = None
+        shared.wake.set()
     state.changed.notify()
 
 
@@ -94,7 +99,9 @@
         merge(state, shared)
         suspects.forget_expired(shared.core, anyio.current_time())
         if not shared.pending or state.store is None:
-            await anyio.sleep(0.1)
+            shared.wake = anyio.Event()
+            with anyio.move_on_after(MERGE_S):
+                await shared.wake.wait()
             continue
         fingerprint = next(iter(shared.pending))
         del shared.pending[fingerprint]
