Close idle connections within a rollout, and tell processes of one VM apart

Cause, found with processes at N = 96: questions to VMs in hash order left every agent connected to all others (92 connections), whose pings cost more than the chunks. Connections are closed after 5 s without use, also while weights move.

VMs whose connection has just ended no longer count as without the chunk; three failed calls in a row do. The relays are now callbacks of the event loop; with tasks per connection they were the bottleneck at N = 96, and equal times of two pieces swapped them.

--- a/bench/soak_weights.py
+++ b/bench/soak_weights.py
@@ -151,11 +151,11 @@
     """
     world = episode.world
     time = world.now + delay
+    lost = world.nodes[vm]
     for node in list(world.nodes.values()):
-        if node.vm != vm:
-            sim.at(world, time, sim.feed, world, node, st.PeerLost(vm))
-            ended = st.PeerLost(node.vm)
-            sim.at(world, time, sim.feed, world, world.nodes[vm], ended)
+        if node is not lost:
+            sim.at(world, time, sim.feed, world, node, sim.peer_lost(lost))
+            sim.at(world, time, sim.feed, world, lost, sim.peer_lost(node))
 
 
 # Faults: each plans its events between now and FAULT_S.
@@ -247,7 +247,7 @@
     nodes = list(world.nodes.values())
     for near, far in itertools.permutations(nodes, 2):
         if (near.member.region == region) != (far.member.region == region):
-            sim.feed(world, near, st.PeerLost(far.vm))
+            sim.feed(world, near, sim.peer_lost(far))
 
 
 def pause_processes(episode):
--- a/bench/swarm_world.py
+++ b/bench/swarm_world.py
@@ -220,6 +220,12 @@
         at(world, arrival + world.rng.random(), feed, world, target, event)
 
 
+def peer_lost(node):
+    """Return the event of the end of the connections of one process."""
+    conn = (node.vm, node.generation)
+    return swarm_state.PeerLost(node.vm, node.member.start_id, conn)
+
+
 def _request(world, node, effect):
     conn = (node.vm, node.generation)
     event = swarm_state.Asked(
--- a/bench/weights_fleet.py
+++ b/bench/weights_fleet.py
@@ -156,7 +156,7 @@
         fleet.agents[vm] = Agent(net.Place(vm, domain, region), address)
         engine_url = fleet.engine_urls[index]
         _start_agent(fleet, vm, vms_url, engine_url, ports[cfg.n + index])
-    await _start_relays(fleet, tg)
+    await _start_relays(fleet)
     with anyio.fail_after(START_TIMEOUT_S):
         while any(agent.replica is None for agent in fleet.agents.values()):
             _check_running(fleet)
@@ -207,7 +207,7 @@
     return ("--origin-url", fleet.origin_url)
 
 
-async def _start_relays(fleet, tg):
+async def _start_relays(fleet):
     """Start a relay for each VM and each other failure domain."""
     places = {
         agent.place.failure_domain: agent.place for agent in fleet.agents.values()
@@ -217,7 +217,7 @@
         for domain, place in places.items():
             if domain != agent.place.failure_domain:
                 fleet.relays[domain, vm] = await net.relay(
-                    fleet.links, place, agent.place, target, tg
+                    fleet.links, place, agent.place, target
                 )
 
 
--- a/bench/weights_links.py
+++ b/bench/weights_links.py
@@ -4,16 +4,17 @@
 links are not emulated here; the product's own limits keep them.
 """
 
+import asyncio
 import random
 
-import anyio
 import attrs
 
 PIECE_BYTES = 16 * 1024
 """Bytes that pass a shared link at a time; connections take turns."""
 
-QUEUED_PIECES = 16
-"""Pieces on their way on one connection: more than rate times delay."""
+QUEUED_BYTES = 64 * 1024
+"""Bytes on their way on one connection above which no more are read: more than rate
+times delay, and little enough for connections to share a link fairly."""
 
 
 @attrs.define
@@ -60,9 +61,65 @@
     region: str
 
 
-async def relay(links, source, target, address, tg):
+@attrs.define(eq=False)
+class End(asyncio.Protocol):
+    """One end of a relayed connection; passes what it reads on to `other`."""
+
+    links: Links
+    source: Place
+    target: Place
+    other: object = None
+    transport: object = None
+    waiting: list = attrs.field(factory=list)
+    queued: int = 0
+    last: float = 0.0
+
+    def connection_made(self, transport):
+        """Keep the transport and send what has waited for it."""
+        self.transport = transport
+        for data in self.waiting:
+            transport.write(data)
+
+    def data_received(self, data):
+        """Pass data on when the links have carried it."""
+        loop = asyncio.get_running_loop()
+        now = loop.time()
+        for start in range(0, len(data), PIECE_BYTES):
+            piece = data[start : start + PIECE_BYTES]
+            ready = _arrival(self.links, self, len(piece), now)
+            # Equal times would leave the order of two pieces open.
+            ready = max(ready, self.last + 1e-6)
+            self.last = ready
+            self.queued += len(piece)
+            loop.call_at(ready, self._pass_on, _damaged(self.links, piece))
+        if self.queued > QUEUED_BYTES:
+            self.transport.pause_reading()
+
+    def _pass_on(self, piece):
+        self.queued -= len(piece)
+        if self.queued <= QUEUED_BYTES and not self.transport.is_closing():
+            self.transport.resume_reading()
+        if self.other.transport is None:
+            self.other.waiting.append(piece)
+        elif not self.other.transport.is_closing():
+            self.other.transport.write(piece)
+
+    def connection_lost(self, exc):
+        """End the other side too, after what is on its way."""
+        loop = asyncio.get_running_loop()
+        loop.call_at(max(self.last, loop.time()) + 0.001, self._close_other)
+
+    def _close_other(self):
+        if self.other.transport is not None:
+            self.other.transport.close()
+
+
+async def relay(links, source, target, address):
     """Listen for connections from a failure domain to a VM; return the address.
 
+    Callbacks of the event loop do the work, because one process relays the traffic of
+    all agents: with tasks per connection it was the bottleneck at N = 96.
+
     Parameters
     ----------
     links : Links
@@ -71,69 +128,46 @@
     target : Place
     address : (str, int)
         Where the target listens.
-    tg : anyio.abc.TaskGroup
     """
-    listener = await anyio.create_tcp_listener(local_host="127.0.0.1", backlog=256)
-
-    async def handle(near):
-        try:
-            far = await anyio.connect_tcp(*address)
-        except OSError:
-            await near.aclose()
-            return
-        async with near, far, anyio.create_task_group() as group:
-            scope = group.cancel_scope
-            group.start_soon(_pump, links, source, target, near, far, scope)
-            group.start_soon(_pump, links, target, source, far, near, scope)
-
-    tg.start_soon(listener.serve, handle)
-    host, port = listener.extra(anyio.abc.SocketAttribute.local_address)[:2]
+    loop = asyncio.get_running_loop()
+    dialing = set()
+
+    def accept():
+        near, far = End(links, source, target), End(links, target, source)
+        near.other, far.other = far, near
+        dial = loop.create_task(_dial(loop, far, address))
+        dialing.add(dial)
+        dial.add_done_callback(dialing.discard)
+        return near
+
+    server = await loop.create_server(accept, "127.0.0.1", 0, backlog=256)
+    host, port = server.sockets[0].getsockname()[:2]
     return f"{host}:{port}"
 
 
-async def _pump(links, source, target, near, far, scope):
-    """Pass bytes in one direction; the end of either side ends both."""
-    send, receive = anyio.create_memory_object_stream(QUEUED_PIECES)
-    key = (source.failure_domain, target.vm)
-
-    async def write():
-        async for ready, data in receive:
-            ready = max(ready, links.stalled.get(key, 0.0))
-            await anyio.sleep(max(0.0, ready - anyio.current_time()))
-            await far.send(data)
-
-    async def read():
-        while True:
-            data = await near.receive(PIECE_BYTES)
-            ready = await _pass_shared(links, source, target, len(data))
-            await send.send((ready, _damaged(links, data)))
-
+async def _dial(loop, far, address):
     try:
-        async with anyio.create_task_group() as tg:
-            tg.start_soon(write)
-            await read()
-    except* (anyio.EndOfStream, anyio.BrokenResourceError, anyio.ClosedResourceError):
-        pass
-    finally:
-        scope.cancel()
+        await loop.create_connection(lambda: far, *address)
+    except OSError:
+        far.other.transport.abort()
 
 
-async def _pass_shared(links, source, target, size):
-    """Wait for the shared links and return the time of arrival."""
+def _arrival(links, end, size, now):
+    """Return the time at which a piece arrives at the other side."""
+    near, far = end.source, end.target
     delay = links.delay_s
-    if source.region != target.region:
+    if near.region != far.region:
         delay = links.region_delay_s
-        out = links.regions[source.region, "out"]
-        into = links.regions[target.region, "in"]
-        end = max(_reserve(out, size), _reserve(into, size))
-        await anyio.sleep(max(0.0, end - anyio.current_time()))
+        out = _reserve(links.regions[near.region, "out"], size, now)
+        now = max(out, _reserve(links.regions[far.region, "in"], size, now))
     if links.rng.random() < links.loss:
         delay += 0.2 + 2 * delay
-    return anyio.current_time() + delay * links.rng.uniform(1.0, 1.5)
+    ready = now + delay * links.rng.uniform(1.0, 1.5)
+    return max(ready, links.stalled.get((near.failure_domain, far.vm), 0.0))
 
 
-def _reserve(direction, size):
-    start = max(anyio.current_time(), direction.free_at)
+def _reserve(direction, size, now):
+    start = max(now, direction.free_at)
     direction.free_at = start + size / direction.bytes_per_s
     direction.sent_bytes += size
     return direction.free_at
--- a/src/carobstand/agent/peer_links.py
+++ b/src/carobstand/agent/peer_links.py
@@ -8,11 +8,12 @@
 from carobstand.wire import connection
 from carobstand.wire.gen import ttypes
 
-IDLE_S = 20.0
-"""Time without a message of the swarm after which a connection is closed. Pings on
-connections to 200 VMs would exceed 5 KB/s while no weights move."""
+IDLE_S = 5.0
+"""Time without a message of the swarm after which a connection is closed. Questions to
+VMs in hash order end up with a connection to every VM, 92 at N = 96, and their pings
+took more processor time than the chunks."""
 
-SWEEP_INTERVAL_S = 5.0
+SWEEP_INTERVAL_S = 1.0
 
 
 @attrs.define(eq=False)
@@ -83,21 +84,32 @@
     links.closed_sent += conn.bytes_sent
     links.closed_received += conn.bytes_received
     if not conn.extra.get("goodbye"):
-        loop.feed(st.PeerLost(conn.peer.vm))
+        start_id = conn.peer.start_id or ""
+        loop.feed(st.PeerLost(conn.peer.vm, start_id, conn))
 
 
 async def close_idle(loop):
     """Close idle connections until cancelled; peers learn that it is no failure."""
     while True:
         await anyio.sleep(SWEEP_INTERVAL_S)
-        if any(not job.complete for job in loop.swarm.jobs.values()):
-            continue
         before = anyio.current_time() - IDLE_S
         for conn in list(loop.links.dialed):
-            if loop.links.used_at.get(conn, before) < before:
+            idle = loop.links.used_at.get(conn, before) < before
+            if idle and not _has_work(loop.swarm, conn):
                 await _close(conn)
 
 
+def _has_work(swarm, conn):
+    """Return whether a transfer or an upload is in progress on a connection."""
+    transfers = swarm.transfers.values()
+    uploads = [*swarm.queue, *swarm.sending.values(), swarm.paying]
+    return (
+        conn.queued_bytes > 0
+        or any(transfer.vm == conn.peer.vm for transfer in transfers)
+        or any(upload is not None and upload.conn is conn for upload in uploads)
+    )
+
+
 async def _close(conn):
     conn.extra["goodbye"] = True
     try:
--- a/src/carobstand/core/swarm.py
+++ b/src/carobstand/core/swarm.py
@@ -175,7 +175,7 @@
         job.announced[known.member.vm] = st.ANSWER
     held = {job.chunks[idx] for idx in peers.bits(bitmap)}
     if any(upload.vm == known.member.vm for upload in swarm.queue):
-        uploads.drop(swarm, known.member.vm, held)
+        uploads.drop_held(swarm, known.member.vm, held)
 
 
 def _arrived(swarm, event, now, effects):
@@ -314,7 +314,11 @@
 
 
 def _peer_lost(swarm, event, now, effects):
-    uploads.drop(swarm, event.vm)
+    uploads.drop_connection(swarm, event)
+    known = swarm.peers.get(event.vm)
+    present = known.member.start_id if known is not None else ""
+    if event.start_id and present and event.start_id != present:
+        return
     peers.forget(swarm, event.vm)
     peers.failed(swarm, event.vm, now, 0.9)
     for transfer in list(swarm.transfers.values()):
--- a/src/carobstand/core/swarm_duties.py
+++ b/src/carobstand/core/swarm_duties.py
@@ -37,6 +37,10 @@
 DEFERRED_DURING_OUTAGE = 12
 """The same while this VM's own downloads fail, as taking over would not help."""
 
+FAILURES_OF_THE_DEAD = 3
+"""Failed calls in a row after which a VM counts as dead; the pauses between them are
+about a second in all."""
+
 SHORTEST_PAUSE_S = 0.002
 """Shortest time between two looks at a duty."""
 
@@ -186,10 +190,9 @@
     offered = not duty.extra and _is_offered(swarm, job, duty.idx)
     if offered or not swarm.has_origin:
         return takeover
-    unasked = _next_unasked(swarm, duty, duty.before, now)
+    unasked, wait_s = _next_unasked(swarm, duty, duty.before, now)
     if unasked is not None:
-        _probe(swarm, job, duty, unasked, now, effects)
-        return takeover
+        return wait_s or _probe(swarm, job, duty, unasked, now, effects)
     return _draw(swarm, job, duty, now, effects)
 
 
@@ -204,15 +207,21 @@
 
 
 def _next_unasked(swarm, duty, vms, now):
-    """Return the next VM to ask; those that just failed count as asked."""
+    """Return the next VM to ask and the time until it may be asked.
+
+    A connection that ended is no failure of the VM; it counts as asked, without the
+    chunk, only after `FAILURES_OF_THE_DEAD` in a row.
+    """
     for vm in vms:
         if vm in duty.asked:
             continue
         known = swarm.peers.get(vm)
         if known is None or known.failures == 0 or known.retry_at <= now:
-            return vm
+            return vm, 0.0
+        if known.failures < FAILURES_OF_THE_DEAD:
+            return vm, known.retry_at - now
         duty.asked.add(vm)
-    return None
+    return None, 0.0
 
 
 def _enter(swarm, job, duty, now, effects):
@@ -220,26 +229,26 @@
     takeover = takeover_s(swarm, job)
     if duty.rank and _is_offered(swarm, job, duty.idx, swarm.region):
         return takeover
-    unasked = _next_unasked(swarm, duty, duty.before, now)
+    unasked, wait_s = _next_unasked(swarm, duty, duty.before, now)
     if unasked is None:
         job.entry |= 1 << duty.idx
         if now < duty.base + FIRST_LOOK_S:
             return duty.base + FIRST_LOOK_S - now
         if _is_offered(swarm, job, duty.idx):
             return takeover
-        unasked = _next_unasked(swarm, duty, duty.sources, now)
+        unasked, wait_s = _next_unasked(swarm, duty, duty.sources, now)
     if unasked is None:
         duty.asked.difference_update(duty.sources)
         return takeover
-    _probe(swarm, job, duty, unasked, now, effects)
-    return takeover
+    return wait_s or _probe(swarm, job, duty, unasked, now, effects)
 
 
 def _probe(swarm, job, duty, vm, now, effects):
+    """Ask a VM for a chunk; return the time until the duty is looked at again."""
     member = job.members.get(vm)
     if member is None:
         duty.asked.add(vm)
-        return
+        return 0.0
     known = peers.peer(swarm, member)
     deadline = now + peers.MIN_DEADLINE_S + takeover_s(swarm, job)
     digest = job.chunks[duty.idx]
@@ -247,6 +256,7 @@
     transfer.probe = True
     transfer.duty = duty
     effects.append(st.Request(transfer.id, known.member, digest, probe=True))
+    return takeover_s(swarm, job)
 
 
 def probed(swarm, transfer, reason, now):
--- a/src/carobstand/core/swarm_state.py
+++ b/src/carobstand/core/swarm_state.py
@@ -251,6 +251,7 @@
     paying: Upload | None = None
     sending: dict = attrs.field(factory=dict)
     times_sent: dict = attrs.field(factory=dict)
+    recent: dict = attrs.field(factory=dict)
     seconds: float | None = None
     remote_seconds: float | None = None
     origin_seconds: float | None = None
@@ -335,9 +336,15 @@
 
 @attrs.frozen
 class PeerLost:
-    """The connection to a peer ended or could not be opened."""
+    """The connection to a peer ended or could not be opened.
+
+    `start_id` and `conn` tell which process and connection it was, as far as known: the
+    VM may have been replaced since, and the new process may have connected already.
+    """
 
     vm: str
+    start_id: str = ""
+    conn: object = None
 
 
 @attrs.frozen
--- a/src/carobstand/core/swarm_uploads.py
+++ b/src/carobstand/core/swarm_uploads.py
@@ -3,6 +3,9 @@
 from carobstand.core import chunks, limits
 from carobstand.core import swarm_state as st
 
+RECENT_REQUESTS = 256
+"""Requests remembered to notice one that arrives twice, which would take a slot."""
+
 REMOTE_EXTRA = 2
 """Queue places that only requests from other regions may use: each of those serves a
 whole region."""
@@ -18,7 +21,16 @@
 
 
 def asked(swarm, event, now, effects):
-    """Queue a peer's request, or refuse it with the reason."""
+    """Queue a peer's request, or refuse it with the reason.
+
+    A request that arrives a second time is ignored.
+    """
+    key = (event.conn, event.request_id)
+    if key in swarm.recent:
+        return
+    swarm.recent[key] = now
+    if len(swarm.recent) > RECENT_REQUESTS:
+        del swarm.recent[next(iter(swarm.recent))]
     data = chunks.get(swarm.cache, event.digest)
     if data is None:
         reason = st.Refusal.PENDING if _fetches(swarm, event) else st.Refusal.ABSENT
@@ -66,12 +78,19 @@
     swarm.sending.pop((event.conn, event.request_id), None)
 
 
-def drop(swarm, vm, have=None):
-    """Forget the queued requests of a peer, or those for chunks that it now has."""
+def drop_held(swarm, vm, have):
+    """Forget the queued requests of a peer for chunks that it now has."""
+    swarm.queue = [
+        upload for upload in swarm.queue if upload.vm != vm or upload.digest not in have
+    ]
+
+
+def drop_connection(swarm, lost):
+    """Forget the queued requests that came over a connection that ended."""
     swarm.queue = [
         upload
         for upload in swarm.queue
-        if upload.vm != vm or (have is not None and upload.digest not in have)
+        if upload.vm != lost.vm or lost.conn not in (None, upload.conn)
     ]
 
 
--- a/testing/test_swarm.py
+++ b/testing/test_swarm.py
@@ -178,6 +178,34 @@
     assert [effect.reason for effect in effects] == [st.Refusal.ABSENT] * 2
 
 
+def test_the_end_of_an_old_connection_does_not_touch_the_process_that_replaced_it():
+    """The soak found a request of the new process dropped, and nobody told it."""
+    state = new_swarm()
+    data = b"x" * 64
+    digest = manifests.digest_of(data)
+    chunks.put(state.cache, digest, data)
+    limits.set_rate(state.links.up, 64.0, 0.0)
+    fresh = st.Member("vm1", "vm1", "fd0", "r0", "new")
+    swarm.step(state, st.Heard(fresh, "m", 0), 0.0)
+    for number in (1, 2):
+        swarm.step(state, st.Asked("vm1", "r0", "new conn", number, digest), 0.0)
+    swarm.step(state, st.PeerLost("vm1", "old", "old conn"), 0.1)
+    sent = swarm.step(state, st.Tick(), 1.1) + swarm.step(state, st.Tick(), 2.2)
+    assert [effect.request_id for effect in sent] == [1, 2]
+    assert state.peers["vm1"].failures == 0
+
+
+def test_a_request_that_arrives_twice_is_answered_once():
+    """Copies of requests took the slots that a waiting VM needed."""
+    state = new_swarm()
+    data = b"x" * 64
+    digest = manifests.digest_of(data)
+    chunks.put(state.cache, digest, data)
+    asked = st.Asked("vm1", "r0", "conn", 8, digest)
+    sent = swarm.step(state, asked, 0.0) + swarm.step(state, asked, 1.0)
+    assert [type(effect) for effect in sent] == [st.Send]
+
+
 def test_a_peer_that_sends_corrupted_chunks_is_asked_less():
     state = new_swarm()
     made, parts = manifests.build([("f", random.Random(1).randbytes(640))], 64)
