Bound what an agent remembers, and keep the cache's accounts incrementally

Eviction looked through all chunks at each chunk that arrived while the memory was full, which is quadratic in the size of a manifest (70,000 chunks for large weights). Chunks that are not pinned are now kept in order of eviction with their total size; a random sequence of 2000 operations checks the accounts against the content.

A plan that names a version before the table has it no longer leads to a target without that version; the last target stays until the table follows.

--- a/src/carobstand/agent/activation.py
+++ b/src/carobstand/agent/activation.py
@@ -35,7 +35,11 @@
 
 
 def target_of(state):
-    """Return the `activation.Target` of the assignments in force, or None."""
+    """Return the `activation.Target` of the assignments in force.
+
+    None if there are none, or if they name a version that the table in force does not
+    have (yet): the last target then stays.
+    """
     if state.table is None or not state.assignments:
         return None
     rows = {row.name: row for row in _version_rows(state)}
@@ -44,7 +48,7 @@
         for name in assignment.serve or ():
             row = rows.get(name)
             if row is None:
-                continue
+                return None
             serve.add(name)
             found[name] = row.manifest
             if row.base and row.base in rows:
--- a/src/carobstand/core/chunks.py
+++ b/src/carobstand/core/chunks.py
@@ -18,6 +18,15 @@
     ----------
     limit_bytes : int
         Memory for chunks. The pinned chunks, held or still missing, never exceed it.
+    data : dict of str to bytes
+    retained : dict of str to dict
+        Manifest digest to its chunk sizes by digest.
+    references : dict of str to int
+        Number of retained manifests that refer to a chunk.
+    pinned_bytes : int
+        Size of the chunks that are referred to, held or still missing.
+    spare : dict of str to int
+        Sizes of the held chunks that are not pinned, in order of eviction.
     """
 
     limit_bytes: int
@@ -26,6 +35,8 @@
     retained: dict = attrs.field(factory=dict)
     references: dict = attrs.field(factory=dict)
     pinned_bytes: int = 0
+    spare: dict = attrs.field(factory=dict)
+    spare_bytes: int = 0
 
 
 def retain(cache, digest, manifest):
@@ -57,7 +68,7 @@
     cache.pinned_bytes += added
     for key in sizes:
         cache.references[key] = cache.references.get(key, 0) + 1
-    _evict(cache, 0)
+        cache.spare_bytes -= cache.spare.pop(key, 0)
 
 
 def release(cache, digest):
@@ -69,7 +80,7 @@
         del cache.references[key]
         cache.pinned_bytes -= size
         if key in cache.data:
-            cache.data[key] = cache.data.pop(key)
+            _add_spare(cache, key, size)
 
 
 def put(cache, digest, data):
@@ -96,6 +107,8 @@
     _evict(cache, len(data))
     cache.data[digest] = bytes(data)
     cache.used_bytes += len(data)
+    if digest not in cache.references:
+        _add_spare(cache, digest, len(data))
     if cache.used_bytes > cache.limit_bytes:
         raise errors.InvariantError(
             f"{cache.used_bytes} bytes of chunks exceed {cache.limit_bytes}",
@@ -126,18 +139,19 @@
     return sum(size for key, size in sizes.items() if key in cache.data)
 
 
+def _add_spare(cache, digest, size):
+    cache.spare[digest] = size
+    cache.spare_bytes += size
+
+
 def _has_spare_room(cache, size):
     """Return whether a chunk fits beside all that retained manifests may still need."""
-    held = sum(len(cache.data[key]) for key in cache.data if key in cache.references)
-    spare = cache.limit_bytes - cache.used_bytes - (cache.pinned_bytes - held)
-    return size <= spare
+    return cache.pinned_bytes + cache.spare_bytes + size <= cache.limit_bytes
 
 
 def _evict(cache, size):
     """Drop unpinned chunks, oldest first, until `size` more bytes fit."""
-    if cache.used_bytes + size <= cache.limit_bytes:
-        return
-    for key in [key for key in cache.data if key not in cache.references]:
-        cache.used_bytes -= len(cache.data.pop(key))
-        if cache.used_bytes + size <= cache.limit_bytes:
-            return
+    while cache.spare and cache.used_bytes + size > cache.limit_bytes:
+        digest = next(iter(cache.spare))
+        cache.spare_bytes -= cache.spare.pop(digest)
+        cache.used_bytes -= len(cache.data.pop(digest))
--- a/src/carobstand/core/swarm.py
+++ b/src/carobstand/core/swarm.py
@@ -87,6 +87,7 @@
         for known in swarm.peers.values():
             known.have.pop(digest, None)
     _drop_unneeded(swarm, effects)
+    _forget_strangers(swarm)
     for digest, (manifest, policy) in event.manifests.items():
         job = swarm.jobs.get(digest)
         if job is not None:
@@ -127,6 +128,18 @@
         effects.append(st.Drop(transfer.id))
 
 
+def _forget_strangers(swarm):
+    """Forget VMs and chunks that no manifest concerns; fleets change every day."""
+    jobs = swarm.jobs.values()
+    for vm, known in list(swarm.peers.items()):
+        listed = any(vm in job.members for job in jobs)
+        if not (listed or known.have or known.outstanding):
+            del swarm.peers[vm]
+    for digest in list(swarm.times_sent):
+        if not any(digest in job.index for job in jobs):
+            del swarm.times_sent[digest]
+
+
 def _roster_changed(swarm, event, now, effects):
     del effects
     job = swarm.jobs.get(event.manifest)
@@ -144,6 +157,7 @@
         duties.prepare(swarm, job, now)
     for vm in [vm for vm in job.announced if vm not in job.members]:
         del job.announced[vm]
+    _forget_strangers(swarm)
 
 
 def _listed(job, member):
--- a/testing/test_chunks.py
+++ b/testing/test_chunks.py
@@ -1,6 +1,8 @@
 """Guards against malformed manifests, unverified chunks and exceeded memory."""
 
+import contextlib
 import json
+import random
 
 import pytest
 
@@ -116,3 +118,26 @@
     limits.take_weights(bucket, 30, 5.0)
     assert limits.weights_wait_s(bucket, 4.0) > 0
     assert limits.weights_wait_s(bucket, 5.0) > 0
+
+
+def test_the_accounts_of_the_cache_agree_with_its_content_after_any_sequence():
+    """A wrong account would refuse weights that fit, or exceed the memory."""
+    rng = random.Random(4)
+    cache = chunks.ChunkCache(200)
+    made = [built(*(rng.randbytes(24) for _ in range(3))) for _ in range(4)]
+    made.append(built(b"".join(made[0][2].values()), chunk_bytes=4))
+    for _ in range(2000):
+        digest, found, parts = rng.choice(made)
+        action = rng.randrange(4)
+        if action == 0:
+            chunks.release(cache, digest)
+        elif action == 1:
+            with contextlib.suppress(errors.MemoryLimitError):
+                chunks.retain(cache, digest, found)
+        else:
+            chunks.put(cache, *rng.choice(list(parts.items())))
+        held = {key: len(data) for key, data in cache.data.items()}
+        spare = {key: n for key, n in held.items() if key not in cache.references}
+        assert cache.used_bytes == sum(held.values()) <= cache.limit_bytes
+        assert cache.spare == spare and cache.spare_bytes == sum(spare.values())
+        assert cache.pinned_bytes <= cache.limit_bytes
--- a/testing/test_swarm.py
+++ b/testing/test_swarm.py
@@ -195,6 +195,19 @@
     assert state.peers["vm1"].failures == 0
 
 
+def test_vms_that_no_roster_names_are_forgotten():
+    """State about every VM that ever joined would grow for as long as a VM runs."""
+    state = new_swarm()
+    made, _ = manifests.build([("f", b"x" * 64)], 64)
+    digest = manifests.digest_of(manifests.encode(made))
+    swarm.step(state, st.Wanted({digest: (made, st.Policy.BYTES)}), 0.0)
+    for number in range(100):
+        member_now = member(f"other{number}")
+        roster = st.RosterChanged(digest, (member("vm0"), member_now))
+        swarm.step(state, roster, float(number))
+    assert len(state.peers) <= 2
+
+
 def test_a_request_that_arrives_twice_is_answered_once():
     """Copies of requests took the slots that a waiting VM needed."""
     state = new_swarm()
--- a/testing/test_weights_loops.py
+++ b/testing/test_weights_loops.py
@@ -5,9 +5,10 @@
 import anyio
 import pytest
 
-from carobstand.agent import peer_links
+from carobstand.agent import activation, peer_links
+from carobstand.agent import manifests as fetching
 from carobstand.core import manifest as manifests
-from carobstand.core import rows
+from carobstand.core import rows, swarm_duties
 from carobstand.wire import connection
 from carobstand.wire.gen import ttypes
 from testing import fakes_weights as fakes
@@ -146,7 +147,12 @@
     run(network, body)
 
 
-def test_an_agent_without_an_origin_gets_everything_from_its_peers(network):
+def test_an_agent_without_an_origin_gets_everything_from_its_peers(
+    network, monkeypatch
+):
+    monkeypatch.setattr(swarm_duties, "FIRST_LOOK_S", 0.05)
+    monkeypatch.setattr(swarm_duties, "MIN_TAKEOVER_S", 0.1)
+    monkeypatch.setattr(fetching, "PART_BYTES", 100)
     origin = fakes.FakeOrigin()
     digest = origin.add([("m", content(1))], 4096)
     for index in range(3):
@@ -158,3 +164,16 @@
         await fakes.until(serves(network, "v1"))
 
     run(network, body)
+
+
+def test_a_plan_that_is_ahead_of_the_table_changes_nothing_until_the_table_follows(
+    network,
+):
+    """A target without the version that is missing would take others out of service."""
+    origin = fakes.FakeOrigin()
+    digest = origin.add([("m", content(1))], 4096)
+    agent = network.add("vm0", origin)
+    network.assign("v1", rows.VersionRow("v1", "svc", digest), 1)
+    assert activation.target_of(agent).serve == {"v1"}
+    agent.assignments["svc"] = ttypes.Assignment("svc", 2, ["v2"], ["v1", "v2"])
+    assert activation.target_of(agent) is None
