--- a/src/carobstand/core/membership.py
+++ b/src/carobstand/core/membership.py
@@ -245,6 +245,35 @@
     return not leaving(member) and silent_s(member, now) <= GONE_S
 
 
+ALIVE = (True, True)
+"""Condition of a member that was heard recently."""
+
+
+def conditions(state, now):
+    """Return what time alone may change of each member, by VM name.
+
+    It is (heard, not silent for long). Most members were heard recently, and are not
+    looked at closely.
+    """
+    recent = now - SILENT_S
+    return {
+        vm: ALIVE
+        if member.heard_at is not None and member.heard_at >= recent
+        else (heard(member, now), silent_s(member, now) <= GONE_S)
+        for vm, member in state.members.items()
+    }
+
+
+def by_service(state):
+    """Return the members of each service, sorted by VM name."""
+    found = {}
+    for vm in sorted(state.members):
+        member = state.members[vm]
+        for service in member.services:
+            found.setdefault(service, []).append(member)
+    return found
+
+
 def of_service(state, service):
     """Return the members with a backend server of `service`, sorted by VM name."""
     found = [m for m in state.members.values() if service in m.services]
