--- a/bench/control_core.py
+++ b/bench/control_core.py
@@ -7,6 +7,7 @@
 import copy
 import json
 import time
+import tracemalloc
 
 import attrs
 
@@ -34,6 +35,16 @@
     return best
 
 
+def megabytes(build):
+    """Return the memory that the result of `build` takes."""
+    tracemalloc.start()
+    made = build()
+    size, _ = tracemalloc.get_traced_memory()
+    tracemalloc.stop()
+    del made
+    return round(size / 1e6, 2)
+
+
 def a_table(backends):
     """Return a table with a backend row for each VM and 200 VMs a service."""
     found = []
@@ -77,6 +88,7 @@
     delta = table.delta(old, new)
     digest = table.digest(new)
     return {
+        "table_mb": megabytes(lambda: table.from_json(content)),
         "rows": len(old.rows),
         "json_bytes": len(content),
         "delta_bytes": len(delta),
@@ -93,7 +105,11 @@
     found = members(size)
     plan = planner.plan(current, "service-0", found, None, 1.0)
     content = planner.to_json(plan)
+    state = membership.Members({member.vm: member for member in found})
     return {
+        "members_mb": megabytes(lambda: members(size)),
+        "conditions_s": seconds(lambda: membership.conditions(state, 1.0)),
+        "by_service_s": seconds(lambda: membership.by_service(state)),
         "plan_bytes": len(content),
         "plan_s": seconds(lambda: planner.plan(current, "service-0", found, plan, 1.0)),
         "read_plan_s": seconds(lambda: planner.from_json(content)),
--- a/src/carobstand/core/membership.py
+++ b/src/carobstand/core/membership.py
@@ -245,10 +245,21 @@
     return not leaving(member) and silent_s(member, now) <= GONE_S
 
 
+ALIVE = (True, True)
+"""Condition of a member that was heard recently."""
+
+
 def conditions(state, now):
-    """Return what time alone may change of each member, by VM name."""
+    """Return what time alone may change of each member, by VM name.
+
+    It is (heard, not silent for long). Most members were heard recently, and are not
+    looked at closely.
+    """
+    recent = now - SILENT_S
     return {
-        vm: (heard(member, now), silent_s(member, now) <= GONE_S)
+        vm: ALIVE
+        if member.heard_at is not None and member.heard_at >= recent
+        else (heard(member, now), silent_s(member, now) <= GONE_S)
         for vm, member in state.members.items()
     }
 
