Refuse messages of control that lack their fields

Cause: a report without its agent, a VM line without its role or a table without its revision raised TypeError or AttributeError in a handler, which would have stopped the process instead of the connection. A test calls every handler with empty and half messages; it fails without these checks.

--- a/src/carobstand/agent/control.py
+++ b/src/carobstand/agent/control.py
@@ -245,7 +245,7 @@
 def take_table(control, conn, message):
     """Apply a table from an entry; ask for the whole where a delta does not fit."""
     holder = control.table
-    if message.revision <= holder.revision:
+    if (message.revision or 0) <= holder.revision:
         return
     try:
         new = _read(holder.content, message)
@@ -273,6 +273,8 @@
 def take_roster(control, message):
     """Keep a roster unless one of a newer plan is held."""
     rosters = control.state.rosters
+    if not message.manifest or message.members is None:
+        return
     known = rosters.get(message.manifest)
     if known is not None and (known.plan_revision or 0) > (message.plan_revision or 0):
         return
--- a/src/carobstand/entry/relays.py
+++ b/src/carobstand/entry/relays.py
@@ -7,7 +7,7 @@
 
 import anyio
 
-from carobstand import logs
+from carobstand import errors, logs
 from carobstand.core import membership, topology
 from carobstand.entry import held, reports
 from carobstand.wire.gen import ttypes
@@ -69,6 +69,10 @@
 def take(control, conn, report):
     """Apply a report from another entry, and pass it on if it is news."""
     hello = report.hello
+    if hello is None or not hello.vm or not hello.start_id or report.stamp is None:
+        raise errors.WireError(
+            "report without agent or stamp", step="relays.take", peer=conn.peer.vm
+        )
     known = control.relays.get(hello.vm)
     if known is not None and known.stamp >= report.stamp:
         return
--- a/src/carobstand/entry/sharing.py
+++ b/src/carobstand/entry/sharing.py
@@ -81,7 +81,7 @@
 
 def take_table_message(control, conn, message):
     """Apply a table from a peer; ask for the whole where a delta does not fit."""
-    if message.revision <= control.table.revision:
+    if (message.revision or 0) <= control.table.revision:
         return
     try:
         new = held.read_table(control.table.content, message)
--- a/src/carobstand/entry/vm_readings.py
+++ b/src/carobstand/entry/vm_readings.py
@@ -136,6 +136,14 @@
             held.post(peer.conn, message)
 
 
+def _check(conn, report):
+    names = ("vm", "role", "address", "failure_domain", "region")
+    if any(getattr(report, name) is None for name in names):
+        raise errors.WireError(
+            "incomplete line of the VM list", step="vms.take", peer=conn.peer.vm
+        )
+
+
 def take(control, conn, message):
     """Follow a reading of another entry, and pass it on if it is news."""
     if (message.vms_stamp or 0) <= control.vms_stamp:
@@ -143,6 +151,7 @@
     control.vms_stamp = message.vms_stamp
     lines = {(vm.role, vm.vm): vm for vm in control.state.vms}
     for report in message.vms or ():
+        _check(conn, report)
         key = (report.role, report.vm)
         lines.pop(key, None)
         if not report.gone:
--- a/testing/test_control_fleet.py
+++ b/testing/test_control_fleet.py
@@ -9,6 +9,7 @@
 from carobstand import errors
 from carobstand.cli import edits
 from carobstand.core import planner, table
+from carobstand.wire.gen import ttypes
 from testing import control_builders as build
 from testing import fake_store, fleet, virtual_time
 
@@ -331,3 +332,29 @@
         assert rate <= 2, "each entry for itself would make 12 or more"
 
     simulate(scenario, entries=12, agents=4)
+
+
+@pytest.mark.parametrize("name", ["e-0", "a-00"])
+def test_a_message_without_its_fields_stops_no_process(name):
+    """Only errors that end the connection alone may come out of a handler."""
+
+    async def scenario(made):
+        await started(made)
+        node = made.nodes[name]
+        peer = next(iter(node.state.entries.values()))
+        conn = getattr(peer, "conn", peer)
+        partial = ttypes.PeerState(vms_stamp=1 << 62, vms=[ttypes.VmReport(vm="x")])
+        relayed = ttypes.PeerState(seq=1, members=[ttypes.MemberReport(stamp=1)])
+        halves = [ttypes.TableSnapshot(revision=9), ttypes.TableDelta(revision=9)]
+        halves.append(ttypes.TableSnapshot(revision=9, content=b'[{"format":1}]'))
+        empty = [kind() for kind in node.table]
+        for message in (*empty, *halves, partial, relayed):
+            if type(message) not in node.table:
+                continue
+            try:
+                await node.table[type(message)](conn, message)
+            except errors.CarobstandError:
+                pass
+        await accept_and_wait(made, rows_of("v2"))
+
+    simulate(scenario)
