Drop the second check of fencing tokens

core/activation raises InvariantError for a command under an older fencing token than one before it, and core/revisions for an assignment that would fall. The class Commands repeated the former, was used by tests only, and goes with its test; the fleet of the tests still asserts that tokens never fall.

--- a/src/carobstand/core/revisions.py
+++ b/src/carobstand/core/revisions.py
@@ -94,28 +94,3 @@
     holder.digest = digest
     holder.content = content
     holder.accepted_at = now
-
-
-@attrs.define
-class Commands:
-    """Fencing tokens of the commands sent to one backend server."""
-
-    service: str
-    fence: int = 0
-
-
-def command(commands, fence):
-    """Note a command under `fence`.
-
-    Raises
-    ------
-    InvariantError
-        If a command of a newer plan was sent before.
-    """
-    if fence < commands.fence:
-        raise errors.InvariantError(
-            f"command of plan {fence} for {commands.service} after one of plan "
-            f"{commands.fence}",
-            step="revisions.command",
-        )
-    commands.fence = fence
--- a/testing/fleet.py
+++ b/testing/fleet.py
@@ -11,7 +11,7 @@
 from carobstand.agent import control as agent_control
 from carobstand.agent import peers as agent_peers
 from carobstand.agent import state as agent_states
-from carobstand.core import revisions, topology
+from carobstand.core import topology
 from carobstand.entry import control as entry_control
 from carobstand.entry import peers as entry_peers
 from carobstand.entry import state as entry_states
@@ -34,7 +34,7 @@
     run: object
     link: dict
     scope: object = attrs.field(factory=anyio.CancelScope)
-    commands: dict = attrs.field(factory=dict)
+    fences: dict = attrs.field(factory=dict)
 
 
 @attrs.define(eq=False)
@@ -238,8 +238,8 @@
     while True:
         await anyio.sleep(fleet.rng.uniform(0.1, 0.4))
         for service, entry in list(state.assignments.items()):
-            fence = node.commands.setdefault(service, revisions.Commands(service))
-            revisions.command(fence, entry.plan_revision)
+            assert entry.plan_revision >= node.fences.get(service, 0)
+            node.fences[service] = entry.plan_revision
             if _advance(fleet, state.replicas, service, entry):
                 state.changed.notify()
 
--- a/testing/test_planner.py
+++ b/testing/test_planner.py
@@ -212,10 +212,3 @@
     for revision in (2, 3):
         with pytest.raises(errors.InvariantError):
             revisions.adopt(holder, revision, "b", "y", 0.0)
-
-
-def test_a_command_of_an_older_plan_is_not_sent_after_a_newer_one():
-    commands = revisions.Commands("drafter")
-    revisions.command(commands, 5)
-    with pytest.raises(errors.InvariantError):
-        revisions.command(commands, 4)
