--- a/bench/control.py
+++ b/bench/control.py
@@ -229,10 +229,21 @@
             result["outage"] = await outage(bench, outage_s)
             result["restart"] = await restart(bench)
         result["reverts"] = reverts(bench)
+        result["lost"] = await lost(bench)
         await store.close()
     return result
 
 
+async def lost(bench):
+    """Return the accepted revisions that the chain of tables does not hold as made."""
+    missing = []
+    for revision in bench.changes:
+        found = await edits.read_revision(bench.store, revision)
+        if found.change_id != f"change-{revision}":
+            missing.append(revision)
+    return missing
+
+
 def reverts(bench):
     """Return how often a process applied a lower revision than before."""
     count = 0
@@ -260,6 +271,7 @@
         rate = use["wire_bytes_per_s_max"] + use["http_bytes_per_s_mean"]
         check(rate < MAX_BYTES_PER_S, f"{role}: {rate} bytes/s")
     check(result["reverts"] == 0, "reverts")
+    check(not result["lost"], f"accepted and lost: {result['lost']}")
     if "outage" in result:
         _check_faults(result, check)
     return missed
@@ -280,7 +292,8 @@
     """Return the growth per further process from the smallest to the largest run."""
     if len(results) < 2:
         return {}
-    first, last = results[0], results[-1]
+    ordered = sorted(results, key=lambda result: result["processes"])
+    first, last = ordered[0], ordered[-1]
     found = {}
     for role in ("entry", "agent"):
         one, two = first["steady"]["use"][role], last["steady"]["use"][role]
