Continue plan revisions above those that agents hold

Cause: if the store loses its plans and the entries have been restarted, a new count would start at 1 and every agent would refuse it, for good. The highest plan revision in the members' heartbeats is now the floor. In normal operation it is never above the store's.

A table message is also built once for all askers whose revision is unknown, not once for each revision.

--- a/src/carobstand/core/planner.py
+++ b/src/carobstand/core/planner.py
@@ -134,9 +134,13 @@
     assignments = _leaving_keep(members, previous, now)
     assignments.update(_roll(row, targets, candidates, previous, versions, now))
     assignments = {vm: entry for vm, entry in assignments.items() if entry != EMPTY}
-    if previous.revision and assignments == previous.assignments:
-        return previous
-    return Plan(service, previous.revision + 1, current.revision, author, assignments)
+    # If the store lost its plans, agents still refuse revisions up to those they hold.
+    floor = max((m.plan_revisions.get(service, 0) for m in members), default=0)
+    if previous.revision >= floor and previous.revision:
+        if assignments == previous.assignments:
+            return previous
+    revision = max(previous.revision, floor) + 1
+    return Plan(service, revision, current.revision, author, assignments)
 
 
 def _leaving_keep(members, previous, now):
--- a/src/carobstand/entry/held.py
+++ b/src/carobstand/entry/held.py
@@ -273,12 +273,15 @@
     holder = control.table
     if holder.content is None or have >= holder.revision:
         return
+    if have not in {old.revision for old in control.recent}:
+        have = 0
     if have not in control.deltas:
         control.deltas[have] = _table_message(control, have)
     post(conn, control.deltas[have])
 
 
 def _table_message(control, have):
+    """Return the delta from an earlier table, or the whole if that is smaller."""
     holder = control.table
     content = table.to_json(attrs.evolve(holder.content, history=()))
     base = next((old for old in control.recent if old.revision == have), None)
--- a/testing/test_planner.py
+++ b/testing/test_planner.py
@@ -166,6 +166,16 @@
     assert len(fetched) == 1
 
 
+def test_a_plan_continues_above_what_agents_hold_if_the_store_lost_it():
+    """Agents refuse revisions that are not higher, so a new count would be ignored."""
+    members = [build.member(n, plan_revisions={"drafter": 50 + n}) for n in range(3)]
+    table = build.a_table(build.version("v1"))
+    plan = run_plan(table, members)
+    assert plan.revision == 53
+    assert run_plan(table, members, plan) is plan
+    assert run_plan(table, members, planner.Plan("drafter", 7)).revision == 53
+
+
 def test_a_plan_survives_json_and_a_malformed_one_is_refused():
     plan = run_plan(
         build.a_table(build.version("v1")), [build.member(n) for n in range(4)]
