--- a/bench/control_core.py
+++ b/bench/control_core.py
@@ -85,6 +85,7 @@
     changed = table.set_cells(old, key, {"weight": "2"})
     new = table.next_revision(old, changed, "c2", "bench", 1.0, "bench")
     content = table.to_json(new)
+    again = table.from_json(content, "t", old)
     delta = table.delta(old, new)
     digest = table.digest(new)
     return {
@@ -94,6 +95,7 @@
         "delta_bytes": len(delta),
         "read_all_s": seconds(lambda: table.from_json(content)),
         "read_after_change_s": seconds(lambda: table.from_json(content, "t", old)),
+        "changed_services_s": seconds(lambda: table.changed_services(old, again)),
         "make_delta_s": seconds(lambda: table.delta(old, new)),
         "apply_delta_s": seconds(lambda: table.apply_delta(old, delta, digest)),
     }
--- a/src/carobstand/core/table.py
+++ b/src/carobstand/core/table.py
@@ -263,6 +263,15 @@
     return body
 
 
+def changed_services(old, new):
+    """Return the services whose rows, versions or backend rows differ."""
+    changed = [row for key, row in new.index.items() if old.index.get(key) != row]
+    changed += [row for key, row in old.index.items() if key not in new.index]
+    return {row.name if row.kind == "service" else row.service for row in changed} - {
+        ""
+    }
+
+
 def delta(old, new):
     """Return the JSON bytes that turn `old` into `new` by `apply_delta`.
 
--- a/src/carobstand/entry/held.py
+++ b/src/carobstand/entry/held.py
@@ -145,11 +145,10 @@
     verdict = revisions.offer(control.table, new.revision, digest, new, now)
     if verdict is revisions.Verdict.ACCEPTED:
         state = control.state
+        control.deltas.clear()
+        mark_services(control, table.changed_services(state.table or table.EMPTY, new))
         state.table = new
         control.recent.append(new)
-        control.deltas.clear()
-        mark_services(control, [row.name for row in table.services(new)])
-        mark_services(control, control.plans)
         logs.event(
             "table.applied",
             revision=new.revision,
--- a/testing/test_table.py
+++ b/testing/test_table.py
@@ -129,6 +129,19 @@
         assert got == new and table.digest(got) == table.digest(new)
 
 
+def test_only_services_with_changed_rows_are_planned_again():
+    old = full_table()
+    customer = ("customer", "acme", "")
+    for key, cells, expected in (
+        (V1, {"weight": "0.5"}, {"drafter"}),
+        (("service", "registry", ""), {"max_queue": "5"}, {"registry"}),
+        (customer, {"rate_per_s": "21"}, set()),
+    ):
+        new = table.Table(2, "c2", edited(old, key, **cells))
+        assert table.changed_services(old, new) == expected
+    assert table.changed_services(old, table.EMPTY) == {"drafter", "registry"}
+
+
 def test_edits_of_different_cells_merge():
     base = full_table()
     theirs = edited(base, V1, weight="0.5", copies="4")
