Do not report a change as refused while a write of it is open

Cause: a malformed answer (or a stale one that led to a conflict) after a lost answer ended accept with the status for a refused change, although the write might have taken effect. Such answers are now tried again while a write is open. A write that failed its compare-and-swap no longer counts as open. The new test fails without the change.

--- a/src/carobstand/cli/edits.py
+++ b/src/carobstand/cli/edits.py
@@ -113,6 +113,11 @@
                 return accepted
         except errors.StoreUnavailableError as exc:
             peer = exc.peer
+        except (errors.TableError, errors.ConflictError):
+            # A malformed or stale answer must not make a write look refused whose
+            # fate is open.
+            if not pending:
+                raise
         await anyio.sleep(rng.uniform(delay_s / 2, delay_s))
         delay_s = min(MAX_RETRY_S, delay_s * 2)
     if pending:
@@ -153,12 +158,15 @@
     content = table.to_json(new)
     if item is not None:
         await _write_history(store, current.revision, item.value)
+    open_before = new.revision in pending
     try:
         pending.add(new.revision)
         expect = stores.ABSENT if item is None else item.revision
         await store.put(TABLE_KEY, content, expect=expect)
     except errors.ConflictError:
         # Another writer was first, or an earlier try of this change was.
+        if not open_before:
+            pending.discard(new.revision)
         return None
     return new.revision
 
--- a/testing/test_cli_table.py
+++ b/testing/test_cli_table.py
@@ -1,15 +1,19 @@
 """Guards against operators' programs that lose edits or hide what is behind."""
 
+import random
+
 import anyio
+import attrs
 import pytest
 
 from carobstand import errors, settings
-from carobstand.cli import fleet, progress, publish
+from carobstand.cli import edits, fleet, progress, publish
 from carobstand.cli import table as cli
 from carobstand.core import table
 from carobstand.platform import origin as origins
 from carobstand.standin import store, vms, web
 from testing import control_builders as build
+from testing import fake_store, virtual_time
 
 CSV = build.HEADER + (
     "service,drafter,,engine,,,,,,,,,,,,,\n"
@@ -69,6 +73,35 @@
     assert exported == 0
 
 
+def test_garbage_after_a_lost_answer_does_not_make_an_accepted_change_look_refused():
+    async def body():
+        shared = fake_store.Shared(random.Random(1))
+        store, _ = fake_store.client(shared)
+        first = await edits.accept(
+            store, table.EMPTY, build.rows(), edits.Author("op", 1.0, "a"), "x"
+        )
+        base = (await edits.read(store))[1]
+        answers = iter([None, errors.StoreUnavailableError("lost"), b"garbage"])
+
+        async def put(key, value, **options):
+            item = await store.put(key, value, **options)
+            if key == edits.TABLE_KEY and next(answers, None) is None:
+                raise next(answers)
+            return item
+
+        async def get(key):
+            item = await store.get(key)
+            garbage = item.revision > 1 and next(answers, None)
+            return attrs.evolve(item, value=garbage) if garbage else item
+
+        faulty = attrs.evolve(store, put=put, get=get)
+        rows = build.rows(build.version("v1"))
+        author = edits.Author("op", 1.0, "b")
+        return first, await edits.accept(faulty, base, rows, author, "x")
+
+    assert virtual_time.run(body) == (1, 2)
+
+
 def test_lags_name_each_process_what_it_lacks_and_since_when():
     current = table.EMPTY
     for number in range(1, 5):
