--- a/src/carobstand/entry/held.py
+++ b/src/carobstand/entry/held.py
@@ -41,10 +41,15 @@
     dirty : set of str
         Services whose plan must be computed again.
     vms_read_at : float or None
-        When the VM list was last read.
+        When the VM list was last read, here or by another entry.
+    vms_stamp, vms_digest : int, str
+        Hybrid logical clock and digest of that reading.
+    vms_wrong : bool
+        Whether a reading of another entry could not be followed.
     refused : str
         Why the newest content of the store was refused, empty if it was not.
-    rosters_dirty : bool
+    rosters_dirty : set of str
+        Services whose rosters may have changed.
     ahead_since, asked_at : dict
         When a peer was first ahead, and last asked, by "table" or service.
     relays : dict of str to ttypes.MemberReport
@@ -65,8 +70,11 @@
     deltas: dict = attrs.field(factory=dict)
     dirty: set = attrs.field(factory=set)
     vms_read_at: float | None = None
+    vms_stamp: int = 0
+    vms_digest: str = ""
+    vms_wrong: bool = False
     refused: str = ""
-    rosters_dirty: bool = True
+    rosters_dirty: set = attrs.field(factory=set)
     ahead_since: dict = attrs.field(factory=dict)
     asked_at: dict = attrs.field(factory=dict)
     relays: dict = attrs.field(factory=dict)
@@ -140,9 +148,8 @@
         state.table = new
         control.recent.append(new)
         control.deltas.clear()
-        control.dirty.update(row.name for row in table.services(new))
-        control.dirty.update(control.plans)
-        control.rosters_dirty = True
+        mark_services(control, [row.name for row in table.services(new)])
+        mark_services(control, control.plans)
         logs.event(
             "table.applied",
             revision=new.revision,
@@ -157,6 +164,12 @@
     return verdict
 
 
+def mark_services(control, services):
+    """Have the plans and rosters of `services` computed again."""
+    control.dirty.update(services)
+    control.rosters_dirty.update(services)
+
+
 def take_plan(control, plan, content, source):
     """Put a plan in force if its revision is higher than the one held.
 
@@ -181,8 +194,7 @@
     )
     if verdict is revisions.Verdict.ACCEPTED:
         control.state.plans[plan.service] = plan
-        control.dirty.add(plan.service)
-        control.rosters_dirty = True
+        mark_services(control, (plan.service,))
         logs.event(
             "plan.applied",
             service=plan.service,
@@ -236,7 +248,6 @@
     return ttypes.HeartbeatReply(
         seq=seq,
         table_revision=control.table.revision,
-        table_digest=control.table.digest,
         assignments=assignments,
         attempt_floor=state.attempt_floor,
     )
@@ -250,6 +261,13 @@
         return
 
 
+def fill(message, former, names):
+    """Set fields that `message` leaves out to those of the `former` message, if any."""
+    for name in names:
+        if getattr(message, name) is None and former is not None:
+            setattr(message, name, getattr(former, name))
+
+
 def send_table(control, conn, have):
     """Send the table to a peer that holds revision `have`, if that is older."""
     holder = control.table
