Ignore clock stamps far ahead; report a log file that cannot be opened in one line

A frame whose stamp was near 2^63 raised the hybrid clock of its receiver so far that each later frame failed to encode, and spread to the next processes with their frames. Stamps more than an hour ahead of the own wall clock are ignored; to refuse the connection instead was ruled out, since a VM with a wrong clock can still serve.

--- a/src/carobstand/clock.py
+++ b/src/carobstand/clock.py
@@ -4,6 +4,10 @@
 
 import attrs
 
+MAX_AHEAD_MS = 3_600_000
+"""Stamps further ahead of the own wall clock are ignored. One frame with a stamp near
+the end of its 64 bits would otherwise make all later frames of every process fail."""
+
 COUNTER_BITS = 16
 """Low bits of a stamp that count events within one millisecond."""
 
@@ -25,7 +29,8 @@
 
     def merge(self, stamp):
         """Return the stamp of the receipt of a message sent at `stamp`."""
-        self.last = max(self.last, stamp)
+        if stamp <= (self.wall_ms() + MAX_AHEAD_MS) << COUNTER_BITS:
+            self.last = max(self.last, stamp)
         return self.tick()
 
 
--- a/src/carobstand/logs.py
+++ b/src/carobstand/logs.py
@@ -6,7 +6,7 @@
 import attrs
 import eliot
 
-from carobstand import clock
+from carobstand import clock, errors, settings
 
 
 @attrs.define
@@ -33,8 +33,15 @@
 
 
 def open_log(path):
-    """Append events to the file `path`; an empty path means standard error."""
-    configure(open(path, "a", buffering=1) if path else sys.stderr)
+    """Append events to the file `path`; an empty path means standard error.
+
+    Exits with one line if the file cannot be opened.
+    """
+    try:
+        configure(open(path, "a", buffering=1) if path else sys.stderr)
+    except OSError as exc:
+        reason = f"--log-file: {path!r} cannot be opened: {exc.strerror}"
+        settings.fail(errors.SettingsError(reason, step="logs.open"))
 
 
 def bind(**fields):
--- a/testing/test_clock.py
+++ b/testing/test_clock.py
@@ -15,3 +15,10 @@
     clk = clock.HybridClock(wall_ms=lambda: next(times))
     stamps = [clk.tick() for _ in range(3)]
     assert stamps == sorted(set(stamps))
+
+
+def test_a_stamp_far_ahead_does_not_poison_the_clock():
+    local = clock.HybridClock(wall_ms=lambda: 1000)
+    assert local.merge(2**63 - 1) < 2**63 - 1
+    near = (1000 + clock.MAX_AHEAD_MS) << clock.COUNTER_BITS
+    assert local.merge(near) > near
