--- a/bench/relay.py
+++ b/bench/relay.py
@@ -27,12 +27,16 @@
 
 @attrs.define(eq=False)
 class Relay:
-    """Relay from `address` to `target`, both ``host:port``."""
+    """Relay from `address` to `target`, both ``host:port``.
+
+    While `cut` is set, new connections are accepted and never answered.
+    """
 
     address: str
     target: str
     links: set = attrs.field(factory=set)
     silenced: int = 0
+    cut: bool = False
 
 
 def silence(relay):
@@ -53,6 +57,8 @@
 
     async def handle(client):
         async with client:
+            while relay.cut:
+                await anyio.sleep(0.2)
             await _relay(relay, client)
 
     async with listener:
--- a/bench/soak_processes.py
+++ b/bench/soak_processes.py
@@ -84,6 +84,15 @@
     await anyio.sleep(4)
 
 
+async def cut_off_program(soak, program):
+    """Cut the process off from connections of others for some time."""
+    program.relay.cut = True
+    relay.silence(program.relay)
+    await anyio.sleep(soak.rng.uniform(1, 8))
+    program.relay.cut = False
+    await anyio.sleep(4)
+
+
 async def pause_planner(soak, program):
     """SIGSTOP the entry for longer than its lease."""
     await fleets.pause(program, 8)
@@ -161,6 +170,7 @@
     ("entry", terminate_program, 2),
     ("entry", pause_program, 2),
     ("entry", silence_program, 3),
+    ("entry", cut_off_program, 2),
     ("entry", pause_planner, 1),
 )
 """Role, fault and relative frequency."""
