--- a/testing/test_connection.py
+++ b/testing/test_connection.py
@@ -1,6 +1,7 @@
 """Guards against peers that hang, leak or stop a process."""
 
 import contextlib
+import socket
 import struct
 
 import anyio
@@ -321,3 +322,18 @@
 
     run(body)
     assert got == ["stopping"]
+
+
+def test_a_peer_that_resets_at_once_ends_only_that_connection():
+    async def body():
+        async with server() as port:
+            for _ in range(20):
+                sock = socket.create_connection(("127.0.0.1", port))
+                linger = struct.pack("ii", 1, 0)
+                sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+                sock.close()
+            await anyio.sleep(0.05)
+            conn = await connection.dial(f"127.0.0.1:{port}", hello())
+            await conn.stream.aclose()
+
+    run(body)
