Ask other entries anew for each server that a doubtful request would go to

What was learnt now counts for one server only. While a failure is younger than 5 s and none of the homes is the server that failed, the request waits, because copies may run on its former homes.

--- a/src/carobstand/core/routing.py
+++ b/src/carobstand/core/routing.py
@@ -155,7 +155,9 @@
     doubtful: bool = False
 
 
-def find_homes(candidates, version, prefix, fingerprint, used=(), failed_on=()):
+def find_homes(
+    candidates, version, prefix, fingerprint, used=(), failed_on=(), recent=False
+):
     """Return the homes of a request.
 
     Parameters
@@ -169,6 +171,8 @@
     failed_on : container of str
         Backend servers that failed while running the fingerprint. After one, only
         one home is left.
+    recent : bool
+        Whether a failure became known a moment ago.
 
     Returns
     -------
@@ -184,6 +188,11 @@
     second = min(rest, key=lambda c: _rank(c, own))
     pair = [first] if second is first else [first, second]
     if failed_on:
+        outside = not any(c.vm in failed_on for c in pair)
+        if outside and recent:
+            # The homes were others a moment ago, for example because a version
+            # changed; copies may be running there.
+            return Homes(None, None)
         return _last_home(able, first, second, own, used, failed_on)
     open_homes = [c for c in pair if _is_open(c, used)]
     if open_homes:
--- a/src/carobstand/core/suspects.py
+++ b/src/carobstand/core/suspects.py
@@ -12,6 +12,9 @@
 REFUSED_FROM = 2
 """Failures of backend servers from which a request is refused."""
 
+RECENT_S = 5.0
+"""Time in which copies of a request that made a server fail may still be running."""
+
 LIFETIME_S = 3600.0
 """How long a suspect is held."""
 
@@ -28,6 +31,7 @@
 
     failures: set = attrs.field(factory=set)
     until: float = 0.0
+    changed_at: float = 0.0
 
 
 @attrs.define(eq=False)
@@ -59,6 +63,8 @@
     room = MAX_FAILURES - known
     suspect.failures.update(sorted(set(failures) - suspect.failures)[:room])
     suspect.until = now + LIFETIME_S
+    if len(suspect.failures) > known:
+        suspect.changed_at = now
     return len(suspect.failures) > known
 
 
@@ -95,6 +101,12 @@
     return frozenset(item.partition("/")[0] for item in suspect.failures)
 
 
+def is_recent(state, fingerprint, now):
+    """Whether a failure became known within `RECENT_S`."""
+    suspect = state.held.get(fingerprint)
+    return suspect is not None and now - suspect.changed_at < RECENT_S
+
+
 def is_refused(state, fingerprint, now):
     """Whether the request must not be run again."""
     return failures(state, fingerprint, now) >= REFUSED_FROM
--- a/src/carobstand/entry/calls.py
+++ b/src/carobstand/entry/calls.py
@@ -42,8 +42,8 @@
         Work relative to one call of a plain service, for fair queueing.
     route : tuple or None
         Cached choice of `entry.placing`.
-    settled : bool or None
-        Whether other entries were asked about failures; None if that is not needed.
+    settling, settled : str
+        VM for which other entries are being, or were, asked about failures.
     """
 
     request_id: str
@@ -64,7 +64,8 @@
     model: dict | None = None
     cost: float = 1.0
     route: tuple | None = None
-    settled: bool | None = None
+    settling: str = ""
+    settled: str = ""
 
 
 class RefusedError(errors.CarobstandError):
--- a/src/carobstand/entry/placing.py
+++ b/src/carobstand/entry/placing.py
@@ -192,9 +192,10 @@
     """
     found = view(state, dp.pool, call.service)
     failed_on = suspects.failed_on(dp.shared.core, call.fingerprint, now)
-    key = (found.signature, version, failed_on, frozenset(used))
+    recent = suspects.is_recent(dp.shared.core, call.fingerprint, now)
+    key = (found.signature, version, failed_on, recent, frozenset(used))
     if call.route is None or call.route[0] != key:
-        call.route = (key, *_route(found, call, version, used, failed_on))
+        call.route = (key, *_route(found, call, version, used, failed_on, recent))
     _, wanted, homes = call.route
     if wanted is None:
         return None
@@ -207,7 +208,7 @@
     return Choice(candidate, wanted, peer)
 
 
-def _route(found, call, version, used, failed_on):
+def _route(found, call, version, used, failed_on, recent):
     """Return the version that a call goes to, or None, and its homes."""
     wanted = ""
     if call.service.type != "plain":
@@ -217,7 +218,7 @@
     if wanted is None:
         return None, None
     homes = routing.find_homes(
-        found.candidates, wanted, call.prefix, call.fingerprint, used, failed_on
+        found.candidates, wanted, call.prefix, call.fingerprint, used, failed_on, recent
     )
     return wanted, homes
 
@@ -229,23 +230,30 @@
         dp.pool.turn += 1
         turn = dp.pool.turn
         return routing.round_robin(found.candidates, version, used, now, turn)
-    if homes.doubtful and not _settled(state, dp, call):
+    if homes.doubtful and not _settled(state, dp, call, homes.by_prefix.vm):
         return None
     return routing.pick(homes, now)
 
 
-def _settled(state, dp, call):
-    """Whether it is known that the call did not make its homes fail."""
-    if call.settled is None and dp.tasks is not None:
-        call.settled = False
+def _settled(state, dp, call, vm):
+    """Whether it is known that a doubtful call may run on `vm`.
+
+    What other entries know is asked anew for each server that the call would go to:
+    since the last time, another one may have failed.
+    """
+    if call.settled == vm:
+        return True
+    if call.settling != vm and dp.tasks is not None:
+        call.settling = vm
 
         async def settle():
             await suspecting.settle(state, dp.shared, call.fingerprint)
-            call.settled = True
-            pump(state, dp, call.service.name)
+            if call.settling == vm:
+                call.settled = vm
+                pump(state, dp, call.service.name)
 
         dp.tasks.start_soon(settle)
-    return bool(call.settled)
+    return False
 
 
 def refused(dp, call):
