Reset the stream of a cut answer over HTTP/2

An answer that is cut closed the connection of an HTTP/1.1 caller, but hypercorn leaves the stream of an HTTP/2 connection open when an application ends without completing it: the caller waited for its own timeout (4 s in the test that showed it). The stream is reset now, through the h2 connection that hypercorn holds, as ASGI has no message for it.

--- a/src/carobstand/entry/callers.py
+++ b/src/carobstand/entry/callers.py
@@ -8,6 +8,9 @@
 
 import anyio
 import attrs
+import h2.connection
+import h2.errors
+import h2.exceptions
 
 from carobstand import errors, logs
 from carobstand.core import admission, claims
@@ -153,8 +156,29 @@
         await _problem(sink, exc)
     except calls.CutError as exc:
         logs.event("answer.cut", request=request_id, error=exc.message)
+        await _reset_stream(send)
     except calls.CallerGoneError as exc:
         logs.event("caller.gone", request=request_id, error=exc.message)
+        if sink.started and not sink.gone:
+            await _reset_stream(send)
+
+
+async def _reset_stream(send):
+    """Tell an HTTP/2 caller that its answer ends here.
+
+    ASGI has no message for it. Over HTTP/1.1 the server closes the connection, but
+    hypercorn leaves the stream of an HTTP/2 connection open, and the caller would wait.
+    """
+    stream = getattr(send, "__self__", None)
+    protocol = getattr(getattr(stream, "send", None), "__self__", None)
+    conn = getattr(protocol, "connection", None)
+    if not isinstance(conn, h2.connection.H2Connection):
+        return
+    try:
+        conn.reset_stream(stream.stream_id, h2.errors.ErrorCodes.INTERNAL_ERROR)
+        await protocol._flush()
+    except h2.exceptions.ProtocolError as exc:
+        logs.event("stream.reset_failed", error=str(exc))
 
 
 async def _answer(state, call, sink, receive):
@@ -182,6 +206,7 @@
 async def _problem(sink, exc):
     if sink.started:
         logs.event("answer.cut", request=sink.request_id, error=exc.detail)
+        await _reset_stream(sink.send)
         return
     sink.bounded = True
     doc = {
--- a/testing/test_requests.py
+++ b/testing/test_requests.py
@@ -3,6 +3,8 @@
 import json
 
 import anyio
+import httpx
+import pytest
 
 from carobstand.core import attempts
 from carobstand.entry import tries
@@ -169,6 +171,23 @@
     build.run(test)
 
 
+@pytest.mark.parametrize("http2", [False, True])
+def test_a_cut_stream_ends_with_an_error_for_its_caller(http2):
+    async def handler(scope, body, send):
+        headers = [(b"content-type", b"text/event-stream"), (b"content-length", b"99")]
+        await send({"type": "http.response.start", "status": 200, "headers": headers})
+        part = {"type": "http.response.body", "body": b"data: 1\n\n", "more_body": True}
+        await send(part)
+
+    async def test():
+        async with build.system(handler) as net:
+            net.client = httpx.AsyncClient(http1=not http2, http2=http2, timeout=5)
+            with pytest.raises(httpx.RemoteProtocolError):
+                await net.call(net.urls[0])
+
+    build.run(test)
+
+
 def test_malformed_requests_get_a_client_error_and_reach_no_backend_server():
     ran = []
 
