Let callers set a deadline

The setting says that it holds for callers that set none, but there was no way to set one. The header Carobstand-Timeout takes seconds, at most those of the setting; the time left goes with the attempt, and the agent ends the work (tested over loopback).

--- a/src/carobstand/entry/callers.py
+++ b/src/carobstand/entry/callers.py
@@ -35,13 +35,17 @@
 PREFIX_CHARS = 256
 """Start of a prompt that decides which prefix cache is likely to hold it."""
 
+TIMEOUT_HEADER = "carobstand-timeout"
+"""Request header with the seconds after which the caller has no use for an answer."""
+
+_SECONDS = re.compile(r"[0-9]{1,6}(\.[0-9]{1,6})?")
 _TOKEN = re.compile(r"[!#$%&'*+.^_`|~0-9A-Za-z-]+")
 _REQUEST_ID = re.compile(r"[A-Za-z0-9._-]{1,64}")
 
 NOT_FORWARDED = frozenset(
     "authorization host connection keep-alive proxy-authorization te trailer "
     "transfer-encoding upgrade content-length expect x-stream-offset "
-    "x-request-id idempotency-key".split()
+    "x-request-id idempotency-key carobstand-timeout".split()
 )
 """Request headers that are not passed on; the caller's key stays in the entry."""
 
@@ -347,7 +351,7 @@
         body=body,
         idempotent=not non_idempotent,
         arrived=arrived,
-        deadline=arrived + state.cfg.request_timeout_s,
+        deadline=arrived + _timeout_s(state, headers),
         digest=digest,
         claim_key=claims.key_of(customer.name, key) if key else "",
         prefix=hashlib.sha256(start).hexdigest(),
@@ -357,6 +361,16 @@
     )
 
 
+def _timeout_s(state, headers):
+    """Return the time that the caller allows, at most that of the settings."""
+    given = _values(headers, TIMEOUT_HEADER)
+    if not given:
+        return state.cfg.request_timeout_s
+    if len(given) > 1 or not _SECONDS.fullmatch(given[0]) or float(given[0]) <= 0:
+        raise calls.RefusedError(400, "Carobstand-Timeout is not a number of seconds")
+    return min(float(given[0]), state.cfg.request_timeout_s)
+
+
 def _completion(state, body):
     """Return the parsed body, the service row and the version that it names."""
     try:
--- a/testing/test_requests.py
+++ b/testing/test_requests.py
@@ -208,6 +208,7 @@
                 (404, {"path": "/services/none/x"}),
                 (404, {"path": "/elsewhere"}),
                 (405, {"path": "/v1/completions"}),
+                (400, {"headers": {"carobstand-timeout": "soon"}}),
                 (428, {"path": "/services/desk/pay", "method": "POST"}),
                 (428, {"path": "/services/desk/x/../%70ay", "method": "POST"}),
             ]:
@@ -221,6 +222,23 @@
     build.run(test)
 
 
+def test_the_deadline_of_a_caller_ends_its_request_and_reaches_the_agent():
+    async def handler(scope, body, send):
+        await anyio.sleep(5)
+        await build.reply(send, b"late")
+
+    async def test():
+        async with build.system(handler) as net:
+            resp = await net.call(net.urls[0], headers={"carobstand-timeout": "0.2"})
+            assert resp.status_code == 504
+            assert resp.headers["carobstand-outcome"] == "unknown"
+            with anyio.fail_after(2):
+                while net.agents[0].running_attempts:
+                    await anyio.sleep(0.02)
+
+    build.run(test)
+
+
 def test_an_agent_answers_for_a_revoked_attempt_with_a_refusal():
     async def handler(scope, body, send):
         await build.reply(send, b"ok")
