Without the store, wait for what other entries tell before a doubtful request runs

While the store was down an entry asked nobody: 0.3 s is less than the second between two messages of entries.

--- a/src/carobstand/entry/suspecting.py
+++ b/src/carobstand/entry/suspecting.py
@@ -23,6 +23,10 @@
 """Time in which a failure seen by another entry reaches the store."""
 
 
+TOLD_S = 1.5
+"""Time in which entries tell each other of a failure without the store."""
+
+
 @attrs.define(eq=False)
 class Shared:
     """Suspects and what is to be told of them.
@@ -90,6 +94,8 @@
             suspects.add(shared.core, fingerprint, suspects.decode(item.value), now)
     except errors.StoreError as exc:
         logs.event("suspect.unread", error=exc.message, step=exc.step)
+        await anyio.sleep(TOLD_S)
+        merge(state, shared)
 
 
 async def run(state, shared):
