--- a/testing/test_request_faults.py
+++ b/testing/test_request_faults.py
@@ -2,6 +2,7 @@
 
 import anyio
 
+from carobstand.entry import dispatch
 from carobstand.standin import web
 from testing import request_builders as build
 
@@ -59,7 +60,9 @@
     build.run(test)
 
 
-def test_a_stream_that_stalls_is_resumed_elsewhere():
+def test_a_stream_that_stalls_is_resumed_elsewhere(monkeypatch):
+    monkeypatch.setattr(dispatch, "STALL_S", 0.5)
+
     async def test():
         async with build.system(**ENGINES, agents=2) as net:
             net.engines[0][1].switches.stall_share = 1.0
--- a/testing/test_requests.py
+++ b/testing/test_requests.py
@@ -224,7 +224,7 @@
 
 def test_the_deadline_of_a_caller_ends_its_request_and_reaches_the_agent():
     async def handler(scope, body, send):
-        await anyio.sleep(5)
+        await anyio.sleep(1)
         await build.reply(send, b"late")
 
     async def test():
