--- a/src/carobstand/entry/suspecting.py
+++ b/src/carobstand/entry/suspecting.py
@@ -101,6 +101,7 @@
 async def run(state, shared):
     """Write suspects to the store and merge those of other entries."""
     lease = Lease()
+    await _read_all(state, shared)
     while True:
         merge(state, shared)
         suspects.forget_expired(shared.core, anyio.current_time())
@@ -122,6 +123,19 @@
         await anyio.sleep(WRITE_INTERVAL_S)
 
 
+async def _read_all(state, shared):
+    """Read the suspects that were known before this entry started."""
+    if state.store is None:
+        return
+    now = anyio.current_time()
+    try:
+        for item in (await state.store.list("suspects/")).items:
+            fingerprint = item.key.removeprefix("suspects/")
+            suspects.add(shared.core, fingerprint, suspects.decode(item.value), now)
+    except errors.StoreError as exc:
+        logs.event("suspect.unread", error=exc.message, step=exc.step)
+
+
 @attrs.define
 class Lease:
     """Store lease of written keys, replaced every half lifetime."""
