--- a/src/carobstand/local.py
+++ b/src/carobstand/local.py
@@ -335,7 +335,15 @@
 
 def show(report, console):
     """Print the report."""
-    copies = report.origin_sent / max(1, report.bytes_total)
+    if report.bytes_total:
+        _show_weights(report, console)
+        _show_requests(report.tally, console)
+    for problem in report.problems + report.tally.problems:
+        console.print(f"problem: {problem}", markup=False)
+    console.print("result: " + ("ok" if is_success(report) else "FAILED"))
+
+
+def _show_weights(report, console):
     lines = rich.table.Table(box=rich.box.SIMPLE, title="Weights per VM")
     for title in ("VM", "serves v2 after", "from origin", "from peers", "digest"):
         lines.add_column(title, justify="left" if title == "VM" else "right")
@@ -350,13 +358,16 @@
             "equals source" if intact else "DIFFERS",
         )
     console.print(lines)
+    copies = report.origin_sent / report.bytes_total
     slowest = max(report.seconds.values(), default=0.0)
     console.print(
         f"origin: {report.origin_sent / MIB:.1f} MiB sent, {copies:.2f} copies; "
         f"all VMs after {slowest:.1f} s (no VM link carries a copy in less than "
         f"{report.earliest_s:.1f} s)"
     )
-    tally = report.tally
+
+
+def _show_requests(tally, console):
     parts = [f"{n} by {v}" for v, n in sorted(tally.by_version.items())]
     parts.append(f"{tally.orders} orders that ran once")
     console.print(
@@ -364,9 +375,6 @@
         f"{tally.not_run} not run, {tally.unknown} unknown, {tally.wrong} wrong, "
         f"{tally.cut} cut; {tally.refused} refusals that were sent again"
     )
-    for problem in report.problems + tally.problems:
-        console.print(f"problem: {problem}", markup=False)
-    console.print("result: " + ("ok" if is_success(report) else "FAILED"))
 
 
 def _seeded_source(cfg, directory):
