Close the listener of a server of connections when it is cancelled

Cause: an agent that was stopped and started again in one event loop failed with "Address already in use", because connection.serve (lane procs) left its listening socket open until the process ended. Ruled out: a missing SO_REUSEADDR, which anyio sets. The new test fails without the change.

--- a/src/carobstand/wire/connection.py
+++ b/src/carobstand/wire/connection.py
@@ -420,7 +420,7 @@
             with anyio.CancelScope(shield=True), anyio.move_on_after(1):
                 await anyio.aclose_forcefully(stream)
 
-    async with anyio.create_task_group() as tg:
+    async with listener, anyio.create_task_group() as tg:
         while True:
             try:
                 await listener.serve(handle, tg)
--- a/testing/test_connection.py
+++ b/testing/test_connection.py
@@ -8,7 +8,7 @@
 import pytest
 
 from carobstand import errors
-from carobstand.wire import codec, connection, liveness
+from carobstand.wire import codec, connection, listeners, liveness
 from carobstand.wire.gen import ttypes
 
 
@@ -337,3 +337,17 @@
             await conn.stream.aclose()
 
     run(body)
+
+
+def test_an_address_is_free_again_once_its_server_was_cancelled():
+    async def main():
+        listener = await listeners.open_listener("127.0.0.1:0")
+        port = listener.extra(anyio.abc.SocketAttribute.local_port)
+        async with anyio.create_task_group() as tg:
+            tg.start_soon(connection.serve, listener, ttypes.Hello, None)
+            await anyio.sleep(0.01)
+            tg.cancel_scope.cancel()
+        again = await listeners.open_listener(f"127.0.0.1:{port}")
+        await again.aclose()
+
+    anyio.run(main)
