Do not report cancelled connections as errors at a planned stop

Cause: asyncio of Python 3.11 calls the loop's exception handler for each connection of a hypercorn server whose task is cancelled when a process stops, which put tracebacks of CancelledError on standard error after a clean stop. Other errors are reported as before (runtime.py, lane of the lead).

--- a/src/carobstand/runtime.py
+++ b/src/carobstand/runtime.py
@@ -1,5 +1,6 @@
 """Start and stop of a program: signals, event loop, errors at startup."""
 
+import asyncio
 import secrets
 import signal
 import sys
@@ -32,6 +33,7 @@
     """
 
     async def body():
+        asyncio.get_running_loop().set_exception_handler(_on_loop_error)
         stop = anyio.Event()
         async with anyio.create_task_group() as tg:
             tg.start_soon(_watch_signals, stop)
@@ -47,6 +49,15 @@
     return 0
 
 
+def _on_loop_error(loop, context):
+    """Report errors of callbacks, but not that a server's connection was cancelled.
+
+    Python 3.11 reports each connection whose task is cancelled at a stop as an error.
+    """
+    if not isinstance(context.get("exception"), asyncio.CancelledError):
+        loop.default_exception_handler(context)
+
+
 def _first_settings_error(group):
     matching, _ = group.split(errors.SettingsError)
     while isinstance(matching, BaseExceptionGroup):
