Limit questions about chunks, and rank only the chunks that need it

Cause: while the origin is down, each VM asked those before it about each chunk that was due, once a second.

A VM that does not fetch one chunk of a manifest is now not asked for the others for 10 s; the test fails with 0 s.

--- a/bench/swarm_world.py
+++ b/bench/swarm_world.py
@@ -355,8 +355,35 @@
         feed(world, node, swarm_state.RosterChanged(digest, tuple(members)))
 
 
-def rollout(shape, seed):
-    """Return the world after a rollout without faults, and its manifest digest."""
+def plan_faults(world):
+    """Plan the faults of the design's target over a rollout.
+
+    5% of the VMs fail, 1% of the chunks are corrupted, one link in ten stalls for a
+    quarter of T and the origin is unavailable for a fifth of T.
+    """
+    rng, window = world.rng, world.shape.window_s
+    names = list(world.nodes)
+    world.corrupt = 0.01
+    start = rng.uniform(0, 0.2) * window
+    world.origin_down = ((start, start + window / 5),)
+    links = [(near, far) for near in ["", *names] for far in names if near != far]
+    for link in rng.sample(links, len(links) // 10):
+        start = rng.uniform(0, window / 2)
+        at(world, start, world.stalls.__setitem__, link, start + window / 4)
+    for vm in rng.sample(names, max(1, round(0.05 * len(names)))):
+        at(world, rng.uniform(0.1, 0.4) * window, _fail, world, vm)
+
+
+def _fail(world, vm):
+    failed = world.nodes[vm]
+    failed.alive = False
+    for node in world.nodes.values():
+        if node is not failed:
+            at(world, world.now + 2.4, feed, world, node, peer_lost(failed))
+
+
+def rollout(shape, seed, faults=False):
+    """Return the world after a rollout, and its manifest digest."""
     world = World(shape, random.Random(seed))
     digest, made = publish(world, seed)
     for index in range(shape.n):
@@ -365,6 +392,8 @@
     for node in world.nodes.values():
         start = world.rng.random() * shape.start_spread_s
         at(world, start, assign, world, node, {digest: made}, members)
+    if faults:
+        plan_faults(world)
     run(world, 10 * shape.window_s, lambda: _all_hold(world, digest))
     return world, digest
 
--- a/src/carobstand/core/swarm.py
+++ b/src/carobstand/core/swarm.py
@@ -149,6 +149,11 @@
     job.members = {member.vm: member for member in event.members}
     job.roster += 1
     job.hashes = {vm: ranks.hash_of(vm) for vm in job.members}
+    job.region_hashes = {
+        vm: job.hashes[vm]
+        for vm, member in job.members.items()
+        if member.region == swarm.region
+    }
     for member in event.members:
         if member.vm != swarm.vm:
             peers.peer(swarm, member)
--- a/src/carobstand/core/swarm_duties.py
+++ b/src/carobstand/core/swarm_duties.py
@@ -37,10 +37,17 @@
 DEFERRED_DURING_OUTAGE = 12
 """The same while this VM's own downloads fail, as taking over would not help."""
 
+ABSENT_S = 10.0
+"""Time for which a VM that does not fetch one chunk of a manifest is not asked for the
+others: mostly it has refused the manifest for want of memory."""
+
 FAILURES_OF_THE_DEAD = 3
 """Failed calls in a row after which a VM counts as dead; the pauses between them are
 about a second in all."""
 
+LOOKS_PER_S = 2000
+"""Looks at duties per second, about 2% of a core; weights of 70 GB have 140,000."""
+
 SHORTEST_PAUSE_S = 0.002
 """Shortest time between two looks at a duty."""
 
@@ -119,7 +126,18 @@
         duty = st.Duty(job, idx, kind, due)
         if kind is st.DutyKind.ORIGIN and job.joined_late:
             duty.deferred_since = float("-inf")
-        _push(job, due, duty)
+        if _is_first(swarm, job, idx, kind):
+            _rank(swarm, job, duty)
+            _push(job, due, duty)
+        else:
+            _push(job, due + FIRST_LOOK_S, duty)
+
+
+def _is_first(swarm, job, idx, kind):
+    """Return whether this VM is the first for a duty; cheaper than the whole order."""
+    hashes = job.hashes if kind is st.DutyKind.ORIGIN else job.region_hashes
+    key = ranks.hash_of(job.chunks[idx])
+    return max(hashes, key=lambda vm: ranks.mix(hashes[vm], key)) == swarm.vm
 
 
 def _order(job, idx):
@@ -171,13 +189,25 @@
             if duty.at != time or job.have >> duty.idx & 1:
                 continue
             if duty.roster != job.roster:
+                if _may_wait(swarm, job, duty):
+                    _push(job, now + takeover_s(swarm, job), duty)
+                    continue
                 _rank(swarm, job, duty)
             due = duty.base + FIRST_LOOK_S * duty.rank.bit_length()
             if due > now:
                 _push(job, due, duty)
             else:
                 again_s = _act(swarm, job, duty, now, effects)
-                _push(job, now + max(SHORTEST_PAUSE_S, again_s), duty)
+                shortest_s = SHORTEST_PAUSE_S + len(job.duties) / LOOKS_PER_S
+                _push(job, now + max(shortest_s, again_s), duty)
+
+
+def _may_wait(swarm, job, duty):
+    """Return whether a chunk comes without this duty, so that no rank is needed."""
+    if duty.extra:
+        return False
+    offered = job.counts[duty.idx] and _is_offered(swarm, job, duty.idx, swarm.region)
+    return offered or job.chunks[duty.idx] in swarm.inflight
 
 
 def _act(swarm, job, duty, now, effects):
@@ -215,6 +245,9 @@
     for vm in vms:
         if vm in duty.asked:
             continue
+        if now < duty.job.absent.get(vm, now):
+            duty.asked.add(vm)
+            continue
         known = swarm.peers.get(vm)
         if known is None or known.failures == 0 or known.retry_at <= now:
             return vm, 0.0
@@ -249,6 +282,9 @@
     if member is None:
         duty.asked.add(vm)
         return 0.0
+    if limits.weights_wait_s(swarm.probes, now) > 0:
+        return _look_s(swarm, job) * swarm.rng.uniform(0.5, 1.5)
+    limits.take_weights(swarm.probes, 1, now)
     known = peers.peer(swarm, member)
     deadline = now + peers.MIN_DEADLINE_S + takeover_s(swarm, job)
     digest = job.chunks[duty.idx]
@@ -277,6 +313,8 @@
         if now - duty.deferred_since < deadlines * takeover_s(swarm, job):
             _push(job, now + _look_s(swarm, job), duty)
             return
+    if reason is st.Refusal.ABSENT:
+        job.absent[transfer.vm] = now + ABSENT_S
     duty.asked.add(transfer.vm)
     if duty.deferred_since != float("-inf"):
         duty.deferred_since = None
--- a/src/carobstand/core/swarm_state.py
+++ b/src/carobstand/core/swarm_state.py
@@ -29,6 +29,10 @@
     STALLED = "stalled"
 
 
+PROBES_PER_S = 8
+"""Questions to other VMs per second, about 1.5 KB/s. While the origin is down every
+chunk that is due leads to questions at every VM."""
+
 ASK = -1
 """Stands for a bitmap that was never sent; the first one asks for the peer's."""
 
@@ -95,8 +99,8 @@
         Size of all chunks, of the largest one, and of those held.
     members : dict of str to Member
         All VMs of the roster, this one included.
-    hashes : dict of str to int
-        `ranks.hash_of` each member.
+    hashes, region_hashes : dict of str to int
+        `ranks.hash_of` each member, and each member of the own region.
     roster : int
         Number of rosters received.
     neighbours : tuple of str
@@ -112,6 +116,8 @@
         Heap of (time, `pushes` at the time, `Duty`).
     counts : list of int
         Number of peers known to hold each chunk.
+    absent : dict of str to float
+        VMs that do not fetch the manifest, to the time until which they are not asked.
     """
 
     digest: str
@@ -127,6 +133,7 @@
     entry: int = 0
     members: dict = attrs.field(factory=dict)
     hashes: dict = attrs.field(factory=dict)
+    region_hashes: dict = attrs.field(factory=dict)
     roster: int = 0
     neighbours: tuple = ()
     announced: dict = attrs.field(factory=dict)
@@ -139,6 +146,7 @@
     duties: list = attrs.field(factory=list)
     pushes: int = 0
     counts: list = attrs.field(factory=list)
+    absent: dict = attrs.field(factory=dict)
     complete: bool = False
     origin_bytes: int = 0
 
@@ -242,6 +250,9 @@
     upload_slots: int = 4
     has_origin: bool = True
     links: Links = attrs.field(factory=Links)
+    probes: limits.Bucket = attrs.field(
+        factory=lambda: limits.Bucket(PROBES_PER_S, PROBES_PER_S)
+    )
     jobs: dict = attrs.field(factory=dict)
     peers: dict = attrs.field(factory=dict)
     transfers: dict = attrs.field(factory=dict)
--- a/testing/test_swarm.py
+++ b/testing/test_swarm.py
@@ -195,6 +195,20 @@
     assert state.peers["vm1"].failures == 0
 
 
+def test_members_that_refused_a_manifest_hold_up_no_one():
+    """One VM had room for a second model; it asked all others for each chunk first."""
+    world = swarm_world.World(shape(n=12), random.Random(10))
+    digest, made = swarm_world.publish(world, 10)
+    nodes = [swarm_world.add_node(world, index) for index in range(12)]
+    members = [node.member for node in nodes]
+    for node in nodes[:-1]:
+        node.state.cache.limit_bytes = 1
+    for node in nodes:
+        swarm_world.assign(world, node, {digest: made}, members)
+    swarm_world.run(world, 60, lambda: digest in nodes[-1].completed)
+    assert digest in nodes[-1].completed
+
+
 def test_vms_that_no_roster_names_are_forgotten():
     """State about every VM that ever joined would grow for as long as a VM runs."""
     state = new_swarm()
