Do not take a link full of live traffic for a lack of progress

The check that something is in transfer while a holder can be asked counted time in which the receiving link, or the region's, had no room for weights. Sixty seconds of heavy live traffic during a rollout would have stopped the agent with InvariantError. The test raises it before, and passes after.

--- a/src/carobstand/core/swarm.py
+++ b/src/carobstand/core/swarm.py
@@ -408,10 +408,12 @@
 def _check_progress(swarm, now):
     """Raise InvariantError if nothing is in transfer though a holder can be asked.
 
-    Pauses of the process do not count: each step adds at most `LONGEST_WAIT_S`.
+    Pauses of the process do not count: each step adds at most `LONGEST_WAIT_S`. Nor
+    does time in which live traffic or other weights fill the link.
     """
     last, swarm.idle_since = swarm.idle_since, now
-    if swarm.transfers or last is None or not _can_request(swarm, now):
+    busy = limits.weights_wait_s(swarm.links.down, now) > 0
+    if swarm.transfers or busy or last is None or not _can_request(swarm, now):
         swarm.idle_s = 0.0
         return
     swarm.idle_s += min(max(0.0, now - last), LONGEST_WAIT_S)
@@ -423,8 +425,11 @@
 
 
 def _can_request(swarm, now):
+    region_busy = limits.weights_wait_s(swarm.links.region_down, now) > 0
     return any(
-        peers.usable(known, now) and peers.allowed(swarm, job, known)
+        peers.usable(known, now)
+        and peers.allowed(swarm, job, known)
+        and not (region_busy and known.member.region != swarm.region)
         for job in swarm.jobs.values()
         if not job.complete
         for known in swarm.peers.values()
--- a/testing/test_swarm.py
+++ b/testing/test_swarm.py
@@ -222,6 +222,25 @@
     assert len(state.peers) <= 2
 
 
+def test_live_traffic_that_fills_the_link_is_not_taken_for_a_lack_of_progress():
+    state = new_swarm()
+    made, _ = manifests.build([("f", b"x" * 64)], 64)
+    digest = manifests.digest_of(manifests.encode(made))
+    swarm.step(state, st.RatesChanged(100.0, None, None), 0.0)
+    swarm.step(state, st.LiveTraffic(500, 500), 0.0)
+    swarm.step(state, st.Wanted({digest: (made, st.Policy.BYTES)}), 0.0)
+    roster = st.RosterChanged(digest, (member("vm0"), member("vm1")))
+    effects = swarm.step(state, roster, 0.0)
+    effects += swarm.step(state, st.Heard(member("vm1"), digest, 1), 0.0)
+    for tenth in range(1, 10 * int(2 * swarm.STUCK_S)):
+        effects += swarm.step(state, st.LiveTraffic(20, 20), tenth / 10)
+    assert not any(isinstance(effect, st.Request) for effect in effects)
+    end = 2 * swarm.STUCK_S + 2
+    assert any(
+        isinstance(effect, st.Request) for effect in swarm.step(state, st.Tick(), end)
+    )
+
+
 def test_a_request_that_arrives_twice_is_answered_once():
     """Copies of requests took the slots that a waiting VM needed."""
     state = new_swarm()
