Set the faults of bench-weights with the method that the stand-in has

The fault runs of the bench sent PUT to the origin stand-in, which takes POST, and did not look at the status: the origin would have stayed up and its chunks intact. The status is checked now.

--- a/bench/weights.py
+++ b/bench/weights.py
@@ -162,7 +162,7 @@
     for vm in rng.sample(names, max(1, round(0.05 * run.n))):
         tg.start_soon(_kill, fleet, vm, rng.uniform(0.1, 0.4) * run.window_s)
     async with httpx.AsyncClient(base_url=fleet.origin_url) as client:
-        await client.put("/standin/faults", json={"corrupt_share": 0.01})
+        await _set_faults(client, corrupt_share=0.01)
 
 
 async def _stall(fleet, pair, start, length_s):
@@ -173,9 +173,14 @@
 async def _stop_origin(fleet, after_s):
     await anyio.sleep(after_s)
     async with httpx.AsyncClient(base_url=fleet.origin_url) as client:
-        await client.put("/standin/faults", json={"down": True})
+        await _set_faults(client, down=True)
         await anyio.sleep(fleet.cfg.window_s / 5)
-        await client.put("/standin/faults", json={"down": False})
+        await _set_faults(client, down=False)
+
+
+async def _set_faults(client, **switches):
+    response = await client.post("/standin/faults", json=switches)
+    response.raise_for_status()
 
 
 async def _kill(fleet, vm, after_s):
