--- a/bench/weights_fleet.py
+++ b/bench/weights_fleet.py
@@ -24,6 +24,9 @@
 
 SERVICE = "salahkar"
 VERSION = "v1"
+NO_ORIGIN_URL = "http://127.0.0.1:9"
+"""Address at which nothing listens; an agent beside an engine must name an origin."""
+
 ENGINES_PER_PROCESS = 24
 START_TIMEOUT_S = 120.0
 
@@ -201,9 +204,9 @@
 
 
 def _origin_of(fleet, vm):
-    """Return the origin's setting; in a chain only the first VM has one."""
+    """Return the origin's setting; in a chain only the first VM reaches one."""
     if fleet.cfg.layout == "chain" and vm != "vm0":
-        return ()
+        return ("--origin-url", NO_ORIGIN_URL)
     return ("--origin-url", fleet.origin_url)
 
 
