--- a/testing/test_swarm.py
+++ b/testing/test_swarm.py
@@ -195,6 +195,20 @@
     assert state.peers["vm1"].failures == 0
 
 
+def test_members_that_refused_a_manifest_hold_up_no_one():
+    """One VM had room for a second model; it asked all others for each chunk first."""
+    world = swarm_world.World(shape(n=12), random.Random(10))
+    digest, made = swarm_world.publish(world, 10)
+    nodes = [swarm_world.add_node(world, index) for index in range(12)]
+    members = [node.member for node in nodes]
+    for node in nodes[:-1]:
+        node.state.cache.limit_bytes = 1
+    for node in nodes:
+        swarm_world.assign(world, node, {digest: made}, members)
+    swarm_world.run(world, 60, lambda: digest in nodes[-1].completed)
+    assert digest in nodes[-1].completed
+
+
 def test_vms_that_no_roster_names_are_forgotten():
     """State about every VM that ever joined would grow for as long as a VM runs."""
     state = new_swarm()
@@ -208,6 +222,25 @@
     assert len(state.peers) <= 2
 
 
+def test_live_traffic_that_fills_the_link_is_not_taken_for_a_lack_of_progress():
+    state = new_swarm()
+    made, _ = manifests.build([("f", b"x" * 64)], 64)
+    digest = manifests.digest_of(manifests.encode(made))
+    swarm.step(state, st.RatesChanged(100.0, None, None), 0.0)
+    swarm.step(state, st.LiveTraffic(500, 500), 0.0)
+    swarm.step(state, st.Wanted({digest: (made, st.Policy.BYTES)}), 0.0)
+    roster = st.RosterChanged(digest, (member("vm0"), member("vm1")))
+    effects = swarm.step(state, roster, 0.0)
+    effects += swarm.step(state, st.Heard(member("vm1"), digest, 1), 0.0)
+    for tenth in range(1, 10 * int(2 * swarm.STUCK_S)):
+        effects += swarm.step(state, st.LiveTraffic(20, 20), tenth / 10)
+    assert not any(isinstance(effect, st.Request) for effect in effects)
+    end = 2 * swarm.STUCK_S + 2
+    assert any(
+        isinstance(effect, st.Request) for effect in swarm.step(state, st.Tick(), end)
+    )
+
+
 def test_a_request_that_arrives_twice_is_answered_once():
     """Copies of requests took the slots that a waiting VM needed."""
     state = new_swarm()
