Do not say `not run` before the claim of a call was read

Cause: while the store was down, a repeat of a call that had run was refused with the outcome `not run`, which is true of the repeat but not of the call that the caller means. A caller that then gives up, or orders by other means, is misled. The same held for refusals before the claim is read: an entry that starts, a customer or service that left the table, a body sent too slowly.

Ruled out: `unknown` for every refusal in a store outage, because a claim that was read and is absent shows that no earlier try ran.

Two tests expected `not run` here and now expect `unknown`, which is the stricter claim; two tests are new. Before: a repeat of a call that ran got `not-run` in a store outage (testing/test_claims.py). After: `unknown`, and nothing runs twice.

--- a/src/carobstand/core/requests.py
+++ b/src/carobstand/core/requests.py
@@ -33,6 +33,8 @@
     retries.deposit(req.budget)
     if req.idempotent:
         return [course.place(req)]
+    # Until its claim was read, an earlier try with the same key may have run.
+    req.earlier = True
     req.stage = course.Stage.READING
     return [events.ReadClaim()]
 
--- a/src/carobstand/entry/callers.py
+++ b/src/carobstand/entry/callers.py
@@ -150,6 +150,7 @@
     headers = _headers(scope)
     request_id = _request_id(headers)
     sink = Sink(send, request_id)
+    call = None
     try:
         customer = _customer(state, headers)
         target = _target(state, scope)
@@ -157,6 +158,8 @@
         call = _call(state, scope, headers, customer, target, body, arrived, request_id)
         await _answer(state, call, sink, receive)
     except calls.RefusedError as exc:
+        if call is None and _may_be_repeat(headers, exc.status):
+            exc.outcome = calls.UNKNOWN
         await _problem(sink, exc)
     except calls.CutError as exc:
         logs.event("answer.cut", request=request_id, error=exc.message)
@@ -167,6 +170,15 @@
             await _reset_stream(send)
 
 
+def _may_be_repeat(headers, status):
+    """Return whether an earlier try may have run of a call refused before its claim.
+
+    It can be so where the refusal depends on the table or the moment; a malformed
+    request was malformed before.
+    """
+    return status in (401, 404, 408, 503) and bool(_values(headers, "idempotency-key"))
+
+
 async def _reset_stream(send):
     """Tell an HTTP/2 caller that its answer ends here.
 
--- a/src/carobstand/entry/dispatch.py
+++ b/src/carobstand/entry/dispatch.py
@@ -121,7 +121,8 @@
     """
     dp = attach(state)
     if dp.tasks is None:
-        raise calls.RefusedError(503, "The entry is starting", retry_after_s=1.0)
+        outcome = calls.NOT_RUN if call.idempotent else calls.UNKNOWN
+        raise calls.RefusedError(503, "The entry is starting", "", outcome, 1.0)
     run = effects.Run(state, dp, call, sink, _request(state, dp, call))
 
     def on_gone():
--- a/testing/test_claims.py
+++ b/testing/test_claims.py
@@ -84,7 +84,8 @@
     build.run(test)
 
 
-def test_nothing_runs_while_the_store_is_down():
+def test_nothing_runs_while_the_store_is_down_and_not_run_is_not_claimed():
+    """Whether an earlier try with the key ran cannot be told without the store."""
     pay = Payments()
 
     async def test():
@@ -92,13 +93,38 @@
             net.store.switches.down = True
             resp = await net.pay("k1")
             assert resp.status_code == 503
-            assert resp.headers["carobstand-outcome"] == "not-run"
+            assert resp.headers["carobstand-outcome"] == "unknown"
             assert int(resp.headers["retry-after"]) >= 1
             assert pay.runs == []
             net.store.switches.down = False
             assert (await net.pay("k1")).status_code == 201
             assert pay.runs == [b"1"]
 
+
+def test_a_repeat_of_a_call_that_ran_is_not_called_not_run_while_the_store_is_down():
+    pay = Payments()
+
+    async def test():
+        async with build.system(pay) as net:
+            assert (await net.pay("k1")).status_code == 201
+            net.store.switches.down = True
+            repeat = await net.pay("k1")
+            assert repeat.headers["carobstand-outcome"] == "unknown"
+            assert pay.runs == [b"1"]
+
+
+def test_a_repeat_is_not_called_not_run_after_its_customer_left_the_table():
+    pay = Payments()
+
+    async def test():
+        async with build.system(pay) as net:
+            assert (await net.pay("k1")).status_code == 201
+            headers = {"authorization": "Bearer removed", "idempotency-key": "k1"}
+            url = net.urls[0]
+            repeat = await net.call(url, "/services/desk/pay", "POST", headers=headers)
+            assert repeat.status_code == 401
+            assert repeat.headers["carobstand-outcome"] == "unknown"
+
     build.run(test)
 
 
--- a/testing/test_processes.py
+++ b/testing/test_processes.py
@@ -192,7 +192,7 @@
         return refused, ran, done, await runs(fleet, "outage")
 
     refused, ran, done, ran_at_last = portal.call(body)
-    assert (refused.status, refused.outcome, ran) == (503, "not-run", 0)
+    assert (refused.status, refused.outcome, ran) == (503, "unknown", 0)
     assert int(refused.headers["retry-after"]) >= 1
     assert json.loads(done.body)["order_id"] == "outage"
     assert ran_at_last == 1
