--- a/testing/test_processes.py
+++ b/testing/test_processes.py
@@ -39,6 +39,7 @@
         versions=("v1", "v2"),
         flags=("--work-s", "0.3"),
         domains=fleets.DOMAINS[:1],
+        entry_flags=("--leave-delay-s", "0.5"),
     )
     with portal.wrap_async_context_manager(manager) as opened:
         yield opened
