Let started answers continue on replicas whose version lingers

Cause: an agent keeps a replaced version in service for 10 s so that started streams can move to it, but the entry masked the served versions by the plan, so that no replica was found for them.

--- a/src/carobstand/core/routing.py
+++ b/src/carobstand/core/routing.py
@@ -51,6 +51,9 @@
     vm : str
     versions : frozenset
         Versions in service and in the plan; ``{""}`` for a plain service.
+    lingering : frozenset
+        Versions in service that the plan no longer names; only answers that have
+        started may continue on them.
     weight : float
     limit : int
         Requests in flight over all entries.
@@ -83,6 +86,7 @@
     usable: bool = True
     failed: bool = False
     full_until: float = 0.0
+    lingering: frozenset = frozenset()
     hash: int = attrs.field(init=False)
 
     def __attrs_post_init__(self):
@@ -156,7 +160,14 @@
 
 
 def find_homes(
-    candidates, version, prefix, fingerprint, used=(), failed_on=(), recent=False
+    candidates,
+    version,
+    prefix,
+    fingerprint,
+    used=(),
+    failed_on=(),
+    recent=False,
+    started=False,
 ):
     """Return the homes of a request.
 
@@ -173,12 +184,19 @@
         one home is left.
     recent : bool
         Whether a failure became known a moment ago.
+    started : bool
+        Whether the rest of a started answer is wanted.
 
     Returns
     -------
     homes : Homes
     """
-    able = [c for c in candidates if version in c.versions and c.weight > 0]
+    able = [
+        c
+        for c in candidates
+        if (version in c.versions or started and version in c.lingering)
+        and c.weight > 0
+    ]
     if not able:
         return Homes(None, None)
     key = hash_of("prefix", version, prefix)
--- a/src/carobstand/entry/placing.py
+++ b/src/carobstand/entry/placing.py
@@ -106,7 +106,10 @@
     rows = tables.versions(state.table, service.name)
     weights = {row.name: row.weight for row in rows}
     served = frozenset(v for c in candidates for v in c.versions)
-    marks = [(c.vm, c.versions, c.weight, c.failed, c.usable) for c in candidates]
+    marks = [
+        (c.vm, c.versions, c.lingering, c.weight, c.failed, c.usable)
+        for c in candidates
+    ]
     signature = hash((tuple(marks), tuple(weights.items())))
     return View(pool.epoch, signature, candidates, weights, served)
 
@@ -120,12 +123,13 @@
         return None
     row = tables.backend(state.table, vm, service.name)
     weight = 1.0 if row is None else row.weight
-    versions = _versions(state, service, vm, beat)
+    versions, lingering = _versions(state, service, vm, beat)
     candidate = pool.seen.get((service.name, vm))
     if candidate is None:
         candidate = routing.Candidate(vm, versions)
         pool.seen[(service.name, vm)] = candidate
     candidate.versions = versions
+    candidate.lingering = lingering
     candidate.weight = weight
     candidate.limit = service.max_in_flight or routing.DEFAULT_LIMIT
     candidate.quota = max(1, int(candidate.limit * pool.share + 0.5))
@@ -153,8 +157,9 @@
 
 
 def _versions(state, service, vm, beat):
+    """Return the versions for new requests, and others that are still in service."""
     if service.type == "plain":
-        return frozenset(("",))
+        return frozenset(("",)), frozenset()
     serving = frozenset(
         replica.version
         for replica in beat.replicas or ()
@@ -163,9 +168,9 @@
     )
     plan = state.plans.get(service.name)
     assignment = plan.assignments.get(vm) if plan is not None else None
-    if assignment is None:
-        return serving
-    return (serving & frozenset(assignment.serve)) or serving
+    planned = serving if assignment is None else serving & frozenset(assignment.serve)
+    planned = planned or serving
+    return planned, serving - planned
 
 
 @attrs.frozen
@@ -210,15 +215,23 @@
 
 def _route(found, call, version, used, failed_on, recent):
     """Return the version that a call goes to, or None, and its homes."""
-    wanted = ""
-    if call.service.type != "plain":
+    started = bool(version)
+    wanted = version
+    if call.service.type != "plain" and not started:
         wanted = routing.choose_version(
-            found.weights, found.served, version or call.version, call.fingerprint
+            found.weights, found.served, call.version, call.fingerprint
         )
     if wanted is None:
         return None, None
     homes = routing.find_homes(
-        found.candidates, wanted, call.prefix, call.fingerprint, used, failed_on, recent
+        found.candidates,
+        wanted,
+        call.prefix,
+        call.fingerprint,
+        used,
+        failed_on,
+        recent,
+        started,
     )
     return wanted, homes
 
