Do not let the retry budget cut started answers

When a request then crashed the engine of the second attempts, the streams were cut at once with two of four attempts used, although other replicas served their version. Ruled out: the deadline (18 s were left), missing replicas (two served the versions), the bound on attempts.

The new test fails without the change. The budget still bounds retries of answers that have not started, and started ones take from it.

--- a/src/carobstand/core/requests.py
+++ b/src/carobstand/core/requests.py
@@ -233,7 +233,13 @@
 
 
 def _may_retry(req):
-    return req.may_retry and retries.withdraw(req.budget)
+    """Whether another attempt may be made.
+
+    The rest of a started answer takes from the budget but is not refused by it: when
+    an entry loses many connections at once, the budget would cut most of its answers.
+    Each such attempt takes the place of a lost one, and `MAX_ATTEMPTS` bounds them.
+    """
+    return req.may_retry and (retries.withdraw(req.budget) or req.started)
 
 
 def _on_not_sent(req, event):
--- a/testing/test_request_core.py
+++ b/testing/test_request_core.py
@@ -374,3 +374,22 @@
     attempts.start_answer(attempt, 200, ())
     with pytest.raises(errors.InvariantError):
         attempts.finish(attempt, attempts.Outcome.NOT_RUN)
+
+
+def lose_first_attempt(req, started):
+    """Return the effects of the loss of a request's only attempt."""
+    requests.begin(req)
+    requests.step(req, events.Placed(1, "vm-1", "a", "v1"))
+    if started:
+        head = (200, (), True)
+        requests.step(req, events.Data(1, b"data: 1", head))
+    lost = events.Ended(1, attempts.Outcome.UNKNOWN, "backend server failed")
+    return requests.step(req, lost)
+
+
+@pytest.mark.parametrize("started", [True, False])
+def test_an_empty_retry_budget_does_not_cut_a_started_answer(started):
+    req = course.Request(True, "d", "e1", True, retries.Budget(tokens=-1.0))
+    effects = lose_first_attempt(req, started)
+    assert any(isinstance(item, events.Place) for item in effects) == started
+    assert any(isinstance(item, events.Refuse) for item in effects) != started
