Let the last home of a request be asked again; count lost versions fairly

The last home may now have had an attempt; the bound of two failed servers is unchanged. The new test fails before the change.

--- a/src/carobstand/core/routing.py
+++ b/src/carobstand/core/routing.py
@@ -211,7 +211,7 @@
             # The homes were others a moment ago, for example because a version
             # changed; copies may be running there.
             return Homes(None, None)
-        return _last_home(able, first, second, own, used, failed_on)
+        return _last_home(able, first, second, own, failed_on)
     open_homes = [c for c in pair if _is_open(c, used)]
     if open_homes:
         return Homes(open_homes[0], open_homes[-1])
@@ -227,15 +227,16 @@
     return candidate.usable and not candidate.failed and candidate.vm not in used
 
 
-def _last_home(able, first, second, own, used, failed_on):
+def _last_home(able, first, second, own, failed_on):
     """Return the one backend server that may still run a request that made one fail.
 
     It depends on nothing that entries see differently, such as which servers are up:
-    two entries that chose by that would each cost another server.
+    two entries that chose by that would each cost another server. It may have had an
+    attempt of the request that ended without its failure, since there is no other.
     """
     order = [second, first, *sorted(able, key=lambda c: _rank(c, own))]
     left = [c for c in order if c.vm not in failed_on] or order
-    if not _is_open(left[0], used):
+    if not _is_open(left[0], ()):
         return Homes(None, None)
     return Homes(left[0], left[0], doubtful=True)
 
--- a/src/carobstand/standin/engine.py
+++ b/src/carobstand/standin/engine.py
@@ -70,7 +70,10 @@
         Replaced as a whole by each activation.
     violations : Counter
         Events that break an invariant of carobstand: ``partial_weights``,
-        ``mixed_versions``, ``not_loaded``.
+        ``mixed_versions``, ``not_loaded``. A version that is not loaded because the
+        engine restarted after its last report does not count: nobody could know.
+    reported : bool
+        Whether the engine said what it runs since its last start.
     stale_commands : int
         Commands that carried an old fencing token, whether refused or not.
     """
@@ -93,6 +96,7 @@
     cache: object = None
     load_history: collections.deque = attrs.field(factory=collections.deque)
     violations: collections.Counter = attrs.field(factory=collections.Counter)
+    reported: bool = True
     requests: collections.Counter = attrs.field(factory=collections.Counter)
     served: collections.Counter = attrs.field(factory=collections.Counter)
     stale_commands: int = 0
@@ -128,6 +132,7 @@
 
     def on_crash():
         engine.crashes += 1
+        engine.reported = False
         _start(engine)
 
     host = web.Site("engine", handle, lambda: stats(engine), on_crash=on_crash)
@@ -167,6 +172,7 @@
         found = generation.events_after(engine.cache, after, anyio.current_time())
         return web.json_response({"next": found[0], "prefixes": found[1]})
     if call == ("GET", "/admin/state"):
+        engine.reported = True
         return web.json_response(
             {
                 "serving": {name: r.manifest for name, r in engine.serving.items()},
@@ -291,6 +297,8 @@
 async def _activate(engine, order):
     versions = [str(version) for version in order["versions"]]
     missing = [version for version in versions if version not in engine.loaded]
+    if missing and not engine.reported:
+        raise _Refused(422, f"version {missing[0]!r} is not loaded since a restart")
     if missing:
         _violation(engine, "not_loaded", f"version {missing[0]!r} is not loaded")
     engine.serving = {version: engine.loaded[version] for version in versions}
--- a/testing/test_rollout_routing.py
+++ b/testing/test_rollout_routing.py
@@ -36,3 +36,12 @@
 def test_a_new_request_never_goes_to_a_version_that_only_lingers():
     lingers = routing.Candidate("a", frozenset({"v2"}), lingering=frozenset({"v1"}))
     assert routing.find_homes([lingers], "v1", "p", "f").by_prefix is None
+
+
+def test_the_last_home_of_a_request_is_asked_again_after_an_attempt_that_stalled():
+    """Without it a started answer waits for its deadline and is cut."""
+    found = [routing.Candidate(name, frozenset({"v1"})) for name in ("a", "b", "c")]
+    before = routing.find_homes(found, "v1", "p", "f", failed_on={"a"})
+    used = {"a", before.by_prefix.vm}
+    after = routing.find_homes(found, "v1", "p", "f", used=used, failed_on={"a"})
+    assert after.by_prefix is before.by_prefix
--- a/testing/test_standin_engine.py
+++ b/testing/test_standin_engine.py
@@ -44,6 +44,17 @@
     return digest, content, handle
 
 
+async def until_up(client):
+    """Return once the engine answers again after a crash."""
+    for _ in range(100):
+        try:
+            await client.load()
+            return
+        except errors.BackendError:
+            await anyio.sleep(0.05)
+    raise AssertionError("the engine did not come back")
+
+
 async def complete(url, prompt="hello", tokens=5, version="v1", **options):
     """Return the response to one streamed completion."""
     headers = options.pop("headers", {})
@@ -209,6 +220,28 @@
     assert generation.events_after(cache, last, 9.0) == (last, [])
 
 
+def test_a_version_lost_by_a_restart_counts_only_after_the_engine_said_what_it_runs():
+    """Guards against a violation charged to an agent that could not know better."""
+
+    async def main():
+        state = engine.EngineState()
+        engine.preload(state, "v1", "m1")
+        async with serving_engine(state) as (host, client, _source):
+            faults.update(host.switches, {"crash_s": 0.05})
+            web.crash(host)
+            await anyio.sleep(0.1)
+            await until_up(client)
+            with pytest.raises(errors.BackendError, match="422"):
+                await client.activate(["v1"], 1)
+            assert state.violations == {}
+            await client.state()
+            with pytest.raises(errors.BackendError):
+                await client.activate(["v1"], 1)
+            assert state.violations == {"not_loaded": 1}
+
+    run(main)
+
+
 def test_a_marked_prompt_crashes_the_engine_which_comes_back_empty():
     async def main():
         state = engine.EngineState(token_s=0.05)
