--- a/bench/soak_checks.py
+++ b/bench/soak_checks.py
@@ -39,6 +39,9 @@
 SUSPECT = "backend servers failed while they ran this request"
 """Reason of the entry for the end of a request that became a suspect."""
 
+CALM_TRIES = 3
+"""Tries of a change without faults; an operator's last edit may conflict with one."""
+
 POISON_FAILURES = 2
 """Failures of backend servers after which a request is refused everywhere."""
 
@@ -233,7 +236,9 @@
 
 
 async def _edit_and_wait(soak, client):
-    revision = await _edit(soak, client, "final")
+    revision = None
+    for _ in range(CALM_TRIES):
+        revision = revision or await _edit(soak, client, "final")
     if revision is None:
         callers.find(soak.tally, "changes_lost", "no change was accepted in calm")
         return
