--- a/src/carobstand/settings.py
+++ b/src/carobstand/settings.py
@@ -6,18 +6,11 @@
 whose default is empty is the same as not setting it.
 """
 
-import contextlib
-import inspect
-import io
 import sys
 
 import attrs
-import defopt
 
-from carobstand import errors, setting_types
-
-PREFIX = "CAROBSTAND_"
-"""Start of the names of environment variables that are settings."""
+from carobstand import errors, setting_flags, setting_types
 
 MIB = 1024 * 1024
 """Bytes in a mebibyte."""
@@ -323,15 +316,16 @@
         If a setting is unknown, missing or not allowed.
     """
     texts = _from_environ(cls, environ)
-    texts.update(_from_argv(cls, list(argv)))
+    texts.update(setting_flags.from_argv(cls, list(argv)))
     values = {}
     for field in attrs.fields(cls):
         if field.name in texts:
             values[field.name] = _value(field, texts[field.name])
         elif field.default is attrs.NOTHING:
+            flag = setting_flags.flag(field)
+            variable = setting_flags.variable(field)
             raise errors.SettingsError(
-                f"{_flag(field)} is missing: set it or {_variable(field)}",
-                step="settings",
+                f"{flag} is missing: set it or {variable}", step="settings"
             )
     cfg = cls(**values)
     _check_together(cfg)
@@ -358,7 +352,8 @@
         return field.metadata["parse"](text)
     except ValueError as exc:
         raise errors.SettingsError(
-            f"{_flag(field)}: {text!r} is not allowed, expected {exc}", step="settings"
+            f"{setting_flags.flag(field)}: {text!r} is not allowed, expected {exc}",
+            step="settings",
         ) from exc
 
 
@@ -394,20 +389,10 @@
     return cfg.address or cfg.listen
 
 
-def _flag(field):
-    if field.metadata.get("positional"):
-        return f"<{field.name}>"
-    return "--" + field.name.replace("_", "-")
-
-
-def _variable(field):
-    return PREFIX + field.name.upper()
-
-
 def variables(cls):
     """Return the environment variable of each setting, as a dict to its field."""
     return {
-        _variable(field): field
+        setting_flags.variable(field): field
         for field in attrs.fields(cls)
         if not field.metadata.get("positional")
     }
@@ -416,7 +401,7 @@
 def _from_environ(cls, environ):
     known = {name for program in PROGRAMS for name in variables(program)}
     for name in sorted(environ):
-        if name.startswith(PREFIX) and name not in known:
+        if name.startswith(setting_flags.PREFIX) and name not in known:
             raise errors.SettingsError(
                 f"{name}={environ[name]!r}: no setting has this name", step="settings"
             )
@@ -425,114 +410,3 @@
         for name, field in variables(cls).items()
         if name in environ
     }
-
-
-def _from_argv(cls, argv):
-    """Return the texts of the settings given as arguments."""
-    given = io.StringIO()
-    try:
-        with contextlib.redirect_stderr(given):
-            call = defopt.bind(
-                _command(cls),
-                argv=_options_first(cls, argv),
-                cli_options="has_default",
-                short={},
-                show_defaults=False,
-                show_types=False,
-                no_negated_flags=True,
-            )
-    except SystemExit as exc:
-        if not exc.code:
-            raise
-        message = given.getvalue().strip().splitlines()[-1].partition("error: ")[2]
-        raise errors.SettingsError(message, step="settings") from exc
-    return call()
-
-
-def _options_first(cls, argv):
-    """Move positional arguments behind options; argparse needs them in one group."""
-    switches = {
-        _flag(f)
-        for f in attrs.fields(cls)
-        if f.metadata["parse"] is setting_types.switch
-    }
-    options, positional = [], []
-    rest = iter(argv)
-    for arg in rest:
-        if arg == "--":
-            positional.extend(rest)
-        elif not arg.startswith("-") or arg == "-":
-            positional.append(arg)
-        else:
-            options.append(arg)
-            if arg not in switches and arg.startswith("--") and "=" not in arg:
-                options.extend([v for v in [next(rest, None)] if v is not None])
-    return [*options, "--", *positional] if positional else options
-
-
-def _command(cls):
-    """Return a function with one parameter per setting, from which defopt parses."""
-
-    def command(*args, **kwargs):
-        texts = {
-            name: "1" if text is True else text
-            for name, text in kwargs.items()
-            if text not in (None, False)
-        }
-        for field in attrs.fields(cls):
-            if field.metadata.get("positional") and args:
-                texts[field.name] = tuple(args)
-        return texts
-
-    docs = _attribute_docs(cls)
-    parameters, lines = [], [inspect.getdoc(cls).partition("\n")[0], ""]
-    for field in sorted(
-        attrs.fields(cls), key=lambda field: not field.metadata.get("positional")
-    ):
-        switch = field.metadata["parse"] is setting_types.switch
-        positional = field.metadata.get("positional")
-        parameters.append(
-            inspect.Parameter(
-                field.name,
-                inspect.Parameter.VAR_POSITIONAL
-                if positional
-                else inspect.Parameter.KEYWORD_ONLY,
-                default=inspect.Parameter.empty
-                if positional
-                else (False if switch else None),
-                annotation=bool if switch else str,
-            )
-        )
-        lines.append(f":param {field.name}: {docs[field.name]}{_hint(field)}")
-    command.__doc__ = "\n".join(lines)
-    command.__signature__ = inspect.Signature(parameters)
-    command.__annotations__ = {p.name: p.annotation for p in parameters}
-    return command
-
-
-def _hint(field):
-    """Return the part of the help text that follows from the field itself."""
-    if field.metadata.get("positional"):
-        return ""
-    if field.default is attrs.NOTHING:
-        return f" (required; {_variable(field)})"
-    default = field.default
-    if default in ("", (), False):
-        return f" ({_variable(field)})"
-    return f" (default {default}; {_variable(field)})"
-
-
-def _attribute_docs(cls):
-    """Return the description of each attribute in the docstrings of `cls`."""
-    docs = {}
-    sections = [
-        inspect.cleandoc(base.__doc__).partition("Attributes\n----------\n")[2]
-        for base in reversed(cls.__mro__[:-1])
-    ]
-    for line in "\n".join(sections).splitlines():
-        if line and not line.startswith(" "):
-            name = line
-            docs[name] = ""
-        elif line:
-            docs[name] = f"{docs[name]} {line.strip()}".strip()
-    return docs
