--- a/src/carobstand/core/membership.py
+++ b/src/carobstand/core/membership.py
@@ -1,7 +1,5 @@
 """Members of the fleet, from the VM list, heartbeats and goodbyes."""
 
-import hashlib
-
 import attrs
 
 SILENT_S = 7.0
@@ -278,8 +276,3 @@
     """Return the members with a backend server of `service`, sorted by VM name."""
     found = [m for m in state.members.values() if service in m.services]
     return tuple(sorted(found, key=lambda member: member.vm))
-
-
-def rank(key, name):
-    """Return the rendezvous hash of `name` for `key`."""
-    return hashlib.sha256(f"{key}\0{name}".encode()).digest()
--- a/src/carobstand/core/planner.py
+++ b/src/carobstand/core/planner.py
@@ -6,7 +6,7 @@
 import attrs
 
 from carobstand import errors
-from carobstand.core import membership, table
+from carobstand.core import membership, ranks, table
 
 FORMAT = 1
 """Format number of a plan's JSON; a plan with another one is refused as a whole."""
@@ -188,7 +188,7 @@
             member.replicas.get((version.service, version.name)) == "REFUSED",
             bool(base_vms) and member.vm not in base_vms,
             taken[member.vm],
-            membership.rank(f"{version.service}:{version.name}", member.vm),
+            ranks.score(f"{version.service}:{version.name}", member.vm),
         )
 
     def holds(member):
@@ -289,7 +289,7 @@
 
     def order(member):
         key = f"{service}:{previous.revision}"
-        return (member.vm not in out, membership.rank(key, member.vm))
+        return (member.vm not in out, ranks.score(key, member.vm))
 
     for member in sorted(candidates, key=order):
         target = targets[member.vm]
--- a/src/carobstand/core/ranks.py
+++ b/src/carobstand/core/ranks.py
@@ -1,4 +1,4 @@
-"""Rendezvous hashing: the order in which VMs are responsible for a chunk."""
+"""Rendezvous hashing: orders of names that every process computes alike."""
 
 import hashlib
 
@@ -13,6 +13,11 @@
     return int.from_bytes(hashlib.sha256(text.encode()).digest()[:8], "big")
 
 
+def score(key, name):
+    """Return the bytes by which `name` is ranked for `key`; the lowest is first."""
+    return hashlib.sha256(f"{key}\0{name}".encode()).digest()
+
+
 def mix(first, second):
     """Return 64 bits that depend on both hashes; cheaper than a SHA-256 of a pair."""
     value = (first ^ second) * _MULTIPLIER & _MASK
--- a/src/carobstand/core/topology.py
+++ b/src/carobstand/core/topology.py
@@ -1,6 +1,6 @@
 """Which processes hold connections to each other, by rendezvous hashing."""
 
-import hashlib
+from carobstand.core import ranks
 
 FULL_MESH_ENTRIES = 8
 """Entries up to which every agent connects to every entry."""
@@ -27,11 +27,7 @@
     -------
     ranked : list of str
     """
-    return sorted(names, key=lambda name: (_score(key, name), name))
-
-
-def _score(key, name):
-    return hashlib.blake2b(f"{key}\0{name}".encode(), digest_size=8).digest()
+    return sorted(names, key=lambda name: (ranks.score(key, name), name))
 
 
 def entries_of_agent(agent, entries):
--- a/src/carobstand/platform/engine.py
+++ b/src/carobstand/platform/engine.py
@@ -1,4 +1,4 @@
-"""Orders and reports of the backend server beside an agent."""
+"""Commands and reports of the backend server beside an agent."""
 
 import attrs
 
@@ -11,7 +11,7 @@
     """What a backend server runs.
 
     `serving` maps each served version to its manifest digest; `fence` is the highest
-    fencing number that it has seen, 0 if it ignores them.
+    fencing token that it has seen, 0 if it ignores them.
     """
 
     serving: dict
@@ -38,7 +38,7 @@
     the weights from `source` (a URL of the agent) beside what is served; ``activate(
     versions, fence)`` serves exactly `versions`, all loaded, from one moment on;
     ``unload(version, fence)``; ``load() -> LoadReport``; ``cache_events(after) ->
-    (next, tuple of prefix hashes)``; ``close()``. An order with an old fencing number
+    (next, tuple of prefix hashes)``; ``close()``. A command with an old fencing token
     raises ConflictError where the engine checks it; all else raises BackendError.
     """
 
@@ -77,7 +77,7 @@
         )
         if resp.status_code == 409:
             raise errors.ConflictError(
-                "order with an old fencing number", step=f"engine.{step}", peer=url
+                "command with an old fencing token", step=f"engine.{step}", peer=url
             )
         try:
             return resp.json()
