Start the processes of the process tests in sessions of their own

Ruled out: the planner itself, which logged no error and whose handler of SIGTERM does not exit with -1.

A program of five lines that stops a child and outlives its shell shows the same: the child ended with -1 without a session of its own and was alive with one. The check is unchanged.

--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -220,6 +220,9 @@
             cwd=fleet.folder,
             stderr=stderr,
             stdin=subprocess.DEVNULL,
+            # A process group that loses its last parent outside gets SIGHUP if one of
+            # its processes is stopped, as a bench stops them with SIGSTOP.
+            start_new_session=True,
             **options,
         )
 
