--- /dev/null
+++ b/src/carobstand/agent/platform_main.py
@@ -0,0 +1,53 @@
+"""carobstand-agent on the users' platform: keeps its engine on the named weights."""
+
+import os
+import signal
+import sys
+
+import anyio
+
+from carobstand import errors, eventlog, http1, loops
+from carobstand.agent import engine_keeper
+from carobstand.platform import boot, kv
+
+EXIT_SETTINGS = 2
+"""Exit status for wrong settings."""
+
+
+async def serve(dep):
+    """Run one agent until SIGTERM.
+
+    Parameters
+    ----------
+    dep : core.deployment.Deployment
+    """
+    keeper = engine_keeper.Keeper(
+        dep, kv.connect(dep.store_address), http1.Caller(dep.backend_address)
+    )
+    async with anyio.create_task_group() as tg:
+        tg.start_soon(engine_keeper.observe, keeper)
+        tg.start_soon(engine_keeper.keep, keeper)
+        eventlog.event("process.started", backend=dep.backend_address)
+        with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGHUP) as received:
+            async for signum in received:
+                eventlog.event("process.signal", signal=signum.name)
+                if signum == signal.SIGTERM:
+                    break
+        tg.cancel_scope.cancel()
+
+
+def main():
+    """Run the program with the settings file that the platform names."""
+    try:
+        dep = boot.load(os.environ.get(boot.PATH_VARIABLE, ""))
+        if not dep.backend_address:
+            raise errors.SettingsError("app is not set", step="agent.main")
+    except errors.SettingsError as exc:
+        print(f"error: {exc.message}", file=sys.stderr)
+        sys.exit(EXIT_SETTINGS)
+    eventlog.configure(vm=dep.vm, role="agent")
+    loops.run(serve, dep)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/src/carobstand/entry/fleet.py
@@ -0,0 +1,226 @@
+"""What an entry knows of its deployment: configuration, servers, named versions."""
+
+import anyio
+import attrs
+
+from carobstand import errors, eventlog, signals
+from carobstand.core import registry, routes
+from carobstand.platform import kv, records
+
+WATCH_WAIT_S = 2.0
+"""Longest wait of a watch. Its end proves that nothing had changed until then, and a
+connection that was silenced is noticed after it."""
+
+RETRY_MIN_S = 0.1
+RETRY_MAX_S = 1.0
+"""Pauses between reads of a store that does not answer; they grow twofold."""
+
+WATCH_GAP_S = 1.0
+"""A watch may hear nothing for this long while changes are made, if the store drops
+its history."""
+
+KEY_SLACK_S = 0.5
+"""Time between the check of a key and the start of its request at a server."""
+
+
+@attrs.frozen
+class Named:
+    """Weights named by the operators; `seen_at` is when this process heard of them."""
+
+    version: int
+    seen_at: float
+
+
+@attrs.define(eq=False)
+class Fleet:
+    """State that the loops of an entry share.
+
+    Attributes
+    ----------
+    deployment : core.deployment.Deployment
+    store : platform.kv.Store
+    configuration : core.routes.Configuration or None
+    servers : core.registry.Registry
+    named : dict of str to Named
+        By model.
+    entries : dict of str to str
+        Address of each entry's port for other processes, by VM.
+    proven_at : float or None
+        Time until which no change of the store can have been missed.
+    troubled_at : float
+        Time of the last failed call of the store.
+    revision : int
+        Store revision up to which changes are known.
+    changed : signals.Signal
+        Notified at each change of the above.
+    """
+
+    deployment: object
+    store: object
+    configuration: object = None
+    servers: registry.Registry = attrs.field(factory=registry.Registry)
+    named: dict = attrs.field(factory=dict)
+    entries: dict = attrs.field(factory=dict)
+    proven_at: float | None = None
+    troubled_at: float = -1e9
+    revision: int = 0
+    changed: signals.Signal = attrs.field(factory=signals.Signal)
+
+
+ENTRY_PREFIX = "carobstand/entries/"
+"""Keys under which entries say where other processes reach them."""
+
+
+async def observe(fleet):
+    """Keep `fleet` in line with the store until cancelled."""
+    pause_s = RETRY_MIN_S
+    complete = False
+    while True:
+        try:
+            if not complete:
+                await read_all(fleet)
+                complete = True
+            await _follow(fleet)
+            pause_s = RETRY_MIN_S
+        except errors.HistoryLostError as exc:
+            eventlog.event("store.history_lost", error=str(exc))
+            complete = False
+            fleet.troubled_at = anyio.current_time()
+        except errors.StoreError as exc:
+            eventlog.event("store.failed", error=str(exc), revision=fleet.revision)
+            fleet.troubled_at = anyio.current_time()
+            await anyio.sleep(pause_s)
+            pause_s = min(RETRY_MAX_S, pause_s * 2)
+
+
+async def read_all(fleet):
+    """Read everything that an entry follows."""
+    sent_at = anyio.current_time()
+    found = [
+        await kv.list_prefix(fleet.store, prefix)
+        for prefix in (records.OPERATOR_PREFIX, records.SERVER_PREFIX, ENTRY_PREFIX)
+    ]
+    for item in (*found[0].items, *found[2].items):
+        apply_item(fleet, item)
+    _replace_servers(fleet, found[1].items)
+    fleet.revision = found[0].revision
+    fleet.proven_at = sent_at
+    fleet.changed.notify()
+    eventlog.event(
+        "store.read",
+        revision=fleet.revision,
+        servers=len(fleet.servers.servers),
+        configuration=fleet.configuration and fleet.configuration.version,
+    )
+
+
+async def _follow(fleet):
+    """Wait for one set of changes and apply it."""
+    sent_at = anyio.current_time()
+    changes = await kv.watch(fleet.store, "", fleet.revision, WATCH_WAIT_S)
+    for item in changes.items:
+        apply_item(fleet, item)
+    fleet.revision = max(fleet.revision, changes.revision)
+    # A watch that ends without changes waited for all of its time.
+    waited_s = 0.0 if changes.items else WATCH_WAIT_S
+    fleet.proven_at = min(sent_at + waited_s, anyio.current_time())
+    _expire(fleet)
+    if changes.items:
+        fleet.changed.notify()
+
+
+def _expire(fleet):
+    for server_id in registry.expire(fleet.servers, anyio.current_time()):
+        eventlog.event("server.gone", server=server_id)
+
+
+def apply_item(fleet, item):
+    """Apply one item of the store, whatever wrote it."""
+    try:
+        if item.key == records.CONFIGURATION_KEY:
+            _apply_configuration(fleet, item)
+        elif item.key.startswith(records.VERSION_PREFIX):
+            _apply_version(fleet, item)
+        elif item.key.startswith(records.SERVER_PREFIX):
+            _apply_server(fleet, item)
+        elif item.key.startswith(ENTRY_PREFIX):
+            _apply_entry(fleet, item)
+    except errors.RecordError as exc:
+        eventlog.event("record.unreadable", key=item.key, error=exc.message)
+
+
+def _apply_configuration(fleet, item):
+    if item.value is None:
+        return
+    candidate = records.configuration(item.value)
+    if routes.newer(fleet.configuration, candidate):
+        fleet.configuration = candidate
+        eventlog.event(
+            "configuration.applied", version=candidate.version, revision=item.revision
+        )
+
+
+def _apply_version(fleet, item):
+    if item.value is None:
+        return
+    named = records.named_version(item.value)
+    known = fleet.named.get(named.model)
+    if known is None or named.version > known.version:
+        now = anyio.current_time()
+        fleet.named[named.model] = Named(named.version, now)
+        eventlog.event("version.named", model=named.model, version=named.version)
+
+
+def _apply_server(fleet, item):
+    server_id = item.key.removeprefix(records.SERVER_PREFIX)
+    now = anyio.current_time()
+    if item.value is None:
+        registry.remove(fleet.servers, server_id, now, _lapse_grace(fleet, now))
+        eventlog.event("server.removed", server=server_id)
+        return
+    try:
+        registration = records.server(item.key, item.value)
+    except errors.RecordError:
+        registry.remove(fleet.servers, server_id, now, 0.0)
+        raise
+    registry.put(fleet.servers, registration)
+    eventlog.event(
+        "server.listed",
+        server=server_id,
+        service=registration.service,
+        ready=registration.is_ready,
+        version=registration.holding and registration.holding.version,
+    )
+
+
+def _replace_servers(fleet, items):
+    listed = []
+    for item in items:
+        try:
+            listed.append(records.server(item.key, item.value))
+        except errors.RecordError as exc:
+            eventlog.event("record.unreadable", key=item.key, error=exc.message)
+    now = anyio.current_time()
+    registry.replace_all(fleet.servers, listed, now, _lapse_grace(fleet, now))
+
+
+def _lapse_grace(fleet, now):
+    """Return how long a server that is no longer listed is still used."""
+    return_s = fleet.deployment.bounds.store_return_s
+    return return_s if now - fleet.troubled_at < return_s else 0.0
+
+
+def _apply_entry(fleet, item):
+    vm = item.key.removeprefix(ENTRY_PREFIX)
+    if item.value is None:
+        fleet.entries.pop(vm, None)
+    else:
+        fleet.entries[vm] = item.value.decode("ascii", "replace")
+
+
+def are_keys_current(fleet, now):
+    """Whether a key that was taken away would be known to be so."""
+    if fleet.proven_at is None:
+        return False
+    age_s = now - fleet.proven_at + WATCH_GAP_S + KEY_SLACK_S
+    return age_s < fleet.deployment.bounds.revoke_s
--- /dev/null
+++ b/src/carobstand/entry/platform_main.py
@@ -0,0 +1,96 @@
+"""carobstand-entry on the users' platform: the process between callers and engines."""
+
+import os
+import signal
+import sys
+
+import anyio
+
+from carobstand import errors, eventlog, http1_server, loops
+from carobstand.core import deployment
+from carobstand.entry import backend_pool, fleet, forwarding, ingress, readiness
+from carobstand.platform import boot, kv
+
+EXIT_SETTINGS = 2
+"""Exit status for wrong settings."""
+
+NOTICE_S = 2.5
+"""Time after SIGTERM in which the platform still sends new connections here: it asks
+once a second and wants two answers."""
+
+STOP_MARGIN_S = 0.7
+"""A stopping process ends this long before it would be killed."""
+
+TIDY_INTERVAL_S = 2.0
+"""Interval in which idle connections are looked through."""
+
+
+async def serve(dep):
+    """Run one entry until SIGTERM and the end of its requests in progress.
+
+    Parameters
+    ----------
+    dep : core.deployment.Deployment
+    """
+    state = fleet.Fleet(dep, kv.connect(dep.store_address))
+    fwd = forwarding.Forwarder(state)
+    front = ingress.server(fwd)
+    leaving = anyio.Event()
+    ready = readiness.server(state, leaving.is_set)
+    async with anyio.create_task_group() as tg:
+        tg.start_soon(_watch_signals, leaving)
+        tg.start_soon(fleet.observe, state)
+        tg.start_soon(http1_server.listen, ready, dep.readiness_address)
+        tg.start_soon(http1_server.listen, front, dep.ingress_address)
+        tg.start_soon(_tidy, fwd)
+        eventlog.event("process.started", address=dep.ingress_address)
+        await leaving.wait()
+        await _leave(dep, front)
+        eventlog.event("process.stopped")
+        tg.cancel_scope.cancel()
+
+
+async def _watch_signals(leaving):
+    with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGHUP) as received:
+        async for signum in received:
+            eventlog.event("process.signal", signal=signum.name)
+            if signum == signal.SIGTERM:
+                leaving.set()
+
+
+async def _leave(dep, front):
+    """Finish requests in progress; new ones still come until the platform notices."""
+    with anyio.move_on_after(dep.bounds.stop_s - STOP_MARGIN_S):
+        await anyio.sleep(NOTICE_S)
+        http1_server.close_idle(front)
+        while front.open_requests:
+            await anyio.sleep(0.05)
+
+
+async def _tidy(fwd):
+    while True:
+        await anyio.sleep(TIDY_INTERVAL_S)
+        await backend_pool.close_idle(fwd.pool)
+
+
+def main():
+    """Run the program with the settings file that the platform names."""
+    try:
+        dep = boot.load(os.environ.get(boot.PATH_VARIABLE, ""))
+        _check(dep)
+    except errors.SettingsError as exc:
+        print(f"error: {exc.message}", file=sys.stderr)
+        sys.exit(EXIT_SETTINGS)
+    eventlog.configure(vm=dep.vm, role="entry")
+    loops.run(serve, dep)
+
+
+def _check(dep):
+    for name in ("ingress_address", "readiness_address"):
+        if not getattr(dep, name):
+            raise errors.SettingsError(f"{name} is not set", step="entry.main")
+        deployment.split_address(getattr(dep, name))
+
+
+if __name__ == "__main__":
+    main()
--- a/src/carobstand/errors.py
+++ b/src/carobstand/errors.py
@@ -40,6 +40,10 @@
     """A setting is missing, unknown or out of range."""
 
 
+class RecordError(CarobstandError):
+    """A record of the platform cannot be read."""
+
+
 class TableError(CarobstandError):
     """A table is malformed."""
 
@@ -56,6 +60,10 @@
     """The configuration store did not answer; a write may have taken effect."""
 
 
+class HistoryLostError(StoreError):
+    """The store no longer has the changes after the revision that was asked for."""
+
+
 class OriginError(CarobstandError):
     """The origin of weights gave no usable answer."""
 
@@ -68,6 +76,17 @@
     """A backend server closed its connection before its answer was complete."""
 
 
+class HttpError(CarobstandError):
+    """An HTTP exchange ended without a complete answer.
+
+    `sent` says whether any byte of the request may have reached the other side.
+    """
+
+    def __init__(self, message, *, step="", peer="", sent=True):
+        super().__init__(message, step=step, peer=peer)
+        self.sent = sent
+
+
 class WireError(CarobstandError):
     """A frame or message between processes is malformed or too large."""
 
--- /dev/null
+++ b/src/carobstand/platform/engines.py
@@ -0,0 +1,121 @@
+"""Calls of a model engine: its report, orders, and the weights staged beside it."""
+
+import json
+
+import attrs
+
+from carobstand import errors, http1
+from carobstand.core import engine_report
+from carobstand.platform import fields, records
+
+CALL_TIMEOUT_S = 2.0
+"""Longest wait for an answer of an engine on the same VM."""
+
+MAX_ANSWER_BYTES = 1_048_576
+"""Largest answer; a piece of weights has some ten kilobytes."""
+
+
+@attrs.frozen
+class Staged:
+    """Result of an order: accepted, already in effect, or not fitting the state."""
+
+    accepted: bool
+    status: int
+
+
+async def report(caller):
+    """Return the `EngineReport` of an engine; raise BackendError."""
+    resp = await _call(caller, "report", "GET", "/v1/report")
+    try:
+        return decode_report(fields.parse(resp.body, "report"))
+    except errors.RecordError as exc:
+        raise errors.BackendError(
+            exc.message, step="engine.report", peer=caller.address
+        ) from exc
+
+
+def decode_report(record):
+    """Return the `EngineReport` of a record; raise RecordError."""
+    return engine_report.EngineReport(
+        holding=records.holding(record),
+        is_busy=record.flag("busy"),
+        orders=record.whole("sequence", 0),
+        running=record.whole("running", 0),
+        waiting=record.whole("waiting", 0),
+        started_ms=record.whole("born", 0),
+        slowness=record.number("pace", 1.0),
+    )
+
+
+async def load_staged(caller, model, version, expected_orders):
+    """Order the engine to load what is staged, after the requests that it runs.
+
+    Returns
+    -------
+    status : int
+        202 begun, 200 already in effect, 409 does not fit the engine's state.
+    """
+    body = {
+        "operation": "start",
+        "model": model,
+        "version": version,
+        "strategy": "wait",
+        "expected": expected_orders,
+    }
+    raw = json.dumps(body).encode()
+    resp = await _call(
+        caller, "order", "POST", "/v1/order", raw, allowed=(200, 202, 409)
+    )
+    return resp.status
+
+
+async def stage(caller, model, number, data):
+    """Put one piece beside the engine."""
+    target = f"/v1/stage-put/{model}?number={number}"
+    await _call(caller, "stage", "PUT", target, data, allowed=(200, 201, 202, 204))
+
+
+async def staged_piece(caller, model, number):
+    """Return the bytes of a staged piece, or None if there is none."""
+    target = f"/v1/stage-get/{model}?number={number}"
+    resp = await _call(caller, "staged", "GET", target, allowed=(200, 404))
+    return resp.body if resp.status == 200 else None
+
+
+async def staged_numbers(caller, model):
+    """Return the numbers of the staged pieces."""
+    resp = await _call(
+        caller, "held", "GET", f"/v1/stage-get/{model}", allowed=(200, 404)
+    )
+    if resp.status == 404:
+        return frozenset()
+    try:
+        held = fields.parse(resp.body, "held").items("held")
+    except errors.RecordError as exc:
+        raise errors.BackendError(
+            exc.message, step="engine.held", peer=caller.address
+        ) from exc
+    return frozenset(number for number in held if type(number) is int)
+
+
+async def _call(caller, step, method, target, body=b"", allowed=(200,)):
+    try:
+        resp = await http1.call(
+            caller,
+            method,
+            target,
+            body=body,
+            timeout_s=CALL_TIMEOUT_S,
+            max_bytes=MAX_ANSWER_BYTES,
+        )
+    except errors.HttpError as exc:
+        raise errors.BackendError(
+            exc.message, step=f"engine.{step}", peer=caller.address
+        ) from exc
+    if resp.status not in allowed:
+        raise errors.BackendError(
+            f"status {resp.status}: {resp.body[:80]!r}",
+            step=f"engine.{step}",
+            peer=caller.address,
+        )
+    return resp
--- /dev/null
+++ b/src/carobstand/platform/kv.py
@@ -0,0 +1,209 @@
+"""Client of the platform's metadata store."""
+
+import base64
+import binascii
+import json
+import urllib.parse
+
+import attrs
+
+from carobstand import errors, http1
+from carobstand.platform import fields
+
+ABSENT = 0
+"""Expected revision of a key that must not exist."""
+
+MAX_ANSWER_BYTES = 16 * 1024 * 1024
+"""Largest answer; a page of a range has about 1 MB, a watch may bring many changes."""
+
+CALL_TIMEOUT_S = 1.5
+"""Longest wait for an answer; a healthy store takes milliseconds, a slow one 0.3 s."""
+
+WATCH_SLACK_S = 1.2
+"""Time beyond its wait after which a watch counts as lost."""
+
+
+@attrs.frozen
+class Item:
+    """A key's value; None for a key that a watch reports as deleted.
+
+    `revision` is that of the key's last change, `lease` 0 without one.
+    """
+
+    key: str
+    value: bytes | None
+    revision: int
+    lease: int = 0
+
+
+@attrs.frozen
+class Changes:
+    """Items of a read, in order of their revisions, and the store's revision."""
+
+    revision: int
+    items: tuple
+
+
+@attrs.define(eq=False)
+class Store:
+    """Connection to the store; `calls` counts calls by kind."""
+
+    caller: http1.Caller
+    calls: dict = attrs.field(factory=dict)
+
+
+def connect(address):
+    """Return a `Store` at ``host:port``; nothing is sent yet."""
+    return Store(http1.Caller(address))
+
+
+async def get(store, key):
+    """Return the `Item` of a key, or None."""
+    target = "/v1/kv-key?" + urllib.parse.urlencode({"key": key})
+    resp = await _call(store, "get", "GET", target, allowed=(200, 404))
+    return None if resp.status == 404 else _item(_record(resp, "store.get"))
+
+
+async def list_prefix(store, prefix):
+    """Return the `Changes` with all items below `prefix`.
+
+    Pages are not a snapshot: the revision is that of the first page, so that a watch
+    from it misses no change.
+    """
+    items, after, revision = [], "", None
+    while True:
+        query = {"prefix": prefix, **({"after": after} if after else {})}
+        target = "/v1/kv-range?" + urllib.parse.urlencode(query)
+        record = _record(await _call(store, "range", "GET", target), "store.range")
+        page = [_item(entry) for entry in record.records("items")]
+        items += page
+        if revision is None:
+            revision = record.whole("store_revision")
+        if not record.flag("has_more") or not page:
+            return Changes(revision, tuple(items))
+        after = page[-1].key
+
+
+async def watch(store, prefix, after, wait_s):
+    """Return the `Changes` after a revision, at the latest after `wait_s`.
+
+    Raises
+    ------
+    HistoryLostError
+        If the store no longer has these changes: everything must be read again.
+    """
+    query = {"prefix": prefix, "after": after, "wait_ms": int(wait_s * 1000)}
+    target = "/v1/kv-watch?" + urllib.parse.urlencode(query)
+    timeout_s = wait_s + WATCH_SLACK_S
+    resp = await _call(
+        store, "watch", "GET", target, allowed=(200, 410), timeout_s=timeout_s
+    )
+    if resp.status == 410:
+        raise errors.HistoryLostError(
+            f"no history after {after}", step="store.watch", peer=store.caller.address
+        )
+    record = _record(resp, "store.watch")
+    items = [_item(entry) for entry in record.records("events")]
+    items.sort(key=lambda item: item.revision)
+    return Changes(record.whole("store_revision"), tuple(items))
+
+
+async def put(store, key, value, *, expect=None, lease=0):
+    """Write a key; raise ConflictError if its revision is not `expect`.
+
+    Returns
+    -------
+    revision : int
+    """
+    encoded = base64.b64encode(value).decode()
+    body = {
+        "expected": [] if expect is None else [{"key": key, "revision": expect}],
+        "writes": [{"key": key, "value": encoded, "lease": lease}],
+        "remove": [],
+    }
+    return await _transact(store, "put", body)
+
+
+async def delete(store, key):
+    """Remove a key."""
+    await _transact(store, "delete", {"expected": [], "writes": [], "remove": [key]})
+
+
+async def _transact(store, kind, body):
+    raw = json.dumps(body).encode()
+    resp = await _call(
+        store, kind, "POST", "/v1/kv-txn", body=raw, allowed=(200, 404, 412)
+    )
+    if resp.status != 200:
+        reason = "the lease has ended" if resp.status == 404 else "changed meanwhile"
+        raise errors.ConflictError(
+            reason, step=f"store.{kind}", peer=store.caller.address
+        )
+    return _record(resp, f"store.{kind}").whole("revision")
+
+
+async def grant(store, ttl_s):
+    """Return the id of a new lease."""
+    raw = json.dumps({"ttl_ms": int(ttl_s * 1000)}).encode()
+    resp = await _call(store, "grant", "POST", "/v1/kv-lease", body=raw)
+    return _record(resp, "store.grant").whole("lease")
+
+
+async def keep(store, lease):
+    """Renew a lease; raise ConflictError if it has ended."""
+    target = f"/v1/kv-keep/{lease}"
+    resp = await _call(store, "keep", "POST", target, allowed=(200, 404))
+    if resp.status == 404:
+        raise errors.ConflictError(
+            f"lease {lease} has ended", step="store.keep", peer=store.caller.address
+        )
+
+
+async def end(store, lease):
+    """End a lease and remove its keys."""
+    target = f"/v1/kv-lease-end/{lease}"
+    await _call(store, "end", "DELETE", target, allowed=(200, 404))
+
+
+async def _call(
+    store, kind, method, target, *, body=b"", allowed=(200,), timeout_s=CALL_TIMEOUT_S
+):
+    store.calls[kind] = store.calls.get(kind, 0) + 1
+    step, peer = f"store.{kind}", store.caller.address
+    try:
+        resp = await http1.call(
+            store.caller,
+            method,
+            target,
+            body=body,
+            headers=[(b"Content-Type", b"application/json")] if body else [],
+            timeout_s=timeout_s,
+            max_bytes=MAX_ANSWER_BYTES,
+        )
+    except errors.HttpError as exc:
+        raise errors.StoreUnavailableError(exc.message, step=step, peer=peer) from exc
+    if resp.status not in allowed:
+        raise errors.StoreUnavailableError(
+            f"status {resp.status}", step=step, peer=peer
+        )
+    return resp
+
+
+def _record(resp, step):
+    try:
+        return fields.parse(resp.body, step)
+    except errors.RecordError as exc:
+        raise errors.StoreUnavailableError(exc.message, step=step) from exc
+
+
+def _item(record):
+    try:
+        if record.flag("deleted"):
+            return Item(record.text("key"), None, record.whole("revision"))
+        value = base64.b64decode(record.text("value"), validate=True)
+        lease = record.whole("lease", 0)
+        return Item(record.text("key"), value, record.whole("revision"), lease)
+    except (errors.RecordError, binascii.Error) as exc:
+        raise errors.StoreUnavailableError(
+            f"malformed item: {exc}", step="store.parse"
+        ) from exc
