Receive weights once per region through entries; report engines to entries by datagram

Entries hold the newest weights: one near the origin draws them, one of each region draws from that one, agents receive from theirs at the full rate of their links, stage while receiving, read back, and load in turns. Named weights that can still be received after those in progress wait for them; otherwise they take their place at once.

--- a/Makefile
+++ b/Makefile
@@ -53,4 +53,6 @@
 gen:
 	rm -rf build/gen && mkdir -p build/gen
 	thrift --gen py -out build/gen src/carobstand/wire/messages.thrift
+	thrift --gen py -out build/gen src/carobstand/wire/fleet.thrift
 	cp build/gen/carobstand/wire/gen/*.py src/carobstand/wire/gen/
+	cp build/gen/carobstand/wire/gen_fleet/*.py src/carobstand/wire/gen_fleet/
--- a/src/carobstand/agent/platform_main.py
+++ b/src/carobstand/agent/platform_main.py
@@ -7,7 +7,7 @@
 import anyio
 
 from carobstand import errors, eventlog, http1, loops
-from carobstand.agent import engine_keeper
+from carobstand.agent import loading, receiving, reporting, view
 from carobstand.platform import boot, kv
 
 EXIT_SETTINGS = 2
@@ -21,12 +21,19 @@
     ----------
     dep : core.deployment.Deployment
     """
-    keeper = engine_keeper.Keeper(
+    state = view.View(
         dep, kv.connect(dep.store_address), http1.Caller(dep.backend_address)
     )
     async with anyio.create_task_group() as tg:
-        tg.start_soon(engine_keeper.observe, keeper)
-        tg.start_soon(engine_keeper.keep, keeper)
+        for loop in (
+            view.read_configuration,
+            view.follow_versions,
+            view.follow_entries,
+            reporting.run,
+            receiving.run,
+            loading.run,
+        ):
+            tg.start_soon(loop, state)
         eventlog.event("process.started", backend=dep.backend_address)
         with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGHUP) as received:
             async for signum in received:
--- /dev/null
+++ b/src/carobstand/agent/receiving.py
@@ -0,0 +1,184 @@
+"""Receives the weights that the engine is to be brought to, from the best source."""
+
+import anyio
+
+from carobstand import errors, eventlog
+from carobstand.agent import view as views
+from carobstand.core import load_turns, weight_copy, weight_sources
+from carobstand.platform import engines
+from carobstand.transfer import drawing, piece_stream
+
+STALL_S = 1.5
+"""Longest wait for the next piece, after which the next source is tried."""
+
+RETRY_S = 0.2
+"""Pause after a source failed."""
+
+IDLE_S = 0.5
+"""Interval in which it is looked again whether weights are missing."""
+
+ENTRIES_OF_REGION = 2
+"""Entries of a region among which its agents are spread."""
+
+ORIGIN_TURN = 4
+"""Every so many failures in a row the origin itself is asked."""
+
+SAMPLED_PIECES = 3
+"""Staged pieces that are looked at to find out whether a version is staged at all."""
+
+_FAILURES = (
+    errors.BackendError,
+    errors.OriginError,
+    errors.WeightsError,
+    errors.WireError,
+    errors.ConnectionClosedError,
+)
+
+
+async def run(view):
+    """Receive what the engine lacks until cancelled."""
+    failures = 0
+    while True:
+        service = views.service(view)
+        wanted = _wanted(view, service) if service else None
+        if wanted is None:
+            await view.changed.wait(IDLE_S)
+            continue
+        try:
+            await _receive(view, service, wanted, failures)
+            failures = 0
+        except _FAILURES as exc:
+            failures += 1
+            eventlog.event("weights.source_failed", version=wanted, error=str(exc))
+            if isinstance(exc, errors.WeightsError):
+                view.copies.pop(wanted, None)
+            await anyio.sleep(RETRY_S)
+
+
+def _wanted(view, service):
+    """Return the version to receive now, or None; `NEWEST` if none was ever named."""
+    if view.report is None:
+        return None
+    held = view.report.holding.version if view.report.holding else None
+    named = view.named.get(service.weights.models[0], [])
+    if not named:
+        complete = any(map(weight_copy.is_complete, view.copies.values()))
+        return None if held is not None or complete else piece_stream.NEWEST
+    newest = named[-1].version
+    target = load_turns.target(
+        named, _progress(view), _copy_s(view, service), _allowed_s(view)
+    )
+    if held is not None and held >= newest:
+        return None
+    for version in (target, newest):
+        copy = view.copies.get(version)
+        if copy is None or not weight_copy.is_complete(copy):
+            return version
+    return None
+
+
+def _progress(view):
+    for copy in view.copies.values():
+        if not weight_copy.is_complete(copy):
+            return load_turns.Progress(
+                copy.version, len(copy.pieces), len(copy.digests)
+            )
+    return None
+
+
+def _copy_s(view, service):
+    size = service.weights.pieces * service.weights.piece_bytes
+    return load_turns.receive_s(size, view.deployment.link_bytes_per_s)
+
+
+def _allowed_s(view):
+    return view.deployment.bounds.version_s
+
+
+async def _receive(view, service, version, failures):
+    """Receive one version, and stop early if another one is wanted instead."""
+    model = service.weights.models[0]
+    sources = _sources(view, model, version)
+    source = sources[failures % len(sources)] if sources else None
+    if source is None or failures % ORIGIN_TURN == ORIGIN_TURN - 1:
+        source = None
+    copy = view.copies.get(version)
+    if copy is None:
+        copy = await _manifest(view, model, version, source)
+        _keep_only(view, copy)
+        view.copies[copy.version] = copy
+        eventlog.event(
+            "weights.receiving",
+            version=copy.version,
+            source=source.vm if source else "origin",
+        )
+        await _take_staged(view, copy)
+        view.changed.notify()
+    async with anyio.create_task_group() as tg:
+        tg.start_soon(_stop_if_superseded, view, service, copy, tg.cancel_scope)
+        await _pieces(view, copy, source)
+        tg.cancel_scope.cancel()
+    if weight_copy.is_complete(copy):
+        eventlog.event("weights.received", version=copy.version)
+    view.changed.notify()
+
+
+def _keep_only(view, copy):
+    """Drop copies that are neither loaded next nor received now."""
+    for version in list(view.copies):
+        older = version < copy.version
+        if older and not weight_copy.is_complete(view.copies[version]):
+            del view.copies[version]
+
+
+async def _stop_if_superseded(view, service, copy, scope):
+    while _wanted(view, service) == copy.version or not view.named:
+        await view.changed.wait(IDLE_S)
+    scope.cancel()
+
+
+def _sources(view, model, version):
+    dep = view.deployment
+    key = weight_sources.copy_key(model, version)
+    entries = list(view.entries.values())
+    return weight_sources.sources_of_agent(
+        dep.vm, dep.region, entries, key, ENTRIES_OF_REGION
+    )
+
+
+async def _manifest(view, model, version, source):
+    if source is not None:
+        return await piece_stream.receive_manifest(
+            source.address, model, version, STALL_S
+        )
+    return await drawing.manifest(_known_origin(view), model, version)
+
+
+async def _pieces(view, copy, source):
+    def on_piece(number):
+        view.changed.notify()
+
+    if weight_copy.is_complete(copy):
+        return
+    if source is not None:
+        await piece_stream.receive_pieces(source.address, copy, on_piece, STALL_S)
+    else:
+        await drawing.draw(_known_origin(view), copy, on_piece)
+
+
+def _known_origin(view):
+    origin = views.origin(view)
+    if origin is None:
+        raise errors.OriginError("no origin is configured", step="weights.receive")
+    return origin
+
+
+async def _take_staged(view, copy):
+    """Add pieces that are staged beside the engine, as after its crash."""
+    numbers = sorted(await engines.staged_numbers(view.engine, copy.model))
+    for index, number in enumerate(numbers):
+        data = await engines.staged_piece(view.engine, copy.model, number)
+        if data is not None:
+            weight_copy.add(copy, number, data)
+        if index + 1 == SAMPLED_PIECES and not copy.pieces:
+            return
--- /dev/null
+++ b/src/carobstand/agent/view.py
@@ -0,0 +1,140 @@
+"""What an agent on the platform knows, and the loops that keep it up to date."""
+
+import anyio
+import attrs
+
+from carobstand import entry_records, errors, eventlog, http1, signals
+from carobstand.core import load_turns
+from carobstand.platform import kv, records
+
+WATCH_WAIT_S = 8.0
+"""Longest wait of a watch; named weights end it at once."""
+
+RETRY_MIN_S = 0.2
+RETRY_MAX_S = 2.0
+"""Pauses between calls of a store that does not answer; they grow twofold."""
+
+
+@attrs.define(eq=False)
+class View:
+    """State that the loops of an agent share.
+
+    Attributes
+    ----------
+    deployment : core.deployment.Deployment
+    store : platform.kv.Store
+    engine : http1.Caller
+        The engine on this VM.
+    configuration : core.routes.Configuration or None
+        As it was when it was last needed.
+    named : dict of str to list of core.load_turns.Named
+        By model, in the order of their versions.
+    entries : dict of str to core.weight_sources.Entry
+        By VM.
+    report : core.engine_report.EngineReport or None
+        Newest report of the engine; None while it does not answer.
+    copies : dict of int to core.weight_copy.WeightCopy
+        Weights that are received or complete, by version.
+    load_at : float or None
+        Time at which the engine will be ordered to load, if that is near.
+    changed : signals.Signal
+        Notified at each change of the above.
+    """
+
+    deployment: object
+    store: kv.Store
+    engine: http1.Caller
+    configuration: object = None
+    named: dict = attrs.field(factory=dict)
+    entries: dict = attrs.field(factory=dict)
+    report: object = None
+    copies: dict = attrs.field(factory=dict)
+    load_at: float | None = None
+    changed: signals.Signal = attrs.field(factory=signals.Signal)
+
+
+def service(view):
+    """Return the `Service` of the engine, or None while it is not known."""
+    config = view.configuration
+    found = config.services.get(view.deployment.service) if config else None
+    return found if found and found.weights else None
+
+
+def origin(view):
+    """Return the `Origin` of weights, or None."""
+    services = view.configuration.services.values() if view.configuration else ()
+    return next((item.origin for item in services if item.origin), None)
+
+
+async def read_configuration(view):
+    """Read the configuration again and again until it names the engine's service."""
+    pause_s = RETRY_MIN_S
+    while service(view) is None:
+        try:
+            item = await kv.get(view.store, records.CONFIGURATION_KEY)
+            if item is not None:
+                view.configuration = records.configuration(item.value)
+                view.changed.notify()
+        except (errors.StoreError, errors.RecordError) as exc:
+            eventlog.event("configuration.failed", error=str(exc))
+        await anyio.sleep(pause_s)
+        pause_s = min(RETRY_MAX_S, pause_s * 2)
+
+
+async def follow_versions(view):
+    """Follow the weights that operators name."""
+    await _follow(view, records.VERSION_PREFIX, lambda item: _apply_version(view, item))
+
+
+async def follow_entries(view):
+    """Follow the entries that may hold weights."""
+    await _follow(view, entry_records.PREFIX, lambda item: _apply_entry(view, item))
+
+
+async def _follow(view, prefix, apply):
+    """Apply all items below `prefix`, then each change, until cancelled."""
+    revision, pause_s = None, RETRY_MIN_S
+    while True:
+        try:
+            if revision is None:
+                changes = await kv.list_prefix(view.store, prefix)
+            else:
+                changes = await kv.watch(view.store, prefix, revision, WATCH_WAIT_S)
+            for item in changes.items:
+                _apply_readable(apply, item)
+            revision = changes.revision
+            pause_s = RETRY_MIN_S
+            if changes.items:
+                view.changed.notify()
+        except errors.HistoryLostError:
+            revision = None
+        except errors.StoreError as exc:
+            eventlog.event("store.failed", error=str(exc), prefix=prefix)
+            await anyio.sleep(pause_s)
+            pause_s = min(RETRY_MAX_S, pause_s * 2)
+
+
+def _apply_readable(apply, item):
+    try:
+        apply(item)
+    except errors.RecordError as exc:
+        eventlog.event("record.unreadable", key=item.key, error=exc.message)
+
+
+def _apply_version(view, item):
+    if item.value is None:
+        return
+    named = records.named_version(item.value)
+    known = view.named.setdefault(named.model, [])
+    if known and known[-1].version >= named.version:
+        return
+    known.append(load_turns.Named(named.version, anyio.current_time()))
+    eventlog.event("version.named", model=named.model, version=named.version)
+
+
+def _apply_entry(view, item):
+    vm = item.key.removeprefix(entry_records.PREFIX)
+    if item.value is None:
+        view.entries.pop(vm, None)
+    else:
+        view.entries[vm] = entry_records.decode(vm, item.value)
--- a/src/carobstand/core/placement.py
+++ b/src/carobstand/core/placement.py
@@ -1,17 +1,41 @@
 """Choice of the backend server that gets a request."""
 
+import attrs
 
-def candidates(servers, service, now_version, excluded):
-    """Return the registrations that may run a request.
+from carobstand.core import engine_load
+
+
+@attrs.frozen
+class Candidate:
+    """A backend server that may run a request.
+
+    Attributes
+    ----------
+    server : core.registry.Registration
+    holding : core.registry.Holding or None
+        Weights as its newest report tells them.
+    load : core.engine_load.EngineLoad or None
+        Fresh report, if there is one.
+    """
+
+    server: object
+    holding: object
+    load: object
+
+
+def candidates(servers, loads, service, oldest_version, excluded, now):
+    """Return the `Candidate` servers of a service.
 
     Parameters
     ----------
     servers : dict of str to core.registry.Registration
+    loads : core.engine_load.EngineLoads
     service : str
-    now_version : callable of (str)
+    oldest_version : callable of (str)
         Returns the lowest version that may still begin requests of a model.
     excluded : set of str
         Ids that are not asked again.
+    now : float
     """
     found = []
     for server in servers.values():
@@ -19,27 +43,34 @@
             continue
         if server.server_id in excluded:
             continue
-        if server.runs_model:
-            if server.holding is None:
-                continue
-            if server.holding.version < now_version(server.holding.model):
-                continue
-        found.append(server)
+        if not server.runs_model:
+            found.append(Candidate(server, None, None))
+            continue
+        load = engine_load.fresh(loads, server, now)
+        holding = load.holding if load else server.holding
+        if holding is None or (load and load.is_busy):
+            continue
+        if holding.version < oldest_version(holding.model):
+            continue
+        found.append(Candidate(server, holding, load))
     return found
 
 
 def least_loaded(found, in_flight, draw):
-    """Return the server with the least requests in flight per place, or None.
+    """Return the candidate with the least requests per place, or None.
 
     Parameters
     ----------
-    found : list of core.registry.Registration
+    found : list of Candidate
     in_flight : dict of str to int
     draw : callable without arguments
         Uniform in [0, 1), to break ties.
     """
-    return min(
-        found,
-        key=lambda s: (in_flight.get(s.server_id, 0) / max(1, s.slots), draw()),
-        default=None,
-    )
+
+    def weight(candidate):
+        own = in_flight.get(candidate.server.server_id, 0)
+        load = candidate.load
+        known = load.running + load.waiting if load else 0
+        return max(own, known) / max(1, candidate.server.slots)
+
+    return min(found, key=lambda c: (weight(c), draw()), default=None)
--- /dev/null
+++ b/src/carobstand/core/weight_copy.py
@@ -0,0 +1,75 @@
+"""A copy of one version of a model's weights, verified piece by piece."""
+
+import hashlib
+
+import attrs
+
+DIGEST_BYTES = 32
+"""Size of a SHA-256 value."""
+
+
+@attrs.define(eq=False)
+class WeightCopy:
+    """Pieces that are held of one version.
+
+    Attributes
+    ----------
+    model : str
+    version : int
+    digests : tuple of bytes
+        SHA-256 of each piece.
+    pieces : dict of int to bytes
+        Verified pieces by number, in the order of their arrival.
+    """
+
+    model: str
+    version: int
+    digests: tuple
+    pieces: dict = attrs.field(factory=dict)
+
+
+def add(copy, number, data):
+    """Keep a piece; return False, and keep nothing, if it is not the right one."""
+    if not 0 <= number < len(copy.digests):
+        return False
+    if hashlib.sha256(data).digest() != copy.digests[number]:
+        return False
+    copy.pieces[number] = data
+    return True
+
+
+def is_complete(copy):
+    """Whether every piece is held."""
+    return len(copy.pieces) == len(copy.digests)
+
+
+def missing(copy):
+    """Return the numbers of the pieces that are not held."""
+    return [n for n in range(len(copy.digests)) if n not in copy.pieces]
+
+
+def to_bitmap(numbers, size):
+    """Return `numbers` below `size` as bits, number n in bit n % 8 of byte n // 8."""
+    bitmap = bytearray((size + 7) // 8)
+    for number in numbers:
+        bitmap[number // 8] |= 1 << number % 8
+    return bytes(bitmap)
+
+
+def from_bitmap(bitmap):
+    """Return the numbers in a bitmap."""
+    return {
+        8 * index + bit
+        for index, value in enumerate(bitmap)
+        for bit in range(8)
+        if value >> bit & 1
+    }
+
+
+def split_digests(raw):
+    """Return the digests in `raw`, one after another; raise ValueError."""
+    if not raw or len(raw) % DIGEST_BYTES:
+        raise ValueError("not a list of SHA-256 values")
+    return tuple(
+        raw[start : start + DIGEST_BYTES] for start in range(0, len(raw), DIGEST_BYTES)
+    )
--- /dev/null
+++ b/src/carobstand/core/weight_sources.py
@@ -0,0 +1,87 @@
+"""Where each process receives a version of the weights from.
+
+One entry, near the origin, draws from it; one entry of each region draws from that one;
+the others and the agents draw within their region. Everybody computes the same order by
+rendezvous hashing over the entries that are registered, and goes on to the next source
+if one fails.
+"""
+
+import attrs
+
+from carobstand.core import ranks
+
+
+@attrs.frozen
+class Entry:
+    """An entry that may hold weights; `address` is ``host:port``."""
+
+    vm: str
+    address: str
+    failure_domain: str
+    region: str
+
+
+def _ranked(entries, key):
+    return sorted(entries, key=lambda entry: ranks.score(key, entry.vm))
+
+
+def copy_key(model, version):
+    """Return the key by which sources of a version are ranked."""
+    return f"{model}/{version}"
+
+
+def drawers(entries, key, origin_domain, origin_region):
+    """Return the entries in the order in which they draw from the origin.
+
+    Those in the origin's failure domain come first, then those of its region.
+    """
+
+    def distance(entry):
+        if entry.failure_domain == origin_domain:
+            return 0
+        return 1 if entry.region == origin_region else 2
+
+    return sorted(_ranked(entries, key), key=distance)
+
+
+def regional(entries, key, region):
+    """Return the entries of a region in the order in which they hold its copy."""
+    return _ranked([entry for entry in entries if entry.region == region], key)
+
+
+def sources_of_entry(me, entries, key, origin_domain, origin_region):
+    """Return the entries from which entry `me` receives, best first.
+
+    Empty for the one that draws from the origin itself.
+    """
+    first = drawers(entries, key, origin_domain, origin_region)
+    if not first or first[0].vm == me.vm:
+        return []
+    own = regional(entries, key, me.region)
+    before = own[: own.index(me)] if me in own else own
+    found = [entry for entry in before if entry.vm != me.vm]
+    return found + [entry for entry in first[:1] if entry not in found]
+
+
+def sources_of_agent(vm, region, entries, key, spread):
+    """Return the entries from which an agent receives, best first.
+
+    Parameters
+    ----------
+    vm, region : str
+    entries : list of Entry
+    key : str
+    spread : int
+        Entries of the region among which its agents are spread.
+    """
+    own = regional(entries, key, region)
+    near = sorted(own[:spread], key=lambda entry: ranks.score(vm, entry.vm))
+    found = near + own[spread:]
+    return found + [entry for entry in _ranked(entries, key) if entry not in found]
+
+
+def is_holder(me, entries, key, origin_domain, origin_region):
+    """Whether entry `me` receives a version before anyone asks for it."""
+    first = drawers(entries, key, origin_domain, origin_region)
+    own = regional(entries, key, me.region)
+    return bool(first and first[0].vm == me.vm) or bool(own and own[0].vm == me.vm)
--- /dev/null
+++ b/src/carobstand/entry/datagrams.py
@@ -0,0 +1,61 @@
+"""Datagrams that reach an entry: reports of engines, news of other entries."""
+
+import anyio
+
+from carobstand import errors, eventlog
+from carobstand.core import engine_load, registry
+from carobstand.wire import fleet_codec
+from carobstand.wire.gen_fleet import ttypes
+
+
+async def listen(fwd):
+    """Receive datagrams until cancelled."""
+    dep = fwd.fleet.deployment
+    async with await anyio.create_udp_socket(
+        local_host=dep.ip, local_port=dep.internal_ports[0]
+    ) as udp:
+        async for raw, peer in udp:
+            try:
+                message = fleet_codec.decode(raw)
+            except errors.WireError as exc:
+                eventlog.event("datagram.malformed", peer=peer[0], error=exc.message)
+                continue
+            if isinstance(message, ttypes.EngineLoad):
+                _take_load(fwd, message, peer[0])
+
+
+def _take_load(fwd, message, peer):
+    try:
+        load = _decode_load(message)
+    except (TypeError, ValueError) as exc:
+        eventlog.event("datagram.malformed", peer=peer, error=str(exc))
+        return
+    if engine_load.put(fwd.loads, load):
+        fwd.freed.notify()
+
+
+def _decode_load(message):
+    now = anyio.current_time()
+    holding = None
+    if message.version is not None:
+        holding = registry.Holding(
+            model=message.model or "",
+            version=message.version,
+            start=message.first_layer or 0,
+            end=message.end_layer,
+        )
+    loads_at = None
+    if message.load_in_ms is not None and message.load_in_ms >= 0:
+        loads_at = now + message.load_in_ms / 1000
+    return engine_load.EngineLoad(
+        address=message.address or "",
+        started_ms=message.started_ms or 0,
+        number=int(message.number),
+        running=int(message.running),
+        waiting=int(message.waiting),
+        slowness=float(message.slowness or 1.0),
+        is_busy=bool(message.busy),
+        holding=holding,
+        heard_at=now,
+        loads_at=loads_at,
+    )
--- a/src/carobstand/entry/fleet.py
+++ b/src/carobstand/entry/fleet.py
@@ -3,7 +3,7 @@
 import anyio
 import attrs
 
-from carobstand import errors, eventlog, signals
+from carobstand import entry_records, errors, eventlog, signals
 from carobstand.core import registry, routes
 from carobstand.platform import kv, records
 
@@ -43,8 +43,8 @@
     servers : core.registry.Registry
     named : dict of str to Named
         By model.
-    entries : dict of str to str
-        Address of each entry's port for other processes, by VM.
+    entries : dict of str to core.weight_sources.Entry
+        By VM.
     proven_at : float or None
         Time until which no change of the store can have been missed.
     troubled_at : float
@@ -67,10 +67,6 @@
     changed: signals.Signal = attrs.field(factory=signals.Signal)
 
 
-ENTRY_PREFIX = "carobstand/entries/"
-"""Keys under which entries say where other processes reach them."""
-
-
 async def observe(fleet):
     """Keep `fleet` in line with the store until cancelled."""
     pause_s = RETRY_MIN_S
@@ -98,7 +94,11 @@
     sent_at = anyio.current_time()
     found = [
         await kv.list_prefix(fleet.store, prefix)
-        for prefix in (records.OPERATOR_PREFIX, records.SERVER_PREFIX, ENTRY_PREFIX)
+        for prefix in (
+            records.OPERATOR_PREFIX,
+            records.SERVER_PREFIX,
+            entry_records.PREFIX,
+        )
     ]
     for item in (*found[0].items, *found[2].items):
         apply_item(fleet, item)
@@ -143,7 +143,7 @@
             _apply_version(fleet, item)
         elif item.key.startswith(records.SERVER_PREFIX):
             _apply_server(fleet, item)
-        elif item.key.startswith(ENTRY_PREFIX):
+        elif item.key.startswith(entry_records.PREFIX):
             _apply_entry(fleet, item)
     except errors.RecordError as exc:
         eventlog.event("record.unreadable", key=item.key, error=exc.message)
@@ -211,11 +211,11 @@
 
 
 def _apply_entry(fleet, item):
-    vm = item.key.removeprefix(ENTRY_PREFIX)
+    vm = item.key.removeprefix(entry_records.PREFIX)
     if item.value is None:
         fleet.entries.pop(vm, None)
     else:
-        fleet.entries[vm] = item.value.decode("ascii", "replace")
+        fleet.entries[vm] = entry_records.decode(vm, item.value)
 
 
 def are_keys_current(fleet, now):
--- a/src/carobstand/entry/forwarding.py
+++ b/src/carobstand/entry/forwarding.py
@@ -6,8 +6,14 @@
 import anyio
 import attrs
 
-from carobstand import errors, eventlog, http1, http1_server
-from carobstand.core import event_stream, exchange, placement, routes
+from carobstand import errors, eventlog, http1, http1_server, signals
+from carobstand.core import (
+    engine_load,
+    event_stream,
+    exchange,
+    placement,
+    routes,
+)
 from carobstand.entry import backend_pool, fleet
 from carobstand.platform import exchanges
 
@@ -18,8 +24,8 @@
 RETRY_AFTER_S = 0.1
 """Retry-After where nothing better is known."""
 
-VERSION_SLACK_S = 1.0
-"""Old weights begin no request in the last second of the time in which they may."""
+VERSION_SLACK_S = 0.7
+"""Old weights get no request this close to the end of the time in which they may."""
 
 
 class Outcome(enum.Enum):
@@ -41,11 +47,16 @@
     pool : entry.backend_pool.BackendPool
     in_flight : dict of str to int
         Requests that this entry has at each backend server.
+    loads : core.engine_load.EngineLoads
+    freed : signals.Signal
+        Notified when a backend server may have room.
     """
 
     fleet: fleet.Fleet
     pool: backend_pool.BackendPool = attrs.field(factory=backend_pool.BackendPool)
     in_flight: dict = attrs.field(factory=dict)
+    loads: engine_load.EngineLoads = attrs.field(factory=engine_load.EngineLoads)
+    freed: signals.Signal = attrs.field(factory=signals.Signal)
 
 
 @attrs.define(eq=False)
@@ -92,10 +103,10 @@
 
 async def _try_servers(fwd, call):
     while True:
-        server = _choose(fwd, call)
-        if server is None:
+        chosen = _choose(fwd, call)
+        if chosen is None:
             return await _give_up(call, 502, "no server")
-        outcome = await _send(fwd, call, server)
+        outcome = await _send(fwd, call, chosen)
         if outcome is Outcome.DONE:
             return None
         if not _may_send_again(call, outcome):
@@ -113,9 +124,11 @@
 def _choose(fwd, call):
     found = placement.candidates(
         fwd.fleet.servers.servers,
+        fwd.loads,
         call.service,
         lambda model: oldest_version(fwd.fleet, model),
         call.asked,
+        anyio.current_time(),
     )
     return placement.least_loaded(found, fwd.in_flight, random.random)
 
@@ -157,13 +170,14 @@
     await http1_server.respond(reply, status, headers, body)
 
 
-async def _send(fwd, call, server):
+async def _send(fwd, call, chosen):
     """Send the request to one server and pass its answer on.
 
     Returns
     -------
     outcome : Outcome
     """
+    server = chosen.server
     try:
         conn = await backend_pool.take(fwd.pool, server.address)
     except errors.HttpError as exc:
@@ -176,7 +190,7 @@
     call.may_have_run = True
     _count(fwd, server.server_id, 1)
     try:
-        await _send_request(call, server, conn)
+        await _send_request(call, chosen, conn)
         outcome = await _pass_answer_on(call, conn)
         if outcome is Outcome.NOT_RUN:
             call.may_have_run = ran_before
@@ -205,13 +219,13 @@
         del fwd.in_flight[server_id]
 
 
-async def _send_request(call, server, conn):
+async def _send_request(call, chosen, conn):
     resumed = call.reply.started
     out = exchange.Outbound(
-        server_id=server.server_id,
+        server_id=chosen.server.server_id,
         deadline_s=call.deadline - anyio.current_time(),
         customer=call.customer,
-        version=server.holding.version if server.holding else None,
+        version=chosen.holding.version if chosen.holding else None,
         resume_after=call.events.last_id if resumed else None,
     )
     headers = exchanges.backend_headers(call.req, out, call.body)
--- a/src/carobstand/entry/platform_main.py
+++ b/src/carobstand/entry/platform_main.py
@@ -8,7 +8,16 @@
 
 from carobstand import errors, eventlog, http1_server, loops
 from carobstand.core import deployment
-from carobstand.entry import backend_pool, fleet, forwarding, ingress, readiness
+from carobstand.entry import (
+    backend_pool,
+    datagrams,
+    fleet,
+    forwarding,
+    ingress,
+    readiness,
+    registration,
+    weight_cache,
+)
 from carobstand.platform import boot, kv
 
 EXIT_SETTINGS = 2
@@ -40,11 +49,15 @@
     async with anyio.create_task_group() as tg:
         tg.start_soon(_watch_signals, leaving)
         tg.start_soon(fleet.observe, state)
+        tg.start_soon(registration.run, state)
+        tg.start_soon(weight_cache.run, weight_cache.WeightCache(state))
         tg.start_soon(http1_server.listen, ready, dep.readiness_address)
         tg.start_soon(http1_server.listen, front, dep.ingress_address)
+        tg.start_soon(datagrams.listen, fwd)
         tg.start_soon(_tidy, fwd)
         eventlog.event("process.started", address=dep.ingress_address)
         await leaving.wait()
+        tg.start_soon(registration.withdraw, state)
         await _leave(dep, front)
         eventlog.event("process.stopped")
         tg.cancel_scope.cancel()
--- /dev/null
+++ b/src/carobstand/transfer/__init__.py
@@ -0,0 +1,1 @@
+"""Transfer of weights between processes and from the origin."""
--- /dev/null
+++ b/src/carobstand/wire/fleet.thrift
@@ -0,0 +1,52 @@
+// Messages between the programs on the platform. Times are milliseconds unless named
+// otherwise.
+namespace py carobstand.wire.gen_fleet
+
+// Datagram of an agent to entries: a fresh report of its engine.
+struct EngineLoad {
+  1: string address           // host:port of the engine
+  2: i64 started_ms           // Unix time of the engine's start
+  3: i64 number               // of this report, rising; a smaller one is late
+  4: i32 running
+  5: i32 waiting
+  6: double slowness          // over 1: works more slowly than published
+  7: bool busy                // an order is in progress
+  8: optional string model    // weights that it serves
+  9: optional i32 version
+  10: optional i32 first_layer
+  11: optional i32 end_layer
+  12: i32 load_in_ms          // time until it will be ordered to load, -1 if none is due
+}
+
+// Datagram between entries: a request whose run ended with its server.
+struct FailedRun {
+  1: binary fingerprint       // SHA-256 of path, customer and body
+  2: string server_start      // the server and its start, the same at every entry
+}
+
+// First frame of a connection: asks for the pieces that the sender lacks.
+struct PieceRequest {
+  1: string model
+  2: i32 version
+  3: binary have              // bit n % 8 of byte n / 8: the sender has piece n
+  4: bool manifest_only
+}
+
+struct ManifestReply {
+  1: string model
+  2: i32 version
+  3: binary digests           // SHA-256 values one after another
+}
+
+struct PieceReply {
+  1: i32 number
+  2: binary data
+}
+
+union Message {
+  1: EngineLoad engine_load
+  2: FailedRun failed_run
+  3: PieceRequest piece_request
+  4: ManifestReply manifest_reply
+  5: PieceReply piece_reply
+}
--- /dev/null
+++ b/src/carobstand/wire/fleet_codec.py
@@ -0,0 +1,79 @@
+"""Messages between the programs on the platform: thrift compact protocol.
+
+A datagram is one message; on a connection each follows its 4-byte big-endian length.
+"""
+
+import struct
+
+from thrift import Thrift
+from thrift.protocol import TCompactProtocol, TProtocol
+from thrift.transport import TTransport
+
+from carobstand import errors
+from carobstand.wire.gen_fleet import ttypes
+
+LENGTH = struct.Struct(">I")
+"""Length prefix of a frame."""
+
+MAX_FRAME_BYTES = 2 * 1024 * 1024
+"""Largest frame: a piece of weights and its envelope."""
+
+MAX_ELEMENTS = 65_536
+"""Largest list accepted."""
+
+_FIELD_OF_TYPE = {
+    spec[3][0]: spec[2] for spec in ttypes.Message.thrift_spec if spec is not None
+}
+
+
+def encode(message):
+    """Return the bytes of a struct of the union ``Message``."""
+    buffer = TTransport.TMemoryBuffer()
+    field = _FIELD_OF_TYPE[type(message)]
+    union = ttypes.Message(**{field: message})
+    union.write(TCompactProtocol.TCompactProtocol(buffer))
+    return buffer.getvalue()
+
+
+def frame(message):
+    """Return the bytes of a struct with their length before them."""
+    body = encode(message)
+    return LENGTH.pack(len(body)) + body
+
+
+def decode(body):
+    """Return the message in `body`.
+
+    Raises
+    ------
+    WireError
+        If `body` is not one well-formed message.
+    """
+    union = ttypes.Message()
+    protocol = TCompactProtocol.TCompactProtocol(
+        TTransport.TMemoryBuffer(body),
+        string_length_limit=MAX_FRAME_BYTES,
+        container_length_limit=MAX_ELEMENTS,
+    )
+    try:
+        union.read(protocol)
+    except (
+        TProtocol.TProtocolException,
+        Thrift.TException,
+        EOFError,
+        TypeError,
+        ValueError,
+        OverflowError,
+        MemoryError,
+        RecursionError,
+        struct.error,
+        IndexError,
+    ) as exc:
+        raise errors.WireError(
+            f"malformed message: {exc}", step="fleet.decode"
+        ) from exc
+    for field in _FIELD_OF_TYPE.values():
+        message = getattr(union, field)
+        if message is not None:
+            return message
+    raise errors.WireError("unknown message type", step="fleet.decode")
--- /dev/null
+++ b/src/carobstand/wire/gen_fleet/__init__.py
@@ -0,0 +1,1 @@
+__all__ = ['ttypes', 'constants']
--- a/testing/test_layers.py
+++ b/testing/test_layers.py
@@ -4,7 +4,7 @@
 import pathlib
 
 ROOT = pathlib.Path(__file__).parent.parent / "src" / "carobstand"
-LAYERS = ["core", "wire", "platform", "entry|agent|cli", "standin"]
+LAYERS = ["core", "wire", "platform", "transfer", "entry|agent|cli", "standin"]
 PURE = {"time", "random", "socket", "os", "asyncio", "anyio", "eliot", "httpx"}
 
 
