Place by predicted first event, hold briefly, and receive weights in small blocks

An engine's first event is predicted from its published pace, its report, and own sends that the report cannot contain; requests wait up to their target for a server. Weights are asked for in blocks of 4 KB, two at a time, so little waits at the narrow link.

--- a/src/carobstand/agent/platform_main.py
+++ b/src/carobstand/agent/platform_main.py
@@ -33,7 +33,7 @@
             receiving.run,
             loading.run,
         ):
-            tg.start_soon(loop, state)
+            tg.start_soon(loops.supervise, loop, state)
         eventlog.event("process.started", backend=dep.backend_address)
         with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGHUP) as received:
             async for signum in received:
--- a/src/carobstand/agent/receiving.py
+++ b/src/carobstand/agent/receiving.py
@@ -23,6 +23,9 @@
 ORIGIN_TURN = 4
 """Every so many failures in a row the origin itself is asked."""
 
+WINDOW = piece_stream.Window(blocks=2, block_bytes=4096)
+"""A side machine's link of some Mbit/s passes this in less than 20 ms."""
+
 SAMPLED_PIECES = 3
 """Staged pieces that are looked at to find out whether a version is staged at all."""
 
@@ -161,7 +164,9 @@
     if weight_copy.is_complete(copy):
         return
     if source is not None:
-        await piece_stream.receive_pieces(source.address, copy, on_piece, STALL_S)
+        await piece_stream.receive_pieces(
+            source.address, copy, on_piece, STALL_S, WINDOW
+        )
     else:
         await drawing.draw(_known_origin(view), copy, on_piece)
 
--- a/src/carobstand/core/placement.py
+++ b/src/carobstand/core/placement.py
@@ -2,7 +2,20 @@
 
 import attrs
 
-from carobstand.core import engine_load
+from carobstand.core import engine_load, outstanding, pace
+
+REGION_PENALTY_S = 0.03
+"""An answer from another region must be earlier by this to be worth its costly way."""
+
+DOMAIN_PENALTY_S = 0.008
+"""The same for another failure domain of the region."""
+
+NOISE_PASSES = 0.5
+"""Random part of a prediction, in passes, so that entries that see the same reports do
+not all choose the same engine."""
+
+PLAIN_REQUEST_S = 0.05
+"""Time of a request at a server that publishes no pace."""
 
 
 @attrs.frozen
@@ -23,6 +36,20 @@
     load: object
 
 
+@attrs.frozen
+class Choice:
+    """A candidate and when it would answer.
+
+    `first_event_s` is the predicted time to the first byte at the server.
+    """
+
+    candidate: Candidate
+    first_event_s: float
+    wait_s: float
+    occupancy: float
+    cost_s: float
+
+
 def candidates(servers, loads, service, oldest_version, excluded, now):
     """Return the `Candidate` servers of a service.
 
@@ -56,21 +83,72 @@
     return found
 
 
-def least_loaded(found, in_flight, draw):
-    """Return the candidate with the least requests per place, or None.
+@attrs.frozen(kw_only=True)
+class Place:
+    """Where an entry stands, for the way to a server.
+
+    Attributes
+    ----------
+    failure_domain : str
+    regions : dict of str to str
+        Failure domain to region.
+    others : int
+        Other entries.
+    """
+
+    failure_domain: str
+    regions: dict
+    others: int
+
+
+def rank(found, service, in_progress, prompt_tokens, place, draw):
+    """Return the candidates as `Choice`, the best first.
 
     Parameters
     ----------
     found : list of Candidate
-    in_flight : dict of str to int
+    service : core.routes.Service or None
+    in_progress : dict of str to core.outstanding.Outstanding
+        By server id.
+    prompt_tokens : int
+    place : Place
     draw : callable without arguments
-        Uniform in [0, 1), to break ties.
+        Uniform in [0, 1).
     """
+    empty = outstanding.Outstanding()
+    choices = []
+    for candidate in found:
+        state = in_progress.get(candidate.server.server_id, empty)
+        occupied = outstanding.occupancy(state, candidate.load, place.others)
+        choices.append(
+            _choice(candidate, service, occupied, prompt_tokens, place, draw)
+        )
+    return sorted(choices, key=lambda choice: choice.cost_s)
+
+
+def _choice(candidate, service, occupied, prompt_tokens, place, draw):
+    way_s = _way_penalty_s(candidate.server, place)
+    if service is None or service.pace is None:
+        slots = max(1, candidate.server.slots)
+        wait_s = max(0.0, occupied + 1 - slots) * PLAIN_REQUEST_S / slots
+        first_s = wait_s + PLAIN_REQUEST_S
+        cost_s = first_s + way_s + PLAIN_REQUEST_S * (occupied + draw()) / slots
+        return Choice(candidate, first_s, wait_s, occupied, cost_s)
+    slowness = candidate.load.slowness if candidate.load else 1.0
+    found = pace.predict(service.pace, occupied, prompt_tokens, slowness)
+    noise_s = draw() * NOISE_PASSES * pace.pass_s(service.pace, occupied)
+    # Among engines with free places the one with fewer requests reads sooner.
+    crowd_s = pace.place_interval_s(service.pace, slowness) * min(
+        1.0, occupied / service.pace.slots
+    )
+    cost_s = found.first_event_s + way_s + noise_s + crowd_s
+    return Choice(candidate, found.first_event_s, found.wait_s, occupied, cost_s)
 
-    def weight(candidate):
-        own = in_flight.get(candidate.server.server_id, 0)
-        load = candidate.load
-        known = load.running + load.waiting if load else 0
-        return max(own, known) / max(1, candidate.server.slots)
 
-    return min(found, key=lambda c: (weight(c), draw()), default=None)
+def _way_penalty_s(server, place):
+    if server.failure_domain == place.failure_domain:
+        return 0.0
+    here = place.regions.get(place.failure_domain)
+    if place.regions.get(server.failure_domain) == here:
+        return DOMAIN_PENALTY_S
+    return REGION_PENALTY_S
--- /dev/null
+++ b/src/carobstand/core/waiting.py
@@ -0,0 +1,88 @@
+"""Requests that wait in an entry until a backend server can begin them in time.
+
+Load pattern: bursts and short overloads, such as a few engines loading weights. A
+request is held only while some engine may still answer it in time; after that its
+caller is told at once when to come again.
+"""
+
+import enum
+
+import attrs
+
+WAY_S = 0.025
+"""Time for the ways between caller, entry and engine that no prediction contains."""
+
+LATE_HOLD_S = 0.5
+"""Longest wait of a request that can only be answered late."""
+
+LATE_OCCUPANCY = 0.95
+"""Share of an engine's places up to which late requests may take one."""
+
+
+class Verdict(enum.Enum):
+    """What happens to a waiting request now."""
+
+    SEND = "send"
+    HOLD = "hold"
+    REFUSE = "refuse"
+
+
+@attrs.frozen(kw_only=True)
+class Terms:
+    """When a request must have been placed.
+
+    Attributes
+    ----------
+    arrived : float
+    target : float
+        Time of the first byte up to which the answer is on time.
+    deadline : float
+        Time of the final answer at the latest.
+    priority : int
+        0 is first.
+    """
+
+    arrived: float
+    target: float
+    deadline: float
+    priority: int = 0
+
+
+def is_late(terms, shortest_s, now):
+    """Whether even an idle server could not answer on time any more."""
+    return now + shortest_s + WAY_S > terms.target
+
+
+def order(terms, shortest_s, now):
+    """Return the key by which waiting requests are served, the smallest first."""
+    return (terms.priority, is_late(terms, shortest_s, now), terms.target)
+
+
+def decide(terms, best, shortest_s, now):
+    """Return the `Verdict` on one request.
+
+    Parameters
+    ----------
+    terms : Terms
+    best : core.placement.Choice or None
+        Best server, None if there is none.
+    shortest_s : float
+        Time to the first byte at an idle server of the service.
+    now : float
+    """
+    late = is_late(terms, shortest_s, now)
+    if best is not None:
+        if now + best.first_event_s + WAY_S <= terms.target:
+            return Verdict.SEND
+        slots = max(1, best.candidate.server.slots)
+        if late and best.occupancy <= slots * LATE_OCCUPANCY:
+            return Verdict.SEND
+    if not late:
+        return Verdict.HOLD
+    hold_until = max(terms.arrived, terms.target) + LATE_HOLD_S
+    return Verdict.HOLD if now < min(hold_until, terms.deadline) else Verdict.REFUSE
+
+
+def hold_until(terms, shortest_s):
+    """Return the time at which a request that was not placed is decided on again."""
+    return min(terms.target - shortest_s - WAY_S, terms.deadline)
--- a/src/carobstand/core/weight_copy.py
+++ b/src/carobstand/core/weight_copy.py
@@ -18,6 +18,8 @@
     version : int
     digests : tuple of bytes
         SHA-256 of each piece.
+    piece_bytes : int
+        Size of a piece; the last one may be shorter.
     pieces : dict of int to bytes
         Verified pieces by number, in the order of their arrival.
     """
@@ -25,6 +27,7 @@
     model: str
     version: int
     digests: tuple
+    piece_bytes: int
     pieces: dict = attrs.field(factory=dict)
 
 
@@ -48,24 +51,6 @@
     return [n for n in range(len(copy.digests)) if n not in copy.pieces]
 
 
-def to_bitmap(numbers, size):
-    """Return `numbers` below `size` as bits, number n in bit n % 8 of byte n // 8."""
-    bitmap = bytearray((size + 7) // 8)
-    for number in numbers:
-        bitmap[number // 8] |= 1 << number % 8
-    return bytes(bitmap)
-
-
-def from_bitmap(bitmap):
-    """Return the numbers in a bitmap."""
-    return {
-        8 * index + bit
-        for index, value in enumerate(bitmap)
-        for bit in range(8)
-        if value >> bit & 1
-    }
-
-
 def split_digests(raw):
     """Return the digests in `raw`, one after another; raise ValueError."""
     if not raw or len(raw) % DIGEST_BYTES:
--- a/src/carobstand/entry/fleet.py
+++ b/src/carobstand/entry/fleet.py
@@ -19,6 +19,9 @@
 """A watch may hear nothing for this long while changes are made, if the store drops
 its history."""
 
+VERSION_SLACK_S = 0.7
+"""Old weights get no request this close to the end of the time in which they may."""
+
 KEY_SLACK_S = 0.5
 """Time between the check of a key and the start of its request at a server."""
 
@@ -224,3 +227,14 @@
         return False
     age_s = now - fleet.proven_at + WATCH_GAP_S + KEY_SLACK_S
     return age_s < fleet.deployment.bounds.revoke_s
+
+
+def oldest_version(fleet, model):
+    """Return the lowest version of `model` that may still begin requests."""
+    named = fleet.named.get(model)
+    if named is None:
+        return 0
+    age_s = anyio.current_time() - named.seen_at
+    if age_s > fleet.deployment.bounds.version_s - VERSION_SLACK_S:
+        return named.version
+    return 0
--- a/src/carobstand/entry/forwarding.py
+++ b/src/carobstand/entry/forwarding.py
@@ -1,7 +1,6 @@
 """From a decoded request to its outcome: placing, sending, sending again, answering."""
 
 import enum
-import random
 
 import anyio
 import attrs
@@ -11,10 +10,10 @@
     engine_load,
     event_stream,
     exchange,
-    placement,
     routes,
+    waiting,
 )
-from carobstand.entry import backend_pool, fleet
+from carobstand.entry import backend_pool, fleet, queueing
 from carobstand.platform import exchanges
 
 MAX_WHOLE_ANSWER_BYTES = 1_048_576
@@ -24,9 +23,6 @@
 RETRY_AFTER_S = 0.1
 """Retry-After where nothing better is known."""
 
-VERSION_SLACK_S = 0.7
-"""Old weights get no request this close to the end of the time in which they may."""
-
 
 class Outcome(enum.Enum):
     """How one send to a backend server ended."""
@@ -45,8 +41,9 @@
     ----------
     fleet : entry.fleet.Fleet
     pool : entry.backend_pool.BackendPool
-    in_flight : dict of str to int
-        Requests that this entry has at each backend server.
+    in_progress : dict of str to core.outstanding.Outstanding
+        Requests that this entry has at each backend server, by server id.
+    queue : entry.queueing.Queue
     loads : core.engine_load.EngineLoads
     freed : signals.Signal
         Notified when a backend server may have room.
@@ -54,7 +51,8 @@
 
     fleet: fleet.Fleet
     pool: backend_pool.BackendPool = attrs.field(factory=backend_pool.BackendPool)
-    in_flight: dict = attrs.field(factory=dict)
+    in_progress: dict = attrs.field(factory=dict)
+    queue: queueing.Queue = attrs.field(factory=queueing.Queue)
     loads: engine_load.EngineLoads = attrs.field(factory=engine_load.EngineLoads)
     freed: signals.Signal = attrs.field(factory=signals.Signal)
 
@@ -71,8 +69,8 @@
     service : str
     customer : str
     reply : http1_server.Reply
-    deadline : float
-        Loop's time of the final answer at the latest.
+    terms : core.waiting.Terms
+        Times by which it must be answered, on the loop's clock.
     asked : set of str
         Servers to which it was sent.
     may_have_run : bool
@@ -87,7 +85,7 @@
     service: str
     customer: str
     reply: http1_server.Reply
-    deadline: float
+    terms: waiting.Terms
     asked: set = attrs.field(factory=set)
     may_have_run: bool = False
     events: event_stream.EventStream = attrs.field(factory=event_stream.EventStream)
@@ -95,7 +93,7 @@
 
 async def serve(fwd, call):
     """Serve one request until its final answer, at the latest at its deadline."""
-    with anyio.CancelScope(deadline=call.deadline) as scope:
+    with anyio.CancelScope(deadline=call.terms.deadline) as scope:
         await _try_servers(fwd, call)
     if scope.cancelled_caught:
         await _give_up(call, 504, "deadline")
@@ -103,10 +101,13 @@
 
 async def _try_servers(fwd, call):
     while True:
-        chosen = _choose(fwd, call)
+        chosen = await queueing.place(fwd, call)
         if chosen is None:
-            return await _give_up(call, 502, "no server")
-        outcome = await _send(fwd, call, chosen)
+            return await _give_up(call, 502, "no server has room in time")
+        try:
+            outcome = await _send(fwd, call, chosen)
+        finally:
+            queueing.end(fwd, call, chosen)
         if outcome is Outcome.DONE:
             return None
         if not _may_send_again(call, outcome):
@@ -121,29 +122,6 @@
     return outcome is Outcome.NOT_RUN or routes.may_repeat(call.route)
 
 
-def _choose(fwd, call):
-    found = placement.candidates(
-        fwd.fleet.servers.servers,
-        fwd.loads,
-        call.service,
-        lambda model: oldest_version(fwd.fleet, model),
-        call.asked,
-        anyio.current_time(),
-    )
-    return placement.least_loaded(found, fwd.in_flight, random.random)
-
-
-def oldest_version(state, model):
-    """Return the lowest version of `model` that may still begin requests."""
-    named = state.named.get(model)
-    if named is None:
-        return 0
-    age_s = anyio.current_time() - named.seen_at
-    if age_s > state.deployment.bounds.version_s - VERSION_SLACK_S:
-        return named.version
-    return 0
-
-
 async def _give_up(call, status, reason):
     """Send the final answer of a request that no server answers."""
     if call.reply.started:
@@ -177,7 +155,7 @@
     -------
     outcome : Outcome
     """
-    server = chosen.server
+    server = chosen.candidate.server
     try:
         conn = await backend_pool.take(fwd.pool, server.address)
     except errors.HttpError as exc:
@@ -188,7 +166,6 @@
     ran_before = call.may_have_run
     call.asked.add(server.server_id)
     call.may_have_run = True
-    _count(fwd, server.server_id, 1)
     try:
         await _send_request(call, chosen, conn)
         outcome = await _pass_answer_on(call, conn)
@@ -206,26 +183,18 @@
         )
         return Outcome.UNKNOWN
     finally:
-        _count(fwd, server.server_id, -1)
         if not kept:
             await backend_pool.discard(fwd.pool, conn)
 
 
-def _count(fwd, server_id, change):
-    left = fwd.in_flight.get(server_id, 0) + change
-    if left:
-        fwd.in_flight[server_id] = left
-    else:
-        del fwd.in_flight[server_id]
-
-
 async def _send_request(call, chosen, conn):
     resumed = call.reply.started
+    holding = chosen.candidate.holding
     out = exchange.Outbound(
-        server_id=chosen.server.server_id,
-        deadline_s=call.deadline - anyio.current_time(),
+        server_id=chosen.candidate.server.server_id,
+        deadline_s=call.terms.deadline - anyio.current_time(),
         customer=call.customer,
-        version=chosen.holding.version if chosen.holding else None,
+        version=holding.version if holding else None,
         resume_after=call.events.last_id if resumed else None,
     )
     headers = exchanges.backend_headers(call.req, out, call.body)
--- a/src/carobstand/entry/ingress.py
+++ b/src/carobstand/entry/ingress.py
@@ -6,7 +6,7 @@
 
 from carobstand import eventlog, http1_server
 from carobstand.core import routes
-from carobstand.entry import fleet, forwarding
+from carobstand.entry import fleet, forwarding, queueing
 from carobstand.platform import exchanges
 
 DEFAULT_DEADLINE_S = 30.0
@@ -68,7 +68,9 @@
         service=routes.pick_service(route, random.random()),
         customer=customer.name if customer else "",
         reply=reply,
-        deadline=_deadline(req, route, request.arrived),
+        terms=queueing.terms_of(
+            route, customer, request.arrived, _deadline(req, route, request.arrived)
+        ),
     )
     return await forwarding.serve(fwd, call)
 
--- a/src/carobstand/entry/platform_main.py
+++ b/src/carobstand/entry/platform_main.py
@@ -14,6 +14,7 @@
     fleet,
     forwarding,
     ingress,
+    queueing,
     readiness,
     registration,
     weight_cache,
@@ -48,13 +49,16 @@
     ready = readiness.server(state, leaving.is_set)
     async with anyio.create_task_group() as tg:
         tg.start_soon(_watch_signals, leaving)
-        tg.start_soon(fleet.observe, state)
-        tg.start_soon(registration.run, state)
-        tg.start_soon(weight_cache.run, weight_cache.WeightCache(state))
+        tg.start_soon(loops.supervise, fleet.observe, state)
+        tg.start_soon(loops.supervise, registration.run, state)
+        tg.start_soon(
+            loops.supervise, weight_cache.run, weight_cache.WeightCache(state)
+        )
         tg.start_soon(http1_server.listen, ready, dep.readiness_address)
         tg.start_soon(http1_server.listen, front, dep.ingress_address)
-        tg.start_soon(datagrams.listen, fwd)
-        tg.start_soon(_tidy, fwd)
+        tg.start_soon(loops.supervise, datagrams.listen, fwd)
+        tg.start_soon(loops.supervise, queueing.pump, fwd)
+        tg.start_soon(loops.supervise, _tidy, fwd)
         eventlog.event("process.started", address=dep.ingress_address)
         await leaving.wait()
         tg.start_soon(registration.withdraw, state)
--- /dev/null
+++ b/src/carobstand/entry/queueing.py
@@ -0,0 +1,169 @@
+"""Queue of an entry: requests that wait for a backend server with room."""
+
+import random
+
+import anyio
+import attrs
+
+from carobstand.core import outstanding, pace, placement, waiting
+from carobstand.entry import fleet
+
+PUMP_INTERVAL_S = 0.02
+"""Longest time between two looks at waiting requests."""
+
+PLAIN_FIRST_BYTE_S = 0.05
+"""Time to the first byte of an idle server that publishes no pace."""
+
+
+@attrs.define(eq=False)
+class Waiter:
+    """One waiting request; `done` is set once `choice` or `refused` is."""
+
+    call: object
+    choice: object = None
+    refused: bool = False
+    done: anyio.Event = attrs.field(factory=anyio.Event)
+
+
+@attrs.define(eq=False)
+class Queue:
+    """Waiting requests of all services."""
+
+    waiters: list = attrs.field(factory=list)
+
+
+async def place(fwd, call):
+    """Return the `Choice` of a server for a call, or None if it is to be refused.
+
+    The call is counted at the server until `end`.
+    """
+    waiter = Waiter(call)
+    choice, verdict = _look(fwd, call, anyio.current_time())
+    if verdict is waiting.Verdict.SEND and not _is_behind(fwd, call):
+        begin(fwd, call, choice)
+        return choice
+    if verdict is waiting.Verdict.REFUSE:
+        return None
+    fwd.queue.waiters.append(waiter)
+    fwd.freed.notify()
+    try:
+        await waiter.done.wait()
+    except BaseException:
+        if waiter.choice is not None:
+            end(fwd, call, waiter.choice)
+        raise
+    finally:
+        fwd.queue.waiters.remove(waiter)
+    return waiter.choice
+
+
+def _is_behind(fwd, call):
+    """Whether requests that come before this one wait for the same service."""
+    now = anyio.current_time()
+    key = _order(fwd, call, now)
+    return any(
+        other.call.service == call.service
+        and not other.done.is_set()
+        and _order(fwd, other.call, now) < key
+        for other in fwd.queue.waiters
+    )
+
+
+def _order(fwd, call, now):
+    return waiting.order(call.terms, _shortest_s(fwd, call), now)
+
+
+async def pump(fwd):
+    """Decide on waiting requests, whenever a server may have room, until cancelled."""
+    while True:
+        if not fwd.queue.waiters:
+            await fwd.freed.wait(1.0)
+            continue
+        _pump_once(fwd)
+        await fwd.freed.wait(PUMP_INTERVAL_S)
+
+
+def _pump_once(fwd):
+    now = anyio.current_time()
+    ready = sorted(
+        (waiter for waiter in fwd.queue.waiters if not waiter.done.is_set()),
+        key=lambda waiter: _order(fwd, waiter.call, now),
+    )
+    for waiter in ready:
+        choice, verdict = _look(fwd, waiter.call, now)
+        if verdict is waiting.Verdict.HOLD:
+            continue
+        if verdict is waiting.Verdict.SEND:
+            waiter.choice = choice
+            begin(fwd, waiter.call, choice)
+        waiter.done.set()
+
+
+def _look(fwd, call, now):
+    """Return the best choice for a call now, and the verdict on it."""
+    found = placement.candidates(
+        fwd.fleet.servers.servers,
+        fwd.loads,
+        call.service,
+        lambda model: fleet.oldest_version(fwd.fleet, model),
+        call.asked,
+        now,
+    )
+    dep = fwd.fleet.deployment
+    place_of_entry = placement.Place(
+        failure_domain=dep.failure_domain,
+        regions=dep.regions,
+        others=max(0, len(fwd.fleet.entries) - 1),
+    )
+    choices = placement.rank(
+        found,
+        service_of(fwd, call),
+        fwd.in_progress,
+        call.req.prompt_tokens,
+        place_of_entry,
+        random.random,
+    )
+    best = choices[0] if choices else None
+    return best, waiting.decide(call.terms, best, _shortest_s(fwd, call), now)
+
+
+def service_of(fwd, call):
+    """Return the `Service` of a call, or None if the configuration names none."""
+    config = fwd.fleet.configuration
+    return config.services.get(call.service) if config else None
+
+
+def _shortest_s(fwd, call):
+    service = service_of(fwd, call)
+    if service is None or service.pace is None:
+        return PLAIN_FIRST_BYTE_S
+    return pace.predict(service.pace, 0, call.req.prompt_tokens).first_event_s
+
+
+def begin(fwd, call, choice):
+    """Count a request at the server that was chosen for it."""
+    server_id = choice.candidate.server.server_id
+    state = fwd.in_progress.setdefault(server_id, outstanding.Outstanding())
+    outstanding.begin(state, call, anyio.current_time())
+
+
+def end(fwd, call, choice):
+    """Count the end of a request, and let waiting ones take its place."""
+    state = fwd.in_progress[choice.candidate.server.server_id]
+    outstanding.end(state, call, anyio.current_time())
+    if fwd.queue.waiters:
+        fwd.freed.notify()
+
+
+def terms_of(route, customer, arrived, deadline):
+    """Return the `Terms` of a request.
+
+    A target of a route that has none is its deadline.
+    """
+    target = arrived + route.target_s if route.target_s else deadline
+    priority = route.priority
+    if customer is not None and customer.priority is not None:
+        priority = customer.priority
+    return waiting.Terms(
+        arrived=arrived, target=target, deadline=deadline, priority=priority
+    )
--- a/src/carobstand/entry/weight_cache.py
+++ b/src/carobstand/entry/weight_cache.py
@@ -12,6 +12,12 @@
 """Longest wait for the next piece of another entry, after which the next source is
 tried."""
 
+WINDOW = piece_stream.Window(blocks=4, block_bytes=8192)
+"""Covers 15 ms between regions at the rate of the origin."""
+
+REQUEST_IDLE_S = 10.0
+"""Longest pause between two requests on a connection."""
+
 RETRY_S = 0.2
 """Pause after a source failed."""
 
@@ -195,7 +201,11 @@
         )
         return
     await piece_stream.receive_pieces(
-        source.address, cached.copy, lambda number: cached.changed.notify(), STALL_S
+        source.address,
+        cached.copy,
+        lambda number: cached.changed.notify(),
+        STALL_S,
+        WINDOW,
     )
 
 
@@ -220,7 +230,7 @@
         request = await piece_stream.receive(
             frames, STALL_S, piece_stream.MAX_REQUEST_BYTES
         )
-        if not isinstance(request, ttypes.PieceRequest):
+        if not isinstance(request, ttypes.ManifestRequest):
             raise errors.WireError("no request", step="pieces.serve")
         version = request.version or _newest(cache, request.model)
         needs_pieces = not request.manifest_only
@@ -244,16 +254,21 @@
     while cached.copy is None:
         await cached.changed.wait(STALL_S)
     copy = cached.copy
-    manifest = ttypes.ManifestReply(copy.model, copy.version, b"".join(copy.digests))
+    manifest = ttypes.ManifestReply(
+        copy.model, copy.version, b"".join(copy.digests), copy.piece_bytes
+    )
     await piece_stream.send(frames, manifest)
-    if request.manifest_only:
-        return
-    sent = weight_copy.from_bitmap(request.have)
-    while cached.copy is copy and len(sent) < len(copy.digests):
-        fresh = [number for number in copy.pieces if number not in sent]
-        for number in fresh:
-            reply = ttypes.PieceReply(number, copy.pieces[number])
-            await piece_stream.send(frames, reply)
-            sent.add(number)
-        if not fresh:
+    while not request.manifest_only:
+        block = await piece_stream.receive(
+            frames, REQUEST_IDLE_S, piece_stream.MAX_REQUEST_BYTES
+        )
+        if not isinstance(block, ttypes.BlockRequest):
+            raise errors.WireError("no request for a block", step="pieces.serve")
+        while block.number not in copy.pieces:
+            if cached.copy is not copy:
+                return
             await cached.changed.wait(STALL_S)
+        piece = copy.pieces[block.number]
+        data = piece[block.offset : block.offset + block.size]
+        reply = ttypes.BlockReply(block.number, block.offset, data)
+        await piece_stream.send(frames, reply)
--- a/src/carobstand/loops.py
+++ b/src/carobstand/loops.py
@@ -5,6 +5,11 @@
 
 import anyio
 
+from carobstand import eventlog
+
+RESTART_S = 0.5
+"""Pause before a loop that failed is started again."""
+
 
 class BoottimeLoop(asyncio.SelectorEventLoop):
     """Loop on ``CLOCK_BOOTTIME``: after a suspend, deadlines that passed are due.
@@ -21,3 +26,17 @@
 def run(func, *args):
     """Run ``func(*args)`` in such a loop; return its result."""
     return anyio.run(func, *args, backend_options={"loop_factory": BoottimeLoop})
+
+
+async def supervise(loop, *args):
+    """Run ``loop(*args)`` again and again; log an error that ends it.
+
+    A fault in one loop must not end the process and with it the requests of all others.
+    """
+    while True:
+        try:
+            await loop(*args)
+            return
+        except Exception as exc:
+            eventlog.failure("loop.failed", exc, loop=loop.__qualname__)
+        await anyio.sleep(RESTART_S)
--- a/src/carobstand/platform/weights_origin.py
+++ b/src/carobstand/platform/weights_origin.py
@@ -13,11 +13,12 @@
 
 @attrs.frozen
 class Manifest:
-    """Pieces of one version of a model: the SHA-256 of each, as bytes."""
+    """Pieces of one version: the SHA-256 of each, as bytes, and their size."""
 
     model: str
     version: int
     digests: tuple
+    piece_bytes: int
 
 
 async def manifest(caller, model, version, timeout_s):
@@ -42,7 +43,12 @@
         raise errors.RecordError(f"digests: {exc}", step="manifest") from exc
     if not digests or any(len(digest) != 32 for digest in digests):
         raise errors.RecordError("digests: not SHA-256 values", step="manifest")
-    return Manifest(record.text("model"), record.whole("version"), digests)
+    return Manifest(
+        record.text("model"),
+        record.whole("version"),
+        digests,
+        record.whole("chunk_bytes"),
+    )
 
 
 async def piece(caller, model, version, number, timeout_s, max_bytes):
--- a/src/carobstand/transfer/drawing.py
+++ b/src/carobstand/transfer/drawing.py
@@ -45,7 +45,9 @@
             step="weights.manifest",
             peer=origin.address,
         )
-    return weight_copy.WeightCopy(model, found.version, found.digests)
+    return weight_copy.WeightCopy(
+        model, found.version, found.digests, found.piece_bytes
+    )
 
 
 async def draw(origin, copy, on_piece):
--- a/src/carobstand/transfer/piece_stream.py
+++ b/src/carobstand/transfer/piece_stream.py
@@ -1,5 +1,7 @@
 """Transfer of weights between processes: one request, then pieces as they come."""
 
+import collections
+
 import anyio
 import anyio.abc
 import attrs
@@ -19,6 +21,18 @@
 """Longest wait for a connection to another process."""
 
 
+@attrs.frozen
+class Window:
+    """Blocks that are asked for at a time, and their size in bytes.
+
+    Their product is what may wait at a narrow link, where it delays requests; it has to
+    cover the delay between both ends for the link to be kept busy.
+    """
+
+    blocks: int
+    block_bytes: int
+
+
 @attrs.define(eq=False)
 class Frames:
     """Messages of a stream; `buffer` holds bytes of frames that are not complete."""
@@ -114,14 +128,13 @@
     """
     frames = await connect(address)
     try:
-        request = ttypes.PieceRequest(model, version, b"", True)
-        await send(frames, request)
+        await send(frames, ttypes.ManifestRequest(model, version, True))
         return await _receive_manifest(frames, model, timeout_s)
     finally:
         await anyio.aclose_forcefully(frames.stream)
 
 
-async def receive_pieces(address, copy, on_piece, stall_s):
+async def receive_pieces(address, copy, on_piece, stall_s, window):
     """Receive the missing pieces of a copy from the process at `address`.
 
     Parameters
@@ -133,7 +146,8 @@
     on_piece : callable of (number)
         Called after each piece that was added.
     stall_s : float
-        Longest wait for the next message.
+        Longest wait for the next block.
+    window : Window
 
     Raises
     ------
@@ -143,28 +157,57 @@
     """
     frames = await connect(address)
     try:
-        have = weight_copy.to_bitmap(copy.pieces, len(copy.digests))
-        await send(frames, ttypes.PieceRequest(copy.model, copy.version, have, False))
+        await send(frames, ttypes.ManifestRequest(copy.model, copy.version, False))
         theirs = await _receive_manifest(frames, copy.model, stall_s)
         if theirs.digests != copy.digests:
             raise errors.WeightsError(
                 "another manifest", step="pieces.receive", peer=frames.peer
             )
-        while not weight_copy.is_complete(copy):
-            piece = await receive(frames, stall_s)
-            if not isinstance(piece, ttypes.PieceReply):
-                raise errors.WireError(
-                    "no piece", step="pieces.receive", peer=frames.peer
-                )
-            if not weight_copy.add(copy, piece.number, piece.data):
-                raise errors.WeightsError(
-                    f"piece {piece.number} is spoilt", step="pieces", peer=frames.peer
-                )
-            on_piece(piece.number)
+        await _receive_blocks(frames, copy, on_piece, stall_s, window)
     finally:
         await anyio.aclose_forcefully(frames.stream)
 
 
+async def _receive_blocks(frames, copy, on_piece, stall_s, window):
+    wanted = iter(_blocks(copy, window.block_bytes))
+    expected = collections.deque()
+    parts = []
+    while True:
+        while len(expected) < window.blocks:
+            block = next(wanted, None)
+            if block is None:
+                break
+            expected.append(block)
+            await send(frames, block)
+        if not expected:
+            return
+        block = expected.popleft()
+        reply = await receive(frames, stall_s)
+        if not isinstance(reply, ttypes.BlockReply) or (
+            (reply.number, reply.offset) != (block.number, block.offset)
+        ):
+            raise errors.WireError("no block", step="pieces.receive", peer=frames.peer)
+        parts.append(reply.data)
+        if block.offset + block.size < copy.piece_bytes:
+            continue
+        if not weight_copy.add(copy, block.number, b"".join(parts)):
+            raise errors.WeightsError(
+                f"piece {block.number} is spoilt",
+                step="pieces.receive",
+                peer=frames.peer,
+            )
+        parts.clear()
+        on_piece(block.number)
+
+
+def _blocks(copy, block_bytes):
+    """Yield the requests for all missing pieces, piece by piece."""
+    for number in weight_copy.missing(copy):
+        for offset in range(0, copy.piece_bytes, block_bytes):
+            size = min(block_bytes, copy.piece_bytes - offset)
+            yield ttypes.BlockRequest(number, offset, size)
+
+
 async def _receive_manifest(frames, model, timeout_s):
     reply = await receive(frames, timeout_s)
     if not isinstance(reply, ttypes.ManifestReply) or reply.model != model:
@@ -175,4 +218,6 @@
         raise errors.WireError(
             str(exc), step="pieces.receive", peer=frames.peer
         ) from exc
-    return weight_copy.WeightCopy(reply.model, reply.version, digests)
+    return weight_copy.WeightCopy(
+        reply.model, reply.version, digests, max(1, reply.piece_bytes)
+    )
--- a/src/carobstand/wire/fleet.thrift
+++ b/src/carobstand/wire/fleet.thrift
@@ -24,29 +24,38 @@
   2: string server_start      // the server and its start, the same at every entry
 }
 
-// First frame of a connection: asks for the pieces that the sender lacks.
-struct PieceRequest {
+// First frame of a connection: asks for the manifest of a version.
+struct ManifestRequest {
   1: string model
-  2: i32 version
-  3: binary have              // bit n % 8 of byte n / 8: the sender has piece n
-  4: bool manifest_only
+  2: i32 version              // 0: the newest one
+  3: bool manifest_only       // no block will be asked for
 }
 
 struct ManifestReply {
   1: string model
   2: i32 version
   3: binary digests           // SHA-256 values one after another
+  4: i32 piece_bytes
+}
+
+// Asks for a part of a piece; the reply comes once the piece is there.
+struct BlockRequest {
+  1: i32 number
+  2: i32 offset
+  3: i32 size
 }
 
-struct PieceReply {
+struct BlockReply {
   1: i32 number
-  2: binary data
+  2: i32 offset
+  3: binary data
 }
 
 union Message {
   1: EngineLoad engine_load
   2: FailedRun failed_run
-  3: PieceRequest piece_request
+  3: ManifestRequest manifest_request
   4: ManifestReply manifest_reply
-  5: PieceReply piece_reply
+  5: BlockRequest block_request
+  6: BlockReply block_reply
 }
--- a/src/carobstand/wire/gen_fleet/ttypes.py
+++ b/src/carobstand/wire/gen_fleet/ttypes.py
@@ -262,21 +262,19 @@
         return not (self == other)
 
 
-class PieceRequest(object):
+class ManifestRequest(object):
     """
     Attributes:
      - model
      - version
-     - have
      - manifest_only
 
     """
 
 
-    def __init__(self, model=None, version=None, have=None, manifest_only=None,):
+    def __init__(self, model=None, version=None, manifest_only=None,):
         self.model = model
         self.version = version
-        self.have = have
         self.manifest_only = manifest_only
 
     def read(self, iprot):
@@ -299,11 +297,6 @@
                 else:
                     iprot.skip(ftype)
             elif fid == 3:
-                if ftype == TType.STRING:
-                    self.have = iprot.readBinary()
-                else:
-                    iprot.skip(ftype)
-            elif fid == 4:
                 if ftype == TType.BOOL:
                     self.manifest_only = iprot.readBool()
                 else:
@@ -317,7 +310,7 @@
         if oprot._fast_encode is not None and self.thrift_spec is not None:
             oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
             return
-        oprot.writeStructBegin('PieceRequest')
+        oprot.writeStructBegin('ManifestRequest')
         if self.model is not None:
             oprot.writeFieldBegin('model', TType.STRING, 1)
             oprot.writeString(self.model.encode('utf-8') if sys.version_info[0] == 2 else self.model)
@@ -326,12 +319,8 @@
             oprot.writeFieldBegin('version', TType.I32, 2)
             oprot.writeI32(self.version)
             oprot.writeFieldEnd()
-        if self.have is not None:
-            oprot.writeFieldBegin('have', TType.STRING, 3)
-            oprot.writeBinary(self.have)
-            oprot.writeFieldEnd()
         if self.manifest_only is not None:
-            oprot.writeFieldBegin('manifest_only', TType.BOOL, 4)
+            oprot.writeFieldBegin('manifest_only', TType.BOOL, 3)
             oprot.writeBool(self.manifest_only)
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -358,14 +347,16 @@
      - model
      - version
      - digests
+     - piece_bytes
 
     """
 
 
-    def __init__(self, model=None, version=None, digests=None,):
+    def __init__(self, model=None, version=None, digests=None, piece_bytes=None,):
         self.model = model
         self.version = version
         self.digests = digests
+        self.piece_bytes = piece_bytes
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -391,6 +382,11 @@
                     self.digests = iprot.readBinary()
                 else:
                     iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I32:
+                    self.piece_bytes = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -413,6 +409,10 @@
             oprot.writeFieldBegin('digests', TType.STRING, 3)
             oprot.writeBinary(self.digests)
             oprot.writeFieldEnd()
+        if self.piece_bytes is not None:
+            oprot.writeFieldBegin('piece_bytes', TType.I32, 4)
+            oprot.writeI32(self.piece_bytes)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -431,17 +431,98 @@
         return not (self == other)
 
 
-class PieceReply(object):
+class BlockRequest(object):
     """
     Attributes:
      - number
+     - offset
+     - size
+
+    """
+
+
+    def __init__(self, number=None, offset=None, size=None,):
+        self.number = number
+        self.offset = offset
+        self.size = size
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I32:
+                    self.number = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I32:
+                    self.offset = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I32:
+                    self.size = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('BlockRequest')
+        if self.number is not None:
+            oprot.writeFieldBegin('number', TType.I32, 1)
+            oprot.writeI32(self.number)
+            oprot.writeFieldEnd()
+        if self.offset is not None:
+            oprot.writeFieldBegin('offset', TType.I32, 2)
+            oprot.writeI32(self.offset)
+            oprot.writeFieldEnd()
+        if self.size is not None:
+            oprot.writeFieldBegin('size', TType.I32, 3)
+            oprot.writeI32(self.size)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class BlockReply(object):
+    """
+    Attributes:
+     - number
+     - offset
      - data
 
     """
 
 
-    def __init__(self, number=None, data=None,):
+    def __init__(self, number=None, offset=None, data=None,):
         self.number = number
+        self.offset = offset
         self.data = data
 
     def read(self, iprot):
@@ -459,6 +540,11 @@
                 else:
                     iprot.skip(ftype)
             elif fid == 2:
+                if ftype == TType.I32:
+                    self.offset = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
                 if ftype == TType.STRING:
                     self.data = iprot.readBinary()
                 else:
@@ -472,13 +558,17 @@
         if oprot._fast_encode is not None and self.thrift_spec is not None:
             oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
             return
-        oprot.writeStructBegin('PieceReply')
+        oprot.writeStructBegin('BlockReply')
         if self.number is not None:
             oprot.writeFieldBegin('number', TType.I32, 1)
             oprot.writeI32(self.number)
             oprot.writeFieldEnd()
+        if self.offset is not None:
+            oprot.writeFieldBegin('offset', TType.I32, 2)
+            oprot.writeI32(self.offset)
+            oprot.writeFieldEnd()
         if self.data is not None:
-            oprot.writeFieldBegin('data', TType.STRING, 2)
+            oprot.writeFieldBegin('data', TType.STRING, 3)
             oprot.writeBinary(self.data)
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -504,19 +594,21 @@
     Attributes:
      - engine_load
      - failed_run
-     - piece_request
+     - manifest_request
      - manifest_reply
-     - piece_reply
+     - block_request
+     - block_reply
 
     """
 
 
-    def __init__(self, engine_load=None, failed_run=None, piece_request=None, manifest_reply=None, piece_reply=None,):
+    def __init__(self, engine_load=None, failed_run=None, manifest_request=None, manifest_reply=None, block_request=None, block_reply=None,):
         self.engine_load = engine_load
         self.failed_run = failed_run
-        self.piece_request = piece_request
+        self.manifest_request = manifest_request
         self.manifest_reply = manifest_reply
-        self.piece_reply = piece_reply
+        self.block_request = block_request
+        self.block_reply = block_reply
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -541,8 +633,8 @@
                     iprot.skip(ftype)
             elif fid == 3:
                 if ftype == TType.STRUCT:
-                    self.piece_request = PieceRequest()
-                    self.piece_request.read(iprot)
+                    self.manifest_request = ManifestRequest()
+                    self.manifest_request.read(iprot)
                 else:
                     iprot.skip(ftype)
             elif fid == 4:
@@ -553,8 +645,14 @@
                     iprot.skip(ftype)
             elif fid == 5:
                 if ftype == TType.STRUCT:
-                    self.piece_reply = PieceReply()
-                    self.piece_reply.read(iprot)
+                    self.block_request = BlockRequest()
+                    self.block_request.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.STRUCT:
+                    self.block_reply = BlockReply()
+                    self.block_reply.read(iprot)
                 else:
                     iprot.skip(ftype)
             else:
@@ -575,17 +673,21 @@
             oprot.writeFieldBegin('failed_run', TType.STRUCT, 2)
             self.failed_run.write(oprot)
             oprot.writeFieldEnd()
-        if self.piece_request is not None:
-            oprot.writeFieldBegin('piece_request', TType.STRUCT, 3)
-            self.piece_request.write(oprot)
+        if self.manifest_request is not None:
+            oprot.writeFieldBegin('manifest_request', TType.STRUCT, 3)
+            self.manifest_request.write(oprot)
             oprot.writeFieldEnd()
         if self.manifest_reply is not None:
             oprot.writeFieldBegin('manifest_reply', TType.STRUCT, 4)
             self.manifest_reply.write(oprot)
             oprot.writeFieldEnd()
-        if self.piece_reply is not None:
-            oprot.writeFieldBegin('piece_reply', TType.STRUCT, 5)
-            self.piece_reply.write(oprot)
+        if self.block_request is not None:
+            oprot.writeFieldBegin('block_request', TType.STRUCT, 5)
+            self.block_request.write(oprot)
+            oprot.writeFieldEnd()
+        if self.block_reply is not None:
+            oprot.writeFieldBegin('block_reply', TType.STRUCT, 6)
+            self.block_reply.write(oprot)
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
@@ -625,13 +727,12 @@
     (1, TType.STRING, 'fingerprint', 'BINARY', None, ),  # 1
     (2, TType.STRING, 'server_start', 'UTF8', None, ),  # 2
 )
-all_structs.append(PieceRequest)
-PieceRequest.thrift_spec = (
+all_structs.append(ManifestRequest)
+ManifestRequest.thrift_spec = (
     None,  # 0
     (1, TType.STRING, 'model', 'UTF8', None, ),  # 1
     (2, TType.I32, 'version', None, None, ),  # 2
-    (3, TType.STRING, 'have', 'BINARY', None, ),  # 3
-    (4, TType.BOOL, 'manifest_only', None, None, ),  # 4
+    (3, TType.BOOL, 'manifest_only', None, None, ),  # 3
 )
 all_structs.append(ManifestReply)
 ManifestReply.thrift_spec = (
@@ -639,21 +740,31 @@
     (1, TType.STRING, 'model', 'UTF8', None, ),  # 1
     (2, TType.I32, 'version', None, None, ),  # 2
     (3, TType.STRING, 'digests', 'BINARY', None, ),  # 3
+    (4, TType.I32, 'piece_bytes', None, None, ),  # 4
+)
+all_structs.append(BlockRequest)
+BlockRequest.thrift_spec = (
+    None,  # 0
+    (1, TType.I32, 'number', None, None, ),  # 1
+    (2, TType.I32, 'offset', None, None, ),  # 2
+    (3, TType.I32, 'size', None, None, ),  # 3
 )
-all_structs.append(PieceReply)
-PieceReply.thrift_spec = (
+all_structs.append(BlockReply)
+BlockReply.thrift_spec = (
     None,  # 0
     (1, TType.I32, 'number', None, None, ),  # 1
-    (2, TType.STRING, 'data', 'BINARY', None, ),  # 2
+    (2, TType.I32, 'offset', None, None, ),  # 2
+    (3, TType.STRING, 'data', 'BINARY', None, ),  # 3
 )
 all_structs.append(Message)
 Message.thrift_spec = (
     None,  # 0
     (1, TType.STRUCT, 'engine_load', [EngineLoad, None], None, ),  # 1
     (2, TType.STRUCT, 'failed_run', [FailedRun, None], None, ),  # 2
-    (3, TType.STRUCT, 'piece_request', [PieceRequest, None], None, ),  # 3
+    (3, TType.STRUCT, 'manifest_request', [ManifestRequest, None], None, ),  # 3
     (4, TType.STRUCT, 'manifest_reply', [ManifestReply, None], None, ),  # 4
-    (5, TType.STRUCT, 'piece_reply', [PieceReply, None], None, ),  # 5
+    (5, TType.STRUCT, 'block_request', [BlockRequest, None], None, ),  # 5
+    (6, TType.STRUCT, 'block_reply', [BlockReply, None], None, ),  # 6
 )
 fix_spec(all_structs)
 del all_structs
