--- a/src/carobstand/agent/receiving.py
+++ b/src/carobstand/agent/receiving.py
@@ -69,7 +69,11 @@
         return None if held is not None or complete else piece_stream.NEWEST
     newest = named[-1].version
     target = load_turns.target(
-        named, _progress(view), _copy_s(view, service), _allowed_s(view)
+        named,
+        _progress(view),
+        _copy_s(view, service),
+        view.deployment.bounds.version_s,
+        anyio.current_time(),
     )
     if held is not None and held >= newest:
         return None
@@ -94,10 +98,6 @@
     return load_turns.receive_s(size, view.deployment.link_bytes_per_s)
 
 
-def _allowed_s(view):
-    return view.deployment.bounds.version_s
-
-
 async def _receive(view, service, version, failures):
     """Receive one version, and stop early if another one is wanted instead."""
     model = service.weights.models[0]
--- a/src/carobstand/agent/view.py
+++ b/src/carobstand/agent/view.py
@@ -1,10 +1,12 @@
 """What an agent on the platform knows, and the loops that keep it up to date."""
 
+import math
+
 import anyio
 import attrs
 
 from carobstand import entry_records, errors, eventlog, http1, signals
-from carobstand.core import load_turns
+from carobstand.core import named_versions
 from carobstand.platform import kv, records
 
 WATCH_WAIT_S = 8.0
@@ -27,8 +29,11 @@
         The engine on this VM.
     configuration : core.routes.Configuration or None
         As it was when it was last needed.
-    named : dict of str to list of core.load_turns.Named
-        By model, in the order of their versions.
+    named : dict of str to list of core.named_versions.Named
+        By model, in the order of their versions. Those named before this process
+        began were named in the past without end.
+    follows_versions : bool
+        Whether the named weights have been read once.
     entries : dict of str to core.weight_sources.Entry
         By VM.
     report : core.engine_report.EngineReport or None
@@ -46,6 +51,7 @@
     engine: http1.Caller
     configuration: object = None
     named: dict = attrs.field(factory=dict)
+    follows_versions: bool = False
     entries: dict = attrs.field(factory=dict)
     report: object = None
     copies: dict = attrs.field(factory=dict)
@@ -103,6 +109,7 @@
             for item in changes.items:
                 _apply_readable(apply, item)
             revision = changes.revision
+            view.follows_versions |= prefix == records.VERSION_PREFIX
             pause_s = RETRY_MIN_S
             if changes.items:
                 view.changed.notify()
@@ -126,10 +133,9 @@
         return
     named = records.named_version(item.value)
     known = view.named.setdefault(named.model, [])
-    if known and known[-1].version >= named.version:
-        return
-    known.append(load_turns.Named(named.version, anyio.current_time()))
-    eventlog.event("version.named", model=named.model, version=named.version)
+    seen_at = anyio.current_time() if view.follows_versions else -math.inf
+    if named_versions.add(known, named.version, seen_at):
+        eventlog.event("version.named", model=named.model, version=named.version)
 
 
 def _apply_entry(view, item):
--- a/src/carobstand/core/load_turns.py
+++ b/src/carobstand/core/load_turns.py
@@ -11,14 +11,6 @@
 """Share of a link that weights fill while they are received."""
 
 
-@attrs.frozen
-class Named:
-    """Weights that were named, and when this process heard of it."""
-
-    version: int
-    seen_at: float
-
-
 @attrs.frozen
 class Progress:
     """Weights that are being received: pieces held, and all of them."""
@@ -28,7 +20,7 @@
     pieces: int
 
 
-def target(named, progress, copy_s, allowed_s):
+def target(named, progress, copy_s, allowed_s, now):
     """Return the version to receive next.
 
     The version in progress is finished if the newest one can still be received after
@@ -36,19 +28,19 @@
 
     Parameters
     ----------
-    named : list of Named
+    named : list of core.named_versions.Named
         In the order of their versions, not empty.
     progress : Progress or None
     copy_s : float
         Time to receive a whole copy.
     allowed_s : float
         Time from the naming until no request may begin on older weights.
+    now : float
     """
     newest = named[-1]
     if progress is None or progress.version >= newest.version:
         return newest.version
     left_s = copy_s * (1 - progress.held / progress.pieces)
-    now = newest.seen_at
     if now + left_s + copy_s + MARGIN_S <= newest.seen_at + allowed_s:
         return progress.version
     return newest.version
@@ -73,7 +65,7 @@
     servers : iterable of str
         All engines of the service, by any name that all agents know.
     version : int
-    named : Named or None
+    named : core.named_versions.Named or None
         None for weights that were never named: there is no reason to wait.
     copy_s, allowed_s : float
     """
--- a/src/carobstand/core/placement.py
+++ b/src/carobstand/core/placement.py
@@ -2,7 +2,7 @@
 
 import attrs
 
-from carobstand.core import engine_load, outstanding, pace
+from carobstand.core import engine_load, health, outstanding, pace
 
 REGION_PENALTY_S = 0.03
 """An answer from another region must be earlier by this to be worth its costly way."""
@@ -50,16 +50,16 @@
     cost_s: float
 
 
-def candidates(servers, loads, service, oldest_version, excluded, now):
+def candidates(servers, loads, healths, service, excluded, now):
     """Return the `Candidate` servers of a service.
 
     Parameters
     ----------
     servers : dict of str to core.registry.Registration
     loads : core.engine_load.EngineLoads
+    healths : dict of str to core.health.ServerHealth
+        By server id.
     service : str
-    oldest_version : callable of (str)
-        Returns the lowest version that may still begin requests of a model.
     excluded : set of str
         Ids that are not asked again.
     now : float
@@ -68,7 +68,7 @@
     for server in servers.values():
         if server.service != service or not server.is_ready:
             continue
-        if server.server_id in excluded:
+        if server.server_id in excluded or _is_avoided(server, healths, now):
             continue
         if not server.runs_model:
             found.append(Candidate(server, None, None))
@@ -77,12 +77,15 @@
         holding = load.holding if load else server.holding
         if holding is None or (load and load.is_busy):
             continue
-        if holding.version < oldest_version(holding.model):
-            continue
         found.append(Candidate(server, holding, load))
     return found
 
 
+def _is_avoided(server, healths, now):
+    state = healths.get(server.server_id)
+    return state is not None and health.is_avoided(state, now, server.started_ms)
+
+
 @attrs.frozen(kw_only=True)
 class Place:
     """Where an entry stands, for the way to a server.
@@ -101,7 +104,9 @@
     others: int
 
 
-def rank(found, service, in_progress, prompt_tokens, place, draw):
+def rank(
+    found, service, in_progress, healths, prompt_tokens, place, draw, begin_by, now
+):
     """Return the candidates as `Choice`, the best first.
 
     Parameters
@@ -110,19 +115,29 @@
     service : core.routes.Service or None
     in_progress : dict of str to core.outstanding.Outstanding
         By server id.
+    healths : dict of str to core.health.ServerHealth
+        By server id.
     prompt_tokens : int
     place : Place
     draw : callable without arguments
         Uniform in [0, 1).
+    begin_by : callable of (core.registry.Holding or None)
+        Returns the time by which a request must begin on some weights.
+    now : float
     """
     empty = outstanding.Outstanding()
     choices = []
     for candidate in found:
         state = in_progress.get(candidate.server.server_id, empty)
         occupied = outstanding.occupancy(state, candidate.load, place.others)
-        choices.append(
-            _choice(candidate, service, occupied, prompt_tokens, place, draw)
-        )
+        choice = _choice(candidate, service, occupied, prompt_tokens, place, draw)
+        if now + choice.wait_s >= begin_by(candidate.holding):
+            continue
+        known = healths.get(candidate.server.server_id)
+        if known is not None:
+            cost_s = choice.cost_s + health.penalty_s(known)
+            choice = attrs.evolve(choice, cost_s=cost_s)
+        choices.append(choice)
     return sorted(choices, key=lambda choice: choice.cost_s)
 
 
--- a/src/carobstand/entry/fleet.py
+++ b/src/carobstand/entry/fleet.py
@@ -1,10 +1,12 @@
 """What an entry knows of its deployment: configuration, servers, named versions."""
 
+import math
+
 import anyio
 import attrs
 
 from carobstand import entry_records, errors, eventlog, signals
-from carobstand.core import registry, routes
+from carobstand.core import named_versions, registry, routes
 from carobstand.platform import kv, records
 
 WATCH_WAIT_S = 2.0
@@ -19,21 +21,14 @@
 """A watch may hear nothing for this long while changes are made, if the store drops
 its history."""
 
-VERSION_SLACK_S = 0.7
-"""Old weights get no request this close to the end of the time in which they may."""
+VERSION_SLACK_S = 0.2
+"""Requests that have not begun on old weights this long before the end of the allowed
+time are taken back: news of named weights takes 50 ms, a request's way 10 ms."""
 
 KEY_SLACK_S = 0.5
 """Time between the check of a key and the start of its request at a server."""
 
 
-@attrs.frozen
-class Named:
-    """Weights named by the operators; `seen_at` is when this process heard of them."""
-
-    version: int
-    seen_at: float
-
-
 @attrs.define(eq=False)
 class Fleet:
     """State that the loops of an entry share.
@@ -44,7 +39,7 @@
     store : platform.kv.Store
     configuration : core.routes.Configuration or None
     servers : core.registry.Registry
-    named : dict of str to Named
+    named : dict of str to list of core.named_versions.Named
         By model.
     entries : dict of str to core.weight_sources.Entry
         By VM.
@@ -167,10 +162,10 @@
     if item.value is None:
         return
     named = records.named_version(item.value)
-    known = fleet.named.get(named.model)
-    if known is None or named.version > known.version:
-        now = anyio.current_time()
-        fleet.named[named.model] = Named(named.version, now)
+    known = fleet.named.setdefault(named.model, [])
+    # How long ago weights were named is not known to a process that has just begun.
+    seen_at = anyio.current_time() if fleet.revision else -math.inf
+    if named_versions.add(known, named.version, seen_at):
         eventlog.event("version.named", model=named.model, version=named.version)
 
 
@@ -229,12 +224,27 @@
     return age_s < fleet.deployment.bounds.revoke_s
 
 
-def oldest_version(fleet, model):
-    """Return the lowest version of `model` that may still begin requests."""
+def begin_by(fleet, holding):
+    """Return the time by which requests must have begun on some weights.
+
+    Parameters
+    ----------
+    fleet : Fleet
+    holding : core.registry.Holding or None
+
+    Returns
+    -------
+    time : float
+        Without end for the newest weights.
+    """
+    if holding is None:
+        return math.inf
+    allowed_s = fleet.deployment.bounds.version_s - VERSION_SLACK_S
+    named = fleet.named.get(holding.model, [])
+    return named_versions.begin_by(named, holding.version, allowed_s)
+
+
+def newest_version(fleet, model):
+    """Return the newest named version of a model, or None."""
     named = fleet.named.get(model)
-    if named is None:
-        return 0
-    age_s = anyio.current_time() - named.seen_at
-    if age_s > fleet.deployment.bounds.version_s - VERSION_SLACK_S:
-        return named.version
-    return 0
+    return named[-1].version if named else None
--- a/src/carobstand/entry/forwarding.py
+++ b/src/carobstand/entry/forwarding.py
@@ -10,6 +10,8 @@
     engine_load,
     event_stream,
     exchange,
+    health,
+    retry_budget,
     routes,
     waiting,
 )
@@ -43,6 +45,10 @@
     pool : entry.backend_pool.BackendPool
     in_progress : dict of str to core.outstanding.Outstanding
         Requests that this entry has at each backend server, by server id.
+    healths : dict of str to core.health.ServerHealth
+        By server id.
+    budgets : dict of str to core.retry_budget.Budget
+        By service.
     queue : entry.queueing.Queue
     loads : core.engine_load.EngineLoads
     freed : signals.Signal
@@ -52,6 +58,8 @@
     fleet: fleet.Fleet
     pool: backend_pool.BackendPool = attrs.field(factory=backend_pool.BackendPool)
     in_progress: dict = attrs.field(factory=dict)
+    healths: dict = attrs.field(factory=dict)
+    budgets: dict = attrs.field(factory=dict)
     queue: queueing.Queue = attrs.field(factory=queueing.Queue)
     loads: engine_load.EngineLoads = attrs.field(factory=engine_load.EngineLoads)
     freed: signals.Signal = attrs.field(factory=signals.Signal)
@@ -72,7 +80,11 @@
     terms : core.waiting.Terms
         Times by which it must be answered, on the loop's clock.
     asked : set of str
+        Servers that are not tried again.
+    sends : int
         Servers to which it was sent.
+    has_repeat : bool
+        Whether the next send was already taken from the budget.
     may_have_run : bool
         Whether a send ended without a statement that the request did not run.
     events : core.event_stream.EventStream
@@ -87,12 +99,17 @@
     reply: http1_server.Reply
     terms: waiting.Terms
     asked: set = attrs.field(factory=set)
+    sends: int = 0
+    has_repeat: bool = False
     may_have_run: bool = False
     events: event_stream.EventStream = attrs.field(factory=event_stream.EventStream)
 
 
 async def serve(fwd, call):
     """Serve one request until its final answer, at the latest at its deadline."""
+    now = anyio.current_time()
+    budget = fwd.budgets.setdefault(call.service, retry_budget.Budget(now))
+    retry_budget.count_request(budget, fwd.fleet.deployment.bounds, now)
     with anyio.CancelScope(deadline=call.terms.deadline) as scope:
         await _try_servers(fwd, call)
     if scope.cancelled_caught:
@@ -112,16 +129,31 @@
             return None
         if not _may_send_again(call, outcome):
             return await _give_up(call, 502, outcome.value)
+        if call.sends and not _withdraw(fwd, call):
+            return await _give_up(call, 502, "retry budget is spent")
 
 
 def _may_send_again(call, outcome):
     if outcome is Outcome.NOT_SENT:
         return True
-    if len(call.asked) >= call.route.max_servers:
+    if call.sends >= call.route.max_servers:
         return False
     return outcome is Outcome.NOT_RUN or routes.may_repeat(call.route)
 
 
+def _withdraw(fwd, call):
+    """Take one repeat from the budget of the call's service."""
+    if call.has_repeat:
+        return True
+    call.has_repeat = retry_budget.withdraw(
+        fwd.budgets[call.service],
+        fwd.fleet.deployment.bounds,
+        max(1, len(fwd.fleet.entries)),
+        anyio.current_time(),
+    )
+    return call.has_repeat
+
+
 async def _give_up(call, status, reason):
     """Send the final answer of a request that no server answers."""
     if call.reply.started:
@@ -156,25 +188,35 @@
     outcome : Outcome
     """
     server = chosen.candidate.server
+    state = fwd.healths.setdefault(server.server_id, health.ServerHealth())
+    call.asked.add(server.server_id)
     try:
         conn = await backend_pool.take(fwd.pool, server.address)
     except errors.HttpError as exc:
+        health.refused(state, anyio.current_time(), server.started_ms)
         eventlog.event("backend.unreachable", server=server.server_id, error=str(exc))
-        call.asked.add(server.server_id)
         return Outcome.NOT_SENT
     kept = False
     ran_before = call.may_have_run
-    call.asked.add(server.server_id)
     call.may_have_run = True
+    call.sends += 1
+    call.has_repeat = False
     try:
         await _send_request(call, chosen, conn)
-        outcome = await _pass_answer_on(call, conn)
+        begin_by = fleet.begin_by(fwd.fleet, chosen.candidate.holding)
+        head, data = await _receive_start(call, conn, begin_by)
+        outcome = await _pass_answer_on(call, conn, head, data)
+        if head.status == 421:
+            health.refused(state, anyio.current_time(), server.started_ms)
         if outcome is Outcome.NOT_RUN:
             call.may_have_run = ran_before
+        else:
+            health.answered(state)
         if outcome in (Outcome.DONE, Outcome.NOT_RUN):
             kept = backend_pool.give_back(fwd.pool, conn)
         return outcome
     except errors.HttpError as exc:
+        health.lost(state, anyio.current_time(), server.started_ms)
         eventlog.event(
             "attempt.failed",
             request=call.req.request_id,
@@ -201,18 +243,36 @@
     await http1.send(conn, call.req.method, call.req.target, headers, call.body)
 
 
-async def _pass_answer_on(call, conn):
-    raw = await http1.receive_head(conn)
-    head = exchanges.answer_head(raw.status_code, raw.headers)
-    if head.request_id != call.req.request_id:
-        raise errors.HttpError(
-            f"answer to {head.request_id!r}", step="forward.receive", peer=conn.peer
-        )
+async def _receive_start(call, conn, begin_by):
+    """Return the `AnswerHead` and, for a stream, the first bytes of its body.
+
+    A run on old weights that has not begun by `begin_by` is given up.
+    """
+    with anyio.CancelScope(deadline=begin_by):
+        raw = await http1.receive_head(conn)
+        head = exchanges.answer_head(raw.status_code, raw.headers)
+        if head.request_id != call.req.request_id:
+            raise errors.HttpError(
+                f"answer to {head.request_id!r}", step="forward.receive", peer=conn.peer
+            )
+        if not _is_stream(call, head):
+            return head, None
+        return head, await http1.receive_data(conn)
+    raise errors.HttpError(
+        "its weights may begin no request now", step="forward.receive", peer=conn.peer
+    )
+
+
+def _is_stream(call, head):
+    return call.route.kind is routes.Kind.STREAM and head.status == 200
+
+
+async def _pass_answer_on(call, conn, head, data):
     if head.not_run or head.status == 421:
         await _read_all(conn, head)
         return Outcome.NOT_RUN
-    if call.route.kind is routes.Kind.STREAM and head.status == 200:
-        return await _pass_stream_on(call, conn, head)
+    if _is_stream(call, head):
+        return await _pass_stream_on(call, conn, head, data)
     return await _pass_whole_on(call, conn, head)
 
 
@@ -246,14 +306,14 @@
     return Outcome.DONE
 
 
-async def _pass_stream_on(call, conn, head):
+async def _pass_stream_on(call, conn, head, data):
     if not head.is_signed:
         raise errors.HttpError(
             "stream without signature", step="forward.receive", peer=conn.peer
         )
     events = call.events
     events.pending = b""
-    while (data := await http1.receive_data(conn)) is not None:
+    while data is not None:
         complete = event_stream.feed(events, data)
         if not events.in_order:
             raise errors.HttpError(
@@ -263,6 +323,7 @@
             await http1_server.start_with(call.reply, 200, head.headers, complete)
         elif complete:
             await http1_server.send_data(call.reply, complete)
+        data = await http1.receive_data(conn)
     if events.pending:
         raise errors.HttpError(
             "the stream ends within an event", step="forward.receive", peer=conn.peer
--- a/src/carobstand/entry/queueing.py
+++ b/src/carobstand/entry/queueing.py
@@ -104,8 +104,8 @@
     found = placement.candidates(
         fwd.fleet.servers.servers,
         fwd.loads,
+        fwd.healths,
         call.service,
-        lambda model: fleet.oldest_version(fwd.fleet, model),
         call.asked,
         now,
     )
@@ -119,9 +119,12 @@
         found,
         service_of(fwd, call),
         fwd.in_progress,
+        fwd.healths,
         call.req.prompt_tokens,
         place_of_entry,
         random.random,
+        lambda holding: fleet.begin_by(fwd.fleet, holding),
+        now,
     )
     best = choices[0] if choices else None
     return best, waiting.decide(call.terms, best, _shortest_s(fwd, call), now)
--- a/src/carobstand/entry/weight_cache.py
+++ b/src/carobstand/entry/weight_cache.py
@@ -5,6 +5,7 @@
 
 from carobstand import errors, eventlog, http1, signals
 from carobstand.core import weight_copy, weight_sources
+from carobstand.entry import fleet as fleets
 from carobstand.transfer import drawing, piece_stream
 from carobstand.wire.gen_fleet import ttypes
 
@@ -92,9 +93,10 @@
 
 def _fetch_named(cache):
     """Begin to fetch newly named weights that this entry holds for its region."""
-    for model, named in cache.fleet.named.items():
-        if _is_holder(cache, model, named.version):
-            _want(cache, model, named.version, needs_pieces=True)
+    for model in cache.fleet.named:
+        version = fleets.newest_version(cache.fleet, model)
+        if _is_holder(cache, model, version):
+            _want(cache, model, version, needs_pieces=True)
 
 
 def _is_holder(cache, model, version):
@@ -246,8 +248,7 @@
 
 def _newest(cache, model):
     """Return the version to send where the newest one is asked for."""
-    named = cache.fleet.named.get(model)
-    return named.version if named else piece_stream.NEWEST
+    return fleets.newest_version(cache.fleet, model) or piece_stream.NEWEST
 
 
 async def _send_copy(frames, cached, request):
