--- /dev/null
+++ b/testing/platform_builders.py
@@ -0,0 +1,203 @@
+"""Builders of the platform's records and of the product's types, for tests."""
+
+import json
+
+from carobstand.core import (
+    deployment,
+    engine_load,
+    placement,
+    registry,
+    routes,
+    waiting,
+)
+
+PACE = routes.Pace(
+    slots=16,
+    step_s=0.00673,
+    per_writer_s=0.0000219,
+    context_s_per_token=0.0000000068,
+    read_tokens_per_s=30600.0,
+    pair_s=0.000000000647,
+    prompt_tokens_per_step=2048,
+    steps_per_pass=6,
+    usual_prompt_tokens=964,
+    usual_answer_tokens=119,
+    cache_tokens=1640000,
+    report_lag_s=0.2,
+    load_s=0.3,
+)
+
+
+def settings_file(**changes):
+    """Return the platform's settings of an entry."""
+    record = {
+        "node_name": "frontend-a-1",
+        "ip_address": "127.0.0.1",
+        "zone": "a",
+        "region": "north",
+        "zones": {"a": "north", "b": "south"},
+        "listen_addresses": {
+            "frontend": "127.0.0.1:8005",
+            "readiness": "127.0.0.1:8002",
+        },
+        "internal_port_range": [7700, 7715],
+        "heartbeat_interval_ms": 1200,
+        "limits": {"memory_mb": 300, "link_mbps": 8.0},
+        "bounds": {"drain_ms": 2000, "grace_s": 8, "retry_budget_slack": 106},
+        "platform": {"address": "127.0.0.1:8007", "min_ttl_ms": 1000},
+    }
+    return {**record, **changes}
+
+
+def route(**changes):
+    """Return a route as operators write it."""
+    record = {
+        "name": "r-1",
+        "host": "one.example",
+        "prefix": "/a/",
+        "type": "streaming",
+        "timeout_ms": 6000,
+        "target_latency_ms": 405,
+        "priority": 1,
+        "service": "drafter",
+        "max_attempts": 2,
+        "stream_resumption": True,
+        "target_gap_ms": 300,
+    }
+    return {**record, **changes}
+
+
+ENGINE = {
+    "slots": 16,
+    "kv_cache_tokens": 1640000,
+    "stride": 6,
+    "models": [{"name": "m", "pace": 1.0, "load_s": 4.0, "warm_s": 0.3}],
+    "step_ms": 6.73,
+    "per_seq_ms": 0.0219,
+    "context_per_k": 0.0068,
+    "read_per_s": 30600.0,
+    "pairs_per_m": 0.647,
+    "chunk": 2048,
+    "report_lag_ms": 200.0,
+    "usual": {"prompt": 964, "answer": 119},
+    "layers": 16,
+    "chunks": 96,
+    "chunk_bytes": 24576,
+}
+
+
+def configuration(**changes):
+    """Return a configuration as operators write it."""
+    record = {
+        "version": 7,
+        "routes": [route()],
+        "services": [
+            {
+                "name": "drafter",
+                "health_check_path": "/health",
+                "max_connections": 274,
+                "engine": ENGINE,
+            },
+            {
+                "name": "weights",
+                "origin": "127.0.0.1:8006",
+                "zone": "a",
+                "link_mbps": 7.3,
+                "max_connections": 48,
+            },
+        ],
+        "limits": {"max_header_bytes": 16384, "idle_timeout_ms": 15000},
+        "tenants": [{"name": "acme", "api_keys": ["k1", "k2"], "priority": 1}],
+    }
+    return {**record, **changes}
+
+
+def server_record(**changes):
+    """Return the entry of a model engine as it writes it."""
+    record = {
+        "service": "drafter",
+        "address": "127.0.0.1:9001",
+        "zone": "a",
+        "slots": 16,
+        "state": "ready",
+        "models": [{"name": "m", "version": 1, "adapters": []}],
+        "layers": {"from": 0, "to": 16, "version": 1},
+        "sequence": 4,
+        "born": 1000,
+    }
+    return {**record, **changes}
+
+
+def as_bytes(record):
+    """Return a record as the store holds it."""
+    return json.dumps(record).encode()
+
+
+def registration(server_id="i-1", **changes):
+    """Return a model engine that holds version 1 of model ``m``."""
+    fields = {
+        "server_id": server_id,
+        "service": "drafter",
+        "address": f"10.0.0.{server_id.rpartition('-')[2]}:9000",
+        "failure_domain": "a",
+        "slots": 16,
+        "is_ready": True,
+        "holding": registry.Holding(model="m", version=1),
+        "runs_model": True,
+        "started_ms": 1000,
+    }
+    return registry.Registration(**{**fields, **changes})
+
+
+def load(server, **changes):
+    """Return a fresh report of a registered engine."""
+    fields = {
+        "address": server.address,
+        "started_ms": server.started_ms,
+        "number": 1,
+        "running": 0,
+        "waiting": 0,
+        "slowness": 1.0,
+        "is_busy": False,
+        "holding": server.holding,
+        "heard_at": 0.0,
+    }
+    return engine_load.EngineLoad(**{**fields, **changes})
+
+
+def service(**changes):
+    """Return the service of a model engine."""
+    fields = {"name": "drafter", "max_connections": 274, "pace": PACE}
+    return routes.Service(**{**fields, **changes})
+
+
+def a_route(**changes):
+    """Return a route of streams that may be resumed."""
+    fields = {
+        "name": "r-1",
+        "host": "one.example",
+        "prefix": "/a/",
+        "kind": routes.Kind.STREAM,
+        "shares": (("drafter", 1.0),),
+        "timeout_s": 6.0,
+        "target_s": 0.405,
+        "max_servers": 2,
+        "is_resumable": True,
+    }
+    return routes.Route(**{**fields, **changes})
+
+
+PLACE = placement.Place(
+    failure_domain="a", regions={"a": "north", "b": "south"}, others=0
+)
+
+
+def terms(**changes):
+    """Return the terms of a request that arrived at 0."""
+    fields = {"arrived": 0.0, "target": 0.405, "deadline": 6.0, "priority": 1}
+    return waiting.Terms(**{**fields, **changes})
+
+
+def bounds(**changes):
+    """Return the bounds of a deployment."""
+    return deployment.Bounds(**changes)
--- /dev/null
+++ b/testing/test_platform_exchanges.py
@@ -0,0 +1,198 @@
+import h11
+import pytest
+
+from carobstand.core import event_stream, exchange, registry
+from carobstand.platform import exchanges
+from testing import platform_builders as build
+
+
+def headers_of(*pairs):
+    """Return h11's headers of a request."""
+    return h11.Request(
+        method="POST", target="/a/", headers=[("Host", "one.example"), *pairs]
+    ).headers
+
+
+def decode(*pairs):
+    return exchanges.inbound(b"POST", b"/a/", headers_of(*pairs))
+
+
+def names(headers):
+    return [name.lower() for name, _ in headers]
+
+
+def test_a_request_is_decoded():
+    req = decode(
+        ("Request-Id", "r1"),
+        ("Deadline-Ms", "6097"),
+        ("Api-Key", "k1"),
+        ("Token-Usage", "1460,80"),
+        ("Last-Event-Id", "12"),
+        ("Length-Hint", "40"),
+    )
+    assert req.host == "one.example"
+    assert req.request_id == "r1"
+    assert req.deadline_s == 6.097
+    assert req.key == "k1"
+    assert (req.prompt_tokens, req.max_answer_tokens) == (1460, 80)
+    assert req.resume_after == 12
+    assert req.answer_hint == 40
+
+
+def test_headers_of_one_connection_and_those_the_system_sets_are_dropped():
+    req = decode(
+        ("Connection", "x-private, keep-alive"),
+        ("X-Private", "1"),
+        ("X-Public", "2"),
+        ("Keep-Alive", "5"),
+        ("Api-Key", "k1"),
+        ("Tenant", "somebody"),
+        ("Expected-Instance", "i-9"),
+        ("Expected-Version", "9"),
+        ("Request-Priority", "0"),
+        ("Path", "10.0.0.1:1=0-9"),
+        ("Deadline-Ms", "1000"),
+    )
+    assert names(req.headers) == [b"host", b"x-public"]
+
+
+@pytest.mark.parametrize("value", ["soon", "nan", "inf", ""])
+def test_a_deadline_that_is_no_number_is_refused(value):
+    with pytest.raises(ValueError):
+        decode(("Deadline-Ms", value))
+
+
+@pytest.mark.parametrize("value", ["", "x", "1", "1,x", "-3,4", "\u00b2,3"])
+def test_sizes_that_make_no_sense_count_as_none(value):
+    req = decode((b"Token-Usage", value.encode("utf-8")))
+    assert (req.prompt_tokens, req.max_answer_tokens) in (
+        (0, 0),
+        (1, 0),
+        (0, 3),
+        (0, 4),
+    )
+
+
+def test_a_backend_server_is_told_who_asks_and_what_is_left():
+    req = decode(("Request-Id", "r1"), ("Deadline-Ms", "6000"), ("Tenant", "evil"))
+    out = exchange.Outbound(server_id="i-1", deadline_s=2.5, customer="acme", version=3)
+    sent = dict(exchanges.backend_headers(req, out, b"body"))
+    assert sent[b"Deadline-Ms"] == b"2500"
+    assert sent[b"Expected-Instance"] == b"i-1"
+    assert sent[b"Expected-Version"] == b"3"
+    assert sent[b"Tenant"] == b"acme"
+    assert sent[b"Content-Length"] == b"4"
+    assert sent[b"Request-Id"] == b"r1"
+
+
+def test_a_resumed_stream_asks_for_what_follows_the_last_event():
+    req = decode(("Last-Event-Id", "3"))
+    out = exchange.Outbound(server_id="i-1", deadline_s=1.0, resume_after=9)
+    sent = exchanges.backend_headers(req, out, b"")
+    assert [v for name, v in sent if name.lower() == b"last-event-id"] == [b"9"]
+
+
+def test_a_request_without_a_body_gets_no_length():
+    req = exchanges.inbound(b"GET", b"/a/", headers_of())
+    out = exchange.Outbound(server_id="i-1", deadline_s=1.0)
+    assert b"content-length" not in names(exchanges.backend_headers(req, out, b""))
+
+
+def test_an_answer_is_decoded():
+    raw = h11.Response(
+        status_code=503,
+        headers=[
+            ("Request-Id", "r1"),
+            ("Not-Executed", "1"),
+            ("Server-Signature", "s"),
+            ("Weight-Versions", "4"),
+            ("Server-Load", "3,1,8"),
+            ("Connection", "close"),
+            ("Content-Length", "0"),
+        ],
+    ).headers
+    head = exchanges.answer_head(503, raw)
+    assert head.not_run
+    assert head.is_signed
+    assert head.version == 4
+    assert head.load == exchange.Load(running=3, waiting=1, slots=8)
+    assert b"connection" not in names(head.headers)
+    assert b"content-length" not in names(head.headers)
+
+
+def test_events_pass_whole_whatever_their_pieces():
+    raw = b"id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\ndata: c\n\n"
+    for size in range(1, len(raw)):
+        state = event_stream.EventStream()
+        passed = b""
+        for start in range(0, len(raw), size):
+            passed += event_stream.feed(state, raw[start : start + size])
+            assert not passed or passed.endswith(b"\n\n")
+        assert passed == raw
+        assert (state.last_id, state.events, state.pending) == (3, 3, b"")
+        assert state.in_order
+
+
+def test_an_event_that_comes_twice_is_noticed():
+    state = event_stream.EventStream()
+    event_stream.feed(state, b"id: 1\ndata: a\n\nid: 1\ndata: a\n\n")
+    assert not state.in_order
+
+
+def test_the_start_of_an_event_is_held_back():
+    state = event_stream.EventStream()
+    assert event_stream.feed(state, b"id: 1\ndata: a\n\nid: 2\nda") == (
+        b"id: 1\ndata: a\n\n"
+    )
+    assert state.pending == b"id: 2\nda"
+    assert state.last_id == 1
+
+
+def registered():
+    state = registry.Registry()
+    registry.put(state, build.registration("i-1"))
+    return state
+
+
+def test_a_server_that_left_is_gone_at_once():
+    state = registered()
+    registry.remove(state, "i-1", now=5.0, grace_s=0.0)
+    assert not state.servers
+
+
+def test_a_server_whose_entry_lapsed_in_an_outage_is_used_until_it_must_be_back():
+    state = registered()
+    registry.remove(state, "i-1", now=5.0, grace_s=2.0)
+    assert "i-1" in state.servers
+    assert registry.expire(state, 6.9) == []
+    assert registry.expire(state, 7.0) == ["i-1"]
+    assert not state.servers
+
+
+def test_a_server_that_comes_back_in_time_stays():
+    state = registered()
+    registry.remove(state, "i-1", now=5.0, grace_s=2.0)
+    registry.put(state, build.registration("i-1"))
+    assert registry.expire(state, 9.0) == []
+    assert "i-1" in state.servers
+
+
+def test_a_draining_server_whose_entry_lapsed_is_gone_at_once():
+    state = registered()
+    registry.put(state, build.registration("i-1", is_ready=False))
+    registry.remove(state, "i-1", now=5.0, grace_s=2.0)
+    assert not state.servers
+
+
+def test_a_second_removal_does_not_prolong_the_time():
+    state = registered()
+    registry.remove(state, "i-1", now=5.0, grace_s=2.0)
+    registry.remove(state, "i-1", now=6.0, grace_s=2.0)
+    assert registry.expire(state, 7.0) == ["i-1"]
+
+
+def test_a_full_read_removes_what_it_does_not_list():
+    state = registered()
+    other = build.registration("i-2")
+    registry.replace_all(state, [other], now=5.0, grace_s=0.0)
+    assert list(state.servers) == ["i-2"]
--- /dev/null
+++ b/testing/test_platform_records.py
@@ -0,0 +1,185 @@
+import json
+import time
+
+import pytest
+
+from carobstand import errors
+from carobstand.core import routes
+from carobstand.platform import boot, records
+from testing import platform_builders as build
+
+
+def write(tmp_path, record):
+    path = tmp_path / "boot.json"
+    path.write_text(json.dumps(record))
+    return str(path)
+
+
+def test_settings_of_an_entry_are_decoded(tmp_path):
+    dep = boot.load(write(tmp_path, build.settings_file()))
+    assert dep.vm == "frontend-a-1"
+    assert dep.failure_domain == "a"
+    assert dep.regions == {"a": "north", "b": "south"}
+    assert dep.ingress_address == "127.0.0.1:8005"
+    assert dep.internal_ports == (7700, 7715)
+    assert dep.bounds.drain_s == 2.0
+    assert dep.bounds.retry_slack == 106
+    assert dep.link_bytes_per_s == 1e6
+
+
+def test_unknown_fields_of_settings_are_ignored(tmp_path):
+    dep = boot.load(write(tmp_path, build.settings_file(something={"new": [1]})))
+    assert dep.store_address == "127.0.0.1:8007"
+
+
+@pytest.mark.parametrize(
+    ("changes", "named"),
+    [
+        ({"node_name": None}, "node_name"),
+        ({"zone": 3}, "zone"),
+        ({"ip_address": None}, "ip_address"),
+        ({"platform": {}}, "address"),
+        ({"platform": {"address": "nowhere"}}, "address"),
+        ({"internal_port_range": [7700]}, "internal_port_range"),
+        ({"bounds": {"drain_ms": "soon"}}, "drain_ms"),
+        ({"zones": {"a": 1}}, "zones"),
+    ],
+)
+def test_a_wrong_setting_is_named_in_one_line(tmp_path, changes, named):
+    with pytest.raises(errors.SettingsError) as caught:
+        boot.load(write(tmp_path, build.settings_file(**changes)))
+    assert named in caught.value.message
+    assert "\n" not in caught.value.message
+
+
+@pytest.mark.parametrize("content", [b"", b"{", b"[]", b"\xff\xfe", b"[" * 100_000])
+def test_a_settings_file_that_is_no_record_is_an_error(tmp_path, content):
+    path = tmp_path / "boot.json"
+    path.write_bytes(content)
+    with pytest.raises(errors.SettingsError, match="boot.json"):
+        boot.load(str(path))
+
+
+def test_a_missing_settings_file_is_an_error(tmp_path):
+    with pytest.raises(errors.SettingsError, match="cannot be read"):
+        boot.load(str(tmp_path / "none.json"))
+
+
+def test_a_configuration_is_decoded():
+    config = records.configuration(build.as_bytes(build.configuration()))
+    route = routes.find_route(config, "one.example", "/a/b?c=/d/")
+    assert config.version == 7
+    assert route.kind is routes.Kind.STREAM
+    assert route.timeout_s == 6.0
+    assert route.max_servers == 2
+    assert route.is_resumable
+    assert config.customers["k2"].name == "acme"
+    assert config.needs_keys
+    assert config.services["drafter"].pace.slots == 16
+    assert config.services["drafter"].weights.pieces == 96
+    assert config.services["weights"].origin.address == "127.0.0.1:8006"
+    assert config.limits.idle_timeout_s == 15.0
+
+
+def test_a_split_route_sends_to_services_by_weight():
+    split = [{"service": "x", "weight": 90}, {"service": "y", "weight": 10}]
+    record = build.route(traffic_split=split)
+    del record["service"]
+    config = records.configuration(build.as_bytes(build.configuration(routes=[record])))
+    route = routes.find_route(config, "one.example", "/a/")
+    picked = [routes.pick_service(route, n / 100) for n in range(100)]
+    assert (picked.count("x"), picked.count("y")) == (90, 10)
+
+
+@pytest.mark.parametrize(
+    "changes",
+    [
+        {"version": "seven"},
+        {"version": None},
+        {"routes": [3]},
+        {"routes": [build.route(type="other")]},
+        {"routes": [build.route(timeout_ms="x")]},
+        {"routes": {}},
+        {"tenants": [{"name": "acme", "api_keys": [1]}]},
+        {"services": [{"name": 1}]},
+    ],
+)
+def test_a_configuration_of_wrong_types_is_refused(changes):
+    with pytest.raises(errors.RecordError):
+        records.configuration(build.as_bytes(build.configuration(**changes)))
+
+
+def test_a_configuration_of_ten_thousand_routes_is_found_quickly():
+    many = [build.route(prefix=f"/a/{n}/", name=f"r-{n}") for n in range(10_000)]
+    config = records.configuration(build.as_bytes(build.configuration(routes=many)))
+    began = time.process_time()
+    for n in range(0, 10_000, 7):
+        path = f"/a/{n}/x"
+        assert routes.find_route(config, "one.example", path).name == f"r-{n}"
+    assert routes.find_route(config, "one.example", "/a/x/") is None
+    assert time.process_time() - began < 1.0
+
+
+def test_the_longest_prefix_of_whole_segments_wins():
+    many = [build.route(prefix=p, name=p) for p in ("/", "/a/", "/a/b/")]
+    config = records.configuration(build.as_bytes(build.configuration(routes=many)))
+
+    def name(path):
+        return routes.find_route(config, "one.example", path).name
+
+    assert name("/a/b/c") == "/a/b/"
+    assert name("/a/bc") == "/a/"
+    assert name("/x") == "/"
+    assert routes.find_route(config, "two.example", "/a/") is None
+
+
+def test_only_a_newer_configuration_replaces_the_one_in_force():
+    old = records.configuration(build.as_bytes(build.configuration(version=7)))
+    new = records.configuration(build.as_bytes(build.configuration(version=9)))
+    assert routes.newer(None, old)
+    assert routes.newer(old, new)
+    assert not routes.newer(new, old)
+    assert not routes.newer(new, new)
+
+
+def test_an_engine_entry_is_decoded():
+    found = records.server("servers/i-1", build.as_bytes(build.server_record()))
+    assert found.server_id == "i-1"
+    assert found.is_ready
+    assert found.holding.version == 1
+    assert found.holding.end == 16
+    assert found.started_ms == 1000
+
+
+def test_an_engine_without_weights_holds_nothing():
+    record = build.server_record(models=[], layers=None)
+    found = records.server("servers/i-1", build.as_bytes(record))
+    assert found.runs_model
+    assert found.holding is None
+
+
+@pytest.mark.parametrize(
+    "raw",
+    [
+        b"\x00\x01",
+        b"[]",
+        b'"text"',
+        build.as_bytes({}),
+        build.as_bytes(build.server_record(state="resting")),
+        build.as_bytes(build.server_record(address="nowhere")),
+        build.as_bytes(build.server_record(address="host:80")),
+        build.as_bytes(build.server_record(slots="many")),
+        build.as_bytes(build.server_record(models=[{"name": "m"}])),
+        build.as_bytes(build.server_record(born="today")),
+    ],
+)
+def test_an_entry_of_another_writer_names_no_server(raw):
+    with pytest.raises(errors.RecordError):
+        records.server("servers/i-1", raw)
+
+
+def test_named_weights_are_decoded():
+    found = records.named_version(b'{"model":"m","version":4}')
+    assert (found.model, found.version) == ("m", 4)
+    with pytest.raises(errors.RecordError):
+        records.named_version(b'{"model":"m"}')
--- /dev/null
+++ b/testing/test_weights_on_platform.py
@@ -0,0 +1,167 @@
+import hashlib
+import math
+
+import pytest
+
+from carobstand.core import (
+    load_turns,
+    named_versions,
+    weight_copy,
+    weight_sources,
+)
+
+
+def entry(vm, domain="a", region="north"):
+    return weight_sources.Entry(vm, f"10.0.0.1:{len(vm)}", domain, region)
+
+
+ENTRIES = [
+    entry("e1", "a", "north"),
+    entry("e2", "a", "north"),
+    entry("e3", "b", "south"),
+    entry("e4", "b", "south"),
+    entry("e5", "c", "west"),
+]
+
+
+def test_one_entry_near_the_origin_draws_each_version():
+    for version in range(1, 30):
+        key = weight_sources.copy_key("m", version)
+        drawer = weight_sources.drawers(ENTRIES, key, "b", "south")[0]
+        assert drawer.failure_domain == "b"
+        alone = [
+            one.vm
+            for one in ENTRIES
+            if not weight_sources.sources_of_entry(one, ENTRIES, key, "b", "south")
+        ]
+        assert alone == [drawer.vm]
+
+
+def test_each_region_receives_once_from_elsewhere():
+    key = weight_sources.copy_key("m", 3)
+    crossings = 0
+    for one in ENTRIES:
+        sources = weight_sources.sources_of_entry(one, ENTRIES, key, "b", "south")
+        crossings += bool(sources) and sources[0].region != one.region
+    assert crossings == 2
+
+
+def test_the_sources_of_entries_form_no_circle():
+    for version in range(1, 30):
+        key = weight_sources.copy_key("m", version)
+        for one in ENTRIES:
+            seen = [one.vm]
+            while True:
+                sources = weight_sources.sources_of_entry(
+                    one, ENTRIES, key, "b", "south"
+                )
+                if not sources:
+                    break
+                one = sources[0]
+                assert one.vm not in seen
+                seen.append(one.vm)
+
+
+def test_without_entries_near_the_origin_another_one_draws():
+    key = weight_sources.copy_key("m", 1)
+    drawer = weight_sources.drawers(ENTRIES, key, "z", "nowhere")[0]
+    assert drawer in ENTRIES
+
+
+def test_agents_receive_within_their_region_and_are_spread():
+    first = set()
+    for number in range(20):
+        found = weight_sources.sources_of_agent(
+            f"side-{number}", "north", ENTRIES, "m/1", spread=2
+        )
+        assert found[0].region == "north"
+        assert len(found) == len(ENTRIES)
+        first.add(found[0].vm)
+    assert first == {"e1", "e2"}
+
+
+def test_agents_of_a_region_without_entries_receive_from_another():
+    found = weight_sources.sources_of_agent("side-1", "east", ENTRIES, "m/1", spread=2)
+    assert len(found) == len(ENTRIES)
+
+
+def a_copy(pieces=4):
+    data = [bytes([n]) * 10 for n in range(pieces)]
+    digests = tuple(hashlib.sha256(piece).digest() for piece in data)
+    return weight_copy.WeightCopy("m", 2, digests, 10), data
+
+
+def test_only_pieces_that_match_their_digest_are_kept():
+    copy, data = a_copy()
+    assert weight_copy.add(copy, 0, data[0])
+    assert not weight_copy.add(copy, 1, data[0])
+    assert not weight_copy.add(copy, 4, data[0])
+    assert not weight_copy.add(copy, -1, data[0])
+    assert weight_copy.missing(copy) == [1, 2, 3]
+    for number in (1, 2, 3):
+        assert weight_copy.add(copy, number, data[number])
+    assert weight_copy.is_complete(copy)
+
+
+@pytest.mark.parametrize("raw", [b"", b"x" * 31, b"x" * 33])
+def test_digests_of_another_size_are_refused(raw):
+    with pytest.raises(ValueError, match="SHA-256"):
+        weight_copy.split_digests(raw)
+
+
+def test_requests_begin_on_old_weights_only_until_the_first_newer_ones_were_due():
+    named = []
+    assert named_versions.add(named, 2, 100.0)
+    assert named_versions.add(named, 3, 102.0)
+    assert not named_versions.add(named, 3, 105.0)
+    assert not named_versions.add(named, 1, 105.0)
+    assert named_versions.begin_by(named, 1, 8.0) == 108.0
+    assert named_versions.begin_by(named, 2, 8.0) == 110.0
+    assert named_versions.begin_by(named, 3, 8.0) == math.inf
+
+
+def test_weights_named_before_the_process_began_are_due_at_once():
+    named = [named_versions.Named(2, -math.inf)]
+    assert named_versions.begin_by(named, 1, 8.0) == -math.inf
+
+
+def named(*items):
+    return [named_versions.Named(version, at) for version, at in items]
+
+
+def test_a_version_in_progress_is_finished_if_the_newest_can_still_follow():
+    progress = load_turns.Progress(2, 72, 96)
+    target = load_turns.target(
+        named((2, 20.0), (3, 24.0)), progress, copy_s=5.2, allowed_s=8.0, now=24.0
+    )
+    assert target == 2
+
+
+def test_the_newest_version_takes_the_place_of_one_that_would_delay_it():
+    progress = load_turns.Progress(2, 36, 96)
+    target = load_turns.target(
+        named((2, 18.0), (3, 20.0)), progress, copy_s=5.2, allowed_s=8.0, now=20.0
+    )
+    assert target == 3
+
+
+def test_without_progress_the_newest_version_is_received():
+    newest = named((2, 18.0), (3, 20.0))
+    assert load_turns.target(newest, None, 5.2, 8.0, 20.0) == 3
+
+
+def test_engines_take_turns_between_receipt_and_the_end_of_the_allowed_time():
+    servers = [f"10.0.0.{n}:80" for n in range(10)]
+    when = named_versions.Named(2, 100.0)
+    turns = sorted(
+        load_turns.turn(server, servers, 2, when, copy_s=5.2, allowed_s=8.0)
+        for server in servers
+    )
+    assert turns[0] >= 105.2
+    assert turns[-1] <= 108.0 - load_turns.MARGIN_S
+    assert all(b - a < 1.0 for a, b in zip(turns, turns[1:], strict=False))
+    assert len(set(turns)) == 10
+
+
+def test_an_engine_that_serves_nothing_loads_at_once():
+    assert load_turns.turn("s", ["s", "t"], 1, None, 5.2, 8.0) == 0.0
