--- a/src/carobstand/core/pace.py
+++ b/src/carobstand/core/pace.py
@@ -1,16 +1,18 @@
 """Predicts how soon an engine begins a request, from the pace that is published.
 
-An engine works in passes. A pass reads the prompts of requests that begin, then runs
-some steps of one token per writer; a request's first event leaves at the end of its
-first pass. While all places are taken a request waits until enough of those before it
-have finished.
+An engine works in passes. A pass reads some tokens of the prompts that wait, then runs
+some steps of one token per writer; the first event of a request leaves at the end of
+the pass that reads the end of its prompt. While all places are taken a request waits
+until enough of those before it have finished.
+
+Load pattern: many requests at once, as when an engine has just loaded weights. Its
+places are free then, but it reads only so many tokens a pass.
 """
 
 import attrs
 
-FIRST_EVENT_PASSES = 1.5
-"""Passes from the start of a request to its first event: half of one that is under way,
-and its own."""
+ALIGNMENT_PASSES = 0.5
+"""Mean rest of the pass that is under way when a request arrives."""
 
 MIN_ANSWER_TOKENS = 1
 """An answer has at least one token."""
@@ -23,7 +25,7 @@
     Attributes
     ----------
     wait_s : float
-        Until the engine has a place for it.
+        Until the engine begins to read it.
     first_event_s : float
         Until its first event leaves the engine.
     """
@@ -32,18 +34,13 @@
     first_event_s: float
 
 
-def pass_s(pace, writers, slowness=1.0):
-    """Return the time of one pass with `writers` requests, reading included.
-
-    Reading is that of the requests which take the places of finished ones.
-    """
+def steps_s(pace, writers):
+    """Return the time in which a pass writes one event for each of `writers`."""
     context = writers * (pace.usual_prompt_tokens + pace.usual_answer_tokens / 2)
     step_s = (
         pace.step_s + pace.per_writer_s * writers + pace.context_s_per_token * context
     )
-    begun = writers / passes_per_answer(pace)
-    read_s = begun * read_time_s(pace, pace.usual_prompt_tokens)
-    return slowness * (pace.steps_per_pass * step_s + read_s)
+    return pace.steps_per_pass * step_s
 
 
 def passes_per_answer(pace):
@@ -52,7 +49,7 @@
     return max(1.0, tokens / pace.steps_per_pass)
 
 
-def read_time_s(pace, prompt_tokens):
+def read_s(pace, prompt_tokens):
     """Return the time in which a prompt is read."""
     if not pace.read_tokens_per_s:
         return 0.0
@@ -60,12 +57,16 @@
     return prompt_tokens / pace.read_tokens_per_s + pairs_s
 
 
-def place_interval_s(pace, slowness=1.0):
+def place_interval_s(pace):
     """Return the mean time between two places that become free at a full engine."""
-    return passes_per_answer(pace) * pass_s(pace, pace.slots, slowness) / pace.slots
+    begun = pace.slots / passes_per_answer(pace)
+    full_pass_s = steps_s(pace, pace.slots) + begun * read_s(
+        pace, pace.usual_prompt_tokens
+    )
+    return passes_per_answer(pace) * full_pass_s / pace.slots
 
 
-def predict(pace, occupancy, prompt_tokens, slowness=1.0):
+def predict(pace, occupancy, unread_tokens, prompt_tokens, slowness=1.0):
     """Return the `Prediction` for one more request.
 
     Parameters
@@ -73,13 +74,20 @@
     pace : core.routes.Pace
     occupancy : float
         Requests that the engine runs or holds.
+    unread_tokens : float
+        Tokens of the prompts before it that are still to be read.
     prompt_tokens : int
     slowness : float
         Over 1 for an engine that works more slowly than published.
     """
     ahead = max(0.0, occupancy + 1 - pace.slots)
-    wait_s = ahead * place_interval_s(pace, slowness)
-    writers = min(pace.slots, occupancy + 1)
-    own_s = FIRST_EVENT_PASSES * pass_s(pace, writers, slowness)
-    read_s = slowness * read_time_s(pace, prompt_tokens)
-    return Prediction(wait_s, wait_s + own_s + read_s)
+    place_s = ahead * place_interval_s(pace)
+    writing_s = steps_s(pace, min(pace.slots, occupancy + 1))
+    chunk = max(1, pace.prompt_tokens_per_step)
+    passes_before = (unread_tokens + prompt_tokens / 2) // chunk
+    reading_s = passes_before * writing_s + read_s(pace, pace.usual_prompt_tokens) * (
+        unread_tokens / max(1, pace.usual_prompt_tokens)
+    )
+    wait_s = slowness * max(place_s, reading_s)
+    own_s = (1 + ALIGNMENT_PASSES) * writing_s + read_s(pace, prompt_tokens)
+    return Prediction(wait_s, wait_s + slowness * own_s)
--- a/src/carobstand/core/placement.py
+++ b/src/carobstand/core/placement.py
@@ -2,7 +2,7 @@
 
 import attrs
 
-from carobstand.core import engine_load, health, outstanding, pace
+from carobstand.core import calibration, engine_load, health, outstanding, pace
 
 REGION_PENALTY_S = 0.03
 """An answer from another region must be earlier by this to be worth its costly way."""
@@ -105,7 +105,16 @@
 
 
 def rank(
-    found, service, in_progress, healths, prompt_tokens, place, draw, begin_by, now
+    found,
+    service,
+    in_progress,
+    healths,
+    errors_seen,
+    prompt_tokens,
+    place,
+    draw,
+    begin_by,
+    now,
 ):
     """Return the candidates as `Choice`, the best first.
 
@@ -117,6 +126,7 @@
         By server id.
     healths : dict of str to core.health.ServerHealth
         By server id.
+    errors_seen : core.calibration.Calibration
     prompt_tokens : int
     place : Place
     draw : callable without arguments
@@ -126,13 +136,17 @@
     now : float
     """
     empty = outstanding.Outstanding()
+    states = [in_progress.get(c.server.server_id, empty) for c in found]
+    unread = sum(sum(state.unread.values()) for state in states)
+    mean_unread = unread / max(1, len(found))
     choices = []
-    for candidate in found:
-        state = in_progress.get(candidate.server.server_id, empty)
-        occupied = outstanding.occupancy(state, candidate.load, place.others)
-        choice = _choice(candidate, service, occupied, prompt_tokens, place, draw)
+    for candidate, state in zip(found, states, strict=True):
+        choice = _choice(
+            candidate, service, state, mean_unread, prompt_tokens, place, draw
+        )
         if now + choice.wait_s >= begin_by(candidate.holding):
             continue
+        choice = _corrected(choice, errors_seen, now)
         known = healths.get(candidate.server.server_id)
         if known is not None:
             cost_s = choice.cost_s + health.penalty_s(known)
@@ -141,25 +155,40 @@
     return sorted(choices, key=lambda choice: choice.cost_s)
 
 
-def _choice(candidate, service, occupied, prompt_tokens, place, draw):
+def _choice(candidate, service, state, mean_unread, prompt_tokens, place, draw):
     way_s = _way_penalty_s(candidate.server, place)
+    occupied = outstanding.occupancy(state, candidate.load, place.others)
     if service is None or service.pace is None:
         slots = max(1, candidate.server.slots)
         wait_s = max(0.0, occupied + 1 - slots) * PLAIN_REQUEST_S / slots
         first_s = wait_s + PLAIN_REQUEST_S
         cost_s = first_s + way_s + PLAIN_REQUEST_S * (occupied + draw()) / slots
         return Choice(candidate, first_s, wait_s, occupied, cost_s)
-    slowness = candidate.load.slowness if candidate.load else 1.0
-    found = pace.predict(service.pace, occupied, prompt_tokens, slowness)
-    noise_s = draw() * NOISE_PASSES * pace.pass_s(service.pace, occupied)
-    # Among engines with free places the one with fewer requests reads sooner.
-    crowd_s = pace.place_interval_s(service.pace, slowness) * min(
-        1.0, occupied / service.pace.slots
+    published = service.pace
+    unread = outstanding.unread_tokens(
+        state, mean_unread, candidate.load, place.others, published.usual_prompt_tokens
     )
+    slowness = candidate.load.slowness if candidate.load else 1.0
+    found = pace.predict(published, occupied, unread, prompt_tokens, slowness)
+    noise_s = draw() * NOISE_PASSES * pace.steps_s(published, published.slots)
+    # Among engines with free places the one with fewer requests has more room.
+    crowd_s = pace.place_interval_s(published) * min(1.0, occupied / published.slots)
     cost_s = found.first_event_s + way_s + noise_s + crowd_s
     return Choice(candidate, found.first_event_s, found.wait_s, occupied, cost_s)
 
 
+def _corrected(choice, errors_seen, now):
+    server = choice.candidate.server
+    correction_s = calibration.correction_s(
+        errors_seen, server.service, server.server_id, now
+    )
+    return attrs.evolve(
+        choice,
+        first_event_s=choice.first_event_s + correction_s,
+        cost_s=choice.cost_s + correction_s,
+    )
+
+
 def _way_penalty_s(server, place):
     if server.failure_domain == place.failure_domain:
         return 0.0
--- a/src/carobstand/core/registry.py
+++ b/src/carobstand/core/registry.py
@@ -60,6 +60,28 @@
     missing: dict = attrs.field(factory=dict)
 
 
+LAPSE_MARGIN_S = 0.4
+"""Time before the end of a grace for a request to reach its server: news and requests
+take some 50 ms, a request that is held up to 0.3 s."""
+
+
+def lapse_grace_s(bounds, calm_s):
+    """Return how long a server whose entry is gone is still used.
+
+    Around an outage of the store, entries lapse though their servers live; they are
+    back a little later. But it may also have left, and then it gets nothing new soon.
+
+    Parameters
+    ----------
+    bounds : core.deployment.Bounds
+    calm_s : float
+        Time since the store last failed to answer.
+    """
+    if calm_s >= bounds.store_return_s:
+        return 0.0
+    return max(0.0, min(bounds.store_return_s, bounds.drain_s) - LAPSE_MARGIN_S)
+
+
 def put(registry, registration):
     """Record an entry that was read."""
     registry.servers[registration.server_id] = registration
--- a/src/carobstand/core/waiting.py
+++ b/src/carobstand/core/waiting.py
@@ -9,16 +9,20 @@
 
 import attrs
 
-WAY_S = 0.025
+WAY_S = 0.08
 """Time for the ways between caller, entry and engine that no prediction contains."""
 
 LATE_HOLD_S = 0.5
 """Longest wait of a request that can only be answered late."""
 
-LATE_OCCUPANCY = 0.95
+LATE_OCCUPANCY = 0.75
 """Share of an engine's places up to which late requests may take one."""
 
 
+ADVANCE_S = 0.1
+"""Time by which a request of twice the usual worth for an engine's time goes first."""
+
+
 class Verdict(enum.Enum):
     """What happens to a waiting request now."""
 
@@ -40,12 +44,15 @@
         Time of the final answer at the latest.
     priority : int
         0 is first.
+    advance : float
+        Worth for an engine's time against the mean, as `core.value` tells it.
     """
 
     arrived: float
     target: float
     deadline: float
     priority: int = 0
+    advance: float = 0.0
 
 
 def is_late(terms, shortest_s, now):
@@ -55,7 +62,8 @@
 
 def order(terms, shortest_s, now):
     """Return the key by which waiting requests are served, the smallest first."""
-    return (terms.priority, is_late(terms, shortest_s, now), terms.target)
+    turn = terms.target - ADVANCE_S * terms.advance
+    return (terms.priority, is_late(terms, shortest_s, now), turn)
 
 
 def decide(terms, best, shortest_s, now):
--- a/src/carobstand/entry/fleet.py
+++ b/src/carobstand/entry/fleet.py
@@ -122,12 +122,13 @@
     # A watch that ends without changes waited for all of its time.
     waited_s = 0.0 if changes.items else WATCH_WAIT_S
     fleet.proven_at = min(sent_at + waited_s, anyio.current_time())
-    _expire(fleet)
+    expire_missing(fleet)
     if changes.items:
         fleet.changed.notify()
 
 
-def _expire(fleet):
+def expire_missing(fleet):
+    """Drop servers whose entries should have come back by now."""
     for server_id in registry.expire(fleet.servers, anyio.current_time()):
         eventlog.event("server.gone", server=server_id)
 
@@ -203,9 +204,7 @@
 
 
 def _lapse_grace(fleet, now):
-    """Return how long a server that is no longer listed is still used."""
-    return_s = fleet.deployment.bounds.store_return_s
-    return return_s if now - fleet.troubled_at < return_s else 0.0
+    return registry.lapse_grace_s(fleet.deployment.bounds, now - fleet.troubled_at)
 
 
 def _apply_entry(fleet, item):
--- a/src/carobstand/entry/forwarding.py
+++ b/src/carobstand/entry/forwarding.py
@@ -1,12 +1,14 @@
 """From a decoded request to its outcome: placing, sending, sending again, answering."""
 
 import enum
+import random
 
 import anyio
 import attrs
 
 from carobstand import errors, eventlog, http1, http1_server, signals
 from carobstand.core import (
+    calibration,
     engine_load,
     event_stream,
     exchange,
@@ -22,8 +24,10 @@
 """Answers up to this size are held until they are complete, so that one that breaks off
 can still be replaced; larger ones are passed on as they arrive."""
 
-RETRY_AFTER_S = 0.1
-"""Retry-After where nothing better is known."""
+RETRY_AFTER_MIN_S = 1.0
+RETRY_AFTER_MAX_S = 1.9
+"""Retry-After of a request for which no server had room: short overloads, such as some
+engines loading weights, are over by then. Callers are spread over the span."""
 
 
 class Outcome(enum.Enum):
@@ -47,6 +51,11 @@
         Requests that this entry has at each backend server, by server id.
     healths : dict of str to core.health.ServerHealth
         By server id.
+    deadlines : dict of (str, str) to core.first_attempts.Deadlines
+        By host and prefix of the route.
+    sizes : dict of (str, str) to core.value.Sizes
+        By host and prefix of the route.
+    errors_seen : core.calibration.Calibration
     budgets : dict of str to core.retry_budget.Budget
         By service.
     queue : entry.queueing.Queue
@@ -59,6 +68,9 @@
     pool: backend_pool.BackendPool = attrs.field(factory=backend_pool.BackendPool)
     in_progress: dict = attrs.field(factory=dict)
     healths: dict = attrs.field(factory=dict)
+    deadlines: dict = attrs.field(factory=dict)
+    sizes: dict = attrs.field(factory=dict)
+    errors_seen: calibration.Calibration = attrs.field(factory=calibration.Calibration)
     budgets: dict = attrs.field(factory=dict)
     queue: queueing.Queue = attrs.field(factory=queueing.Queue)
     loads: engine_load.EngineLoads = attrs.field(factory=engine_load.EngineLoads)
@@ -83,6 +95,8 @@
         Servers that are not tried again.
     sends : int
         Servers to which it was sent.
+    sent_at : float
+        Time of the last send.
     has_repeat : bool
         Whether the next send was already taken from the budget.
     may_have_run : bool
@@ -100,6 +114,7 @@
     terms: waiting.Terms
     asked: set = attrs.field(factory=set)
     sends: int = 0
+    sent_at: float = 0.0
     has_repeat: bool = False
     may_have_run: bool = False
     events: event_stream.EventStream = attrs.field(factory=event_stream.EventStream)
@@ -161,7 +176,8 @@
         eventlog.event("request.cut", request=call.req.request_id, reason=reason)
         return
     if not call.may_have_run:
-        await refuse(call.reply, call.req, 503, reason, RETRY_AFTER_S)
+        retry_s = random.uniform(RETRY_AFTER_MIN_S, RETRY_AFTER_MAX_S)
+        await refuse(call.reply, call.req, 503, reason, retry_s)
     else:
         await refuse(call.reply, call.req, status, reason, None)
 
@@ -200,11 +216,14 @@
     ran_before = call.may_have_run
     call.may_have_run = True
     call.sends += 1
+    call.sent_at = anyio.current_time()
     call.has_repeat = False
     try:
         await _send_request(call, chosen, conn)
         begin_by = fleet.begin_by(fwd.fleet, chosen.candidate.holding)
         head, data = await _receive_start(call, conn, begin_by)
+        queueing.answering(fwd, call, chosen)
+        _log_start(call, chosen, head)
         outcome = await _pass_answer_on(call, conn, head, data)
         if head.status == 421:
             health.refused(state, anyio.current_time(), server.started_ms)
@@ -263,6 +282,24 @@
     )
 
 
+def _log_start(call, chosen, head):
+    now = anyio.current_time()
+    eventlog.debug(
+        "attempt.began",
+        request=call.req.request_id,
+        server=chosen.candidate.server.server_id,
+        status=head.status,
+        occupancy=chosen.occupancy,
+        predicted_s=round(chosen.first_event_s, 3),
+        took_s=round(now - call.sent_at, 3),
+        held_s=round(call.sent_at - call.terms.arrived, 3),
+        report_age_s=chosen.candidate.load
+        and round(call.sent_at - chosen.candidate.load.heard_at, 3),
+        prompt=call.req.prompt_tokens,
+        answer=call.req.max_answer_tokens,
+    )
+
+
 def _is_stream(call, head):
     return call.route.kind is routes.Kind.STREAM and head.status == 200
 
--- a/src/carobstand/entry/ingress.py
+++ b/src/carobstand/entry/ingress.py
@@ -1,12 +1,13 @@
 """The platform's ingress: requests of callers, decoded and checked."""
 
+import math
 import random
 
 import anyio
 
 from carobstand import eventlog, http1_server
-from carobstand.core import routes
-from carobstand.entry import fleet, forwarding, queueing
+from carobstand.core import first_attempts, routes, value, waiting
+from carobstand.entry import fleet, forwarding
 from carobstand.platform import exchanges
 
 DEFAULT_DEADLINE_S = 30.0
@@ -61,15 +62,20 @@
         if customer is None:
             return await forwarding.refuse(reply, req, 401, "unknown key")
     eventlog.debug("request.accepted", request=req.request_id, route=route.name)
+    service = routes.pick_service(route, random.random())
     call = forwarding.Call(
         req=req,
         body=request.body,
         route=route,
-        service=routes.pick_service(route, random.random()),
+        service=service,
         customer=customer.name if customer else "",
         reply=reply,
-        terms=queueing.terms_of(
-            route, customer, request.arrived, _deadline(req, route, request.arrived)
+        terms=waiting.Terms(
+            arrived=request.arrived,
+            target=_target(fwd, req, route, request.arrived),
+            deadline=_deadline(req, route, request.arrived),
+            priority=_priority(route, customer),
+            advance=_advance(fwd, req, route, config.services.get(service)),
         ),
     )
     return await forwarding.serve(fwd, call)
@@ -79,3 +85,33 @@
     """Return the loop's time of the final answer at the latest."""
     wanted_s = DEFAULT_DEADLINE_S if req.deadline_s is None else req.deadline_s
     return arrived + min(wanted_s - LATENCY_SLACK_S, route.timeout_s)
+
+
+def _priority(route, customer):
+    if customer is None or customer.priority is None:
+        return route.priority
+    return customer.priority
+
+
+def _target(fwd, req, route, arrived):
+    """Return the time up to which an answer is on time, without end if there is none.
+
+    It counts from the caller's first attempt.
+    """
+    if not route.target_s:
+        return math.inf
+    elapsed_s = 0.0
+    if req.deadline_s is not None:
+        key = (route.host, route.prefix)
+        state = fwd.deadlines.setdefault(key, first_attempts.Deadlines())
+        elapsed_s = first_attempts.observe(state, req.deadline_s)
+    return arrived - elapsed_s + route.target_s
+
+
+def _advance(fwd, req, route, service):
+    if service is None or service.pace is None or not req.prompt_tokens:
+        return 0.0
+    sizes = fwd.sizes.setdefault((route.host, route.prefix), value.Sizes())
+    usual = service.pace.usual_answer_tokens
+    answer = req.answer_hint or min(usual, req.max_answer_tokens or usual)
+    return value.advance(sizes, service.pace, req.prompt_tokens, answer)
--- a/src/carobstand/entry/queueing.py
+++ b/src/carobstand/entry/queueing.py
@@ -5,7 +5,7 @@
 import anyio
 import attrs
 
-from carobstand.core import outstanding, pace, placement, waiting
+from carobstand.core import calibration, outstanding, pace, placement, waiting
 from carobstand.entry import fleet
 
 PUMP_INTERVAL_S = 0.02
@@ -101,6 +101,8 @@
 
 def _look(fwd, call, now):
     """Return the best choice for a call now, and the verdict on it."""
+    if fwd.fleet.servers.missing:
+        fleet.expire_missing(fwd.fleet)
     found = placement.candidates(
         fwd.fleet.servers.servers,
         fwd.loads,
@@ -120,6 +122,7 @@
         service_of(fwd, call),
         fwd.in_progress,
         fwd.healths,
+        fwd.errors_seen,
         call.req.prompt_tokens,
         place_of_entry,
         random.random,
@@ -140,14 +143,31 @@
     service = service_of(fwd, call)
     if service is None or service.pace is None:
         return PLAIN_FIRST_BYTE_S
-    return pace.predict(service.pace, 0, call.req.prompt_tokens).first_event_s
+    return pace.predict(service.pace, 0, 0, call.req.prompt_tokens).first_event_s
 
 
 def begin(fwd, call, choice):
     """Count a request at the server that was chosen for it."""
     server_id = choice.candidate.server.server_id
     state = fwd.in_progress.setdefault(server_id, outstanding.Outstanding())
-    outstanding.begin(state, call, anyio.current_time())
+    outstanding.begin(state, call, call.req.prompt_tokens, anyio.current_time())
+
+
+def answering(fwd, call, choice):
+    """Note that a server has begun to answer a call."""
+    now = anyio.current_time()
+    server = choice.candidate.server
+    outstanding.answering(fwd.in_progress[server.server_id], call)
+    calibration.observe(
+        fwd.errors_seen,
+        server.service,
+        server.server_id,
+        choice.first_event_s,
+        now - call.sent_at,
+        now,
+    )
+    if fwd.queue.waiters:
+        fwd.freed.notify()
 
 
 def end(fwd, call, choice):
@@ -156,17 +176,3 @@
     outstanding.end(state, call, anyio.current_time())
     if fwd.queue.waiters:
         fwd.freed.notify()
-
-
-def terms_of(route, customer, arrived, deadline):
-    """Return the `Terms` of a request.
-
-    A target of a route that has none is its deadline.
-    """
-    target = arrived + route.target_s if route.target_s else deadline
-    priority = route.priority
-    if customer is not None and customer.priority is not None:
-        priority = customer.priority
-    return waiting.Terms(
-        arrived=arrived, target=target, deadline=deadline, priority=priority
-    )
--- a/src/carobstand/eventlog.py
+++ b/src/carobstand/eventlog.py
@@ -19,6 +19,10 @@
 """Bytes of lines that wait for room in the pipe; further lines are dropped."""
 
 
+DETAILS_VARIABLE = "CAROBSTAND_LOG_DETAILS"
+"""Environment variable; 1 also writes lines that only developers need."""
+
+
 @attrs.define(eq=False)
 class Log:
     """Where lines go, and what could not be written.
@@ -47,11 +51,11 @@
 LOG = Log()
 
 
-def configure(descriptor=STDOUT, is_verbose=False, **fields):
+def configure(descriptor=STDOUT, **fields):
     """Write lines to `descriptor`, which no longer blocks, each with `fields`."""
     os.set_blocking(descriptor, False)
     LOG.descriptor = descriptor
-    LOG.is_verbose = is_verbose
+    LOG.is_verbose = os.environ.get(DETAILS_VARIABLE, "") == "1"
     LOG.fields = fields
 
 
--- a/testing/test_platform_exchanges.py
+++ b/testing/test_platform_exchanges.py
@@ -191,6 +191,14 @@
     assert registry.expire(state, 7.0) == ["i-1"]
 
 
+@pytest.mark.parametrize("drain_s", [1.0, 2.0, 3.0])
+def test_a_lapsed_entry_is_not_used_as_long_as_a_leaving_server_may_be(drain_s):
+    bounds = build.bounds(drain_s=drain_s, store_return_s=2.0)
+    grace_s = registry.lapse_grace_s(bounds, calm_s=0.1)
+    assert 0 < grace_s <= drain_s - registry.LAPSE_MARGIN_S
+    assert registry.lapse_grace_s(bounds, calm_s=2.5) == 0.0
+
+
 def test_a_full_read_removes_what_it_does_not_list():
     state = registered()
     other = build.registration("i-2")
