Empty engines before their turn to load; wait for entries; refuse at once without servers

After a loss of power agents that knew no entry yet all drew from the origin, which took 8 s instead of 5. Requests were held 0.7 s while no engine could serve at all.

Agents announce when they will load; requests whose answer would last longer go elsewhere. Agents wait 2.5 s for an entry before they ask the origin. A request waits 50 ms at most while no server takes requests. Servers that lost two requests are used if there is no other (a test failed before). A process that has just been started lets requests begin on the weights that it finds until time limits hold for it.

--- a/src/carobstand/agent/loading.py
+++ b/src/carobstand/agent/loading.py
@@ -79,9 +79,12 @@
     if not weight_copy.is_complete(copy):
         if stage.peers is None:
             await _read_peers(view, stage)
+        view.load_at = _load_at(view, stage, copy)
         await view.changed.wait(IDLE_S)
         return
-    await _await_turn(view, stage, copy)
+    view.load_at = _load_at(view, stage, copy)
+    if view.load_at is not None:
+        await anyio.sleep_until(view.load_at)
     if _next_copy(view) is not copy:
         return
     await _repair_staged(view, copy)
@@ -106,22 +109,24 @@
             stage.peers.append(found.address)
 
 
-async def _await_turn(view, stage, copy):
-    """Wait for this engine's turn to load."""
-    service = views.service(view)
-    size = service.weights.pieces * service.weights.piece_bytes
+def _load_at(view, stage, copy):
+    """Return when this engine will load a copy; None if it serves nothing till then."""
     named = [n for n in view.named.get(copy.model, []) if n.version == copy.version]
-    serves = view.report is not None and view.report.holding is not None
+    if not named or view.report is None or view.report.holding is None:
+        return None
+    size = len(copy.digests) * copy.piece_bytes
+    link = view.deployment.link_bytes_per_s
     turn = load_turns.turn(
         view.deployment.backend_address,
         stage.peers or [],
         copy.version,
-        named[0] if named and serves else None,
-        load_turns.receive_s(size, view.deployment.link_bytes_per_s),
+        named[0],
+        load_turns.receive_s(size, link),
         view.deployment.bounds.version_s,
     )
-    view.load_at = turn
-    await anyio.sleep_until(turn)
+    missing = (len(copy.digests) - len(copy.pieces)) * copy.piece_bytes
+    arrives = anyio.current_time() + load_turns.receive_s(missing, link)
+    return max(turn, arrives)
 
 
 async def _repair_staged(view, copy):
--- a/src/carobstand/agent/receiving.py
+++ b/src/carobstand/agent/receiving.py
@@ -20,8 +20,11 @@
 ENTRIES_OF_REGION = 2
 """Entries of a region among which its agents are spread."""
 
-ORIGIN_TURN = 4
-"""Every so many failures in a row the origin itself is asked."""
+ORIGIN_TURN = 12
+"""Every so many failures in a row the origin itself is asked: after some 2.5 s."""
+
+ENTRIES_WAIT_S = 2.5
+"""Longest wait for the first entry to register before the origin is asked."""
 
 WINDOW = piece_stream.Window(blocks=2, block_bytes=4096)
 """A side machine's link of some Mbit/s passes this in less than 20 ms."""
@@ -101,10 +104,7 @@
 async def _receive(view, service, version, failures):
     """Receive one version, and stop early if another one is wanted instead."""
     model = service.weights.models[0]
-    sources = _sources(view, model, version)
-    source = sources[failures % len(sources)] if sources else None
-    if source is None or failures % ORIGIN_TURN == ORIGIN_TURN - 1:
-        source = None
+    source = await _source(view, model, version, failures)
     copy = view.copies.get(version)
     if copy is None:
         copy = await _manifest(view, model, version, source)
@@ -117,10 +117,13 @@
         )
         await _take_staged(view, copy)
         view.changed.notify()
-    async with anyio.create_task_group() as tg:
-        tg.start_soon(_stop_if_superseded, view, service, copy, tg.cancel_scope)
-        await _pieces(view, copy, source)
-        tg.cancel_scope.cancel()
+    try:
+        async with anyio.create_task_group() as tg:
+            tg.start_soon(_stop_if_superseded, view, service, copy, tg.cancel_scope)
+            await _pieces(view, copy, source)
+            tg.cancel_scope.cancel()
+    except BaseExceptionGroup as group:
+        raise errors.first_of(group) from group
     if weight_copy.is_complete(copy):
         eventlog.event("weights.received", version=copy.version)
     view.changed.notify()
@@ -140,6 +143,22 @@
     scope.cancel()
 
 
+async def _source(view, model, version, failures):
+    """Return the entry to receive from, or None for the origin itself.
+
+    The origin is asked only if entries fail for long or none is known for a while: all
+    agents together would choke its link.
+    """
+    if not view.entries:
+        with anyio.move_on_after(ENTRIES_WAIT_S):
+            while not view.entries:
+                await view.changed.wait(IDLE_S)
+    sources = _sources(view, model, version)
+    if not sources or failures % ORIGIN_TURN == ORIGIN_TURN - 1:
+        return None
+    return sources[failures % len(sources)]
+
+
 def _sources(view, model, version):
     dep = view.deployment
     key = weight_sources.copy_key(model, version)
--- a/src/carobstand/core/health.py
+++ b/src/carobstand/core/health.py
@@ -32,6 +32,8 @@
     lost_in_a_row : int
     failed_share : float
         Share of requests that failed, recent ones weighted most.
+    is_refusing : bool
+        Whether the pause is for a server that takes no requests, not for lost ones.
     started_ms : int
         Start of the server as it was when it was last avoided.
     """
@@ -40,6 +42,7 @@
     pause_s: float = 0.0
     lost_in_a_row: int = 0
     failed_share: float = 0.0
+    is_refusing: bool = False
     started_ms: int = 0
 
 
@@ -53,6 +56,11 @@
 
 def refused(state, now, started_ms=0):
     """Record that the server cannot be reached or does not take requests."""
+    _pause(state, now, started_ms)
+    state.is_refusing = True
+
+
+def _pause(state, now, started_ms):
     state.pause_s = min(PAUSE_MAX_S, max(PAUSE_MIN_S, 2 * state.pause_s))
     state.avoid_until = now + state.pause_s
     state.started_ms = started_ms
@@ -63,7 +71,8 @@
     state.failed_share = 1 - FORGET * (1 - state.failed_share)
     state.lost_in_a_row += 1
     if state.lost_in_a_row >= FAILURES_IN_A_ROW:
-        refused(state, now, started_ms)
+        _pause(state, now, started_ms)
+        state.is_refusing = False
 
 
 def is_avoided(state, now, started_ms=0):
--- a/src/carobstand/core/load_turns.py
+++ b/src/carobstand/core/load_turns.py
@@ -4,7 +4,7 @@
 
 from carobstand.core import ranks
 
-MARGIN_S = 1.0
+MARGIN_S = 0.5
 """Time before the end of the allowed time in which the last engine begins to load."""
 
 LINK_SHARE = 0.95
@@ -65,12 +65,9 @@
     servers : iterable of str
         All engines of the service, by any name that all agents know.
     version : int
-    named : core.named_versions.Named or None
-        None for weights that were never named: there is no reason to wait.
+    named : core.named_versions.Named
     copy_s, allowed_s : float
     """
-    if named is None:
-        return 0.0
     order = sorted(set(servers) | {server}, key=lambda s: ranks.score(str(version), s))
     window_s = max(0.0, allowed_s - MARGIN_S - copy_s)
     share = order.index(server) / len(order)
--- a/src/carobstand/core/pace.py
+++ b/src/carobstand/core/pace.py
@@ -66,6 +66,15 @@
     return passes_per_answer(pace) * full_pass_s / pace.slots
 
 
+def answer_s(pace, answer_tokens, occupancy):
+    """Return the time from the first event of an answer to its last one."""
+    begun = min(pace.slots, occupancy + 1) / passes_per_answer(pace)
+    pass_s = steps_s(pace, min(pace.slots, occupancy + 1)) + begun * read_s(
+        pace, pace.usual_prompt_tokens
+    )
+    return max(0.0, answer_tokens / pace.steps_per_pass - 1) * pass_s
+
+
 def predict(pace, occupancy, unread_tokens, prompt_tokens, slowness=1.0):
     """Return the `Prediction` for one more request.
 
--- a/src/carobstand/core/placement.py
+++ b/src/carobstand/core/placement.py
@@ -64,26 +64,40 @@
         Ids that are not asked again.
     now : float
     """
-    found = []
+    found, avoided = [], []
     for server in servers.values():
         if server.service != service or not server.is_ready:
             continue
-        if server.server_id in excluded or _is_avoided(server, healths, now):
+        if server.server_id in excluded:
             continue
-        if not server.runs_model:
-            found.append(Candidate(server, None, None))
+        candidate = _candidate(server, loads, now)
+        if candidate is None:
             continue
-        load = engine_load.fresh(loads, server, now)
-        holding = load.holding if load else server.holding
-        if holding is None or (load and load.is_busy):
-            continue
-        found.append(Candidate(server, holding, load))
-    return found
+        state = healths.get(server.server_id)
+        if state is None or not health.is_avoided(state, now, server.started_ms):
+            found.append(candidate)
+        elif not state.is_refusing:
+            avoided.append(candidate)
+    # Servers that lost requests are still better than none.
+    return found or avoided
+
+
+def _candidate(server, loads, now):
+    if not server.runs_model:
+        return Candidate(server, None, None)
+    load = engine_load.fresh(loads, server, now)
+    holding = load.holding if load else server.holding
+    if holding is None or (load and load.is_busy):
+        return None
+    return Candidate(server, holding, load)
+
 
+@attrs.frozen
+class Size:
+    """Tokens of a prompt, and of its answer as far as it is known."""
 
-def _is_avoided(server, healths, now):
-    state = healths.get(server.server_id)
-    return state is not None and health.is_avoided(state, now, server.started_ms)
+    prompt_tokens: int = 0
+    answer_tokens: int = 0
 
 
 @attrs.frozen(kw_only=True)
@@ -110,7 +124,7 @@
     in_progress,
     healths,
     errors_seen,
-    prompt_tokens,
+    size,
     place,
     draw,
     begin_by,
@@ -127,7 +141,7 @@
     healths : dict of str to core.health.ServerHealth
         By server id.
     errors_seen : core.calibration.Calibration
-    prompt_tokens : int
+    size : Size
     place : Place
     draw : callable without arguments
         Uniform in [0, 1).
@@ -141,9 +155,7 @@
     mean_unread = unread / max(1, len(found))
     choices = []
     for candidate, state in zip(found, states, strict=True):
-        choice = _choice(
-            candidate, service, state, mean_unread, prompt_tokens, place, draw
-        )
+        choice = _choice(candidate, service, state, mean_unread, size, place, draw, now)
         if now + choice.wait_s >= begin_by(candidate.holding):
             continue
         choice = _corrected(choice, errors_seen, now)
@@ -155,7 +167,7 @@
     return sorted(choices, key=lambda choice: choice.cost_s)
 
 
-def _choice(candidate, service, state, mean_unread, prompt_tokens, place, draw):
+def _choice(candidate, service, state, mean_unread, size, place, draw, now):
     way_s = _way_penalty_s(candidate.server, place)
     occupied = outstanding.occupancy(state, candidate.load, place.others)
     if service is None or service.pace is None:
@@ -169,14 +181,24 @@
         state, mean_unread, candidate.load, place.others, published.usual_prompt_tokens
     )
     slowness = candidate.load.slowness if candidate.load else 1.0
-    found = pace.predict(published, occupied, unread, prompt_tokens, slowness)
+    found = pace.predict(published, occupied, unread, size.prompt_tokens, slowness)
     noise_s = draw() * NOISE_PASSES * pace.steps_s(published, published.slots)
     # Among engines with free places the one with fewer requests has more room.
     crowd_s = pace.place_interval_s(published) * min(1.0, occupied / published.slots)
-    cost_s = found.first_event_s + way_s + noise_s + crowd_s
+    ends_at = now + found.first_event_s
+    ends_at += slowness * pace.answer_s(published, size.answer_tokens, occupied)
+    delay_s = _load_delay_s(candidate, ends_at)
+    cost_s = found.first_event_s + way_s + noise_s + crowd_s + delay_s
     return Choice(candidate, found.first_event_s, found.wait_s, occupied, cost_s)
 
 
+def _load_delay_s(candidate, ends_at):
+    """Return by how much a request would delay a load of weights that is due."""
+    if candidate.load is None or candidate.load.loads_at is None:
+        return 0.0
+    return max(0.0, ends_at - candidate.load.loads_at)
+
+
 def _corrected(choice, errors_seen, now):
     server = choice.candidate.server
     correction_s = calibration.correction_s(
--- a/src/carobstand/core/waiting.py
+++ b/src/carobstand/core/waiting.py
@@ -15,6 +15,9 @@
 LATE_HOLD_S = 0.5
 """Longest wait of a request that can only be answered late."""
 
+NO_SERVER_HOLD_S = 0.05
+"""Longest wait while no server can take requests at all."""
+
 LATE_OCCUPANCY = 0.75
 """Share of an engine's places up to which late requests may take one."""
 
@@ -85,6 +88,8 @@
         slots = max(1, best.candidate.server.slots)
         if late and best.occupancy <= slots * LATE_OCCUPANCY:
             return Verdict.SEND
+    if best is None and now >= terms.arrived + NO_SERVER_HOLD_S:
+        return Verdict.REFUSE
     if not late:
         return Verdict.HOLD
     hold_until = max(terms.arrived, terms.target) + LATE_HOLD_S
--- a/src/carobstand/entry/fleet.py
+++ b/src/carobstand/entry/fleet.py
@@ -49,6 +49,8 @@
         Time of the last failed call of the store.
     revision : int
         Store revision up to which changes are known.
+    started : float
+        When this process began.
     changed : signals.Signal
         Notified at each change of the above.
     """
@@ -62,6 +64,7 @@
     proven_at: float | None = None
     troubled_at: float = -1e9
     revision: int = 0
+    started: float = attrs.field(factory=anyio.current_time)
     changed: signals.Signal = attrs.field(factory=signals.Signal)
 
 
@@ -165,11 +168,20 @@
     named = records.named_version(item.value)
     known = fleet.named.setdefault(named.model, [])
     # How long ago weights were named is not known to a process that has just begun.
-    seen_at = anyio.current_time() if fleet.revision else -math.inf
+    seen_at = anyio.current_time() if fleet.revision else _unknown_naming(fleet)
     if named_versions.add(known, named.version, seen_at):
         eventlog.event("version.named", model=named.model, version=named.version)
 
 
+def _unknown_naming(fleet):
+    """Return when weights count as named that were named before this process began.
+
+    Time limits do not hold for a process that has just been started.
+    """
+    bounds = fleet.deployment.bounds
+    return fleet.started + bounds.contact_s - bounds.version_s
+
+
 def _apply_server(fleet, item):
     server_id = item.key.removeprefix(records.SERVER_PREFIX)
     now = anyio.current_time()
--- a/src/carobstand/entry/forwarding.py
+++ b/src/carobstand/entry/forwarding.py
@@ -13,6 +13,7 @@
     event_stream,
     exchange,
     health,
+    placement,
     retry_budget,
     routes,
     waiting,
@@ -89,6 +90,7 @@
     service : str
     customer : str
     reply : http1_server.Reply
+    size : core.placement.Size
     terms : core.waiting.Terms
         Times by which it must be answered, on the loop's clock.
     asked : set of str
@@ -111,6 +113,7 @@
     service: str
     customer: str
     reply: http1_server.Reply
+    size: placement.Size
     terms: waiting.Terms
     asked: set = attrs.field(factory=set)
     sends: int = 0
@@ -295,8 +298,8 @@
         held_s=round(call.sent_at - call.terms.arrived, 3),
         report_age_s=chosen.candidate.load
         and round(call.sent_at - chosen.candidate.load.heard_at, 3),
-        prompt=call.req.prompt_tokens,
-        answer=call.req.max_answer_tokens,
+        prompt=call.size.prompt_tokens,
+        answer=call.size.answer_tokens,
     )
 
 
--- a/src/carobstand/entry/ingress.py
+++ b/src/carobstand/entry/ingress.py
@@ -6,7 +6,7 @@
 import anyio
 
 from carobstand import eventlog, http1_server
-from carobstand.core import first_attempts, routes, value, waiting
+from carobstand.core import first_attempts, placement, routes, value, waiting
 from carobstand.entry import fleet, forwarding
 from carobstand.platform import exchanges
 
@@ -63,6 +63,7 @@
             return await forwarding.refuse(reply, req, 401, "unknown key")
     eventlog.debug("request.accepted", request=req.request_id, route=route.name)
     service = routes.pick_service(route, random.random())
+    size = _size(req, config.services.get(service))
     call = forwarding.Call(
         req=req,
         body=request.body,
@@ -70,12 +71,13 @@
         service=service,
         customer=customer.name if customer else "",
         reply=reply,
+        size=size,
         terms=waiting.Terms(
             arrived=request.arrived,
             target=_target(fwd, req, route, request.arrived),
             deadline=_deadline(req, route, request.arrived),
             priority=_priority(route, customer),
-            advance=_advance(fwd, req, route, config.services.get(service)),
+            advance=_advance(fwd, size, route, config.services.get(service)),
         ),
     )
     return await forwarding.serve(fwd, call)
@@ -108,10 +110,17 @@
     return arrived - elapsed_s + route.target_s
 
 
-def _advance(fwd, req, route, service):
-    if service is None or service.pace is None or not req.prompt_tokens:
-        return 0.0
-    sizes = fwd.sizes.setdefault((route.host, route.prefix), value.Sizes())
+def _size(req, service):
+    """Return the size of a generation; its answer's is the caller's guess or usual."""
+    if service is None or service.pace is None:
+        return placement.Size()
     usual = service.pace.usual_answer_tokens
     answer = req.answer_hint or min(usual, req.max_answer_tokens or usual)
-    return value.advance(sizes, service.pace, req.prompt_tokens, answer)
+    return placement.Size(req.prompt_tokens, answer)
+
+
+def _advance(fwd, size, route, service):
+    if service is None or service.pace is None or not size.prompt_tokens:
+        return 0.0
+    sizes = fwd.sizes.setdefault((route.host, route.prefix), value.Sizes())
+    return value.advance(sizes, service.pace, size.prompt_tokens, size.answer_tokens)
--- a/src/carobstand/entry/queueing.py
+++ b/src/carobstand/entry/queueing.py
@@ -123,7 +123,7 @@
         fwd.in_progress,
         fwd.healths,
         fwd.errors_seen,
-        call.req.prompt_tokens,
+        call.size,
         place_of_entry,
         random.random,
         lambda holding: fleet.begin_by(fwd.fleet, holding),
@@ -143,14 +143,14 @@
     service = service_of(fwd, call)
     if service is None or service.pace is None:
         return PLAIN_FIRST_BYTE_S
-    return pace.predict(service.pace, 0, 0, call.req.prompt_tokens).first_event_s
+    return pace.predict(service.pace, 0, 0, call.size.prompt_tokens).first_event_s
 
 
 def begin(fwd, call, choice):
     """Count a request at the server that was chosen for it."""
     server_id = choice.candidate.server.server_id
     state = fwd.in_progress.setdefault(server_id, outstanding.Outstanding())
-    outstanding.begin(state, call, call.req.prompt_tokens, anyio.current_time())
+    outstanding.begin(state, call, call.size.prompt_tokens, anyio.current_time())
 
 
 def answering(fwd, call, choice):
--- a/src/carobstand/entry/weight_cache.py
+++ b/src/carobstand/entry/weight_cache.py
@@ -25,9 +25,13 @@
 COPIES_KEPT = 2
 """Versions of a model that are held; agents may still be receiving the older one."""
 
-LOOK_INTERVAL_S = 1.0
+LOOK_INTERVAL_S = 0.25
 """Interval in which named versions are looked at again, as entries come and go."""
 
+UNREAD_S = 0.5
+"""A version that is no longer the newest is not fetched on if nobody has received it
+for so long: agents have gone on to the newest one."""
+
 _FAILURES = (
     errors.OriginError,
     errors.WeightsError,
@@ -48,6 +52,11 @@
         None until the manifest is known.
     needs_pieces : bool
         Whether more than the manifest was asked for.
+    is_complete : bool
+    readers : int
+        Processes that receive it from here now.
+    read_at : float
+        Time at which the last reader ended.
     changed : signals.Signal
         Notified at each change of the above and at each piece.
     """
@@ -56,6 +65,10 @@
     version: int
     copy: weight_copy.WeightCopy | None = None
     needs_pieces: bool = False
+    is_complete: bool = False
+    readers: int = 0
+    read_at: float = attrs.field(factory=anyio.current_time)
+    scope: anyio.CancelScope = attrs.field(factory=anyio.CancelScope)
     changed: signals.Signal = attrs.field(factory=signals.Signal)
 
 
@@ -88,6 +101,7 @@
         tg.start_soon(listener.serve, lambda stream: _serve(cache, stream))
         while True:
             _fetch_named(cache)
+            _stop_unread(cache)
             await cache.fleet.changed.wait(LOOK_INTERVAL_S)
 
 
@@ -99,6 +113,20 @@
             _want(cache, model, version, needs_pieces=True)
 
 
+def _stop_unread(cache):
+    """Stop fetching older versions that nobody receives any more."""
+    now = anyio.current_time()
+    for (model, version), cached in list(cache.held.items()):
+        newest = fleets.newest_version(cache.fleet, model)
+        if newest is None or version >= newest or cached.readers:
+            continue
+        if cached.is_complete or now - cached.read_at < UNREAD_S:
+            continue
+        eventlog.event("weights.abandoned", version=version, newest=newest)
+        del cache.held[model, version]
+        cached.scope.cancel()
+
+
 def _is_holder(cache, model, version):
     origin = _origin(cache)
     if origin is None:
@@ -127,7 +155,7 @@
 def _drop_old(cache, model):
     versions = sorted(version for name, version in cache.held if name == model)
     for version in versions[:-COPIES_KEPT]:
-        del cache.held[model, version]
+        cache.held.pop((model, version)).scope.cancel()
 
 
 def _origin(cache):
@@ -150,7 +178,13 @@
 
 
 async def _fetch(cache, cached):
-    """Receive one version, going from source to source, until it is complete."""
+    """Receive one version until it is complete or no longer wanted."""
+    with cached.scope:
+        await _fetch_from_sources(cache, cached)
+
+
+async def _fetch_from_sources(cache, cached):
+    """Receive one version, going from source to source."""
     failures = 0
     while cache.held.get((cached.model, cached.version)) is cached:
         try:
@@ -159,6 +193,7 @@
             while not cached.needs_pieces:
                 await cached.changed.wait(LOOK_INTERVAL_S)
             await _fetch_pieces(cache, cached, failures)
+            cached.is_complete = True
             eventlog.event("weights.held", version=cached.copy.version)
             return
         except _FAILURES as exc:
@@ -237,7 +272,12 @@
         version = request.version or _newest(cache, request.model)
         needs_pieces = not request.manifest_only
         cached = _want(cache, request.model, version, needs_pieces)
-        await _send_copy(frames, cached, request)
+        cached.readers += needs_pieces
+        try:
+            await _send_copy(frames, cached, request)
+        finally:
+            cached.readers -= needs_pieces
+            cached.read_at = anyio.current_time()
     except (errors.WireError, errors.ConnectionClosedError) as exc:
         eventlog.debug("pieces.ended", error=str(exc))
     except Exception as exc:
--- a/src/carobstand/errors.py
+++ b/src/carobstand/errors.py
@@ -109,3 +109,16 @@
 
 class TimelineError(CarobstandError):
     """A log file cannot be read as JSON lines."""
+
+
+def first_of(group):
+    """Return the first error of ours in an exception group, or the group itself.
+
+    The group is returned if it also holds errors that are not ours.
+    """
+    matching, rest = group.split(CarobstandError)
+    if rest is not None or matching is None:
+        return group
+    while isinstance(matching, BaseExceptionGroup):
+        matching = matching.exceptions[0]
+    return matching
--- a/src/carobstand/transfer/drawing.py
+++ b/src/carobstand/transfer/drawing.py
@@ -74,21 +74,11 @@
             for _ in range(workers):
                 tg.start_soon(_draw_pieces, caller, copy, numbers, on_piece)
     except BaseExceptionGroup as group:
-        raise _first_error(group) from group
+        raise errors.first_of(group) from group
     finally:
         await http1.close_idle(caller)
 
 
-def _first_error(group):
-    """Return the first error of ours in a group, or the group itself."""
-    matching, rest = group.split(errors.CarobstandError)
-    if rest is not None or matching is None:
-        return group
-    while isinstance(matching, BaseExceptionGroup):
-        matching = matching.exceptions[0]
-    return matching
-
-
 async def _draw_pieces(caller, copy, numbers, on_piece):
     for number in numbers:
         await _draw_piece(caller, copy, number)
