Move a started stream to another server when its own has gone on without it

Change: a stream is resumed elsewhere if it is safe to run again, if its rest is worth it and if the retry budget allows the share of it that is left. The resumed stream is checked to follow on without a gap. Load in answer heads refreshes the view of a server. A 500 of a safe request is only tried again within the budget.

Ruled out: moving every slow stream (it ran requests twice for little).

--- a/src/carobstand/core/engine_load.py
+++ b/src/carobstand/core/engine_load.py
@@ -52,3 +52,15 @@
     if registration.started_ms and load.started_ms != registration.started_ms:
         return None
     return load
+
+
+def note_answer(loads, registration, running, waiting, now):
+    """Record what an engine told of its load with an answer.
+
+    It is as fresh as a report; the rest of the last report stays.
+    """
+    known = fresh(loads, registration, now)
+    if known is not None:
+        loads.by_address[registration.address] = attrs.evolve(
+            known, running=running, waiting=waiting, heard_at=now
+        )
--- a/src/carobstand/core/event_stream.py
+++ b/src/carobstand/core/event_stream.py
@@ -16,13 +16,20 @@
     events : int
         Complete events.
     in_order : bool
-        False once an id did not exceed the one before it.
+        False once an id did not exceed the one before it, or left a gap where the
+        ids before had none.
+    has_gaps : bool
+        Whether ids have not followed one another.
+    is_resumed : bool
+        Whether the next event is the first one of another server.
     """
 
     last_id: int | None = None
     pending: bytes = b""
     events: int = 0
     in_order: bool = True
+    has_gaps: bool = False
+    is_resumed: bool = False
 
 
 def feed(state, data):
@@ -46,6 +53,23 @@
         if name != b"id" or not value.isdigit():
             continue
         event_id = int(value)
-        if state.last_id is not None and event_id <= state.last_id:
-            state.in_order = False
+        _check(state, event_id)
         state.last_id = event_id
+
+
+def resume(state):
+    """Prepare for the events of another server, which go on after the last one."""
+    state.pending = b""
+    state.is_resumed = state.last_id is not None
+
+
+def _check(state, event_id):
+    if state.last_id is None:
+        return
+    if event_id <= state.last_id:
+        state.in_order = False
+    if event_id != state.last_id + 1:
+        if state.is_resumed and not state.has_gaps:
+            state.in_order = False
+        state.has_gaps = True
+    state.is_resumed = False
--- a/src/carobstand/core/retry_budget.py
+++ b/src/carobstand/core/retry_budget.py
@@ -61,7 +61,7 @@
     _add(budget.requests, now, bounds.retry_window_s)
 
 
-def withdraw(budget, bounds, entries, now):
+def withdraw(budget, bounds, entries, now, share=1.0):
     """Count one more send of a request; return False if the budget does not allow it.
 
     Parameters
@@ -71,13 +71,16 @@
     entries : int
         Entries that share the slack, this one included.
     now : float
+    share : float
+        Part of the budget up to which repeats that are not urgent are allowed.
     """
     window_s = bounds.retry_window_s
     # A process that was started again does not know what it sent before.
     grown = min(1.0, START_PART + (now - budget.started) / window_s)
     slack = bounds.retry_slack / max(1, entries) * grown
-    share = bounds.retry_ratio * _sum(budget.requests, now - 2 * BUCKET_S, window_s)
-    if _sum(budget.repeats, now, window_s) + 1 > SAFETY * (slack + share):
+    requests = _sum(budget.requests, now - 2 * BUCKET_S, window_s)
+    allowed = slack + bounds.retry_ratio * requests
+    if _sum(budget.repeats, now, window_s) + 1 > SAFETY * share * allowed:
         return False
     _add(budget.repeats, now, window_s)
     return True
--- a/src/carobstand/core/waiting.py
+++ b/src/carobstand/core/waiting.py
@@ -47,6 +47,8 @@
         Time of the final answer at the latest.
     priority : int
         0 is first.
+    is_started : bool
+        Whether its caller already has a part of the answer.
     advance : float
         Worth for an engine's time against the mean, as `core.value` tells it.
     """
@@ -55,6 +57,7 @@
     target: float
     deadline: float
     priority: int = 0
+    is_started: bool = False
     advance: float = 0.0
 
 
@@ -65,6 +68,8 @@
 
 def order(terms, shortest_s, now):
     """Return the key by which waiting requests are served, the smallest first."""
+    if terms.is_started:
+        return (-1, False, terms.target)
     turn = terms.target - ADVANCE_S * terms.advance
     return (terms.priority, is_late(terms, shortest_s, now), turn)
 
@@ -81,6 +86,8 @@
         Time to the first byte at an idle server of the service.
     now : float
     """
+    if terms.is_started:
+        return Verdict.HOLD if best is None else Verdict.SEND
     late = is_late(terms, shortest_s, now)
     if best is not None:
         if now + best.first_event_s + WAY_S <= terms.target:
--- a/src/carobstand/entry/forwarding.py
+++ b/src/carobstand/entry/forwarding.py
@@ -13,6 +13,7 @@
     event_stream,
     exchange,
     health,
+    pace,
     placement,
     retry_budget,
     routes,
@@ -31,6 +32,23 @@
 engines loading weights, are over by then. Callers are spread over the span."""
 
 
+MOVED_RUNNING = 6
+"""Requests at a server that is about to load, from which on it is soon empty; those of
+a full one end within one another's time anyway."""
+
+MOVED_REST_S = 0.4
+"""Predicted rest of an answer that is worth a move: its prompt is read again."""
+
+MOVED_GAP_S = 0.2
+"""Longest predicted pause of a stream that moves."""
+
+UNKNOWN_REST = 0.25
+"""Expected rest of an answer that is longer than was guessed, in parts of itself."""
+
+MOVES_SHARE = 0.4
+"""Part of the retry budget that moves may use; the rest is for faults."""
+
+
 class Outcome(enum.Enum):
     """How one send to a backend server ended."""
 
@@ -38,6 +56,7 @@
     NOT_SENT = "not sent"
     NOT_RUN = "not run"
     UNKNOWN = "unknown"
+    MOVED = "moved"
 
 
 @attrs.define(eq=False)
@@ -145,6 +164,8 @@
             queueing.end(fwd, call, chosen)
         if outcome is Outcome.DONE:
             return None
+        if call.reply.started:
+            call.terms = attrs.evolve(call.terms, is_started=True)
         if not _may_send_again(call, outcome):
             return await _give_up(call, 502, outcome.value)
         if call.sends and not _withdraw(fwd, call):
@@ -159,8 +180,8 @@
     return outcome is Outcome.NOT_RUN or routes.may_repeat(call.route)
 
 
-def _withdraw(fwd, call):
-    """Take one repeat from the budget of the call's service."""
+def _withdraw(fwd, call, share=1.0):
+    """Take one repeat from the budget of the call's service, or a part of it."""
     if call.has_repeat:
         return True
     call.has_repeat = retry_budget.withdraw(
@@ -168,6 +189,7 @@
         fwd.fleet.deployment.bounds,
         max(1, len(fwd.fleet.entries)),
         anyio.current_time(),
+        share,
     )
     return call.has_repeat
 
@@ -226,8 +248,9 @@
         begin_by = fleet.begin_by(fwd.fleet, chosen.candidate.holding)
         head, data = await _receive_start(call, conn, begin_by)
         queueing.answering(fwd, call, chosen)
+        _note_load(fwd, server, head)
         _log_start(call, chosen, head)
-        outcome = await _pass_answer_on(call, conn, head, data)
+        outcome = await _pass_answer_on(fwd, call, chosen, conn, head, data)
         if head.status == 421:
             health.refused(state, anyio.current_time(), server.started_ms)
         if outcome is Outcome.NOT_RUN:
@@ -285,6 +308,17 @@
     )
 
 
+def _note_load(fwd, server, head):
+    if head.load is not None:
+        engine_load.note_answer(
+            fwd.loads,
+            server,
+            head.load.running,
+            head.load.waiting,
+            anyio.current_time(),
+        )
+
+
 def _log_start(call, chosen, head):
     now = anyio.current_time()
     eventlog.debug(
@@ -307,13 +341,13 @@
     return call.route.kind is routes.Kind.STREAM and head.status == 200
 
 
-async def _pass_answer_on(call, conn, head, data):
+async def _pass_answer_on(fwd, call, chosen, conn, head, data):
     if head.not_run or head.status == 421:
         await _read_all(conn, head)
         return Outcome.NOT_RUN
     if _is_stream(call, head):
-        return await _pass_stream_on(call, conn, head, data)
-    return await _pass_whole_on(call, conn, head)
+        return await _pass_stream_on(fwd, call, chosen, conn, head, data)
+    return await _pass_whole_on(fwd, call, conn, head)
 
 
 async def _read_all(conn, head):
@@ -329,7 +363,7 @@
     return b"".join(parts)
 
 
-async def _pass_whole_on(call, conn, head):
+async def _pass_whole_on(fwd, call, conn, head):
     body = await _read_all(conn, head)
     if call.reply.started:
         raise errors.HttpError(
@@ -341,18 +375,19 @@
     if promises_not_run or (200 <= head.status < 300 and not head.is_signed):
         return Outcome.UNKNOWN
     if head.status >= 500 and _may_send_again(call, Outcome.UNKNOWN):
-        return Outcome.UNKNOWN
+        if _withdraw(fwd, call):
+            return Outcome.UNKNOWN
     await http1_server.respond(call.reply, head.status, head.headers, body)
     return Outcome.DONE
 
 
-async def _pass_stream_on(call, conn, head, data):
+async def _pass_stream_on(fwd, call, chosen, conn, head, data):
     if not head.is_signed:
         raise errors.HttpError(
             "stream without signature", step="forward.receive", peer=conn.peer
         )
     events = call.events
-    events.pending = b""
+    event_stream.resume(events)
     while data is not None:
         complete = event_stream.feed(events, data)
         if not events.in_order:
@@ -363,6 +398,8 @@
             await http1_server.start_with(call.reply, 200, head.headers, complete)
         elif complete:
             await http1_server.send_data(call.reply, complete)
+        if complete and _should_move(fwd, call, chosen):
+            return Outcome.MOVED
         data = await http1.receive_data(conn)
     if events.pending:
         raise errors.HttpError(
@@ -372,3 +409,27 @@
         await http1_server.start(call.reply, 200, head.headers)
     await http1_server.finish(call.reply)
     return Outcome.DONE
+
+
+def _should_move(fwd, call, chosen):
+    """Whether a stream goes on elsewhere, so that its server can load weights sooner.
+
+    A server that was ordered to load finishes what it runs first, and runs nothing
+    else meanwhile; one long answer would keep all its places empty.
+    """
+    server = chosen.candidate.server
+    load = engine_load.fresh(fwd.loads, server, anyio.current_time())
+    if load is None or not load.is_busy or load.running > MOVED_RUNNING:
+        return False
+    if not _may_send_again(call, Outcome.UNKNOWN):
+        return False
+    service = queueing.service_of(fwd, call)
+    if service is None or service.pace is None:
+        return False
+    written = call.events.events * service.pace.steps_per_pass
+    left = max(call.size.answer_tokens - written, UNKNOWN_REST * written)
+    if pace.answer_s(service.pace, left, load.running) < MOVED_REST_S:
+        return False
+    if not queueing.can_go_on_time(fwd, call, MOVED_GAP_S):
+        return False
+    return _withdraw(fwd, call, MOVES_SHARE)
--- a/src/carobstand/entry/queueing.py
+++ b/src/carobstand/entry/queueing.py
@@ -99,8 +99,20 @@
         waiter.done.set()
 
 
+def can_go_on_time(fwd, call, gap_s):
+    """Whether another server would begin a call within `gap_s`."""
+    best = _best(fwd, call, anyio.current_time())
+    return best is not None and best.first_event_s <= gap_s
+
+
 def _look(fwd, call, now):
     """Return the best choice for a call now, and the verdict on it."""
+    best = _best(fwd, call, now)
+    return best, waiting.decide(call.terms, best, _shortest_s(fwd, call), now)
+
+
+def _best(fwd, call, now):
+    """Return the best choice for a call now, or None if no server can take it."""
     if fwd.fleet.servers.missing:
         fleet.expire_missing(fwd.fleet)
     found = placement.candidates(
@@ -129,8 +141,7 @@
         lambda holding: fleet.begin_by(fwd.fleet, holding),
         now,
     )
-    best = choices[0] if choices else None
-    return best, waiting.decide(call.terms, best, _shortest_s(fwd, call), now)
+    return choices[0] if choices else None
 
 
 def service_of(fwd, call):
--- a/testing/test_platform_exchanges.py
+++ b/testing/test_platform_exchanges.py
@@ -139,6 +139,30 @@
     assert not state.in_order
 
 
+def test_a_gap_where_another_server_goes_on_is_noticed():
+    state = event_stream.EventStream()
+    event_stream.feed(state, b"id: 1\ndata: a\n\nid: 2\ndata: b\n\n")
+    event_stream.resume(state)
+    event_stream.feed(state, b"id: 4\ndata: d\n\n")
+    assert not state.in_order
+
+
+def test_a_server_that_goes_on_after_the_last_event_is_in_order():
+    state = event_stream.EventStream()
+    event_stream.feed(state, b"id: 1\ndata: a\n\nid: 2\nda")
+    event_stream.resume(state)
+    assert event_stream.feed(state, b"id: 2\ndata: b\n\n") == b"id: 2\ndata: b\n\n"
+    assert state.in_order
+
+
+def test_ids_that_always_left_gaps_may_do_so_elsewhere():
+    state = event_stream.EventStream()
+    event_stream.feed(state, b"id: 1\ndata: a\n\nid: 5\ndata: b\n\n")
+    event_stream.resume(state)
+    event_stream.feed(state, b"id: 9\ndata: c\n\n")
+    assert state.in_order
+
+
 def test_the_start_of_an_event_is_held_back():
     state = event_stream.EventStream()
     assert event_stream.feed(state, b"id: 1\ndata: a\n\nid: 2\nda") == (
