Let entries wait for a slow origin, fetch what is served at the first start

Every transfer stalled, every process went to its next source and in the end drew from the origin itself: 5 copies over one link, version 3 loaded at 33 to 42 s. The newest version was also fetched under two keys, named and "newest". Engines added while the origin is away found no copy at all.

Change: a source that waits itself says so three times a second and is waited for; only one entry at a time draws instead, if the origin answers it. "Newest" is resolved to the named or served version before it is fetched. At the very first start the drawer fetches the served version ahead. Load turns share the time that is left when copies come late.

--- a/src/carobstand/agent/loading.py
+++ b/src/carobstand/agent/loading.py
@@ -31,11 +31,14 @@
     numbers : set of int
     peers : list of str or None
         Engines of the service, for the order of loads; None until they are read.
+    complete_at : float or None
+        When all pieces had arrived.
     """
 
     version: int | None = None
     numbers: set = attrs.field(factory=set)
     peers: list | None = None
+    complete_at: float | None = None
 
 
 async def run(view):
@@ -72,7 +75,8 @@
 async def _advance(view, stage, copy):
     """Stage what has arrived; once all has, check it and order the load."""
     if stage.version != copy.version:
-        stage.version, stage.numbers, stage.peers = copy.version, set(), None
+        stage.version, stage.numbers = copy.version, set()
+        stage.peers = stage.complete_at = None
     for number in [n for n in copy.pieces if n not in stage.numbers]:
         await engines.stage(view.engine, copy.model, number, copy.pieces[number])
         stage.numbers.add(number)
@@ -82,6 +86,8 @@
         view.load_at = _load_at(view, stage, copy)
         await view.changed.wait(IDLE_S)
         return
+    if stage.complete_at is None:
+        stage.complete_at = anyio.current_time()
     view.load_at = _load_at(view, stage, copy)
     if view.load_at is not None:
         await anyio.sleep_until(view.load_at)
@@ -114,19 +120,20 @@
     named = [n for n in view.named.get(copy.model, []) if n.version == copy.version]
     if not named or view.report is None or view.report.holding is None:
         return None
-    size = len(copy.digests) * copy.piece_bytes
     link = view.deployment.link_bytes_per_s
-    turn = load_turns.turn(
+    if weight_copy.is_complete(copy):
+        arrives = stage.complete_at
+    else:
+        missing = (len(copy.digests) - len(copy.pieces)) * copy.piece_bytes
+        arrives = anyio.current_time() + load_turns.receive_s(missing, link)
+    return load_turns.turn(
         view.deployment.backend_address,
         stage.peers or [],
         copy.version,
         named[0],
-        load_turns.receive_s(size, link),
+        arrives,
         view.deployment.bounds.version_s,
     )
-    missing = (len(copy.digests) - len(copy.pieces)) * copy.piece_bytes
-    arrives = anyio.current_time() + load_turns.receive_s(missing, link)
-    return max(turn, arrives)
 
 
 async def _repair_staged(view, copy):
--- a/src/carobstand/agent/receiving.py
+++ b/src/carobstand/agent/receiving.py
@@ -8,8 +8,9 @@
 from carobstand.platform import engines
 from carobstand.transfer import drawing, piece_stream
 
-STALL_S = 1.5
-"""Longest wait for the next piece, after which the next source is tried."""
+PATIENCE = piece_stream.Patience(silence_s=1.5, stuck_s=8.0)
+"""Entries say three times a second that they are there, and look for other sources
+themselves after some 3 s."""
 
 RETRY_S = 0.2
 """Pause after a source failed."""
@@ -35,6 +36,7 @@
 _FAILURES = (
     errors.BackendError,
     errors.OriginError,
+    errors.StuckError,
     errors.WeightsError,
     errors.WireError,
     errors.ConnectionClosedError,
@@ -171,7 +173,7 @@
 async def _manifest(view, model, version, source):
     if source is not None:
         return await piece_stream.receive_manifest(
-            source.address, model, version, STALL_S
+            source.address, model, version, PATIENCE
         )
     return await drawing.manifest(_known_origin(view), model, version)
 
@@ -184,7 +186,7 @@
         return
     if source is not None:
         await piece_stream.receive_pieces(
-            source.address, copy, on_piece, STALL_S, WINDOW
+            source.address, copy, on_piece, WINDOW, PATIENCE
         )
     else:
         await drawing.draw(_known_origin(view), copy, on_piece)
--- a/src/carobstand/core/deployment.py
+++ b/src/carobstand/core/deployment.py
@@ -70,6 +70,8 @@
         Memory of this VM for each process.
     link_bytes_per_s : float
         Rate of the VM's link in each direction.
+    is_first_start : bool
+        Whether the whole system starts for the first time.
     bounds : Bounds
     """
 
@@ -88,6 +90,7 @@
     min_lease_s: float = 1.0
     memory_bytes: int = 0
     link_bytes_per_s: float = 0.0
+    is_first_start: bool = False
     bounds: Bounds = attrs.field(factory=Bounds)
 
 
--- a/src/carobstand/core/load_turns.py
+++ b/src/carobstand/core/load_turns.py
@@ -53,11 +53,12 @@
     return copy_bytes / (link_bytes_per_s * LINK_SHARE)
 
 
-def turn(server, servers, version, named, copy_s, allowed_s):
+def turn(server, servers, version, named, arrives, allowed_s):
     """Return the time before which an engine does not begin to load.
 
     The engines of a service take turns over the time that is left between the receipt
-    of a copy and the end of the allowed time, in an order that all compute alike.
+    of a copy and the end of the allowed time, in an order that all compute alike. All
+    receive at about the same time, as their links are alike.
 
     Parameters
     ----------
@@ -66,9 +67,11 @@
         All engines of the service, by any name that all agents know.
     version : int
     named : core.named_versions.Named
-    copy_s, allowed_s : float
+    arrives : float
+        Time at which this server's copy is complete.
+    allowed_s : float
     """
     order = sorted(set(servers) | {server}, key=lambda s: ranks.score(str(version), s))
-    window_s = max(0.0, allowed_s - MARGIN_S - copy_s)
+    window_s = max(0.0, named.seen_at + allowed_s - MARGIN_S - arrives)
     share = order.index(server) / len(order)
-    return named.seen_at + copy_s + window_s * share
+    return arrives + window_s * share
--- a/src/carobstand/core/weight_sources.py
+++ b/src/carobstand/core/weight_sources.py
@@ -1,9 +1,8 @@
 """Where each process receives a version of the weights from.
 
-One entry, near the origin, draws from it; one entry of each region draws from that one;
-the others and the agents draw within their region. Everybody computes the same order by
-rendezvous hashing over the entries that are registered, and goes on to the next source
-if one fails.
+One entry, near the origin, draws from it; one entry of each region receives from that
+one; the others and the agents receive within their region. Everybody computes the same
+order by rendezvous hashing over the entries that are registered.
 """
 
 import attrs
@@ -49,20 +48,6 @@
     return _ranked([entry for entry in entries if entry.region == region], key)
 
 
-def sources_of_entry(me, entries, key, origin_domain, origin_region):
-    """Return the entries from which entry `me` receives, best first.
-
-    Empty for the one that draws from the origin itself.
-    """
-    first = drawers(entries, key, origin_domain, origin_region)
-    if not first or first[0].vm == me.vm:
-        return []
-    own = regional(entries, key, me.region)
-    before = own[: own.index(me)] if me in own else own
-    found = [entry for entry in before if entry.vm != me.vm]
-    return found + [entry for entry in first[:1] if entry not in found]
-
-
 def sources_of_agent(vm, region, entries, key, spread):
     """Return the entries from which an agent receives, best first.
 
@@ -78,10 +63,3 @@
     near = sorted(own[:spread], key=lambda entry: ranks.score(vm, entry.vm))
     found = near + own[spread:]
     return found + [entry for entry in _ranked(entries, key) if entry not in found]
-
-
-def is_holder(me, entries, key, origin_domain, origin_region):
-    """Whether entry `me` receives a version before anyone asks for it."""
-    first = drawers(entries, key, origin_domain, origin_region)
-    own = regional(entries, key, me.region)
-    return bool(first and first[0].vm == me.vm) or bool(own and own[0].vm == me.vm)
--- a/src/carobstand/entry/fleet.py
+++ b/src/carobstand/entry/fleet.py
@@ -259,3 +259,15 @@
     """Return the newest named version of a model, or None."""
     named = fleet.named.get(model)
     return named[-1].version if named else None
+
+
+def holdings(fleet):
+    """Return the weights that registered engines say they serve."""
+    servers = fleet.servers.servers.values()
+    return [server.holding for server in servers if server.holding]
+
+
+def served_version(fleet, model):
+    """Return the newest version of a model that a registered engine serves, or None."""
+    versions = [item.version for item in holdings(fleet) if item.model == model]
+    return max(versions, default=None)
--- a/src/carobstand/errors.py
+++ b/src/carobstand/errors.py
@@ -103,6 +103,10 @@
     """Weights or a manifest are malformed or failed verification."""
 
 
+class StuckError(CarobstandError):
+    """A source of weights is there but has made no progress for too long."""
+
+
 class MemoryLimitError(WeightsError):
     """Weights do not fit into the memory set aside for them."""
 
--- a/src/carobstand/platform/boot.py
+++ b/src/carobstand/platform/boot.py
@@ -65,6 +65,7 @@
         min_lease_s=store.seconds("min_ttl_ms", 1000),
         memory_bytes=int(limits.number("memory_mb", 0) * 1_000_000),
         link_bytes_per_s=limits.number("link_mbps", 0) * 1e6 / 8,
+        is_first_start=record.flag("bootstrap"),
         bounds=_bounds(record.record("bounds")),
     )
 
--- a/src/carobstand/transfer/piece_stream.py
+++ b/src/carobstand/transfer/piece_stream.py
@@ -17,6 +17,9 @@
 MAX_REQUEST_BYTES = 16384
 """Largest request: names and a bitmap."""
 
+ALIVE_S = 0.4
+"""Interval in which a source that waits itself says that it is there."""
+
 CONNECT_TIMEOUT_S = 0.5
 """Longest wait for a connection to another process."""
 
@@ -33,6 +36,22 @@
     block_bytes: int
 
 
+@attrs.frozen
+class Patience:
+    """How long another process is waited for, in s.
+
+    Parameters
+    ----------
+    silence_s : float
+        Longest time without any message.
+    stuck_s : float
+        Longest time in which it says that it waits itself.
+    """
+
+    silence_s: float
+    stuck_s: float
+
+
 @attrs.define(eq=False)
 class Frames:
     """Messages of a stream; `buffer` holds bytes of frames that are not complete."""
@@ -110,7 +129,7 @@
             ) from exc
 
 
-async def receive_manifest(address, model, version, timeout_s):
+async def receive_manifest(address, model, version, patience):
     """Return an empty `WeightCopy` from the process at `address`.
 
     Parameters
@@ -120,21 +139,23 @@
     model : str
     version : int
         `NEWEST` for whatever is newest.
-    timeout_s : float
+    patience : Patience
 
     Raises
     ------
     ConnectionClosedError, WireError
+    StuckError
+        If the other side waits for it itself.
     """
     frames = await connect(address)
     try:
         await send(frames, ttypes.ManifestRequest(model, version, True))
-        return await _receive_manifest(frames, model, timeout_s)
+        return await _receive_manifest(frames, model, patience)
     finally:
         await anyio.aclose_forcefully(frames.stream)
 
 
-async def receive_pieces(address, copy, on_piece, stall_s, window):
+async def receive_pieces(address, copy, on_piece, window, patience):
     """Receive the missing pieces of a copy from the process at `address`.
 
     Parameters
@@ -145,30 +166,31 @@
         Pieces are added to it.
     on_piece : callable of (number)
         Called after each piece that was added.
-    stall_s : float
-        Longest wait for the next block.
     window : Window
+    patience : Patience
 
     Raises
     ------
     ConnectionClosedError, WireError
+    StuckError
+        If the other side is there but makes no progress.
     WeightsError
         If a piece does not match; the manifest of either side may be spoilt.
     """
     frames = await connect(address)
     try:
         await send(frames, ttypes.ManifestRequest(copy.model, copy.version, False))
-        theirs = await _receive_manifest(frames, copy.model, stall_s)
+        theirs = await _receive_manifest(frames, copy.model, patience)
         if theirs.digests != copy.digests:
             raise errors.WeightsError(
                 "another manifest", step="pieces.receive", peer=frames.peer
             )
-        await _receive_blocks(frames, copy, on_piece, stall_s, window)
+        await _receive_blocks(frames, copy, on_piece, window, patience)
     finally:
         await anyio.aclose_forcefully(frames.stream)
 
 
-async def _receive_blocks(frames, copy, on_piece, stall_s, window):
+async def _receive_blocks(frames, copy, on_piece, window, patience):
     wanted = iter(_blocks(copy, window.block_bytes))
     expected = collections.deque()
     parts = []
@@ -182,12 +204,7 @@
         if not expected:
             return
         block = expected.popleft()
-        reply = await receive(frames, stall_s)
-        if not isinstance(reply, ttypes.BlockReply) or (
-            (reply.number, reply.offset) != (block.number, block.offset)
-        ):
-            raise errors.WireError("no block", step="pieces.receive", peer=frames.peer)
-        parts.append(reply.data)
+        parts.append(await _receive_block(frames, block, patience))
         if block.offset + block.size < copy.piece_bytes:
             continue
         if not weight_copy.add(copy, block.number, b"".join(parts)):
@@ -200,6 +217,19 @@
         on_piece(block.number)
 
 
+async def _receive_block(frames, block, patience):
+    """Return the bytes of a block, which may be long in coming."""
+    reply = await _receive_at_last(frames, patience, ttypes.BlockReply, "data")
+    if (reply.number, reply.offset) != (block.number, block.offset):
+        raise errors.WireError("no block", step="pieces.receive", peer=frames.peer)
+    return reply.data
+
+
+def no_manifest_yet(cached):
+    """Return the message that says that a manifest is still waited for."""
+    return ttypes.ManifestReply(cached.model, cached.version, b"", 0)
+
+
 def _blocks(copy, block_bytes):
     """Yield the requests for all missing pieces, piece by piece."""
     for number in weight_copy.missing(copy):
@@ -208,9 +238,9 @@
             yield ttypes.BlockRequest(number, offset, size)
 
 
-async def _receive_manifest(frames, model, timeout_s):
-    reply = await receive(frames, timeout_s)
-    if not isinstance(reply, ttypes.ManifestReply) or reply.model != model:
+async def _receive_manifest(frames, model, patience):
+    reply = await _receive_at_last(frames, patience, ttypes.ManifestReply, "digests")
+    if reply.model != model:
         raise errors.WireError("no manifest", step="pieces.receive", peer=frames.peer)
     try:
         digests = weight_copy.split_digests(reply.digests)
@@ -221,3 +251,25 @@
     return weight_copy.WeightCopy(
         reply.model, reply.version, digests, max(1, reply.piece_bytes)
     )
+
+
+async def _receive_at_last(frames, patience, kind, content):
+    """Return the first reply of a kind that has `content`.
+
+    One without says that the other side is still waiting itself.
+    """
+    began = anyio.current_time()
+    while True:
+        reply = await receive(frames, patience.silence_s)
+        if not isinstance(reply, kind):
+            raise errors.WireError(
+                f"no {kind.__name__}", step="pieces.receive", peer=frames.peer
+            )
+        if getattr(reply, content):
+            return reply
+        if anyio.current_time() - began > patience.stuck_s:
+            raise errors.StuckError(
+                f"nothing for {patience.stuck_s} s",
+                step="pieces.receive",
+                peer=frames.peer,
+            )
--- a/testing/test_weights_on_platform.py
+++ b/testing/test_weights_on_platform.py
@@ -4,11 +4,15 @@
 import pytest
 
 from carobstand.core import (
+    deployment,
     load_turns,
     named_versions,
+    routes,
     weight_copy,
     weight_sources,
 )
+from carobstand.entry import fleet as fleets
+from carobstand.entry import weight_fetching
 
 
 def entry(vm, domain="a", region="north"):
@@ -24,42 +28,74 @@
 ]
 
 
+def fleet_of(vm):
+    """Return the view of one of `ENTRIES`, with the origin in failure domain ``b``."""
+    me = next(one for one in ENTRIES if one.vm == vm)
+    host, port = me.address.split(":")
+    dep = deployment.Deployment(
+        vm=vm,
+        ip=host,
+        failure_domain=me.failure_domain,
+        region=me.region,
+        regions={"a": "north", "b": "south", "c": "west"},
+        internal_ports=(int(port), int(port) + 1),
+        store_address="127.0.0.1:1",
+    )
+    origin = routes.Origin(
+        address="10.0.0.9:1", failure_domain="b", bytes_per_s=1e6, max_connections=8
+    )
+    config = routes.Configuration(
+        version=1,
+        routes={},
+        services={"source": routes.Service(name="source", origin=origin)},
+    )
+    entries = {one.vm: one for one in ENTRIES}
+    return fleets.Fleet(dep, None, configuration=config, entries=entries, started=0.0)
+
+
 def test_one_entry_near_the_origin_draws_each_version():
     for version in range(1, 30):
-        key = weight_sources.copy_key("m", version)
-        drawer = weight_sources.drawers(ENTRIES, key, "b", "south")[0]
-        assert drawer.failure_domain == "b"
-        alone = [
-            one.vm
+        drawers = [
+            one
             for one in ENTRIES
-            if not weight_sources.sources_of_entry(one, ENTRIES, key, "b", "south")
+            if weight_fetching.is_drawer(fleet_of(one.vm), "m", version)
         ]
-        assert alone == [drawer.vm]
+        assert [one.failure_domain for one in drawers] == ["b"]
+
+
+def test_one_entry_of_each_region_receives_ahead():
+    for version in range(1, 30):
+        holders = [
+            one
+            for one in ENTRIES
+            if weight_fetching.is_holder(fleet_of(one.vm), "m", version)
+        ]
+        assert {one.region for one in holders} == {"north", "south", "west"}
+        assert len(holders) <= 4
+
+
+def sources(vm, version):
+    return weight_fetching.sources_of(fleet_of(vm), "m", version)
 
 
 def test_each_region_receives_once_from_elsewhere():
-    key = weight_sources.copy_key("m", 3)
-    crossings = 0
-    for one in ENTRIES:
-        sources = weight_sources.sources_of_entry(one, ENTRIES, key, "b", "south")
-        crossings += bool(sources) and sources[0].region != one.region
-    assert crossings == 2
+    for version in range(1, 30):
+        crossings = [
+            one.vm
+            for one in ENTRIES
+            if sources(one.vm, version)
+            and sources(one.vm, version)[0].region != one.region
+        ]
+        assert len(crossings) == 2
 
 
 def test_the_sources_of_entries_form_no_circle():
     for version in range(1, 30):
-        key = weight_sources.copy_key("m", version)
         for one in ENTRIES:
             seen = [one.vm]
-            while True:
-                sources = weight_sources.sources_of_entry(
-                    one, ENTRIES, key, "b", "south"
-                )
-                if not sources:
-                    break
-                one = sources[0]
-                assert one.vm not in seen
-                seen.append(one.vm)
+            while found := sources(seen[-1], version):
+                assert found[0].vm not in seen
+                seen.append(found[0].vm)
 
 
 def test_without_entries_near_the_origin_another_one_draws():
@@ -154,10 +190,22 @@
     servers = [f"10.0.0.{n}:80" for n in range(10)]
     when = named_versions.Named(2, 100.0)
     turns = sorted(
-        load_turns.turn(server, servers, 2, when, copy_s=5.2, allowed_s=8.0)
+        load_turns.turn(server, servers, 2, when, arrives=105.2, allowed_s=8.0)
         for server in servers
     )
     assert turns[0] >= 105.2
     assert turns[-1] <= 108.0 - load_turns.MARGIN_S
     assert all(b - a < 1.0 for a, b in zip(turns, turns[1:], strict=False))
     assert len(set(turns)) == 10
+
+
+def test_engines_whose_copies_come_late_share_the_time_that_is_left():
+    servers = [f"10.0.0.{n}:80" for n in range(10)]
+    when = named_versions.Named(3, 100.0)
+    turns = sorted(
+        load_turns.turn(server, servers, 3, when, arrives=107.0, allowed_s=8.0)
+        for server in servers
+    )
+    assert 107.0 <= turns[0] < turns[-1] <= 108.0 - load_turns.MARGIN_S
+    late = load_turns.turn("s", servers, 3, when, arrives=109.0, allowed_s=8.0)
+    assert late == 109.0
