Share between entries which requests crash the servers that run them

Cause: a request that crashes each engine comes again at any entry, and every attempt took two more engines down; the rule allows three retries after the third crash.

Change: a lost run counts against its request (target, customer, body) once its server has been seen to have started anew; entries tell each other by datagram. From the third crash it is refused. Requests that ran beside it are cleared by their first answer.

Ruled out: counting every lost run; resets and cut links would make harmless requests suspicious.

--- a/src/carobstand/entry/datagrams.py
+++ b/src/carobstand/entry/datagrams.py
@@ -4,6 +4,7 @@
 
 from carobstand import errors, eventlog
 from carobstand.core import engine_load, registry
+from carobstand.entry import crash_news
 from carobstand.wire import fleet_codec
 from carobstand.wire.gen_fleet import ttypes
 
@@ -22,6 +23,8 @@
                 continue
             if isinstance(message, ttypes.EngineLoad):
                 _take_load(fwd, message, peer[0])
+            elif isinstance(message, ttypes.FailedRun):
+                crash_news.take(fwd, message, peer[0])
 
 
 def _take_load(fwd, message, peer):
--- a/src/carobstand/entry/forwarding.py
+++ b/src/carobstand/entry/forwarding.py
@@ -9,6 +9,7 @@
 from carobstand import errors, eventlog, http1, http1_server, signals
 from carobstand.core import (
     calibration,
+    crashes,
     engine_load,
     event_stream,
     exchange,
@@ -19,7 +20,7 @@
     routes,
     waiting,
 )
-from carobstand.entry import backend_pool, fleet, queueing
+from carobstand.entry import backend_pool, crash_news, fleet, queueing
 from carobstand.platform import exchanges
 
 MAX_WHOLE_ANSWER_BYTES = 1_048_576
@@ -80,6 +81,7 @@
         By service.
     queue : entry.queueing.Queue
     loads : core.engine_load.EngineLoads
+    crashes_seen : core.crashes.Crashes
     freed : signals.Signal
         Notified when a backend server may have room.
     """
@@ -94,6 +96,7 @@
     budgets: dict = attrs.field(factory=dict)
     queue: queueing.Queue = attrs.field(factory=queueing.Queue)
     loads: engine_load.EngineLoads = attrs.field(factory=engine_load.EngineLoads)
+    crashes_seen: crashes.Crashes = attrs.field(factory=crashes.Crashes)
     freed: signals.Signal = attrs.field(factory=signals.Signal)
 
 
@@ -155,6 +158,8 @@
 
 async def _try_servers(fwd, call):
     while True:
+        if crash_news.is_deadly(fwd, call):
+            return await _give_up(call, 502, "it crashes servers")
         chosen = await queueing.place(fwd, call)
         if chosen is None:
             return await _give_up(call, 502, "no server has room in time")
@@ -163,6 +168,7 @@
         finally:
             queueing.end(fwd, call, chosen)
         if outcome is Outcome.DONE:
+            crash_news.note_answered(fwd, call)
             return None
         if call.reply.started:
             call.terms = attrs.evolve(call.terms, is_started=True)
@@ -262,6 +268,7 @@
         return outcome
     except errors.HttpError as exc:
         health.lost(state, anyio.current_time(), server.started_ms)
+        crash_news.note_lost(fwd, call, server)
         eventlog.event(
             "attempt.failed",
             request=call.req.request_id,
--- a/src/carobstand/entry/platform_main.py
+++ b/src/carobstand/entry/platform_main.py
@@ -9,6 +9,7 @@
 from carobstand.core import deployment
 from carobstand.entry import (
     backend_pool,
+    crash_news,
     datagrams,
     fleet,
     forwarding,
@@ -54,6 +55,7 @@
         tg.start_soon(http1_server.listen, ready, dep.readiness_address)
         tg.start_soon(http1_server.listen, front, dep.ingress_address)
         tg.start_soon(loops.supervise, datagrams.listen, fwd)
+        tg.start_soon(loops.supervise, crash_news.share, fwd)
         tg.start_soon(loops.supervise, queueing.pump, fwd)
         tg.start_soon(loops.supervise, _tidy, fwd)
         eventlog.event("process.started", address=dep.ingress_address)
--- a/src/carobstand/wire/fleet.thrift
+++ b/src/carobstand/wire/fleet.thrift
@@ -20,7 +20,7 @@
 
 // Datagram between entries: a request whose run ended with its server.
 struct FailedRun {
-  1: binary fingerprint       // SHA-256 of path, customer and body
+  1: binary fingerprint       // start of SHA-256 of path, customer and body
   2: string server_start      // the server and its start, the same at every entry
 }
 
--- a/testing/test_platform_path.py
+++ b/testing/test_platform_path.py
@@ -330,3 +330,23 @@
         assert (await fleets.ask(fleet, "/o/x")).status == 200
 
     served(check)
+
+
+def test_a_request_that_crashes_servers_is_refused_by_all_entries():
+    async def check(fleet):
+        for number in range(2, 7):
+            await fleets.add_engine(fleet, f"d-{number}", "desk")
+        await anyio.sleep(0.1)
+        desks = [made for made in fleet.engines.values() if made.service == "desk"]
+        for attempt in range(9):
+            entry = f"entry-{1 + attempt % 3}"
+            answer = await fleets.ask(fleet, "/q/x", entry=entry, body=b"deadly")
+            assert answer.status >= 500
+            for made in desks:
+                engine.register(made, fleet.store)
+            await anyio.sleep(0.4)
+        # Sends that crossed the news of the third crash come on top.
+        assert 3 <= sum(made.crashes for made in desks) <= 5
+        assert (await fleets.ask(fleet, "/q/x", body=b"harmless")).status == 200
+
+    served(check, entries=3)
