Tell returning callers from first attempts by a gap in the time they have left

Cause: callers' patience varies by 15 in 100, so no deadline was the usual one and every request counted as a first attempt.

Change: a deadline under three quarters of the third quartile of the route's latest ones is that of a return; its time since the first attempt is the difference.

--- a/src/carobstand/core/first_attempts.py
+++ b/src/carobstand/core/first_attempts.py
@@ -1,27 +1,44 @@
 """Tells a caller's first attempt from one that comes back, by the time it has left.
 
-Callers of a route wait equally long for a first attempt; one that was refused comes
-back with less. An answer is on time or late counted from the first attempt.
+Callers of a route wait about equally long for a first attempt; one that was refused
+comes back with clearly less. An answer is on time or late counted from the first
+attempt.
+
+Load pattern: overload, in which requests that were refused come back and would take
+the places of those that can still be answered on time.
 """
 
+import collections
+
 import attrs
 
 MIN_SAMPLES = 10
 """Requests of a route from which its usual deadline is known."""
 
-USUAL_SHARE = 0.3
-"""Share of the requests that a deadline needs to be a usual one."""
+MAX_SAMPLES = 200
+"""Requests that are looked at: some seconds of a route."""
+
+REFERENCE = 0.75
+"""Part of the requests with less time left than the usual one. Even if nearly half of
+them come back, it is that of a first attempt."""
 
-MAX_VALUES = 64
-"""Different deadlines counted per route; then counting begins anew."""
+FIRST_SHARE = 0.75
+"""A first attempt has at least this part of the usual time: callers' patience varies by
+some 15 in 100, and one that comes back has waited for a fifth and more of its time."""
+
+LOOK_INTERVAL = 20
+"""Requests after which the usual time is computed anew."""
 
 
 @attrs.define(eq=False)
 class Deadlines:
-    """Counts of deadlines of one route, in whole milliseconds."""
+    """Latest deadlines of one route in s; `usual_s` is 0 while it is not known."""
 
-    counts: dict = attrs.field(factory=dict)
-    total: int = 0
+    latest: collections.deque = attrs.field(
+        factory=lambda: collections.deque(maxlen=MAX_SAMPLES)
+    )
+    count: int = 0
+    usual_s: float = 0.0
 
 
 def observe(state, deadline_s):
@@ -37,16 +54,11 @@
     elapsed_s : float
         0 for a first attempt, and while that cannot be told.
     """
-    value = round(deadline_s * 1000)
-    if len(state.counts) >= MAX_VALUES and value not in state.counts:
-        usual = max(state.counts, key=state.counts.get)
-        state.counts = {usual: state.counts[usual]}
-        state.total = state.counts[usual]
-    state.counts[value] = state.counts.get(value, 0) + 1
-    state.total += 1
-    if state.total < MIN_SAMPLES:
-        return 0.0
-    usual = max(state.counts, key=state.counts.get)
-    if state.counts[usual] < USUAL_SHARE * state.total or value >= usual:
+    state.latest.append(deadline_s)
+    state.count += 1
+    if state.count >= MIN_SAMPLES and state.count % LOOK_INTERVAL in (0, MIN_SAMPLES):
+        ranked = sorted(state.latest)
+        state.usual_s = ranked[int(REFERENCE * len(ranked))]
+    if deadline_s >= FIRST_SHARE * state.usual_s:
         return 0.0
-    return (usual - value) / 1000
+    return state.usual_s - deadline_s
