Answer requests that reach a stopping entry late

Ruled out: the end of the process; it still had 2 s.

Change: connections that are new to a stopping entry are served once; only kept ones end. The process ends when no connection is left. The test fails before.

--- a/src/carobstand/entry/platform_main.py
+++ b/src/carobstand/entry/platform_main.py
@@ -71,7 +71,7 @@
     with anyio.move_on_after(dep.bounds.stop_s - STOP_MARGIN_S):
         await anyio.sleep(NOTICE_S)
         http1_server.close_idle(front)
-        while front.open_requests:
+        while front.connections:
             await anyio.sleep(0.05)
 
 
--- a/src/carobstand/http1_server.py
+++ b/src/carobstand/http1_server.py
@@ -49,15 +49,12 @@
     handle : async callable of (Request, Reply)
     is_closing : bool
         Connections end after the response in progress, idle ones at once.
-    open_requests : int
-        Requests whose head was read and that are not answered yet.
     connections : set of Connection
     """
 
     limits: object
     handle: object
     is_closing: bool = False
-    open_requests: int = 0
     connections: set = attrs.field(factory=set)
 
 
@@ -69,6 +66,7 @@
     stream: object
     parser: h11.Connection
     idle_scope: object = None
+    answered: int = 0
 
 
 @attrs.frozen
@@ -167,6 +165,7 @@
     try:
         http1.protect(stream)
         while await _serve_one(conn):
+            conn.answered += 1
             parser.start_next_cycle()
     except _GONE as exc:
         eventlog.debug("connection.ended", error=repr(exc))
@@ -184,11 +183,7 @@
         if event is None:
             return False
         arrived = anyio.current_time()
-        conn.server.open_requests += 1
-        try:
-            return await _serve_request(conn, event, arrived)
-        finally:
-            conn.server.open_requests -= 1
+        return await _serve_request(conn, event, arrived)
     except h11.RemoteProtocolError as exc:
         await _refuse(conn, exc.error_status_hint, str(exc))
     except TimeoutError:
@@ -263,7 +258,7 @@
     limits = conn.server.limits()
     event = conn.parser.next_event()
     if event is h11.NEED_DATA and not conn.parser.trailing_data[0]:
-        if conn.server.is_closing:
+        if conn.server.is_closing and conn.answered:
             return None
         with anyio.move_on_after(limits.idle_timeout_s) as conn.idle_scope:
             await _receive(conn)
@@ -328,8 +323,11 @@
 
 
 def close_idle(server):
-    """Close connections that wait for a request; others end after their response."""
+    """Close connections that wait for another request.
+
+    Others end after their response, and so do new ones after their first.
+    """
     server.is_closing = True
     for conn in list(server.connections):
-        if conn.idle_scope is not None:
+        if conn.idle_scope is not None and conn.answered:
             conn.idle_scope.cancel()
--- a/testing/platform_fleet.py
+++ b/testing/platform_fleet.py
@@ -38,6 +38,7 @@
     engines: dict = attrs.field(factory=dict)
     entries: dict = attrs.field(factory=dict)
     scopes: dict = attrs.field(factory=dict)
+    running: set = attrs.field(factory=set)
     configuration: dict = attrs.field(factory=dict)
     sent: int = 0
 
@@ -198,7 +199,9 @@
     async def run():
         with anyio.CancelScope() as scope:
             fleet.scopes[vm] = scope
+            fleet.running.add(vm)
             await entry_main.serve(dep, made.leaving)
+        fleet.running.discard(vm)
 
     fleet.tasks.start_soon(run)
     fleet.entries[vm] = made
--- a/testing/test_platform_path.py
+++ b/testing/test_platform_path.py
@@ -1,7 +1,10 @@
+from functools import partial
+
 import anyio
 import pytest
 
 from carobstand import http1
+from carobstand.entry import platform_main as entry_main
 from carobstand.standin.platform import engine, kv
 from testing import platform_fleet as fleets
 
@@ -283,6 +286,38 @@
     served(check)
 
 
+def test_a_request_that_reaches_a_stopping_entry_late_is_still_answered():
+    async def check(fleet):
+        made = fleet.engines["i-1"]
+        made.step_s = 1.0
+        entry = fleet.entries["entry-1"]
+        async with anyio.create_task_group() as tg:
+            tg.start_soon(partial(fleets.ask, fleet, "/s/x", deadline_s=9))
+            await fleets.until(lambda: made.running == 1)
+            entry.leaving.set()
+            await anyio.sleep(entry_main.NOTICE_S + 0.2)
+            assert (await fleets.ask(fleet, "/o/late")).status == 200
+            conn = await http1.connect(entry.deployment.ingress_address, 1.0)
+            await anyio.sleep(0.2)
+            assert (await fleets.ask_on(conn, fleet, "/o/later")).status == 200
+            await http1.close(conn)
+
+    served(check)
+
+
+def test_an_entry_stops_when_its_last_request_has_ended():
+    async def check(fleet):
+        entry = fleet.entries["entry-1"]
+        conn = await http1.connect(entry.deployment.ingress_address, 1.0)
+        assert (await fleets.ask_on(conn, fleet, "/o/x")).status == 200
+        began = anyio.current_time()
+        entry.leaving.set()
+        await fleets.until(lambda: "entry-1" not in fleet.running, 6)
+        assert anyio.current_time() - began < entry_main.NOTICE_S + 1.0
+
+    served(check)
+
+
 BAD_REQUESTS = [
     (b"\x16\x03\x01\x02\x00\x01\x00\x01\xfc\x03\x03\r\n\r\n", [400]),
     (b"GET\r\n\r\n", [400]),
