Check settings and print help on the command line; read settings again at SIGHUP

Cause: the programs took no arguments, and SIGHUP was logged and nothing else, so bounds that the platform changes (hup) were never in force.

At SIGHUP bounds, interval of reports, link, memory and regions are taken over; wrong settings leave the old ones in force.

--- a/src/carobstand/agent/platform_main.py
+++ b/src/carobstand/agent/platform_main.py
@@ -1,25 +1,21 @@
 """carobstand-agent on the users' platform: keeps its engine on the named weights."""
 
-import os
-import sys
-
 import anyio
 
-from carobstand import errors, eventlog, http1, loops
+from carobstand import command, errors, eventlog, http1, loops
 from carobstand.agent import loading, receiving, reporting, view
-from carobstand.platform import boot, kv
-
-EXIT_SETTINGS = 2
-"""Exit status for wrong settings."""
+from carobstand.platform import kv
 
 
-async def serve(dep, leaving):
+async def serve(dep, leaving, hangups):
     """Run one agent until `leaving`.
 
     Parameters
     ----------
     dep : core.deployment.Deployment
     leaving : anyio.Event
+    hangups : signals.Signal
+        Notified when the settings are to be read again.
     """
     state = view.View(
         dep, kv.connect(dep.store_address), http1.Caller(dep.backend_address)
@@ -34,6 +30,7 @@
             loading.run,
         ):
             tg.start_soon(loops.supervise, loop, state)
+        tg.start_soon(loops.supervise, command.follow_settings, state, hangups)
         eventlog.event("process.started", backend=dep.backend_address)
         await leaving.wait()
         eventlog.event("process.stopped")
@@ -42,15 +39,12 @@
 
 def main():
     """Run the program with the settings file that the platform names."""
-    try:
-        dep = boot.load(os.environ.get(boot.PATH_VARIABLE, ""))
-        if not dep.backend_address:
-            raise errors.SettingsError("app is not set", step="agent.main")
-    except errors.SettingsError as exc:
-        print(f"error: {exc.message}", file=sys.stderr)
-        sys.exit(EXIT_SETTINGS)
-    eventlog.configure(vm=dep.vm, role="agent")
-    loops.run(loops.until_terminated, serve, dep)
+    command.main("agent", serve, _check)
+
+
+def _check(dep):
+    if not dep.backend_address:
+        raise errors.SettingsError("app is not set", step="agent.main")
 
 
 if __name__ == "__main__":
--- a/src/carobstand/entry/platform_main.py
+++ b/src/carobstand/entry/platform_main.py
@@ -1,11 +1,8 @@
 """carobstand-entry on the users' platform: the process between callers and engines."""
 
-import os
-import sys
-
 import anyio
 
-from carobstand import errors, eventlog, http1_server, loops
+from carobstand import command, errors, eventlog, http1_server, loops
 from carobstand.core import deployment
 from carobstand.entry import (
     backend_pool,
@@ -19,10 +16,7 @@
     registration,
     weight_cache,
 )
-from carobstand.platform import boot, kv
-
-EXIT_SETTINGS = 2
-"""Exit status for wrong settings."""
+from carobstand.platform import kv
 
 NOTICE_S = 2.5
 """Time after SIGTERM in which the platform still sends new connections here: it asks
@@ -35,13 +29,15 @@
 """Interval in which idle connections are looked through."""
 
 
-async def serve(dep, leaving):
+async def serve(dep, leaving, hangups):
     """Run one entry until `leaving` and the end of its requests in progress.
 
     Parameters
     ----------
     dep : core.deployment.Deployment
     leaving : anyio.Event
+    hangups : signals.Signal
+        Notified when the settings are to be read again.
     """
     state = fleet.Fleet(dep, kv.connect(dep.store_address))
     fwd = forwarding.Forwarder(state)
@@ -58,6 +54,7 @@
         tg.start_soon(loops.supervise, crash_news.share, fwd)
         tg.start_soon(loops.supervise, queueing.pump, fwd)
         tg.start_soon(loops.supervise, _tidy, fwd)
+        tg.start_soon(loops.supervise, command.follow_settings, state, hangups)
         eventlog.event("process.started", address=dep.ingress_address)
         await leaving.wait()
         tg.start_soon(registration.withdraw, state)
@@ -83,14 +80,7 @@
 
 def main():
     """Run the program with the settings file that the platform names."""
-    try:
-        dep = boot.load(os.environ.get(boot.PATH_VARIABLE, ""))
-        _check(dep)
-    except errors.SettingsError as exc:
-        print(f"error: {exc.message}", file=sys.stderr)
-        sys.exit(EXIT_SETTINGS)
-    eventlog.configure(vm=dep.vm, role="entry")
-    loops.run(loops.until_terminated, serve, dep)
+    command.main("entry", serve, _check)
 
 
 def _check(dep):
--- a/src/carobstand/loops.py
+++ b/src/carobstand/loops.py
@@ -6,7 +6,7 @@
 
 import anyio
 
-from carobstand import eventlog
+from carobstand import eventlog, signals
 
 RESTART_S = 0.5
 """Pause before a loop that failed is started again."""
@@ -44,17 +44,22 @@
 
 
 async def until_terminated(serve, dep):
-    """Run ``serve(dep, leaving)``; `leaving` is set by SIGTERM."""
-    leaving = anyio.Event()
+    """Run ``serve(dep, leaving, hangups)`` until it ends.
+
+    `leaving` is set by SIGTERM, `hangups` is notified at SIGHUP.
+    """
+    leaving, hangups = anyio.Event(), signals.Signal()
     async with anyio.create_task_group() as tg:
-        tg.start_soon(_watch_signals, leaving)
-        await serve(dep, leaving)
+        tg.start_soon(_watch_signals, leaving, hangups)
+        await serve(dep, leaving, hangups)
         tg.cancel_scope.cancel()
 
 
-async def _watch_signals(leaving):
+async def _watch_signals(leaving, hangups):
     with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGHUP) as received:
         async for signum in received:
             eventlog.event("process.signal", signal=signum.name)
             if signum == signal.SIGTERM:
                 leaving.set()
+            else:
+                hangups.notify()
--- a/testing/platform_fleet.py
+++ b/testing/platform_fleet.py
@@ -7,7 +7,7 @@
 import anyio
 import attrs
 
-from carobstand import http1, http1_server
+from carobstand import http1, http1_server, signals
 from carobstand.agent import platform_main as agent_main
 from carobstand.core import deployment
 from carobstand.entry import platform_main as entry_main
@@ -45,10 +45,11 @@
 
 @attrs.define
 class Entry:
-    """An entry and the event that makes it leave."""
+    """An entry and what its signals set."""
 
     deployment: deployment.Deployment
     leaving: anyio.Event
+    hangups: signals.Signal
 
 
 @attrs.define
@@ -194,13 +195,13 @@
         ingress_address=f"{dep.ip}:{fleet.port + 16}",
         readiness_address=f"{dep.ip}:{fleet.port + 17}",
     )
-    made = Entry(dep, anyio.Event())
+    made = Entry(dep, anyio.Event(), signals.Signal())
 
     async def run():
         with anyio.CancelScope() as scope:
             fleet.scopes[vm] = scope
             fleet.running.add(vm)
-            await entry_main.serve(dep, made.leaving)
+            await entry_main.serve(dep, made.leaving, made.hangups)
         fleet.running.discard(vm)
 
     fleet.tasks.start_soon(run)
@@ -237,7 +238,7 @@
     async def run():
         with anyio.CancelScope() as scope:
             fleet.scopes[vm] = scope
-            await agent_main.serve(dep, leaving)
+            await agent_main.serve(dep, leaving, signals.Signal())
 
     fleet.tasks.start_soon(run)
 
