--- a/src/carobstand/entry/forwarding.py
+++ b/src/carobstand/entry/forwarding.py
@@ -328,7 +328,7 @@
 
 def _log_start(call, chosen, head):
     now = anyio.current_time()
-    eventlog.debug(
+    eventlog.event(
         "attempt.began",
         request=call.req.request_id,
         server=chosen.candidate.server.server_id,
--- a/src/carobstand/entry/queueing.py
+++ b/src/carobstand/entry/queueing.py
@@ -5,6 +5,7 @@
 import anyio
 import attrs
 
+from carobstand import eventlog
 from carobstand.core import calibration, outstanding, pace, placement, waiting
 from carobstand.entry import fleet
 
@@ -43,6 +44,7 @@
         begin(fwd, call, choice)
         return choice
     if verdict is waiting.Verdict.REFUSE:
+        _log_refusal(call, choice)
         return None
     fwd.queue.waiters.append(waiter)
     fwd.freed.notify()
@@ -96,9 +98,29 @@
         if verdict is waiting.Verdict.SEND:
             waiter.choice = choice
             begin(fwd, waiter.call, choice)
+        else:
+            _log_refusal(waiter.call, choice)
         waiter.done.set()
 
 
+def _log_refusal(call, best):
+    """Say what decided that a request is not sent; `best` is None without a server."""
+    now = anyio.current_time()
+    eventlog.event(
+        "request.turned_away",
+        request=call.req.request_id,
+        service=call.service,
+        best=best and best.candidate.server.server_id,
+        occupancy=best and best.occupancy,
+        predicted_s=best and round(best.first_event_s, 3),
+        report_age_s=best
+        and best.candidate.load
+        and round(now - best.candidate.load.heard_at, 3),
+        left_s=round(min(call.terms.target, call.terms.deadline) - now, 3),
+        held_s=round(now - call.terms.arrived, 3),
+    )
+
+
 def can_go_on_time(fwd, call, gap_s):
     """Whether another server would begin a call within `gap_s`."""
     best = _best(fwd, call, anyio.current_time())
