Leave room at servers for requests with less time, under overload

Change: a request is sent only where others delay it by no more than the least patient kind of the service bears; else it waits for its turn.

Ruled out: an order by kinds; arrivals of different entries do not meet in a queue.

--- a/src/carobstand/core/routes.py
+++ b/src/carobstand/core/routes.py
@@ -166,6 +166,16 @@
     return None
 
 
+def targets_of(config, service):
+    """Return the times to the first byte wanted by routes that lead to a service."""
+    return [
+        route.target_s
+        for prefixes in config.routes.values()
+        for route in prefixes.values()
+        if any(name == service for name, _ in route.shares)
+    ]
+
+
 def pick_service(route, draw):
     """Return the name of the service that gets a request.
 
--- a/src/carobstand/core/waiting.py
+++ b/src/carobstand/core/waiting.py
@@ -6,6 +6,7 @@
 """
 
 import enum
+import math
 
 import attrs
 
@@ -49,6 +50,8 @@
         0 is first.
     is_started : bool
         Whether its caller already has a part of the answer.
+    delay_s : float
+        Longest delay by other requests at the server to which it is sent.
     advance : float
         Worth for an engine's time against the mean, as `core.value` tells it.
     """
@@ -58,9 +61,27 @@
     deadline: float
     priority: int = 0
     is_started: bool = False
+    delay_s: float = math.inf
     advance: float = 0.0
 
 
+def shared_delay_s(targets_s, shortest_s):
+    """Return the delay at a server that leaves room for all kinds of request.
+
+    If those with more time filled the servers up to their own limit, those with less
+    could never be sent.
+
+    Parameters
+    ----------
+    targets_s : list of float
+        Times to the first byte within which the service's requests are on time.
+    shortest_s : float
+        Usual time to the first byte at an idle server.
+    """
+    known = [target_s for target_s in targets_s if target_s]
+    return max(0.0, min(known, default=math.inf) - WAY_S - shortest_s)
+
+
 def is_late(terms, shortest_s, now):
     """Whether even an idle server could not answer on time any more."""
     return now + shortest_s + WAY_S > terms.target
@@ -90,7 +111,8 @@
         return Verdict.HOLD if best is None else Verdict.SEND
     late = is_late(terms, shortest_s, now)
     if best is not None:
-        if now + best.first_event_s + WAY_S <= terms.target:
+        on_time = now + best.first_event_s + WAY_S <= terms.target
+        if on_time and best.first_event_s - shortest_s <= terms.delay_s:
             return Verdict.SEND
         slots = max(1, best.candidate.server.slots)
         if late and best.occupancy <= slots * LATE_OCCUPANCY:
--- a/src/carobstand/entry/forwarding.py
+++ b/src/carobstand/entry/forwarding.py
@@ -76,6 +76,8 @@
         By host and prefix of the route.
     sizes : dict of (str, str) to core.value.Sizes
         By host and prefix of the route.
+    delays : dict of str to float
+        `core.waiting.shared_delay_s` by service, in the configuration `delays_of`.
     errors_seen : core.calibration.Calibration
     budgets : dict of str to core.retry_budget.Budget
         By service.
@@ -92,6 +94,8 @@
     healths: dict = attrs.field(factory=dict)
     deadlines: dict = attrs.field(factory=dict)
     sizes: dict = attrs.field(factory=dict)
+    delays: dict = attrs.field(factory=dict)
+    delays_of: int | None = None
     errors_seen: calibration.Calibration = attrs.field(factory=calibration.Calibration)
     budgets: dict = attrs.field(factory=dict)
     queue: queueing.Queue = attrs.field(factory=queueing.Queue)
--- a/src/carobstand/entry/ingress.py
+++ b/src/carobstand/entry/ingress.py
@@ -6,7 +6,7 @@
 import anyio
 
 from carobstand import eventlog, http1_server
-from carobstand.core import first_attempts, placement, routes, value, waiting
+from carobstand.core import first_attempts, pace, placement, routes, value, waiting
 from carobstand.entry import fleet, forwarding
 from carobstand.platform import exchanges
 
@@ -77,6 +77,7 @@
             target=_target(fwd, req, route, request.arrived),
             deadline=_deadline(req, route, request.arrived),
             priority=_priority(route, customer),
+            delay_s=_delay_s(fwd, config, service),
             advance=_advance(fwd, size, route, config.services.get(service)),
         ),
     )
@@ -110,6 +111,22 @@
     return arrived - elapsed_s + route.target_s
 
 
+def _delay_s(fwd, config, name):
+    """Return the delay that a request of a service may find at a server."""
+    if fwd.delays_of != config.version:
+        fwd.delays, fwd.delays_of = {}, config.version
+    if name not in fwd.delays:
+        service = config.services.get(name)
+        if service is None or service.pace is None:
+            fwd.delays[name] = math.inf
+        else:
+            usual = service.pace.usual_prompt_tokens
+            idle = pace.predict(service.pace, 0, 0, usual)
+            targets = routes.targets_of(config, name)
+            fwd.delays[name] = waiting.shared_delay_s(targets, idle.first_event_s)
+    return fwd.delays[name]
+
+
 def _size(req, service):
     """Return the size of a generation; its answer's is the caller's guess or usual."""
     if service is None or service.pace is None:
--- /dev/null
+++ b/testing/test_waiting.py
@@ -0,0 +1,126 @@
+"""Which waiting requests are sent, held and refused, replayed on load patterns."""
+
+import heapq
+import math
+import random
+
+import attrs
+import pytest
+
+from carobstand.core import placement, registry, waiting
+
+SHORTEST_S = 0.06
+
+
+def best(first_event_s, occupancy=10.0, slots=16):
+    server = registry.Registration(
+        server_id="i-1",
+        service="s",
+        address="10.0.0.1:80",
+        failure_domain="a",
+        slots=slots,
+        is_ready=True,
+    )
+    candidate = placement.Candidate(server, None, None)
+    return placement.Choice(candidate, first_event_s, 0.0, occupancy, first_event_s)
+
+
+def terms(target=0.4, deadline=6.0, **changes):
+    return waiting.Terms(arrived=0.0, target=target, deadline=deadline, **changes)
+
+
+def decide(now=0.0, first_event_s=None, occupancy=10.0, **changes):
+    found = None if first_event_s is None else best(first_event_s, occupancy)
+    return waiting.decide(terms(**changes), found, SHORTEST_S, now).value
+
+
+def test_a_request_goes_where_it_is_answered_on_time():
+    assert decide(first_event_s=0.2) == "send"
+    assert decide(first_event_s=0.35) == "hold"
+
+
+def test_a_late_request_takes_only_places_that_others_do_not_need():
+    assert decide(now=0.45, first_event_s=0.1, occupancy=8) == "send"
+    assert decide(now=0.45, first_event_s=0.1, occupancy=15) == "hold"
+
+
+def test_a_request_is_refused_once_waiting_is_of_no_use():
+    late = 0.4 + waiting.LATE_HOLD_S
+    assert decide(now=late, first_event_s=0.3, occupancy=16) == "refuse"
+    assert decide(now=waiting.NO_SERVER_HOLD_S) == "refuse"
+    assert decide(now=0.0) == "hold"
+
+
+def test_a_started_stream_is_held_until_a_server_is_there():
+    assert decide(now=5.0, is_started=True) == "hold"
+    assert decide(now=5.0, first_event_s=0.5, occupancy=16, is_started=True) == "send"
+    started, other = terms(is_started=True), terms(priority=0)
+    assert waiting.order(started, 0.1, 0.0) < waiting.order(other, 0.1, 0.0)
+
+
+def test_the_delay_left_for_all_kinds_is_that_of_the_least_patient_one():
+    delay_s = waiting.shared_delay_s([0.406, 0.305, 0.0], SHORTEST_S)
+    assert delay_s == pytest.approx(0.305 - waiting.WAY_S - SHORTEST_S)
+    assert waiting.shared_delay_s([0.0], SHORTEST_S) == math.inf
+    assert waiting.shared_delay_s([0.1], SHORTEST_S) == 0.0
+
+
+@attrs.define
+class Kind:
+    target_s: float
+    a_second: float
+    sent: int = 0
+    asked: int = 0
+
+
+SLOTS = 16
+SERVICE_S = 0.3
+SECONDS = 30
+STEP_S = 0.01
+
+
+def overload(kinds, is_shared, seed):
+    """Replay more requests than a server can take; count what is sent on time.
+
+    The delay at the server grows with its occupancy, as that of engines does.
+    """
+    draw = random.Random(seed)
+    targets = [kind.target_s for kind in kinds]
+    shared_s = waiting.shared_delay_s(targets, SHORTEST_S) if is_shared else math.inf
+    running, queue = [], []
+    for step in range(int(SECONDS / STEP_S)):
+        now = step * STEP_S
+        while running and running[0] <= now:
+            heapq.heappop(running)
+        for kind in kinds:
+            if draw.random() < kind.a_second * STEP_S:
+                kind.asked += 1
+                due = waiting.Terms(
+                    arrived=now,
+                    target=now + kind.target_s,
+                    deadline=now + 6,
+                    delay_s=shared_s,
+                )
+                queue.append((due, kind))
+        queue.sort(key=lambda item: waiting.order(item[0], SHORTEST_S, now))
+        left = []
+        for due, kind in queue:
+            first_s = SHORTEST_S + 0.22 * len(running) / SLOTS
+            choice = best(first_s, len(running)) if len(running) < SLOTS else None
+            if waiting.is_late(due, SHORTEST_S, now):
+                continue
+            if choice and waiting.decide(due, choice, SHORTEST_S, now).value == "send":
+                heapq.heappush(running, now + SERVICE_S)
+                kind.sent += 1
+            else:
+                left.append((due, kind))
+        queue = left
+    return [kind.sent / kind.asked for kind in kinds]
+
+
+@pytest.mark.parametrize("seed", range(3))
+def test_patient_requests_do_not_starve_others_under_overload(seed):
+    patient, hasty = overload([Kind(0.406, 60), Kind(0.305, 30)], True, seed)
+    assert hasty > 0.5 * patient
+    without = overload([Kind(0.406, 60), Kind(0.305, 30)], False, seed)
+    assert hasty > without[1]
