--- a/src/carobstand/http1_server.py
+++ b/src/carobstand/http1_server.py
@@ -50,12 +50,15 @@
     is_closing : bool
         Connections end after the response in progress, idle ones at once.
     connections : set of Connection
+    accepting : anyio.CancelScope
+        Ends the listener; a connection that is refused lost nothing.
     """
 
     limits: object
     handle: object
     is_closing: bool = False
     connections: set = attrs.field(factory=set)
+    accepting: anyio.CancelScope = attrs.field(factory=anyio.CancelScope)
 
 
 @attrs.define(eq=False)
@@ -149,10 +152,15 @@
 
 
 async def listen(server, address):
-    """Accept and serve connections at ``host:port`` until cancelled."""
+    """Accept and serve connections at ``host:port`` until cancelled or `close_idle`."""
     host, port = deployment.split_address(address)
     listener = await anyio.create_tcp_listener(local_host=host, local_port=port)
-    await listener.serve(lambda stream: serve_connection(server, stream))
+    async with anyio.create_task_group() as connections:
+        with server.accepting:
+            async with listener:
+                await listener.serve(
+                    lambda stream: serve_connection(server, stream), connections
+                )
 
 
 async def serve_connection(server, stream):
@@ -323,11 +331,12 @@
 
 
 def close_idle(server):
-    """Close connections that wait for another request.
+    """Accept no more connections, and close those that wait for another request.
 
     Others end after their response, and so do new ones after their first.
     """
     server.is_closing = True
+    server.accepting.cancel()
     for conn in list(server.connections):
         if conn.idle_scope is not None and conn.answered:
             conn.idle_scope.cancel()
