Look at few waiting requests at a time

Change: after 8 looks in vain for a service, later requests only have their time checked; a request behind others is queued without a look; two looks are 5 ms apart; the time at an idle server is computed once per request.

--- a/src/carobstand/core/waiting.py
+++ b/src/carobstand/core/waiting.py
@@ -119,10 +119,15 @@
             return Verdict.SEND
     if best is None and now >= terms.arrived + NO_SERVER_HOLD_S:
         return Verdict.REFUSE
-    if not late:
-        return Verdict.HOLD
+    return Verdict.HOLD if may_wait(terms, shortest_s, now) else Verdict.REFUSE
+
+
+def may_wait(terms, shortest_s, now):
+    """Whether a request that no server can take now is held."""
+    if terms.is_started or not is_late(terms, shortest_s, now):
+        return True
     hold_until = max(terms.arrived, terms.target) + LATE_HOLD_S
-    return Verdict.HOLD if now < min(hold_until, terms.deadline) else Verdict.REFUSE
+    return now < min(hold_until, terms.deadline)
 
 
 def hold_until(terms, shortest_s):
--- a/src/carobstand/entry/forwarding.py
+++ b/src/carobstand/entry/forwarding.py
@@ -119,6 +119,8 @@
     size : core.placement.Size
     terms : core.waiting.Terms
         Times by which it must be answered, on the loop's clock.
+    shortest_s : float or None
+        Time to the first byte at an idle server, once it was computed.
     asked : set of str
         Servers that are not tried again.
     sends : int
@@ -141,6 +143,7 @@
     reply: http1_server.Reply
     size: placement.Size
     terms: waiting.Terms
+    shortest_s: float | None = None
     asked: set = attrs.field(factory=set)
     sends: int = 0
     sent_at: float = 0.0
--- a/src/carobstand/entry/queueing.py
+++ b/src/carobstand/entry/queueing.py
@@ -1,5 +1,6 @@
 """Queue of an entry: requests that wait for a backend server with room."""
 
+import collections
 import random
 
 import anyio
@@ -12,6 +13,13 @@
 PUMP_INTERVAL_S = 0.02
 """Longest time between two looks at waiting requests."""
 
+PUMP_PAUSE_S = 0.005
+"""Shortest time between two looks: under load, a server may have room at any moment."""
+
+LOOKS_IN_VAIN = 8
+"""Waiting requests of a service without room, after which later ones are not looked at:
+each look weighs all servers."""
+
 PLAIN_FIRST_BYTE_S = 0.05
 """Time to the first byte of an idle server that publishes no pace."""
 
@@ -39,13 +47,14 @@
     The call is counted at the server until `end`.
     """
     waiter = Waiter(call)
-    choice, verdict = _look(fwd, call, anyio.current_time())
-    if verdict is waiting.Verdict.SEND and not _is_behind(fwd, call):
-        begin(fwd, call, choice)
-        return choice
-    if verdict is waiting.Verdict.REFUSE:
-        _log_refusal(call, choice)
-        return None
+    if not _is_behind(fwd, call):
+        choice, verdict = _look(fwd, call, anyio.current_time())
+        if verdict is waiting.Verdict.SEND:
+            begin(fwd, call, choice)
+            return choice
+        if verdict is waiting.Verdict.REFUSE:
+            _log_refusal(call, choice)
+            return None
     fwd.queue.waiters.append(waiter)
     fwd.freed.notify()
     try:
@@ -82,7 +91,8 @@
             await fwd.freed.wait(1.0)
             continue
         _pump_once(fwd)
-        await fwd.freed.wait(PUMP_INTERVAL_S)
+        await anyio.sleep(PUMP_PAUSE_S)
+        await fwd.freed.wait(PUMP_INTERVAL_S - PUMP_PAUSE_S)
 
 
 def _pump_once(fwd):
@@ -91,9 +101,15 @@
         (waiter for waiter in fwd.queue.waiters if not waiter.done.is_set()),
         key=lambda waiter: _order(fwd, waiter.call, now),
     )
+    in_vain = collections.Counter()
     for waiter in ready:
-        choice, verdict = _look(fwd, waiter.call, now)
+        service = waiter.call.service
+        if in_vain[service] < LOOKS_IN_VAIN:
+            choice, verdict = _look(fwd, waiter.call, now)
+        else:
+            choice, verdict = None, _unseen(fwd, waiter.call, now)
         if verdict is waiting.Verdict.HOLD:
+            in_vain[service] += 1
             continue
         if verdict is waiting.Verdict.SEND:
             waiter.choice = choice
@@ -133,6 +149,13 @@
     return best, waiting.decide(call.terms, best, _shortest_s(fwd, call), now)
 
 
+def _unseen(fwd, call, now):
+    """Return the verdict on a call behind many for which no server has room."""
+    if waiting.may_wait(call.terms, _shortest_s(fwd, call), now):
+        return waiting.Verdict.HOLD
+    return waiting.Verdict.REFUSE
+
+
 def _best(fwd, call, now):
     """Return the best choice for a call now, or None if no server can take it."""
     if fwd.fleet.servers.missing:
@@ -173,10 +196,14 @@
 
 
 def _shortest_s(fwd, call):
-    service = service_of(fwd, call)
-    if service is None or service.pace is None:
-        return PLAIN_FIRST_BYTE_S
-    return pace.predict(service.pace, 0, 0, call.size.prompt_tokens).first_event_s
+    """Return the time to the first byte of a call at an idle server."""
+    if call.shortest_s is None:
+        call.shortest_s = PLAIN_FIRST_BYTE_S
+        service = service_of(fwd, call)
+        if service is not None and service.pace is not None:
+            idle = pace.predict(service.pace, 0, 0, call.size.prompt_tokens)
+            call.shortest_s = idle.first_event_s
+    return call.shortest_s
 
 
 def begin(fwd, call, choice):
--- /dev/null
+++ b/testing/test_queueing.py
@@ -0,0 +1,119 @@
+import anyio
+import pytest
+
+from carobstand import http1_server
+from carobstand.core import (
+    deployment,
+    engine_load,
+    exchange,
+    placement,
+    registry,
+    routes,
+)
+from carobstand.entry import fleet as fleets
+from carobstand.entry import forwarding, queueing
+from testing import platform_builders as build
+
+DEPLOYMENT = deployment.Deployment(
+    vm="e1",
+    ip="10.0.0.1",
+    failure_domain="a",
+    region="north",
+    regions={"a": "north"},
+    internal_ports=(1, 2),
+    store_address="10.0.0.2:1",
+)
+
+
+def forwarder(engines, running):
+    """Return a `Forwarder` that knows some engines with a fresh report each."""
+    config = routes.Configuration(
+        version=1, routes={}, services={"drafter": build.service()}
+    )
+    servers = [build.registration(f"i-{n}") for n in range(1, engines + 1)]
+    known = registry.Registry(servers={server.server_id: server for server in servers})
+    fleet = fleets.Fleet(DEPLOYMENT, None, configuration=config, servers=known)
+    fwd = forwarding.Forwarder(fleet)
+    now = anyio.current_time()
+    for server in servers:
+        report = build.load(server, running=running, heard_at=now)
+        engine_load.put(fwd.loads, report)
+    return fwd
+
+
+def a_call(now):
+    return forwarding.Call(
+        req=exchange.Inbound(method=b"POST", target=b"/a/", host="h"),
+        body=b"",
+        route=build.a_route(),
+        service="drafter",
+        customer="",
+        reply=http1_server.Reply(None),
+        size=placement.Size(964, 119),
+        terms=build.terms(arrived=now, target=now + 0.405, deadline=now + 6.0),
+    )
+
+
+@pytest.fixture
+def looks(monkeypatch):
+    """Count the looks at all servers."""
+    counted = []
+    best = queueing._best
+
+    def count(fwd, call, now):
+        counted.append(call)
+        return best(fwd, call, now)
+
+    monkeypatch.setattr(queueing, "_best", count)
+    return counted
+
+
+def test_a_long_queue_costs_no_more_looks_than_a_short_one(looks):
+    async def test():
+        fwd = forwarder(engines=40, running=30)
+        now = anyio.current_time()
+        for _ in range(500):
+            waiter = queueing.Waiter(a_call(now))
+            fwd.queue.waiters.append(waiter)
+        queueing._pump_once(fwd)
+        assert len(looks) == queueing.LOOKS_IN_VAIN
+        assert not any(waiter.done.is_set() for waiter in fwd.queue.waiters)
+
+    anyio.run(test)
+
+
+def test_a_request_behind_others_is_queued_without_a_look(looks):
+    async def test():
+        fwd = forwarder(engines=2, running=30)
+        now = anyio.current_time()
+        fwd.queue.waiters.append(queueing.Waiter(a_call(now)))
+        with anyio.move_on_after(0.02):
+            await queueing.place(fwd, a_call(now + 0.01))
+        assert not looks
+
+    anyio.run(test)
+
+
+def test_requests_that_are_not_looked_at_are_refused_in_time():
+    async def test():
+        fwd = forwarder(engines=2, running=30)
+        past = anyio.current_time() - 3.0
+        for _ in range(50):
+            fwd.queue.waiters.append(queueing.Waiter(a_call(past)))
+        queueing._pump_once(fwd)
+        assert all(waiter.done.is_set() for waiter in fwd.queue.waiters)
+        assert all(waiter.choice is None for waiter in fwd.queue.waiters)
+
+    anyio.run(test)
+
+
+def test_servers_with_room_empty_the_queue():
+    async def test():
+        fwd = forwarder(engines=10, running=2)
+        now = anyio.current_time()
+        for _ in range(20):
+            fwd.queue.waiters.append(queueing.Waiter(a_call(now)))
+        queueing._pump_once(fwd)
+        assert all(waiter.choice for waiter in fwd.queue.waiters)
+
+    anyio.run(test)
