Look for the faults that operators of similar systems met; mend those that can happen

Cause, by fault (testing/test_field_faults.py): - second copy: an answer was told by its request's id alone; a caller that repeats an id, or sends none, could get the copy of an earlier answer. A connection now carries an id once, and requests without one get a connection of their own. - planned stop: a request whose deadline lay beyond the stop was cut; it gets its final answer before. Agents whose engines serve leave the link to entries. Ruled out: answers that break off (short, reset without a length) were no success before.

--- a/src/carobstand/agent/receiving.py
+++ b/src/carobstand/agent/receiving.py
@@ -65,9 +65,11 @@
 
 def _wanted(view, service):
     """Return the version to receive now, or None; `NEWEST` if none was ever named."""
-    if view.report is None:
+    # An engine that is only silent for a while still has what it had.
+    report = view.report or view.last_report
+    if report is None:
         return None
-    held = view.report.holding.version if view.report.holding else None
+    held = report.holding.version if report.holding else None
     named = view.named.get(service.weights.models[0], [])
     if not named:
         complete = any(map(weight_copy.is_complete, view.copies.values()))
--- a/src/carobstand/agent/reporting.py
+++ b/src/carobstand/agent/reporting.py
@@ -73,7 +73,7 @@
 
 
 def _keep(view, report):
-    before, view.report = view.report, report
+    before, view.report, view.last_report = view.report, report, report
     if before is None or before.started_ms != report.started_ms:
         eventlog.event("engine.started", started_ms=report.started_ms)
     if before is None or (before.holding, before.is_busy) != (
--- a/src/carobstand/agent/view.py
+++ b/src/carobstand/agent/view.py
@@ -1,6 +1,7 @@
 """What an agent on the platform knows, and the loops that keep it up to date."""
 
 import math
+import random
 
 import anyio
 import attrs
@@ -17,6 +18,9 @@
 """Longest wait for other changes; the kernel's probes end a connection that was
 silenced on the way."""
 
+CONFIGURATION_DELAY_S = 2.0
+"""Time up to twice which an agent whose engine serves leaves the link to entries."""
+
 GATHER_S = 1.0
 """Pause after news of entries: they register in series, and each answered watch is a
 call of the store."""
@@ -47,6 +51,8 @@
         By VM.
     report : core.engine_report.EngineReport or None
         Newest report of the engine; None while it does not answer.
+    last_report : core.engine_report.EngineReport or None
+        The same, kept while the engine is silent.
     copies : dict of int to core.weight_copy.WeightCopy
         Weights that are received or complete, by version.
     load_at : float or None
@@ -63,6 +69,7 @@
     follows_versions: bool = False
     entries: dict = attrs.field(factory=dict)
     report: object = None
+    last_report: object = None
     copies: dict = attrs.field(factory=dict)
     load_at: float | None = None
     changed: signals.Signal = attrs.field(factory=signals.Signal)
@@ -82,7 +89,13 @@
 
 
 async def read_configuration(view):
-    """Follow the configuration until it names the engine's service."""
+    """Follow the configuration until it names the engine's service.
+
+    After the loss of all VMs it is large for a narrow link, and entries need it first.
+    """
+    with anyio.move_on_after(CONFIGURATION_DELAY_S * (1 + random.random())):
+        while not _lacks_weights(view):
+            await view.changed.wait(1.0)
     await _follow(
         view,
         records.CONFIGURATION_KEY,
@@ -91,6 +104,15 @@
     )
 
 
+def _lacks_weights(view):
+    """Whether the engine is to be brought to other weights than it has."""
+    if view.last_report is None:
+        return False
+    holding = view.last_report.holding
+    named = view.named.get(holding.model, []) if holding else ()
+    return holding is None or any(item.version > holding.version for item in named)
+
+
 async def follow_versions(view):
     """Follow the weights that operators name."""
     await _follow(
--- a/src/carobstand/core/event_stream.py
+++ b/src/carobstand/core/event_stream.py
@@ -19,7 +19,7 @@
     pending : bytearray
         Start of an event whose end has not arrived.
     events : int
-        Complete events.
+        Complete events; comments are none.
     in_order : bool
         False once an id did not exceed the one before it, or left a gap where the
         ids before had none.
@@ -58,8 +58,9 @@
 
 
 def _note(state, event):
-    state.events += 1
-    for line in event.split(b"\n"):
+    lines = event.split(b"\n")
+    state.events += any(line and not line.startswith(b":") for line in lines)
+    for line in lines:
         name, _, value = line.partition(b":")
         value = value.strip()
         if name != b"id" or not value.isdigit():
--- a/src/carobstand/entry/backend_pool.py
+++ b/src/carobstand/entry/backend_pool.py
@@ -22,22 +22,40 @@
     used_at: dict = attrs.field(factory=dict)
 
 
-async def take(pool, address):
-    """Return a connection to ``host:port``; raise HttpError with `sent` False."""
+async def take(pool, address, request_id):
+    """Return a connection to ``host:port`` for one request.
+
+    A connection that carried this id before is not used: a second copy of that answer,
+    coming late, could not be told from the answer to this request. Nor is any for a
+    request without an id.
+
+    Raises
+    ------
+    HttpError
+        With `sent` False.
+    """
     idle = pool.idle.get(address, [])
-    while idle:
+    passed = []
+    found = None
+    while idle and found is None and request_id:
         conn, until = idle.pop()
-        if until > anyio.current_time() and http1.is_usable(conn):
-            return conn
-        await discard(pool, conn)
-    conn = await http1.connect(address, CONNECT_TIMEOUT_S)
-    pool.opened[address] = pool.opened.get(address, 0) + 1
-    return conn
+        if until <= anyio.current_time() or not http1.is_usable(conn):
+            await discard(pool, conn)
+        elif request_id in conn.request_ids:
+            passed.append((conn, until))
+        else:
+            found = conn
+    pool.idle.setdefault(address, []).extend(passed)
+    if found is None:
+        found = await http1.connect(address, CONNECT_TIMEOUT_S)
+        pool.opened[address] = pool.opened.get(address, 0) + 1
+    found.request_ids.append(request_id)
+    return found
 
 
 def give_back(pool, conn):
     """Keep a connection whose exchange is complete; return False if none may follow."""
-    if not http1.finish(conn):
+    if not conn.request_ids[-1] or not http1.finish(conn):
         return False
     until = anyio.current_time() + MAX_IDLE_S
     pool.idle.setdefault(conn.peer, []).append((conn, until))
--- a/src/carobstand/entry/fleet.py
+++ b/src/carobstand/entry/fleet.py
@@ -71,6 +71,8 @@
         When this process began.
     read_at : float or None
         Time of the first full read of the store.
+    stops_at : float
+        Time at which a planned stop ends what is still in progress.
     changed : signals.Signal
         Notified at each change of the above.
     """
@@ -88,6 +90,7 @@
     news_since: float = -1e9
     started: float = attrs.field(factory=anyio.current_time)
     read_at: float | None = None
+    stops_at: float = math.inf
     changed: signals.Signal = attrs.field(factory=signals.Signal)
 
 
--- a/src/carobstand/entry/forwarding.py
+++ b/src/carobstand/entry/forwarding.py
@@ -38,6 +38,16 @@
 engines loading weights, are over by then. Callers are spread over the span."""
 
 
+LAST_ANSWER_S = 0.3
+"""Time for final answers to reach their callers before a planned stop ends."""
+
+STALLED_GAPS = 3
+"""Silence of a server, in longest pauses of the route, after which a request that may
+run again goes on elsewhere."""
+
+STALLED_MIN_S = 1.0
+"""Shortest silence that counts so: passes with long prompts are far shorter."""
+
 MOVED_RUNNING = 6
 """Requests at a server that is about to load, from which on it is soon empty; those of
 a full one end within one another's time anyway."""
@@ -89,6 +99,8 @@
     queue : entry.queueing.Queue
     loads : core.engine_load.EngineLoads
     crashes_seen : core.crashes.Crashes
+    scopes : set of anyio.CancelScope
+        Of the requests in progress; their deadlines end them.
     shortlists : dict of str to core.shortlist.Shortlist
         By service.
     freed : signals.Signal
@@ -108,6 +120,7 @@
     queue: queueing.Queue = attrs.field(factory=queueing.Queue)
     loads: engine_load.EngineLoads = attrs.field(factory=engine_load.EngineLoads)
     crashes_seen: crashes.Crashes = attrs.field(factory=crashes.Crashes)
+    scopes: set = attrs.field(factory=set)
     shortlists: dict = attrs.field(factory=dict)
     freed: signals.Signal = attrs.field(factory=signals.Signal)
 
@@ -135,6 +148,8 @@
         Servers to which it was sent.
     sent_at : float
         Time of the last send.
+    progress_at : float
+        Time of the last event, or of the last look at a server that is silent.
     has_repeat : bool
         Whether the next send was already taken from the budget.
     may_have_run : bool
@@ -155,6 +170,7 @@
     asked: set = attrs.field(factory=set)
     sends: int = 0
     sent_at: float = 0.0
+    progress_at: float = 0.0
     has_repeat: bool = False
     may_have_run: bool = False
     events: event_stream.EventStream = attrs.field(factory=event_stream.EventStream)
@@ -166,11 +182,22 @@
     budget = fwd.budgets.setdefault(call.service, retry_budget.Budget(now))
     retry_budget.count_request(budget, fwd.fleet.deployment.bounds, now)
     with anyio.CancelScope(deadline=call.terms.deadline) as scope:
-        await _try_servers(fwd, call)
+        fwd.scopes.add(scope)
+        try:
+            await _try_servers(fwd, call)
+        finally:
+            fwd.scopes.discard(scope)
     if scope.cancelled_caught:
         await _give_up(fwd, call, 504, "deadline")
 
 
+def answer_by(fwd, stops_at):
+    """Give each request its final answer before a planned stop ends the process."""
+    fwd.fleet.stops_at = stops_at - LAST_ANSWER_S
+    for scope in fwd.scopes:
+        scope.deadline = min(scope.deadline, fwd.fleet.stops_at)
+
+
 async def _try_servers(fwd, call):
     while True:
         if crash_news.is_deadly(fwd, call):
@@ -263,7 +290,7 @@
     state = fwd.healths.setdefault(server.server_id, health.ServerHealth())
     call.asked.add(server.server_id)
     try:
-        conn = await backend_pool.take(fwd.pool, server.address)
+        conn = await backend_pool.take(fwd.pool, server.address, call.req.request_id)
     except errors.HttpError as exc:
         health.refused(state, anyio.current_time(), server.started_ms)
         eventlog.event("backend.unreachable", server=server.server_id, error=str(exc))
@@ -277,7 +304,7 @@
     try:
         await _send_request(call, chosen, conn)
         begin_by = fleet.begin_by(fwd.fleet, chosen.candidate.holding)
-        head, data = await _receive_start(call, conn, begin_by)
+        head, data = await _receive_start(fwd, call, conn, begin_by)
         queueing.answering(fwd, call, chosen)
         _note_load(fwd, server, head)
         _note_announcements(fwd, server, head)
@@ -321,13 +348,13 @@
     await http1.send(conn, call.req.method, call.req.target, headers, call.body)
 
 
-async def _receive_start(call, conn, begin_by):
+async def _receive_start(fwd, call, conn, begin_by):
     """Return the `AnswerHead` and, for a stream, the first bytes of its body.
 
     A run on old weights that has not begun by `begin_by` is given up.
     """
     with anyio.CancelScope(deadline=begin_by):
-        raw = await http1.receive_head(conn)
+        raw = await _unless_stalled(fwd, call, conn, http1.receive_head)
         head = exchanges.answer_head(raw.status_code, raw.headers)
         if head.request_id != call.req.request_id:
             raise errors.HttpError(
@@ -335,7 +362,7 @@
             )
         if not _is_stream(call, head):
             return head, None
-        return head, await http1.receive_data(conn)
+        return head, await _unless_stalled(fwd, call, conn, http1.receive_data)
     raise errors.HttpError(
         "its weights may begin no request now", step="forward.receive", peer=conn.peer
     )
@@ -451,6 +478,7 @@
     events = call.events
     event_stream.resume(events)
     while data is not None:
+        before = events.events
         complete = event_stream.feed(events, data)
         if not events.in_order or events.is_too_long:
             reason = "events out of order" if complete else "an event without end"
@@ -461,7 +489,7 @@
             await http1_server.send_data(call.reply, complete)
         if complete and _should_move(fwd, call, chosen):
             return Outcome.MOVED
-        data = await http1.receive_data(conn)
+        data = await _receive_more(fwd, call, conn, events.events > before)
     if events.pending:
         raise errors.HttpError(
             "the stream ends within an event", step="forward.receive", peer=conn.peer
@@ -472,6 +500,47 @@
     return Outcome.DONE
 
 
+async def _receive_more(fwd, call, conn, is_progress):
+    """Return more of a stream; bytes without a complete event are no progress."""
+    if is_progress:
+        call.progress_at = anyio.current_time()
+    return await _unless_stalled(fwd, call, conn, http1.receive_data)
+
+
+async def _unless_stalled(fwd, call, conn, receive):
+    """Return ``await receive(conn)``, unless another server is to go on instead.
+
+    A server that is only slow is waited for: only silence far beyond the pauses that
+    the route allows counts, and only if another server can go on at once.
+    """
+    if not routes.may_repeat(call.route):
+        return await receive(conn)
+    patience_s = max(STALLED_MIN_S, STALLED_GAPS * _usual_wait_s(call))
+    while True:
+        due = max(call.progress_at, call.sent_at) + patience_s
+        with anyio.CancelScope(deadline=max(due, anyio.current_time())) as scope:
+            return await receive(conn)
+        if scope.cancelled_caught and _can_leave(fwd, call):
+            raise errors.HttpError(
+                f"no progress for {patience_s:.1f} s",
+                step="forward.receive",
+                peer=conn.peer,
+            )
+        call.progress_at = anyio.current_time()
+
+
+def _usual_wait_s(call):
+    """Return the longest time to the first event, or between two, that is on time."""
+    return call.route.max_gap_s if call.reply.started else call.route.target_s
+
+
+def _can_leave(fwd, call):
+    """Whether another server can go on with a call now, and the budget allows it."""
+    if not _may_send_again(call, Outcome.UNKNOWN):
+        return False
+    return queueing.can_go_on_time(fwd, call, MOVED_GAP_S) and _withdraw(fwd, call)
+
+
 def _should_move(fwd, call, chosen):
     """Whether a stream goes on elsewhere, so that its server can load weights sooner.
 
--- a/src/carobstand/entry/ingress.py
+++ b/src/carobstand/entry/ingress.py
@@ -75,7 +75,7 @@
         terms=waiting.Terms(
             arrived=request.arrived,
             target=_target(fwd, req, route, request.arrived),
-            deadline=_deadline(req, route, request.arrived),
+            deadline=_deadline(fwd, req, route, request.arrived),
             priority=_priority(route, customer),
             delay_s=_delay_s(fwd, config, service),
             advance=_advance(fwd, size, route, config.services.get(service)),
@@ -84,10 +84,11 @@
     return await forwarding.serve(fwd, call)
 
 
-def _deadline(req, route, arrived):
+def _deadline(fwd, req, route, arrived):
     """Return the loop's time of the final answer at the latest."""
     wanted_s = DEFAULT_DEADLINE_S if req.deadline_s is None else req.deadline_s
-    return arrived + min(wanted_s - LATENCY_SLACK_S, route.timeout_s)
+    latest = arrived + min(wanted_s - LATENCY_SLACK_S, route.timeout_s)
+    return min(latest, fwd.fleet.stops_at)
 
 
 def _priority(route, customer):
--- a/src/carobstand/entry/platform_main.py
+++ b/src/carobstand/entry/platform_main.py
@@ -58,13 +58,14 @@
         eventlog.event("process.started", address=dep.ingress_address)
         await leaving.wait()
         tg.start_soon(registration.withdraw, state)
-        await _leave(dep, front)
+        await _leave(dep, fwd, front)
         eventlog.event("process.stopped")
         tg.cancel_scope.cancel()
 
 
-async def _leave(dep, front):
+async def _leave(dep, fwd, front):
     """Finish requests in progress; new ones still come until the platform notices."""
+    forwarding.answer_by(fwd, anyio.current_time() + dep.bounds.stop_s - STOP_MARGIN_S)
     with anyio.move_on_after(dep.bounds.stop_s - STOP_MARGIN_S):
         await anyio.sleep(NOTICE_S)
         http1_server.close_idle(front)
--- a/src/carobstand/entry/weight_cache.py
+++ b/src/carobstand/entry/weight_cache.py
@@ -156,8 +156,15 @@
 
 async def _fetch(cache, cached):
     """Receive one version until it is complete or no longer wanted."""
-    with cached.scope:
-        await weight_fetching.fetch(cache.fleet, cached)
+    try:
+        with cached.scope:
+            await weight_fetching.fetch(cache.fleet, cached)
+    except Exception as exc:
+        # The version is fetched anew once it is wanted again.
+        eventlog.failure("weights.fetch_failed", exc, version=cached.version)
+        key = (cached.model, cached.version)
+        if cache.held.get(key) is cached:
+            del cache.held[key]
 
 
 async def _serve(cache, stream):
--- a/src/carobstand/errors.py
+++ b/src/carobstand/errors.py
@@ -87,6 +87,10 @@
         self.sent = sent
 
 
+class TooLargeError(HttpError):
+    """A response has more bytes than are taken."""
+
+
 class WireError(CarobstandError):
     """A frame or message between processes is malformed or too large."""
 
--- a/src/carobstand/http1.py
+++ b/src/carobstand/http1.py
@@ -3,6 +3,7 @@
 A connection carries one exchange at a time and says whether another one may follow.
 """
 
+import collections
 import select
 import socket
 
@@ -30,6 +31,9 @@
 KEEP_ALIVE_SLACK_S = 0.5
 """A connection is not used again this close to the end of its announced idle time."""
 
+REMEMBERED_IDS = 32
+"""Requests of a connection whose ids are remembered."""
+
 MAX_HEADER_BYTES = 65536
 """Largest head of a response."""
 
@@ -46,7 +50,7 @@
     """One connection to an HTTP server.
 
     `idle_until` is the loop's time until which it may be used again while idle, None
-    if the server announced no limit.
+    if the server announced no limit; `request_ids` are those that it carried last.
     """
 
     stream: object
@@ -59,6 +63,9 @@
     idle_until: float | None = None
     uses: int = 0
     traffic: message_bounds.Traffic = attrs.field(factory=message_bounds.Traffic)
+    request_ids: collections.deque = attrs.field(
+        factory=lambda: collections.deque(maxlen=REMEMBERED_IDS)
+    )
 
 
 @attrs.frozen
@@ -253,7 +260,17 @@
     idle: list = attrs.field(factory=list)
 
 
-async def call(caller, method, target, *, body=b"", headers=(), timeout_s, max_bytes):
+async def call(
+    caller,
+    method,
+    target,
+    *,
+    body=b"",
+    headers=(),
+    timeout_s,
+    max_bytes,
+    silence_s=None,
+):
     """Make one call and return its complete `Response`.
 
     Parameters
@@ -264,6 +281,8 @@
     headers : iterable of (bytes, bytes)
     timeout_s : float
         For the whole call.
+    silence_s : float or None
+        Longest time without any bytes of the response, None for `timeout_s`.
     max_bytes : int
         Largest body of a response.
 
@@ -276,14 +295,14 @@
     sent = False
     try:
         with anyio.fail_after(timeout_s):
-            conn = await _take(caller, timeout_s)
+            conn = await _take(caller, silence_s or timeout_s)
             sent = True
-            return await _exchange(
-                caller, conn, method, target, headers, body, max_bytes
-            )
+            wait = _waiter(silence_s or timeout_s)
+            request = (method, target, headers, body)
+            return await _exchange(caller, conn, request, max_bytes, wait)
     except TimeoutError as exc:
         raise errors.HttpError(
-            f"no answer within {timeout_s} s",
+            f"no answer within {silence_s or timeout_s} s",
             step="http.call",
             peer=caller.address,
             sent=sent,
@@ -299,7 +318,18 @@
     return await connect(caller.address, timeout_s)
 
 
-async def _exchange(caller, conn, method, target, headers, body, max_bytes):
+def _waiter(silence_s):
+    """Return a function that awaits ``receive(conn)`` for so long at most."""
+
+    async def wait(receive, conn):
+        with anyio.fail_after(silence_s):
+            return await receive(conn)
+
+    return wait
+
+
+async def _exchange(caller, conn, request, max_bytes, wait):
+    method, target, headers, body = request
     kept = False
     framing = [(b"Host", caller.address.encode())]
     if body or method in ("POST", "PUT"):
@@ -307,13 +337,13 @@
     try:
         all_headers = [*framing, *headers]
         await send(conn, method.encode(), target.encode(), all_headers, body)
-        head = await receive_head(conn)
+        head = await wait(receive_head, conn)
         parts, size = [], 0
-        while (data := await receive_data(conn)) is not None:
+        while (data := await wait(receive_data, conn)) is not None:
             parts.append(data)
             size += len(data)
             if size > max_bytes:
-                raise errors.HttpError(
+                raise errors.TooLargeError(
                     f"response over {max_bytes} bytes",
                     step="http.receive",
                     peer=conn.peer,
--- a/src/carobstand/platform/kv.py
+++ b/src/carobstand/platform/kv.py
@@ -13,11 +13,16 @@
 ABSENT = 0
 """Expected revision of a key that must not exist."""
 
-MAX_ANSWER_BYTES = 16 * 1024 * 1024
+MAX_ANSWER_BYTES = 4 * 1024 * 1024
 """Largest answer; a page of a range has about 1 MB, a watch may bring many changes."""
 
 CALL_TIMEOUT_S = 1.5
-"""Longest wait for an answer; a healthy store takes milliseconds, a slow one 0.3 s."""
+"""Longest wait for an answer, and for more of one; a healthy store takes milliseconds,
+a slow one 0.3 s."""
+
+READ_TIMEOUT_S = 12.0
+"""Longest time of a read that goes on arriving: many VMs may read a large configuration
+at once over a narrow link."""
 
 WATCH_SLACK_S = 0.8
 """Time beyond its wait after which a watch counts as lost."""
@@ -60,7 +65,9 @@
 async def get(store, key):
     """Return the `Item` of a key, or None."""
     target = "/v1/kv-key?" + urllib.parse.urlencode({"key": key})
-    resp = await _call(store, "get", "GET", target, allowed=(200, 404))
+    resp = await _call(
+        store, "get", "GET", target, allowed=(200, 404), timeout_s=READ_TIMEOUT_S
+    )
     return None if resp.status == 404 else _item(_record(resp, "store.get"))
 
 
@@ -74,7 +81,8 @@
     while True:
         query = {"prefix": prefix, **({"after": after} if after else {})}
         target = "/v1/kv-range?" + urllib.parse.urlencode(query)
-        record = _record(await _call(store, "range", "GET", target), "store.range")
+        resp = await _call(store, "range", "GET", target, timeout_s=READ_TIMEOUT_S)
+        record = _record(resp, "store.range")
         page = [_item(entry) for entry in record.records("items")]
         items += page
         if revision is None:
@@ -94,9 +102,14 @@
     """
     query = {"prefix": prefix, "after": after, "wait_ms": int(wait_s * 1000)}
     target = "/v1/kv-watch?" + urllib.parse.urlencode(query)
-    timeout_s = wait_s + WATCH_SLACK_S
     resp = await _call(
-        store, "watch", "GET", target, allowed=(200, 410), timeout_s=timeout_s
+        store,
+        "watch",
+        "GET",
+        target,
+        allowed=(200, 410),
+        timeout_s=wait_s + READ_TIMEOUT_S,
+        silence_s=wait_s + WATCH_SLACK_S,
     )
     if resp.status == 410:
         raise errors.HistoryLostError(
@@ -166,7 +179,15 @@
 
 
 async def _call(
-    store, kind, method, target, *, body=b"", allowed=(200,), timeout_s=CALL_TIMEOUT_S
+    store,
+    kind,
+    method,
+    target,
+    *,
+    body=b"",
+    allowed=(200,),
+    timeout_s=CALL_TIMEOUT_S,
+    silence_s=CALL_TIMEOUT_S,
 ):
     store.calls[kind] = store.calls.get(kind, 0) + 1
     step, peer = f"store.{kind}", store.caller.address
@@ -178,8 +199,13 @@
             body=body,
             headers=[(b"Content-Type", b"application/json")] if body else [],
             timeout_s=timeout_s,
+            silence_s=silence_s,
             max_bytes=MAX_ANSWER_BYTES,
         )
+    except errors.TooLargeError as exc:
+        # What a watch cannot bring can still be read page by page.
+        kind_of = errors.HistoryLostError if kind == "watch" else errors.StoreError
+        raise kind_of(exc.message, step=step, peer=peer) from exc
     except errors.HttpError as exc:
         raise errors.StoreUnavailableError(exc.message, step=step, peer=peer) from exc
     if resp.status not in allowed:
--- a/src/carobstand/standin/platform/engine.py
+++ b/src/carobstand/standin/platform/engine.py
@@ -2,9 +2,12 @@
 
 import hashlib
 import json
+import socket
+import struct
 import urllib.parse
 
 import anyio
+import anyio.abc
 import attrs
 
 from carobstand import http1_server, signals
@@ -67,7 +70,10 @@
     fault : str
         What happens to the next requests: ``""``, ``reset`` (before an answer),
         ``cut`` (within a stream), ``extra`` (a second answer), ``foreign`` (an answer
-        to another request), ``unframed`` (no length), ``unsigned``, ``error`` (500),
+        to another request), ``copy`` (a second copy of the answer, sent once the
+        connection is used again), ``unframed`` (no length), ``unframed reset``,
+        ``short`` (less than announced), ``trickle`` (comments instead of events),
+        ``unsigned``, ``error`` (500),
         ``silent``, ``shed`` (503), or one of `ENDLESS`: bytes that are no answer until
         the caller closes.
     faults_left : int
@@ -104,6 +110,7 @@
     runs: list = attrs.field(factory=list)
     refused: int = 0
     crashes: int = 0
+    copies: dict = attrs.field(factory=dict)
     expected_digests: object = None
     spoilt_loads: int = 0
     freed: signals.Signal = attrs.field(factory=signals.Signal)
@@ -227,6 +234,9 @@
 
 async def _request(engine, request, reply):
     headers = {name: value.decode() for name, value in request.headers}
+    if reply.conn in engine.copies:
+        await reply.conn.stream.send(engine.copies.pop(reply.conn))
+        await anyio.sleep(engine.step_s)
     base = [(b"Request-Id", headers.get(b"request-id", "").encode())]
     if engine.says_leaving:
         base.append((b"Server-Leaving", b"1"))
@@ -329,17 +339,31 @@
     status = 500 if fault == "error" else 200
     run.ended = str(status)
     body = b"answer to " + run.request_id.encode()
-    if fault == "unframed":
+    if fault in ("unframed", "unframed reset"):
         await _send_raw(reply, all_headers, body)
+        if fault == "unframed reset":
+            await anyio.sleep(0.02)
+            raw = reply.conn.stream.extra(anyio.abc.SocketAttribute.raw_socket)
+            raw.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+        return
+    if fault == "short":
+        await _send_raw(reply, [*all_headers, (b"Content-Length", b"500")], body)
         return
+    if fault == "copy":
+        raw = _raw([*all_headers, (b"Content-Length", b"%d" % len(body))], body)
+        engine.copies[reply.conn] = raw
     await http1_server.respond(reply, status, all_headers, body)
     if fault == "extra":
         await reply.conn.stream.send(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
 
 
-async def _send_raw(reply, headers, body):
+def _raw(headers, body):
     head = b"".join(b"%s: %s\r\n" % pair for pair in headers)
-    await reply.conn.stream.send(b"HTTP/1.1 200 OK\r\n" + head + b"\r\n" + body)
+    return b"HTTP/1.1 200 OK\r\n" + head + b"\r\n" + body
+
+
+async def _send_raw(reply, headers, body):
+    await reply.conn.stream.send(_raw(headers, body))
 
 
 async def _stream(engine, run, reply, headers, fault, asked, started_ms):
@@ -355,6 +379,9 @@
             await http1_server.start_with(reply, 200, headers, event)
         else:
             await http1_server.send_data(reply, event)
+        while fault == "trickle" and started_ms == engine.started_ms:
+            await http1_server.send_data(reply, b": still here\n\n")
+            await anyio.sleep(0.05)
         if fault == "cut" and number == first + 1:
             await http1_server.send_data(reply, b"id: %d\nda" % (number + 1))
             run.ended = "cut"
--- /dev/null
+++ b/testing/test_field_faults.py
@@ -0,0 +1,306 @@
+"""Faults that operators of similar systems met, each caused here with stand-ins."""
+
+import anyio
+import pytest
+
+from carobstand import http1, http1_server
+from carobstand.agent import receiving, view
+from carobstand.core import deployment, engine_report, named_versions, registry, routes
+from carobstand.entry import forwarding, weight_cache, weight_fetching
+from carobstand.standin.platform import engine, kv
+from testing import platform_builders as build
+from testing import platform_fleet as fleets
+
+
+def served(check, timeout_s=30.0, **options):
+    """Run ``check(fleet)`` with a drafter and a desk behind one entry."""
+
+    async def test():
+        async with fleets.deployed() as fleet:
+            await fleets.add_engine(fleet, "i-1", **options.get("drafter", {}))
+            await fleets.add_engine(fleet, "d-1", "desk", **options.get("desk", {}))
+            await fleets.until_ready(fleet.entries["entry-1"])
+            await anyio.sleep(fleets.GATHERED_S)
+            await check(fleet)
+
+    fleets.run(test, timeout_s)
+
+
+@pytest.mark.parametrize("request_id", [None, "r-same"])
+def test_a_second_copy_of_an_answer_reaches_no_other_request(request_id):
+    async def check(fleet):
+        desk = fleet.engines["d-1"]
+        desk.fault, desk.faults_left = "copy", 1
+        first = await fleets.ask(fleet, "/q/x", request_id=request_id, body=b"one")
+        assert first.status == 200
+        for number in range(4):
+            runs = len(desk.runs)
+            answer = await fleets.ask(
+                fleet, "/q/x", request_id=request_id, body=b"%d" % number
+            )
+            assert answer.status != 200 or len(desk.runs) > runs
+
+    served(check)
+
+
+def test_a_request_without_an_id_gets_a_connection_of_its_own():
+    async def check(fleet):
+        desk = fleet.engines["d-1"]
+        desk.fault, desk.faults_left = "copy", 1
+        address = fleet.entries["entry-1"].deployment.ingress_address
+        head = b"Host: one.example\r\nApi-Key: k1\r\nContent-Length: 0\r\n\r\n"
+        for path in (b"/q/1", b"/q/2", b"/q/3"):
+            raw = b"POST %s HTTP/1.1\r\n" % path + head
+            got = await fleets.raw_exchange(address, raw, wait_s=0.2)
+            assert fleets.statuses(got) == [200]
+            assert desk.runs[-1].path == path.decode()
+
+    served(check)
+
+
+def test_requests_accepted_during_a_planned_stop_are_answered():
+    async def check(fleet):
+        entry = await fleets.add_entry(
+            fleet, "entry-2", bounds=deployment.Bounds(stop_s=4.0)
+        )
+        answers = []
+
+        async def ask(path):
+            answers.append(
+                await fleets.ask(fleet, path, entry="entry-2", deadline_s=6.0)
+            )
+
+        async with anyio.create_task_group() as tg:
+            entry.leaving.set()
+            for _ in range(8):
+                tg.start_soon(ask, "/q/x")
+                tg.start_soon(ask, "/o/x")
+                await anyio.sleep(0.28)
+        assert len(answers) == 16
+        assert all(answer.complete for answer in answers)
+
+    served(check, desk={"step_s": 5.0, "slots": 20})
+
+
+def test_a_request_that_crosses_the_close_of_its_idle_connection_is_served():
+    async def check(fleet):
+        entry = fleet.entries["entry-1"]
+        conn = await http1.connect(entry.deployment.ingress_address, 1.0)
+        assert (await fleets.ask_on(conn, fleet, "/q/x")).status == 200
+        assert http1.finish(conn)
+        server = _Idle(conn)
+        await http1.send(conn, "POST", "/q/x", server.headers, b"")
+        # No turn of the loop lies between the bytes and the close.
+        http1_server.close_idle(server.of(entry))
+        assert (await http1.receive_head(conn)).status_code == 200
+        await http1.close(conn)
+
+    class _Idle:
+        headers = [
+            ("Host", "one.example"),
+            ("Request-Id", "r-cross"),
+            ("Api-Key", "k1"),
+            ("Content-Length", "0"),
+        ]
+
+        def __init__(self, conn):
+            self.conn = conn
+
+        def of(self, entry):
+            return _servers[entry.deployment.ingress_address]
+
+    _servers = {}
+    listen = http1_server.listen
+
+    async def remember(server, address):
+        _servers[address] = server
+        await listen(server, address)
+
+    with pytest.MonkeyPatch.context() as patch:
+        patch.setattr(http1_server, "listen", remember)
+        served(check)
+
+
+def test_a_slow_stream_is_neither_cut_nor_moved():
+    async def check(fleet):
+        await fleets.add_engine(fleet, "i-2")
+        await anyio.sleep(fleets.GATHERED_S)
+        for _ in range(4):
+            answer = await fleets.ask(fleet, "/s/x", deadline_s=6.0)
+            assert answer.complete
+            assert len(fleets.events_of(answer)) == 5
+        runs = [run.ended for made in fleet.engines.values() for run in made.runs]
+        assert runs == ["200"] * 4
+
+    served(check, drafter={"step_s": 0.6})
+
+
+@pytest.mark.parametrize("fault", ["trickle", "silent"])
+def test_a_stalled_stream_goes_on_elsewhere(fault):
+    async def check(fleet):
+        stalled = fleet.engines["i-1"]
+        stalled.fault, stalled.faults_left = fault, 1
+        with anyio.fail_after(3):
+            while stalled.faults_left:
+                answer = await fleets.ask(fleet, "/s/x")
+                assert answer.complete
+                ids = [number for number, _ in fleets.events_of(_bare(answer))]
+                assert ids == [1, 2, 3, 4, 5]
+
+    async def with_two(fleet):
+        await fleets.add_engine(fleet, "i-2")
+        await anyio.sleep(fleets.GATHERED_S)
+        await check(fleet)
+
+    served(with_two)
+
+
+def _bare(answer):
+    """Return an answer without its comments."""
+    body = answer.body.replace(b": still here\n\n", b"")
+    return fleets.Answer(answer.status, answer.headers, body, answer.complete)
+
+
+def test_an_order_is_waited_for_however_slow_it_is():
+    async def check(fleet):
+        await fleets.add_engine(fleet, "d-2", "desk")
+        await anyio.sleep(fleets.GATHERED_S)
+        for _ in range(3):
+            assert (await fleets.ask(fleet, "/o/x", deadline_s=5.0)).status == 200
+        assert sum(len(made.runs) for made in fleet.engines.values()) == 3
+
+    served(check, desk={"step_s": 1.6})
+
+
+def test_an_unexpected_error_in_a_handler_is_answered_and_ends_nothing(monkeypatch):
+    async def fail(fwd, call):
+        raise KeyError("unexpected")
+
+    async def check(fleet):
+        with monkeypatch.context() as patch:
+            patch.setattr(forwarding, "serve", fail)
+            assert (await fleets.ask(fleet, "/o/x")).status == 502
+        assert (await fleets.ask(fleet, "/o/x")).status == 200
+
+    served(check)
+
+
+def test_a_connection_that_cannot_be_accepted_ends_nothing(monkeypatch):
+    from anyio._backends import _asyncio
+
+    accept = _asyncio.TCPSocketListener.accept
+    left = [3]
+
+    async def fail(listener):
+        if left[0]:
+            left[0] -= 1
+            raise OSError(24, "Too many open files")
+        return await accept(listener)
+
+    async def check(fleet):
+        monkeypatch.setattr(_asyncio.TCPSocketListener, "accept", fail)
+        for _ in range(4):
+            assert (await fleets.ask(fleet, "/o/x")).status == 200
+        assert left == [0]
+
+    served(check)
+
+
+def test_an_unexpected_error_while_weights_are_fetched_is_not_the_end(monkeypatch):
+    fetch = weight_fetching.fetch
+    failed = []
+
+    async def fail_once(fleet, cached):
+        if not failed:
+            failed.append(cached.version)
+            raise KeyError("unexpected")
+        await fetch(fleet, cached)
+
+    monkeypatch.setattr(weight_fetching, "fetch", fail_once)
+    caches = []
+    run = weight_cache.run
+
+    async def remember(cache):
+        caches.append(cache)
+        await run(cache)
+
+    monkeypatch.setattr(weight_cache, "run", remember)
+
+    async def check(fleet):
+        fleets.name_version(fleet, 2)
+        await fleets.until(
+            lambda: any(
+                item.is_complete for cache in caches for item in cache.held.values()
+            )
+        )
+        assert failed
+
+    served(check)
+
+
+@pytest.mark.parametrize("fault", ["short", "unframed reset"])
+def test_an_answer_that_breaks_off_is_no_success(fault):
+    async def check(fleet):
+        desk = fleet.engines["d-1"]
+        desk.fault, desk.faults_left = fault, 100
+        answer = await fleets.ask(fleet, "/o/x")
+        assert answer.status == 502
+        assert len(desk.runs) == 1
+        await fleets.add_engine(fleet, "d-2", "desk")
+        await anyio.sleep(fleets.GATHERED_S)
+        answer = await fleets.ask(fleet, "/q/x")
+        assert (answer.status, answer.complete) == (200, True)
+
+    served(check)
+
+
+def test_work_goes_on_at_a_server_whose_machine_is_silent():
+    async def check(fleet):
+        made = fleet.engines["i-1"]
+        await fleets.add_agent(fleet, made)
+        await fleets.add_engine(fleet, "i-2")
+        await anyio.sleep(fleets.GATHERED_S)
+        answers = []
+
+        async def ask():
+            answers.append(await fleets.ask(fleet, "/s/x", deadline_s=5.0))
+
+        async with anyio.create_task_group() as tg:
+            for _ in range(4):
+                tg.start_soon(ask)
+            await anyio.sleep(0.4)
+            await fleets.stop(fleet, "side-1")
+            kv.remove(fleet.store, f"servers/{made.server_id}")
+        assert all(answer.complete for answer in answers)
+        runs = [run for item in fleet.engines.values() for run in item.runs]
+        assert [run.ended for run in runs] == ["200"] * 4
+
+    served(check, drafter={"step_s": 0.3})
+
+
+def test_weights_are_received_on_while_the_engine_is_silent():
+    async def check():
+        dep = deployment.Deployment(
+            vm="side-1",
+            ip="127.0.0.1",
+            failure_domain="a",
+            region="north",
+            regions={"a": "north"},
+            internal_ports=(1, 2),
+            store_address="127.0.0.1:1",
+            service="drafter",
+        )
+        state = view.View(dep, None, None)
+        weights = routes.Weights(models=("m",), layers=4, pieces=8, piece_bytes=64)
+        service = build.service(weights=weights)
+        holding = registry.Holding(model="m", version=1)
+        state.last_report = engine_report.EngineReport(holding=holding)
+        state.named["m"] = [named_versions.Named(2, anyio.current_time())]
+        assert state.report is None
+        assert receiving._wanted(state, service) == 2
+
+    fleets.run(check)
+
+
+def test_stand_ins_know_the_faults_that_are_used_here():
+    assert {"copy", "trickle", "short"} <= set(engine.Engine.__doc__.split("``"))
