Let one entry of a region read the store for the others

Ruled out: late requests of entries (taken back at the time they knew), lost watches. Change: news count from the head of the answer that brings them; entries of a region with three or more ask one of them (rendezvous, widest link) for changes, each with its age, and read the store themselves when it fails, hangs or knows too little; knowledge that has grown old is proven by a short watch first; agents accept an older list of engines at a tenth of the price. Before: a change costs the store one answer an entry. After: one a region (testing/test_news_relay.py).

--- a/src/carobstand/agent/loading.py
+++ b/src/carobstand/agent/loading.py
@@ -101,7 +101,9 @@
     """Read which engines the service has; without an answer, this one alone."""
     stage.peers = []
     try:
-        changes = await kv.list_prefix(view.store, records.SERVER_PREFIX)
+        changes = await kv.list_prefix(
+            view.store, records.SERVER_PREFIX, may_be_old=True
+        )
     except errors.StoreError as exc:
         eventlog.event("peers.unknown", error=str(exc))
         return
--- a/src/carobstand/agent/view.py
+++ b/src/carobstand/agent/view.py
@@ -10,7 +10,7 @@
 from carobstand.core import named_versions
 from carobstand.platform import kv, records
 
-VERSIONS_WAIT_S = 8.0
+VERSIONS_WAIT_S = 12.0
 """Longest wait for named weights; a store that leaves one VM without an answer is asked
 anew after it."""
 
--- a/src/carobstand/entry/fleet.py
+++ b/src/carobstand/entry/fleet.py
@@ -6,7 +6,15 @@
 import attrs
 
 from carobstand import entry_records, errors, eventlog, signals
-from carobstand.core import announcements, named_versions, registry, routes
+from carobstand.core import (
+    announcements,
+    named_versions,
+    news,
+    registry,
+    routes,
+    weight_sources,
+)
+from carobstand.entry import news_relay
 from carobstand.platform import kv, records
 
 WATCH_WAIT_S = 2.5
@@ -17,6 +25,11 @@
 """Part of the time in which a change must be in force for which changes are gathered:
 registrations come in series, and each answered watch is a call of the store."""
 
+PROVE_AGE_S = 1.5
+PROVE_WAIT_S = 0.02
+"""Where what is known is that old, the next watch waits only so long, so that its end
+proves soon that nothing was missed."""
+
 RETRY_MIN_S = 0.1
 RETRY_MAX_S = 1.0
 """Pauses between reads of a store that does not answer; they grow twofold."""
@@ -65,6 +78,7 @@
         Time of the last failed call of the store.
     revision : int
         Store revision up to which changes are known.
+    history : core.news.News
     news_since : float
         Earliest time at which the changes that are applied now were made.
     started : float
@@ -87,6 +101,7 @@
     proven_at: float | None = None
     troubled_at: float = -1e9
     revision: int = 0
+    history: news.News = attrs.field(factory=news.News)
     news_since: float = -1e9
     started: float = attrs.field(factory=anyio.current_time)
     read_at: float | None = None
@@ -103,7 +118,11 @@
             if not complete:
                 await read_all(fleet)
                 complete = True
-            await _follow(fleet)
+            reader = _reader(fleet)
+            if reader is None:
+                await _follow(fleet)
+            else:
+                await _follow_reader(fleet, reader)
             pause_s = RETRY_MIN_S
         except errors.HistoryLostError as exc:
             eventlog.event("store.history_lost", error=str(exc))
@@ -132,6 +151,7 @@
     _replace_servers(fleet, found[1].items)
     fleet.revision = found[0].revision
     fleet.proven_at = fleet.news_since = sent_at
+    news.reset(fleet.history, fleet.revision)
     if fleet.read_at is None:
         fleet.read_at = anyio.current_time()
     fleet.changed.notify()
@@ -146,16 +166,19 @@
 async def _follow(fleet):
     """Wait for one set of changes and apply it."""
     sent_at = anyio.current_time()
-    changes = await kv.watch(fleet.store, "", fleet.revision, WATCH_WAIT_S)
-    answered_at = anyio.current_time()
-    if answered_at - sent_at > IMMEDIATE_S:
-        fleet.news_since = answered_at
+    is_old = sent_at - (fleet.proven_at or 0.0) > PROVE_AGE_S
+    wait_s = PROVE_WAIT_S if is_old else WATCH_WAIT_S
+    changes = await kv.watch(fleet.store, "", fleet.revision, wait_s)
+    # A large configuration may take seconds to arrive, with other news behind it.
+    if changes.began_at - sent_at > IMMEDIATE_S:
+        fleet.news_since = changes.began_at
     for item in changes.items:
+        news.add(fleet.history, item, fleet.news_since)
         apply_item(fleet, item)
-    fleet.news_since = answered_at
+    fleet.news_since = changes.began_at
     fleet.revision = max(fleet.revision, changes.revision)
     # A watch that ends without changes waited for all of its time.
-    waited_s = 0.0 if changes.items else WATCH_WAIT_S
+    waited_s = 0.0 if changes.items else wait_s
     fleet.proven_at = min(sent_at + waited_s, anyio.current_time())
     expire_missing(fleet)
     if changes.items:
@@ -163,6 +186,46 @@
         await anyio.sleep(gather_s(fleet.deployment.bounds))
 
 
+def _reader(fleet):
+    """Return the entry that reads the store for this one, or None for the store."""
+    me = weight_sources.entry_of(fleet.deployment)
+    now = anyio.current_time()
+    return news.reader(fleet.history, fleet.entries.values(), me, now)
+
+
+async def _follow_reader(fleet, reader):
+    """Apply what another entry reads, until it fails or is no longer the reader."""
+    try:
+        frames = await news_relay.connect(reader)
+        try:
+            while _reader(fleet) == reader:
+                await _take_news(fleet, await news_relay.ask(frames, fleet.revision))
+        finally:
+            await anyio.aclose_forcefully(frames.stream)
+    except (
+        errors.ConnectionClosedError,
+        errors.WireError,
+        errors.StoreError,
+    ) as exc:
+        eventlog.event("reader.failed", reader=reader.vm, error=str(exc))
+        news.fail(fleet.history, anyio.current_time())
+
+
+async def _take_news(fleet, told):
+    changes, revision, proven_at, troubled_at = told
+    for change in changes:
+        fleet.news_since = change.since
+        news.add(fleet.history, change.item, change.since)
+        apply_item(fleet, change.item)
+    fleet.revision = max(fleet.revision, revision)
+    fleet.proven_at = max(fleet.proven_at, proven_at)
+    fleet.troubled_at = max(fleet.troubled_at, troubled_at)
+    fleet.news_since = max(fleet.news_since, proven_at)
+    expire_missing(fleet)
+    if changes:
+        fleet.changed.notify()
+
+
 def gather_s(bounds):
     """Return the pause after a watch that brought changes, in s."""
     return GATHER_SHARE * min(bounds.apply_s, bounds.drain_s)
--- a/src/carobstand/entry/weight_cache.py
+++ b/src/carobstand/entry/weight_cache.py
@@ -6,7 +6,7 @@
 from carobstand import errors, eventlog, http1, signals
 from carobstand.core import weight_copy
 from carobstand.entry import fleet as fleets
-from carobstand.entry import weight_fetching
+from carobstand.entry import news_relay, weight_fetching
 from carobstand.transfer import piece_stream
 from carobstand.wire.gen_fleet import ttypes
 
@@ -175,6 +175,8 @@
         request = await piece_stream.receive(
             frames, REQUEST_TIMEOUT_S, piece_stream.MAX_REQUEST_BYTES
         )
+        if isinstance(request, ttypes.NewsRequest):
+            return await news_relay.serve(cache.fleet, frames, request)
         if not isinstance(request, ttypes.ManifestRequest):
             raise errors.WireError("no request", step="pieces.serve")
         version = request.version or _newest(cache, request.model)
--- a/src/carobstand/http1.py
+++ b/src/carobstand/http1.py
@@ -70,11 +70,15 @@
 
 @attrs.frozen
 class Response:
-    """A complete response. `headers` has lower-case names, as bytes pairs."""
+    """A complete response. `headers` has lower-case names, as bytes pairs.
+
+    `began_at` is the loop's time at which its head arrived.
+    """
 
     status: int
     headers: tuple
     body: bytes
+    began_at: float = 0.0
 
 
 def header(headers, name):
@@ -338,6 +342,7 @@
         all_headers = [*framing, *headers]
         await send(conn, method.encode(), target.encode(), all_headers, body)
         head = await wait(receive_head, conn)
+        began_at = anyio.current_time()
         parts, size = [], 0
         while (data := await wait(receive_data, conn)) is not None:
             parts.append(data)
@@ -354,7 +359,7 @@
             caller.idle.append(conn)
         else:
             await close(conn)
-    return Response(head.status_code, tuple(head.headers), b"".join(parts))
+    return Response(head.status_code, tuple(head.headers), b"".join(parts), began_at)
 
 
 async def close_idle(caller):
--- a/src/carobstand/platform/kv.py
+++ b/src/carobstand/platform/kv.py
@@ -43,10 +43,14 @@
 
 @attrs.frozen
 class Changes:
-    """Items of a read, in order of their revisions, and the store's revision."""
+    """Items of a read, in order of their revisions, and the store's revision.
+
+    `began_at` is when the answer began to arrive: the changes were made before.
+    """
 
     revision: int
     items: tuple
+    began_at: float = 0.0
 
 
 @attrs.define(eq=False)
@@ -71,15 +75,18 @@
     return None if resp.status == 404 else _item(_record(resp, "store.get"))
 
 
-async def list_prefix(store, prefix):
+async def list_prefix(store, prefix, *, may_be_old=False):
     """Return the `Changes` with all items below `prefix`.
 
     Pages are not a snapshot: the revision is that of the first page, so that a watch
-    from it misses no change.
+    from it misses no change. With `may_be_old` they may lag by seconds, and cost the
+    store a tenth.
     """
     items, after, revision = [], "", None
     while True:
         query = {"prefix": prefix, **({"after": after} if after else {})}
+        if may_be_old:
+            query["stale_ok"] = 1
         target = "/v1/kv-range?" + urllib.parse.urlencode(query)
         resp = await _call(store, "range", "GET", target, timeout_s=READ_TIMEOUT_S)
         record = _record(resp, "store.range")
@@ -118,7 +125,7 @@
     record = _record(resp, "store.watch")
     items = [_item(entry) for entry in record.records("events")]
     items.sort(key=lambda item: item.revision)
-    return Changes(record.whole("store_revision"), tuple(items))
+    return Changes(record.whole("store_revision"), tuple(items), resp.began_at)
 
 
 async def put(store, key, value, *, expect=None, lease=0):
--- a/src/carobstand/wire/fleet.thrift
+++ b/src/carobstand/wire/fleet.thrift
@@ -51,6 +51,28 @@
   3: binary data
 }
 
+// Asks an entry for changes of the platform's store after a revision; the reply comes
+// once there are some, at the latest after the wait.
+struct NewsRequest {
+  1: i64 after
+  2: i32 wait_ms
+}
+
+struct NewsItem {
+  1: string key
+  2: optional binary value    // none: the key was removed
+  3: i64 revision
+  4: i32 age_ms               // the change was made no longer ago
+}
+
+struct NewsReply {
+  1: i64 revision             // up to which changes are told
+  2: list<NewsItem> items
+  3: i32 age_ms               // no change before so long ago is missing
+  4: i32 troubled_ms          // time since the store last failed to answer
+  5: bool is_complete         // false: changes after the revision are not held
+}
+
 union Message {
   1: EngineLoad engine_load
   2: FailedRun failed_run
@@ -58,4 +80,6 @@
   4: ManifestReply manifest_reply
   5: BlockRequest block_request
   6: BlockReply block_reply
+  7: NewsRequest news_request
+  8: NewsReply news_reply
 }
--- a/src/carobstand/wire/gen_fleet/ttypes.py
+++ b/src/carobstand/wire/gen_fleet/ttypes.py
@@ -589,6 +589,274 @@
         return not (self == other)
 
 
+class NewsRequest(object):
+    """
+    Attributes:
+     - after
+     - wait_ms
+
+    """
+
+
+    def __init__(self, after=None, wait_ms=None,):
+        self.after = after
+        self.wait_ms = wait_ms
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I64:
+                    self.after = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I32:
+                    self.wait_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('NewsRequest')
+        if self.after is not None:
+            oprot.writeFieldBegin('after', TType.I64, 1)
+            oprot.writeI64(self.after)
+            oprot.writeFieldEnd()
+        if self.wait_ms is not None:
+            oprot.writeFieldBegin('wait_ms', TType.I32, 2)
+            oprot.writeI32(self.wait_ms)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class NewsItem(object):
+    """
+    Attributes:
+     - key
+     - value
+     - revision
+     - age_ms
+
+    """
+
+
+    def __init__(self, key=None, value=None, revision=None, age_ms=None,):
+        self.key = key
+        self.value = value
+        self.revision = revision
+        self.age_ms = age_ms
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.key = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.value = iprot.readBinary()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I64:
+                    self.revision = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I32:
+                    self.age_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('NewsItem')
+        if self.key is not None:
+            oprot.writeFieldBegin('key', TType.STRING, 1)
+            oprot.writeString(self.key.encode('utf-8') if sys.version_info[0] == 2 else self.key)
+            oprot.writeFieldEnd()
+        if self.value is not None:
+            oprot.writeFieldBegin('value', TType.STRING, 2)
+            oprot.writeBinary(self.value)
+            oprot.writeFieldEnd()
+        if self.revision is not None:
+            oprot.writeFieldBegin('revision', TType.I64, 3)
+            oprot.writeI64(self.revision)
+            oprot.writeFieldEnd()
+        if self.age_ms is not None:
+            oprot.writeFieldBegin('age_ms', TType.I32, 4)
+            oprot.writeI32(self.age_ms)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class NewsReply(object):
+    """
+    Attributes:
+     - revision
+     - items
+     - age_ms
+     - troubled_ms
+     - is_complete
+
+    """
+
+
+    def __init__(self, revision=None, items=None, age_ms=None, troubled_ms=None, is_complete=None,):
+        self.revision = revision
+        self.items = items
+        self.age_ms = age_ms
+        self.troubled_ms = troubled_ms
+        self.is_complete = is_complete
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I64:
+                    self.revision = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.LIST:
+                    self.items = []
+                    (_etype3, _size0) = iprot.readListBegin()
+                    for _i4 in range(_size0):
+                        _elem5 = NewsItem()
+                        _elem5.read(iprot)
+                        self.items.append(_elem5)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I32:
+                    self.age_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I32:
+                    self.troubled_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.BOOL:
+                    self.is_complete = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('NewsReply')
+        if self.revision is not None:
+            oprot.writeFieldBegin('revision', TType.I64, 1)
+            oprot.writeI64(self.revision)
+            oprot.writeFieldEnd()
+        if self.items is not None:
+            oprot.writeFieldBegin('items', TType.LIST, 2)
+            oprot.writeListBegin(TType.STRUCT, len(self.items))
+            for iter6 in self.items:
+                iter6.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.age_ms is not None:
+            oprot.writeFieldBegin('age_ms', TType.I32, 3)
+            oprot.writeI32(self.age_ms)
+            oprot.writeFieldEnd()
+        if self.troubled_ms is not None:
+            oprot.writeFieldBegin('troubled_ms', TType.I32, 4)
+            oprot.writeI32(self.troubled_ms)
+            oprot.writeFieldEnd()
+        if self.is_complete is not None:
+            oprot.writeFieldBegin('is_complete', TType.BOOL, 5)
+            oprot.writeBool(self.is_complete)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class Message(object):
     """
     Attributes:
@@ -598,17 +866,21 @@
      - manifest_reply
      - block_request
      - block_reply
+     - news_request
+     - news_reply
 
     """
 
 
-    def __init__(self, engine_load=None, failed_run=None, manifest_request=None, manifest_reply=None, block_request=None, block_reply=None,):
+    def __init__(self, engine_load=None, failed_run=None, manifest_request=None, manifest_reply=None, block_request=None, block_reply=None, news_request=None, news_reply=None,):
         self.engine_load = engine_load
         self.failed_run = failed_run
         self.manifest_request = manifest_request
         self.manifest_reply = manifest_reply
         self.block_request = block_request
         self.block_reply = block_reply
+        self.news_request = news_request
+        self.news_reply = news_reply
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -655,6 +927,18 @@
                     self.block_reply.read(iprot)
                 else:
                     iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.STRUCT:
+                    self.news_request = NewsRequest()
+                    self.news_request.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            elif fid == 8:
+                if ftype == TType.STRUCT:
+                    self.news_reply = NewsReply()
+                    self.news_reply.read(iprot)
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -689,6 +973,14 @@
             oprot.writeFieldBegin('block_reply', TType.STRUCT, 6)
             self.block_reply.write(oprot)
             oprot.writeFieldEnd()
+        if self.news_request is not None:
+            oprot.writeFieldBegin('news_request', TType.STRUCT, 7)
+            self.news_request.write(oprot)
+            oprot.writeFieldEnd()
+        if self.news_reply is not None:
+            oprot.writeFieldBegin('news_reply', TType.STRUCT, 8)
+            self.news_reply.write(oprot)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -756,6 +1048,29 @@
     (2, TType.I32, 'offset', None, None, ),  # 2
     (3, TType.STRING, 'data', 'BINARY', None, ),  # 3
 )
+all_structs.append(NewsRequest)
+NewsRequest.thrift_spec = (
+    None,  # 0
+    (1, TType.I64, 'after', None, None, ),  # 1
+    (2, TType.I32, 'wait_ms', None, None, ),  # 2
+)
+all_structs.append(NewsItem)
+NewsItem.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'key', 'UTF8', None, ),  # 1
+    (2, TType.STRING, 'value', 'BINARY', None, ),  # 2
+    (3, TType.I64, 'revision', None, None, ),  # 3
+    (4, TType.I32, 'age_ms', None, None, ),  # 4
+)
+all_structs.append(NewsReply)
+NewsReply.thrift_spec = (
+    None,  # 0
+    (1, TType.I64, 'revision', None, None, ),  # 1
+    (2, TType.LIST, 'items', (TType.STRUCT, [NewsItem, None], False), None, ),  # 2
+    (3, TType.I32, 'age_ms', None, None, ),  # 3
+    (4, TType.I32, 'troubled_ms', None, None, ),  # 4
+    (5, TType.BOOL, 'is_complete', None, None, ),  # 5
+)
 all_structs.append(Message)
 Message.thrift_spec = (
     None,  # 0
@@ -765,6 +1080,8 @@
     (4, TType.STRUCT, 'manifest_reply', [ManifestReply, None], None, ),  # 4
     (5, TType.STRUCT, 'block_request', [BlockRequest, None], None, ),  # 5
     (6, TType.STRUCT, 'block_reply', [BlockReply, None], None, ),  # 6
+    (7, TType.STRUCT, 'news_request', [NewsRequest, None], None, ),  # 7
+    (8, TType.STRUCT, 'news_reply', [NewsReply, None], None, ),  # 8
 )
 fix_spec(all_structs)
 del all_structs
--- /dev/null
+++ b/testing/test_news_of_versions.py
@@ -0,0 +1,63 @@
+"""When weights count as named, however long the news of it takes to arrive."""
+
+import anyio
+import pytest
+
+from carobstand.core import deployment
+from carobstand.entry import fleet as fleets
+from carobstand.platform import kv
+from testing import platform_builders as build
+
+DEPLOYMENT = deployment.Deployment(
+    vm="e1",
+    ip="10.0.0.1",
+    failure_domain="a",
+    region="north",
+    regions={"a": "north"},
+    internal_ports=(1, 2),
+    store_address="10.0.0.2:1",
+)
+
+
+def named(version):
+    raw = build.as_bytes({"model": "m", "version": version})
+    return kv.Item("op/version/m", raw, revision=version)
+
+
+@pytest.fixture
+def answers(monkeypatch):
+    """Answer watches with (s until the head, s until the end, items)."""
+    pending = []
+
+    async def watch(store, prefix, after, wait_s):
+        head_s, rest_s, items = pending.pop(0)
+        await anyio.sleep(head_s)
+        began_at = anyio.current_time()
+        await anyio.sleep(rest_s)
+        return kv.Changes(after + 1, tuple(items), began_at)
+
+    monkeypatch.setattr(kv, "watch", watch)
+    return pending
+
+
+def test_news_behind_a_large_configuration_counts_from_the_answers_head(answers):
+    async def test():
+        state = fleets.Fleet(DEPLOYMENT, None, revision=1)
+        answers.append((0.1, 0.4, [named(2)]))
+        began = anyio.current_time()
+        await fleets._follow(state)
+        assert state.named["m"][0].seen_at == pytest.approx(began + 0.1, abs=0.04)
+
+    anyio.run(test)
+
+
+def test_news_that_gathered_in_a_pause_counts_from_the_answer_before(answers):
+    async def test():
+        state = fleets.Fleet(DEPLOYMENT, None, revision=1)
+        answers.extend([(0.1, 0.0, [named(2)]), (0.0, 0.0, [named(3)])])
+        began = anyio.current_time()
+        await fleets._follow(state)
+        await fleets._follow(state)
+        assert state.named["m"][1].seen_at == pytest.approx(began + 0.1, abs=0.04)
+
+    anyio.run(test)
--- /dev/null
+++ b/testing/test_news_relay.py
@@ -0,0 +1,137 @@
+"""One entry of a region reads the store for the others while it does so soundly."""
+
+import anyio
+
+from carobstand.core import news, weight_sources
+from carobstand.entry import news_relay
+from carobstand.platform import kv as kv_client
+from carobstand.standin.platform import kv
+from testing import platform_fleet as fleets
+
+
+def entry(number, region="north"):
+    return weight_sources.Entry(f"e{number}", f"10.0.0.{number}:1", "a", region)
+
+
+def item(key, revision):
+    return kv_client.Item(key, b"{}", revision)
+
+
+def test_all_entries_of_a_region_choose_the_same_reader():
+    entries = [entry(number) for number in range(1, 6)]
+    found = {me.vm: news.reader(news.News(), entries, me, 0.0) for me in entries}
+    readers = {reader.vm for reader in found.values() if reader is not None}
+    assert len(readers) == 1
+    assert [vm for vm, reader in found.items() if reader is None] == list(readers)
+
+
+def test_few_entries_read_the_store_themselves():
+    entries = [entry(1), entry(2), entry(3, "south")]
+    assert not any(news.reader(news.News(), entries, me, 0.0) for me in entries)
+
+
+def test_a_reader_that_failed_is_left_alone_for_a_while():
+    entries = [entry(number) for number in range(1, 4)]
+    state = news.News()
+    follower = next(me for me in entries if news.reader(state, entries, me, 0.0))
+    news.fail(state, 10.0)
+    assert news.reader(state, entries, follower, 10.0 + news.DIRECT_S - 0.1) is None
+    assert news.reader(state, entries, follower, 10.0 + news.DIRECT_S)
+
+
+def test_of_a_key_only_the_newest_change_is_told_and_gaps_are_known():
+    state = news.News()
+    news.reset(state, 5)
+    news.add(state, item("op/config", 6), 1.0)
+    news.add(state, item("servers/a", 7), 2.0)
+    news.add(state, item("op/config", 8), 3.0)
+    assert [change.item.revision for change in news.after(state, 5)] == [7, 8]
+    assert [change.item.revision for change in news.after(state, 7)] == [8]
+    assert news.after(state, 4) is None
+    for number in range(news.MAX_ITEMS):
+        news.add(state, item(f"servers/{number}", 9 + number), 4.0)
+    assert news.after(state, 6) is None
+
+
+def related(check, timeout_s=30.0):
+    """Run ``check(fleet)`` with four entries of one region and a desk behind them."""
+
+    async def test():
+        async with fleets.deployed(entries=4) as fleet:
+            await fleets.add_engine(fleet, "d-1", "desk")
+            for one in fleet.entries.values():
+                await fleets.until_ready(one)
+            await anyio.sleep(1.0)
+            await check(fleet)
+
+    fleets.run(test, timeout_s)
+
+
+async def _statuses(fleet, key="k1"):
+    return {
+        vm: (await fleets.ask(fleet, "/o/x", entry=vm, key=key)).status
+        for vm in fleet.entries
+        if vm in fleet.running
+    }
+
+
+def _reader_vm(fleet):
+    me = [weight_sources.entry_of(one.deployment) for one in fleet.entries.values()]
+    return weight_sources.regional(me, news.KEY, "north")[0].vm
+
+
+def test_a_change_reaches_all_entries_and_costs_the_store_one_answer():
+    async def check(fleet):
+        watches = fleet.store.calls.get("kv-watch", 0)
+        fleets.configure(fleet, tenants=[{"name": "acme", "api_keys": ["k2"]}])
+        await anyio.sleep(0.4)
+        assert set((await _statuses(fleet, "k1")).values()) == {401}
+        assert set((await _statuses(fleet, "k2")).values()) == {200}
+        assert fleet.store.calls["kv-watch"] - watches <= 2
+
+    related(check)
+
+
+def test_entries_read_the_store_themselves_once_the_reader_is_killed():
+    async def check(fleet):
+        await fleets.stop(fleet, _reader_vm(fleet))
+        await anyio.sleep(0.2)
+        fleets.configure(fleet, tenants=[{"name": "acme", "api_keys": ["k2"]}])
+        await anyio.sleep(0.5)
+        found = await _statuses(fleet, "k1")
+        assert len(found) == 3
+        assert set(found.values()) == {401}
+
+    related(check)
+
+
+def test_keys_are_refused_by_all_once_the_store_is_away_and_served_after():
+    async def check(fleet):
+        await fleets.stop(fleet, "store")
+        await anyio.sleep(4.6)
+        assert set((await _statuses(fleet)).values()) == {503}
+        await fleets.start_server(
+            fleet, kv.server(fleet.store), fleet.store_address, "store"
+        )
+        await anyio.sleep(2.5)
+        assert set((await _statuses(fleet)).values()) == {200}
+
+    related(check)
+
+
+def test_entries_that_meet_a_silent_reader_read_the_store_themselves(monkeypatch):
+    async def check(fleet):
+        async def hang(state, frames, request):
+            await anyio.sleep_forever()
+
+        # Those that follow it already are served on; new ones meet its silence.
+        monkeypatch.setattr(news_relay, "serve", hang)
+        for vm in ("entry-8", "entry-9"):
+            await fleets.add_entry(fleet, vm)
+        await anyio.sleep(1.5)
+        fleets.configure(fleet, tenants=[{"name": "acme", "api_keys": ["k2"]}])
+        await anyio.sleep(1.6)
+        for vm in ("entry-8", "entry-9"):
+            assert (await fleets.ask(fleet, "/o/x", entry=vm)).status == 401
+
+    related(check)
