Serve on old weights after an outage until time limits hold; poll quiet engines less

Change: such news counts so that old weights end with contact_s after the last failed call, as time limits do not hold before; an agent reads an unchanged report every 0.25 s.

--- a/src/carobstand/agent/reporting.py
+++ b/src/carobstand/agent/reporting.py
@@ -10,7 +10,12 @@
 from carobstand.wire.gen_fleet import ttypes
 
 POLL_S = 0.1
-"""Interval between reports of the engine, which are free on its own VM."""
+MAX_POLL_S = 0.25
+"""Interval between reports of the engine, which are free on its own VM, and the longest
+one while they do not change."""
+
+POLL_GROWTH = 1.5
+"""Factor by which the interval grows with each report that is like the one before."""
 
 SILENT_S = 0.6
 """Time without an answer after which the last report no longer counts."""
@@ -38,9 +43,9 @@
 async def run(view):
     """Read reports and send them to entries until cancelled."""
     async with await anyio.create_udp_socket(local_host=view.deployment.ip) as udp:
-        sender, heard_at = Sender(udp), 0.0
+        sender, heard_at, pause_s = Sender(udp), 0.0, POLL_S
         while True:
-            now = anyio.current_time()
+            now, before = anyio.current_time(), view.report
             try:
                 report = await engines.report(view.engine)
                 heard_at = now
@@ -50,7 +55,9 @@
                 if view.report is not None and now - heard_at > SILENT_S:
                     eventlog.event("engine.silent", error=str(exc))
                     view.report = None
-            await anyio.sleep(POLL_S)
+            is_same = view.report == before and not (before and before.is_busy)
+            pause_s = min(MAX_POLL_S, pause_s * POLL_GROWTH) if is_same else POLL_S
+            await anyio.sleep(pause_s)
 
 
 async def _share(view, sender, report, now):
--- a/src/carobstand/entry/fleet.py
+++ b/src/carobstand/entry/fleet.py
@@ -269,11 +269,22 @@
     named = records.named_version(item.value)
     known = fleet.named.setdefault(named.model, [])
     # How long ago weights were named is not known to a process that has just begun.
-    seen_at = fleet.news_since if fleet.revision else _unknown_naming(fleet)
+    seen_at = _seen_at(fleet) if fleet.revision else _unknown_naming(fleet)
     if named_versions.add(known, named.version, seen_at):
         eventlog.event("version.named", model=named.model, version=named.version)
 
 
+def _seen_at(fleet):
+    """Return when weights count as named whose news has just come.
+
+    After an outage they may have been named long ago; time limits do not hold for a
+    process that has just regained the store.
+    """
+    bounds = fleet.deployment.bounds
+    regained = fleet.troubled_at + bounds.contact_s - bounds.version_s
+    return max(fleet.news_since, regained)
+
+
 def _unknown_naming(fleet):
     """Return when weights count as named that were named before this process began.
 
--- a/src/carobstand/http1.py
+++ b/src/carobstand/http1.py
@@ -301,7 +301,7 @@
         with anyio.fail_after(timeout_s):
             conn = await _take(caller, silence_s or timeout_s)
             sent = True
-            wait = _waiter(silence_s or timeout_s)
+            wait = _waiter(silence_s) if silence_s else _receive
             request = (method, target, headers, body)
             return await _exchange(caller, conn, request, max_bytes, wait)
     except TimeoutError as exc:
@@ -332,6 +332,10 @@
     return wait
 
 
+async def _receive(receive, conn):
+    return await receive(conn)
+
+
 async def _exchange(caller, conn, request, max_bytes, wait):
     method, target, headers, body = request
     kept = False
--- a/testing/test_news_of_versions.py
+++ b/testing/test_news_of_versions.py
@@ -3,7 +3,7 @@
 import anyio
 import pytest
 
-from carobstand.core import deployment
+from carobstand.core import deployment, registry
 from carobstand.entry import fleet as fleets
 from carobstand.platform import kv
 from testing import platform_builders as build
@@ -61,3 +61,19 @@
         assert state.named["m"][1].seen_at == pytest.approx(began + 0.1, abs=0.04)
 
     anyio.run(test)
+
+
+def test_after_an_outage_old_weights_serve_until_time_limits_hold_again(answers):
+    async def test():
+        state = fleets.Fleet(DEPLOYMENT, None, revision=1)
+        now = anyio.current_time()
+        state.news_since, state.troubled_at = now - 60.0, now - 0.1
+        answers.append((0.0, 0.0, [named(2)]))
+        await fleets._follow(state)
+        bounds = DEPLOYMENT.bounds
+        holding = registry.Holding(model="m", version=1)
+        end = fleets.begin_by(state, holding) - now
+        slack_s = fleets.VERSION_SLACK_S
+        assert end == pytest.approx(bounds.contact_s - 0.1 - slack_s, abs=0.05)
+
+    anyio.run(test)
