--- /dev/null
+++ b/testing/test_store_reads.py
@@ -0,0 +1,68 @@
+"""Reads of the platform's store end by silence, not because they are large."""
+
+import contextlib
+
+import anyio
+import pytest
+
+from carobstand import errors
+from carobstand.platform import kv
+from testing import platform_fleet as fleets
+
+PIECE = b'{"key":"op/x","value":"","revision":1},' * 400
+
+
+async def _serve(port, pieces, pause_s):
+    """Answer one range in pieces with pauses; without an end if there are none left."""
+    listener = await anyio.create_tcp_listener(local_host="127.0.0.1", local_port=port)
+    body = b'{"store_revision":1,"items":[' + PIECE * pieces
+    body = body.rstrip(b",") + b"]}"
+
+    async def answer(stream):
+        try:
+            await stream.receive()
+        except anyio.EndOfStream:
+            return
+        await stream.send(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(body))
+        step = len(body) // pieces
+        with contextlib.suppress(anyio.BrokenResourceError):
+            for start in range(0, len(body), step):
+                await anyio.sleep(pause_s)
+                await stream.send(body[start : start + step])
+            await anyio.sleep_forever()
+
+    await listener.serve(answer)
+
+
+def reading(pieces, pause_s, check):
+    """Run ``check(store)`` against such a store."""
+
+    async def test():
+        port = fleets.free_port()
+        async with anyio.create_task_group() as tg:
+            tg.start_soon(_serve, port, pieces, pause_s)
+            await fleets.wait_bound(f"127.0.0.1:{port}")
+            await check(kv.connect(f"127.0.0.1:{port}"))
+            tg.cancel_scope.cancel()
+
+    fleets.run(test)
+
+
+def test_a_large_read_over_a_narrow_link_is_waited_for():
+    async def check(store):
+        began = anyio.current_time()
+        changes = await kv.list_prefix(store, "op/")
+        assert len(changes.items) == 400 * 10
+        assert anyio.current_time() - began > kv.CALL_TIMEOUT_S
+
+    reading(10, 0.25, check)
+
+
+def test_a_read_that_falls_silent_is_given_up():
+    async def check(store):
+        began = anyio.current_time()
+        with pytest.raises(errors.StoreUnavailableError):
+            await kv.list_prefix(store, "op/")
+        assert anyio.current_time() - began < 2 * kv.CALL_TIMEOUT_S
+
+    reading(2, 60.0, check)
