Rely on a reader's news only while changes can still be in force in time

Ruled out: gathering (0.24 s), a lost removal. Change: knowledge counts up to 0.4 of the time in which changes must be in force, the reader's watches last half of that, requests for news at most 0.3 s; only regions with four entries or more have a reader, as it asks the store more often than one entry. Before: the new test fails (a key served after its revocation was due).

--- a/src/carobstand/core/news.py
+++ b/src/carobstand/core/news.py
@@ -11,14 +11,19 @@
 
 from carobstand.core import weight_sources
 
-MIN_ENTRIES = 2
-"""Entries of a region from which on one reads for the others."""
+MIN_ENTRIES = 4
+"""Entries of a region from which on one reads for the others. It watches for shorter
+times than each of a few would, so fewer of them ask the store less often themselves."""
 
 MAX_ITEMS = 512
 """Changes that are held for entries that ask later."""
 
-MAX_AGE_S = 2.9
-"""Age of a reader's knowledge up to which the others rely on it."""
+READER_WAIT_SHARE = 0.2
+"""Longest wait of a reader's watch, in the time in which changes must be in force."""
+
+MAX_AGE_SHARE = 0.4
+"""Age of a reader's knowledge up to which the others rely on it, in the same time. The
+rest is for a reader that hangs and for their own read."""
 
 DIRECT_S = 5.0
 """Time for which the store is read directly after the reader failed."""
@@ -91,11 +96,21 @@
     """
     if now < news.direct_until:
         return None
+    first = _first(entries, me)
+    return None if first is None or first.vm == me.vm else first
+
+
+def is_reader(entries, me):
+    """Whether this entry reads the store for others."""
+    first = _first(entries, me)
+    return first is not None and first.vm == me.vm
+
+
+def _first(entries, me):
+    """Return the reader of the region, or None if each entry reads for itself."""
     others = [entry for entry in entries if entry.vm != me.vm]
     ranked = weight_sources.regional([me, *others], KEY, me.region)
-    if len(ranked) < MIN_ENTRIES or ranked[0].vm == me.vm:
-        return None
-    return ranked[0]
+    return ranked[0] if len(ranked) >= MIN_ENTRIES else None
 
 
 def fail(news, now):
--- a/src/carobstand/entry/fleet.py
+++ b/src/carobstand/entry/fleet.py
@@ -167,7 +167,7 @@
     """Wait for one set of changes and apply it."""
     sent_at = anyio.current_time()
     is_old = sent_at - (fleet.proven_at or 0.0) > PROVE_AGE_S
-    wait_s = PROVE_WAIT_S if is_old else WATCH_WAIT_S
+    wait_s = PROVE_WAIT_S if is_old else _watch_wait_s(fleet)
     changes = await kv.watch(fleet.store, "", fleet.revision, wait_s)
     # A large configuration may take seconds to arrive, with other news behind it, and
     # the head of its answer may have waited as long at the same link.
@@ -188,6 +188,20 @@
         await anyio.sleep(gather_s(fleet.deployment.bounds))
 
 
+def _in_force_s(fleet):
+    """Return the time in which each change must be in force."""
+    bounds = fleet.deployment.bounds
+    return min(bounds.apply_s, bounds.drain_s)
+
+
+def _watch_wait_s(fleet):
+    """Return the longest wait of a watch; others rely on what a reader proves."""
+    me = weight_sources.entry_of(fleet.deployment)
+    if news.is_reader(fleet.entries.values(), me):
+        return news.READER_WAIT_SHARE * _in_force_s(fleet)
+    return WATCH_WAIT_S
+
+
 def _reader(fleet):
     """Return the entry that reads the store for this one, or None for the store."""
     me = weight_sources.entry_of(fleet.deployment)
@@ -197,11 +211,13 @@
 
 async def _follow_reader(fleet, reader):
     """Apply what another entry reads, until it fails or is no longer the reader."""
+    max_age_s = news.MAX_AGE_SHARE * _in_force_s(fleet)
     try:
         frames = await news_relay.connect(reader)
         try:
             while _reader(fleet) == reader:
-                await _take_news(fleet, await news_relay.ask(frames, fleet.revision))
+                told = await news_relay.ask(frames, fleet.revision, max_age_s)
+                await _take_news(fleet, told)
         finally:
             await anyio.aclose_forcefully(frames.stream)
     except (
--- a/src/carobstand/entry/news_relay.py
+++ b/src/carobstand/entry/news_relay.py
@@ -8,10 +8,10 @@
 from carobstand.transfer import piece_stream
 from carobstand.wire.gen_fleet import ttypes
 
-WAIT_S = 0.5
+WAIT_S = 0.3
 """Longest wait of a request for changes."""
 
-SILENCE_S = 0.6
+SILENCE_S = 0.3
 """Time beyond its wait after which a reader counts as silent."""
 
 IDLE_S = 10.0
@@ -72,13 +72,15 @@
     return await piece_stream.connect(entry.address)
 
 
-async def ask(frames, after):
+async def ask(frames, after, max_age_s):
     """Return the reader's changes after a revision, with lower bounds of their times.
 
     Parameters
     ----------
     frames : transfer.piece_stream.Frames
     after : int
+    max_age_s : float
+        Age of the reader's knowledge up to which it counts.
 
     Returns
     -------
@@ -107,7 +109,7 @@
         raise errors.HistoryLostError(
             f"no history after {after}", step="news.ask", peer=frames.peer
         )
-    if reply.age_ms > news.MAX_AGE_S * 1000:
+    if reply.age_ms > max_age_s * 1000:
         raise errors.StoreUnavailableError(
             f"news are {reply.age_ms} ms old", step="news.ask", peer=frames.peer
         )
