--- a/src/carobstand/core/message_bounds.py
+++ b/src/carobstand/core/message_bounds.py
@@ -17,6 +17,11 @@
 MAX_INTERIM = 16
 """Interim responses before the final one."""
 
+MAX_PARTS = 4096
+PART_BYTES = 16
+"""Parts that a message may have, beside one for each so many bytes carried: each part
+costs about the same work, however small it is."""
+
 TURN_PARTS = 32
 """Parts of messages that are taken from bytes at hand without a pause."""
 
@@ -30,21 +35,26 @@
     received, carried : int
         Bytes from the wire, and those of the body among them.
     parts : int
+        Parts of the message.
+    since_pause : int
         Parts taken since the last pause.
     """
 
     received: int = 0
     carried: int = 0
     parts: int = 0
+    since_pause: int = 0
 
 
 def begin(traffic):
     """Begin to count another message."""
-    traffic.received = traffic.carried = 0
+    traffic.received = traffic.carried = traffic.parts = 0
 
 
 def is_excessive(traffic):
-    """Whether a message has far more bytes than it carries."""
+    """Whether a message has far more bytes or parts than it carries."""
+    if traffic.parts > MAX_PARTS + traffic.carried / PART_BYTES:
+        return True
     allowed = MAX_OVERHEAD_BYTES + OVERHEAD_RATIO * traffic.carried
     return traffic.received > allowed
 
@@ -53,7 +63,8 @@
     """Count a part with `size` bytes of a body; return whether a pause is due."""
     traffic.carried += size
     traffic.parts += 1
-    if traffic.parts < TURN_PARTS:
+    traffic.since_pause += 1
+    if traffic.since_pause < TURN_PARTS:
         return False
-    traffic.parts = 0
+    traffic.since_pause = 0
     return True
