Log what a lost request had begun, and the parts of its prompt

The lines of a crash could not tell its cause: `attempt.failed` named neither whether an answer had begun, nor whether the server closed the connection, nor what the prompts had in common. Prompt-Prefix is decoded in platform/ for it. No decision changes.

--- a/src/carobstand/core/exchange.py
+++ b/src/carobstand/core/exchange.py
@@ -25,6 +25,9 @@
         The caller's estimate of the answer tokens, 0 for none.
     resume_after : int or None
         Id of the last event that the caller received.
+    prompt_parts : tuple of str
+        Ids of the parts of a generation's prompt, in order. The last part belongs to
+        this request or its session, the others may be shared.
     headers : tuple of (bytes, bytes)
         Headers that are forwarded to a backend server.
     """
@@ -39,6 +42,7 @@
     max_answer_tokens: int = 0
     answer_hint: int = 0
     resume_after: int | None = None
+    prompt_parts: tuple = ()
     headers: tuple = ()
 
 
--- a/src/carobstand/entry/forwarding.py
+++ b/src/carobstand/entry/forwarding.py
@@ -170,6 +170,8 @@
         Whether the next attempt was already withdrawn from the retry budget.
     may_have_run : bool
         Whether the request may have run: some attempt was not confirmed as not run.
+    has_begun : bool
+        Whether the last attempt has begun its answer: an event of a stream arrived.
     events : core.event_stream.EventStream
         State of the stream that is delivered to the caller.
     """
@@ -189,6 +191,7 @@
     progress_at: float = 0.0
     has_reserved_retry: bool = False
     may_have_run: bool = False
+    has_begun: bool = False
     events: event_stream.EventStream = attrs.field(factory=event_stream.EventStream)
 
 
@@ -322,6 +325,7 @@
     call.attempts_sent += 1
     call.sent_at = anyio.current_time()
     call.has_reserved_retry = False
+    call.has_begun = False
     try:
         await _send_request(call, chosen, conn)
         begin_by = fleet.begin_by(fwd.fleet, chosen.candidate.holding)
@@ -347,6 +351,9 @@
             "attempt.failed",
             request=call.req.request_id,
             server=server.server_id,
+            began=call.has_begun,
+            ended=conn.is_ended,
+            parts=call.req.prompt_parts[:-1],
             error=str(exc),
         )
         return Outcome.UNKNOWN
@@ -518,6 +525,7 @@
         if not events.in_order or events.is_too_long:
             reason = "events out of order" if complete else "an event is too long"
             raise errors.HttpError(reason, step="forward.receive", peer=conn.peer)
+        call.has_begun |= events.events > before
         if complete and not call.reply.started:
             await http1_server.start_response_with(
                 call.reply, 200, head.headers, complete
--- a/src/carobstand/http1.py
+++ b/src/carobstand/http1.py
@@ -66,6 +66,8 @@
         Of the response being received.
     request_ids : collections.deque of str
         Ids of the most recent requests.
+    is_ended : bool
+        Whether the server closed or reset the connection.
     """
 
     stream: object
@@ -83,6 +85,7 @@
     request_ids: collections.deque = attrs.field(
         factory=lambda: collections.deque(maxlen=MAX_RECENT_REQUEST_IDS)
     )
+    is_ended: bool = False
 
 
 @attrs.frozen
@@ -221,6 +224,7 @@
                 data = await conn.stream.receive(READ_BYTES)
             except anyio.EndOfStream:
                 data = b""
+                conn.is_ended = True
             conn.message_counters.received += len(data)
             if message_bounds.is_excessive(conn.message_counters):
                 raise errors.HttpError(
@@ -238,6 +242,7 @@
 
 
 def _connection_error(conn, step, exc):
+    conn.is_ended = True
     reason = f"connection ended: {exc.__cause__ or exc or type(exc).__name__}"
     return errors.HttpError(reason, step=step, peer=conn.peer)
 
--- a/src/carobstand/platform/http_headers.py
+++ b/src/carobstand/platform/http_headers.py
@@ -67,6 +67,7 @@
         max_answer_tokens=answer,
         answer_hint=_parse_integer(values.get(b"length-hint")) or 0,
         resume_after=_parse_integer(values.get(b"last-event-id")),
+        prompt_parts=_parse_parts(values.get(b"prompt-prefix", "")),
         headers=tuple(
             (raw, value)
             for raw, value in headers.raw_items()
@@ -94,6 +95,12 @@
     return _parse_integer(prompt) or 0, _parse_integer(answer) or 0
 
 
+def _parse_parts(text):
+    """Return the ids of the parts of a prompt, in order; entries are ``ID:TOKENS``."""
+    ids = (entry.partition(":")[0].strip().lower() for entry in text.split(","))
+    return tuple(part for part in ids if part)
+
+
 def _parse_integer(text):
     if text is None:
         return None
