--- a/src/carobstand/standin/platform/engine.py
+++ b/src/carobstand/standin/platform/engine.py
@@ -51,12 +51,13 @@
     """A request that reached the engine, whether it then ran or was refused.
 
     `sender` is the value of its ``X-Sender`` header, empty without one; `limit` is the
-    limit that the engine named at that time.
+    limit that the engine named at that time; `parts` are the ids of its prompt's parts.
     """
 
     at: float
     sender: str
     limit: float | None
+    parts: tuple = ()
 
 
 @attrs.define(eq=False)
@@ -111,6 +112,12 @@
         Number of requests that `fault` still applies to.
     poison_body : bytes
         Requests with this body crash the engine.
+    poison_part : str
+        Requests with this part before the last one of their prompt crash the engine
+        between the head and the first event of its response; empty for none.
+    crash_times : list of float
+    on_crash : callable or None
+        Called without arguments at each crash.
     runs : list of Run
     refused : int
         Number of requests refused because they expect another instance or version, or
@@ -148,6 +155,9 @@
     fault: str = ""
     faults_left: int = 0
     poison_body: bytes = b"deadly"
+    poison_part: str = ""
+    crash_times: list = attrs.field(factory=list)
+    on_crash: object = None
     running: int = 0
     waiting: int = 0
     runs: list = attrs.field(factory=list)
@@ -193,11 +203,14 @@
 def crash(engine):
     """End all running requests and restart the engine without loaded weights."""
     engine.crashes += 1
+    engine.crash_times.append(anyio.current_time())
     engine.started_ms += 1000
     engine.orders = 0
     if engine.model:
         engine.version = None
     engine.slot_released.notify()
+    if engine.on_crash is not None:
+        engine.on_crash()
 
 
 def server(engine):
@@ -283,7 +296,8 @@
     common_headers = [(b"Request-Id", headers.get(b"request-id", "").encode())]
     if engine.announces_leaving:
         common_headers.append((b"Server-Leaving", b"1"))
-    common_headers += record_arrival(engine, headers.get(b"x-sender", ""))
+    parts = prompt_parts(headers)
+    common_headers += record_arrival(engine, headers.get(b"x-sender", ""), parts)
     refusal = _refusal(engine, headers)
     if refusal is not None:
         engine.refused += 1
@@ -328,10 +342,16 @@
         engine.slot_released.notify()
 
 
-def record_arrival(engine, sender):
+def prompt_parts(headers):
+    """Return the ids of the parts of a request's prompt, in order."""
+    entries = headers.get(b"prompt-prefix", "").split(",")
+    return tuple(entry.partition(":")[0] for entry in entries if entry)
+
+
+def record_arrival(engine, sender, parts=()):
     """Record a request; return the headers of its response that name the limit."""
     now = anyio.current_time()
-    engine.arrivals.append(Arrival(now, sender, engine.limit))
+    engine.arrivals.append(Arrival(now, sender, engine.limit, parts))
     if engine.limit_header:
         return [(b"Server-Limit", engine.limit_header)]
     if engine.limit is None:
@@ -383,6 +403,11 @@
         crash(engine)
         run.ended = "crash"
         return
+    if engine.poison_part in prompt_parts(headers)[:-1]:
+        await http1_server.start_response(reply, 200, common_headers)
+        run.ended = "crash"
+        crash(engine)
+        await anyio.sleep_forever()
     signed = [] if fault == "unsigned" else [(b"Server-Signature", b"s.1")]
     all_headers = [*common_headers, *signed]
     if fault == "foreign":
--- a/testing/platform_fleet.py
+++ b/testing/platform_fleet.py
@@ -206,6 +206,29 @@
     return backend_server
 
 
+def restart_crashed(fleet, backend_server, down_s):
+    """End the process of a backend server at each crash, and start it `down_s` later.
+
+    It serves its weights again as soon as it is back.
+    """
+    version = backend_server.version
+
+    async def restart():
+        await stop(fleet, backend_server.server_id)
+        kv.remove(fleet.store, f"servers/{backend_server.server_id}")
+        await anyio.sleep(down_s)
+        backend_server.version = version
+        await start_server(
+            fleet,
+            engine.server(backend_server),
+            backend_server.address,
+            backend_server.server_id,
+        )
+        engine.register(backend_server, fleet.store)
+
+    backend_server.on_crash = lambda: fleet.tasks.start_soon(restart)
+
+
 def build_deployment(fleet, vm, **changes):
     """Return the `Deployment` of a process, at a loopback address of its own."""
     host = new_host()
