--- /dev/null
+++ b/src/carobstand/core/poison_parts.py
@@ -0,0 +1,389 @@
+"""Detection of prompt parts that crash the servers that begin to answer on them.
+
+Load pattern: requests that have one part of their prompt in common and are otherwise
+different reach all entries, and each crashes the server that begins its answer.
+
+- Suspects: the parts, except the last, of each request whose answer had not begun when
+  its server ended. A sighting is one such request at one crash.
+- Cleared: the parts of a request whose answer begins, at any entry. A part is judged
+  only by sightings after its last answer.
+- Convicted: a part without a recent answer, by different requests at crashes that have
+  no cause in common; a part with one, only by a longer series.
+- A convicted part explains its crashes: they no longer count for other parts.
+"""
+
+import hashlib
+import math
+
+import attrs
+
+KNOWN_SOUND_S = 60.0
+"""Time after an answer for which a part is convicted by a longer series only."""
+
+MOMENT_S = 0.1
+"""Crashes closer than this may have one cause, such as the loss of a rack."""
+
+MIN_MOMENTS = 2
+MIN_SERVERS = 2
+MIN_REQUESTS = 2
+"""Moments with crashes, servers that crashed, and requests that convict a part without
+a recent answer. One request alone is no evidence against a part that it shares with
+others, and one server may crash for a cause of its own."""
+
+MIN_CRASHES = 4
+"""Crashes, each with a request of its own, that convict it otherwise."""
+
+SOUND_MIN_CRASHES = 4
+SOUND_MIN_REQUESTS = 3
+SOUND_MIN_SPAN_S = 2.0
+"""Series that convicts a part with a recent answer."""
+
+EVIDENCE_S = 600.0
+"""Time for which a sighting counts."""
+
+CONVICTION_S = 86_400.0
+"""Time after the last rejected request after which a conviction is dropped."""
+
+PROBE_DELAYS_S = (60.0, 600.0)
+"""Times after the conviction, or the last probe, at which a request with a convicted
+part is sent to find out whether the conviction is wrong. There are no further ones."""
+
+MAX_PARTS = 64
+"""Parts of one prompt that become suspects; the first ones."""
+
+MAX_CRASHES = 8
+MAX_REQUESTS = 4
+"""Sightings kept: crashes of a suspect, and requests of a crash."""
+
+MAX_EXPLAINED = 32
+"""Crashes kept that a convicted part explains."""
+
+MAX_SUSPECTS = 1_000
+MAX_CONVICTED = 256
+MAX_SOUND = 4_000
+"""Parts kept; those without news for the longest time are dropped first."""
+
+ID_BYTES = 8
+"""Length of digests that identify parts, requests and crashes."""
+
+
+def digest(text):
+    """Return the identifier of a part, request or crash, `ID_BYTES` long."""
+    return hashlib.sha256(text.encode()).digest()[:ID_BYTES]
+
+
+def crash_id(address, start):
+    """Return the identifier of a crash, equal at every entry.
+
+    Parameters
+    ----------
+    address : str
+        ``host:port`` of the server; the first `ID_BYTES` identify it.
+    start : str
+        Identifies the start of the server that ended.
+    """
+    return digest(address) + digest(start)
+
+
+def shareable(prompt_parts):
+    """Return the identifiers of the parts of a prompt that may crash servers.
+
+    The last part belongs to its request or session alone, and is left out.
+    """
+    return tuple(digest(part) for part in prompt_parts[:-1])
+
+
+@attrs.define(eq=False)
+class Sightings:
+    """Requests with one part that were lost at one crash.
+
+    Attributes
+    ----------
+    at : float
+        Time of the crash.
+    requests : set of bytes
+    """
+
+    at: float
+    requests: set = attrs.field(factory=set)
+
+
+@attrs.define(eq=False)
+class Conviction:
+    """A part with which no request is sent.
+
+    Attributes
+    ----------
+    at : float
+        Time of the conviction.
+    crashes : set of bytes
+        Crashes that it explains.
+    asked_at : float
+        Time of the last request with it.
+    probes : int
+        Number of requests sent in spite of it.
+    probed_at : float
+        Time of the last of these.
+    """
+
+    at: float
+    crashes: set = attrs.field(factory=set)
+    asked_at: float = 0.0
+    probes: int = 0
+    probed_at: float = -math.inf
+
+
+@attrs.define(eq=False)
+class PoisonParts:
+    """What one entry knows of prompt parts, by identifier.
+
+    Attributes
+    ----------
+    suspects : dict of bytes to (dict of bytes to Sightings)
+        Sightings by crash.
+    convicted : dict of bytes to Conviction
+    sound_at : dict of bytes to float
+        Time of the last answer, the most recent last.
+    """
+
+    suspects: dict = attrs.field(factory=dict)
+    convicted: dict = attrs.field(factory=dict)
+    sound_at: dict = attrs.field(factory=dict)
+
+
+def _bound(mapping, size):
+    while len(mapping) > size:
+        del mapping[next(iter(mapping))]
+
+
+def _evict_suspect(state):
+    """Drop the oldest suspect, one that was seen at a single crash if there is any."""
+    oldest = next(iter(state.suspects))
+    single = (part for part, found in state.suspects.items() if len(found) == 1)
+    del state.suspects[next(single, oldest)]
+
+
+def sound_at(state, part):
+    """Return the time of the last known answer to a request with a part."""
+    return state.sound_at.get(part, -math.inf)
+
+
+def is_known_sound(state, part, now):
+    """Whether a request with a part has been answered recently."""
+    return now - sound_at(state, part) < KNOWN_SOUND_S
+
+
+def add_sighting(state, part, crash, request, at, now):
+    """Record that `request` was lost at `crash`; return whether that is new.
+
+    Parameters
+    ----------
+    state : PoisonParts
+    part, crash, request : bytes
+    at : float
+        Time of the crash.
+    now : float
+    """
+    if at <= sound_at(state, part) or now - at > EVIDENCE_S:
+        return False
+    if part in state.convicted:
+        known = state.convicted[part].crashes
+        if crash in known:
+            return False
+        if len(known) < MAX_EXPLAINED:
+            known.add(crash)
+        _explain(state, {crash})
+        return True
+    if any(crash in item.crashes for item in state.convicted.values()):
+        return False
+    found = state.suspects.get(part)
+    if found is None:
+        if len(state.suspects) >= MAX_SUSPECTS:
+            _evict_suspect(state)
+        found = state.suspects[part] = {}
+    if crash not in found and len(found) >= MAX_CRASHES:
+        return False
+    seen = found.setdefault(crash, Sightings(at))
+    seen.at = min(seen.at, at)
+    if request in seen.requests or len(seen.requests) >= MAX_REQUESTS:
+        return False
+    seen.requests.add(request)
+    return True
+
+
+def record_answer(state, parts, at):
+    """Record that an answer to a request with `parts` began.
+
+    Returns
+    -------
+    cleared : list of bytes
+        Parts for which this is news to other entries: convicted ones, and suspects
+        without an answer before.
+    """
+    cleared = []
+    for part in parts:
+        known_at = state.sound_at.pop(part, -math.inf)
+        state.sound_at[part] = max(known_at, at)
+        conviction = state.convicted.get(part)
+        if conviction is not None and conviction.at <= at:
+            del state.convicted[part]
+            cleared.append(part)
+        found = state.suspects.get(part)
+        if found is None:
+            continue
+        later = {crash: item for crash, item in found.items() if item.at > at}
+        if later:
+            state.suspects[part] = later
+        else:
+            del state.suspects[part]
+        if later != found and known_at == -math.inf and part not in cleared:
+            cleared.append(part)
+    _bound(state.sound_at, MAX_SOUND)
+    return cleared
+
+
+def _is_deadly(state, part, now):
+    """Whether the sightings of a suspect convict it."""
+    found = state.suspects[part]
+    seen = {crash: item for crash, item in found.items() if now - item.at < EVIDENCE_S}
+    times = sorted(item.at for item in seen.values())
+    requests = set().union(*(item.requests for item in seen.values()))
+    if not times:
+        return False
+    if is_known_sound(state, part, now):
+        return (
+            len(times) >= SOUND_MIN_CRASHES
+            and len(requests) >= SOUND_MIN_REQUESTS
+            and times[-1] - times[0] >= SOUND_MIN_SPAN_S
+        )
+    moments = 1
+    start = times[0]
+    for at in times:
+        if at - start >= MOMENT_S:
+            moments, start = moments + 1, at
+    servers = {crash[:ID_BYTES] for crash in seen}
+    if (
+        moments >= MIN_MOMENTS
+        and len(servers) >= MIN_SERVERS
+        and len(requests) >= MIN_REQUESTS
+    ):
+        return True
+    return min(len(times), len(requests)) >= MIN_CRASHES
+
+
+def convict(state, now):
+    """Convict the suspects against which the evidence suffices; return them.
+
+    Of several, the one that explains most crashes comes first.
+    """
+    convicted = []
+    while True:
+        deadly = [part for part in state.suspects if _is_deadly(state, part, now)]
+        if not deadly:
+            return convicted
+        worst = max(
+            deadly,
+            key=lambda part: (len(state.suspects[part]), -sound_at(state, part)),
+        )
+        crashes = set(state.suspects[worst])
+        add_conviction(state, worst, now, crashes)
+        convicted.append(worst)
+
+
+def add_conviction(state, part, at, crashes=()):
+    """Convict a part, for instance by the word of another entry.
+
+    Returns
+    -------
+    is_new : bool
+        False if it is convicted already, or was answered after `at`.
+    """
+    if sound_at(state, part) >= at:
+        return False
+    known = state.convicted.get(part)
+    if known is not None:
+        new = set(crashes) - known.crashes
+        known.crashes.update(sorted(new)[: MAX_EXPLAINED - len(known.crashes)])
+        _explain(state, new)
+        return False
+    own = state.suspects.pop(part, {})
+    item = Conviction(at, {*crashes, *own}, asked_at=at)
+    state.convicted[part] = item
+    _bound(state.convicted, MAX_CONVICTED)
+    _explain(state, item.crashes)
+    return True
+
+
+def _explain(state, crashes):
+    """Drop the sightings of suspects at crashes of a convicted part."""
+    for part in list(state.suspects):
+        for crash in crashes & state.suspects[part].keys():
+            del state.suspects[part][crash]
+        if not state.suspects[part]:
+            del state.suspects[part]
+
+
+def convicted_part(state, parts, now):
+    """Return the first convicted one of the parts of a request, or None."""
+    if not state.convicted:
+        return None
+    for part in parts:
+        found = state.convicted.pop(part, None)
+        if found is not None:
+            found.asked_at = now
+            state.convicted[part] = found
+            return part
+    return None
+
+
+def may_probe(state, parts, now):
+    """Whether a request with convicted parts may be sent to test the conviction."""
+    found = [state.convicted[part] for part in parts if part in state.convicted]
+    if len(found) != 1 or found[0].probes >= len(PROBE_DELAYS_S):
+        return False
+    since = max(found[0].at, found[0].probed_at)
+    return now - since >= PROBE_DELAYS_S[found[0].probes]
+
+
+def record_probe(state, parts, now):
+    """Record that such a request was sent."""
+    for part in parts:
+        found = state.convicted.get(part)
+        if found is not None:
+            found.probes, found.probed_at = found.probes + 1, now
+
+
+def drop_expired(state, now):
+    """Drop outdated sightings, and convictions of parts that nobody asks for.
+
+    Returns
+    -------
+    dropped : list of bytes
+        Parts that are no longer convicted.
+    """
+    for part in list(state.suspects):
+        found = state.suspects[part]
+        for crash in [key for key, item in found.items() if now - item.at > EVIDENCE_S]:
+            del found[crash]
+        if not found:
+            del state.suspects[part]
+    dropped = [
+        part
+        for part, item in state.convicted.items()
+        if now - max(item.at, item.asked_at) > CONVICTION_S
+    ]
+    for part in dropped:
+        del state.convicted[part]
+    return dropped
+
+
+def summary(state):
+    """Return a digest that is equal at entries with the same evidence."""
+    known = hashlib.sha256()
+    for part in sorted(state.convicted):
+        known.update(part + bytes([state.convicted[part].probes]))
+    known.update(b"/")
+    for part in sorted(state.suspects):
+        for crash in sorted(state.suspects[part]):
+            known.update(part + crash)
+    return known.digest()[:ID_BYTES]
--- a/src/carobstand/entry/datagrams.py
+++ b/src/carobstand/entry/datagrams.py
@@ -4,7 +4,13 @@
 
 from carobstand import errors, eventlog
 from carobstand.core import engine_load, registry
-from carobstand.entry import fleet, permit_exchange, poison_requests, queueing
+from carobstand.entry import (
+    fleet,
+    permit_exchange,
+    poison_parts,
+    poison_requests,
+    queueing,
+)
 from carobstand.wire import fleet_codec
 from carobstand.wire.gen_fleet import ttypes
 
@@ -29,6 +35,10 @@
                 permit_exchange.on_request(fwd.limits, message, peer[0])
             elif isinstance(message, ttypes.PermitReply):
                 permit_exchange.on_reply(fwd.limits, message, peer[0])
+            elif isinstance(message, ttypes.PartReport):
+                poison_parts.on_report(fwd, message, peer[0])
+            elif isinstance(message, ttypes.PartQuery):
+                poison_parts.on_query(fwd, message, peer[0])
             elif isinstance(message, ttypes.EntryLeaving):
                 permit_exchange.on_leaving(fwd.limits, message)
 
--- a/src/carobstand/entry/fleet.py
+++ b/src/carobstand/entry/fleet.py
@@ -5,12 +5,13 @@
 import anyio
 import attrs
 
-from carobstand import entry_records, errors, eventlog, signals
+from carobstand import entry_records, errors, eventlog, part_records, signals
 from carobstand.core import (
     announcements,
     change_feed,
     entry_roster,
     named_versions,
+    poison_parts,
     registry,
     routes,
     weight_sources,
@@ -18,6 +19,9 @@
 from carobstand.entry import change_relay
 from carobstand.platform import kv, records
 
+SYSTEM_PREFIX = "carobstand/"
+"""Prefix of the store keys that entries write."""
+
 WATCH_WAIT_S = 2.5
 """Maximum wait of a watch. A watch that ends without changes confirms that nothing
 changed until then; a connection that went silent is detected after this time."""
@@ -83,6 +87,9 @@
         By model.
     roster : core.entry_roster.Roster
         Entries that run.
+    prompt_parts : core.poison_parts.PoisonParts
+    part_records : set of bytes
+        Parts of prompts whose conviction is recorded in the store.
     confirmed_at : float or None
         Time up to which all changes of the store are known to be applied.
     store_failed_at : float
@@ -113,6 +120,10 @@
     )
     named: dict = attrs.field(factory=dict)
     roster: entry_roster.Roster = attrs.field(factory=entry_roster.Roster)
+    prompt_parts: poison_parts.PoisonParts = attrs.field(
+        factory=poison_parts.PoisonParts
+    )
+    part_records: set = attrs.field(factory=set)
     confirmed_at: float | None = None
     store_failed_at: float = -1e9
     slow_at: float = -1e9
@@ -159,12 +170,12 @@
         for prefix in (
             records.OPERATOR_PREFIX,
             records.SERVER_PREFIX,
-            entry_records.PREFIX,
+            SYSTEM_PREFIX,
         )
     ]
     for item in found[0].items:
         apply_item(fleet, item)
-    _replace_entries(fleet, found[2].items)
+    _replace_own_records(fleet, found[2].items)
     _replace_servers(fleet, found[1].items)
     fleet.revision = found[0].revision
     fleet.confirmed_at = fleet.changes_since = sent_at
@@ -296,6 +307,8 @@
             _apply_server(fleet, item)
         elif item.key.startswith(entry_records.PREFIX):
             _apply_entry(fleet, item)
+        elif item.key.startswith(part_records.PREFIX):
+            _apply_part(fleet, item)
     except errors.RecordError as exc:
         eventlog.event("record.unreadable", key=item.key, error=exc.message)
 
@@ -399,6 +412,30 @@
         entry_roster.put(fleet.roster, vm, entry_records.decode(vm, item.value))
 
 
+def _apply_part(fleet, item):
+    part = part_records.part_of(item.key)
+    if item.value is None:
+        # The entry that removed the record reports the reason, if there is one.
+        fleet.part_records.discard(part)
+        return
+    fleet.part_records.add(part)
+    if part not in fleet.prompt_parts.sound_at and poison_parts.add_conviction(
+        fleet.prompt_parts, part, anyio.current_time()
+    ):
+        eventlog.event("part.convicted", part=part.hex(), crashes=None, source="store")
+
+
+def _replace_own_records(fleet, items):
+    """Replace what the entries wrote by the items of a full read."""
+    fleet.part_records.clear()
+    for item in items:
+        if item.key.startswith(part_records.PREFIX):
+            apply_item(fleet, item)
+    _replace_entries(
+        fleet, [item for item in items if item.key.startswith(entry_records.PREFIX)]
+    )
+
+
 def _replace_entries(fleet, items):
     listed = {}
     for item in items:
--- a/src/carobstand/entry/forwarding.py
+++ b/src/carobstand/entry/forwarding.py
@@ -26,6 +26,7 @@
 from carobstand.entry import (
     backend_pool,
     fleet,
+    poison_parts,
     poison_requests,
     queueing,
     server_limits,
@@ -45,6 +46,9 @@
 not return at the same time. Short overloads, such as some engines loading weights, are
 over by then."""
 
+POISON_STATUS = 422
+"""Status of a request that no server can answer, so that callers do not repeat it."""
+
 FINAL_RESPONSE_S = 0.3
 """Time reserved for final responses to reach their callers before a planned stop."""
 
@@ -107,6 +111,7 @@
     queue : entry.queueing.Queue
     loads : core.engine_load.EngineLoads
     crashes_seen : core.crashes.Crashes
+    part_tracker : entry.poison_parts.Tracker
     scopes : set of anyio.CancelScope
         Cancel scopes of the requests in progress, with their deadlines.
     shortlists : dict of str to core.shortlist.Shortlist
@@ -131,6 +136,7 @@
     queue: queueing.Queue = attrs.field(factory=queueing.Queue)
     loads: engine_load.EngineLoads = attrs.field(factory=engine_load.EngineLoads)
     crashes_seen: crashes.Crashes = attrs.field(factory=crashes.Crashes)
+    part_tracker: poison_parts.Tracker = attrs.field(factory=poison_parts.Tracker)
     scopes: set = attrs.field(factory=set)
     shortlists: dict = attrs.field(factory=dict)
     capacity_freed: signals.Signal = attrs.field(factory=signals.Signal)
@@ -153,6 +159,8 @@
     service : str
     customer : str
     reply : http1_server.Reply
+    parts : tuple of bytes
+        Parts of its prompt that it may share, from `core.poison_parts.shareable`.
     size : core.placement.Size
     terms : core.queue_policy.Terms
         Times that bound its response, on the loop's clock.
@@ -172,6 +180,10 @@
         Whether the request may have run: some attempt was not confirmed as not run.
     has_begun : bool
         Whether the last attempt has begun its answer: an event of a stream arrived.
+    lost : entry.poison_parts.LostRequest or None
+        How the last attempt ended, if its server closed the connection before that.
+    is_probe : bool
+        Whether it is sent though a part of its prompt is convicted.
     events : core.event_stream.EventStream
         State of the stream that is delivered to the caller.
     """
@@ -184,6 +196,7 @@
     reply: http1_server.Reply
     size: placement.Size
     terms: queue_policy.Terms
+    parts: tuple = ()
     idle_first_byte_s: float | None = None
     tried: set = attrs.field(factory=set)
     attempts_sent: int = 0
@@ -192,6 +205,8 @@
     has_reserved_retry: bool = False
     may_have_run: bool = False
     has_begun: bool = False
+    lost: object = None
+    is_probe: bool = False
     events: event_stream.EventStream = attrs.field(factory=event_stream.EventStream)
 
 
@@ -221,10 +236,15 @@
     while True:
         if poison_requests.is_poison(fwd, call):
             return await _give_up(fwd, call, 502, "it crashes servers")
+        if poison_parts.is_rejected(fwd, call):
+            return await _reject_for_part(call)
         chosen = await queueing.place(fwd, call)
         if chosen is None:
             return await _give_up(fwd, call, 502, "no server has room in time")
         try:
+            # A part may have been convicted while the request waited.
+            if poison_parts.is_rejected(fwd, call):
+                return await _reject_for_part(call)
             outcome = await _send(fwd, call, chosen)
         finally:
             queueing.end(fwd, call, chosen)
@@ -235,10 +255,21 @@
             call.terms = attrs.evolve(call.terms, is_started=True)
         if not _may_retry(call, outcome):
             return await _give_up(fwd, call, 502, outcome.value)
+        if call.lost and not await poison_parts.may_resend(fwd, call.lost):
+            return await _give_up(fwd, call, 502, "it may have crashed a server")
         if call.attempts_sent and not _reserve_retry(fwd, call):
             return await _give_up(fwd, call, 502, "retry budget is spent")
 
 
+async def _reject_for_part(call):
+    """Reject a request that would crash the server that answers it."""
+    reason = "a part of its prompt crashes servers"
+    if call.reply.started:
+        eventlog.event("request.cut", request=call.req.request_id, reason=reason)
+        return
+    await refuse(call.reply, call.req, POISON_STATUS, reason)
+
+
 def _may_retry(call, outcome):
     if outcome is Outcome.NOT_SENT:
         return True
@@ -325,11 +356,10 @@
     call.attempts_sent += 1
     call.sent_at = anyio.current_time()
     call.has_reserved_retry = False
-    call.has_begun = False
+    call.has_begun, call.lost = False, None
+    poison_parts.record_sent(fwd, call)
     try:
-        await _send_request(call, chosen, conn)
-        begin_by = fleet.begin_by(fwd.fleet, chosen.candidate.holding)
-        head, data = await _receive_start(fwd, call, conn, begin_by)
+        head, data = await _receive_unless_convicted(fwd, call, chosen, conn)
         queueing.record_response_started(fwd, call, chosen)
         _record_load(fwd, server, head)
         _record_announcements(fwd, call, server, head)
@@ -347,6 +377,10 @@
     except errors.HttpError as exc:
         health.lost(state, anyio.current_time(), server.started_ms)
         poison_requests.record_lost_run(fwd, call, server)
+        if conn.is_ended and not call.has_begun:
+            call.lost = poison_parts.record_lost(
+                fwd, call, server, _newest_start(fwd, server)
+            )
         eventlog.event(
             "attempt.failed",
             request=call.req.request_id,
@@ -362,6 +396,17 @@
             await backend_pool.discard(fwd.pool, conn)
 
 
+async def _receive_unless_convicted(fwd, call, chosen, conn):
+    """Send a request and return what `_receive_start` returns."""
+    with poison_parts.unanswered(fwd, call):
+        await _send_request(call, chosen, conn)
+        begin_by = fleet.begin_by(fwd.fleet, chosen.candidate.holding)
+        return await _receive_start(fwd, call, conn, begin_by)
+    raise errors.HttpError(
+        "a part of its prompt was convicted", step="forward.receive", peer=conn.peer
+    )
+
+
 async def _send_request(call, chosen, conn):
     resumed = call.reply.started
     holding = chosen.candidate.holding
@@ -508,6 +553,8 @@
     if head.status >= 500 and _may_retry(call, Outcome.UNKNOWN):
         if _reserve_retry(fwd, call):
             return Outcome.UNKNOWN
+    if head.status < 300:
+        poison_parts.record_answer(fwd, call)
     await http1_server.respond(call.reply, head.status, head.headers, body)
     return Outcome.DONE
 
@@ -525,7 +572,9 @@
         if not events.in_order or events.is_too_long:
             reason = "events out of order" if complete else "an event is too long"
             raise errors.HttpError(reason, step="forward.receive", peer=conn.peer)
-        call.has_begun |= events.events > before
+        if events.events > before and not call.has_begun:
+            call.has_begun = True
+            poison_parts.record_answer(fwd, call)
         if complete and not call.reply.started:
             await http1_server.start_response_with(
                 call.reply, 200, head.headers, complete
--- a/src/carobstand/entry/ingress.py
+++ b/src/carobstand/entry/ingress.py
@@ -10,6 +10,7 @@
     first_attempts,
     latency_model,
     placement,
+    poison_parts,
     queue_policy,
     routes,
     value_density,
@@ -80,6 +81,7 @@
         service=service,
         customer=customer.name if customer else "",
         reply=reply,
+        parts=poison_parts.shareable(req.prompt_parts),
         size=size,
         terms=queue_policy.Terms(
             arrived=request.received_at,
--- a/src/carobstand/entry/platform_main.py
+++ b/src/carobstand/entry/platform_main.py
@@ -13,6 +13,7 @@
     forwarding,
     ingress,
     permit_exchange,
+    poison_parts,
     poison_requests,
     queueing,
     readiness,
@@ -56,6 +57,7 @@
         tg.start_soon(http1_server.listen, ingress_server, dep.ingress_address)
         tg.start_soon(loops.supervise, datagrams.listen, fwd)
         tg.start_soon(loops.supervise, poison_requests.share, fwd)
+        tg.start_soon(loops.supervise, poison_parts.run, fwd)
         tg.start_soon(loops.supervise, queueing.process_waiters, fwd)
         tg.start_soon(loops.supervise, permit_exchange.run, fwd.limits)
         tg.start_soon(loops.supervise, _close_idle_connections, fwd)
--- a/src/carobstand/http1.py
+++ b/src/carobstand/http1.py
@@ -149,6 +149,18 @@
     return Connection(stream, address)
 
 
+async def is_refused(address, timeout_s):
+    """Whether ``host:port`` refuses connections, as no process listens there."""
+    host, port = deployment.split_address(address)
+    try:
+        with anyio.fail_after(timeout_s):
+            stream = await anyio.connect_tcp(host, port)
+    except (OSError, TimeoutError) as exc:
+        return isinstance(exc.__cause__ or exc, ConnectionRefusedError)
+    await anyio.aclose_forcefully(stream)
+    return False
+
+
 async def send(conn, method, target, headers, body=b""):
     """Send a complete request.
 
--- a/src/carobstand/wire/fleet.thrift
+++ b/src/carobstand/wire/fleet.thrift
@@ -24,6 +24,34 @@
   2: string server_start      // server and its start time, equal at every entry
 }
 
+// Requests with one prompt part that were lost when a server ended.
+struct PartSighting {
+  1: binary crash             // identifies the server's start, equal at every entry
+  2: list<binary> requests
+  3: i32 age_ms               // time since the server ended
+}
+
+struct PartEvidence {
+  1: binary part
+  2: list<PartSighting> sightings
+  3: optional i32 sound_ms    // time since a request with it was answered
+  4: optional i32 convicted_ms  // time since it was convicted; absent: it is not
+  5: i32 probes               // requests sent since then, and time since the last one
+  6: i32 probed_ms
+}
+
+// Datagram between entries: parts of prompts that may crash servers.
+struct PartReport {
+  1: list<PartEvidence> parts
+  2: string address           // where the sending entry is reached
+}
+
+// Datagram between entries: asks for the evidence of an entry that has other evidence.
+struct PartQuery {
+  1: binary summary
+  2: string address
+}
+
 // Datagram between entries: what a backend server said of its limit, and the permits to
 // send to it that an entry asks of the entry that grants them.
 struct PermitRequest {
@@ -118,4 +146,6 @@
   9: PermitRequest permit_request
   10: PermitReply permit_reply
   11: EntryLeaving entry_leaving
+  12: PartReport part_report
+  13: PartQuery part_query
 }
--- a/src/carobstand/wire/gen_fleet/ttypes.py
+++ b/src/carobstand/wire/gen_fleet/ttypes.py
@@ -262,6 +262,359 @@
         return not (self == other)
 
 
+class PartSighting(object):
+    """
+    Attributes:
+     - crash
+     - requests
+     - age_ms
+
+    """
+
+
+    def __init__(self, crash=None, requests=None, age_ms=None,):
+        self.crash = crash
+        self.requests = requests
+        self.age_ms = age_ms
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.crash = iprot.readBinary()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.LIST:
+                    self.requests = []
+                    (_etype3, _size0) = iprot.readListBegin()
+                    for _i4 in range(_size0):
+                        _elem5 = iprot.readBinary()
+                        self.requests.append(_elem5)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I32:
+                    self.age_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('PartSighting')
+        if self.crash is not None:
+            oprot.writeFieldBegin('crash', TType.STRING, 1)
+            oprot.writeBinary(self.crash)
+            oprot.writeFieldEnd()
+        if self.requests is not None:
+            oprot.writeFieldBegin('requests', TType.LIST, 2)
+            oprot.writeListBegin(TType.STRING, len(self.requests))
+            for iter6 in self.requests:
+                oprot.writeBinary(iter6)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.age_ms is not None:
+            oprot.writeFieldBegin('age_ms', TType.I32, 3)
+            oprot.writeI32(self.age_ms)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class PartEvidence(object):
+    """
+    Attributes:
+     - part
+     - sightings
+     - sound_ms
+     - convicted_ms
+     - probes
+     - probed_ms
+
+    """
+
+
+    def __init__(self, part=None, sightings=None, sound_ms=None, convicted_ms=None, probes=None, probed_ms=None,):
+        self.part = part
+        self.sightings = sightings
+        self.sound_ms = sound_ms
+        self.convicted_ms = convicted_ms
+        self.probes = probes
+        self.probed_ms = probed_ms
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.part = iprot.readBinary()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.LIST:
+                    self.sightings = []
+                    (_etype10, _size7) = iprot.readListBegin()
+                    for _i11 in range(_size7):
+                        _elem12 = PartSighting()
+                        _elem12.read(iprot)
+                        self.sightings.append(_elem12)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I32:
+                    self.sound_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I32:
+                    self.convicted_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.I32:
+                    self.probes = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.I32:
+                    self.probed_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('PartEvidence')
+        if self.part is not None:
+            oprot.writeFieldBegin('part', TType.STRING, 1)
+            oprot.writeBinary(self.part)
+            oprot.writeFieldEnd()
+        if self.sightings is not None:
+            oprot.writeFieldBegin('sightings', TType.LIST, 2)
+            oprot.writeListBegin(TType.STRUCT, len(self.sightings))
+            for iter13 in self.sightings:
+                iter13.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.sound_ms is not None:
+            oprot.writeFieldBegin('sound_ms', TType.I32, 3)
+            oprot.writeI32(self.sound_ms)
+            oprot.writeFieldEnd()
+        if self.convicted_ms is not None:
+            oprot.writeFieldBegin('convicted_ms', TType.I32, 4)
+            oprot.writeI32(self.convicted_ms)
+            oprot.writeFieldEnd()
+        if self.probes is not None:
+            oprot.writeFieldBegin('probes', TType.I32, 5)
+            oprot.writeI32(self.probes)
+            oprot.writeFieldEnd()
+        if self.probed_ms is not None:
+            oprot.writeFieldBegin('probed_ms', TType.I32, 6)
+            oprot.writeI32(self.probed_ms)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class PartReport(object):
+    """
+    Attributes:
+     - parts
+     - address
+
+    """
+
+
+    def __init__(self, parts=None, address=None,):
+        self.parts = parts
+        self.address = address
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.LIST:
+                    self.parts = []
+                    (_etype17, _size14) = iprot.readListBegin()
+                    for _i18 in range(_size14):
+                        _elem19 = PartEvidence()
+                        _elem19.read(iprot)
+                        self.parts.append(_elem19)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.address = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('PartReport')
+        if self.parts is not None:
+            oprot.writeFieldBegin('parts', TType.LIST, 1)
+            oprot.writeListBegin(TType.STRUCT, len(self.parts))
+            for iter20 in self.parts:
+                iter20.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.address is not None:
+            oprot.writeFieldBegin('address', TType.STRING, 2)
+            oprot.writeString(self.address.encode('utf-8') if sys.version_info[0] == 2 else self.address)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class PartQuery(object):
+    """
+    Attributes:
+     - summary
+     - address
+
+    """
+
+
+    def __init__(self, summary=None, address=None,):
+        self.summary = summary
+        self.address = address
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.summary = iprot.readBinary()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.address = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('PartQuery')
+        if self.summary is not None:
+            oprot.writeFieldBegin('summary', TType.STRING, 1)
+            oprot.writeBinary(self.summary)
+            oprot.writeFieldEnd()
+        if self.address is not None:
+            oprot.writeFieldBegin('address', TType.STRING, 2)
+            oprot.writeString(self.address.encode('utf-8') if sys.version_info[0] == 2 else self.address)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class PermitRequest(object):
     """
     Attributes:
@@ -1141,11 +1494,11 @@
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.items = []
-                    (_etype3, _size0) = iprot.readListBegin()
-                    for _i4 in range(_size0):
-                        _elem5 = NewsItem()
-                        _elem5.read(iprot)
-                        self.items.append(_elem5)
+                    (_etype24, _size21) = iprot.readListBegin()
+                    for _i25 in range(_size21):
+                        _elem26 = NewsItem()
+                        _elem26.read(iprot)
+                        self.items.append(_elem26)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1181,8 +1534,8 @@
         if self.items is not None:
             oprot.writeFieldBegin('items', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.items))
-            for iter6 in self.items:
-                iter6.write(oprot)
+            for iter27 in self.items:
+                iter27.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.age_ms is not None:
@@ -1229,11 +1582,13 @@
      - permit_request
      - permit_reply
      - entry_leaving
+     - part_report
+     - part_query
 
     """
 
 
-    def __init__(self, engine_load=None, failed_run=None, manifest_request=None, manifest_reply=None, block_request=None, block_reply=None, news_request=None, news_reply=None, permit_request=None, permit_reply=None, entry_leaving=None,):
+    def __init__(self, engine_load=None, failed_run=None, manifest_request=None, manifest_reply=None, block_request=None, block_reply=None, news_request=None, news_reply=None, permit_request=None, permit_reply=None, entry_leaving=None, part_report=None, part_query=None,):
         self.engine_load = engine_load
         self.failed_run = failed_run
         self.manifest_request = manifest_request
@@ -1245,6 +1600,8 @@
         self.permit_request = permit_request
         self.permit_reply = permit_reply
         self.entry_leaving = entry_leaving
+        self.part_report = part_report
+        self.part_query = part_query
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1321,6 +1678,18 @@
                     self.entry_leaving.read(iprot)
                 else:
                     iprot.skip(ftype)
+            elif fid == 12:
+                if ftype == TType.STRUCT:
+                    self.part_report = PartReport()
+                    self.part_report.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            elif fid == 13:
+                if ftype == TType.STRUCT:
+                    self.part_query = PartQuery()
+                    self.part_query.read(iprot)
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1375,6 +1744,14 @@
             oprot.writeFieldBegin('entry_leaving', TType.STRUCT, 11)
             self.entry_leaving.write(oprot)
             oprot.writeFieldEnd()
+        if self.part_report is not None:
+            oprot.writeFieldBegin('part_report', TType.STRUCT, 12)
+            self.part_report.write(oprot)
+            oprot.writeFieldEnd()
+        if self.part_query is not None:
+            oprot.writeFieldBegin('part_query', TType.STRUCT, 13)
+            self.part_query.write(oprot)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1413,6 +1790,35 @@
     (1, TType.STRING, 'fingerprint', 'BINARY', None, ),  # 1
     (2, TType.STRING, 'server_start', 'UTF8', None, ),  # 2
 )
+all_structs.append(PartSighting)
+PartSighting.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'crash', 'BINARY', None, ),  # 1
+    (2, TType.LIST, 'requests', (TType.STRING, 'BINARY', False), None, ),  # 2
+    (3, TType.I32, 'age_ms', None, None, ),  # 3
+)
+all_structs.append(PartEvidence)
+PartEvidence.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'part', 'BINARY', None, ),  # 1
+    (2, TType.LIST, 'sightings', (TType.STRUCT, [PartSighting, None], False), None, ),  # 2
+    (3, TType.I32, 'sound_ms', None, None, ),  # 3
+    (4, TType.I32, 'convicted_ms', None, None, ),  # 4
+    (5, TType.I32, 'probes', None, None, ),  # 5
+    (6, TType.I32, 'probed_ms', None, None, ),  # 6
+)
+all_structs.append(PartReport)
+PartReport.thrift_spec = (
+    None,  # 0
+    (1, TType.LIST, 'parts', (TType.STRUCT, [PartEvidence, None], False), None, ),  # 1
+    (2, TType.STRING, 'address', 'UTF8', None, ),  # 2
+)
+all_structs.append(PartQuery)
+PartQuery.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'summary', 'BINARY', None, ),  # 1
+    (2, TType.STRING, 'address', 'UTF8', None, ),  # 2
+)
 all_structs.append(PermitRequest)
 PermitRequest.thrift_spec = (
     None,  # 0
@@ -1511,6 +1917,8 @@
     (9, TType.STRUCT, 'permit_request', [PermitRequest, None], None, ),  # 9
     (10, TType.STRUCT, 'permit_reply', [PermitReply, None], None, ),  # 10
     (11, TType.STRUCT, 'entry_leaving', [EntryLeaving, None], None, ),  # 11
+    (12, TType.STRUCT, 'part_report', [PartReport, None], None, ),  # 12
+    (13, TType.STRUCT, 'part_query', [PartQuery, None], None, ),  # 13
 )
 fix_spec(all_structs)
 del all_structs
--- a/testing/part_traffic.py
+++ b/testing/part_traffic.py
@@ -46,6 +46,8 @@
         Share of the requests with the deadly part.
     gap_s : float
         Time between two requests.
+    rare_parts : int
+        Number of further parts, of which each prompt has one; 0 for none.
     sent : list of Sent
     rng : random.Random
     """
@@ -53,6 +55,7 @@
     entries: list
     deadly_share: float = 0.1
     gap_s: float = 0.03
+    rare_parts: int = 0
     sent: list = attrs.field(factory=list)
     rng: random.Random = attrs.field(factory=lambda: random.Random(1))
 
@@ -67,6 +70,8 @@
             parts = [traffic.rng.choice(SHARED), f"a{number:x}"]
             if traffic.rng.random() < traffic.deadly_share:
                 parts.insert(1, DEADLY)
+            if traffic.rare_parts:
+                parts.insert(1, f"b{traffic.rng.randrange(traffic.rare_parts):x}")
             if traffic.entries:
                 entry = traffic.entries[number % len(traffic.entries)]
                 tg.start_soon(send_one, fleet, traffic, entry, tuple(parts))
--- /dev/null
+++ b/testing/test_poison_part_evidence.py
@@ -0,0 +1,179 @@
+"""Guards against wrong and missing convictions of prompt parts."""
+
+import itertools
+import random
+
+import pytest
+
+from carobstand.core import poison_parts
+
+P, Q = poison_parts.digest("p"), poison_parts.digest("q")
+
+
+def crash(number, address=None):
+    """Return the id of a crash of a server, one of its own unless it is named."""
+    return poison_parts.crash_id(address or f"10.0.0.{number}:80", f"s/{number}")
+
+
+def lose(state, part, number, at, request=None, address=None):
+    """Record that a request with a part was lost at a crash."""
+    request = poison_parts.digest(request or f"r{number}")
+    return poison_parts.add_sighting(
+        state, part, crash(number, address), request, at, at
+    )
+
+
+def test_two_requests_at_two_crashes_convict_a_part_without_an_answer():
+    state = poison_parts.PoisonParts()
+    lose(state, P, 1, 10.0)
+    assert poison_parts.convict(state, 10.2) == []
+    lose(state, P, 2, 11.0)
+    assert poison_parts.convict(state, 11.2) == [P]
+    assert poison_parts.convicted_part(state, (Q, P), 12.0) == P
+    assert poison_parts.convicted_part(state, (Q,), 12.0) is None
+
+
+def test_one_request_that_comes_again_does_not_convict_the_parts_that_it_shares():
+    state = poison_parts.PoisonParts()
+    for number in range(7):
+        lose(state, P, number, 10.0 + number, request="same")
+    assert poison_parts.convict(state, 20.0) == []
+
+
+def test_servers_that_end_at_one_moment_do_not_convict_a_part():
+    state = poison_parts.PoisonParts()
+    for number in range(3):
+        lose(state, P, number, 10.0 + 0.01 * number)
+    assert poison_parts.convict(state, 10.2) == []
+
+
+def test_one_server_that_crashes_by_turns_does_not_convict_a_part_at_once():
+    state = poison_parts.PoisonParts()
+    for number in range(3):
+        lose(state, P, number, 10.0 + number, address="10.0.0.1:80")
+    assert poison_parts.convict(state, 13.0) == []
+
+
+def test_a_part_that_crashes_all_servers_at_once_is_convicted():
+    state = poison_parts.PoisonParts()
+    for number in range(poison_parts.MIN_CRASHES):
+        lose(state, P, number, 10.0 + 0.01 * number)
+    assert poison_parts.convict(state, 10.2) == [P]
+
+
+def test_a_part_in_every_crash_is_cleared_by_an_answer_in_between():
+    state = poison_parts.PoisonParts()
+    for number in range(8):
+        lose(state, Q, number, 10.0 + number)
+        poison_parts.record_answer(state, [Q], 10.5 + number)
+        assert poison_parts.convict(state, 10.6 + number) == []
+
+
+def test_a_part_that_was_answered_before_and_is_deadly_now_is_convicted_by_five():
+    state = poison_parts.PoisonParts()
+    poison_parts.record_answer(state, [P], 9.0)
+    for number in range(5):
+        lose(state, P, number, 10.0 + number)
+    assert poison_parts.convict(state, 15.0) == [P]
+
+
+def test_a_sound_part_beside_the_deadly_one_is_not_convicted():
+    state = poison_parts.PoisonParts()
+    poison_parts.record_answer(state, [Q], 9.9)
+    for number in range(2):
+        lose(state, P, number, 10.0 + number)
+        lose(state, Q, number, 10.0 + number)
+    assert poison_parts.convict(state, 12.0) == [P]
+    for number in range(2, 9):
+        lose(state, Q, number, 10.0 + number)
+        lose(state, P, number, 10.0 + number)
+    assert Q not in poison_parts.convict(state, 20.0)
+
+
+def test_crashes_that_a_convicted_part_explains_do_not_count_for_others():
+    state = poison_parts.PoisonParts()
+    for number in range(3):
+        lose(state, P, number, 10.0 + number)
+    lose(state, Q, 1, 11.0, request="q1")
+    assert poison_parts.convict(state, 13.0) == [P]
+    lose(state, Q, 2, 12.0, request="q2")
+    lose(state, Q, 0, 10.0, request="q3")
+    assert poison_parts.convict(state, 13.0) == []
+    assert Q not in state.suspects
+
+
+def test_an_answer_undoes_a_wrong_conviction_and_its_evidence():
+    state = poison_parts.PoisonParts()
+    for number in range(2):
+        lose(state, P, number, 10.0 + number)
+    poison_parts.convict(state, 12.0)
+    assert poison_parts.record_answer(state, [P], 13.0) == [P]
+    assert poison_parts.convicted_part(state, (P,), 13.0) is None
+    assert not poison_parts.add_conviction(state, P, 12.0)
+    assert not lose(state, P, 1, 11.0)
+
+
+def test_convictions_are_probed_a_few_times_only():
+    state = poison_parts.PoisonParts()
+    poison_parts.add_conviction(state, P, 10.0)
+    sent = 0
+    for now in itertools.takewhile(lambda now: now < 5000, itertools.count(10)):
+        if poison_parts.may_probe(state, (P,), now):
+            poison_parts.record_probe(state, (P,), now)
+            sent += 1
+    assert sent == len(poison_parts.PROBE_DELAYS_S) == 2
+    poison_parts.add_conviction(state, Q, 10.0)
+    assert not poison_parts.may_probe(state, (P, Q), 1e6)
+
+
+def test_convictions_that_nobody_asks_for_are_dropped():
+    state = poison_parts.PoisonParts()
+    poison_parts.add_conviction(state, P, 0.0)
+    late = poison_parts.CONVICTION_S + 1
+    assert poison_parts.convicted_part(state, (P,), late - 2) == P
+    assert poison_parts.drop_expired(state, late) == []
+    assert poison_parts.drop_expired(state, 2 * late) == [P]
+
+
+def test_a_flood_of_parts_drops_neither_evidence_nor_convictions():
+    state = poison_parts.PoisonParts()
+    poison_parts.add_conviction(state, Q, 1.0)
+    lose(state, P, 1, 2.0)
+    lose(state, P, 2, 3.0)
+    for number in range(2 * poison_parts.MAX_SUSPECTS):
+        lose(state, poison_parts.digest(f"x{number}"), 3, 4.0)
+    for number in range(2 * poison_parts.MAX_SOUND):
+        poison_parts.record_answer(state, [poison_parts.digest(f"y{number}")], 5.0)
+    assert len(state.suspects) <= poison_parts.MAX_SUSPECTS
+    assert len(state.sound_at) <= poison_parts.MAX_SOUND
+    assert poison_parts.convict(state, 6.0)[0] == P
+    assert poison_parts.convicted_part(state, (Q,), 6.0) == Q
+
+
+def test_the_last_part_of_a_prompt_is_no_suspect():
+    assert poison_parts.shareable(("a", "b", "c")) == (
+        poison_parts.digest("a"),
+        poison_parts.digest("b"),
+    )
+    assert poison_parts.shareable(("a",)) == poison_parts.shareable(()) == ()
+
+
+@pytest.mark.parametrize("seed", range(50))
+def test_any_order_of_the_same_evidence_convicts_the_deadly_part_alone(seed):
+    rng = random.Random(seed)
+    innocent = [poison_parts.digest(f"i{number}") for number in range(5)]
+    news = []
+    for number in range(5):
+        at = 10.0 + number * rng.uniform(0.2, 3.0)
+        for part in (P, *rng.sample(innocent, 2)):
+            news.append(("lost", part, number, at))
+        news += [("answer", part, number, at + 0.15) for part in innocent]
+    rng.shuffle(news)
+    state = poison_parts.PoisonParts()
+    for kind, part, number, at in news:
+        if kind == "lost":
+            lose(state, part, number, at)
+        else:
+            poison_parts.record_answer(state, [part], at)
+    assert poison_parts.convict(state, 40.0) == [P]
+    assert set(state.convicted) == {P}
--- a/testing/test_poison_parts.py
+++ b/testing/test_poison_parts.py
@@ -1,12 +1,19 @@
 """Guards against prompt parts that crash the backend servers that answer on them."""
 
 import contextlib
+import signal
 
 import anyio
 import pytest
 
-from testing import part_traffic, platform_fleet
+from carobstand.core import poison_parts as core_parts
+from carobstand.entry import forwarding, poison_parts
+from carobstand.standin.platform import engine, kv
+from carobstand.wire import fleet_codec
+from carobstand.wire.gen_fleet import ttypes
+from testing import entry_processes, part_traffic, platform_fleet
 
+REJECTED = forwarding.POISON_STATUS
 CONTACT_S = 3.0
 FREE_CRASHES = 5
 MAX_LATER_REQUESTS = 3
@@ -17,17 +24,22 @@
 async def fleet_with_deadly_part(entries, engines=6):
     """Run entries and engines that a part of prompts crashes; yield the fleet."""
     async with platform_fleet.deployed(entries) as fleet:
-        for number in range(engines):
-            found = await platform_fleet.add_engine(
-                fleet, f"i-{number + 1}", poison_part=part_traffic.DEADLY
-            )
-            platform_fleet.restart_crashed(fleet, found, DOWN_S)
+        await add_engines(fleet, engines)
         for entry in fleet.entries.values():
             await platform_fleet.until_ready(entry)
         await anyio.sleep(platform_fleet.CHANGE_DELAY_S)
         yield fleet
 
 
+async def add_engines(fleet, count):
+    """Add engines that a part of prompts crashes."""
+    for number in range(count):
+        found = await platform_fleet.add_engine(
+            fleet, f"i-{number + 1}", poison_part=part_traffic.DEADLY
+        )
+        platform_fleet.restart_crashed(fleet, found, DOWN_S)
+
+
 def check_deadly_part(fleet):
     """Check that few requests with the deadly part reach servers after five crashes."""
     crashes = part_traffic.crash_times(fleet)
@@ -59,3 +71,194 @@
             assert sound_share(traffic, start, start + 10.0) >= 0.9
 
     platform_fleet.run(scenario, timeout_s=30.0)
+
+
+def run_convicted(check, entries=3, timeout_s=40.0):
+    """Run ``check(fleet, traffic)`` once a part is convicted at all entries."""
+
+    async def scenario():
+        async with fleet_with_deadly_part(entries) as fleet:
+            traffic = part_traffic.Traffic(list(fleet.entries))
+            await part_traffic.send(fleet, traffic, 3.0)
+            assert await rejecting_entries(fleet, traffic) == list(fleet.entries)
+            await check(fleet, traffic)
+
+    platform_fleet.run(scenario, timeout_s)
+
+
+async def rejecting_entries(fleet, traffic):
+    """Return the entries that reject a request with the deadly part."""
+    found = []
+    for number, entry in enumerate(fleet.entries):
+        parts = (part_traffic.SHARED[0], part_traffic.DEADLY, f"c{number}")
+        result = await part_traffic.send_one(fleet, traffic, entry, parts)
+        if result.status == REJECTED:
+            assert "retry-after" not in result.headers
+            assert result.took_s < 0.5
+            found.append(entry)
+    return found
+
+
+async def check_entry_rejects(fleet, traffic, entry):
+    """Check that an entry sends no request with the deadly part."""
+    before = len(part_traffic.deadly_arrivals(fleet, 0.0))
+    parts = (part_traffic.SHARED[1], part_traffic.DEADLY, "d1")
+    result = await part_traffic.send_one(fleet, traffic, entry, parts)
+    assert result.status == REJECTED
+    assert len(part_traffic.deadly_arrivals(fleet, 0.0)) == before
+
+
+def test_an_entry_that_starts_later_rejects_a_convicted_part():
+    async def check(fleet, traffic):
+        await platform_fleet.add_entry(fleet, "entry-9")
+        await check_entry_rejects(fleet, traffic, "entry-9")
+
+    run_convicted(check)
+
+
+def test_an_entry_that_starts_without_the_record_learns_of_a_convicted_part():
+    async def check(fleet, traffic):
+        for key in [key for key in fleet.store.items if "/parts/" in key]:
+            del fleet.store.items[key]
+        await platform_fleet.add_entry(fleet, "entry-9")
+        await anyio.sleep(1.0)
+        await check_entry_rejects(fleet, traffic, "entry-9")
+
+    run_convicted(check)
+
+
+def test_a_convicted_part_is_rejected_after_all_entries_have_restarted():
+    async def check(fleet, traffic):
+        await anyio.sleep(1.5)
+        names = list(fleet.entries)
+        for vm in names:
+            await platform_fleet.stop(fleet, vm)
+        for vm in names:
+            await platform_fleet.add_entry(fleet, vm)
+            await check_entry_rejects(fleet, traffic, vm)
+
+    run_convicted(check)
+
+
+def test_a_deadly_part_is_convicted_while_the_store_is_away():
+    async def scenario():
+        async with fleet_with_deadly_part(3) as fleet:
+            traffic = part_traffic.Traffic(list(fleet.entries), deadly_share=0.0)
+            await part_traffic.send(fleet, traffic, 0.5)
+            await platform_fleet.stop(fleet, "store")
+            traffic.deadly_share = 0.15
+            await part_traffic.send(fleet, traffic, 2.5)
+            await platform_fleet.start_server(
+                fleet, kv.server(fleet.store), fleet.store_address, "store"
+            )
+            await part_traffic.send(fleet, traffic, 3.0)
+            assert len(part_traffic.crash_times(fleet)) <= FREE_CRASHES
+            assert await rejecting_entries(fleet, traffic) == list(fleet.entries)
+            assert any("/parts/" in key for key in fleet.store.items)
+
+    platform_fleet.run(scenario, timeout_s=30.0)
+
+
+def test_an_entry_that_heard_nothing_learns_of_a_convicted_part(monkeypatch):
+    send = poison_parts._send
+
+    async def scenario():
+        async with fleet_with_deadly_part(3) as fleet:
+            lost = fleet.entries["entry-3"].deployment
+
+            async def drop(fwd, address, raw):
+                if fwd.fleet.deployment.vm == lost.vm or address.startswith(lost.ip):
+                    return
+                await send(fwd, address, raw)
+
+            monkeypatch.setattr(poison_parts, "_send", drop)
+            monkeypatch.setattr(poison_parts.kv, "put", no_write)
+            traffic = part_traffic.Traffic(["entry-1", "entry-2"])
+            await part_traffic.send(fleet, traffic, 3.0)
+            assert await rejecting_entries(fleet, traffic) == ["entry-1", "entry-2"]
+            monkeypatch.setattr(poison_parts, "_send", send)
+            await anyio.sleep(2 * poison_parts.QUERY_INTERVAL_S)
+            await check_entry_rejects(fleet, traffic, "entry-3")
+
+    async def no_write(*args, **options):
+        """Write nothing."""
+
+    platform_fleet.run(scenario, timeout_s=30.0)
+
+
+def test_a_frozen_entry_process_rejects_a_part_convicted_meanwhile(tmp_path):
+    vms = ["entry-1", "entry-2", "entry-3"]
+
+    async def scenario():
+        async with platform_fleet.deployed(0) as fleet:
+            await add_engines(fleet, 6)
+            async with entry_processes.started(fleet, vms, tmp_path) as processes:
+                await anyio.sleep(platform_fleet.CHANGE_DELAY_S)
+                processes["entry-3"].send_signal(signal.SIGSTOP)
+                traffic = part_traffic.Traffic(["entry-1", "entry-2"])
+                await part_traffic.send(fleet, traffic, 3.0)
+                processes["entry-3"].send_signal(signal.SIGCONT)
+                await anyio.sleep(1.0)
+                await check_entry_rejects(fleet, traffic, "entry-3")
+                assert await rejecting_entries(fleet, traffic) == vms
+
+    platform_fleet.run(scenario, timeout_s=40.0)
+
+
+def test_servers_that_end_for_other_causes_convict_no_part():
+    async def scenario():
+        async with fleet_with_deadly_part(3) as fleet:
+            traffic = part_traffic.Traffic(list(fleet.entries), deadly_share=0.0)
+            traffic.rare_parts = 40
+            async with anyio.create_task_group() as tg:
+                tg.start_soon(part_traffic.send, fleet, traffic, 8.0)
+                for turn in range(6):
+                    await anyio.sleep(1.2)
+                    engines = list(fleet.engines.values())
+                    for ended in engines[:3] if turn % 2 else engines[turn : turn + 1]:
+                        engine.crash(ended)
+            assert REJECTED not in {item.status for item in traffic.sent}
+            assert not any("/parts/" in key for key in fleet.store.items)
+
+    platform_fleet.run(scenario, timeout_s=30.0)
+
+
+def test_a_part_that_no_longer_crashes_servers_is_served_after_a_probe(monkeypatch):
+    async def check(fleet, traffic):
+        monkeypatch.setattr(core_parts, "PROBE_DELAYS_S", (1.0, 600.0))
+        for backend_server in fleet.engines.values():
+            backend_server.poison_part = None
+        await anyio.sleep(1.0)
+        assert await rejecting_entries(fleet, traffic) != list(fleet.entries)
+        await anyio.sleep(0.5)
+        assert await rejecting_entries(fleet, traffic) == []
+        await anyio.sleep(1.0)
+        assert not any("/parts/" in key for key in fleet.store.items)
+
+    run_convicted(check)
+
+
+def test_malformed_evidence_changes_nothing():
+    async def check(fleet, traffic):
+        dep = fleet.entries["entry-1"].deployment
+        messages = [
+            ttypes.PartQuery(b"", "nowhere"),
+            ttypes.PartQuery(None, "127.0.0.1:99999"),
+            ttypes.PartReport([], None),
+            ttypes.PartReport([ttypes.PartEvidence()], "127.0.0.1:1"),
+            ttypes.PartReport([ttypes.PartEvidence(b"x" * 8)], "127.0.0.1:1"),
+            ttypes.PartReport(
+                [ttypes.PartEvidence(b"x" * 8, [ttypes.PartSighting()])], "127.0.0.1:1"
+            ),
+        ]
+        async with await anyio.create_udp_socket(local_host="127.0.0.1") as udp:
+            for message in messages:
+                raw = fleet_codec.encode(message)
+                await udp.sendto(raw, dep.ip, dep.internal_ports[0])
+        await anyio.sleep(0.2)
+        assert await rejecting_entries(fleet, traffic) == list(fleet.entries)
+        parts = (part_traffic.SHARED[0], "e1")
+        result = await part_traffic.send_one(fleet, traffic, "entry-1", parts)
+        assert result.status == 200
+
+    run_convicted(check)
