--- a/src/carobstand/standin/platform/engine.py
+++ b/src/carobstand/standin/platform/engine.py
@@ -83,6 +83,8 @@
         Time to load weights.
     orders : int
         Number of accepted load orders since the start; ``sequence`` in reports.
+    heartbeats : int
+        ``sequence`` of its record in the store, which rises with time.
     is_draining : bool
     is_unresponsive : bool
         No request gets a response.
@@ -144,6 +146,7 @@
     load_s: float = 0.05
     started_ms: int = 1000
     orders: int = 0
+    heartbeats: int = 1
     is_draining: bool = False
     is_unresponsive: bool = False
     announces_leaving: bool = False
@@ -179,7 +182,7 @@
         "slots": engine.slots,
         "state": "draining" if engine.is_draining else "ready",
         "warmup_remaining_ms": 0,
-        "sequence": engine.orders,
+        "sequence": engine.heartbeats,
         "born": engine.started_ms,
     }
     return {**found, **_weights_record(engine)} if engine.model else found
--- a/src/carobstand/standin/platform/kv.py
+++ b/src/carobstand/standin/platform/kv.py
@@ -1,6 +1,7 @@
 """Stand-in for the platform's metadata store, with fault injection."""
 
 import base64
+import copy
 import json
 import random
 import urllib.parse
@@ -43,6 +44,10 @@
         Watches from an earlier revision get status 410.
     leases : dict of int to (float, float)
         Time to live and expiry time, in seconds.
+    era : int
+        ``Store-Era`` of all responses; rises when the store comes back from a copy.
+    after_page : callable or None
+        Called without arguments after each page of a range that has more.
     mode : str
         ``up``: normal; ``busy``: status 503; ``silent``: no response; ``reset``: the
         connection is closed.
@@ -60,6 +65,8 @@
     oldest_watch_revision: int = 0
     leases: dict = attrs.field(factory=dict)
     next_lease: int = 1
+    era: int = 1
+    after_page: object = None
     mode: str = "up"
     delay_s: float = 0.0
     lose_share: float = 0.0
@@ -96,6 +103,21 @@
         store.changed.notify()
 
 
+def take_copy(store):
+    """Return a copy of the contents, for `restore`."""
+    return copy.deepcopy(
+        (store.items, store.log, store.revision, store.leases, store.next_lease)
+    )
+
+
+def restore(store, saved):
+    """Continue from a copy; what was written since is lost."""
+    contents = copy.deepcopy(saved)
+    store.items, store.log, store.revision, store.leases, store.next_lease = contents
+    store.era += 1
+    store.changed.notify()
+
+
 def compact(store):
     """Drop the change history; watches from earlier revisions get status 410."""
     store.oldest_watch_revision = store.revision
@@ -128,12 +150,12 @@
         if store.mode == "reset":
             return
         if store.mode == "busy":
-            return await http1_server.respond(reply, 503, [])
+            return await http1_server.respond(reply, 503, [_era(store)])
         status, record = await _dispatch(store, request)
         # The transaction took effect, but its response is lost.
         if status == -1:
             await anyio.sleep_forever()
-        headers = [(b"Content-Type", b"application/json")]
+        headers = [(b"Content-Type", b"application/json"), _era(store)]
         await http1_server.respond(reply, status, headers, json.dumps(record).encode())
 
     return http1_server.Server(
@@ -141,6 +163,10 @@
     )
 
 
+def _era(store):
+    return b"Store-Era", b"%d" % store.era
+
+
 async def _dispatch(store, request):
     target = request.target.decode()
     path, _, query_text = target.partition("?")
@@ -180,14 +206,17 @@
     keys = sorted(k for k in store.items if k.startswith(prefix) and k > after)
     page = [_record(key, store.items[key]) for key in keys[:PAGE_ITEMS]]
     more = len(keys) > PAGE_ITEMS
-    return 200, {"items": page, "has_more": more, "store_revision": store.revision}
+    found = {"items": page, "has_more": more, "store_revision": store.revision}
+    if more and store.after_page is not None:
+        store.after_page()
+    return 200, found
 
 
 async def _watch(store, query):
     prefix, after = query["prefix"], int(query["after"])
     deadline = anyio.current_time() + int(query["wait_ms"]) / 1000
     while True:
-        if after < store.oldest_watch_revision:
+        if not store.oldest_watch_revision <= after <= store.revision:
             return 410, {}
         events = [
             _record(key, item) if item else _deletion_record(key, revision)
