--- a/testing/test_store_following.py
+++ b/testing/test_store_following.py
@@ -57,7 +57,7 @@
     async def list_prefix(store, prefix):
         await anyio.sleep(CALL_S)
         found = ()
-        if prefix == entry_records.PREFIX:
+        if prefix == fleets.SYSTEM_PREFIX:
             found = tuple(
                 kv.Item(entry_records.key(item.vm), entry_records.encode(item), 0)
                 for item in records
