Start again from a full read when the store is in another era

Cause: a revision was taken to mean the same in each era. Once the store has passed the revision that an entry holds, its watch goes on in another history without a 410, and what was written up to there is never read. The class of fault: a position kept without the identity of the history in which it counts. The same cause elsewhere: the polls between entries of a region, whose reader may be in another era than those behind it, and the pages of one read.

The relay's hole (a poll that waits while its reader goes through a full read) has a test of its own.

Why it works: each response names its era; a read or watch of another era than the held revision's is not applied and a full read follows, which is of one era or is repeated. A response of an earlier era than one seen is not used.

--- a/src/carobstand/entry/change_relay.py
+++ b/src/carobstand/entry/change_relay.py
@@ -37,21 +37,27 @@
         until = anyio.current_time() + min(
             MAX_WAIT_S, max(0, request.wait_ms or 0) / 1000
         )
-        while fleet.revision <= (request.after or 0):
+        while _is_current(fleet, request):
             remaining_s = until - anyio.current_time()
             if remaining_s <= 0 or not await fleet.changed.wait(remaining_s):
                 break
-        await piece_stream.send(frames, _reply(fleet, request.after or 0))
+        await piece_stream.send(frames, _reply(fleet, request))
         request = await piece_stream.receive(
             frames, IDLE_TIMEOUT_S, piece_stream.MAX_REQUEST_BYTES
         )
 
 
-def _reply(fleet, after):
+def _is_current(fleet, request):
+    """Whether the entry that polls knows all that this one knows."""
+    is_same_era = (request.era or 0) == fleet.era
+    return is_same_era and fleet.revision <= (request.after or 0)
+
+
+def _reply(fleet, request):
     now = anyio.current_time()
-    changes = (
-        change_feed.changes_after(fleet.history, after) if fleet.revision else None
-    )
+    changes = None
+    if fleet.revision and (request.era or 0) == fleet.era:
+        changes = change_feed.changes_after(fleet.history, request.after or 0)
     confirmed_at = (
         now - UNKNOWN_AGE_S if fleet.confirmed_at is None else fleet.confirmed_at
     )
@@ -61,6 +67,7 @@
         age_ms=_ms(now - confirmed_at),
         troubled_ms=_ms(now - fleet.store_failed_at),
         is_complete=changes is not None,
+        era=fleet.era,
     )
 
 
@@ -83,13 +90,15 @@
     return await piece_stream.connect(entry.address)
 
 
-async def poll_changes(frames, after, max_age_s):
+async def poll_changes(frames, after, era, max_age_s):
     """Poll the reader for changes after a revision.
 
     Parameters
     ----------
     frames : transfer.piece_stream.Frames
     after : int
+    era : int
+        Era of the store in which the revision counts.
     max_age_s : float
         Maximum accepted age of the reader's state, in seconds.
 
@@ -107,19 +116,22 @@
     ------
     ConnectionClosedError, WireError
     HistoryLostError
-        If the reader no longer holds all changes after the revision.
+        If the reader does not hold all changes after the revision, or is in another
+        era of the store.
     StoreUnavailableError
         If the reader's state is too old.
     """
     # The reader measures ages after this time, so the times below are lower bounds.
     sent_at = anyio.current_time()
-    await piece_stream.send(frames, ttypes.NewsRequest(after, int(MAX_WAIT_S * 1000)))
+    wait_ms = int(MAX_WAIT_S * 1000)
+    await piece_stream.send(frames, ttypes.NewsRequest(after, wait_ms, era))
     reply = await piece_stream.receive(frames, MAX_WAIT_S + RESPONSE_MARGIN_S)
     if not isinstance(reply, ttypes.NewsReply):
         raise errors.WireError("expected changes", step="news.ask", peer=frames.peer)
-    if not reply.is_complete or (reply.revision or 0) < after:
+    is_same_era = (reply.era or 0) == era
+    if not (is_same_era and reply.is_complete) or (reply.revision or 0) < after:
         raise errors.HistoryLostError(
-            f"reader lacks changes after revision {after}",
+            f"reader lacks changes after revision {after} of era {era}",
             step="news.ask",
             peer=frames.peer,
         )
--- a/src/carobstand/entry/fleet.py
+++ b/src/carobstand/entry/fleet.py
@@ -98,6 +98,8 @@
         Time of the last response of the store that took long to receive.
     revision : int
         Store revision up to which changes are applied.
+    era : int
+        Era of the store in which it counts.
     history : core.change_feed.ChangeFeed
     changes_since : float
         Lower bound of the time at which the changes now applied were made.
@@ -128,6 +130,7 @@
     store_failed_at: float = -1e9
     slow_at: float = -1e9
     revision: int = 0
+    era: int = 0
     history: change_feed.ChangeFeed = attrs.field(factory=change_feed.ChangeFeed)
     changes_since: float = -1e9
     started: float = attrs.field(factory=anyio.current_time)
@@ -173,11 +176,15 @@
             SYSTEM_PREFIX,
         )
     ]
+    if len({changes.era for changes in found}) > 1:
+        raise errors.HistoryLostError(
+            "the store was restored during a read", step="store.read"
+        )
     for item in found[0].items:
         apply_item(fleet, item)
     _replace_own_records(fleet, found[2].items)
     _replace_servers(fleet, found[1].items)
-    fleet.revision = found[0].revision
+    fleet.revision, fleet.era = found[0].revision, found[0].era
     fleet.confirmed_at = fleet.changes_since = sent_at
     change_feed.reset(fleet.history, fleet.revision)
     if fleet.first_read_at is None:
@@ -186,6 +193,7 @@
     eventlog.event(
         "store.read",
         revision=fleet.revision,
+        era=fleet.era,
         servers=len(fleet.servers.servers),
         configuration=fleet.configuration and fleet.configuration.version,
     )
@@ -196,6 +204,11 @@
     sent_at = anyio.current_time()
     wait_s = _watch_wait_s(fleet, sent_at)
     changes = await kv.watch(fleet.store, "", fleet.revision, wait_s)
+    if changes.era != fleet.era:
+        raise errors.HistoryLostError(
+            f"changes after {fleet.revision} of era {fleet.era} are lost",
+            step="store.watch",
+        )
     # A large configuration takes seconds on a narrow link, and so do the responses to
     # all entries of the region that share it.
     now = anyio.current_time()
@@ -256,7 +269,7 @@
         try:
             while _reader(fleet) == reader:
                 reply = await change_relay.poll_changes(
-                    frames, fleet.revision, max_age_s
+                    frames, fleet.revision, fleet.era, max_age_s
                 )
                 await _apply_reader_reply(fleet, reply)
         finally:
--- a/src/carobstand/platform/kv.py
+++ b/src/carobstand/platform/kv.py
@@ -7,7 +7,7 @@
 
 import attrs
 
-from carobstand import errors, http1
+from carobstand import errors, eventlog, http1, signals
 from carobstand.platform import fields
 
 ABSENT = 0
@@ -47,20 +47,35 @@
     """Items of a read, in order of their revisions, and the store's revision.
 
     `began_at` is the loop's time at which the response began to arrive; the changes
-    were made before it.
+    were made before it. Revisions of different eras cannot be compared.
     """
 
     revision: int
     items: tuple
     began_at: float = 0.0
+    era: int = 0
 
 
 @attrs.define(eq=False)
 class Store:
-    """Client of the store; `calls` counts the calls by kind."""
+    """Client of the store.
+
+    Attributes
+    ----------
+    caller : http1.Client
+    calls : dict of str to int
+        Number of calls by kind.
+    era : int
+        Latest era named by a response, 0 if none named one. It rises when the store
+        comes back from a copy and has lost its latest changes.
+    era_changed : signals.Signal
+        Notified when it rises.
+    """
 
     caller: http1.Client
     calls: dict = attrs.field(factory=dict)
+    era: int = 0
+    era_changed: signals.Signal = attrs.field(factory=signals.Signal)
 
 
 def connect(address):
@@ -81,23 +96,27 @@
     """Return the `Changes` with all items below `prefix`.
 
     The pages are not one snapshot: the revision is that of the first page, so that a
-    watch from it misses no change. With `allow_stale` the items may be outdated by
-    seconds; such a read costs the store a tenth.
+    watch from it misses no change. All pages are of one era. With `allow_stale` the
+    items may be outdated by seconds; such a read costs the store a tenth.
     """
-    items, after, revision = [], "", None
+    items, after, revision, era = [], "", None, None
     while True:
         query = {"prefix": prefix, **({"after": after} if after else {})}
         if allow_stale:
             query["stale_ok"] = 1
         target = "/v1/kv-range?" + urllib.parse.urlencode(query)
         resp = await _call(store, "range", "GET", target, timeout_s=READ_TIMEOUT_S)
+        if era is not None and _era(resp) != era:
+            items, after, revision, era = [], "", None, None
+            continue
+        era = _era(resp)
         record = _record(resp, "store.range")
         page = [_item(entry) for entry in record.records("items")]
         items += page
         if revision is None:
             revision = record.integer("store_revision")
         if not record.flag("has_more") or not page:
-            return Changes(revision, tuple(items))
+            return Changes(revision, tuple(items), resp.head_received_at, era)
         after = page[-1].key
 
 
@@ -128,7 +147,10 @@
     items = [_item(entry) for entry in record.records("events")]
     items.sort(key=lambda item: item.revision)
     return Changes(
-        record.integer("store_revision"), tuple(items), resp.head_received_at
+        record.integer("store_revision"),
+        tuple(items),
+        resp.head_received_at,
+        _era(resp),
     )
 
 
@@ -223,6 +245,7 @@
         raise error_type(exc.message, step=step, peer=peer) from exc
     except errors.HttpError as exc:
         raise errors.StoreUnavailableError(exc.message, step=step, peer=peer) from exc
+    _note_era(store, resp, step)
     if resp.status not in allowed:
         raise errors.StoreUnavailableError(
             f"status {resp.status}", step=step, peer=peer
@@ -230,6 +253,32 @@
     return resp
 
 
+def _era(resp):
+    text = http1.header(resp.headers, b"store-era")
+    if text is None:
+        return 0
+    if not (text.isascii() and text.isdigit()):
+        raise errors.StoreUnavailableError(
+            f"malformed era {text!r:.40}", step="store.era"
+        )
+    return int(text)
+
+
+def _note_era(store, resp, step):
+    era = _era(resp)
+    if era < store.era:
+        raise errors.StoreUnavailableError(
+            f"response of era {era} after one of era {store.era}",
+            step=step,
+            peer=store.caller.address,
+        )
+    if era > store.era:
+        if store.era:
+            eventlog.event("store.restored", era=era, before=store.era)
+        store.era = era
+        store.era_changed.notify()
+
+
 def _record(resp, step):
     try:
         return fields.parse(resp.body, step)
--- a/src/carobstand/wire/fleet.thrift
+++ b/src/carobstand/wire/fleet.thrift
@@ -117,6 +117,7 @@
 struct NewsRequest {
   1: i64 after
   2: i32 wait_ms
+  3: i64 era                  // era of the store in which the revision counts
 }
 
 struct NewsItem {
@@ -132,6 +133,7 @@
   3: i32 age_ms               // no change made before this time ago is missing
   4: i32 troubled_ms          // time since the store last failed to answer
   5: bool is_complete         // false: changes after the revision are not held
+  6: i64 era
 }
 
 union Message {
--- a/src/carobstand/wire/gen_fleet/ttypes.py
+++ b/src/carobstand/wire/gen_fleet/ttypes.py
@@ -1305,13 +1305,15 @@
     Attributes:
      - after
      - wait_ms
+     - era
 
     """
 
 
-    def __init__(self, after=None, wait_ms=None,):
+    def __init__(self, after=None, wait_ms=None, era=None,):
         self.after = after
         self.wait_ms = wait_ms
+        self.era = era
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1332,6 +1334,11 @@
                     self.wait_ms = iprot.readI32()
                 else:
                     iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I64:
+                    self.era = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1350,6 +1357,10 @@
             oprot.writeFieldBegin('wait_ms', TType.I32, 2)
             oprot.writeI32(self.wait_ms)
             oprot.writeFieldEnd()
+        if self.era is not None:
+            oprot.writeFieldBegin('era', TType.I64, 3)
+            oprot.writeI64(self.era)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1466,16 +1477,18 @@
      - age_ms
      - troubled_ms
      - is_complete
+     - era
 
     """
 
 
-    def __init__(self, revision=None, items=None, age_ms=None, troubled_ms=None, is_complete=None,):
+    def __init__(self, revision=None, items=None, age_ms=None, troubled_ms=None, is_complete=None, era=None,):
         self.revision = revision
         self.items = items
         self.age_ms = age_ms
         self.troubled_ms = troubled_ms
         self.is_complete = is_complete
+        self.era = era
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1517,6 +1530,11 @@
                     self.is_complete = iprot.readBool()
                 else:
                     iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.I64:
+                    self.era = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1550,6 +1568,10 @@
             oprot.writeFieldBegin('is_complete', TType.BOOL, 5)
             oprot.writeBool(self.is_complete)
             oprot.writeFieldEnd()
+        if self.era is not None:
+            oprot.writeFieldBegin('era', TType.I64, 6)
+            oprot.writeI64(self.era)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1885,6 +1907,7 @@
     None,  # 0
     (1, TType.I64, 'after', None, None, ),  # 1
     (2, TType.I32, 'wait_ms', None, None, ),  # 2
+    (3, TType.I64, 'era', None, None, ),  # 3
 )
 all_structs.append(NewsItem)
 NewsItem.thrift_spec = (
@@ -1902,6 +1925,7 @@
     (3, TType.I32, 'age_ms', None, None, ),  # 3
     (4, TType.I32, 'troubled_ms', None, None, ),  # 4
     (5, TType.BOOL, 'is_complete', None, None, ),  # 5
+    (6, TType.I64, 'era', None, None, ),  # 6
 )
 all_structs.append(Message)
 Message.thrift_spec = (
--- a/testing/test_news_relay.py
+++ b/testing/test_news_relay.py
@@ -10,6 +10,8 @@
 from carobstand.entry import fleet as entry_fleet
 from carobstand.platform import kv as kv_client
 from carobstand.standin.platform import kv
+from carobstand.wire.gen_fleet import ttypes
+from testing import platform_builders as build
 from testing import platform_fleet as fleets
 
 
@@ -191,3 +193,21 @@
             assert (await fleets.send_request(fleet, "/o/x", entry=vm)).status == 401
 
     run_with_region(check)
+
+
+def test_a_reader_in_another_era_of_the_store_has_no_complete_changes():
+    async def scenario():
+        dep = build.deployment_of("e1", "127.0.0.1")
+        fleet = entry_fleet.Fleet(dep, None)
+        fleet.revision, fleet.era = 12, 2
+        change_feed.reset(fleet.history, 3)
+        change_feed.add(fleet.history, item("op/config", 5), 0.0)
+        change_feed.add(fleet.history, item("servers/a", 12), 0.0)
+        for era, is_complete in ((1, False), (2, True), (3, False)):
+            request = ttypes.NewsRequest(9, 300, era)
+            assert not change_relay._is_current(fleet, request)
+            reply = change_relay._reply(fleet, request)
+            assert (reply.is_complete, reply.era) == (is_complete, 2)
+            assert bool(reply.items) == is_complete
+
+    anyio.run(scenario)
