Do not use servers again that a restored copy of the store still lists

What callers saw (tests): after a return, requests went to a server that had been removed (2 to 17 of them with one and five entries) and to one that was draining, as the copy showed it ready.

Cause: a full read replaces the registry by what is listed, as if the store never showed anything older than what was read before. The class of fault: taking what a copy shows for news.

The fix: a registration counts in a restored store only if it was written later than the last one known of the same start; its heartbeat count tells. That holds for servers that are gone too, whose last registration is kept.

Why it works: a server that runs goes on counting and writes again within two heartbeats; one that has left writes nothing. Before: test_what_an_old_copy_shows (2 cases) and test_a_leaving_server fail; after: they pass, as do the two guards that a server that registers again, or was registered after the copy was taken, is used.

--- a/src/carobstand/core/registry.py
+++ b/src/carobstand/core/registry.py
@@ -31,6 +31,8 @@
         Whether its registration lists models, as that of an engine does.
     started_ms : int
         Unix milliseconds of its start, 0 if not known.
+    heartbeats : int
+        Number of heartbeats since its start, as of the registration's last change.
     """
 
     server_id: str
@@ -42,6 +44,7 @@
     holding: Holding | None = None
     runs_model: bool = False
     started_ms: int = 0
+    heartbeats: int = 0
 
 
 @attrs.define(eq=False)
@@ -54,10 +57,17 @@
     lapsed : dict of str to float
         Servers whose registration lapsed around an outage of the store, with the time
         at which they are removed unless they registered again.
+    removed : dict of str to Registration
+        Last registrations of servers that are gone, the latest last.
     """
 
     servers: dict = attrs.field(factory=dict)
     lapsed: dict = attrs.field(factory=dict)
+    removed: dict = attrs.field(factory=dict)
+
+
+MAX_REMOVED = 4096
+"""Maximum number of removed servers kept; the oldest is dropped first."""
 
 
 LAPSE_MARGIN_S = 0.4
@@ -87,6 +97,7 @@
     """Add or update a registration."""
     registry.servers[registration.server_id] = registration
     registry.lapsed.pop(registration.server_id, None)
+    registry.removed.pop(registration.server_id, None)
 
 
 def remove(registry, server_id, now, grace_s):
@@ -104,19 +115,51 @@
     if grace_s > 0 and known.is_ready:
         registry.lapsed.setdefault(server_id, now + grace_s)
         return
-    del registry.servers[server_id]
-    registry.lapsed.pop(server_id, None)
+    _drop(registry, server_id)
 
 
 def expire(registry, now):
     """Remove lapsed servers whose grace period has ended; return their ids."""
     expired = [key for key, until in registry.lapsed.items() if until <= now]
     for server_id in expired:
-        del registry.lapsed[server_id]
-        registry.servers.pop(server_id, None)
+        _drop(registry, server_id)
     return expired
 
 
+def _drop(registry, server_id):
+    registry.lapsed.pop(server_id, None)
+    known = registry.servers.pop(server_id, None)
+    if known is not None:
+        registry.removed[server_id] = known
+        while len(registry.removed) > MAX_REMOVED:
+            del registry.removed[next(iter(registry.removed))]
+
+
+def without_outdated(registry, registrations):
+    """Return what is news of the registrations in a restored copy of the store.
+
+    A registration is outdated if a later one of the same start is known, or if its
+    server was removed since and has written nothing later. In the place of an outdated
+    one stands the later one, if its server is not gone.
+    """
+    found = []
+    for item in registrations:
+        known = registry.servers.get(item.server_id)
+        gone = registry.removed.get(item.server_id)
+        if known is not None and _is_older(item, known):
+            found.append(known)
+        elif gone is None or _is_older(gone, item):
+            found.append(item)
+    return found
+
+
+def _is_older(item, other):
+    """Whether `other` was written later than `item`."""
+    if item.started_ms != other.started_ms:
+        return item.started_ms < other.started_ms
+    return item.heartbeats < other.heartbeats
+
+
 def replace_all(registry, registrations, now, grace_s):
     """Replace the contents of the registry by those of a full read of the store."""
     listed = {item.server_id for item in registrations}
--- a/src/carobstand/entry/fleet.py
+++ b/src/carobstand/entry/fleet.py
@@ -100,6 +100,8 @@
         Store revision up to which changes are applied.
     era : int
         Era of the store in which it counts.
+    was_restored : bool
+        Whether the store came back from a copy, so that its items may be outdated.
     history : core.change_feed.ChangeFeed
     changes_since : float
         Lower bound of the time at which the changes now applied were made.
@@ -131,6 +133,7 @@
     slow_at: float = -1e9
     revision: int = 0
     era: int = 0
+    was_restored: bool = False
     history: change_feed.ChangeFeed = attrs.field(factory=change_feed.ChangeFeed)
     changes_since: float = -1e9
     started: float = attrs.field(factory=anyio.current_time)
@@ -183,6 +186,7 @@
     for item in found[0].items:
         apply_item(fleet, item)
     _replace_own_records(fleet, found[2].items)
+    fleet.was_restored |= bool(fleet.revision) and found[0].era != fleet.era
     _replace_servers(fleet, found[1].items)
     fleet.revision, fleet.era = found[0].revision, found[0].era
     fleet.confirmed_at = fleet.changes_since = sent_at
@@ -406,6 +410,8 @@
             listed.append(records.decode_registration(item.key, item.value))
         except errors.RecordError as exc:
             eventlog.event("record.unreadable", key=item.key, error=exc.message)
+    if fleet.was_restored:
+        listed = registry.without_outdated(fleet.servers, listed)
     now = anyio.current_time()
     registry.replace_all(fleet.servers, listed, now, _lapse_grace(fleet, now))
     for item in listed:
--- a/src/carobstand/platform/records.py
+++ b/src/carobstand/platform/records.py
@@ -186,6 +186,7 @@
         holding=decode_holding(record),
         runs_model="models" in record.data,
         started_ms=record.integer("born", 0),
+        heartbeats=record.integer("sequence", 0),
     )
 
 
