Register entries again when the store has lost their records and leases

What callers saw: nothing at first; other entries and agents lose the entry from their lists (budgets, permits, reports of engines) until its lease is found to be gone, or for good if the lease's number was given out again, as every renewal then succeeds.

Cause: a lease number was used across eras. The class of fault: an identifier kept without the history that gave it out. Expected revisions of writes have the same weakness; on the platform no write uses one.

The fix: an entry registers anew, under a new lease, as soon as a response of the store is of another era than its lease. One renewal may still reach another's lease, if it is the first call after the return; it does no more than keep that one for its usual time.

The test's stand-in now counts lease numbers past those of the others; before, it gave out one of them twice, which no store does.

--- a/src/carobstand/entry/registration.py
+++ b/src/carobstand/entry/registration.py
@@ -21,18 +21,21 @@
     dep = fleet.deployment
     me = weight_sources.entry_from_deployment(dep)
     key, value = entry_records.key(dep.vm), entry_records.encode(me)
-    lease = None
+    store, lease, era = fleet.store, None, None
     while True:
         try:
             if lease is None:
-                lease = await kv.grant_lease(
-                    fleet.store, max(LEASE_TTL_S, dep.min_lease_s)
-                )
-                await kv.put(fleet.store, key, value, lease=lease)
+                lease = await kv.grant_lease(store, max(LEASE_TTL_S, dep.min_lease_s))
+                era = store.era
+                await kv.put(store, key, value, lease=lease)
                 eventlog.event("entry.registered", lease=lease)
             else:
-                await kv.renew_lease(fleet.store, lease)
-            await anyio.sleep(RENEW_INTERVAL_S)
+                await kv.renew_lease(store, lease)
+            if era == store.era:
+                await store.era_changed.wait(RENEW_INTERVAL_S)
+            if era != store.era:
+                # The number of the lease may be another's now.
+                lease = None
         except errors.ConflictError:
             lease = None
         except errors.StoreError as exc:
--- a/testing/test_store_restored.py
+++ b/testing/test_store_restored.py
@@ -216,15 +216,13 @@
 
 def test_entries_register_again_after_their_records_are_lost():
     async def check(fleet):
-        empty = kv.take_copy(fleet.store)
+        items, log, revision, _, _ = kv.take_copy(fleet.store)
         for vm in fleet.entries:
-            empty[0].pop(entry_records.key(vm))
+            items.pop(entry_records.key(vm))
         # The ids of the lost leases now belong to others.
         other = {lease: (1000.0, anyio.current_time() + 1000.0) for lease in range(9)}
-        empty[3].clear()
-        empty[3].update(other)
         async with away(fleet):
-            kv.restore(fleet.store, empty)
+            kv.restore(fleet.store, (items, log, revision, other, 9))
         await anyio.sleep(IN_FORCE_S)
         for vm in fleet.entries:
             assert entry_records.key(vm) in fleet.store.items
