Follow the store from a full read in agents when its era has changed

In a test weights named after a return, before the revision that the agent held, never reached its engine.

Cause: the agents' watches for versions, entries and the configuration kept a revision without its era, like the entries'; and a configuration was replaced by any other one.

The fix: a watch of another era leads to a full list; the first watch after a failed call does not wait, as without changes its answer, and so its era, would come only after 12 s (found in the test's log); an older configuration does not replace a newer one.

Evidence: test_weights_named_before_the_held_revision fails before, passes after; test_platform_weights passes.

--- a/src/carobstand/agent/view.py
+++ b/src/carobstand/agent/view.py
@@ -7,7 +7,7 @@
 import attrs
 
 from carobstand import entry_records, errors, eventlog, http1, signals
-from carobstand.core import named_versions
+from carobstand.core import named_versions, routes
 from carobstand.platform import kv, records
 
 VERSIONS_WAIT_S = 12.0
@@ -153,16 +153,23 @@
     until : callable without arguments
         Whether to stop.
     """
-    revision, pause_s = None, RETRY_MIN_S
+    revision, era, pause_s = None, 0, RETRY_MIN_S
     while not until():
         try:
             if revision is None:
                 changes = await kv.list_prefix(view.store, prefix)
             else:
-                changes = await kv.watch(view.store, prefix, revision, wait_s)
+                # After a failure, the first response tells whether history was lost.
+                is_retry = pause_s > RETRY_MIN_S
+                changes = await kv.watch(
+                    view.store, prefix, revision, 0.0 if is_retry else wait_s
+                )
+                if changes.era != era:
+                    revision = None
+                    continue
             for item in changes.items:
                 _apply_readable(apply, item)
-            revision = changes.revision
+            revision, era = changes.revision, changes.era
             view.versions_read |= prefix == records.VERSION_PREFIX
             pause_s = RETRY_MIN_S
             if changes.items:
@@ -184,8 +191,11 @@
 
 
 def _apply_configuration(view, item):
-    if item.key == records.CONFIGURATION_KEY and item.value is not None:
-        view.configuration = records.decode_configuration(item.value)
+    if item.key != records.CONFIGURATION_KEY or item.value is None:
+        return
+    candidate = records.decode_configuration(item.value)
+    if routes.is_newer(view.configuration, candidate):
+        view.configuration = candidate
 
 
 def _apply_version(view, item):
