Ask other entries for what a restored store may have lost

What callers saw (test): an entry that started after the return, before the operator had written again, served the older configuration of the copy: 404 for an added route, and a key accepted that had been taken away.

Cause: a process knew nothing but the copy, though its neighbours held the newer configuration.

The fix: at its first read, and at the first one of a new era, an entry asks up to three others, its own region first, for named versions and for a configuration newer than the one that it has or read; it applies both at once. They are asked at the same time, for 0.4 s at most; without a reply the copy counts, as nobody else knows better.

Why it works: configurations and named versions only rise, and a neighbour took them from the store. The removed servers of before are not asked for: their addresses refuse, and an engine that leaves says so.

The tests of store following had entries that nobody runs; they answer the question now with nothing, at once, instead of connecting to foreign addresses.

--- a/src/carobstand/entry/change_relay.py
+++ b/src/carobstand/entry/change_relay.py
@@ -4,7 +4,7 @@
 
 from carobstand import errors
 from carobstand.core import change_feed
-from carobstand.platform import kv
+from carobstand.platform import kv, records
 from carobstand.transfer import piece_stream
 from carobstand.wire.gen_fleet import ttypes
 
@@ -34,6 +34,8 @@
     while True:
         if not isinstance(request, ttypes.NewsRequest):
             raise errors.WireError("expected a request for changes", step="news.serve")
+        if request.configuration is not None:
+            return await piece_stream.send(frames, _own_reply(fleet, request))
         until = anyio.current_time() + min(
             MAX_WAIT_S, max(0, request.wait_ms or 0) / 1000
         )
@@ -71,6 +73,25 @@
     )
 
 
+def _own_reply(fleet, request):
+    """Return what this entry holds of the operators' items, newest of all eras."""
+    now = anyio.current_time()
+    items = [
+        ttypes.NewsItem(item.key, item.value, item.revision, 0)
+        for item in fleet.operator_items.values()
+        if item.key != records.CONFIGURATION_KEY
+        or fleet.configuration.version > request.configuration
+    ]
+    return ttypes.NewsReply(
+        revision=fleet.revision,
+        items=items,
+        age_ms=_ms(now - (fleet.confirmed_at or now - UNKNOWN_AGE_S)),
+        troubled_ms=_ms(now - fleet.store_failed_at),
+        is_complete=True,
+        era=fleet.era,
+    )
+
+
 def _encode(change, now):
     item = change.item
     return ttypes.NewsItem(item.key, item.value, item.revision, _ms(now - change.since))
@@ -144,6 +165,35 @@
     return changes, reply.revision, confirmed_at, sent_at - reply.troubled_ms / 1000
 
 
+async def ask_for_newer(entry, version):
+    """Ask another entry for named versions and a newer configuration.
+
+    Parameters
+    ----------
+    entry : core.weight_sources.Entry
+    version : int
+        Version of the configuration that is known.
+
+    Returns
+    -------
+    items : list of platform.kv.Item
+
+    Raises
+    ------
+    ConnectionClosedError, WireError
+    """
+    frames = await piece_stream.connect(entry.address)
+    try:
+        request = ttypes.NewsRequest(after=0, wait_ms=0, era=0, configuration=version)
+        await piece_stream.send(frames, request)
+        reply = await piece_stream.receive(frames, RESPONSE_MARGIN_S)
+    finally:
+        await anyio.aclose_forcefully(frames.stream)
+    if not isinstance(reply, ttypes.NewsReply):
+        raise errors.WireError("expected items", step="news.ask", peer=entry.address)
+    return [kv.Item(item.key, item.value, 0) for item in reply.items or ()]
+
+
 def _decode(item, sent_at):
     found = kv.Item(item.key, item.value, item.revision)
     return change_feed.Change(found, sent_at - (item.age_ms or 0) / 1000)
--- a/src/carobstand/entry/fleet.py
+++ b/src/carobstand/entry/fleet.py
@@ -1,6 +1,7 @@
 """State of the deployment as read from the store, and the loop that follows it."""
 
 import math
+import random
 
 import anyio
 import attrs
@@ -31,6 +32,12 @@
 API keys are no longer accepted, or at which others do not accept a reader's changes.
 The rest is left for one more store call."""
 
+ASKED_ENTRIES = 3
+"""Entries that are asked for what a restored store may have lost."""
+
+ASK_TIMEOUT_S = 0.4
+"""Timeout of such a question; the store's own items are used without a reply."""
+
 BATCH_SHARE = 0.12
 """Pause after each watch with changes, as a share of the time within which a change
 must take effect. Registrations come in series, and each watch that returns changes is
@@ -88,6 +95,8 @@
     roster : core.entry_roster.Roster
         Entries that run.
     prompt_parts : core.poison_parts.PoisonParts
+    operator_items : dict of str to platform.kv.Item
+        Newest configuration and named versions as read, by key.
     part_records : set of bytes
         Parts of prompts whose conviction is recorded in the store.
     confirmed_at : float or None
@@ -127,6 +136,7 @@
     prompt_parts: poison_parts.PoisonParts = attrs.field(
         factory=poison_parts.PoisonParts
     )
+    operator_items: dict = attrs.field(factory=dict)
     part_records: set = attrs.field(factory=set)
     confirmed_at: float | None = None
     store_failed_at: float = -1e9
@@ -183,10 +193,14 @@
         raise errors.HistoryLostError(
             "the store was restored during a read", step="store.read"
         )
-    for item in found[0].items:
+    is_restored = bool(fleet.revision) and found[0].era != fleet.era
+    fleet.was_restored |= is_restored
+    lost = []
+    if is_restored or not fleet.revision:
+        lost = await _ask_others(fleet, found)
+    for item in [*found[0].items, *lost]:
         apply_item(fleet, item)
     _replace_own_records(fleet, found[2].items)
-    fleet.was_restored |= bool(fleet.revision) and found[0].era != fleet.era
     _replace_servers(fleet, found[1].items)
     fleet.revision, fleet.era = found[0].revision, found[0].era
     fleet.confirmed_at = fleet.changes_since = sent_at
@@ -203,6 +217,52 @@
     )
 
 
+async def _ask_others(fleet, found):
+    """Return items of other entries that the store may have lost.
+
+    A store that has come back from a copy shows older items until they are written
+    again, and a process that starts meanwhile knows nothing else.
+
+    Parameters
+    ----------
+    fleet : Fleet
+    found : list of platform.kv.Changes
+        The operators' items, registrations of servers, and items of entries as read.
+    """
+    own = fleet.deployment
+    others = _decode_entries(found[2].items)
+    others.pop(own.vm, None)
+    near = sorted(
+        others.values(), key=lambda item: (item.region != own.region, random.random())
+    )
+    version = _newest_configuration_version(fleet, found[0].items)
+    items = []
+
+    async def ask(entry):
+        try:
+            with anyio.fail_after(ASK_TIMEOUT_S):
+                items.extend(await change_relay.ask_for_newer(entry, version))
+        except (errors.CarobstandError, TimeoutError) as exc:
+            eventlog.event("entry.not_asked", entry=entry.vm, error=str(exc))
+
+    async with anyio.create_task_group() as tg:
+        for entry in near[:ASKED_ENTRIES]:
+            tg.start_soon(ask, entry)
+    return [item for item in items if item.key.startswith(records.OPERATOR_PREFIX)]
+
+
+def _newest_configuration_version(fleet, items):
+    """Return the version of the newest configuration held or read, 0 if none."""
+    versions = [fleet.configuration.version if fleet.configuration else 0]
+    for item in items:
+        if item.key == records.CONFIGURATION_KEY:
+            try:
+                versions.append(records.decode_configuration(item.value).version)
+            except errors.RecordError as exc:
+                eventlog.event("record.unreadable", key=item.key, error=exc.message)
+    return max(versions)
+
+
 async def _follow(fleet):
     """Watch the store once and apply the changes that it returns."""
     sent_at = anyio.current_time()
@@ -336,6 +396,7 @@
     candidate = records.decode_configuration(item.value)
     if routes.is_newer(fleet.configuration, candidate):
         fleet.configuration = candidate
+        fleet.operator_items[item.key] = item
         eventlog.event(
             "configuration.applied", version=candidate.version, revision=item.revision
         )
@@ -349,6 +410,7 @@
     # A process that has just started cannot know when the version was named.
     seen_at = _seen_at(fleet) if fleet.revision else _seen_at_before_start(fleet)
     if named_versions.add(known, named.version, seen_at):
+        fleet.operator_items[item.key] = item
         eventlog.event("version.named", model=named.model, version=named.version)
 
 
@@ -450,21 +512,23 @@
     for item in items:
         if item.key.startswith(part_records.PREFIX):
             apply_item(fleet, item)
-    _replace_entries(
-        fleet, [item for item in items if item.key.startswith(entry_records.PREFIX)]
-    )
+    now = anyio.current_time()
+    listed = _decode_entries(items)
+    entry_roster.replace_all(fleet.roster, listed, now, _may_have_lapsed(fleet, now))
 
 
-def _replace_entries(fleet, items):
+def _decode_entries(items):
+    """Return the readable records of entries among some items, by VM."""
     listed = {}
     for item in items:
+        if not item.key.startswith(entry_records.PREFIX):
+            continue
         vm = item.key.removeprefix(entry_records.PREFIX)
         try:
             listed[vm] = entry_records.decode(vm, item.value)
         except errors.RecordError as exc:
             eventlog.event("record.unreadable", key=item.key, error=exc.message)
-    now = anyio.current_time()
-    entry_roster.replace_all(fleet.roster, listed, now, _may_have_lapsed(fleet, now))
+    return listed
 
 
 def _may_have_lapsed(fleet, now):
--- a/src/carobstand/wire/fleet.thrift
+++ b/src/carobstand/wire/fleet.thrift
@@ -118,6 +118,8 @@
   1: i64 after
   2: i32 wait_ms
   3: i64 era                  // era of the store in which the revision counts
+  4: optional i32 configuration  // asks instead for named versions and for a newer
+                                 // configuration than this version
 }
 
 struct NewsItem {
--- a/src/carobstand/wire/gen_fleet/ttypes.py
+++ b/src/carobstand/wire/gen_fleet/ttypes.py
@@ -1306,14 +1306,16 @@
      - after
      - wait_ms
      - era
+     - configuration
 
     """
 
 
-    def __init__(self, after=None, wait_ms=None, era=None,):
+    def __init__(self, after=None, wait_ms=None, era=None, configuration=None,):
         self.after = after
         self.wait_ms = wait_ms
         self.era = era
+        self.configuration = configuration
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1339,6 +1341,11 @@
                     self.era = iprot.readI64()
                 else:
                     iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I32:
+                    self.configuration = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1361,6 +1368,10 @@
             oprot.writeFieldBegin('era', TType.I64, 3)
             oprot.writeI64(self.era)
             oprot.writeFieldEnd()
+        if self.configuration is not None:
+            oprot.writeFieldBegin('configuration', TType.I32, 4)
+            oprot.writeI32(self.configuration)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1908,6 +1919,7 @@
     (1, TType.I64, 'after', None, None, ),  # 1
     (2, TType.I32, 'wait_ms', None, None, ),  # 2
     (3, TType.I64, 'era', None, None, ),  # 3
+    (4, TType.I32, 'configuration', None, None, ),  # 4
 )
 all_structs.append(NewsItem)
 NewsItem.thrift_spec = (
--- a/testing/test_store_following.py
+++ b/testing/test_store_following.py
@@ -64,7 +64,11 @@
             )
         return kv.Changes(0, found, anyio.current_time())
 
+    async def ask_for_newer(entry, version):
+        return []
+
     async def run():
+        monkeypatch.setattr(fleets.change_relay, "ask_for_newer", ask_for_newer)
         monkeypatch.setattr(kv, "watch", watch)
         monkeypatch.setattr(kv, "list_prefix", list_prefix)
         dep = build.deployment_of(reader_of(records), "10.0.0.1")
