--- a/src/carobstand/standin/platform/engine.py
+++ b/src/carobstand/standin/platform/engine.py
@@ -108,7 +108,11 @@
         length), ``unframed reset`` (also a TCP reset), ``short`` (body shorter than
         the content length), ``trickle`` (comments instead of further events),
         ``unsigned`` (no ``Server-Signature``), ``error`` (status 500), ``silent`` (no
-        response), ``shed`` (status 503), or one of `UNBOUNDED_RESPONSES` (bytes that
+        response), ``shed`` (status 503), ``shed twice`` (the rejection is repeated when
+        the connection is used again), ``half a head`` (the connection closes within
+        the head), ``open stream`` (a stream that ends with its connection), ``open
+        cut`` (the same, within an event), ``open head`` (the same, after the head),
+        or one of `UNBOUNDED_RESPONSES` (bytes that
         never complete a response, sent until the client closes the connection).
     faults_left : int
         Number of requests that `fault` still applies to.
@@ -314,6 +318,11 @@
         await anyio.sleep_forever()
     if fault in UNBOUNDED_RESPONSES:
         return await _send_unbounded(reply, common_headers, fault)
+    if fault == "shed twice":
+        headers = [*common_headers, (b"Not-Executed", b"1"), (b"Content-Length", b"0")]
+        engine.copies[reply.conn] = _raw_response(headers, b"", b"503 Unavailable")
+        common_headers.append((b"Not-Executed", b"1"))
+        return await answers.send_json(reply, {}, 503, common_headers)
     if fault == "shed":
         common_headers.append((b"Not-Executed", b"1"))
         if engine.retry_delay_s:
@@ -413,6 +422,10 @@
         await anyio.sleep_forever()
     signed = [] if fault == "unsigned" else [(b"Server-Signature", b"s.1")]
     all_headers = [*common_headers, *signed]
+    if fault == "half a head":
+        raw = _raw_response(all_headers, b"")
+        run.ended = "cut"
+        return await reply.conn.stream.send(raw[: raw.index(b"Signature")])
     if fault == "foreign":
         all_headers = [(b"Request-Id", b"another"), *signed]
     if engine.model:
@@ -449,9 +462,9 @@
         await reply.conn.stream.send(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
 
 
-def _raw_response(headers, body):
+def _raw_response(headers, body, status=b"200 OK"):
     head = b"".join(b"%s: %s\r\n" % pair for pair in headers)
-    return b"HTTP/1.1 200 OK\r\n" + head + b"\r\n" + body
+    return b"HTTP/1.1 " + status + b"\r\n" + head + b"\r\n" + body
 
 
 async def _send_raw_response(reply, headers, body):
@@ -464,6 +477,13 @@
     first = int(request_headers.get(b"last-event-id", "0")) + 1
     count = int(request_headers.get(b"x-events", DEFAULT_EVENTS))
     headers = [*headers, (b"Content-Type", b"text/event-stream")]
+    if fault.startswith("open "):
+        return await _send_open_stream(
+            run, reply, headers, fault, range(first, count + 1)
+        )
+    if fault == "error":
+        run.ended = "500"
+        return await answers.send_json(reply, {"error": "no"}, 500, headers[:-1])
     for number in range(first, count + 1):
         await anyio.sleep(engine.step_s)
         if started_ms != engine.started_ms:
@@ -482,3 +502,17 @@
             return
     run.ended = "200"
     await http1_server.finish_response(reply)
+
+
+async def _send_open_stream(run, reply, headers, fault, numbers):
+    """Send a stream without framing, which ends with its connection."""
+    run.ended = "200" if fault == "open stream" else "cut"
+    events = b"".join(
+        b"id: %d\ndata: %s/%d\n\n" % (number, run.request_id.encode(), number)
+        for number in numbers
+    )
+    if fault == "open head":
+        events = b""
+    elif fault == "open cut":
+        events = events[: events.index(b"\n\n") + 10]
+    await _send_raw_response(reply, headers, events)
