Do not deliver a stream without framing that ended before its first event

What callers saw (test): an empty stream, framed as whole, of an engine that had sent the head of an answer without length or chunks and ended.

Cause: such a body ends with its connection, so an end is no sign of completeness; only an end within an event was taken for a break. The class of fault: an end that looks the same whether the answer is whole or not.

The fix: without framing, an end before any event is a break too: the request goes on at another server or is cut. It also is the end that a crash by a prompt part leaves there, so the crash counts. What remains: an end between two events of such a stream can't be told from its end; plain answers without framing neither (a reset can).

Evidence: test_a_stream_without_framing[open head] fails before, passes after.

--- a/src/carobstand/core/exchange.py
+++ b/src/carobstand/core/exchange.py
@@ -105,6 +105,8 @@
         Headers that are forwarded to the caller, without those of the framing.
     length : int or None
         Announced length of the body in bytes.
+    is_framed : bool
+        Whether the body ends by its length or chunks, not with its connection.
     is_leaving : bool
         Whether the server is shutting down and accepts no new requests.
     backoff_s : float or None
@@ -124,6 +126,7 @@
     load: Load | None = None
     headers: tuple = ()
     length: int | None = None
+    is_framed: bool = True
     is_leaving: bool = False
     backoff_s: float | None = None
     limit: float | None = None
--- a/src/carobstand/entry/forwarding.py
+++ b/src/carobstand/entry/forwarding.py
@@ -566,6 +566,7 @@
         )
     events = call.events
     event_stream.resume(events)
+    delivered = events.events
     while data is not None:
         before = events.events
         complete = event_stream.feed(events, data)
@@ -584,10 +585,10 @@
         if complete and _should_move(fwd, call, chosen):
             return Outcome.MOVED
         data = await _receive_more(fwd, call, conn, events.events > before)
-    if events.pending:
-        raise errors.HttpError(
-            "stream ended within an event", step="forward.receive", peer=conn.peer
-        )
+    is_empty = events.events == delivered
+    if events.pending or (is_empty and not head.is_framed):
+        reason = "stream ended " + ("before" if is_empty else "within") + " an event"
+        raise errors.HttpError(reason, step="forward.receive", peer=conn.peer)
     if not call.reply.started:
         await http1_server.start_response(call.reply, 200, head.headers)
     await http1_server.finish_response(call.reply)
--- a/src/carobstand/platform/http_headers.py
+++ b/src/carobstand/platform/http_headers.py
@@ -174,6 +174,7 @@
             if raw.lower() not in dropped
         ),
         length=_parse_integer(values.get(b"content-length")),
+        is_framed=b"content-length" in values or b"transfer-encoding" in values,
         is_leaving=values.get(b"server-leaving", "").strip() == "1",
         backoff_s=_parse_backoff(values.get(b"retry-after")) if status == 503 else None,
         limit=limit,
