Remove the record of each part that is no longer convicted

The first entry in the part's order now removes any record without a conviction, not only those of answered parts. Found by reading; the tests of prompt parts pass.

--- a/src/carobstand/entry/poison_parts.py
+++ b/src/carobstand/entry/poison_parts.py
@@ -6,6 +6,7 @@
 """
 
 import contextlib
+import itertools
 import math
 import random
 
@@ -366,7 +367,7 @@
 
 async def _query_others(fwd):
     """Ask one other entry after the other for evidence that this one lacks."""
-    for number in range(10**9):
+    for number in itertools.count():
         is_starting = number < START_QUERIES
         await anyio.sleep(START_QUERY_INTERVAL_S if is_starting else QUERY_INTERVAL_S)
         now = anyio.current_time()
@@ -483,17 +484,13 @@
         for part in state.convicted.keys() & fwd.part_tracker.unanswered.keys():
             _withdraw_unanswered(fwd, part)
         missing = [part for part in state.convicted if part not in records]
-        wrong = [
-            part
-            for part in records
-            if part not in state.convicted and part in state.sound_at
-        ]
+        outdated = [part for part in records if part not in state.convicted]
         try:
             for part in missing:
                 if _ranks_first(fwd, part):
                     await kv.put(fwd.fleet.store, part_records.key(part), b"{}")
                     records.add(part)
-            for part in wrong:
+            for part in outdated:
                 if _ranks_first(fwd, part):
                     await kv.delete(fwd.fleet.store, part_records.key(part))
                     records.discard(part)
