Take records of convictions in a restored store for news only without an answer since

Before, an entry ignored the record of any part that it had ever seen answered, also a new one of another entry whose datagrams it had missed. Now it does so only once the store has come back from a copy, which may show a conviction that an answer has ended since (test_a_conviction_that_an_answer_ended_does_not_return_with_the_copy, a guard: the store shows the record again, the entry serves the part and removes the record).

--- a/src/carobstand/entry/fleet.py
+++ b/src/carobstand/entry/fleet.py
@@ -500,9 +500,10 @@
         fleet.part_records.discard(part)
         return
     fleet.part_records.add(part)
-    if part not in fleet.prompt_parts.sound_at and poison_parts.add_conviction(
-        fleet.prompt_parts, part, anyio.current_time()
-    ):
+    # A restored store may show a conviction that an answer has ended since.
+    if fleet.was_restored and part in fleet.prompt_parts.sound_at:
+        return
+    if poison_parts.add_conviction(fleet.prompt_parts, part, anyio.current_time()):
         eventlog.event("part.convicted", part=part.hex(), crashes=None, source="store")
 
 
--- a/testing/test_store_restored.py
+++ b/testing/test_store_restored.py
@@ -5,9 +5,13 @@
 import anyio
 import pytest
 
-from carobstand import entry_records
+from carobstand import entry_records, part_records
+from carobstand.core import poison_parts
+from carobstand.entry import forwarding
 from carobstand.platform import kv as kv_client
 from carobstand.standin.platform import engine, kv
+from carobstand.wire import fleet_codec
+from carobstand.wire.gen_fleet import ttypes
 from testing import platform_builders as build
 from testing import platform_fleet
 
@@ -282,3 +286,33 @@
         kv.restore(store, saved)
 
     run_running(check, 1)
+
+
+def test_a_conviction_that_an_answer_ended_does_not_return_with_the_copy():
+    async def check(fleet):
+        await platform_fleet.add_engine(fleet, "i-1")
+        part = poison_parts.digest("c1")
+        key = part_records.key(part)
+        kv.write(fleet.store, key, b"{}")
+        saved = kv.take_copy(fleet.store)
+        kv.remove(fleet.store, key)
+        await anyio.sleep(1.0)
+        headers = [("Prompt-Prefix", "c1:40,d1:8")]
+        first = await platform_fleet.send_request(fleet, "/s/x", headers=headers)
+        assert first.status == forwarding.POISON_STATUS
+        report = ttypes.PartReport(
+            [ttypes.PartEvidence(part, [], sound_ms=0)], "127.0.0.1:1"
+        )
+        dep = fleet.entries["entry-1"].deployment
+        async with await anyio.create_udp_socket(local_host="127.0.0.1") as udp:
+            raw = fleet_codec.encode(report)
+            await udp.sendto(raw, dep.ip, dep.internal_ports[0])
+        await anyio.sleep(0.2)
+        async with away(fleet):
+            kv.restore(fleet.store, saved)
+        await anyio.sleep(IN_FORCE_S)
+        answer = await platform_fleet.send_request(fleet, "/s/x", headers=headers)
+        assert answer.status == 200
+        assert key not in fleet.store.items
+
+    run_running(check, 1)
