Try deadly prompt parts by seed beside restarts and other crashes

2 to 6 entries, shares of 3 to 30 in 100, rare parts, entries that restart and engines that end for other causes, in series that overlap; sound requests are never rejected for a part, and few deadly ones reach engines later than contact_ms after the fifth crash by entries that have run for so long. A stand-in engine that ends while it is down already no longer starts twice.

--- a/src/carobstand/standin/platform/engine.py
+++ b/src/carobstand/standin/platform/engine.py
@@ -121,6 +121,8 @@
     poison_part : str
         Requests with this part before the last one of their prompt crash the engine
         between the head and the first event of its response; empty for none.
+    poisoned_at : list of float
+        Times at which such a part crashed it.
     crash_times : list of float
     on_crash : callable or None
         Called without arguments at each crash.
@@ -163,6 +165,7 @@
     faults_left: int = 0
     poison_body: bytes = b"deadly"
     poison_part: str = ""
+    poisoned_at: list = attrs.field(factory=list)
     crash_times: list = attrs.field(factory=list)
     on_crash: object = None
     running: int = 0
@@ -418,6 +421,7 @@
     if engine.poison_part in prompt_parts(headers)[:-1]:
         await http1_server.start_response(reply, 200, common_headers)
         run.ended = "crash"
+        engine.poisoned_at.append(anyio.current_time())
         crash(engine)
         await anyio.sleep_forever()
     signed = [] if fault == "unsigned" else [(b"Server-Signature", b"s.1")]
--- a/testing/part_traffic.py
+++ b/testing/part_traffic.py
@@ -49,6 +49,8 @@
     rare_parts : int
         Number of further parts, of which each prompt has one; 0 for none.
     sent : list of Sent
+    restarted : list of (str, float)
+        Entries that were restarted, and when they were back.
     rng : random.Random
     """
 
@@ -57,6 +59,7 @@
     gap_s: float = 0.03
     rare_parts: int = 0
     sent: list = attrs.field(factory=list)
+    restarted: list = attrs.field(factory=list)
     rng: random.Random = attrs.field(factory=lambda: random.Random(1))
 
 
@@ -103,6 +106,11 @@
     return sorted(at for item in fleet.engines.values() for at in item.crash_times)
 
 
+def deadly_crashes(fleet):
+    """Return the times at which requests with the deadly part ended servers."""
+    return sorted(at for item in fleet.engines.values() for at in item.poisoned_at)
+
+
 def deadly_arrivals(fleet, after):
     """Return the requests with the deadly part that reached servers after a time."""
     return [
--- a/testing/platform_fleet.py
+++ b/testing/platform_fleet.py
@@ -211,9 +211,15 @@
 
     It serves its weights again as soon as it is back.
     """
-    version = backend_server.version
+    version, is_down = backend_server.version, anyio.Lock()
 
     async def restart():
+        if is_down.locked():
+            return
+        async with is_down:
+            await restart_once()
+
+    async def restart_once():
         await stop(fleet, backend_server.server_id)
         kv.remove(fleet.store, f"servers/{backend_server.server_id}")
         await anyio.sleep(down_s)
--- a/testing/test_poison_parts.py
+++ b/testing/test_poison_parts.py
@@ -1,6 +1,8 @@
 """Guards against prompt parts that crash the backend servers that answer on them."""
 
 import contextlib
+import os
+import random
 import signal
 
 import anyio
@@ -14,6 +16,9 @@
 from testing import entry_processes, part_traffic, platform_fleet
 
 REJECTED = forwarding.POISON_STATUS
+SEEDS = int(os.environ.get("CAROBSTAND_SEEDS", "2"))
+"""Number of seeds of the longer scenario; more are run by hand."""
+
 CONTACT_S = 3.0
 FREE_CRASHES = 5
 MAX_LATER_REQUESTS = 3
@@ -262,3 +267,51 @@
         assert result.status == 200
 
     run_convicted(check)
+
+
+async def disturb(fleet, traffic, rng):
+    """Restart entries and end engines at random, in series that overlap."""
+    while True:
+        await anyio.sleep(rng.uniform(0.2, 1.5))
+        if rng.random() < 0.4:
+            engine.crash(rng.choice(list(fleet.engines.values())))
+            continue
+        vm = rng.choice(list(fleet.entries))
+        traffic.entries = [item for item in traffic.entries if item != vm]
+        await platform_fleet.stop(fleet, vm)
+        await anyio.sleep(rng.uniform(0.0, 0.5))
+        await platform_fleet.add_entry(fleet, vm)
+        traffic.restarted.append((vm, anyio.current_time()))
+        traffic.entries = [*traffic.entries, vm]
+
+
+@pytest.mark.parametrize("seed", range(SEEDS))
+def test_few_deadly_requests_reach_servers_whatever_else_ends(seed):
+    rng = random.Random(seed)
+
+    async def scenario():
+        async with fleet_with_deadly_part(rng.randint(2, 6)) as fleet:
+            traffic = part_traffic.Traffic(list(fleet.entries), rng=rng)
+            traffic.deadly_share = rng.choice((0.03, 0.1, 0.3))
+            traffic.rare_parts = rng.choice((0, 40))
+            async with anyio.create_task_group() as tg:
+                tg.start_soon(disturb, fleet, traffic, rng)
+                await part_traffic.send(fleet, traffic, 9.0)
+                tg.cancel_scope.cancel()
+            crashes = part_traffic.deadly_crashes(fleet)
+            if len(crashes) >= FREE_CRASHES:
+                after = crashes[FREE_CRASHES - 1] + CONTACT_S
+                later = part_traffic.deadly_arrivals(fleet, after)
+                in_touch = [
+                    item
+                    for item in later
+                    if not any(
+                        vm == item.sender and 0 <= item.at - at < CONTACT_S
+                        for vm, at in traffic.restarted
+                    )
+                ]
+                assert len(in_touch) <= MAX_LATER_REQUESTS
+            rejected = [item for item in traffic.sent if item.status == REJECTED]
+            assert all(item.is_deadly for item in rejected)
+
+    platform_fleet.run(scenario, timeout_s=60.0)
