Check identifiers in evidence from other entries

A datagram with a missing or short identifier of a crash or request was stored and could convict a part; a missing one among others would have ended the loop that compares evidence, as it can't be sorted. Found by reading; the test of malformed evidence fails before with a conviction, passes after. A comment on the size of datagrams said more than holds: with evidence at its bounds one is fragmented.

--- a/src/carobstand/entry/poison_parts.py
+++ b/src/carobstand/entry/poison_parts.py
@@ -42,7 +42,7 @@
 """Interval at which the records in the store are compared with the convictions."""
 
 PARTS_PER_DATAGRAM = 6
-"""Evidence of so many parts fits into a datagram that is not fragmented."""
+"""Evidence of so many parts mostly fits into a datagram that is not fragmented."""
 
 MAX_REPORTED = 60
 """Parts in one reply; those that crash servers come first."""
@@ -427,10 +427,20 @@
         _reply(fwd, address, unknown_there)
 
 
+def _check(item):
+    """Raise ValueError if evidence on a part has malformed identifiers."""
+    size = poison_parts.ID_BYTES
+    crashes = [sighting.crash for sighting in item.sightings or ()]
+    requests = [name for found in item.sightings or () for name in found.requests or ()]
+    if len(item.part or b"") != size or any(len(name) != size for name in requests):
+        raise ValueError("malformed part or request")
+    if any(len(crash or b"") != 2 * size for crash in crashes):
+        raise ValueError("malformed crash")
+
+
 def _merge(fwd, item, peer):
     """Merge evidence on one part; return whether the other entry lacks an answer."""
-    if len(item.part or b"") != poison_parts.ID_BYTES:
-        raise ValueError("malformed part")
+    _check(item)
     state, now = fwd.fleet.prompt_parts, anyio.current_time()
     answered_at = -math.inf
     if item.sound_ms is not None:
--- a/testing/test_poison_parts.py
+++ b/testing/test_poison_parts.py
@@ -256,6 +256,11 @@
                 [ttypes.PartEvidence(b"x" * 8, [ttypes.PartSighting()])], "127.0.0.1:1"
             ),
         ]
+        for crash, requests in ((None, []), (b"short", []), (b"c" * 16, [b"r"])):
+            evidence = ttypes.PartEvidence(
+                b"y" * 8, [ttypes.PartSighting(crash, requests, 0)], convicted_ms=0
+            )
+            messages.append(ttypes.PartReport([evidence], "127.0.0.1:1"))
         async with await anyio.create_udp_socket(local_host="127.0.0.1") as udp:
             for message in messages:
                 raw = fleet_codec.encode(message)
@@ -265,6 +270,7 @@
         parts = (part_traffic.SHARED[0], "e1")
         result = await part_traffic.send_one(fleet, traffic, "entry-1", parts)
         assert result.status == 200
+        assert not any((b"y" * 8).hex() in key for key in fleet.store.items)
 
     run_convicted(check)
 
