--- a/testing/test_poison_parts.py
+++ b/testing/test_poison_parts.py
@@ -270,6 +270,7 @@
         parts = (part_traffic.SHARED[0], "e1")
         result = await part_traffic.send_one(fleet, traffic, "entry-1", parts)
         assert result.status == 200
+        await anyio.sleep(1.5 * poison_parts.SYNC_INTERVAL_S)
         assert not any((b"y" * 8).hex() in key for key in fleet.store.items)
 
     run_convicted(check)
