Name the reasons for which a server is no candidate

Rejections under load did not say why a server took no request: placement passed over servers by conditions of its own, and the log line of a rejection named the best server only. The conditions are now one list, core/eligibility, which placement uses and request.turned_away counts. Requests that no server of their service can take for reasons that last (draining, leaving, tried, regions, evacuation) are rejected at once instead of after 50 ms.

--- a/src/carobstand/core/announcements.py
+++ b/src/carobstand/core/announcements.py
@@ -146,6 +146,12 @@
     return attrs.evolve(found, started_ms=started_ms) != kept
 
 
+def is_leaving(state, server_id):
+    """Whether a server announced that it accepts no new requests until it restarts."""
+    found = state.by_server.get(server_id)
+    return found is not None and found.is_leaving
+
+
 def accepts_requests(state, server_id, now):
     """Whether the announcements of a server allow requests from this entry."""
     found = state.by_server.get(server_id)
--- a/src/carobstand/core/placement.py
+++ b/src/carobstand/core/placement.py
@@ -3,9 +3,8 @@
 import attrs
 
 from carobstand.core import (
-    announcements,
     calibration,
-    engine_load,
+    eligibility,
     health,
     latency_model,
     outstanding,
@@ -30,95 +29,20 @@
 """Assumed duration of a request at a server without a latency model."""
 
 
-@attrs.frozen
-class Candidate:
-    """A backend server that may run a request.
-
-    Attributes
-    ----------
-    server : core.registry.Registration
-    holding : core.registry.Holding or None
-        Weights that the server holds, by its latest report.
-    load : core.engine_load.EngineLoad or None
-        Latest report, or None if there is no fresh one.
-    """
-
-    server: object
-    holding: object
-    load: object
-
-
 @attrs.frozen
 class Choice:
     """A candidate with its predicted times and its cost.
 
-    `first_event_s` is the predicted time to the first byte at the server; the choice
-    with the lowest `cost_s` is preferred.
+    `first_event_s` is the predicted time to the first byte at the server, which the
+    actual one may exceed by `margin_s`. The choice with the lowest `cost_s` is best.
     """
 
-    candidate: Candidate
+    candidate: eligibility.Candidate
     first_event_s: float
     wait_s: float
     occupancy: float
     cost_s: float
-
-
-def candidates(
-    servers,
-    loads,
-    healths,
-    announced,
-    service,
-    excluded,
-    now,
-    withholds=lambda _: False,
-):
-    """Return each server of a service that may take a request as a `Candidate`.
-
-    Parameters
-    ----------
-    servers : dict of str to core.registry.Registration
-    loads : core.engine_load.EngineLoads
-    healths : dict of str to core.health.ServerHealth
-        By server id.
-    announced : core.announcements.Announcements
-    service : str
-    excluded : set of str
-        Ids of servers that are not tried again.
-    now : float
-    withholds : callable of (str)
-        Whether requests to a server, by its id, have to wait for a permit.
-    """
-    found, avoided = [], []
-    for server in servers.values():
-        if server.service != service or not server.is_ready:
-            continue
-        if server.server_id in excluded:
-            continue
-        if not announcements.accepts_requests(announced, server.server_id, now):
-            continue
-        candidate = _candidate(server, loads, now)
-        if candidate is None:
-            continue
-        state = healths.get(server.server_id)
-        is_avoided = state and health.is_avoided(state, now, server.started_ms)
-        if is_avoided and state.is_refusing:
-            continue
-        if withholds(server.server_id):
-            continue
-        (avoided if is_avoided else found).append(candidate)
-    # Servers that lost requests are used if there are no others.
-    return found or avoided
-
-
-def _candidate(server, loads, now):
-    if not server.runs_model:
-        return Candidate(server, None, None)
-    load = engine_load.fresh_load(loads, server, now)
-    holding = load.holding if load else server.holding
-    if holding is None or (load and load.is_busy):
-        return None
-    return Candidate(server, holding, load)
+    margin_s: float = 0.0
 
 
 @attrs.frozen
@@ -151,7 +75,7 @@
 
 
 def rank(
-    found,
+    candidates,
     service,
     in_progress,
     healths,
@@ -164,9 +88,11 @@
 ):
     """Return a `Choice` for each candidate that can start in time, the best first.
 
+    The others are added to the excluded ones.
+
     Parameters
     ----------
-    found : list of Candidate
+    candidates : core.eligibility.Candidates
     service : core.routes.Service or None
     in_progress : dict of str to core.outstanding.Outstanding
         By server id.
@@ -182,6 +108,7 @@
     now : float
     """
     empty = outstanding.Outstanding()
+    found = candidates.usable
     states = [in_progress.get(c.server.server_id, empty) for c in found]
     pending = sum(
         sum(state.pending_prompts.values()) for state in states if state.pending_prompts
@@ -204,6 +131,8 @@
                 candidate, model, interval_s, occupied, pending, size, draw, now
             )
         if now + wait_s >= begin_by(candidate.holding):
+            reason = eligibility.Reason.OUTDATED_WEIGHTS
+            candidates.excluded[server.server_id] = reason
             continue
         correction_s = calibration.correction_s(
             prediction_errors, server.service, server.server_id, now
--- a/src/carobstand/entry/queueing.py
+++ b/src/carobstand/entry/queueing.py
@@ -9,6 +9,7 @@
 from carobstand import eventlog
 from carobstand.core import (
     calibration,
+    eligibility,
     latency_model,
     outstanding,
     placement,
@@ -59,12 +60,12 @@
     """
     waiter = Waiter(call)
     if not _is_behind(fwd, call):
-        choice, verdict = _evaluate(fwd, call, anyio.current_time(), 0)
+        choice, excluded, verdict = _evaluate(fwd, call, anyio.current_time(), 0)
         if verdict is queue_policy.Verdict.SEND:
             begin(fwd, call, choice)
             return choice
         if verdict is queue_policy.Verdict.REFUSE:
-            _log_rejection(fwd, call, choice)
+            _log_rejection(fwd, call, choice, excluded)
             return None
     fwd.queue.waiters.append(waiter)
     fwd.capacity_freed.notify()
@@ -117,9 +118,10 @@
         service = waiter.call.service
         ahead = failed_evaluations[service]
         if ahead < MAX_FAILED_EVALUATIONS:
-            choice, verdict = _evaluate(fwd, waiter.call, now, ahead)
+            choice, excluded, verdict = _evaluate(fwd, waiter.call, now, ahead)
         else:
-            choice, verdict = None, _skipped_verdict(fwd, waiter.call, now, ahead)
+            choice, excluded = None, {}
+            verdict = _skipped_verdict(fwd, waiter.call, now, ahead)
         if verdict is queue_policy.Verdict.HOLD:
             failed_evaluations[service] += 1
             continue
@@ -127,11 +129,11 @@
             waiter.choice = choice
             begin(fwd, waiter.call, choice)
         else:
-            _log_rejection(fwd, waiter.call, choice)
+            _log_rejection(fwd, waiter.call, choice, excluded)
         waiter.done.set()
 
 
-def _log_rejection(fwd, call, best):
+def _log_rejection(fwd, call, best, excluded):
     """Log why a request is rejected; `best` is None if no server was available."""
     now = anyio.current_time()
     permit_wait = None if best else permit_wait_s(fwd, call.service, 0)
@@ -148,25 +150,30 @@
         permit_wait_s=permit_wait and round(permit_wait, 3),
         left_s=round(min(call.terms.target, call.terms.deadline) - now, 3),
         held_s=round(now - call.terms.arrived, 3),
+        excluded=eligibility.count_reasons(excluded),
     )
 
 
 def can_start_within(fwd, call, gap_s):
     """Return whether a server is predicted to start a call within `gap_s`."""
-    best = _best(fwd, call, anyio.current_time())
+    best, _ = _best(fwd, call, anyio.current_time())
     return best is not None and best.first_event_s <= gap_s
 
 
 def _evaluate(fwd, call, now, ahead):
-    """Return the best choice for a call, and whether to send, hold or reject it.
+    """Return the best choice for a call, the excluded servers, and the verdict.
 
     `ahead` calls of its service are served before.
     """
-    best = _best(fwd, call, now)
+    best, excluded = _best(fwd, call, now)
+    if best is None and eligibility.is_hopeless(excluded):
+        if not call.terms.is_started:
+            return None, excluded, queue_policy.Verdict.REFUSE
     wait_s = permit_wait_s(fwd, call.service, ahead) if best is None else None
-    return best, queue_policy.decide(
+    verdict = queue_policy.decide(
         call.terms, best, _idle_first_byte_s(fwd, call), now, wait_s
     )
+    return best, excluded, verdict
 
 
 def permit_wait_s(fwd, service, ahead):
@@ -199,24 +206,32 @@
 
 
 def _best(fwd, call, now):
-    """Return the best choice for a call, or None if no server can take it."""
+    """Return the best choice for a call and the excluded servers.
+
+    Returns
+    -------
+    choice : core.placement.Choice or None
+        None if no server can take the call.
+    excluded : dict of str to core.eligibility.Reason
+        By server id; complete if there is no choice.
+    """
     if fwd.fleet.servers.lapsed:
         fleet.expire_missing(fwd.fleet)
     known = fwd.fleet.servers.servers
     sampled = _best_of_sample(fwd, call, known, now)
     if sampled is not None:
-        return sampled
+        return sampled, {}
     state = fwd.shortlists.setdefault(call.service, shortlist.Shortlist())
     shortlisted_ids = shortlist.ids_to_rank(state, len(known), now)
     if shortlisted_ids is not None:
         shortlisted = {key: known[key] for key in shortlisted_ids if key in known}
-        choices = _rank(fwd, call, shortlisted, now)
+        choices, _ = _rank(fwd, call, shortlisted, now)
         if choices:
-            return choices[0]
-    choices = _rank(fwd, call, known, now)
+            return choices[0], {}
+    choices, excluded = _rank(fwd, call, known, now)
     ranked = [choice.candidate.server.server_id for choice in choices]
     shortlist.record_full_ranking(state, ranked, now)
-    return choices[0] if choices else None
+    return (choices[0] if choices else None), excluded
 
 
 def _others_by_region(state):
@@ -244,7 +259,7 @@
     if count >= len(near):
         return None
     picked = {key: known[key] for key in random.sample(near, count)}
-    choices = _rank(fwd, call, picked, now)
+    choices, _ = _rank(fwd, call, picked, now)
     left_s = call.terms.target - queue_policy.NETWORK_TIME_S - now
     idle_first_byte_s = _idle_first_byte_s(fwd, call)
     if choices and sampling.is_good_enough(
@@ -254,18 +269,29 @@
     return None
 
 
-def _rank(fwd, call, servers, now):
-    """Return a `Choice` for each of `servers` that can take a call, best first."""
-    found = placement.candidates(
-        servers,
-        fwd.loads,
-        fwd.healths,
-        fwd.fleet.announced,
-        call.service,
-        call.tried,
-        now,
-        lambda server_id: server_limits.withholds(fwd.limits, server_id),
+def _conditions(fwd, call):
+    """Return the `Conditions` that decide which servers may run a call."""
+    return eligibility.Conditions(
+        service=call.service,
+        loads=fwd.loads,
+        healths=fwd.healths,
+        announced=fwd.fleet.announced,
+        tried=call.tried,
+        regions=fwd.fleet.deployment.regions,
+        withholds=lambda server_id: server_limits.withholds(fwd.limits, server_id),
     )
+
+
+def _rank(fwd, call, servers, now):
+    """Return the choices among `servers` for a call, best first, and the excluded.
+
+    Returns
+    -------
+    choices : list of core.placement.Choice
+    excluded : dict of str to core.eligibility.Reason
+        By server id.
+    """
+    found = eligibility.sort_out(servers, _conditions(fwd, call), now)
     dep = fwd.fleet.deployment
     entry_location = placement.EntryLocation(
         failure_domain=dep.failure_domain,
@@ -273,7 +299,7 @@
         others=max(0, len(fwd.fleet.roster.entries) - 1),
         by_region=_others_by_region(fwd.fleet),
     )
-    return placement.rank(
+    choices = placement.rank(
         found,
         service_of(fwd, call),
         fwd.in_progress,
@@ -285,6 +311,7 @@
         lambda holding: fleet.begin_by(fwd.fleet, holding),
         now,
     )
+    return choices, found.excluded
 
 
 def service_of(fwd, call):
--- a/src/carobstand/entry/server_limits.py
+++ b/src/carobstand/entry/server_limits.py
@@ -11,7 +11,7 @@
 import attrs
 
 from carobstand import eventlog, signals
-from carobstand.core import announcements, entry_roster, permits
+from carobstand.core import announcements, eligibility, entry_roster, permits
 from carobstand.entry import fleet as fleets
 from carobstand.wire.gen_fleet import ttypes
 
@@ -76,16 +76,21 @@
 
 
 def withholds(limits, server_id):
-    """Whether a request that could be sent to a server has to wait for a permit."""
+    """Return why a request to a server has to wait for a permit, None if it has not.
+
+    Returns
+    -------
+    reason : core.eligibility.Reason or None
+    """
     if not is_limited(limits, server_id):
-        return False
+        return None
     now = anyio.current_time()
     holder = limits.holders.setdefault(server_id, permits.Holder())
     if permits.held(holder, now):
-        return False
+        return None
     if permits.withhold(holder, now):
         wake(limits)
-    return True
+    return eligibility.Reason.LIMITED
 
 
 def take(limits, server_id):
--- a/src/carobstand/wire/fleet.thrift
+++ b/src/carobstand/wire/fleet.thrift
@@ -16,6 +16,10 @@
   10: optional i32 first_layer
   11: optional i32 end_layer
   12: i32 load_in_ms          // time until its load is ordered, -1 if none is due
+  13: optional i64 held_tokens  // tokens of all requests in its memory
+  14: optional i32 receiving_version  // version of which the agent receives pieces
+  15: optional i32 receiving_pieces   // number of its pieces that the agent holds
+  16: optional list<i32> copies       // versions that the agent holds completely
 }
 
 // Datagram between entries: a request whose server failed while running it.
@@ -64,6 +68,7 @@
   7: i32 wanted               // 0: only passes on the limit
   8: i32 number               // increasing request number of the entry
   9: bool is_deputy           // asked because the first entry does not reply
+  10: optional i32 cold_ms    // time for which the server stays cold, as far as known
 }
 
 // Datagram between entries: reply to a request for permits, or further permits for it.
@@ -78,6 +83,7 @@
   8: i32 interval_ms          // expected time between two permits for this entry
   9: i32 refresh_ms           // time after which the request is to be repeated
   10: bool is_deputy
+  11: optional i32 cold_ms
 }
 
 // Datagram between entries: an entry stops.
--- a/src/carobstand/wire/gen_fleet/ttypes.py
+++ b/src/carobstand/wire/gen_fleet/ttypes.py
@@ -31,11 +31,15 @@
      - first_layer
      - end_layer
      - load_in_ms
+     - held_tokens
+     - receiving_version
+     - receiving_pieces
+     - copies
 
     """
 
 
-    def __init__(self, address=None, started_ms=None, number=None, running=None, waiting=None, slowness=None, busy=None, model=None, version=None, first_layer=None, end_layer=None, load_in_ms=None,):
+    def __init__(self, address=None, started_ms=None, number=None, running=None, waiting=None, slowness=None, busy=None, model=None, version=None, first_layer=None, end_layer=None, load_in_ms=None, held_tokens=None, receiving_version=None, receiving_pieces=None, copies=None,):
         self.address = address
         self.started_ms = started_ms
         self.number = number
@@ -48,6 +52,10 @@
         self.first_layer = first_layer
         self.end_layer = end_layer
         self.load_in_ms = load_in_ms
+        self.held_tokens = held_tokens
+        self.receiving_version = receiving_version
+        self.receiving_pieces = receiving_pieces
+        self.copies = copies
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -118,6 +126,31 @@
                     self.load_in_ms = iprot.readI32()
                 else:
                     iprot.skip(ftype)
+            elif fid == 13:
+                if ftype == TType.I64:
+                    self.held_tokens = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 14:
+                if ftype == TType.I32:
+                    self.receiving_version = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 15:
+                if ftype == TType.I32:
+                    self.receiving_pieces = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 16:
+                if ftype == TType.LIST:
+                    self.copies = []
+                    (_etype3, _size0) = iprot.readListBegin()
+                    for _i4 in range(_size0):
+                        _elem5 = iprot.readI32()
+                        self.copies.append(_elem5)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -176,6 +209,25 @@
             oprot.writeFieldBegin('load_in_ms', TType.I32, 12)
             oprot.writeI32(self.load_in_ms)
             oprot.writeFieldEnd()
+        if self.held_tokens is not None:
+            oprot.writeFieldBegin('held_tokens', TType.I64, 13)
+            oprot.writeI64(self.held_tokens)
+            oprot.writeFieldEnd()
+        if self.receiving_version is not None:
+            oprot.writeFieldBegin('receiving_version', TType.I32, 14)
+            oprot.writeI32(self.receiving_version)
+            oprot.writeFieldEnd()
+        if self.receiving_pieces is not None:
+            oprot.writeFieldBegin('receiving_pieces', TType.I32, 15)
+            oprot.writeI32(self.receiving_pieces)
+            oprot.writeFieldEnd()
+        if self.copies is not None:
+            oprot.writeFieldBegin('copies', TType.LIST, 16)
+            oprot.writeListBegin(TType.I32, len(self.copies))
+            for iter6 in self.copies:
+                oprot.writeI32(iter6)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -294,10 +346,10 @@
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.requests = []
-                    (_etype3, _size0) = iprot.readListBegin()
-                    for _i4 in range(_size0):
-                        _elem5 = iprot.readBinary()
-                        self.requests.append(_elem5)
+                    (_etype10, _size7) = iprot.readListBegin()
+                    for _i11 in range(_size7):
+                        _elem12 = iprot.readBinary()
+                        self.requests.append(_elem12)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -323,8 +375,8 @@
         if self.requests is not None:
             oprot.writeFieldBegin('requests', TType.LIST, 2)
             oprot.writeListBegin(TType.STRING, len(self.requests))
-            for iter6 in self.requests:
-                oprot.writeBinary(iter6)
+            for iter13 in self.requests:
+                oprot.writeBinary(iter13)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.age_ms is not None:
@@ -387,11 +439,11 @@
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.sightings = []
-                    (_etype10, _size7) = iprot.readListBegin()
-                    for _i11 in range(_size7):
-                        _elem12 = PartSighting()
-                        _elem12.read(iprot)
-                        self.sightings.append(_elem12)
+                    (_etype17, _size14) = iprot.readListBegin()
+                    for _i18 in range(_size14):
+                        _elem19 = PartSighting()
+                        _elem19.read(iprot)
+                        self.sightings.append(_elem19)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -432,8 +484,8 @@
         if self.sightings is not None:
             oprot.writeFieldBegin('sightings', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.sightings))
-            for iter13 in self.sightings:
-                iter13.write(oprot)
+            for iter20 in self.sightings:
+                iter20.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.sound_ms is not None:
@@ -495,11 +547,11 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.parts = []
-                    (_etype17, _size14) = iprot.readListBegin()
-                    for _i18 in range(_size14):
-                        _elem19 = PartEvidence()
-                        _elem19.read(iprot)
-                        self.parts.append(_elem19)
+                    (_etype24, _size21) = iprot.readListBegin()
+                    for _i25 in range(_size21):
+                        _elem26 = PartEvidence()
+                        _elem26.read(iprot)
+                        self.parts.append(_elem26)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -521,8 +573,8 @@
         if self.parts is not None:
             oprot.writeFieldBegin('parts', TType.LIST, 1)
             oprot.writeListBegin(TType.STRUCT, len(self.parts))
-            for iter20 in self.parts:
-                iter20.write(oprot)
+            for iter27 in self.parts:
+                iter27.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.address is not None:
@@ -627,11 +679,12 @@
      - wanted
      - number
      - is_deputy
+     - cold_ms
 
     """
 
 
-    def __init__(self, server_id=None, started_ms=None, limit=None, named_ms=None, vm=None, address=None, wanted=None, number=None, is_deputy=None,):
+    def __init__(self, server_id=None, started_ms=None, limit=None, named_ms=None, vm=None, address=None, wanted=None, number=None, is_deputy=None, cold_ms=None,):
         self.server_id = server_id
         self.started_ms = started_ms
         self.limit = limit
@@ -641,6 +694,7 @@
         self.wanted = wanted
         self.number = number
         self.is_deputy = is_deputy
+        self.cold_ms = cold_ms
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -696,6 +750,11 @@
                     self.is_deputy = iprot.readBool()
                 else:
                     iprot.skip(ftype)
+            elif fid == 10:
+                if ftype == TType.I32:
+                    self.cold_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -742,6 +801,10 @@
             oprot.writeFieldBegin('is_deputy', TType.BOOL, 9)
             oprot.writeBool(self.is_deputy)
             oprot.writeFieldEnd()
+        if self.cold_ms is not None:
+            oprot.writeFieldBegin('cold_ms', TType.I32, 10)
+            oprot.writeI32(self.cold_ms)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -773,11 +836,12 @@
      - interval_ms
      - refresh_ms
      - is_deputy
+     - cold_ms
 
     """
 
 
-    def __init__(self, server_id=None, started_ms=None, limit=None, named_ms=None, number=None, granted=None, is_granting=None, interval_ms=None, refresh_ms=None, is_deputy=None,):
+    def __init__(self, server_id=None, started_ms=None, limit=None, named_ms=None, number=None, granted=None, is_granting=None, interval_ms=None, refresh_ms=None, is_deputy=None, cold_ms=None,):
         self.server_id = server_id
         self.started_ms = started_ms
         self.limit = limit
@@ -788,6 +852,7 @@
         self.interval_ms = interval_ms
         self.refresh_ms = refresh_ms
         self.is_deputy = is_deputy
+        self.cold_ms = cold_ms
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -848,6 +913,11 @@
                     self.is_deputy = iprot.readBool()
                 else:
                     iprot.skip(ftype)
+            elif fid == 11:
+                if ftype == TType.I32:
+                    self.cold_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -898,6 +968,10 @@
             oprot.writeFieldBegin('is_deputy', TType.BOOL, 10)
             oprot.writeBool(self.is_deputy)
             oprot.writeFieldEnd()
+        if self.cold_ms is not None:
+            oprot.writeFieldBegin('cold_ms', TType.I32, 11)
+            oprot.writeI32(self.cold_ms)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1518,11 +1592,11 @@
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.items = []
-                    (_etype24, _size21) = iprot.readListBegin()
-                    for _i25 in range(_size21):
-                        _elem26 = NewsItem()
-                        _elem26.read(iprot)
-                        self.items.append(_elem26)
+                    (_etype31, _size28) = iprot.readListBegin()
+                    for _i32 in range(_size28):
+                        _elem33 = NewsItem()
+                        _elem33.read(iprot)
+                        self.items.append(_elem33)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1563,8 +1637,8 @@
         if self.items is not None:
             oprot.writeFieldBegin('items', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.items))
-            for iter27 in self.items:
-                iter27.write(oprot)
+            for iter34 in self.items:
+                iter34.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.age_ms is not None:
@@ -1816,6 +1890,10 @@
     (10, TType.I32, 'first_layer', None, None, ),  # 10
     (11, TType.I32, 'end_layer', None, None, ),  # 11
     (12, TType.I32, 'load_in_ms', None, None, ),  # 12
+    (13, TType.I64, 'held_tokens', None, None, ),  # 13
+    (14, TType.I32, 'receiving_version', None, None, ),  # 14
+    (15, TType.I32, 'receiving_pieces', None, None, ),  # 15
+    (16, TType.LIST, 'copies', (TType.I32, None, False), None, ),  # 16
 )
 all_structs.append(FailedRun)
 FailedRun.thrift_spec = (
@@ -1864,6 +1942,7 @@
     (7, TType.I32, 'wanted', None, None, ),  # 7
     (8, TType.I32, 'number', None, None, ),  # 8
     (9, TType.BOOL, 'is_deputy', None, None, ),  # 9
+    (10, TType.I32, 'cold_ms', None, None, ),  # 10
 )
 all_structs.append(PermitReply)
 PermitReply.thrift_spec = (
@@ -1878,6 +1957,7 @@
     (8, TType.I32, 'interval_ms', None, None, ),  # 8
     (9, TType.I32, 'refresh_ms', None, None, ),  # 9
     (10, TType.BOOL, 'is_deputy', None, None, ),  # 10
+    (11, TType.I32, 'cold_ms', None, None, ),  # 11
 )
 all_structs.append(EntryLeaving)
 EntryLeaving.thrift_spec = (
--- a/testing/test_placement.py
+++ b/testing/test_placement.py
@@ -7,6 +7,7 @@
 from carobstand.core import (
     announcements,
     calibration,
+    eligibility,
     engine_load,
     health,
     latency_model,
@@ -39,9 +40,14 @@
     healths = healths or {}
     announced = announced or announcements.Announcements()
     by_id = {server.server_id: server for server in servers}
-    candidates = placement.candidates(
-        by_id, loads_by_server, healths, announced, "drafter", set(excluded), now
+    conditions = eligibility.Conditions(
+        service="drafter",
+        loads=loads_by_server,
+        healths=healths,
+        announced=announced,
+        tried=set(excluded),
     )
+    candidates = eligibility.sort_out(by_id, conditions, now)
     choices = placement.rank(
         candidates,
         build.service(),
--- a/testing/test_queue_policy.py
+++ b/testing/test_queue_policy.py
@@ -7,14 +7,14 @@
 import attrs
 import pytest
 
-from carobstand.core import placement, queue_policy
+from carobstand.core import eligibility, placement, queue_policy
 from testing import platform_builders as build
 
 SHORTEST_S = 0.06
 
 
 def best(first_event_s, occupancy=10.0):
-    candidate = placement.Candidate(build.registration(), None, None)
+    candidate = eligibility.Candidate(build.registration(), None, None)
     return placement.Choice(candidate, first_event_s, 0.0, occupancy, first_event_s)
 
 
--- a/testing/test_sampling.py
+++ b/testing/test_sampling.py
@@ -9,6 +9,7 @@
 from carobstand.core import (
     announcements,
     calibration,
+    eligibility,
     engine_load,
     outstanding,
     placement,
@@ -27,9 +28,10 @@
     """Return the id of the server that one entry chooses among `ids`."""
     sampled = {key: servers[key] for key in ids}
     announced = announcements.Announcements()
-    candidates = placement.candidates(
-        sampled, loads, {}, announced, "drafter", set(), 0.05
+    conditions = eligibility.Conditions(
+        service="drafter", loads=loads, healths={}, announced=announced
     )
+    candidates = eligibility.sort_out(sampled, conditions, 0.05)
     location = placement.EntryLocation(
         failure_domain="a",
         regions={"a": "north"},
