Bound the memory of an entry for bodies of requests and responses

Each response that is not a stream was held whole (up to 1 MiB) until its caller had read it, and each request body up to its limit; nothing bounded the sum. 200 callers that read nothing could hold 200 MB at an entry whose VM has 152 MB. Bodies now share a budget of 15% of the VM's memory. A response that does not fit is passed through as it arrives instead of being held, and then not retried; a request body that does not fit is refused with 503.

Reading of bodies moves from entry/forwarding.py to entry/response_bodies.py.

--- a/src/carobstand/entry/forwarding.py
+++ b/src/carobstand/entry/forwarding.py
@@ -10,6 +10,7 @@
 from carobstand import errors, eventlog, http1, http1_server, signals
 from carobstand.core import (
     announcements,
+    byte_budget,
     calibration,
     crashes,
     engine_load,
@@ -29,17 +30,11 @@
     poison_parts,
     poison_requests,
     queueing,
+    response_bodies,
     server_limits,
 )
 from carobstand.platform import http_headers
 
-MAX_BUFFERED_RESPONSE_BYTES = 1_048_576
-"""Maximum size of a response that is not a stream. It is buffered until it is complete,
-so that a request whose response breaks off can be retried; a larger one is an error."""
-
-REFUSAL_BODY_TIMEOUT_S = 0.2
-"""Timeout for the body of a rejection, whose head says that nothing ran."""
-
 RETRY_AFTER_MIN_S = 1.0
 RETRY_AFTER_MAX_S = 1.9
 """Range of Retry-After for requests that found no free slot, random so that callers do
@@ -119,6 +114,8 @@
     capacity_freed : signals.Signal
         Notified when a backend server may have a free slot.
     limits : entry.server_limits.ServerLimits
+    bodies : core.byte_budget.ByteBudget
+        Memory for the bodies of requests and responses.
     """
 
     fleet: fleet.Fleet
@@ -145,6 +142,14 @@
             lambda self: server_limits.ServerLimits(self.fleet), takes_self=True
         )
     )
+    bodies: byte_budget.ByteBudget = attrs.field(
+        default=attrs.Factory(
+            lambda self: byte_budget.ByteBudget(
+                byte_budget.of_memory(self.fleet.deployment.memory_bytes)
+            ),
+            takes_self=True,
+        )
+    )
 
 
 @attrs.define(eq=False)
@@ -275,6 +280,8 @@
         return True
     if call.attempts_sent >= call.route.max_servers:
         return False
+    if call.reply.started and call.route.kind is not routes.Kind.STREAM:
+        return False
     return outcome is Outcome.NOT_RUN or routes.is_retryable(call.route)
 
 
@@ -507,40 +514,22 @@
 
 async def _forward_response(fwd, call, chosen, conn, head, data):
     if head.not_run or head.status == 421:
-        await _read_refusal(conn)
+        await response_bodies.discard_refusal(conn)
         return Outcome.NOT_RUN
     if _is_stream(call, head):
         return await _forward_stream(fwd, call, chosen, conn, head, data)
     return await _forward_buffered(fwd, call, conn, head)
 
 
-async def _read_refusal(conn):
-    """Read and discard the body of a rejection to allow reuse of its connection."""
+async def _forward_buffered(fwd, call, conn, head):
+    body = await response_bodies.receive(conn, fwd.bodies)
     try:
-        with anyio.fail_after(REFUSAL_BODY_TIMEOUT_S):
-            await _read_all(conn)
-    except (errors.HttpError, TimeoutError) as exc:
-        # The exchange is incomplete, so the caller closes the connection.
-        eventlog.event("backend.refusal_broken", peer=conn.peer, error=str(exc))
-
-
-async def _read_all(conn):
-    chunks_read = []
-    size = 0
-    while (data := await http1.receive_data(conn)) is not None:
-        chunks_read.append(data)
-        size += len(data)
-        if size > MAX_BUFFERED_RESPONSE_BYTES:
-            raise errors.HttpError(
-                f"response exceeds {MAX_BUFFERED_RESPONSE_BYTES} bytes",
-                step="forward.receive",
-                peer=conn.peer,
-            )
-    return b"".join(chunks_read)
+        return await _deliver_buffered(fwd, call, conn, head, body)
+    finally:
+        response_bodies.release(body, fwd.bodies)
 
 
-async def _forward_buffered(fwd, call, conn, head):
-    body = await _read_all(conn)
+async def _deliver_buffered(fwd, call, conn, head, body):
     if call.reply.started:
         raise errors.HttpError(
             f"status {head.status} for a resumed stream",
@@ -555,7 +544,11 @@
             return Outcome.UNKNOWN
     if head.status < 300:
         poison_parts.record_answer(fwd, call)
-    await http1_server.respond(call.reply, head.status, head.headers, body)
+    if not body.is_complete:
+        await response_bodies.pass_through(conn, body, call.reply, head)
+        return Outcome.DONE
+    raw = b"".join(body.chunks)
+    await http1_server.respond(call.reply, head.status, head.headers, raw)
     return Outcome.DONE
 
 
--- a/src/carobstand/entry/ingress.py
+++ b/src/carobstand/entry/ingress.py
@@ -44,7 +44,7 @@
     async def handle(request, reply):
         await _handle(fwd, request, reply)
 
-    return http1_server.Server(limits, handle)
+    return http1_server.Server(limits, handle, bodies=fwd.bodies)
 
 
 async def _handle(fwd, request, reply):
--- a/src/carobstand/http1_server.py
+++ b/src/carobstand/http1_server.py
@@ -13,7 +13,7 @@
 import h11
 
 from carobstand import errors, eventlog, http1
-from carobstand.core import deployment, message_bounds
+from carobstand.core import byte_budget, deployment, message_bounds
 
 MAX_READ_AHEAD_BYTES = 262_144
 """Maximum bytes of pipelined requests buffered while a request is handled."""
@@ -28,6 +28,13 @@
 MAX_LINGER_READS = 32
 """Maximum reads within that time, as a caller may send endlessly."""
 
+MEMORY_RETRY_AFTER_S = 1.0
+"""Retry-After of a request for whose body there is no memory; bodies that are held for
+slow callers are released by the time-outs of their requests, some each second."""
+
+MEMORY_CHECK_S = 0.1
+"""Interval of checks for memory for bytes that a caller sends ahead."""
+
 ACCEPT_RETRY_DELAY_S = 0.1
 """Pause after a failed accept, for example when no file descriptor is free."""
 
@@ -61,10 +68,13 @@
     connections : set of Connection
     accepting : anyio.CancelScope
         Stops accepting connections; a refused connection loses no request.
+    bodies : core.byte_budget.ByteBudget
+        Memory for the bodies of requests.
     """
 
     limits: object
     handle: object
+    bodies: byte_budget.ByteBudget = attrs.field(factory=byte_budget.ByteBudget)
     is_closing: bool = False
     connections: set = attrs.field(factory=set)
     accept_scope: anyio.CancelScope = attrs.field(factory=anyio.CancelScope)
@@ -84,6 +94,8 @@
     responses_sent : int
     message_counters : core.message_bounds.MessageCounters
         Of the request being received.
+    reserved : int
+        Bytes of its request, and of those sent ahead, reserved in `Server.bodies`.
     """
 
     server: Server
@@ -94,6 +106,7 @@
     message_counters: message_bounds.MessageCounters = attrs.field(
         factory=message_bounds.MessageCounters
     )
+    reserved: int = 0
 
 
 @attrs.frozen
@@ -116,6 +129,10 @@
     received_at: float
 
 
+class NoMemoryError(errors.CarobstandError):
+    """There is no memory for the body of a request."""
+
+
 class CallerGoneError(errors.CarobstandError):
     """The caller closed its connection or stopped reading."""
 
@@ -240,7 +257,13 @@
         if event is None:
             return False
         received_at = anyio.current_time()
-        return await _serve_request(conn, event, received_at)
+        try:
+            return await _serve_request(conn, event, received_at)
+        finally:
+            byte_budget.release(conn.server.bodies, conn.reserved)
+            conn.reserved = 0
+    except NoMemoryError as exc:
+        await _reject(conn, 503, exc.message, MEMORY_RETRY_AFTER_S)
     except h11.RemoteProtocolError as exc:
         await _reject(conn, exc.error_status_hint, str(exc))
     except TimeoutError:
@@ -313,6 +336,8 @@
             data = await conn.stream.receive(http1.READ_BYTES)
             conn.parser.receive_data(data)
             size += len(data)
+            while not _reserve(conn, len(data)):
+                await anyio.sleep(MEMORY_CHECK_S)
         reason = "sends too much ahead"
     except anyio.EndOfStream:
         reason = "closed"
@@ -366,6 +391,8 @@
                 size += len(event.data)
                 if size > max_bytes:
                     return None
+                if not _reserve(conn, len(event.data)):
+                    raise NoMemoryError("no memory for the body", step="server.read")
                 parts.append(bytes(event.data))
                 if message_bounds.count_part(conn.message_counters, len(event.data)):
                     await anyio.lowlevel.checkpoint()
@@ -373,6 +400,14 @@
                 return b"".join(parts)
 
 
+def _reserve(conn, size):
+    """Reserve memory until the end of the request; return False if there is none."""
+    if not byte_budget.reserve(conn.server.bodies, size):
+        return False
+    conn.reserved += size
+    return True
+
+
 async def _send_continue(conn):
     if conn.parser.they_are_waiting_for_100_continue:
         interim = h11.InformationalResponse(status_code=100, headers=[])
@@ -390,12 +425,14 @@
     conn.parser.receive_data(data)
 
 
-async def _reject(conn, status, reason):
-    """Respond to an invalid request, then read its rest for `LINGER_TIMEOUT_S`."""
+async def _reject(conn, status, reason, retry_after_s=None):
+    """Respond to a request that is not served, then read its rest for a while."""
     eventlog.event("request.malformed", status=status, reason=reason)
     if conn.parser.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
         return
     headers = [(b"Content-Length", b"0"), (b"Connection", b"close")]
+    if retry_after_s is not None:
+        headers.append((b"Retry-After", b"%.3f" % retry_after_s))
     raw = conn.parser.send(h11.Response(status_code=status, headers=headers))
     raw += conn.parser.send(h11.EndOfMessage())
     with anyio.move_on_after(LINGER_TIMEOUT_S):
--- a/src/carobstand/standin/platform/engine.py
+++ b/src/carobstand/standin/platform/engine.py
@@ -136,6 +136,8 @@
         Maps a version to the digests of its pieces.
     corrupt_loads : int
         Number of loads whose pieces had other digests than expected.
+    body_bytes : int
+        Smallest size of the response bodies of a plain service.
     """
 
     server_id: str
@@ -176,6 +178,7 @@
     copies: dict = attrs.field(factory=dict)
     expected_digests: object = None
     corrupt_loads: int = 0
+    body_bytes: int = 0
     slot_released: signals.Signal = attrs.field(factory=signals.Signal)
 
 
@@ -443,7 +446,7 @@
         return
     status = 500 if fault == "error" else 200
     run.ended = str(status)
-    body = b"answer to " + run.request_id.encode()
+    body = (b"answer to " + run.request_id.encode()).ljust(engine.body_bytes, b".")
     if fault in ("unframed", "unframed reset"):
         await _send_raw_response(reply, all_headers, body)
         if fault == "unframed reset":
