Limit requests to cold servers by permits

A cold server sustains warmup_per_s requests a second and crashes well above that. Entries did not know: 52 to 60 requests in a second reached one where 20 are allowed.

Announcements now hold until when a server is cold, by its record, its answers, a new start or the word of another entry. The effective limit is the lower one of Server-Limit and the highest rate with which the granter, its deputy and isolated entries stay within the allowed number of any second. Permits for cold servers live 0.25 s or, with a low rate, longer; the time is counted from the grant, so that a process that was suspended uses none late.

Existing tests of permits, limits, records, headers and settings pass.

--- a/src/carobstand/core/announcements.py
+++ b/src/carobstand/core/announcements.py
@@ -9,8 +9,11 @@
 
 import attrs
 
-MAX_SERVERS = 4096
-"""Maximum number of servers kept; the least recently updated one is evicted first."""
+from carobstand.core import permits
+
+MAX_SERVERS = 16384
+"""Maximum number of servers kept; the least recently updated one is evicted first. All
+of the 11,000 servers of the design size may be cold at once."""
 
 
 @attrs.define
@@ -32,6 +35,13 @@
         no limit or withdrew it.
     limit_named_at : float
         Time of the latest response that named or withdrew the limit.
+    cold_until : float
+        Time until which it is cold.
+    cold_named_at : float
+        Time of the statement that tells so; minus infinity if it is assumed, as the
+        server has just started.
+    warmup : core.permits.Warmup or None
+        What it takes while it is cold; None if it never was.
     """
 
     started_ms: int = 0
@@ -40,6 +50,9 @@
     paused_until: float = -math.inf
     limit: float | None = None
     limit_named_at: float = -math.inf
+    cold_until: float = -math.inf
+    cold_named_at: float = -math.inf
+    warmup: permits.Warmup | None = None
 
 
 @attrs.define(eq=False)
@@ -103,10 +116,85 @@
     return is_changed
 
 
-def limit_of(state, server_id):
-    """Return the limit of a server in requests per second, or None."""
+def record_cold(state, server_id, started_ms, until, named_at, warmup, now):
+    """Record until when a server is cold; return whether it became cold or warm.
+
+    Parameters
+    ----------
+    state : Announcements
+    server_id : str
+    started_ms : int
+        Start of the server that is cold, 0 if it is not known. `record_start` discards
+        what is known of earlier starts.
+    until : float
+        The past for a server that is warm.
+    named_at : float
+        Time of the statement; minus infinity if it is assumed because of a start. What
+        an older statement says is ignored.
+    warmup : core.permits.Warmup
+    now : float
+    """
+    known = state.by_server.get(server_id)
+    if known is None and until <= now:
+        return False
+    if known is not None and _is_earlier(known, started_ms, named_at):
+        return False
+    was_cold = is_cold(state, server_id, now)
+    found = _touch(state, server_id, started_ms)
+    found.started_ms = max(found.started_ms, started_ms)
+    found.cold_until, found.cold_named_at, found.warmup = until, named_at, warmup
+    return is_cold(state, server_id, now) != was_cold
+
+
+def _is_earlier(known, started_ms, named_at):
+    """Whether more recent statements are known than one of a cold time."""
+    is_of_earlier_start = 0 < started_ms < known.started_ms
+    return is_of_earlier_start or named_at < known.cold_named_at
+
+
+def tells_cold(state, server_id, started_ms):
+    """Whether a cold time, even a past one, is known of the same or a later start."""
+    found = state.by_server.get(server_id)
+    if found is None or math.isinf(found.cold_until):
+        return False
+    return not 0 < found.started_ms < started_ms
+
+
+def is_cold(state, server_id, now):
+    """Whether a server is cold and its requests are limited for that."""
+    found = state.by_server.get(server_id)
+    return found is not None and now < found.cold_until
+
+
+def limit_of(state, server_id, now):
+    """Return the effective limit of a server in requests per second, or None.
+
+    It is the lower one of the limit that the server named and of the limit of a cold
+    server; the latter ends by itself.
+    """
+    found = state.by_server.get(server_id)
+    if found is None:
+        return None
+    if now >= found.cold_until:
+        return found.limit
+    cold_limit = permits.cold_limit(found.warmup)
+    return cold_limit if found.limit is None else min(found.limit, cold_limit)
+
+
+def is_limited_by_cold(state, server_id, now):
+    """Whether the effective limit of a server is that of its cold time."""
     found = state.by_server.get(server_id)
-    return found.limit if found is not None else None
+    if found is None or now >= found.cold_until:
+        return False
+    return found.limit is None or permits.cold_limit(found.warmup) <= found.limit
+
+
+def permit_s(state, server_id, now):
+    """Return the lifetime of a permit for a server that has a limit."""
+    limit = limit_of(state, server_id, now)
+    if not is_cold(state, server_id, now):
+        return permits.permit_s(limit)
+    return permits.cold_permit_s(limit, state.by_server[server_id].warmup)
 
 
 def record_start(state, server_id, started_ms, now, lag_s):
@@ -136,7 +224,9 @@
         return False
     kept = Announcement(started_ms)
     if found.is_leaving and now - found.leaving_since < lag_s:
-        kept = attrs.evolve(found, started_ms=started_ms)
+        kept = attrs.evolve(
+            found, started_ms=started_ms, cold_until=-math.inf, cold_named_at=-math.inf
+        )
     elif found.limit is not None and now - found.limit_named_at < lag_s:
         kept.limit, kept.limit_named_at = found.limit, found.limit_named_at
     if kept == Announcement(started_ms):
--- a/src/carobstand/core/deployment.py
+++ b/src/carobstand/core/deployment.py
@@ -28,6 +28,9 @@
         newer version.
     contact_s : float
         Time after a disturbance in which the time limits do not apply.
+    warmup_overshoot, warmup_slack : float
+        In any second, all entries together send a cold server at most this multiple of
+        the rate that it sustains, plus the slack.
     """
 
     drain_s: float = 2.0
@@ -40,6 +43,8 @@
     retry_slack: float = 100.0
     version_s: float = 8.0
     contact_s: float = 3.0
+    warmup_overshoot: float = 1.5
+    warmup_slack: float = 5.0
 
 
 @attrs.frozen(kw_only=True)
--- a/src/carobstand/core/exchange.py
+++ b/src/carobstand/core/exchange.py
@@ -2,6 +2,10 @@
 
 import attrs
 
+MAX_COLD_MS = 2**31 - 1
+"""Longest cold time of a server; longer ones count as this long, as messages between
+entries carry it as an i32."""
+
 
 @attrs.frozen(kw_only=True)
 class Inbound:
@@ -115,6 +119,10 @@
         Requests per second that the server accepts from all entries together.
     malformed_limit : str
         Value of a limit that is not a finite number of at least 0, else empty.
+    cold_s : float or None
+        Time for which the server stays cold, 0 if it is warm, None if it does not tell.
+    malformed_cold : str
+        Value of a time that is not a finite number of at least 0, else empty.
     """
 
     status: int
@@ -131,3 +139,5 @@
     backoff_s: float | None = None
     limit: float | None = None
     malformed_limit: str = ""
+    cold_s: float | None = None
+    malformed_cold: str = ""
--- a/src/carobstand/core/permits.py
+++ b/src/carobstand/core/permits.py
@@ -9,9 +9,14 @@
 If that entry does not reply, the next one in the order, the deputy, grants a part of
 the limit; without both, each entry uses a small equal part alone. The rates of all
 three together stay below one and a half times the limit.
+
+A cold server has a limit, too, which ends at a known time. Its requests are counted in
+any second rather than in four, so its permits live shorter, and the rate is the highest
+one at which all three together stay within the allowed number.
 """
 
 import enum
+import functools
 import math
 
 import attrs
@@ -69,6 +74,10 @@
 USE_WINDOW_S = 1.0
 """Time constant of the average rate at which an entry uses permits."""
 
+SENT_KEPT = 16
+"""Requests whose times are kept; a reply to an older one brings no permit for a cold
+server."""
+
 ROUNDING = 1e-6
 """Part of a permit by which rounding of times may leave the accrued ones short."""
 
@@ -82,6 +91,28 @@
 ALONE_SHARE = 0.1
 """Share of the limit that all entries together use without an entry that grants."""
 
+COLD_WINDOW_S = 1.0
+"""Length of the sliding window in which the requests to a cold server are counted."""
+
+COLD_PERMIT_MIN_S = 0.25
+"""Minimum lifetime of a permit for a cold server. The next request of an entry with
+four callers a second then comes in time to use it."""
+
+COLD_TRANSIT_S = 0.1
+"""Time that a grant and the request sent with it take in addition. A permit for a cold
+server that took longer to arrive lives that much shorter."""
+
+COLD_STALE_SHARE = 0.25
+"""Like `STALE_SHARE`, for a cold server: what the first entry and one that joined
+unnoticed grant together must fit into a single second."""
+
+_SHARES = 1.0 + DEPUTY_SHARE + ALONE_SHARE
+_BURSTS = 2 * BURST_REQUESTS + 1
+"""Permits that accumulate, except those of `BURST_S`: of the first entry, of the
+deputy, and one of an isolated entry."""
+
+_BURST_RATE_S = (1.0 + DEPUTY_SHARE) * BURST_S
+
 
 class Rank(enum.IntEnum):
     """Place of an entry in the order in which entries grant a server's permits."""
@@ -112,6 +143,46 @@
     return min(PERMIT_MAX_S, max(PERMIT_MIN_S, 1 / rate(limit)))
 
 
+@attrs.frozen
+class Warmup:
+    """What a cold server takes from all entries together.
+
+    Attributes
+    ----------
+    sustained_per_s : float
+        Requests per second that it sustains.
+    allowed : float
+        Maximum number of requests in any second.
+    """
+
+    sustained_per_s: float
+    allowed: float
+
+
+@functools.cache
+def cold_limit(warmup):
+    """Return the limit of a cold server in requests per second.
+
+    It is the highest one, up to the sustained rate, with which the first entry, the
+    deputy and isolated entries, each with its burst, stay within the allowed number.
+    """
+    span_s = COLD_WINDOW_S + COLD_PERMIT_MIN_S + COLD_TRANSIT_S
+    most = (warmup.allowed - _BURSTS) / (_SHARES * span_s + _BURST_RATE_S)
+    return max(PROBE_RATE, min(warmup.sustained_per_s, most))
+
+
+@functools.cache
+def cold_permit_s(limit, warmup):
+    """Return the lifetime of a permit for a cold server with an effective limit.
+
+    With a low limit, permits may live longer than the minimum.
+    """
+    granted = rate(limit)
+    left = warmup.allowed - _BURSTS - _BURST_RATE_S * granted
+    most_s = left / (_SHARES * granted) - COLD_WINDOW_S - COLD_TRANSIT_S
+    return max(COLD_PERMIT_MIN_S, min(permit_s(limit), most_s))
+
+
 @attrs.define(eq=False)
 class Claim:
     """Request of an entry for permits that is not fully granted yet.
@@ -234,6 +305,8 @@
         Number of the last request.
     sent_at : float
         Time of the last request.
+    sent : dict of int to float
+        Time of each of the last requests, by number.
     is_answered : bool
         Whether the last request was answered.
     unanswered : int
@@ -248,6 +321,7 @@
 
     number: int = 0
     sent_at: float = -math.inf
+    sent: dict = attrs.field(factory=dict)
     is_answered: bool = True
     unanswered: int = 0
     next_at: float = -math.inf
@@ -276,6 +350,8 @@
         Part of a permit that accrued to this entry while it was alone.
     credited_at : float or None
         Time up to which it accrued; None while another entry grants permits.
+    is_cold : bool
+        Whether the server was cold when the permits were last counted.
     """
 
     expiries: list = attrs.field(factory=list)
@@ -286,6 +362,14 @@
     used_at: float = -math.inf
     credit: float = 0.0
     credited_at: float | None = None
+    is_cold: bool = False
+
+
+def set_cold(holder, is_cold):
+    """Record whether the server is cold; permits from before live too long for it."""
+    if is_cold and not holder.is_cold:
+        holder.expiries.clear()
+    holder.is_cold = is_cold
 
 
 def held(holder, now):
@@ -349,6 +433,8 @@
         inquiry.unanswered += 1
     inquiry.number += 1
     inquiry.sent_at, inquiry.is_answered = now, False
+    inquiry.sent[inquiry.number] = now
+    inquiry.sent.pop(inquiry.number - SENT_KEPT, None)
     is_down = inquiry.unanswered >= MAX_UNANSWERED
     inquiry.next_at = now + (RECHECK_S if is_down else REPLY_TIMEOUT_S)
     return inquiry.number
@@ -362,6 +448,17 @@
     return min(holder.inquiries[rank].next_at for rank in ranks)
 
 
+def cold_expiry(holder, rank, number, waited_s, lifetime_s, now):
+    """Return the time at which a permit for a cold server expires that arrives now.
+
+    The permit was granted `waited_s` after this entry's request arrived at the other
+    one, thus not before that time after the request was sent. A process that was
+    suspended since would use it too late otherwise.
+    """
+    sent_at = holder.inquiries[rank].sent.get(number, -math.inf)
+    return min(now + lifetime_s, sent_at + waited_s + lifetime_s + COLD_TRANSIT_S)
+
+
 def receive(holder, rank, number, expiries, expected_s, refresh_after_s, now):
     """Process the reply to a request for permits.
 
@@ -402,13 +499,15 @@
     inquiry.is_answered, inquiry.unanswered = True, MAX_UNANSWERED
 
 
-def accrue_alone(holder, limit, entries, now, draw):
+def accrue_alone(holder, limit, lifetime_s, entries, now, draw):
     """Add this entry's own part of the limit while no entry grants permits.
 
     Parameters
     ----------
     holder : Holder
     limit : float
+    lifetime_s : float
+        Lifetime of a permit.
     entries : int
         Number of entries that may do the same, including this one.
     now : float
@@ -425,7 +524,7 @@
     holder.credit, holder.credited_at = holder.credit + accrued, now
     if holder.credit >= 1:
         holder.credit = 0.0
-        holder.expiries.append(now + permit_s(limit))
+        holder.expiries.append(now + lifetime_s)
         holder.expiries.sort()
 
 
--- a/src/carobstand/core/registry.py
+++ b/src/carobstand/core/registry.py
@@ -33,6 +33,10 @@
         Unix milliseconds of its start, 0 if not known.
     heartbeats : int
         Number of heartbeats since its start, as of the registration's last change.
+    cold_s : float or None
+        Time for which it stays cold, 0 if it is warm, None if it does not tell.
+    malformed_cold : str
+        Value of a time that is not a finite number of at least 0, else empty.
     """
 
     server_id: str
@@ -45,6 +49,8 @@
     runs_model: bool = False
     started_ms: int = 0
     heartbeats: int = 0
+    cold_s: float | None = None
+    malformed_cold: str = ""
 
 
 @attrs.define(eq=False)
--- a/src/carobstand/entry/datagrams.py
+++ b/src/carobstand/entry/datagrams.py
@@ -55,6 +55,11 @@
     if before is None or load.started_ms > before.started_ms:
         for server in _servers_at(fwd, load.address):
             fleet.note_start(fwd.fleet, server.server_id, load.started_ms)
+            known_ms = max(server.started_ms, before.started_ms if before else 0)
+            if 0 < known_ms < load.started_ms:
+                fleet.assume_cold(
+                    fwd.fleet, server.server_id, load.started_ms, "report"
+                )
     if not fwd.queue.waiters:
         return
     if before is None or _has_more_capacity(before, load):
--- a/src/carobstand/entry/fleet.py
+++ b/src/carobstand/entry/fleet.py
@@ -12,6 +12,7 @@
     change_feed,
     entry_roster,
     named_versions,
+    permits,
     poison_parts,
     registry,
     routes,
@@ -120,6 +121,8 @@
         Time of the first full read of the store.
     stops_at : float
         Time at which a planned stop ends the requests still in progress.
+    cold_changed : callable of (str)
+        Called with the id of a server that became cold or warm.
     changed : signals.Signal
         Notified at each change of the above.
     """
@@ -149,6 +152,7 @@
     started: float = attrs.field(factory=anyio.current_time)
     first_read_at: float | None = None
     stops_at: float = math.inf
+    cold_changed: object = lambda server_id: None
     changed: signals.Signal = attrs.field(factory=signals.Signal)
 
 
@@ -446,8 +450,10 @@
     except errors.RecordError:
         registry.remove(fleet.servers, server_id, now, 0.0)
         raise
+    known = _last_registration(fleet, server_id)
     registry.put(fleet.servers, registration)
     note_start(fleet, server_id, registration.started_ms)
+    _note_cold_record(fleet, registration, known)
     eventlog.event(
         "server.listed",
         server=server_id,
@@ -465,6 +471,151 @@
         eventlog.event("server.started_anew", server=server_id, start=started_ms)
 
 
+def assume_cold(fleet, server_id, started_ms, source):
+    """Record that a server is cold, as it started during traffic.
+
+    What a statement told of the same start takes precedence.
+    """
+    if not announcements.tells_cold(fleet.announced, server_id, started_ms):
+        cold_s = _warmup_s(fleet, server_id)
+        _set_cold(fleet, server_id, started_ms, cold_s, -math.inf, source)
+
+
+def mark_cold(fleet, server_ids, source):
+    """Record that servers are cold for the `warmup_s` of their service from now.
+
+    A later statement of a server, or a later start, takes precedence.
+
+    Parameters
+    ----------
+    fleet : Fleet
+    server_ids : iterable of str
+        Servers of services without a limit for cold servers are passed over.
+    source : str
+        Where it is known from, for the log.
+    """
+    now = anyio.current_time()
+    for server_id in server_ids:
+        listed = fleet.servers.servers.get(server_id)
+        if listed is None:
+            continue
+        known = fleet.announced.by_server.get(server_id)
+        started_ms = max(listed.started_ms, known.started_ms if known else 0)
+        cold_s = _warmup_s(fleet, server_id)
+        if known is not None:
+            cold_s = max(cold_s, known.cold_until - now)
+        _set_cold(fleet, server_id, started_ms, cold_s, now, source)
+
+
+def _note_cold_record(fleet, registration, known):
+    """Record whether a server is cold, by a registration that was just read.
+
+    Parameters
+    ----------
+    fleet : Fleet
+    registration : core.registry.Registration
+    known : core.registry.Registration or None
+        The last one of the same server.
+    """
+    server_id, started_ms = registration.server_id, registration.started_ms
+    if registration.malformed_cold:
+        eventlog.event(
+            "server.cold_malformed", server=server_id, value=registration.malformed_cold
+        )
+    cold_s = registration.cold_s
+    if cold_s is not None:
+        named_at = anyio.current_time() if cold_s else fleet.changes_since
+        _set_cold(fleet, server_id, started_ms, cold_s, named_at, "record")
+    elif fleet.first_read_at is not None and _is_new_start(fleet, registration, known):
+        assume_cold(fleet, server_id, started_ms, "start")
+
+
+def knows_cold(fleet, server_id, started_ms):
+    """Whether it is known here if the given start of a server, or a later one, is cold.
+
+    Others may only assume that it is cold.
+    """
+    listed = fleet.servers.servers.get(server_id)
+    is_told = (
+        listed is not None
+        and listed.cold_s is not None
+        and listed.started_ms >= started_ms
+    )
+    return is_told or announcements.tells_cold(fleet.announced, server_id, started_ms)
+
+
+def _is_new_start(fleet, registration, known):
+    if known is None or known.started_ms != registration.started_ms:
+        return True
+    return not known.started_ms and registration.server_id in fleet.servers.removed
+
+
+def _last_registration(fleet, server_id):
+    servers = fleet.servers
+    return servers.servers.get(server_id) or servers.removed.get(server_id)
+
+
+def _warmup_s(fleet, server_id):
+    service = _service_of(fleet, server_id)
+    return service.warmup_s if service is not None else 0.0
+
+
+def _service_of(fleet, server_id):
+    server = fleet.servers.servers.get(server_id)
+    if server is None or fleet.configuration is None:
+        return None
+    return fleet.configuration.services.get(server.service)
+
+
+def _set_cold(fleet, server_id, started_ms, cold_s, named_at, source):
+    if note_cold(fleet, server_id, started_ms, cold_s, named_at, source):
+        fleet.cold_changed(server_id)
+
+
+def note_cold(fleet, server_id, started_ms, cold_s, named_at, source, told_per_s=0.0):
+    """Record a statement that a server is cold for `cold_s`, or warm.
+
+    Parameters
+    ----------
+    fleet : Fleet
+    server_id : str
+    started_ms : int
+        Start of the server, 0 if it is not known.
+    cold_s : float
+    named_at : float
+        Time of the statement; minus infinity if it is assumed because of a start.
+    source : str
+        Where it is known from, for the log.
+    told_per_s : float
+        Requests per second that it sustains while cold, as another entry says; used
+        if the service of the server is not known here.
+
+    Returns
+    -------
+    is_changed : bool
+        Whether it became cold or warm. False if its service has no such limit.
+    """
+    service = _service_of(fleet, server_id)
+    per_s = told_per_s if service is None else service.warmup_per_s
+    if not per_s:
+        return False
+    bounds, now = fleet.deployment.bounds, anyio.current_time()
+    allowed = per_s * bounds.warmup_overshoot + bounds.warmup_slack
+    warmup = permits.Warmup(per_s, allowed)
+    if not announcements.record_cold(
+        fleet.announced, server_id, started_ms, now + cold_s, named_at, warmup, now
+    ):
+        return False
+    eventlog.event(
+        "server.cold",
+        server=server_id,
+        cold_s=round(cold_s, 3),
+        limit=round(permits.cold_limit(warmup), 2),
+        source=source,
+    )
+    return True
+
+
 def _replace_servers(fleet, items):
     listed = []
     for item in items:
@@ -475,9 +626,15 @@
     if fleet.was_restored:
         listed = registry.without_outdated(fleet.servers, listed)
     now = anyio.current_time()
+    before = {
+        item.server_id: _last_registration(fleet, item.server_id) for item in listed
+    }
     registry.replace_all(fleet.servers, listed, now, _lapse_grace(fleet, now))
     for item in listed:
         note_start(fleet, item.server_id, item.started_ms)
+        # A record that was read before would make the server cold once more.
+        if item != before[item.server_id]:
+            _note_cold_record(fleet, item, before[item.server_id])
 
 
 def _lapse_grace(fleet, now):
--- a/src/carobstand/entry/permit_exchange.py
+++ b/src/carobstand/entry/permit_exchange.py
@@ -72,12 +72,17 @@
 
 def _permits_per_s(limits, server_id, rank):
     """Return the rate at which this entry grants permits of a server in a rank."""
-    limit = announcements.limit_of(limits.fleet.announced, server_id) or 0.0
+    announced, now = limits.fleet.announced, anyio.current_time()
+    limit = announcements.limit_of(announced, server_id, now) or 0.0
     if rank is permits.Rank.DEPUTY:
         return permits.rate(limit, permits.DEPUTY_SHARE)
     confirmed_at = limits.fleet.confirmed_at
-    is_stale = confirmed_at is None or anyio.current_time() - confirmed_at > STALE_S
-    return permits.rate(limit, permits.STALE_SHARE if is_stale else 1.0)
+    if confirmed_at is not None and now - confirmed_at <= STALE_S:
+        return permits.rate(limit)
+    is_cold = announcements.is_cold(announced, server_id, now)
+    return permits.rate(
+        limit, permits.COLD_STALE_SHARE if is_cold else permits.STALE_SHARE
+    )
 
 
 def _grant(limits, server_id, rank, granter):
@@ -93,6 +98,7 @@
     """Reply to a request for permits, given its `address` and `number`."""
     granter = limits.granters[server_id, rank]
     permits_per_s = _permits_per_s(limits, server_id, rank)
+    waited_s = anyio.current_time() - claim.received_at if granted else 0.0
     reply = server_limits.permit_reply(
         limits,
         server_id,
@@ -100,6 +106,7 @@
         granted=granted,
         interval_ms=int(1000 * permits.interval_s(granter, permits_per_s)),
         refresh_ms=int(1000 * permits.refresh_s(granter)),
+        waited_ms=int(1000 * waited_s),
         is_deputy=rank is permits.Rank.DEPUTY,
     )
     _send_to(limits, vm, claim.address, reply)
@@ -128,18 +135,19 @@
     if holder is None or not reply.number:
         return
     rank = permits.Rank.DEPUTY if reply.is_deputy else permits.Rank.FIRST
-    if not reply.is_granting:
+    if not reply.is_granting or _knows_no_cold_limit(limits, reply):
         permits.refused(holder, rank)
         return server_limits.wake(limits)
     was_unreachable = permits.is_unreachable(holder, rank)
     now = anyio.current_time()
-    limit = announcements.limit_of(limits.fleet.announced, reply.server_id)
-    granted = limit is not None and (reply.granted or 0) > 0
+    granted = (reply.granted or 0) > 0 and server_limits.is_limited(
+        limits, reply.server_id
+    )
     permits.receive(
         holder,
         rank,
         reply.number,
-        [now + permits.permit_s(limit)] if granted else [],
+        [_expiry(limits, holder, rank, reply, now)] if granted else [],
         (reply.interval_ms or 0) / 1000 or None,
         max(0, reply.refresh_ms or 0) / 1000,
         now,
@@ -151,6 +159,28 @@
     server_limits.wake(limits)
 
 
+def _knows_no_cold_limit(limits, reply):
+    """Whether an entry that should grant permits of a cold server knows no limit.
+
+    It may run an earlier version, or hold a configuration without the service. It will
+    not grant any, so the others in the order are asked.
+    """
+    if reply.limit is not None or reply.cold_ms:
+        return False
+    announced, now = limits.fleet.announced, anyio.current_time()
+    return announcements.is_cold(announced, reply.server_id, now)
+
+
+def _expiry(limits, holder, rank, reply, now):
+    """Return the time at which a permit that arrives now expires."""
+    announced, server_id = limits.fleet.announced, reply.server_id
+    lifetime_s = announcements.permit_s(announced, server_id, now)
+    if not announcements.is_cold(announced, server_id, now):
+        return now + lifetime_s
+    waited_s = max(0, reply.waited_ms or 0) / 1000
+    return permits.cold_expiry(holder, rank, reply.number, waited_s, lifetime_s, now)
+
+
 def on_leaving(limits, message):
     """Process a datagram that announces the planned stop of an entry."""
     if message.vm:
@@ -189,6 +219,9 @@
             del limits.holders[server_id]
             limits.permit_arrived(server_id)
             continue
+        cold_until = limits.fleet.announced.by_server[server_id].cold_until
+        if cold_until > now:
+            next_at = min(next_at, cold_until)
         next_at = min(next_at, _ask(limits, server_id, holder, now))
     for (server_id, rank), granter in list(limits.granters.items()):
         if not server_limits.is_limited(limits, server_id):
@@ -202,7 +235,8 @@
 
 def _ask(limits, server_id, holder, now):
     """Request permits of a server if some are wanted; return when to do so again."""
-    limit = announcements.limit_of(limits.fleet.announced, server_id)
+    announced = limits.fleet.announced
+    limit = announcements.limit_of(announced, server_id, now)
     wanted = permits.wanted(holder, limit, now)
     if not wanted:
         return holder.expiries[0] if holder.expiries else math.inf
@@ -223,7 +257,8 @@
             )
     before = len(holder.expiries)
     entries = len(entry_roster.running(limits.fleet.roster, now))
-    permits.accrue_alone(holder, limit, entries, now, limits.draw)
+    lifetime_s = announcements.permit_s(announced, server_id, now)
+    permits.accrue_alone(holder, limit, lifetime_s, entries, now, limits.draw)
     if len(holder.expiries) > before:
         limits.permit_arrived(server_id)
     if holder.credited_at is not None:
@@ -257,11 +292,10 @@
     announced = limits.fleet.announced.by_server
     if not new or not announced:
         return
-    own_vm = limits.fleet.deployment.vm
+    own_vm, now = limits.fleet.deployment.vm, anyio.current_time()
     for server_id, item in announced.items():
-        if item.limit is not None and own_vm in server_limits.granting(
-            limits, server_id
-        ):
+        is_limited = item.limit is not None or item.cold_until > now
+        if is_limited and own_vm in server_limits.granting(limits, server_id):
             message = server_limits.permit_reply(limits, server_id)
             limits.outbox += [(others[vm].address, message) for vm in new]
 
--- a/src/carobstand/entry/server_limits.py
+++ b/src/carobstand/entry/server_limits.py
@@ -1,4 +1,6 @@
-"""Limits that backend servers name to all entries together, as one entry knows them.
+"""Limits of backend servers for all entries together, as one entry knows them.
+
+Servers name a limit, and cold ones have another one; the lower one is in force.
 
 `core.permits` decides who grants permits and how many; `entry.permit_exchange`
 exchanges the requests and replies.
@@ -11,13 +13,23 @@
 import attrs
 
 from carobstand import eventlog, signals
-from carobstand.core import announcements, eligibility, entry_roster, permits
+from carobstand.core import (
+    announcements,
+    eligibility,
+    entry_roster,
+    exchange,
+    permits,
+)
 from carobstand.entry import fleet as fleets
 from carobstand.wire.gen_fleet import ttypes
 
 REPEAT_S = 0.2
 """Time after which a changed limit is sent once more, as datagrams may be lost."""
 
+WARM_NEWS_S = 10.0
+"""Time for which messages tell that a server is warm after a statement to that effect;
+no cold time that others may still assume is expected to last longer."""
+
 MAX_TRANSIT_S = 0.2
 """Maximum time that a datagram usually takes; what another entry heard from a server
 counts as that much older."""
@@ -63,6 +75,9 @@
     permit_arrived: object = lambda server_id: None
     draw: object = random.random
 
+    def __attrs_post_init__(self):
+        self.fleet.cold_changed = lambda server_id: _on_cold_changed(self, server_id)
+
 
 def wake(limits):
     """Make `entry.permit_exchange.run` take its next step now."""
@@ -72,7 +87,12 @@
 
 def is_limited(limits, server_id):
     """Whether a server limits the requests of all entries together."""
-    return announcements.limit_of(limits.fleet.announced, server_id) is not None
+    announced = limits.fleet.announced
+    if server_id not in announced.by_server:
+        return False
+    return (
+        announcements.limit_of(announced, server_id, anyio.current_time()) is not None
+    )
 
 
 def withholds(limits, server_id):
@@ -84,12 +104,15 @@
     """
     if not is_limited(limits, server_id):
         return None
-    now = anyio.current_time()
+    announced, now = limits.fleet.announced, anyio.current_time()
     holder = limits.holders.setdefault(server_id, permits.Holder())
+    permits.set_cold(holder, announcements.is_cold(announced, server_id, now))
     if permits.held(holder, now):
         return None
     if permits.withhold(holder, now):
         wake(limits)
+    if announcements.is_limited_by_cold(announced, server_id, now):
+        return eligibility.Reason.COLD
     return eligibility.Reason.LIMITED
 
 
@@ -121,11 +144,20 @@
         interval_s = holder and permits.reported_interval_s(holder)
         if interval_s:
             permits_per_s += 1 / interval_s
-    return (ahead + 1) / permits_per_s if permits_per_s else None
+    if not permits_per_s:
+        return None
+    return min((ahead + 1) / permits_per_s, _until_unlimited_s(limits, server_ids))
+
+
+def _until_unlimited_s(limits, server_ids):
+    """Return the time until one of some limited servers is warm and has no limit."""
+    known = [limits.fleet.announced.by_server.get(item) for item in server_ids]
+    ends = [item.cold_until for item in known if item and item.limit is None]
+    return max(0.0, min(ends, default=math.inf) - anyio.current_time())
 
 
 def record_answer(limits, server_id, started_ms, head, sent_at):
-    """Record what a response says of its server's limit.
+    """Record what a response says of its server's limit and of its cold time.
 
     Parameters
     ----------
@@ -137,13 +169,31 @@
     sent_at : float
         Time at which the request was sent.
     """
+    is_news = _record_limit(limits, server_id, started_ms, head, sent_at)
+    if _record_cold(limits, server_id, started_ms, head, sent_at) or is_news:
+        spread(limits, server_id)
+
+
+def _record_cold(limits, server_id, started_ms, head, sent_at):
+    if head.malformed_cold:
+        eventlog.event(
+            "server.cold_malformed", server=server_id, value=head.malformed_cold[:40]
+        )
+    # Responses overtake each other: one that says warm may be older than a known one.
+    if head.cold_s is None or not (head.cold_s or head.is_signed):
+        return False
+    named_at = anyio.current_time() if head.cold_s else sent_at
+    return learn_cold(limits, server_id, started_ms, head.cold_s, named_at, "answer")
+
+
+def _record_limit(limits, server_id, started_ms, head, sent_at):
     now = anyio.current_time()
     known = limits.fleet.announced.by_server.get(server_id)
     if head.malformed_limit:
         eventlog.event(
             "server.limit_malformed", server=server_id, value=head.malformed_limit[:40]
         )
-        return
+        return False
     if head.limit is None:
         # Responses overtake each other on different connections.
         is_withdrawn = (
@@ -153,9 +203,8 @@
             and sent_at >= known.limit_named_at
         )
         if not is_withdrawn:
-            return
-    if learn(limits, server_id, started_ms, head.limit, now, "answer"):
-        spread(limits, server_id)
+            return False
+    return learn(limits, server_id, started_ms, head.limit, now, "answer")
 
 
 def learn(limits, server_id, started_ms, limit, named_at, source):
@@ -165,11 +214,38 @@
     ):
         return False
     eventlog.event("server.limit", server=server_id, limit=limit, source=source)
-    if limit is None:
+    _drop_if_unlimited(limits, server_id)
+    wake(limits)
+    return True
+
+
+def learn_cold(limits, server_id, started_ms, cold_s, named_at, source, told_per_s=0.0):
+    """Record that a server is cold or warm; return whether that changed."""
+    if not fleets.note_cold(
+        limits.fleet, server_id, started_ms, cold_s, named_at, source, told_per_s
+    ):
+        return False
+    _drop_if_unlimited(limits, server_id)
+    wake(limits)
+    return True
+
+
+def _drop_if_unlimited(limits, server_id):
+    if not is_limited(limits, server_id):
         limits.holders.pop(server_id, None)
         limits.permit_arrived(server_id)
+
+
+def _on_cold_changed(limits, server_id):
+    """Act on what the store or an agent told of a server's cold time.
+
+    The entry that grants its permits tells the others: one that is cut off from the
+    store would go on sending without permits.
+    """
+    _drop_if_unlimited(limits, server_id)
+    if granting(limits, server_id)[0] == limits.fleet.deployment.vm:
+        spread(limits, server_id)
     wake(limits)
-    return True
 
 
 def others(limits):
@@ -210,15 +286,32 @@
 def _statement(limits, server_id):
     """Return the fields of a message that say what a server said of its limit."""
     known = limits.fleet.announced.by_server.get(server_id)
-    if known is None or not math.isfinite(known.limit_named_at):
-        return {"server_id": server_id, "started_ms": 0, "named_ms": -1}
-    age_s = anyio.current_time() - known.limit_named_at
-    return {
-        "server_id": server_id,
-        "started_ms": known.started_ms,
-        "limit": known.limit,
-        "named_ms": max(0, int(age_s * 1000)),
+    fields = {"server_id": server_id, "started_ms": 0, "named_ms": -1}
+    if known is None:
+        return fields
+    now = anyio.current_time()
+    fields.update(_cold_statement(known, now))
+    if math.isfinite(known.limit_named_at):
+        age_s = now - known.limit_named_at
+        fields["limit"] = known.limit
+        fields["named_ms"] = max(0, int(age_s * 1000))
+    if len(fields) > 3:
+        fields["started_ms"] = known.started_ms
+    return fields
+
+
+def _cold_statement(known, now):
+    """Return the fields of a message that say whether a server is cold."""
+    left_s, age_s = max(0.0, known.cold_until - now), now - known.cold_named_at
+    if known.warmup is None or (not left_s and age_s > WARM_NEWS_S):
+        return {}
+    fields = {
+        "cold_ms": min(exchange.MAX_COLD_MS, int(left_s * 1000)),
+        "warmup_per_s": known.warmup.sustained_per_s,
     }
+    if math.isfinite(age_s):
+        fields["cold_named_ms"] = min(exchange.MAX_COLD_MS, max(0, int(age_s * 1000)))
+    return fields
 
 
 def permit_request(limits, server_id, wanted=0, number=0, rank=permits.Rank.FIRST):
@@ -259,10 +352,11 @@
         raise ValueError("no server")
     if message.limit is not None and not 0 <= message.limit < math.inf:
         raise ValueError(f"limit {message.limit}")
+    is_cold_news = _learn_cold_from_message(limits, message, peer)
     if message.named_ms is None or message.named_ms < 0:
-        return False
+        return is_cold_news
     named_at = anyio.current_time() - message.named_ms / 1000 - MAX_TRANSIT_S
-    return learn(
+    is_limit_news = learn(
         limits,
         message.server_id,
         message.started_ms or 0,
@@ -270,3 +364,24 @@
         named_at,
         peer,
     )
+    return is_limit_news or is_cold_news
+
+
+def _learn_cold_from_message(limits, message, peer):
+    cold_ms, per_s = message.cold_ms, message.warmup_per_s
+    if cold_ms is None or per_s is None:
+        return False
+    if cold_ms < 0 or not 0 < per_s < math.inf:
+        raise ValueError(f"cold for {cold_ms} ms, {per_s} requests/s")
+    server_id, started_ms = message.server_id, message.started_ms or 0
+    fleets.note_start(limits.fleet, server_id, started_ms)
+    if message.cold_named_ms is None:
+        if not cold_ms or fleets.knows_cold(limits.fleet, server_id, started_ms):
+            return False
+        named_at = -math.inf
+    else:
+        age_s = message.cold_named_ms / 1000
+        named_at = anyio.current_time() - age_s - MAX_TRANSIT_S
+    return learn_cold(
+        limits, server_id, started_ms, cold_ms / 1000, named_at, peer, per_s
+    )
--- a/src/carobstand/platform/http_headers.py
+++ b/src/carobstand/platform/http_headers.py
@@ -159,7 +159,8 @@
     for name, value in headers:
         values.setdefault(name, value.decode("latin-1"))
     dropped = _HOP_BY_HOP | {b"content-length"} | _named_by_connection(headers)
-    limit = _parse_limit(values.get(b"server-limit"))
+    limit = _parse_at_least_zero(values.get(b"server-limit"))
+    cold_ms = _parse_at_least_zero(values.get(b"warmup-ms"))
     return exchange.AnswerHead(
         status=status,
         request_id=values.get(b"request-id", ""),
@@ -179,10 +180,12 @@
         backoff_s=_parse_backoff(values.get(b"retry-after")) if status == 503 else None,
         limit=limit,
         malformed_limit=values.get(b"server-limit", "") if limit is None else "",
+        cold_s=None if cold_ms is None else min(cold_ms, exchange.MAX_COLD_MS) / 1000,
+        malformed_cold=values.get(b"warmup-ms", "") if cold_ms is None else "",
     )
 
 
-def _parse_limit(text):
+def _parse_at_least_zero(text):
     """Return a finite number of at least 0, or None if `text` is not one."""
     try:
         limit = float(text or "")
--- a/src/carobstand/platform/records.py
+++ b/src/carobstand/platform/records.py
@@ -1,11 +1,12 @@
 """Records that operators and backend servers write into the platform's store."""
 
+import math
 import re
 
 import attrs
 
 from carobstand import errors
-from carobstand.core import registry, routes
+from carobstand.core import exchange, registry, routes
 from carobstand.platform import fields
 
 CONFIGURATION_KEY = "op/config"
@@ -92,9 +93,19 @@
         latency_model=_latency_model(engine) if "slots" in engine.data else None,
         weights=_weights(engine) if "chunks" in engine.data else None,
         origin=origin,
+        warmup_s=_at_least_zero(record, "warmup_s"),
+        warmup_per_s=_at_least_zero(record, "warmup_per_s"),
     )
 
 
+def _at_least_zero(record, name):
+    value = record.number(name, 0)
+    if not math.isfinite(value) or value < 0:
+        message = f"{name}: {value!r} is not a finite number of at least 0"
+        raise errors.RecordError(message, step=record.step)
+    return float(value)
+
+
 def _latency_model(record):
     usual = record.record("usual")
     models = record.records("models")
@@ -176,6 +187,7 @@
     address = record.text("address")
     if not _ADDRESS.fullmatch(address):
         raise errors.RecordError(f"address: {address!r} is not HOST:PORT", step=key)
+    cold_s, malformed_cold = _cold(record.data.get("warmup_remaining_ms"))
     return registry.Registration(
         server_id=key.removeprefix(SERVER_PREFIX),
         service=record.text("service"),
@@ -187,9 +199,21 @@
         runs_model="models" in record.data,
         started_ms=record.integer("born", 0),
         heartbeats=record.integer("sequence", 0),
+        cold_s=cold_s,
+        malformed_cold=malformed_cold,
     )
 
 
+def _cold(value_ms):
+    """Return the remaining cold time in s, or None, and the value if malformed."""
+    if value_ms is None:
+        return None, ""
+    is_number = isinstance(value_ms, (int, float)) and not isinstance(value_ms, bool)
+    if is_number and 0 <= value_ms < math.inf:
+        return min(value_ms, exchange.MAX_COLD_MS) / 1000, ""
+    return None, f"{value_ms!r:.80}"
+
+
 def decode_holding(record):
     """Return the `Holding` that an engine reports, or None if it reports none."""
     models = record.records("models")
--- a/src/carobstand/platform/settings_file.py
+++ b/src/carobstand/platform/settings_file.py
@@ -110,4 +110,6 @@
         retry_slack=record.number("retry_budget_slack", defaults.retry_slack),
         version_s=record.seconds("version_ms", defaults.version_s * 1000),
         contact_s=record.seconds("contact_ms", defaults.contact_s * 1000),
+        warmup_overshoot=record.number("warmup_overshoot", defaults.warmup_overshoot),
+        warmup_slack=record.number("warmup_slack", defaults.warmup_slack),
     )
--- a/src/carobstand/standin/platform/engine.py
+++ b/src/carobstand/standin/platform/engine.py
@@ -97,6 +97,12 @@
         ``Server-Limit`` of its responses, in requests/s; None omits the header.
     limit_header : bytes
         Value of ``Server-Limit`` instead of `limit`, for malformed ones.
+    cold_until : float
+        Time until which it is cold.
+    tells_cold : bool
+        Whether its responses carry ``Warmup-Ms``.
+    records_cold : bool
+        Whether its record has ``warmup_remaining_ms``.
     arrivals : list of Arrival
     informed : dict of str to float
         Time of the first response that named a limit, by sender.
@@ -159,6 +165,9 @@
     retry_delay_s: float = 0.0
     limit: float | None = None
     limit_header: bytes = b""
+    cold_until: float = 0.0
+    tells_cold: bool = False
+    records_cold: bool = True
     arrivals: list = attrs.field(factory=list)
     informed: dict = attrs.field(factory=dict)
     fault: str = ""
@@ -188,13 +197,19 @@
         "version": "v1",
         "slots": engine.slots,
         "state": "draining" if engine.is_draining else "ready",
-        "warmup_remaining_ms": 0,
         "sequence": engine.heartbeats,
         "born": engine.started_ms,
     }
+    if engine.records_cold:
+        found["warmup_remaining_ms"] = cold_ms(engine)
     return {**found, **_weights_record(engine)} if engine.model else found
 
 
+def cold_ms(engine):
+    """Return the time for which an engine stays cold, in ms."""
+    return max(0, round(1000 * (engine.cold_until - anyio.current_time())))
+
+
 def _weights_record(engine):
     if engine.version is None or engine.loading:
         return {"stage": "unified", "models": []}
@@ -364,15 +379,16 @@
 
 
 def record_arrival(engine, sender, parts=()):
-    """Record a request; return the headers of its response that name the limit."""
+    """Record a request; return the headers that name the limit and the cold time."""
     now = anyio.current_time()
     engine.arrivals.append(Arrival(now, sender, engine.limit, parts))
+    headers = [(b"Warmup-Ms", b"%d" % cold_ms(engine))] if engine.tells_cold else []
     if engine.limit_header:
-        return [(b"Server-Limit", engine.limit_header)]
+        return [*headers, (b"Server-Limit", engine.limit_header)]
     if engine.limit is None:
-        return []
+        return headers
     engine.informed.setdefault(sender, now)
-    return [(b"Server-Limit", b"%g" % engine.limit)]
+    return [*headers, (b"Server-Limit", b"%g" % engine.limit)]
 
 
 async def _send_unbounded(reply, headers, fault):
--- a/src/carobstand/wire/gen_fleet/ttypes.py
+++ b/src/carobstand/wire/gen_fleet/ttypes.py
@@ -680,11 +680,13 @@
      - number
      - is_deputy
      - cold_ms
+     - warmup_per_s
+     - cold_named_ms
 
     """
 
 
-    def __init__(self, server_id=None, started_ms=None, limit=None, named_ms=None, vm=None, address=None, wanted=None, number=None, is_deputy=None, cold_ms=None,):
+    def __init__(self, server_id=None, started_ms=None, limit=None, named_ms=None, vm=None, address=None, wanted=None, number=None, is_deputy=None, cold_ms=None, warmup_per_s=None, cold_named_ms=None,):
         self.server_id = server_id
         self.started_ms = started_ms
         self.limit = limit
@@ -695,6 +697,8 @@
         self.number = number
         self.is_deputy = is_deputy
         self.cold_ms = cold_ms
+        self.warmup_per_s = warmup_per_s
+        self.cold_named_ms = cold_named_ms
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -755,6 +759,16 @@
                     self.cold_ms = iprot.readI32()
                 else:
                     iprot.skip(ftype)
+            elif fid == 11:
+                if ftype == TType.DOUBLE:
+                    self.warmup_per_s = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 12:
+                if ftype == TType.I32:
+                    self.cold_named_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -805,6 +819,14 @@
             oprot.writeFieldBegin('cold_ms', TType.I32, 10)
             oprot.writeI32(self.cold_ms)
             oprot.writeFieldEnd()
+        if self.warmup_per_s is not None:
+            oprot.writeFieldBegin('warmup_per_s', TType.DOUBLE, 11)
+            oprot.writeDouble(self.warmup_per_s)
+            oprot.writeFieldEnd()
+        if self.cold_named_ms is not None:
+            oprot.writeFieldBegin('cold_named_ms', TType.I32, 12)
+            oprot.writeI32(self.cold_named_ms)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -837,11 +859,14 @@
      - refresh_ms
      - is_deputy
      - cold_ms
+     - warmup_per_s
+     - cold_named_ms
+     - waited_ms
 
     """
 
 
-    def __init__(self, server_id=None, started_ms=None, limit=None, named_ms=None, number=None, granted=None, is_granting=None, interval_ms=None, refresh_ms=None, is_deputy=None, cold_ms=None,):
+    def __init__(self, server_id=None, started_ms=None, limit=None, named_ms=None, number=None, granted=None, is_granting=None, interval_ms=None, refresh_ms=None, is_deputy=None, cold_ms=None, warmup_per_s=None, cold_named_ms=None, waited_ms=None,):
         self.server_id = server_id
         self.started_ms = started_ms
         self.limit = limit
@@ -853,6 +878,9 @@
         self.refresh_ms = refresh_ms
         self.is_deputy = is_deputy
         self.cold_ms = cold_ms
+        self.warmup_per_s = warmup_per_s
+        self.cold_named_ms = cold_named_ms
+        self.waited_ms = waited_ms
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -918,6 +946,21 @@
                     self.cold_ms = iprot.readI32()
                 else:
                     iprot.skip(ftype)
+            elif fid == 12:
+                if ftype == TType.DOUBLE:
+                    self.warmup_per_s = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 13:
+                if ftype == TType.I32:
+                    self.cold_named_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 14:
+                if ftype == TType.I32:
+                    self.waited_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -972,6 +1015,18 @@
             oprot.writeFieldBegin('cold_ms', TType.I32, 11)
             oprot.writeI32(self.cold_ms)
             oprot.writeFieldEnd()
+        if self.warmup_per_s is not None:
+            oprot.writeFieldBegin('warmup_per_s', TType.DOUBLE, 12)
+            oprot.writeDouble(self.warmup_per_s)
+            oprot.writeFieldEnd()
+        if self.cold_named_ms is not None:
+            oprot.writeFieldBegin('cold_named_ms', TType.I32, 13)
+            oprot.writeI32(self.cold_named_ms)
+            oprot.writeFieldEnd()
+        if self.waited_ms is not None:
+            oprot.writeFieldBegin('waited_ms', TType.I32, 14)
+            oprot.writeI32(self.waited_ms)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1943,6 +1998,8 @@
     (8, TType.I32, 'number', None, None, ),  # 8
     (9, TType.BOOL, 'is_deputy', None, None, ),  # 9
     (10, TType.I32, 'cold_ms', None, None, ),  # 10
+    (11, TType.DOUBLE, 'warmup_per_s', None, None, ),  # 11
+    (12, TType.I32, 'cold_named_ms', None, None, ),  # 12
 )
 all_structs.append(PermitReply)
 PermitReply.thrift_spec = (
@@ -1958,6 +2015,9 @@
     (9, TType.I32, 'refresh_ms', None, None, ),  # 9
     (10, TType.BOOL, 'is_deputy', None, None, ),  # 10
     (11, TType.I32, 'cold_ms', None, None, ),  # 11
+    (12, TType.DOUBLE, 'warmup_per_s', None, None, ),  # 12
+    (13, TType.I32, 'cold_named_ms', None, None, ),  # 13
+    (14, TType.I32, 'waited_ms', None, None, ),  # 14
 )
 all_structs.append(EntryLeaving)
 EntryLeaving.thrift_spec = (
--- a/testing/test_permits.py
+++ b/testing/test_permits.py
@@ -128,7 +128,7 @@
             permits.refused(holder, rank)
         for step in range(600):
             now = step * 0.1
-            permits.accrue_alone(holder, limit, entries, now, lambda: next(draws))
+            permits.accrue_alone(holder, limit, 0.5, entries, now, lambda: next(draws))
         granted += len(holder.expiries)
     assert granted <= permits.ALONE_SHARE * limit * 60 + entries
     assert granted >= permits.ALONE_SHARE * limit * 60 - entries
@@ -148,7 +148,7 @@
     assert announcements.record_limit(state, "i-1", 1000, 2.0, 5.0)
     assert not announcements.record_limit(state, "i-1", 1000, 2.0, 6.0)
     assert announcements.record_start(state, "i-1", 9000, 60.0, 2.4)
-    assert announcements.limit_of(state, "i-1") is None
+    assert announcements.limit_of(state, "i-1", 60.0) is None
 
 
 def test_an_older_response_does_not_change_a_limit():
@@ -156,7 +156,7 @@
     announcements.record_limit(state, "i-1", 1000, 2.0, 5.0)
     assert not announcements.record_limit(state, "i-1", 1000, None, 4.0)
     assert not announcements.record_limit(state, "i-1", 500, 9.0, 9.0)
-    assert announcements.limit_of(state, "i-1") == 2.0
+    assert announcements.limit_of(state, "i-1", 9.0) == 2.0
 
 
 @pytest.mark.parametrize(
