Test cold servers with real entries; let joining entries confirm their turn

An entry that joined granted at the full rate while the earlier granter did not know of it: 44 to 68 requests in a second where 44 are allowed, in simulations with joining entries and a lost store. It now tells the others at once, and grants a quarter until the next two in the order confirm or five seconds have passed; an entry that is no longer first drops waiting requests for permits.

--- a/src/carobstand/core/entry_roster.py
+++ b/src/carobstand/core/entry_roster.py
@@ -22,6 +22,9 @@
         Entries with a record in the store, by VM.
     lapsed : dict of str to (core.weight_sources.Entry, float)
         Entries whose records lapsed, and until when they count as running, by VM.
+    introduced : dict of str to (core.weight_sources.Entry, float)
+        Entries that announced that they joined before their record was read here, and
+        until when they count as running without it, by VM.
     leaving : dict of str to float
         Time at which each entry that announced a planned stop has stopped, by VM.
     removed_at : dict of str to float
@@ -30,6 +33,7 @@
 
     entries: dict = attrs.field(factory=dict)
     lapsed: dict = attrs.field(factory=dict)
+    introduced: dict = attrs.field(factory=dict)
     leaving: dict = attrs.field(factory=dict)
     removed_at: dict = attrs.field(factory=dict)
 
@@ -40,9 +44,17 @@
         roster.leaving.pop(vm, None)
     roster.entries[vm] = entry
     roster.lapsed.pop(vm, None)
+    roster.introduced.pop(vm, None)
     roster.removed_at.pop(vm, None)
 
 
+def introduce(roster, entry, now):
+    """Count an entry as running that announced itself, until its record is read."""
+    if entry.vm not in roster.entries:
+        roster.introduced[entry.vm] = entry, now + LAPSED_S
+        roster.leaving.pop(entry.vm, None)
+
+
 def remove(roster, vm, now, may_have_lapsed):
     """Remove the record of an entry.
 
@@ -74,9 +86,12 @@
     """Return the entries that count as running and are not leaving, by VM."""
     roster.lapsed = {vm: item for vm, item in roster.lapsed.items() if item[1] > now}
     lapsed = {vm: entry for vm, (entry, _) in roster.lapsed.items()}
+    introduced = {
+        vm: item[0] for vm, item in roster.introduced.items() if item[1] > now
+    }
     return {
         vm: entry
-        for vm, entry in {**lapsed, **roster.entries}.items()
+        for vm, entry in {**introduced, **lapsed, **roster.entries}.items()
         if roster.leaving.get(vm, now) <= now
     }
 
--- a/src/carobstand/core/permits.py
+++ b/src/carobstand/core/permits.py
@@ -104,7 +104,12 @@
 
 COLD_STALE_SHARE = 0.25
 """Like `STALE_SHARE`, for a cold server: what the first entry and one that joined
-unnoticed grant together must fit into a single second."""
+unnoticed grant together must fit into a single second. Also the share that an entry
+grants that has just joined, while earlier ones may not know of it."""
+
+CONFIRMING_ENTRIES = 2
+"""Entries next in the order that must know of one that joined before it grants the full
+limit of a cold server. One of them granted before, unless more joined together."""
 
 _SHARES = 1.0 + DEPUTY_SHARE + ALONE_SHARE
 _BURSTS = 2 * BURST_REQUESTS + 1
@@ -121,16 +126,16 @@
     DEPUTY = 1
 
 
-def granting_entries(server_id, vms):
+def granting_entries(server_id, vms, count=2):
     """Return the VMs of the entry that grants the permits of a server and its deputy.
 
     Returns
     -------
     vms : list of str
-        At most two.
+        At most two, or as many as `count`, in the order in which they take over.
     """
     key = f"limit/{server_id}"
-    return sorted(vms, key=lambda vm: rendezvous.score(key, vm))[:2]
+    return sorted(vms, key=lambda vm: rendezvous.score(key, vm))[:count]
 
 
 def rate(limit, share=1.0):
@@ -301,6 +306,8 @@
 
     Attributes
     ----------
+    vm : str
+        VM to which the last request was sent.
     number : int
         Number of the last request.
     sent_at : float
@@ -319,6 +326,7 @@
         Expected time between two permits, as last reported.
     """
 
+    vm: str = ""
     number: int = 0
     sent_at: float = -math.inf
     sent: dict = attrs.field(factory=dict)
@@ -440,6 +448,16 @@
     return inquiry.number
 
 
+def follow_order(holder, vms):
+    """Ask at once where another entry has taken a rank; `vms` are in order."""
+    for rank, vm in zip(Rank, vms, strict=False):
+        inquiry = holder.inquiries[rank]
+        if inquiry.vm and inquiry.vm != vm:
+            inquiry.is_answered, inquiry.unanswered = True, 0
+            inquiry.next_at = -math.inf
+        inquiry.vm = vm
+
+
 def next_due_at(holder):
     """Return the time of the next request for permits, if there is demand."""
     ranks = [Rank.FIRST]
--- a/src/carobstand/entry/datagrams.py
+++ b/src/carobstand/entry/datagrams.py
@@ -39,6 +39,8 @@
                 poison_parts.on_report(fwd, message, peer[0])
             elif isinstance(message, ttypes.PartQuery):
                 poison_parts.on_query(fwd, message, peer[0])
+            elif isinstance(message, ttypes.EntryJoined):
+                permit_exchange.on_joined(fwd.limits, message, peer[0])
             elif isinstance(message, ttypes.EntryLeaving):
                 permit_exchange.on_leaving(fwd.limits, message)
 
--- a/src/carobstand/entry/fleet.py
+++ b/src/carobstand/entry/fleet.py
@@ -122,7 +122,7 @@
     stops_at : float
         Time at which a planned stop ends the requests still in progress.
     cold_changed : callable of (str)
-        Called with the id of a server that became cold or warm.
+        Called with the id of a known server that became cold or warm.
     changed : signals.Signal
         Notified at each change of the above.
     """
@@ -471,14 +471,14 @@
         eventlog.event("server.started_anew", server=server_id, start=started_ms)
 
 
-def assume_cold(fleet, server_id, started_ms, source):
+def assume_cold(fleet, server_id, started_ms, source, is_known=True):
     """Record that a server is cold, as it started during traffic.
 
     What a statement told of the same start takes precedence.
     """
     if not announcements.tells_cold(fleet.announced, server_id, started_ms):
         cold_s = _warmup_s(fleet, server_id)
-        _set_cold(fleet, server_id, started_ms, cold_s, -math.inf, source)
+        _set_cold(fleet, server_id, started_ms, cold_s, -math.inf, source, is_known)
 
 
 def mark_cold(fleet, server_ids, source):
@@ -525,9 +525,10 @@
     cold_s = registration.cold_s
     if cold_s is not None:
         named_at = anyio.current_time() if cold_s else fleet.changes_since
-        _set_cold(fleet, server_id, started_ms, cold_s, named_at, "record")
+        is_known = known is not None
+        _set_cold(fleet, server_id, started_ms, cold_s, named_at, "record", is_known)
     elif fleet.first_read_at is not None and _is_new_start(fleet, registration, known):
-        assume_cold(fleet, server_id, started_ms, "start")
+        assume_cold(fleet, server_id, started_ms, "start", known is not None)
 
 
 def knows_cold(fleet, server_id, started_ms):
@@ -567,8 +568,10 @@
     return fleet.configuration.services.get(server.service)
 
 
-def _set_cold(fleet, server_id, started_ms, cold_s, named_at, source):
-    if note_cold(fleet, server_id, started_ms, cold_s, named_at, source):
+def _set_cold(fleet, server_id, started_ms, cold_s, named_at, source, is_known=True):
+    is_changed = note_cold(fleet, server_id, started_ms, cold_s, named_at, source)
+    # Entries that do not know a new server yet learn both from the same record.
+    if is_changed and is_known:
         fleet.cold_changed(server_id)
 
 
--- a/src/carobstand/entry/permit_exchange.py
+++ b/src/carobstand/entry/permit_exchange.py
@@ -5,7 +5,13 @@
 import anyio
 
 from carobstand import eventlog
-from carobstand.core import announcements, deployment, entry_roster, permits
+from carobstand.core import (
+    announcements,
+    deployment,
+    entry_roster,
+    permits,
+    weight_sources,
+)
 from carobstand.entry import server_limits
 from carobstand.wire import fleet_codec
 from carobstand.wire.gen_fleet import ttypes
@@ -16,6 +22,9 @@
 IDLE_INTERVAL_S = 0.5
 """Interval of checks for entries that started, and for an own planned stop."""
 
+INTRODUCE_INTERVAL_S = 0.3
+"""Interval at which an entry that joined tells it to those that have not replied."""
+
 ALONE_INTERVAL_S = 0.1
 """Interval of checks while no other entry grants permits."""
 
@@ -77,12 +86,11 @@
     if rank is permits.Rank.DEPUTY:
         return permits.rate(limit, permits.DEPUTY_SHARE)
     confirmed_at = limits.fleet.confirmed_at
-    if confirmed_at is not None and now - confirmed_at <= STALE_S:
-        return permits.rate(limit)
-    is_cold = announcements.is_cold(announced, server_id, now)
-    return permits.rate(
-        limit, permits.COLD_STALE_SHARE if is_cold else permits.STALE_SHARE
-    )
+    is_stale = confirmed_at is None or now - confirmed_at > STALE_S
+    if not announcements.is_cold(announced, server_id, now):
+        return permits.rate(limit, permits.STALE_SHARE if is_stale else 1.0)
+    is_sole = not is_stale and server_limits.is_confirmed(limits, server_id, STALE_S)
+    return permits.rate(limit, 1.0 if is_sole else permits.COLD_STALE_SHARE)
 
 
 def _grant(limits, server_id, rank, granter):
@@ -189,6 +197,58 @@
         eventlog.event("entry.leaving", entry=message.vm)
 
 
+def on_joined(limits, message, peer):
+    """Process a datagram of an entry that joined, or that knows that this one did."""
+    try:
+        _, port = deployment.split_address(message.address or "")
+        if not message.vm or not 0 < port <= MAX_PORT:
+            raise ValueError(f"no VM, or address {message.address!r}")
+    except ValueError as exc:
+        eventlog.event("datagram.malformed", peer=peer, error=str(exc))
+        return
+    if message.is_reply:
+        limits.aware.add(message.vm)
+        return server_limits.wake(limits)
+    entry = weight_sources.Entry(
+        message.vm, message.address, message.failure_domain or "", message.region or ""
+    )
+    entry_roster.introduce(limits.fleet.roster, entry, anyio.current_time())
+    limits.outbox.append((message.address, _joined(limits, is_reply=True)))
+    server_limits.wake(limits)
+
+
+def _joined(limits, is_reply=False):
+    me = weight_sources.entry_from_deployment(limits.fleet.deployment)
+    return ttypes.EntryJoined(
+        vm=me.vm,
+        address=me.address,
+        failure_domain=me.failure_domain,
+        region=me.region,
+        is_reply=is_reply,
+    )
+
+
+def _introduce(limits, now):
+    """Tell the others that this entry has joined, until they know or it was long ago.
+
+    Only deployments with limits for cold servers need to know it that soon.
+    """
+    if limits.fleet.deployment.vm not in limits.fleet.roster.entries:
+        limits.listed_at, limits.introduce_at = None, -math.inf
+        limits.aware.clear()
+        return
+    if limits.listed_at is None:
+        limits.listed_at = now
+    config = limits.fleet.configuration
+    is_needed = config and any(item.warmup_per_s for item in config.services.values())
+    if not is_needed or now < limits.introduce_at or now > limits.listed_at + STALE_S:
+        return
+    limits.introduce_at = now + INTRODUCE_INTERVAL_S
+    for vm, entry in server_limits.others(limits).items():
+        if vm not in limits.aware:
+            limits.outbox.append((entry.address, _joined(limits)))
+
+
 async def run(limits):
     """Request and grant permits until cancelled."""
     async with await anyio.create_udp_socket(
@@ -209,6 +269,7 @@
     """Do what is due; return the time of the next step."""
     now = anyio.current_time()
     _announce_stop(limits)
+    _introduce(limits, now)
     _greet_new_entries(limits)
     due = [item for item in limits.repeats if item[0] <= now]
     limits.repeats = [item for item in limits.repeats if item[0] > now]
@@ -224,7 +285,7 @@
             next_at = min(next_at, cold_until)
         next_at = min(next_at, _ask(limits, server_id, holder, now))
     for (server_id, rank), granter in list(limits.granters.items()):
-        if not server_limits.is_limited(limits, server_id):
+        if not _is_to_grant(limits, server_id, rank, now):
             del limits.granters[server_id, rank]
             continue
         _grant(limits, server_id, rank, granter)
@@ -233,6 +294,16 @@
     return next_at
 
 
+def _is_to_grant(limits, server_id, rank, now):
+    """Whether this entry goes on granting permits to those that wait for them."""
+    if not server_limits.is_limited(limits, server_id):
+        return False
+    if rank is permits.Rank.DEPUTY:
+        return True
+    is_cold = announcements.is_cold(limits.fleet.announced, server_id, now)
+    return not is_cold or server_limits.is_first(limits, server_id)
+
+
 def _ask(limits, server_id, holder, now):
     """Request permits of a server if some are wanted; return when to do so again."""
     announced = limits.fleet.announced
@@ -241,6 +312,8 @@
     if not wanted:
         return holder.expiries[0] if holder.expiries else math.inf
     vms = server_limits.granting(limits, server_id)
+    if announcements.is_cold(announced, server_id, now):
+        permits.follow_order(holder, vms)
     for rank in permits.Rank:
         was_unreachable = permits.is_unreachable(holder, rank)
         number = permits.due(holder, rank, now)
--- a/src/carobstand/entry/server_limits.py
+++ b/src/carobstand/entry/server_limits.py
@@ -52,6 +52,16 @@
         Time, address and message.
     greeted : set of str
         VMs of entries that know the limits whose permits this entry grants.
+    order_vms : tuple of str
+        VMs of the entries to which `orders` applies.
+    orders : dict of str to list of str
+        VMs in the order in which they grant the permits of a server, by its id.
+    listed_at : float or None
+        Time at which this entry last appeared among the registered ones.
+    aware : set of str
+        VMs of entries that confirmed that they know of this one.
+    introduce_at : float
+        Time at which the others are told next that this entry has joined.
     has_announced_stop : bool
     is_changed : bool
         Whether something is to be done since the last `step`.
@@ -69,6 +79,11 @@
     outbox: list = attrs.field(factory=list)
     repeats: list = attrs.field(factory=list)
     greeted: set = attrs.field(factory=set)
+    order_vms: tuple = ()
+    orders: dict = attrs.field(factory=dict)
+    listed_at: float | None = None
+    aware: set = attrs.field(factory=set)
+    introduce_at: float = -math.inf
     has_announced_stop: bool = False
     is_changed: bool = False
     woken: signals.Signal = attrs.field(factory=signals.Signal)
@@ -257,8 +272,38 @@
 
 def granting(limits, server_id):
     """Return the VMs that grant the permits of a server, the first one first."""
-    vms = entry_roster.running(limits.fleet.roster, anyio.current_time())
-    return permits.granting_entries(server_id, vms or [limits.fleet.deployment.vm])
+    return _order(limits, server_id)[:2]
+
+
+def _order(limits, server_id):
+    vms = tuple(entry_roster.running(limits.fleet.roster, anyio.current_time()))
+    if vms != limits.order_vms:
+        limits.order_vms, limits.orders = vms, {}
+    if server_id not in limits.orders:
+        limits.orders[server_id] = permits.granting_entries(
+            server_id,
+            vms or [limits.fleet.deployment.vm],
+            1 + permits.CONFIRMING_ENTRIES,
+        )
+    return limits.orders[server_id]
+
+
+def is_first(limits, server_id):
+    """Whether this entry grants the permits of a server."""
+    return _order(limits, server_id)[0] == limits.fleet.deployment.vm
+
+
+def is_confirmed(limits, server_id, settled_s):
+    """Whether no other entry can grant the permits of a server instead of this one.
+
+    An earlier one stops when it knows of this one. One that cannot know grants a part
+    only, once its state of the store has not been confirmed for `settled_s`.
+    """
+    if limits.listed_at is None:
+        return False
+    if anyio.current_time() - limits.listed_at > settled_s:
+        return True
+    return limits.aware.issuperset(_order(limits, server_id)[1:])
 
 
 def spread(limits, server_id):
--- a/src/carobstand/wire/fleet.thrift
+++ b/src/carobstand/wire/fleet.thrift
@@ -96,6 +96,16 @@
   1: string vm
 }
 
+// Datagram between entries: an entry has joined. The reply names the replying entry,
+// which counts the other one as running from then on.
+struct EntryJoined {
+  1: string vm
+  2: string address
+  3: string failure_domain
+  4: string region
+  5: bool is_reply
+}
+
 // First frame of a connection: requests the manifest of a version.
 struct ManifestRequest {
   1: string model
@@ -163,4 +173,5 @@
   11: EntryLeaving entry_leaving
   12: PartReport part_report
   13: PartQuery part_query
+  14: EntryJoined entry_joined
 }
--- a/src/carobstand/wire/gen_fleet/ttypes.py
+++ b/src/carobstand/wire/gen_fleet/ttypes.py
@@ -1102,6 +1102,107 @@
         return not (self == other)
 
 
+class EntryJoined(object):
+    """
+    Attributes:
+     - vm
+     - address
+     - failure_domain
+     - region
+     - is_reply
+
+    """
+
+
+    def __init__(self, vm=None, address=None, failure_domain=None, region=None, is_reply=None,):
+        self.vm = vm
+        self.address = address
+        self.failure_domain = failure_domain
+        self.region = region
+        self.is_reply = is_reply
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.vm = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.address = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.STRING:
+                    self.failure_domain = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.STRING:
+                    self.region = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.BOOL:
+                    self.is_reply = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('EntryJoined')
+        if self.vm is not None:
+            oprot.writeFieldBegin('vm', TType.STRING, 1)
+            oprot.writeString(self.vm.encode('utf-8') if sys.version_info[0] == 2 else self.vm)
+            oprot.writeFieldEnd()
+        if self.address is not None:
+            oprot.writeFieldBegin('address', TType.STRING, 2)
+            oprot.writeString(self.address.encode('utf-8') if sys.version_info[0] == 2 else self.address)
+            oprot.writeFieldEnd()
+        if self.failure_domain is not None:
+            oprot.writeFieldBegin('failure_domain', TType.STRING, 3)
+            oprot.writeString(self.failure_domain.encode('utf-8') if sys.version_info[0] == 2 else self.failure_domain)
+            oprot.writeFieldEnd()
+        if self.region is not None:
+            oprot.writeFieldBegin('region', TType.STRING, 4)
+            oprot.writeString(self.region.encode('utf-8') if sys.version_info[0] == 2 else self.region)
+            oprot.writeFieldEnd()
+        if self.is_reply is not None:
+            oprot.writeFieldBegin('is_reply', TType.BOOL, 5)
+            oprot.writeBool(self.is_reply)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class ManifestRequest(object):
     """
     Attributes:
@@ -1746,11 +1847,12 @@
      - entry_leaving
      - part_report
      - part_query
+     - entry_joined
 
     """
 
 
-    def __init__(self, engine_load=None, failed_run=None, manifest_request=None, manifest_reply=None, block_request=None, block_reply=None, news_request=None, news_reply=None, permit_request=None, permit_reply=None, entry_leaving=None, part_report=None, part_query=None,):
+    def __init__(self, engine_load=None, failed_run=None, manifest_request=None, manifest_reply=None, block_request=None, block_reply=None, news_request=None, news_reply=None, permit_request=None, permit_reply=None, entry_leaving=None, part_report=None, part_query=None, entry_joined=None,):
         self.engine_load = engine_load
         self.failed_run = failed_run
         self.manifest_request = manifest_request
@@ -1764,6 +1866,7 @@
         self.entry_leaving = entry_leaving
         self.part_report = part_report
         self.part_query = part_query
+        self.entry_joined = entry_joined
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1852,6 +1955,12 @@
                     self.part_query.read(iprot)
                 else:
                     iprot.skip(ftype)
+            elif fid == 14:
+                if ftype == TType.STRUCT:
+                    self.entry_joined = EntryJoined()
+                    self.entry_joined.read(iprot)
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1914,6 +2023,10 @@
             oprot.writeFieldBegin('part_query', TType.STRUCT, 13)
             self.part_query.write(oprot)
             oprot.writeFieldEnd()
+        if self.entry_joined is not None:
+            oprot.writeFieldBegin('entry_joined', TType.STRUCT, 14)
+            self.entry_joined.write(oprot)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2024,6 +2137,15 @@
     None,  # 0
     (1, TType.STRING, 'vm', 'UTF8', None, ),  # 1
 )
+all_structs.append(EntryJoined)
+EntryJoined.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'vm', 'UTF8', None, ),  # 1
+    (2, TType.STRING, 'address', 'UTF8', None, ),  # 2
+    (3, TType.STRING, 'failure_domain', 'UTF8', None, ),  # 3
+    (4, TType.STRING, 'region', 'UTF8', None, ),  # 4
+    (5, TType.BOOL, 'is_reply', None, None, ),  # 5
+)
 all_structs.append(ManifestRequest)
 ManifestRequest.thrift_spec = (
     None,  # 0
@@ -2095,6 +2217,7 @@
     (11, TType.STRUCT, 'entry_leaving', [EntryLeaving, None], None, ),  # 11
     (12, TType.STRUCT, 'part_report', [PartReport, None], None, ),  # 12
     (13, TType.STRUCT, 'part_query', [PartQuery, None], None, ),  # 13
+    (14, TType.STRUCT, 'entry_joined', [EntryJoined, None], None, ),  # 14
 )
 fix_spec(all_structs)
 del all_structs
--- a/testing/limit_checks.py
+++ b/testing/limit_checks.py
@@ -147,6 +147,14 @@
     return item.limit is not None and item.limit < known
 
 
+def most_in_a_second(engine, start, end):
+    """Return the most requests that reached a server in any second of a period."""
+    times = [item.at for item in engine.arrivals if start <= item.at < end]
+    return max(
+        (sum(at - 1.0 < item <= at for item in times) for at in times), default=0
+    )
+
+
 def requests_between(engine, start, end):
     """Return how many requests reached a server between two times."""
     return sum(start <= item.at < end for item in engine.arrivals)
--- a/testing/limit_simulation.py
+++ b/testing/limit_simulation.py
@@ -9,9 +9,10 @@
 import anyio
 import attrs
 
-from carobstand.core import entry_roster, exchange, weight_sources
+from carobstand.core import entry_roster, exchange, routes, weight_sources
 from carobstand.entry import fleet as fleets
 from carobstand.entry import permit_exchange, server_limits
+from carobstand.platform import kv, records
 from carobstand.standin.platform import engine
 from carobstand.wire import fleet_codec
 from carobstand.wire.gen_fleet import ttypes
@@ -44,6 +45,10 @@
         Requests that could go to the server.
     frozen_until : float
     without_store_until : float
+    revision : int
+        Number of records of servers that were applied.
+    polled_at : float
+        Time at which the records were last read.
     inbox : list of bytes
         Datagrams received while frozen.
     scope : anyio.CancelScope
@@ -55,6 +60,8 @@
     callers_per_s: float
     frozen_until: float = 0.0
     without_store_until: float = 0.0
+    revision: int = 0
+    polled_at: float = 0.0
     inbox: list = attrs.field(factory=list)
     scope: anyio.CancelScope = attrs.field(factory=anyio.CancelScope)
 
@@ -68,7 +75,12 @@
     tasks : anyio.abc.TaskGroup
     draw : random.Random
     server : standin.platform.engine.Engine
-        Only its limit, start and arrivals are used.
+        Only its limit, cold time, start and arrivals are used.
+    others : list of standin.platform.engine.Engine
+        Further servers of the same service.
+    listings : list of (str, bytes)
+        Key and value of each record of a server that was written, in order.
+    service : core.routes.Service
     nodes : dict of str to Node
         By VM.
     records : dict of str to core.weight_sources.Entry
@@ -84,6 +96,9 @@
     tasks: object
     draw: random.Random
     server: engine.Engine
+    others: list = attrs.field(factory=list)
+    listings: list = attrs.field(factory=list)
+    service: routes.Service = routes.Service(name="desk")
     nodes: dict = attrs.field(factory=dict)
     records: dict = attrs.field(factory=dict)
     loss: float = 0.0
@@ -96,6 +111,8 @@
     address = f"10.0.0.{vm}:7700"
     dep = build.deployment_of(vm, f"10.0.0.{vm}")
     fleet = fleets.Fleet(dep, store=None)
+    services = {sim.service.name: sim.service}
+    fleet.configuration = routes.Configuration(version=1, routes={}, services=services)
     limits = server_limits.ServerLimits(fleet, draw=sim.draw.random)
     node = Node(vm, address, limits, callers_per_s)
     sim.nodes[vm] = node
@@ -104,6 +121,18 @@
     return node
 
 
+def list_server(sim, server):
+    """Write the record of a server to the store."""
+    value = build.encode_record(engine.record(server))
+    sim.listings.append((f"{records.SERVER_PREFIX}{server.server_id}", value))
+
+
+def make_cold(sim, server, cold_s):
+    """Make a server cold, and write its record."""
+    server.cold_until = anyio.current_time() + cold_s
+    list_server(sim, server)
+
+
 def register(sim, vm):
     """Write the record of an entry to the store."""
     entry = weight_sources.Entry(vm, sim.nodes[vm].address, "a", "north")
@@ -160,6 +189,8 @@
         permit_exchange.on_request(node.limits, message, "peer")
     elif isinstance(message, ttypes.PermitReply):
         permit_exchange.on_reply(node.limits, message, "peer")
+    elif isinstance(message, ttypes.EntryJoined):
+        permit_exchange.on_joined(node.limits, message, "peer")
     else:
         permit_exchange.on_leaving(node.limits, message)
 
@@ -176,6 +207,16 @@
         may_have_lapsed = now - fleet.store_failed_at < fleets.LAPSE_WINDOW_S
         entry_roster.replace_all(fleet.roster, dict(sim.records), now, may_have_lapsed)
         fleet.confirmed_at = anyio.current_time()
+        _apply_listings(sim, node)
+
+
+def _apply_listings(sim, node):
+    fleet, now = node.limits.fleet, anyio.current_time()
+    fleet.changes_since, node.polled_at = node.polled_at, now
+    for key, value in sim.listings[node.revision :]:
+        node.revision += 1
+        fleets.apply_item(fleet, kv.Item(key, value, node.revision))
+    fleet.first_read_at = fleet.first_read_at or now
 
 
 async def _serve_callers(sim, node):
@@ -188,24 +229,41 @@
 
 async def _serve_caller(sim, node):
     patience_ends = anyio.current_time() + PATIENCE_S
-    while server_limits.withholds(node.limits, SERVER_ID):
+    while (server := _free_server(sim, node)) is None:
         if anyio.current_time() >= patience_ends or node.scope.cancel_called:
             return
         await anyio.sleep(CHECK_S)
         await _thaw(node)
-    server_limits.take(node.limits, SERVER_ID)
-    await _run_request(sim, node, anyio.current_time())
+    server_limits.take(node.limits, server.server_id)
+    await _run_request(sim, node, server, anyio.current_time())
+
+
+def _free_server(sim, node):
+    """Return a server to which a request may be sent now, or None."""
+    listed = node.limits.fleet.servers.servers
+    free = [
+        server
+        for server in [sim.server, *sim.others]
+        if (not sim.listings or server.server_id in listed)
+        and server_limits.withholds(node.limits, server.server_id) is None
+    ]
+    return sim.draw.choice(free) if len(free) > 1 else next(iter(free), None)
 
 
-async def _run_request(sim, node, sent_at):
+async def _run_request(sim, node, server, sent_at):
     await anyio.sleep(sim.draw.uniform(0.001, 0.005))
-    engine.record_arrival(sim.server, node.vm)
-    head = exchange.AnswerHead(status=200, is_signed=True, limit=sim.server.limit)
+    engine.record_arrival(server, node.vm)
+    head = exchange.AnswerHead(
+        status=200,
+        is_signed=True,
+        limit=server.limit,
+        cold_s=engine.cold_ms(server) / 1000 if server.tells_cold else None,
+    )
     await anyio.sleep(sim.draw.uniform(0.01, 0.2))
     await _thaw(node)
     if sim.nodes.get(node.vm) is node:
         server_limits.record_answer(
-            node.limits, SERVER_ID, sim.server.started_ms, head, sent_at
+            node.limits, server.server_id, server.started_ms, head, sent_at
         )
 
 
--- a/testing/test_server_limits.py
+++ b/testing/test_server_limits.py
@@ -9,7 +9,7 @@
 from carobstand import entry_records
 from carobstand.core import permits
 from carobstand.entry import permit_exchange
-from carobstand.standin.platform import kv
+from carobstand.standin.platform import engine, kv
 from testing import entry_processes, limit_checks, platform_fleet
 
 CONTACT_S = 3.0
@@ -241,3 +241,151 @@
             assert len(limited.arrivals) >= 10
 
     platform_fleet.run(scenario)
+
+
+COLD_PER_S = 10.0
+COLD_ALLOWED = 20
+"""Requests in any second: `COLD_PER_S` x 1.5 + 5."""
+
+
+@contextlib.asynccontextmanager
+async def warming_fleet(entries, servers=2):
+    """Run entries and servers of a service with a limit for cold ones."""
+    async with platform_fleet.deployed(entries) as fleet:
+        services = fleet.configuration["services"]
+        services[0] |= {"warmup_s": 3.0, "warmup_per_s": COLD_PER_S}
+        platform_fleet.configure(fleet, services=services)
+        found = [
+            await platform_fleet.add_engine(fleet, f"e-{number + 1}", "desk", slots=50)
+            for number in range(servers)
+        ]
+        for entry in fleet.entries.values():
+            await platform_fleet.until_ready(entry)
+        await anyio.sleep(platform_fleet.CHANGE_DELAY_S)
+        yield fleet, found
+
+
+async def restart_cold(fleet, server, **changes):
+    """Restart a server, which is cold then; return the time from which it runs."""
+    # A lost request would make its entry prefer the other server for long.
+    kv.remove(fleet.store, f"servers/{server.server_id}")
+    await anyio.sleep(2 * platform_fleet.CHANGE_DELAY_S)
+    await platform_fleet.stop(fleet, server.server_id)
+    await anyio.sleep(0.5)
+    server.started_ms += 1000
+    server.cold_until = anyio.current_time() + 3.0
+    for name, value in changes.items():
+        setattr(server, name, value)
+    started_at = anyio.current_time()
+    await platform_fleet.start_server(
+        fleet, engine.server(server), server.address, server.server_id
+    )
+    engine.register(server, fleet.store)
+    return started_at
+
+
+@pytest.mark.parametrize("records_cold", [True, False])
+@pytest.mark.parametrize("entries", [1, 5, 12])
+def test_a_server_that_restarts_cold_gets_no_more_than_it_survives(
+    entries, records_cold
+):
+    async def scenario():
+        async with warming_fleet(entries) as (fleet, [cold, _]):
+            traffic = limit_checks.Traffic(list(fleet.entries), gap_s=0.01)
+            async with anyio.create_task_group() as tg:
+                tg.start_soon(limit_checks.send, fleet, traffic, 6.0)
+                await anyio.sleep(1.0)
+                start = await restart_cold(fleet, cold, records_cold=records_cold)
+            most = limit_checks.most_in_a_second(cold, start, start + 3.0)
+            assert 5 <= most <= COLD_ALLOWED
+            assert traffic.statuses.count(200) >= 0.95 * len(traffic.statuses)
+
+    platform_fleet.run(scenario, timeout_s=30.0)
+
+
+def test_entries_learn_from_responses_that_a_server_became_cold_again():
+    async def scenario():
+        async with warming_fleet(5) as (fleet, [cold, _]):
+            traffic = limit_checks.Traffic(list(fleet.entries), gap_s=0.01)
+            async with anyio.create_task_group() as tg:
+                tg.start_soon(limit_checks.send, fleet, traffic, 5.0)
+                await anyio.sleep(1.0)
+                start = anyio.current_time()
+                cold.cold_until, cold.tells_cold = start + 3.0, True
+            known_at = start + limit_checks.NOTICE_S
+            most = limit_checks.most_in_a_second(cold, known_at, start + 3.0)
+            assert 5 <= most <= COLD_ALLOWED
+            warm_at = start + 3.0
+            assert limit_checks.requests_between(cold, warm_at, warm_at + 1.0) >= 25
+
+    platform_fleet.run(scenario, timeout_s=30.0)
+
+
+@pytest.mark.parametrize("is_store_down", [False, True])
+def test_entries_without_each_other_or_the_store_spare_a_cold_server(
+    monkeypatch, is_store_down
+):
+    async def drop(udp, address, message):
+        """Send nothing."""
+
+    async def scenario():
+        async with warming_fleet(5) as (fleet, [cold, _]):
+            traffic = limit_checks.Traffic(list(fleet.entries), "/p/x", gap_s=0.01)
+            async with anyio.create_task_group() as tg:
+                tg.start_soon(limit_checks.send, fleet, traffic, 6.0)
+                start = await restart_cold(fleet, cold)
+                await anyio.sleep(platform_fleet.CHANGE_DELAY_S)
+                if is_store_down:
+                    await platform_fleet.stop(fleet, "store")
+                else:
+                    monkeypatch.setattr(permit_exchange, "_send", drop)
+            most = limit_checks.most_in_a_second(cold, start, start + 3.0)
+            assert most <= COLD_ALLOWED
+            assert traffic.statuses.count(200) >= 0.95 * len(traffic.statuses)
+
+    platform_fleet.run(scenario, timeout_s=30.0)
+
+
+def test_requests_that_no_cold_server_can_take_are_told_when_to_come_back():
+    async def scenario():
+        async with warming_fleet(2, servers=1) as (fleet, [cold]):
+            traffic = limit_checks.Traffic(list(fleet.entries), gap_s=0.01)
+            await restart_cold(fleet, cold)
+            await anyio.sleep(platform_fleet.CHANGE_DELAY_S)
+            start = anyio.current_time()
+            await limit_checks.send(fleet, traffic, 2.0)
+            used = limit_checks.requests_between(cold, start, start + 2.0)
+            assert 0.7 * COLD_PER_S * 2.0 <= used
+            assert limit_checks.most_in_a_second(cold, start, 1e9) <= COLD_ALLOWED
+            assert traffic.retry_after_s and set(traffic.statuses) == {200, 503}
+
+    platform_fleet.run(scenario, timeout_s=30.0)
+
+
+def test_a_cold_server_is_spared_while_entry_processes_freeze_and_wake(tmp_path):
+    vms = ["entry-1", "entry-2", "entry-3"]
+
+    async def scenario():
+        async with platform_fleet.deployed(0) as fleet:
+            services = fleet.configuration["services"]
+            services[0] |= {"warmup_s": 3.0, "warmup_per_s": COLD_PER_S}
+            platform_fleet.configure(fleet, services=services)
+            cold = await platform_fleet.add_engine(fleet, "e-1", "desk", slots=50)
+            await platform_fleet.add_engine(fleet, "e-2", "desk", slots=50)
+            async with entry_processes.started(fleet, vms, tmp_path) as processes:
+                await anyio.sleep(platform_fleet.CHANGE_DELAY_S)
+                traffic = limit_checks.Traffic(vms, gap_s=0.01)
+                async with anyio.create_task_group() as tg:
+                    tg.start_soon(limit_checks.send, fleet, traffic, 7.0)
+                    start = await restart_cold(fleet, cold)
+                    cold.cold_until = start + 6.0
+                    engine.register(cold, fleet.store)
+                    await anyio.sleep(0.5)
+                    for vm in permits.granting_entries("e-1", vms):
+                        processes[vm].send_signal(signal.SIGSTOP)
+                        await anyio.sleep(1.5)
+                        processes[vm].send_signal(signal.SIGCONT)
+            most = limit_checks.most_in_a_second(cold, start, start + 6.0)
+            assert 5 <= most <= COLD_ALLOWED
+
+    platform_fleet.run(scenario, timeout_s=40.0)
