Read the configuration once in a region when all its processes start

After a loss of power, 5 entries and 17 agents of a region read a configuration of some 400 KB from the store at the same time. Over the region's link of 13.5 Mbit/s the reads broke off after 1.5 s of silence and began anew.

The first entry in a rendezvous order reads the configuration, the others and the agents ask entries for it; agents get the services only. The other items stay reads of the store.

--- a/src/carobstand/agent/view.py
+++ b/src/carobstand/agent/view.py
@@ -9,6 +9,7 @@
 from carobstand import entry_records, errors, eventlog, http1, signals
 from carobstand.core import named_versions, routes
 from carobstand.platform import kv, records
+from carobstand.transfer import relayed_configuration
 
 VERSIONS_WAIT_S = 12.0
 """Maximum wait of a watch for named versions. If the store leaves this VM without a
@@ -18,6 +19,16 @@
 """Maximum wait of a watch for other changes. The kernel's keep-alive probes close a
 connection that was silently dropped by the network."""
 
+ASK_INTERVAL_S = 0.4
+"""Pause before entries are asked for the configuration again."""
+
+ASKED_ENTRIES = 2
+"""Entries that are asked in one round; others may be gone, and time out."""
+
+DIRECT_READ_S = 6.0
+"""Shortest time, at most doubled, for which entries are asked before the configuration
+is read from the store. Entries that all start at once have it within 6 s."""
+
 CONFIGURATION_DELAY_S = 2.0
 """Shortest time, at most doubled, for which an agent whose engine serves delays its
 read of the configuration, to leave the link to entries."""
@@ -93,9 +104,14 @@
 async def read_configuration(view):
     """Follow the configuration until it contains the engine's service.
 
-    The read is delayed unless the engine lacks weights: after the loss of all VMs the
-    configuration is large for a narrow link, and entries need it first.
+    Entries of the region are asked first, as they pass on the few services instead of
+    all routes. The read from the store is delayed unless the engine lacks weights:
+    after the loss of all VMs the link of the region is needed by entries first.
     """
+    with anyio.move_on_after(DIRECT_READ_S * (1 + random.random())):
+        while service(view) is None:
+            await _ask_entries(view)
+            await view.changed.wait(ASK_INTERVAL_S)
     with anyio.move_on_after(CONFIGURATION_DELAY_S * (1 + random.random())):
         while not _lacks_weights(view):
             await view.changed.wait(1.0)
@@ -107,6 +123,22 @@
     )
 
 
+async def _ask_entries(view):
+    """Ask entries of the region, in random order, until one has the configuration."""
+    region = view.deployment.region
+    near = [entry for entry in view.entries.values() if entry.region == region]
+    for entry in random.sample(near, min(len(near), ASKED_ENTRIES)):
+        try:
+            relayed = await relayed_configuration.ask(entry.address, services_only=True)
+        except errors.CarobstandError as exc:
+            eventlog.event("entry.not_asked", entry=entry.vm, error=str(exc))
+            continue
+        if relayed is not None:
+            return _apply_readable(
+                lambda item: _apply_configuration(view, item), relayed.item
+            )
+
+
 def _lacks_weights(view):
     """Whether the engine holds no weights or a newer version has been named."""
     if view.last_report is None:
--- a/src/carobstand/entry/change_relay.py
+++ b/src/carobstand/entry/change_relay.py
@@ -82,6 +82,8 @@
         if item.key != records.CONFIGURATION_KEY
         or fleet.configuration.version > request.configuration
     ]
+    if request.services_only:
+        items = [_services_item(item) for item in items]
     return ttypes.NewsReply(
         revision=fleet.revision,
         items=items,
@@ -92,6 +94,14 @@
     )
 
 
+def _services_item(item):
+    """Leave out of a configuration what agents do not use: most of it is routes."""
+    if item.key != records.CONFIGURATION_KEY:
+        return item
+    value = records.services_only(item.value)
+    return ttypes.NewsItem(item.key, value, item.revision, item.age_ms)
+
+
 def _encode(change, now):
     item = change.item
     return ttypes.NewsItem(item.key, item.value, item.revision, _ms(now - change.since))
--- a/src/carobstand/entry/fleet.py
+++ b/src/carobstand/entry/fleet.py
@@ -17,7 +17,7 @@
     routes,
     weight_sources,
 )
-from carobstand.entry import change_relay
+from carobstand.entry import change_relay, startup
 from carobstand.platform import kv, records
 
 SYSTEM_PREFIX = "carobstand/"
@@ -181,14 +181,15 @@
 async def read_all(fleet):
     """Read all store keys that an entry follows, and replace the local copy."""
     sent_at = anyio.current_time()
-    found = [
-        await kv.list_prefix(fleet.store, prefix)
-        for prefix in (
-            records.OPERATOR_PREFIX,
-            records.SERVER_PREFIX,
-            SYSTEM_PREFIX,
-        )
-    ]
+    own = await kv.list_prefix(fleet.store, SYSTEM_PREFIX)
+    if fleet.revision:
+        changes = await kv.list_prefix(fleet.store, records.OPERATOR_PREFIX)
+        operator = startup.OperatorItems(changes, sent_at)
+    else:
+        entries = startup.registered_entries(own.items)
+        operator = await startup.read_operator_items(fleet, entries)
+    servers = await kv.list_prefix(fleet.store, records.SERVER_PREFIX)
+    found = [operator.changes, servers, own]
     if len({changes.era for changes in found}) > 1:
         raise errors.HistoryLostError(
             "the store was restored during a read", step="store.read"
@@ -202,8 +203,11 @@
         apply_item(fleet, item)
     _replace_own_records(fleet, found[2].items)
     _replace_servers(fleet, found[1].items)
-    fleet.revision, fleet.era = found[0].revision, found[0].era
-    fleet.confirmed_at = fleet.changes_since = sent_at
+    # The next watch reads what changed since the earliest of the reads.
+    fleet.revision = min(changes.revision for changes in found)
+    fleet.era = own.era
+    fleet.confirmed_at = min(sent_at, operator.confirmed_at)
+    fleet.changes_since = fleet.confirmed_at
     change_feed.reset(fleet.history, fleet.revision)
     if fleet.first_read_at is None:
         fleet.first_read_at = anyio.current_time()
@@ -230,7 +234,7 @@
         The operators' items, registrations of servers, and items of entries as read.
     """
     own = fleet.deployment
-    others = _decode_entries(found[2].items)
+    others = startup.registered_entries(found[2].items)
     others.pop(own.vm, None)
     near = sorted(
         others.values(), key=lambda item: (item.region != own.region, random.random())
@@ -514,24 +518,10 @@
         if item.key.startswith(part_records.PREFIX):
             apply_item(fleet, item)
     now = anyio.current_time()
-    listed = _decode_entries(items)
+    listed = startup.registered_entries(items)
     entry_roster.replace_all(fleet.roster, listed, now, _may_have_lapsed(fleet, now))
 
 
-def _decode_entries(items):
-    """Return the readable records of entries among some items, by VM."""
-    listed = {}
-    for item in items:
-        if not item.key.startswith(entry_records.PREFIX):
-            continue
-        vm = item.key.removeprefix(entry_records.PREFIX)
-        try:
-            listed[vm] = entry_records.decode(vm, item.value)
-        except errors.RecordError as exc:
-            eventlog.event("record.unreadable", key=item.key, error=exc.message)
-    return listed
-
-
 def _may_have_lapsed(fleet, now):
     """Whether a record that was removed may have lapsed around an outage."""
     return now - fleet.store_failed_at < LAPSE_WINDOW_S
--- /dev/null
+++ b/src/carobstand/entry/startup.py
@@ -0,0 +1,108 @@
+"""Reads the operators' items at the start of an entry.
+
+The configuration comes from another entry of the region if possible. The other items
+are small and are read from the store, which also tells what the configuration lacks:
+changes after the revision of the entry that passed it on are read by the next watch.
+"""
+
+import anyio
+import attrs
+
+from carobstand import entry_records, errors, eventlog
+from carobstand.core import read_order, weight_sources
+from carobstand.platform import kv, records
+from carobstand.transfer import relayed_configuration
+
+RETRY_S = 0.2
+"""Pause before other entries are asked again."""
+
+FIRST_ROUND_S = 0.5
+"""Longest time for asking others once. An entry that restarts alone finds the
+configuration at others even if it is the first to read it from the store."""
+
+
+@attrs.frozen
+class OperatorItems:
+    """Operators' items as read, and up to when they are complete.
+
+    Attributes
+    ----------
+    changes : platform.kv.Changes
+    confirmed_at : float
+        Time up to which no change is missing.
+    """
+
+    changes: kv.Changes
+    confirmed_at: float
+
+
+async def read_operator_items(fleet, entries):
+    """Return the `OperatorItems` for an entry that knows none yet.
+
+    Parameters
+    ----------
+    fleet : entry.fleet.Fleet
+    entries : dict of str to core.weight_sources.Entry
+        Registered entries by VM.
+    """
+    me = weight_sources.entry_from_deployment(fleet.deployment)
+    plan = read_order.plan(entries.values(), me)
+    relayed = await _ask_others(plan)
+    sent_at = anyio.current_time()
+    if relayed is not None:
+        rest = await kv.list_prefix(
+            fleet.store,
+            records.OPERATOR_PREFIX,
+            start_after=records.CONFIGURATION_KEY,
+        )
+        if rest.era == relayed.era:
+            eventlog.event("configuration.relayed", revision=relayed.revision)
+            return _joined(rest, relayed, sent_at)
+    found = await kv.list_prefix(fleet.store, records.OPERATOR_PREFIX)
+    return OperatorItems(found, sent_at)
+
+
+def _joined(rest, relayed, sent_at):
+    changes = attrs.evolve(
+        rest,
+        items=(relayed.item, *rest.items),
+        revision=min(rest.revision, relayed.revision),
+    )
+    return OperatorItems(changes, min(sent_at, relayed.confirmed_at))
+
+
+async def _ask_others(plan):
+    """Return the `Relayed` configuration of another entry, or None in time."""
+    until = anyio.current_time() + plan.wait_s
+    with anyio.move_on_after(max(plan.wait_s, FIRST_ROUND_S)):
+        while True:
+            for entry in plan.others[: read_order.ASKED_AT_ONCE]:
+                relayed = await _ask(entry)
+                if relayed is not None:
+                    return relayed
+            if not plan.others or anyio.current_time() >= until:
+                break
+            await anyio.sleep(RETRY_S)
+    return None
+
+
+async def _ask(entry):
+    try:
+        return await relayed_configuration.ask(entry.address, services_only=False)
+    except errors.CarobstandError as exc:
+        eventlog.event("entry.not_asked", entry=entry.vm, error=str(exc))
+        return None
+
+
+def registered_entries(items):
+    """Return the readable records of entries among some items, by VM."""
+    listed = {}
+    for item in items:
+        if not item.key.startswith(entry_records.PREFIX):
+            continue
+        vm = item.key.removeprefix(entry_records.PREFIX)
+        try:
+            listed[vm] = entry_records.decode(vm, item.value)
+        except errors.RecordError as exc:
+            eventlog.event("record.unreadable", key=item.key, error=exc.message)
+    return listed
--- a/src/carobstand/platform/kv.py
+++ b/src/carobstand/platform/kv.py
@@ -92,14 +92,14 @@
     return None if resp.status == 404 else _item(_record(resp, "store.get"))
 
 
-async def list_prefix(store, prefix, *, allow_stale=False):
-    """Return the `Changes` with all items below `prefix`.
+async def list_prefix(store, prefix, *, allow_stale=False, start_after=""):
+    """Return the `Changes` with all items below `prefix`, or those after a key.
 
     The pages are not one snapshot: the revision is that of the first page, so that a
     watch from it misses no change. All pages are of one era. With `allow_stale` the
     items may be outdated by seconds; such a read costs the store a tenth.
     """
-    items, after, revision, era = [], "", None, None
+    items, after, revision, era = [], start_after, None, None
     while True:
         query = {"prefix": prefix, **({"after": after} if after else {})}
         if allow_stale:
@@ -107,7 +107,7 @@
         target = "/v1/kv-range?" + urllib.parse.urlencode(query)
         resp = await _call(store, "range", "GET", target, timeout_s=READ_TIMEOUT_S)
         if era is not None and _era(resp) != era:
-            items, after, revision, era = [], "", None, None
+            items, after, revision, era = [], start_after, None, None
             continue
         era = _era(resp)
         record = _record(resp, "store.range")
--- a/src/carobstand/platform/records.py
+++ b/src/carobstand/platform/records.py
@@ -1,5 +1,6 @@
 """Records that operators and backend servers write into the platform's store."""
 
+import json
 import re
 
 import attrs
@@ -50,6 +51,19 @@
     )
 
 
+def services_only(raw):
+    """Return a configuration as JSON with its services, without routes and customers.
+
+    Raises
+    ------
+    RecordError
+        If it is malformed.
+    """
+    record = fields.parse(raw, "configuration")
+    kept = {name: record.data.get(name) for name in ("version", "services")}
+    return json.dumps(kept).encode()
+
+
 def _route(record):
     kind = record.text("type")
     if kind not in _KINDS:
--- a/src/carobstand/wire/fleet.thrift
+++ b/src/carobstand/wire/fleet.thrift
@@ -126,6 +126,7 @@
   3: i64 era                  // era of the store in which the revision counts
   4: optional i32 configuration  // asks instead for named versions and for a newer
                                  // configuration than this version
+  5: optional bool services_only // of the configuration, only its services
 }
 
 struct NewsItem {
--- a/src/carobstand/wire/gen_fleet/ttypes.py
+++ b/src/carobstand/wire/gen_fleet/ttypes.py
@@ -1381,15 +1381,17 @@
      - wait_ms
      - era
      - configuration
+     - services_only
 
     """
 
 
-    def __init__(self, after=None, wait_ms=None, era=None, configuration=None,):
+    def __init__(self, after=None, wait_ms=None, era=None, configuration=None, services_only=None,):
         self.after = after
         self.wait_ms = wait_ms
         self.era = era
         self.configuration = configuration
+        self.services_only = services_only
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1420,6 +1422,11 @@
                     self.configuration = iprot.readI32()
                 else:
                     iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.BOOL:
+                    self.services_only = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1446,6 +1453,10 @@
             oprot.writeFieldBegin('configuration', TType.I32, 4)
             oprot.writeI32(self.configuration)
             oprot.writeFieldEnd()
+        if self.services_only is not None:
+            oprot.writeFieldBegin('services_only', TType.BOOL, 5)
+            oprot.writeBool(self.services_only)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2000,6 +2011,7 @@
     (2, TType.I32, 'wait_ms', None, None, ),  # 2
     (3, TType.I64, 'era', None, None, ),  # 3
     (4, TType.I32, 'configuration', None, None, ),  # 4
+    (5, TType.BOOL, 'services_only', None, None, ),  # 5
 )
 all_structs.append(NewsItem)
 NewsItem.thrift_spec = (
--- a/testing/test_news_of_versions.py
+++ b/testing/test_news_of_versions.py
@@ -110,7 +110,7 @@
     async def test():
         recovered_at = anyio.current_time() + 3.2
 
-        async def list_prefix(store, prefix):
+        async def list_prefix(store, prefix, **options):
             if anyio.current_time() < recovered_at:
                 raise errors.StoreUnavailableError("reset", step="store.range")
             return kv.Changes(7, (version_item(2),))
--- a/testing/test_store_following.py
+++ b/testing/test_store_following.py
@@ -54,7 +54,7 @@
         await anyio.sleep(CALL_S)
         return kv.Changes(made, items, anyio.current_time())
 
-    async def list_prefix(store, prefix):
+    async def list_prefix(store, prefix, **options):
         await anyio.sleep(CALL_S)
         found = ()
         if prefix == fleets.SYSTEM_PREFIX:
