Keep requests in the allowed regions of route and customer

Routes and customers may name the regions in which their requests run, but nothing read the field: 176 of a route's 180 requests ran elsewhere. Both lists are now decoded and looked up in the current configuration at each choice of a server, so first sends, retries and resumed streams follow a change. The location is checked again once the connection is open. Queues, shortlists and samples keep requests with different regions apart, and the expected wait for permits counts usable servers only.

--- a/src/carobstand/core/eligibility.py
+++ b/src/carobstand/core/eligibility.py
@@ -167,19 +167,45 @@
     return engine_load.fresh_load(conditions.loads, server, now)
 
 
-def _lasting_reason(server, conditions, now):
-    if not server.is_ready:
-        return Reason.DRAINING
-    if server.server_id in conditions.tried:
-        return Reason.ALREADY_TRIED
+def location_reason(server, conditions):
+    """Return the `Reason` why no request may go to a server's location, or None."""
     allowed = conditions.allowed_regions
     if allowed is not None:
         if conditions.regions.get(server.failure_domain) not in allowed:
             return Reason.OUTSIDE_REGIONS
     if server.failure_domain in conditions.evacuated:
         return Reason.EVACUATED
+    return None
+
+
+def open_domains(conditions):
+    """Return the known failure domains whose servers may run a request."""
+    allowed, evacuated = conditions.allowed_regions, conditions.evacuated
+    return {
+        domain
+        for domain, region in conditions.regions.items()
+        if (allowed is None or region in allowed) and domain not in evacuated
+    }
+
+
+def final_reason(server, conditions):
+    """Return the `Reason` for which waiting for a server gains nothing, or None."""
+    if not server.is_ready:
+        return Reason.DRAINING
+    if server.server_id in conditions.tried:
+        return Reason.ALREADY_TRIED
+    reason = location_reason(server, conditions)
+    if reason is not None:
+        return reason
     if announcements.is_leaving(conditions.announced, server.server_id):
         return Reason.LEAVING
+    return None
+
+
+def _lasting_reason(server, conditions, now):
+    reason = final_reason(server, conditions)
+    if reason is not None:
+        return reason
     if not announcements.accepts_requests(conditions.announced, server.server_id, now):
         return Reason.PAUSED
     return None
@@ -201,15 +227,20 @@
     return conditions.withholds(server.server_id)
 
 
-def is_hopeless(excluded):
-    """Whether all servers of a service are excluded for reasons that last.
+def is_hopeless(excluded, allowed_regions=None):
+    """Whether no server of a service will take a request that waits.
 
     Parameters
     ----------
     excluded : dict of str to Reason
-        Reason of each server of the service; an empty one is no evidence.
+        Reason of each server of the service. If the service has no servers, a request
+        is hopeless only if its regions are limited; others wait for registrations.
+    allowed_regions : frozenset of str or None
+        Regions whose servers may run the request; None for all.
     """
-    return bool(excluded) and all(map(is_final, excluded.values()))
+    if not excluded:
+        return allowed_regions is not None
+    return all(map(is_final, excluded.values()))
 
 
 def count_reasons(excluded):
--- a/src/carobstand/core/routes.py
+++ b/src/carobstand/core/routes.py
@@ -34,6 +34,8 @@
         Whether a stream may be resumed on another backend server.
     max_gap_s : float
         Maximum time between two events of a stream that counts as on time.
+    allowed_regions : frozenset of str
+        Regions whose servers may run the requests; empty for all.
     """
 
     name: str
@@ -48,6 +50,7 @@
     is_public: bool = False
     is_resumable: bool = False
     max_gap_s: float = 0.0
+    allowed_regions: frozenset = frozenset()
 
 
 @attrs.frozen(kw_only=True)
@@ -119,10 +122,20 @@
 
 @attrs.frozen(kw_only=True)
 class Customer:
-    """A customer; if `priority` is None, the priority of the route applies."""
+    """A customer.
+
+    Attributes
+    ----------
+    name : str
+    priority : int or None
+        None: the priority of the route applies.
+    allowed_regions : frozenset of str
+        Regions whose servers may run the requests; empty for all.
+    """
 
     name: str
     priority: int | None = None
+    allowed_regions: frozenset = frozenset()
 
 
 @attrs.frozen(kw_only=True)
@@ -178,6 +191,37 @@
     ]
 
 
+def allowed_regions(route, customer):
+    """Return the regions whose servers may run a request.
+
+    Parameters
+    ----------
+    route : Route
+    customer : Customer or None
+
+    Returns
+    -------
+    regions : frozenset of str or None
+        None for all; empty if the route and the customer have no region in common.
+    """
+    limited = [item.allowed_regions for item in (route, customer) if item is not None]
+    limited = [regions for regions in limited if regions]
+    return frozenset.intersection(*limited) if limited else None
+
+
+def share_regions(first, second):
+    """Return whether two requests may run in the same region.
+
+    Parameters
+    ----------
+    first, second : frozenset of str or None
+        Regions allowed to each; None for all.
+    """
+    if first is None or second is None:
+        return first != frozenset() and second != frozenset()
+    return not first.isdisjoint(second)
+
+
 def pick_service(route, draw):
     """Return the name of the service for a request, by traffic weight.
 
--- a/src/carobstand/entry/forwarding.py
+++ b/src/carobstand/entry/forwarding.py
@@ -114,8 +114,8 @@
     part_tracker : entry.poison_parts.Tracker
     scopes : set of anyio.CancelScope
         Cancel scopes of the requests in progress, with their deadlines.
-    shortlists : dict of str to core.shortlist.Shortlist
-        By service.
+    shortlists : dict of str to dict of frozenset or None to core.shortlist.Shortlist
+        By service and allowed regions.
     capacity_freed : signals.Signal
         Notified when a backend server may have a free slot.
     limits : entry.server_limits.ServerLimits
@@ -158,6 +158,11 @@
     route : core.routes.Route
     service : str
     customer : str
+    customer_record : core.routes.Customer or None
+        The customer as configured when the request arrived.
+    allowed_regions : tuple or None
+        The configuration in which `entry.allowed_regions` looked the regions up last,
+        and what it found.
     reply : http1_server.Reply
     parts : tuple of bytes
         Parts of its prompt that it may share, from `core.poison_parts.shareable`.
@@ -196,6 +201,8 @@
     reply: http1_server.Reply
     size: placement.Size
     terms: queue_policy.Terms
+    customer_record: routes.Customer | None = None
+    allowed_regions: tuple | None = None
     parts: tuple = ()
     idle_first_byte_s: float | None = None
     tried: set = attrs.field(factory=set)
@@ -307,15 +314,14 @@
 
 def _retry_after_s(fwd, call):
     """Return the time after which a call that did not run may find a free slot."""
-    servers = fwd.fleet.servers.servers.values()
-    ids = [item.server_id for item in servers if item.service == call.service]
+    ids = queueing.located_ids(fwd, call)
     quiet_s = announcements.remaining_pause_s(
         fwd.fleet.announced, ids, anyio.current_time()
     )
     if not math.isfinite(quiet_s):
         quiet_s = 0.0
-    waiting = sum(item.call.service == call.service for item in fwd.queue.waiters)
-    permit_s = queueing.permit_wait_s(fwd, call.service, waiting) or 0.0
+    waiting = sum(queueing.competes(fwd, item.call, call) for item in fwd.queue.waiters)
+    permit_s = queueing.permit_wait_s(fwd, call, waiting) or 0.0
     earliest_s = max(RETRY_AFTER_MIN_S, quiet_s, permit_s)
     return earliest_s + random.uniform(0.0, RETRY_AFTER_MAX_S - RETRY_AFTER_MIN_S)
 
@@ -350,6 +356,18 @@
         health.refused(state, anyio.current_time(), server.started_ms)
         eventlog.event("backend.unreachable", server=server.server_id, error=str(exc))
         return Outcome.NOT_SENT
+    reason = queueing.withheld_reason(fwd, call, server)
+    if reason is not None:
+        # The server may be tried once it is allowed again: it received nothing.
+        call.tried.discard(server.server_id)
+        await backend_pool.discard(fwd.pool, conn)
+        eventlog.event(
+            "attempt.withheld",
+            request=call.req.request_id,
+            server=server.server_id,
+            reason=reason.value,
+        )
+        return Outcome.NOT_SENT
     kept = False
     may_have_run_before = call.may_have_run
     call.may_have_run = True
--- a/src/carobstand/entry/ingress.py
+++ b/src/carobstand/entry/ingress.py
@@ -15,7 +15,7 @@
     routes,
     value_density,
 )
-from carobstand.entry import fleet, forwarding
+from carobstand.entry import allowed_regions, fleet, forwarding
 from carobstand.platform import http_headers
 
 DEFAULT_DEADLINE_S = 30.0
@@ -59,8 +59,7 @@
         return await forwarding.refuse(
             reply, req, 503, "no configuration", CONFIGURATION_RETRY_AFTER_S
         )
-    host = req.host.partition(":")[0]
-    route = routes.find_route(config, host, req.target.decode("latin-1"))
+    route = allowed_regions.find_route(config, req)
     if route is None:
         return await forwarding.refuse(reply, req, 404, "no route")
     customer = config.customers.get(req.key)
@@ -80,6 +79,7 @@
         route=route,
         service=service,
         customer=customer.name if customer else "",
+        customer_record=customer,
         reply=reply,
         parts=poison_parts.shareable(req.prompt_parts),
         size=size,
--- a/src/carobstand/entry/queueing.py
+++ b/src/carobstand/entry/queueing.py
@@ -14,10 +14,11 @@
     outstanding,
     placement,
     queue_policy,
+    routes,
     sampling,
     shortlist,
 )
-from carobstand.entry import fleet, server_limits
+from carobstand.entry import allowed_regions, fleet, server_limits
 
 MAX_CHECK_INTERVAL_S = 0.02
 """Maximum interval between evaluations of waiting requests."""
@@ -29,6 +30,10 @@
 """Requests of a service that may find no slot in one pass before the rest is skipped;
 each evaluation ranks all servers."""
 
+MAX_SHORTLISTS = 64
+"""Maximum number of shortlists of a service, one for each set of allowed regions; all
+are made anew when there are more, as after many changes of the configuration."""
+
 PLAIN_FIRST_BYTE_S = 0.05
 """Time to the first byte of an idle server without a latency model."""
 
@@ -81,17 +86,25 @@
 
 
 def _is_behind(fwd, call):
-    """Return whether requests with precedence wait for the same service."""
+    """Return whether requests with precedence wait for the same servers."""
     now = anyio.current_time()
     key = _order(fwd, call, now)
     return any(
-        other.call.service == call.service
+        competes(fwd, other.call, call)
         and not other.done.is_set()
         and _order(fwd, other.call, now) < key
         for other in fwd.queue.waiters
     )
 
 
+def competes(fwd, call, other):
+    """Return whether two calls may wait for the same servers."""
+    return call.service == other.service and routes.share_regions(
+        allowed_regions.of_call(fwd.fleet, call),
+        allowed_regions.of_call(fwd.fleet, other),
+    )
+
+
 def _order(fwd, call, now):
     return queue_policy.sort_key(call.terms, _idle_first_byte_s(fwd, call), now)
 
@@ -116,14 +129,15 @@
     failed_evaluations = collections.Counter()
     for waiter in ready:
         service = waiter.call.service
-        ahead = failed_evaluations[service]
-        if ahead < MAX_FAILED_EVALUATIONS:
+        regions = allowed_regions.of_call(fwd.fleet, waiter.call)
+        ahead = _count_ahead(failed_evaluations, service, regions)
+        if failed_evaluations[service, regions] < MAX_FAILED_EVALUATIONS:
             choice, excluded, verdict = _evaluate(fwd, waiter.call, now, ahead)
         else:
             choice, excluded = None, {}
             verdict = _skipped_verdict(fwd, waiter.call, now, ahead)
         if verdict is queue_policy.Verdict.HOLD:
-            failed_evaluations[service] += 1
+            failed_evaluations[service, regions] += 1
             continue
         if verdict is queue_policy.Verdict.SEND:
             waiter.choice = choice
@@ -133,10 +147,19 @@
         waiter.done.set()
 
 
+def _count_ahead(failed_evaluations, service, regions):
+    """Return how many of the calls that found no slot wait for the same servers."""
+    return sum(
+        count
+        for (name, others), count in failed_evaluations.items()
+        if name == service and routes.share_regions(regions, others)
+    )
+
+
 def _log_rejection(fwd, call, best, excluded):
     """Log why a request is rejected; `best` is None if no server was available."""
     now = anyio.current_time()
-    permit_wait = None if best else permit_wait_s(fwd, call.service, 0)
+    permit_wait = None if best else permit_wait_s(fwd, call, 0)
     eventlog.event(
         "request.turned_away",
         request=call.req.request_id,
@@ -166,37 +189,62 @@
     `ahead` calls of its service are served before.
     """
     best, excluded = _best(fwd, call, now)
-    if best is None and eligibility.is_hopeless(excluded):
+    regions = allowed_regions.of_call(fwd.fleet, call)
+    if best is None and eligibility.is_hopeless(excluded, regions):
         if not call.terms.is_started:
             return None, excluded, queue_policy.Verdict.REFUSE
-    wait_s = permit_wait_s(fwd, call.service, ahead) if best is None else None
+    wait_s = permit_wait_s(fwd, call, ahead) if best is None else None
     verdict = queue_policy.decide(
         call.terms, best, _idle_first_byte_s(fwd, call), now, wait_s
     )
     return best, excluded, verdict
 
 
-def permit_wait_s(fwd, service, ahead):
-    """Return the expected wait for a permit if all servers of a service need one.
+def permit_wait_s(fwd, call, ahead):
+    """Return the expected wait for a permit if all servers of a call need one.
 
     Returns
     -------
     wait_s : float or None
-        None if a server has no limit, or if no permits were requested yet.
+        None if a server that may run the call has no limit, or if no permits were
+        requested yet.
     """
-    ready = [
+    conditions = _conditions(fwd, call)
+    usable = [
         server.server_id
         for server in fwd.fleet.servers.servers.values()
-        if server.service == service and server.is_ready
+        if server.service == call.service
+        and eligibility.final_reason(server, conditions) is None
     ]
-    if not all(server_limits.is_limited(fwd.limits, item) for item in ready):
+    if not all(server_limits.is_limited(fwd.limits, item) for item in usable):
         return None
-    return server_limits.expected_wait_s(fwd.limits, ready, ahead)
+    return server_limits.expected_wait_s(fwd.limits, usable, ahead)
+
+
+def located_ids(fwd, call):
+    """Return the ids of the servers of a call's service where it may run."""
+    conditions = _conditions(fwd, call)
+    return [
+        server.server_id
+        for server in fwd.fleet.servers.servers.values()
+        if server.service == call.service
+        and eligibility.location_reason(server, conditions) is None
+    ]
+
+
+def withheld_reason(fwd, call, server):
+    """Return the `Reason` why a call may no longer go to its chosen server, or None.
+
+    The configuration and the evacuation marks may have changed since the choice, for
+    example while a connection was opened.
+    """
+    known = fwd.fleet.servers.servers.get(server.server_id, server)
+    return eligibility.location_reason(known, _conditions(fwd, call))
 
 
 def _skipped_verdict(fwd, call, now, ahead):
     """Return the verdict on a call that is not evaluated, as many found no slot."""
-    wait_s = permit_wait_s(fwd, call.service, ahead)
+    wait_s = permit_wait_s(fwd, call, ahead)
     shortest_s = _idle_first_byte_s(fwd, call)
     if wait_s is not None:
         return queue_policy.decide(call.terms, None, shortest_s, now, wait_s)
@@ -221,7 +269,7 @@
     sampled = _best_of_sample(fwd, call, known, now)
     if sampled is not None:
         return sampled, {}
-    state = fwd.shortlists.setdefault(call.service, shortlist.Shortlist())
+    state = _shortlist(fwd, call)
     shortlisted_ids = shortlist.ids_to_rank(state, len(known), now)
     if shortlisted_ids is not None:
         shortlisted = {key: known[key] for key in shortlisted_ids if key in known}
@@ -234,6 +282,19 @@
     return (choices[0] if choices else None), excluded
 
 
+def _shortlist(fwd, call):
+    """Return the `Shortlist` of a call's service and allowed regions.
+
+    One shortlist for all would hide the servers of some regions from the requests that
+    may run only there.
+    """
+    by_regions = fwd.shortlists.setdefault(call.service, {})
+    regions = allowed_regions.of_call(fwd.fleet, call)
+    if regions not in by_regions and len(by_regions) >= MAX_SHORTLISTS:
+        by_regions.clear()
+    return by_regions.setdefault(regions, shortlist.Shortlist())
+
+
 def _others_by_region(state):
     """Return the number of other entries by region."""
     own_vm = state.deployment.vm
@@ -244,17 +305,13 @@
 
 
 def _best_of_sample(fwd, call, known, now):
-    """Return the best of a random sample of the region's servers if good, else None."""
-    dep = fwd.fleet.deployment
+    """Return the best of a random sample of the nearest servers if good, else None."""
+    domains, entries = _sampled_domains(fwd, call)
     near = [
         key
         for key, server in known.items()
-        if server.service == call.service
-        and dep.regions.get(server.failure_domain) == dep.region
+        if server.service == call.service and server.failure_domain in domains
     ]
-    entries = sum(
-        item.region == dep.region for item in fwd.fleet.roster.entries.values()
-    )
     count = sampling.sample_size(len(near), entries)
     if count >= len(near):
         return None
@@ -269,6 +326,19 @@
     return None
 
 
+def _sampled_domains(fwd, call):
+    """Return the failure domains to sample for a call, and the entries that do so.
+
+    They are those of the region, or all others if the call may not run in the region.
+    """
+    dep, entries = fwd.fleet.deployment, fwd.fleet.roster.entries.values()
+    usable = eligibility.open_domains(_conditions(fwd, call))
+    near = {domain for domain in usable if dep.regions[domain] == dep.region}
+    if not near:
+        return usable, len(entries)
+    return near, sum(item.region == dep.region for item in entries)
+
+
 def _conditions(fwd, call):
     """Return the `Conditions` that decide which servers may run a call."""
     return eligibility.Conditions(
@@ -278,6 +348,7 @@
         announced=fwd.fleet.announced,
         tried=call.tried,
         regions=fwd.fleet.deployment.regions,
+        allowed_regions=allowed_regions.of_call(fwd.fleet, call),
         withholds=lambda server_id: server_limits.withholds(fwd.limits, server_id),
     )
 
@@ -369,8 +440,8 @@
 
 def note_freed_capacity(fwd, service, server_id):
     """Record that a server may have more free slots than before."""
-    if service in fwd.shortlists:
-        shortlist.mark_changed(fwd.shortlists[service], server_id)
+    for state in fwd.shortlists.get(service, {}).values():
+        shortlist.mark_changed(state, server_id)
 
 
 def note_permit(fwd, server_id):
--- a/src/carobstand/platform/records.py
+++ b/src/carobstand/platform/records.py
@@ -71,9 +71,19 @@
         is_public=record.flag("public"),
         is_resumable=record.flag("stream_resumption"),
         max_gap_s=record.seconds("target_gap_ms", 0),
+        allowed_regions=_allowed_regions(record),
     )
 
 
+def _allowed_regions(record):
+    names = record.items("allowed_regions")
+    if not all(isinstance(name, str) for name in names):
+        raise errors.RecordError(
+            "allowed_regions: not names of regions", step=record.step
+        )
+    return frozenset(names)
+
+
 def _service(record):
     engine = record.record("engine")
     name = record.text("name")
@@ -143,7 +153,11 @@
 
 def _customers(record):
     priority = record.integer("priority") if "priority" in record.data else None
-    customer = routes.Customer(name=record.text("name"), priority=priority)
+    customer = routes.Customer(
+        name=record.text("name"),
+        priority=priority,
+        allowed_regions=_allowed_regions(record),
+    )
     for key in record.items("api_keys"):
         if not isinstance(key, str):
             raise errors.RecordError("api_keys: not strings", step=record.step)
