Evacuate a failure domain by the operator's mark

The key op/evacuate/ZONE was read by nobody. Its marks are now state of each entry and exclude the servers of the failure domain at each choice, and once more when the connection is open. A mark that a restored store lacks is kept, and a removed one that it shows is doubted, until operators have had twice evacuation_ms to repeat them; entries tell new ones what they know. note_evacuation_revoked is the hook for servers that are cold afterwards.

--- a/src/carobstand/core/deployment.py
+++ b/src/carobstand/core/deployment.py
@@ -26,6 +26,9 @@
     version_s : float
         No request starts on old weights later than this after the operators named a
         newer version.
+    evacuation_s : float
+        No request reaches a failure domain later than this after the operator marked
+        it as evacuated.
     contact_s : float
         Time after a disturbance in which the time limits do not apply.
     """
@@ -39,6 +42,7 @@
     retry_window_s: float = 10.0
     retry_slack: float = 100.0
     version_s: float = 8.0
+    evacuation_s: float = 5.0
     contact_s: float = 3.0
 
 
--- a/src/carobstand/entry/change_relay.py
+++ b/src/carobstand/entry/change_relay.py
@@ -1,9 +1,10 @@
 """Relays changes of the platform's store between the entries of a region."""
 
 import anyio
+import attrs
 
 from carobstand import errors
-from carobstand.core import change_feed
+from carobstand.core import change_feed, evacuation
 from carobstand.platform import kv, records
 from carobstand.transfer import piece_stream
 from carobstand.wire.gen_fleet import ttypes
@@ -17,10 +18,32 @@
 IDLE_TIMEOUT_S = 10.0
 """Maximum pause between two polls on a connection."""
 
+MARK_VALUE = b"{}"
+"""Value with which evacuation marks are passed on, as operators write it."""
+
 UNKNOWN_AGE_S = 1e6
 """Maximum age on the wire; also sent if the store was never read."""
 
 
+@attrs.frozen
+class Told:
+    """An operator's item as another entry holds it.
+
+    Attributes
+    ----------
+    item : platform.kv.Item
+    era : int
+        Era of the store that the other entry last read.
+    since : float or None
+        For an evacuation mark: time at which the other entry found that a restored
+        store contradicts it; None if the store does not.
+    """
+
+    item: kv.Item
+    era: int
+    since: float | None
+
+
 async def serve(fleet, frames, request):
     """Answer the polls of another entry until its connection ends.
 
@@ -82,6 +105,9 @@
         if item.key != records.CONFIGURATION_KEY
         or fleet.configuration.version > request.configuration
     ]
+    items += [
+        _encode_mark(mark, now) for mark in evacuation.tell(fleet.evacuation_marks)
+    ]
     return ttypes.NewsReply(
         revision=fleet.revision,
         items=items,
@@ -92,6 +118,14 @@
     )
 
 
+def _encode_mark(mark, now):
+    """Encode what is known of an evacuation mark; a settled one has age 0."""
+    key = records.EVACUATION_PREFIX + mark.failure_domain
+    value = None if mark.is_removed else MARK_VALUE
+    age_ms = 0 if mark.since is None else max(1, _ms(now - mark.since))
+    return ttypes.NewsItem(key, value, mark.revision, age_ms)
+
+
 def _encode(change, now):
     item = change.item
     return ttypes.NewsItem(item.key, item.value, item.revision, _ms(now - change.since))
@@ -166,7 +200,7 @@
 
 
 async def ask_for_newer(entry, version):
-    """Ask another entry for named versions and a newer configuration.
+    """Ask another entry for named versions, marks and a newer configuration.
 
     Parameters
     ----------
@@ -176,13 +210,14 @@
 
     Returns
     -------
-    items : list of platform.kv.Item
+    told : list of Told
 
     Raises
     ------
     ConnectionClosedError, WireError
     """
     frames = await piece_stream.connect(entry.address)
+    sent_at = anyio.current_time()
     try:
         request = ttypes.NewsRequest(after=0, wait_ms=0, era=0, configuration=version)
         await piece_stream.send(frames, request)
@@ -191,7 +226,14 @@
         await anyio.aclose_forcefully(frames.stream)
     if not isinstance(reply, ttypes.NewsReply):
         raise errors.WireError("expected items", step="news.ask", peer=entry.address)
-    return [kv.Item(item.key, item.value, 0) for item in reply.items or ()]
+    return [
+        Told(
+            kv.Item(item.key, item.value, item.revision or 0),
+            reply.era or 0,
+            sent_at - item.age_ms / 1000 if item.age_ms else None,
+        )
+        for item in reply.items or ()
+    ]
 
 
 def _decode(item, sent_at):
--- a/src/carobstand/entry/fleet.py
+++ b/src/carobstand/entry/fleet.py
@@ -11,6 +11,7 @@
     announcements,
     change_feed,
     entry_roster,
+    evacuation,
     named_versions,
     poison_parts,
     registry,
@@ -95,6 +96,8 @@
     roster : core.entry_roster.Roster
         Entries that run.
     prompt_parts : core.poison_parts.PoisonParts
+    evacuation_marks : core.evacuation.Marks
+        Failure domains whose servers get no requests.
     operator_items : dict of str to platform.kv.Item
         Newest configuration and named versions as read, by key.
     part_records : set of bytes
@@ -136,6 +139,7 @@
     prompt_parts: poison_parts.PoisonParts = attrs.field(
         factory=poison_parts.PoisonParts
     )
+    evacuation_marks: evacuation.Marks = attrs.field(factory=evacuation.Marks)
     operator_items: dict = attrs.field(factory=dict)
     part_records: set = attrs.field(factory=set)
     confirmed_at: float | None = None
@@ -195,13 +199,15 @@
         )
     is_restored = bool(fleet.revision) and found[0].era != fleet.era
     fleet.was_restored |= is_restored
-    lost = []
+    told = []
     if is_restored or not fleet.revision:
-        lost = await _ask_others(fleet, found)
-    for item in [*found[0].items, *lost]:
-        apply_item(fleet, item)
+        told = await _ask_others(fleet, found)
+    for item in [*found[0].items, *(answer.item for answer in told)]:
+        if not records.is_evacuation_key(item.key):
+            apply_item(fleet, item)
     _replace_own_records(fleet, found[2].items)
     _replace_servers(fleet, found[1].items)
+    _replace_marks(fleet, found[0], told, is_restored)
     fleet.revision, fleet.era = found[0].revision, found[0].era
     fleet.confirmed_at = fleet.changes_since = sent_at
     change_feed.reset(fleet.history, fleet.revision)
@@ -218,7 +224,7 @@
 
 
 async def _ask_others(fleet, found):
-    """Return items of other entries that the store may have lost.
+    """Return what other entries hold of operators' items that the store may have lost.
 
     A store that has come back from a copy shows older items until they are written
     again, and a process that starts meanwhile knows nothing else.
@@ -228,6 +234,10 @@
     fleet : Fleet
     found : list of platform.kv.Changes
         The operators' items, registrations of servers, and items of entries as read.
+
+    Returns
+    -------
+    told : list of entry.change_relay.Told
     """
     own = fleet.deployment
     others = _decode_entries(found[2].items)
@@ -236,19 +246,21 @@
         others.values(), key=lambda item: (item.region != own.region, random.random())
     )
     version = _newest_configuration_version(fleet, found[0].items)
-    items = []
+    told = []
 
     async def ask(entry):
         try:
             with anyio.fail_after(ASK_TIMEOUT_S):
-                items.extend(await change_relay.ask_for_newer(entry, version))
+                told.extend(await change_relay.ask_for_newer(entry, version))
         except (errors.CarobstandError, TimeoutError) as exc:
             eventlog.event("entry.not_asked", entry=entry.vm, error=str(exc))
 
     async with anyio.create_task_group() as tg:
         for entry in near[:ASKED_ENTRIES]:
             tg.start_soon(ask, entry)
-    return [item for item in items if item.key.startswith(records.OPERATOR_PREFIX)]
+    return [
+        answer for answer in told if answer.item.key.startswith(records.OPERATOR_PREFIX)
+    ]
 
 
 def _newest_configuration_version(fleet, items):
@@ -290,15 +302,15 @@
     fleet.confirmed_at = min(sent_at + waited_s, anyio.current_time())
     fleet.changes_since = fleet.confirmed_at if is_delayed else changes.began_at
     expire_missing(fleet)
+    _settle_marks(fleet)
     if changes.items:
         fleet.changed.notify()
         await anyio.sleep(batch_delay_s(fleet.deployment.bounds))
 
 
-def _in_force_s(fleet):
+def _in_force_s(bounds):
     """Return the time within which each change must take effect."""
-    bounds = fleet.deployment.bounds
-    return min(bounds.apply_s, bounds.drain_s)
+    return min(bounds.apply_s, bounds.drain_s, bounds.evacuation_s)
 
 
 def _watch_wait_s(fleet, now):
@@ -310,8 +322,9 @@
     age_s = now - (fleet.confirmed_at or 0.0)
     me = weight_sources.entry_from_deployment(fleet.deployment)
     if change_feed.is_reader(fleet.roster.entries.values(), me):
-        max_age_s = change_feed.MAX_AGE_SHARE * _in_force_s(fleet)
-        max_wait_s = change_feed.READER_WAIT_SHARE * _in_force_s(fleet)
+        in_force_s = _in_force_s(fleet.deployment.bounds)
+        max_age_s = change_feed.MAX_AGE_SHARE * in_force_s
+        max_wait_s = change_feed.READER_WAIT_SHARE * in_force_s
     else:
         max_age_s, max_wait_s = _max_key_age_s(fleet), WATCH_WAIT_S
     left_s = CONFIRM_SHARE * max_age_s - age_s
@@ -327,7 +340,7 @@
 
 async def _follow_reader(fleet, reader):
     """Apply changes polled from `reader` until it fails or is no longer the reader."""
-    max_age_s = change_feed.MAX_AGE_SHARE * _in_force_s(fleet)
+    max_age_s = change_feed.MAX_AGE_SHARE * _in_force_s(fleet.deployment.bounds)
     try:
         frames = await change_relay.connect(reader)
         try:
@@ -358,13 +371,14 @@
     fleet.store_failed_at = max(fleet.store_failed_at, store_failed_at)
     fleet.changes_since = max(fleet.changes_since, confirmed_at)
     expire_missing(fleet)
+    _settle_marks(fleet)
     if changes:
         fleet.changed.notify()
 
 
 def batch_delay_s(bounds):
     """Return the pause after a watch that brought changes, in s."""
-    return BATCH_SHARE * min(bounds.apply_s, bounds.drain_s)
+    return BATCH_SHARE * _in_force_s(bounds)
 
 
 def expire_missing(fleet):
@@ -382,6 +396,8 @@
             _apply_version(fleet, item)
         elif item.key.startswith(records.SERVER_PREFIX):
             _apply_server(fleet, item)
+        elif records.is_evacuation_key(item.key):
+            _apply_mark(fleet, item)
         elif item.key.startswith(entry_records.PREFIX):
             _apply_entry(fleet, item)
         elif item.key.startswith(part_records.PREFIX):
@@ -434,6 +450,116 @@
     return fleet.started - PROCESS_START_S + bounds.contact_s - bounds.version_s
 
 
+def _apply_mark(fleet, item):
+    failure_domain = records.decode_evacuation_key(item.key)
+    if item.value is not None:
+        if evacuation.put(fleet.evacuation_marks, failure_domain, item.revision):
+            _note_mark(fleet, evacuation.Change.APPLIED, failure_domain)
+    elif evacuation.remove(fleet.evacuation_marks, failure_domain):
+        note_evacuation_revoked(fleet, failure_domain)
+
+
+def _replace_marks(fleet, read, told, is_restored):
+    """Replace the evacuation marks by those of a full read.
+
+    Parameters
+    ----------
+    fleet : Fleet
+    read : platform.kv.Changes
+        The operators' items.
+    told : list of entry.change_relay.Told
+        Items of other entries.
+    is_restored : bool
+        Whether the store came back from a copy since the last read.
+    """
+    now = anyio.current_time()
+    found = {}
+    for item in read.items:
+        failure_domain = _marked_domain(item)
+        if failure_domain is not None:
+            found[failure_domain] = item.revision
+    known = [mark for answer in told for mark in _marks_told(answer, read.era)]
+    changes = evacuation.learn(fleet.evacuation_marks, known, found, now)
+    changes += evacuation.replace(fleet.evacuation_marks, found, is_restored, now)
+    for change, failure_domain in changes:
+        _note_mark(fleet, change, failure_domain)
+
+
+def _marked_domain(item):
+    """Return the failure domain that an item marks, or None."""
+    if not records.is_evacuation_key(item.key):
+        return None
+    try:
+        return records.decode_evacuation_key(item.key)
+    except errors.RecordError as exc:
+        eventlog.event("record.unreadable", key=item.key, error=exc.message)
+        return None
+
+
+def _marks_told(answer, era):
+    """Return what another entry tells of a mark, as a list of at most one item.
+
+    A mark that it has from the same era of the store would be in the store if it were
+    still in force: this process reads the store itself.
+    """
+    failure_domain = _marked_domain(answer.item)
+    is_removed = answer.item.value is None
+    is_outdated = not is_removed and answer.since is None and answer.era == era
+    if failure_domain is None or is_outdated:
+        return []
+    return [
+        evacuation.Told(
+            failure_domain=failure_domain,
+            revision=answer.item.revision,
+            is_removed=is_removed,
+            since=answer.since,
+        )
+    ]
+
+
+def _settle_marks(fleet):
+    """Give up what a restored store contradicts and operators did not repeat."""
+    changes = evacuation.settle(
+        fleet.evacuation_marks,
+        fleet.confirmed_at,
+        fleet.store_failed_at,
+        fleet.deployment.bounds,
+    )
+    for change, failure_domain in changes:
+        _note_mark(fleet, change, failure_domain)
+
+
+def _note_mark(fleet, change, failure_domain):
+    """Log what became of an evacuation mark."""
+    if change is evacuation.Change.REVOKED:
+        return note_evacuation_revoked(fleet, failure_domain)
+    eventlog.event(
+        "evacuation.changed",
+        failure_domain=failure_domain,
+        change=change.value,
+        is_known=failure_domain in fleet.deployment.regions,
+        servers=_count_servers(fleet, failure_domain),
+    )
+
+
+def note_evacuation_revoked(fleet, failure_domain):
+    """Record that servers of a failure domain may get requests again from now on.
+
+    Called once for each evacuation that ends here, whether its mark was removed or a
+    restored store did not show it again in time.
+    """
+    eventlog.event(
+        "evacuation.revoked",
+        failure_domain=failure_domain,
+        servers=_count_servers(fleet, failure_domain),
+    )
+
+
+def _count_servers(fleet, failure_domain):
+    servers = fleet.servers.servers.values()
+    return sum(server.failure_domain == failure_domain for server in servers)
+
+
 def _apply_server(fleet, item):
     server_id = item.key.removeprefix(records.SERVER_PREFIX)
     now = anyio.current_time()
--- a/src/carobstand/entry/queueing.py
+++ b/src/carobstand/entry/queueing.py
@@ -349,6 +349,7 @@
         tried=call.tried,
         regions=fwd.fleet.deployment.regions,
         allowed_regions=allowed_regions.of_call(fwd.fleet, call),
+        evacuated=fwd.fleet.evacuation_marks.in_force,
         withholds=lambda server_id: server_limits.withholds(fwd.limits, server_id),
     )
 
--- a/src/carobstand/platform/records.py
+++ b/src/carobstand/platform/records.py
@@ -10,6 +10,7 @@
 
 CONFIGURATION_KEY = "op/config"
 VERSION_PREFIX = "op/version/"
+EVACUATION_PREFIX = "op/evacuate/"
 OPERATOR_PREFIX = "op/"
 SERVER_PREFIX = "servers/"
 
@@ -223,6 +224,22 @@
     )
 
 
+def is_evacuation_key(key):
+    """Whether a key is meant to be an evacuation mark, even if it is malformed."""
+    return f"{key}/".startswith(EVACUATION_PREFIX)
+
+
+def decode_evacuation_key(key):
+    """Return the failure domain that an evacuation mark names.
+
+    The value of the key says nothing. RecordError is raised if the key names none.
+    """
+    failure_domain = key.removeprefix(EVACUATION_PREFIX)
+    if failure_domain == key or not failure_domain or "/" in failure_domain:
+        raise errors.RecordError("the key names no failure domain", step="evacuation")
+    return failure_domain
+
+
 def decode_named_version(raw):
     """Decode the announcement of a weights version; raise RecordError if malformed."""
     record = fields.parse(raw, "version")
--- a/src/carobstand/platform/settings_file.py
+++ b/src/carobstand/platform/settings_file.py
@@ -109,5 +109,6 @@
         retry_window_s=record.number("budget_window_s", defaults.retry_window_s),
         retry_slack=record.number("retry_budget_slack", defaults.retry_slack),
         version_s=record.seconds("version_ms", defaults.version_s * 1000),
+        evacuation_s=record.seconds("evacuation_ms", defaults.evacuation_s * 1000),
         contact_s=record.seconds("contact_ms", defaults.contact_s * 1000),
     )
