--- a/src/carobstand/platform/records.py
+++ b/src/carobstand/platform/records.py
@@ -12,6 +12,7 @@
 
 CONFIGURATION_KEY = "op/config"
 VERSION_PREFIX = "op/version/"
+EVACUATION_PREFIX = "op/evacuate/"
 OPERATOR_PREFIX = "op/"
 SERVER_PREFIX = "servers/"
 
@@ -86,9 +87,19 @@
         is_public=record.flag("public"),
         is_resumable=record.flag("stream_resumption"),
         max_gap_s=record.seconds("target_gap_ms", 0),
+        allowed_regions=_allowed_regions(record),
     )
 
 
+def _allowed_regions(record):
+    names = record.items("allowed_regions")
+    if not all(isinstance(name, str) for name in names):
+        raise errors.RecordError(
+            "allowed_regions: not names of regions", step=record.step
+        )
+    return frozenset(names)
+
+
 def _service(record):
     engine = record.record("engine")
     name = record.text("name")
@@ -168,7 +179,11 @@
 
 def _customers(record):
     priority = record.integer("priority") if "priority" in record.data else None
-    customer = routes.Customer(name=record.text("name"), priority=priority)
+    customer = routes.Customer(
+        name=record.text("name"),
+        priority=priority,
+        allowed_regions=_allowed_regions(record),
+    )
     for key in record.items("api_keys"):
         if not isinstance(key, str):
             raise errors.RecordError("api_keys: not strings", step=record.step)
@@ -247,6 +262,22 @@
     )
 
 
+def is_evacuation_key(key):
+    """Whether a key is meant to be an evacuation mark, even if it is malformed."""
+    return f"{key}/".startswith(EVACUATION_PREFIX)
+
+
+def decode_evacuation_key(key):
+    """Return the failure domain that an evacuation mark names.
+
+    The value of the key says nothing. RecordError is raised if the key names none.
+    """
+    failure_domain = key.removeprefix(EVACUATION_PREFIX)
+    if failure_domain == key or not failure_domain or "/" in failure_domain:
+        raise errors.RecordError("the key names no failure domain", step="evacuation")
+    return failure_domain
+
+
 def decode_named_version(raw):
     """Decode the announcement of a weights version; raise RecordError if malformed."""
     record = fields.parse(raw, "version")
