Finish copies of an older version that can be complete in time, and keep pieces

Cause: agents abandoned a version as soon as the newest could not follow it in time, also when neither the newest could be complete before the served weights ended. Agents and entries discarded its pieces. Entries downloaded both versions at the same time, each at half of the origin's rate, and a restarted entry downloaded all pieces in ascending order before those that its agents lacked. Loads of a version were spread until its predecessor's end, even if the engine served an older one.

Change: an agent compares the versions by the time without usable weights. Agents and entries keep three copies, complete or not. One entry downloads all versions of a model, an older one that is being received first, and pieces that readers wait for before others. While no piece of the wanted version arrives, agents receive another one. A complete older version is loaded only if it serves for longer than its load takes. No load is announced while an outage of the sources makes its time unknown.

--- a/src/carobstand/agent/loading.py
+++ b/src/carobstand/agent/loading.py
@@ -16,6 +16,12 @@
 RETRY_S = 0.3
 """Pause after the engine rejected a call or an order to load."""
 
+STALL_S = 1.0
+"""Time without a new piece after which the copy's completion cannot be predicted."""
+
+DRAIN_S = 2.6
+"""Longest time in which an engine finishes its running requests before a load."""
+
 LOAD_START_TIMEOUT_S = 2.0
 """Longest wait until the engine's report shows that an accepted load has started."""
 
@@ -34,12 +40,18 @@
         Addresses of the service's engines, for the load schedule; None until read.
     complete_at : float or None
         Time at which all pieces were staged.
+    held : int
+        Number of pieces at `progressed_at`.
+    progressed_at : float
+        Time at which a piece was last staged.
     """
 
     version: int | None = None
     numbers: set = attrs.field(factory=set)
     peers: list | None = None
     complete_at: float | None = None
+    held: int = 0
+    progressed_at: float = 0.0
 
 
 async def run(view):
@@ -65,12 +77,18 @@
         return None
     held = report.holding.version if report.holding else 0
     newer = [copy for version, copy in view.copies.items() if version > held]
-    for version in [v for v in view.copies if v <= held]:
-        del view.copies[version]
-    complete = [copy for copy in newer if weight_copy.is_complete(copy)]
-    # Staging overwrites staged pieces, so complete copies are loaded before newer ones
-    # that are still being received.
-    candidates = complete or newer
+    outlook = views.outlook(view, views.service(view))
+    now = anyio.current_time()
+    complete = [
+        copy
+        for copy in newer
+        if weight_copy.is_complete(copy)
+        and load_schedule.is_worth_loading(outlook, copy.version, now)
+    ]
+    received = [copy for copy in newer if copy.version == view.target]
+    # Staging overwrites staged pieces, so complete copies are loaded before others that
+    # are still being received.
+    candidates = complete or received or newer
     return max(candidates, key=lambda copy: copy.version, default=None)
 
 
@@ -84,6 +102,8 @@
             view.engine, copy.model, number, copy.pieces[number]
         )
         stage.numbers.add(number)
+    if stage.held != len(stage.numbers):
+        stage.held, stage.progressed_at = len(stage.numbers), anyio.current_time()
     if not weight_copy.is_complete(copy):
         if stage.peers is None:
             await _read_peers(view, stage)
@@ -93,8 +113,11 @@
     if stage.complete_at is None:
         stage.complete_at = anyio.current_time()
     view.load_at = _load_at(view, stage, copy)
-    if view.load_at is not None:
-        await anyio.sleep_until(view.load_at)
+    while view.load_at is not None and _next_copy(view) is copy:
+        left_s = view.load_at - anyio.current_time()
+        if left_s <= 0:
+            break
+        await view.changed.wait(min(left_s, IDLE_S))
     if _next_copy(view) is not copy:
         return
     await _repair_staged(view, copy)
@@ -129,19 +152,23 @@
     named = [n for n in view.named.get(copy.model, []) if n.version == copy.version]
     if not named or view.report is None or view.report.holding is None:
         return None
-    link = view.deployment.link_bytes_per_s
+    now = anyio.current_time()
+    outlook = views.outlook(view, views.service(view))
+    ends_at = load_schedule.serving_ends_at(outlook)
     if weight_copy.is_complete(copy):
         complete_at = stage.complete_at
+    elif now - stage.progressed_at > STALL_S and now < ends_at - DRAIN_S:
+        # The end of an outage is not known; until shortly before the served weights
+        # end, requests must not avoid engines for a load that may be far off.
+        return None
     else:
-        missing = (len(copy.digests) - len(copy.pieces)) * copy.piece_bytes
-        complete_at = anyio.current_time() + load_schedule.receive_s(missing, link)
+        complete_at = now + outlook.copy_s * outlook.missing[copy.version]
     return load_schedule.earliest_load_at(
         view.deployment.backend_address,
         stage.peers or [],
         copy.version,
-        named[0],
         complete_at,
-        view.deployment.bounds.version_s,
+        ends_at,
     )
 
 
--- a/src/carobstand/agent/receiving.py
+++ b/src/carobstand/agent/receiving.py
@@ -31,6 +31,15 @@
 WINDOW = piece_stream.Window(blocks=2, block_bytes=6144)
 """Receive window. A VM's link of a few Mbit/s transfers it in less than 30 ms."""
 
+COPIES_KEPT = 3
+"""Copies kept, complete or not: that of the served version, from which others may
+receive it, and two that are being received. Each has up to 2.4 MB of the 168 MB of an
+agent's VM."""
+
+STALL_S = 1.0
+"""Time without a piece after which the link is used for another version. A piece takes
+0.05 s, and entries notice a source that failed within 0.5 s."""
+
 SAMPLED_PIECES = 3
 """Staged pieces read to find out whether the version is staged at all."""
 
@@ -66,55 +75,24 @@
 
 def _version_to_receive(view, service):
     """Return the version to receive now, or None; `NEWEST` if none has been named."""
-    # An engine that stops reporting for a while still holds its weights.
-    report = view.report or view.last_report
-    if report is None:
+    outlook = views.outlook(view, service)
+    if outlook is None:
         return None
-    held = report.holding.version if report.holding else None
-    named = view.named.get(service.weights.models[0], [])
-    if not named:
-        complete = any(map(weight_copy.is_complete, view.copies.values()))
-        return None if held is not None or complete else piece_stream.NEWEST
-    newest = named[-1].version
-    target = load_schedule.version_to_receive(
-        named,
-        _progress(view),
-        _transfer_s(view, service),
-        view.deployment.bounds.version_s,
-        anyio.current_time(),
-    )
-    if held is not None and held >= newest:
+    if not outlook.named:
+        return None if load_schedule.held(outlook) else piece_stream.NEWEST
+    if load_schedule.held(outlook) >= outlook.newest:
         return None
-    for version in (target, newest):
-        copy = view.copies.get(version)
-        if copy is None or not weight_copy.is_complete(copy):
-            return version
-    return None
-
-
-def _progress(view):
-    for copy in view.copies.values():
-        if not weight_copy.is_complete(copy):
-            return load_schedule.Progress(
-                copy.version, len(copy.pieces), len(copy.digests)
-            )
-    return None
-
-
-def _transfer_s(view, service):
-    size = service.weights.pieces * service.weights.piece_bytes
-    return load_schedule.receive_s(size, view.deployment.link_bytes_per_s)
+    return load_schedule.version_to_receive(outlook, anyio.current_time())
 
 
 async def _receive(view, service, version, failures):
     """Receive one version; stop early if another version supersedes it."""
     model = service.weights.models[0]
-    source = await _select_source(view, model, version, failures)
+    source = await _select_source(view, model, failures)
     copy = view.copies.get(version)
     if copy is None:
         copy = await _receive_manifest(view, model, version, source)
-        _drop_older_incomplete(view, copy)
-        view.copies[copy.version] = copy
+        _keep(view, copy)
         eventlog.event(
             "weights.receiving",
             version=copy.version,
@@ -122,33 +100,111 @@
         )
         await _reuse_staged(view, copy)
         view.changed.notify()
+    view.target = copy.version
     try:
         async with anyio.create_task_group() as tg:
             tg.start_soon(_stop_if_superseded, view, service, copy, tg.cancel_scope)
+            tg.start_soon(_receive_meanwhile, view, service, copy, source)
             await _receive_pieces(view, copy, source)
             tg.cancel_scope.cancel()
     except BaseExceptionGroup as group:
         raise errors.first_carobstand_error(group) from group
+    _note_received(view, copy)
+
+
+def _note_received(view, copy):
     if weight_copy.is_complete(copy):
         eventlog.event("weights.received", version=copy.version)
     view.changed.notify()
 
 
-def _drop_older_incomplete(view, copy):
-    """Drop incomplete copies of versions older than `copy`."""
-    for version in list(view.copies):
-        older = version < copy.version
-        if older and not weight_copy.is_complete(view.copies[version]):
-            del view.copies[version]
+def _keep(view, copy):
+    """Keep a new copy, and drop the oldest one if there are too many."""
+    view.copies[copy.version] = copy
+    while len(view.copies) > COPIES_KEPT:
+        older = [version for version in view.copies if version != copy.version]
+        del view.copies[min(older)]
 
 
 async def _stop_if_superseded(view, service, copy, scope):
     while _version_to_receive(view, service) == copy.version or not view.named:
         await view.changed.wait(IDLE_S)
+    if not weight_copy.is_complete(copy):
+        eventlog.event(
+            "weights.switched",
+            version=copy.version,
+            held=len(copy.pieces),
+            next=_version_to_receive(view, service),
+        )
+    scope.cancel()
+
+
+async def _receive_meanwhile(view, service, copy, source):
+    """Receive pieces of another version while none of `copy` arrives.
+
+    The link would be idle, and sources may hold pieces of the other version, or find
+    only that one at the origin.
+    """
+    while source is not None:
+        await _until_stalled(view, copy)
+        other = _other_version(view, copy)
+        if other is None:
+            await view.changed.wait(IDLE_S)
+            continue
+        try:
+            await _receive_other(view, copy, other, source)
+        except _RETRIED_ERRORS as exc:
+            eventlog.debug("weights.other_failed", version=other, error=str(exc))
+            if isinstance(exc, errors.WeightsError):
+                view.copies.pop(other, None)
+            await anyio.sleep(IDLE_S)
+
+
+async def _until_stalled(view, copy):
+    """Wait until no piece of a copy has arrived for `STALL_S`."""
+    held, since = len(copy.pieces), anyio.current_time()
+    while anyio.current_time() - since < STALL_S:
+        await view.changed.wait(STALL_S)
+        if len(copy.pieces) != held:
+            held, since = len(copy.pieces), anyio.current_time()
+
+
+async def _cancel_on_progress(view, copy, scope):
+    held = len(copy.pieces)
+    while len(copy.pieces) == held:
+        await view.changed.wait(IDLE_S)
     scope.cancel()
 
 
-async def _select_source(view, model, version, failures):
+def _other_version(view, copy):
+    """Return the version to receive besides `copy`: the newest incomplete other one."""
+    named = view.named.get(copy.model, [])
+    wanted = {named[-1].version} if named else set()
+    wanted |= view.copies.keys()
+    complete = {v for v, c in view.copies.items() if weight_copy.is_complete(c)}
+    report = view.report or view.last_report
+    serving = report.holding.version if report and report.holding else 0
+    left = [v for v in wanted - complete if v not in (copy.version, serving)]
+    return max((v for v in left if v > serving), default=None)
+
+
+async def _receive_other(view, copy, version, source):
+    """Receive another version until it is complete or pieces of `copy` arrive."""
+    try:
+        async with anyio.create_task_group() as tg:
+            tg.start_soon(_cancel_on_progress, view, copy, tg.cancel_scope)
+            other = view.copies.get(version)
+            if other is None:
+                other = await _receive_manifest(view, copy.model, version, source)
+                _keep(view, other)
+            await _receive_pieces(view, other, source)
+            _note_received(view, other)
+            tg.cancel_scope.cancel()
+    except BaseExceptionGroup as group:
+        raise errors.first_carobstand_error(group) from group
+
+
+async def _select_source(view, model, failures):
     """Return the entry to receive from, or None for the origin itself.
 
     The origin is used only if entries fail repeatedly or none is known for a while,
@@ -158,15 +214,15 @@
         with anyio.move_on_after(ENTRIES_WAIT_S):
             while not view.entries:
                 await view.changed.wait(IDLE_S)
-    sources = _sources(view, model, version)
+    sources = _sources(view, model)
     if not sources or failures % ORIGIN_RETRY_CYCLE == ORIGIN_RETRY_CYCLE - 1:
         return None
     return sources[failures % len(sources)]
 
 
-def _sources(view, model, version):
+def _sources(view, model):
     dep = view.deployment
-    key = weight_sources.copy_key(model, version)
+    key = weight_sources.copy_key(model)
     entries = list(view.entries.values())
     return weight_sources.sources_of_agent(
         dep.vm, dep.region, entries, key, ENTRIES_PER_REGION
--- a/src/carobstand/agent/view.py
+++ b/src/carobstand/agent/view.py
@@ -7,7 +7,7 @@
 import attrs
 
 from carobstand import entry_records, errors, eventlog, http1, signals
-from carobstand.core import named_versions, routes
+from carobstand.core import load_schedule, named_versions, routes, weight_copy
 from carobstand.platform import kv, records
 
 VERSIONS_WAIT_S = 12.0
@@ -57,6 +57,8 @@
         Latest report, kept while the engine does not respond.
     copies : dict of int to core.weight_copy.WeightCopy
         Weights being received or complete, by version.
+    target : int or None
+        Version that is being received.
     load_at : float or None
         Scheduled time of the next order to load; None if none is expected soon.
     changed : signals.Signal
@@ -73,6 +75,7 @@
     report: object = None
     last_report: object = None
     copies: dict = attrs.field(factory=dict)
+    target: int | None = None
     load_at: float | None = None
     changed: signals.Signal = attrs.field(factory=signals.Signal)
 
@@ -90,6 +93,32 @@
     return next((item.origin for item in services if item.origin), None)
 
 
+def outlook(view, service):
+    """Return the `core.load_schedule.Outlook` of the engine, or None without a report.
+
+    An engine that stops reporting for a while still holds its weights, and a complete
+    copy that is newer is about to be loaded.
+    """
+    report = view.report or view.last_report
+    if report is None:
+        return None
+    size = service.weights.pieces * service.weights.piece_bytes
+    source = origin(view)
+    rates = [view.deployment.link_bytes_per_s, source.bytes_per_s if source else 0]
+    return load_schedule.Outlook(
+        named=view.named.get(service.weights.models[0], []),
+        serving=report.holding.version if report.holding else None,
+        complete=[v for v, c in view.copies.items() if weight_copy.is_complete(c)],
+        missing={
+            version: 1 - len(copy.pieces) / len(copy.digests)
+            for version, copy in view.copies.items()
+            if not weight_copy.is_complete(copy)
+        },
+        copy_s=max(load_schedule.receive_s(size, rate) for rate in rates),
+        allowed_s=view.deployment.bounds.version_s,
+    )
+
+
 async def read_configuration(view):
     """Follow the configuration until it contains the engine's service.
 
--- a/src/carobstand/core/load_schedule.py
+++ b/src/carobstand/core/load_schedule.py
@@ -1,8 +1,15 @@
-"""Load schedule: which version an engine receives, and when it loads it."""
+"""Load schedule: which version an engine receives, and when it loads it.
+
+Load pattern: versions named in quick succession, while the origin or the entries that
+hold copies may be gone. Versions are compared by the time for which the engine would
+have no weights on which requests may begin.
+"""
+
+import math
 
 import attrs
 
-from carobstand.core import rendezvous
+from carobstand.core import named_versions, rendezvous
 
 LOAD_MARGIN_S = 0.5
 """Safety margin between the latest start of a load and the end of the allowed time."""
@@ -10,40 +17,117 @@
 LINK_SHARE = 0.95
 """Share of a link's bandwidth that received weights use."""
 
-
-@attrs.frozen
-class Progress:
-    """Version that is being received: pieces held, and pieces in total."""
-
-    version: int
-    held: int
-    pieces: int
+LOAD_S = 0.5
+"""Time for which a load takes an engine out of service: 0.3 s for the load itself, the
+rest for the order and its report. The time in which its running requests end counts as
+service."""
 
 
-def version_to_receive(named, progress, copy_s, allowed_s, now):
-    """Return the version to receive next.
+@attrs.frozen(kw_only=True)
+class Outlook:
+    """What an agent knows when it chooses a version.
 
-    The version in progress is completed if the newest one can still be received after
-    it in time; otherwise it is abandoned for the newest one.
-
-    Parameters
+    Attributes
     ----------
     named : list of core.named_versions.SeenVersion
         Ordered by version, not empty.
-    progress : Progress or None
+    serving : int or None
+        Version that the engine serves.
+    complete : list of int
+        Versions of which complete copies are held.
+    missing : dict of int to float
+        Share that is not held of each copy that was begun and is not complete.
     copy_s : float
         Time to receive a complete copy.
     allowed_s : float
         Time after a version is named during which requests may begin on older ones.
-    now : float
     """
-    newest = named[-1]
-    if progress is None or progress.version >= newest.version:
-        return newest.version
-    remaining_s = copy_s * (1 - progress.held / progress.pieces)
-    if now + remaining_s + copy_s + LOAD_MARGIN_S <= newest.seen_at + allowed_s:
-        return progress.version
-    return newest.version
+
+    named: list
+    serving: int | None
+    complete: list
+    missing: dict
+    copy_s: float
+    allowed_s: float
+
+    @property
+    def newest(self):
+        """Newest named version."""
+        return self.named[-1].version
+
+
+def held(outlook):
+    """Return the newest version that is served or held completely, 0 if none is."""
+    return max([outlook.serving or 0, *outlook.complete])
+
+
+def version_to_receive(outlook, now):
+    """Return the version to receive next: the newest one, or an older one before it.
+
+    An older one that has been begun is completed first if the newest can still be
+    received after it in time, or if that leaves the engine without usable weights for
+    a shorter time. It is also safer: the origin or the sources may be lost meanwhile.
+    """
+    newest = outlook.newest
+    begun = [v for v in outlook.missing if held(outlook) < v < newest]
+    if not begun:
+        return newest
+    best = min(begun, key=lambda v: (_unusable_s(outlook, v, now), -v))
+    newest_at = _received_at(outlook, (best, newest), now)
+    if newest_at + LOAD_MARGIN_S <= outlook.named[-1].seen_at + outlook.allowed_s:
+        return best
+    gain_s = _unusable_s(outlook, newest, now) - _unusable_s(outlook, best, now)
+    return best if gain_s > LOAD_S else newest
+
+
+def is_worth_loading(outlook, version, now):
+    """Whether an engine gains from loading a complete copy of a version.
+
+    One that is not the newest must serve for longer than its load takes, between the
+    end of the served version and its own end or the arrival of the newest one.
+    """
+    if not outlook.named or version >= outlook.newest:
+        return True
+    until = min(
+        _ends_at(outlook, version), _received_at(outlook, (outlook.newest,), now)
+    )
+    since = max(now + LOAD_S, _ends_at(outlook, outlook.serving))
+    return until - since > LOAD_S
+
+
+def serving_ends_at(outlook):
+    """Return the latest time at which requests may begin on the served weights."""
+    return _ends_at(outlook, outlook.serving)
+
+
+def _ends_at(outlook, version):
+    if version is None:
+        return -math.inf
+    return named_versions.begin_by(outlook.named, version, outlook.allowed_s)
+
+
+def _received_at(outlook, versions, now):
+    """Return the time at which copies of versions, one after the other, are complete.
+
+    An origin that does not respond delays all versions alike, so that their comparison
+    needs no estimate of its outage.
+    """
+    missing = sum(
+        outlook.missing.get(version, 1.0)
+        for version in versions
+        if version not in outlook.complete
+    )
+    return now + outlook.copy_s * missing
+
+
+def _unusable_s(outlook, version, now):
+    """Return the time without usable weights if `version` is received next."""
+    received_at = _received_at(outlook, (version,), now)
+    gap_s = max(0.0, received_at - max(now, serving_ends_at(outlook)))
+    if version == outlook.newest:
+        return gap_s
+    newest_at = _received_at(outlook, (version, outlook.newest), now)
+    return gap_s + max(0.0, newest_at - max(received_at, _ends_at(outlook, version)))
 
 
 def receive_s(copy_bytes, link_bytes_per_s):
@@ -53,12 +137,12 @@
     return copy_bytes / (link_bytes_per_s * LINK_SHARE)
 
 
-def earliest_load_at(server, servers, version, named, received_at, allowed_s):
+def earliest_load_at(server, servers, version, received_at, ends_at):
     """Return the earliest time at which an engine may begin to load a version.
 
     The loads of a service's engines are spread over the time between the receipt of a
-    copy and the end of the allowed time, in a hash order that all agents compute alike.
-    All engines receive at about the same time, as their links are alike.
+    copy and the end of the served version, in a hash order that all agents compute
+    alike. All engines receive at about the same time, as their links are alike.
 
     Parameters
     ----------
@@ -66,14 +150,14 @@
     servers : iterable of str
         All engines of the service, by a name that is the same at all agents.
     version : int
-    named : core.named_versions.SeenVersion
     received_at : float
         Time at which this server's copy is complete.
-    allowed_s : float
+    ends_at : float
+        Latest time at which requests may begin on the weights that are served.
     """
     load_order = sorted(
         set(servers) | {server}, key=lambda s: rendezvous.score(str(version), s)
     )
-    window_s = max(0.0, named.seen_at + allowed_s - LOAD_MARGIN_S - received_at)
+    window_s = max(0.0, ends_at - LOAD_MARGIN_S - received_at)
     window_fraction = load_order.index(server) / len(load_order)
     return received_at + window_s * window_fraction
--- a/src/carobstand/core/weight_copy.py
+++ b/src/carobstand/core/weight_copy.py
@@ -1,5 +1,6 @@
 """Copy of one version of a model's weights, verified piece by piece."""
 
+import collections
 import hashlib
 
 import attrs
@@ -7,6 +8,9 @@
 DIGEST_BYTES = 32
 """Size of a SHA-256 value."""
 
+NO_REQUESTS = collections.Counter()
+"""Requests of readers, if there are none: pieces are fetched in ascending order."""
+
 
 @attrs.define(eq=False)
 class WeightCopy:
@@ -51,6 +55,28 @@
     return [n for n in range(len(copy.digests)) if n not in copy.pieces]
 
 
+def in_demand_order(copy, wanted):
+    """Yield the number of each missing piece once, requested ones first.
+
+    After a requested piece follow those behind it, as readers receive in ascending
+    order. An entry that lost its cache thus fetches first what its readers lack.
+
+    Parameters
+    ----------
+    copy : WeightCopy
+        Pieces that are added meanwhile are left out.
+    wanted : collections.Counter
+        Number of readers that wait for each piece; may change meanwhile.
+    """
+    yielded, last = set(), -1
+    while left := [n for n in missing(copy) if n not in yielded]:
+        requested = [n for n, _ in wanted.most_common() if n in left]
+        following = [n for n in left if n > last]
+        last = (requested or following or left)[0]
+        yielded.add(last)
+        yield last
+
+
 def split_digests(raw):
     """Split concatenated SHA-256 digests; raise ValueError if the length is wrong."""
     if not raw or len(raw) % DIGEST_BYTES:
--- a/src/carobstand/core/weight_sources.py
+++ b/src/carobstand/core/weight_sources.py
@@ -47,9 +47,13 @@
     return sorted(entries, key=order)
 
 
-def copy_key(model, version):
-    """Return the rendezvous hash key that ranks the sources of a version."""
-    return f"{model}/{version}"
+def copy_key(model):
+    """Return the rendezvous hash key that ranks the sources of a model's copies.
+
+    It is the same for all versions: one entry downloads each of them, and so completes
+    one that is being received before it begins a newer one.
+    """
+    return f"{model}/weights"
 
 
 def seeders(entries, key, origin_domain, origin_region):
--- a/src/carobstand/entry/weight_fetching.py
+++ b/src/carobstand/entry/weight_fetching.py
@@ -5,6 +5,8 @@
 responds does another entry download from the origin too.
 """
 
+import functools
+
 import anyio
 
 from carobstand import errors, eventlog
@@ -34,6 +36,9 @@
 """Wait after the first read of the store until all entries are registered, which takes
 0.1 s. Without it, each entry would download from the origin after all were down."""
 
+TURN_CHECK_S = 0.05
+"""Interval of checks whether an older version is still to be fetched first."""
+
 RETRY_S = 0.2
 """Pause after a failure of a source."""
 
@@ -67,41 +72,41 @@
     return me, [me, *others]
 
 
-def _seeders(fleet, model, version):
-    """Return this entry, and all entries in the order in which they seed a version."""
+def _seeders(fleet, model):
+    """Return this entry, and all entries in the order in which they seed a model."""
     origin = origin_of(fleet)
     me, entries = _entries(fleet)
     if origin is None:
         return me, entries
-    key = weight_sources.copy_key(model, version)
+    key = weight_sources.copy_key(model)
     region = fleet.deployment.regions.get(origin.failure_domain, "")
     return me, weight_sources.seeders(entries, key, origin.failure_domain, region)
 
 
-def is_seeder(fleet, model, version):
-    """Whether this entry downloads a version from the origin."""
-    me, order = _seeders(fleet, model, version)
+def is_seeder(fleet, model):
+    """Whether this entry downloads versions of a model from the origin."""
+    me, order = _seeders(fleet, model)
     return order[0].vm == me.vm
 
 
-def should_prefetch(fleet, model, version):
-    """Whether this entry fetches a version before it is requested."""
+def should_prefetch(fleet, model):
+    """Whether this entry fetches versions of a model before they are requested."""
     me, entries = _entries(fleet)
-    key = weight_sources.copy_key(model, version)
+    key = weight_sources.copy_key(model)
     own = weight_sources.ranked_in_region(entries, key, me.region)
-    return is_seeder(fleet, model, version) or own[0].vm == me.vm
+    return is_seeder(fleet, model) or own[0].vm == me.vm
 
 
-def sources_of(fleet, model, version):
-    """Return the entries to receive a version from, best first.
+def sources_of(fleet, model):
+    """Return the entries to receive versions of a model from, best first.
 
     These are the entries ranked before this one in its region, then the seeder. The
     list is empty for the seeder.
     """
-    me, order = _seeders(fleet, model, version)
+    me, order = _seeders(fleet, model)
     if order[0].vm == me.vm:
         return []
-    key = weight_sources.copy_key(model, version)
+    key = weight_sources.copy_key(model)
     own = weight_sources.ranked_in_region(order, key, me.region)
     before = own[: [entry.vm for entry in own].index(me.vm)]
     return before + [entry for entry in order[:1] if entry not in before]
@@ -123,6 +128,7 @@
             while not cached.needs_pieces:
                 await cached.changed.wait(1.0)
             await _until_entries_known(fleet)
+            await _until_in_turn(cached)
             await _fetch_pieces(fleet, cached, failures)
             cached.is_complete = True
             eventlog.event("weights.held", version=cached.copy.version)
@@ -143,6 +149,22 @@
     await anyio.sleep_until(fleet.first_read_at + REGISTRATION_WAIT_S)
 
 
+async def _until_in_turn(cached):
+    """Wait while an older version that is being received is to be fetched first."""
+    while cached.has_to_wait():
+        await anyio.sleep(TURN_CHECK_S)
+
+
+async def _download(fleet, cached):
+    await origin_download.download_pieces(
+        _known_origin(fleet),
+        cached.copy,
+        _notifier(cached),
+        wanted=cached.wanted,
+        until_clear=functools.partial(_until_in_turn, cached),
+    )
+
+
 async def _fetch_manifest(fleet, cached, failures):
     """Fetch the manifest, alternately from the origin and from other entries."""
     others = _entries(fleet)[1][1:] if cached.version else []
@@ -161,19 +183,22 @@
 
 async def _fetch_pieces(fleet, cached, failures):
     """Fetch the missing pieces from one source."""
-    me, order = _seeders(fleet, cached.model, cached.copy.version)
+    me, order = _seeders(fleet, cached.model)
     rank = next(n for n, entry in enumerate(order) if entry.vm == me.vm)
-    sources = sources_of(fleet, cached.model, cached.copy.version)
+    sources = sources_of(fleet, cached.model)
     if not sources:
-        await origin_download.download_pieces(
-            _known_origin(fleet), cached.copy, _notifier(cached)
-        )
+        await _download(fleet, cached)
         return
     source = sources[failures % len(sources)]
     timeouts = piece_stream.Timeouts(SILENCE_S, STALL_TIMEOUT_S + STALL_STEP_S * rank)
     try:
         await piece_stream.receive_pieces(
-            source.address, cached.copy, _notifier(cached), WINDOW, timeouts
+            source.address,
+            cached.copy,
+            _notifier(cached),
+            WINDOW,
+            timeouts,
+            cached.wanted,
         )
     except errors.StalledError:
         await _download_instead(fleet, cached)
@@ -181,6 +206,7 @@
 
 async def _download_instead(fleet, cached):
     """Download from the origin if it responds and the source makes no progress."""
+    await _until_in_turn(cached)
     origin = _known_origin(fleet)
     await origin_download.fetch_manifest(origin, cached.model, cached.copy.version)
     held = len(cached.copy.pieces)
@@ -188,8 +214,12 @@
     if len(cached.copy.pieces) > held:
         return
     eventlog.event("weights.drawing_instead", version=cached.copy.version, held=held)
-    await origin_download.download_pieces(origin, cached.copy, _notifier(cached))
+    await _download(fleet, cached)
 
 
 def _notifier(cached):
-    return lambda number: cached.changed.notify()
+    def on_piece(number):
+        cached.progressed_at = anyio.current_time()
+        cached.changed.notify()
+
+    return on_piece
--- a/src/carobstand/transfer/origin_download.py
+++ b/src/carobstand/transfer/origin_download.py
@@ -55,7 +55,13 @@
     )
 
 
-async def download_pieces(origin, copy, on_piece):
+async def do_not_wait():
+    """Return at once: the next piece may be downloaded."""
+
+
+async def download_pieces(
+    origin, copy, on_piece, *, wanted=weight_copy.NO_REQUESTS, until_clear=do_not_wait
+):
     """Download the missing pieces of `copy`, a few at a time.
 
     Parameters
@@ -64,6 +70,10 @@
     copy : core.weight_copy.WeightCopy
     on_piece : callable of (number)
         Called after each piece that was added.
+    wanted : collections.Counter
+        Pieces that readers wait for, see `core.weight_copy.in_demand_order`.
+    until_clear : async callable without arguments
+        Awaited before each piece; returns when the origin's link is free for it.
 
     Raises
     ------
@@ -73,24 +83,28 @@
         If a piece does not match its digest; the manifest may be corrupt.
     """
     caller = http1.Client(origin.address)
-    numbers = iter(weight_copy.missing(copy))
+    numbers = weight_copy.in_demand_order(copy, wanted)
     workers = min(
         PARALLEL_DOWNLOADS, max(1, origin.max_connections // CONNECTIONS_DIVISOR)
     )
     try:
         async with anyio.create_task_group() as tg:
             for _ in range(workers):
-                tg.start_soon(_download_pieces, caller, copy, numbers, on_piece)
+                tg.start_soon(
+                    _download_pieces, caller, copy, numbers, on_piece, until_clear
+                )
     except BaseExceptionGroup as group:
         raise errors.first_carobstand_error(group) from group
     finally:
         await http1.close_idle(caller)
 
 
-async def _download_pieces(caller, copy, numbers, on_piece):
+async def _download_pieces(caller, copy, numbers, on_piece, until_clear):
+    await until_clear()
     for number in numbers:
         await _download_piece(caller, copy, number)
         on_piece(number)
+        await until_clear()
 
 
 async def _download_piece(caller, copy, number):
--- a/src/carobstand/transfer/piece_stream.py
+++ b/src/carobstand/transfer/piece_stream.py
@@ -158,7 +158,9 @@
         await anyio.aclose_forcefully(frames.stream)
 
 
-async def receive_pieces(address, copy, on_piece, window, timeouts):
+async def receive_pieces(
+    address, copy, on_piece, window, timeouts, wanted=weight_copy.NO_REQUESTS
+):
     """Receive the missing pieces of a copy from the process at `address`.
 
     Parameters
@@ -171,6 +173,8 @@
         Called after each piece that was added.
     window : Window
     timeouts : Timeouts
+    wanted : collections.Counter
+        Pieces that readers wait for, see `core.weight_copy.in_demand_order`.
 
     Raises
     ------
@@ -191,13 +195,14 @@
                 step="pieces.receive",
                 peer=frames.peer,
             )
-        await _receive_blocks(frames, copy, on_piece, window, timeouts)
+        numbers = weight_copy.in_demand_order(copy, wanted)
+        await _receive_blocks(frames, copy, numbers, on_piece, window, timeouts)
     finally:
         await anyio.aclose_forcefully(frames.stream)
 
 
-async def _receive_blocks(frames, copy, on_piece, window, timeouts):
-    wanted = iter(_blocks(copy, window.block_bytes))
+async def _receive_blocks(frames, copy, numbers, on_piece, window, timeouts):
+    wanted = _blocks(copy, numbers, window.block_bytes)
     expected = collections.deque()
     parts = []
     while True:
@@ -236,14 +241,9 @@
     return reply.data
 
 
-def pending_manifest_reply(cached):
-    """Return the reply of a source that still waits for the manifest itself."""
-    return ttypes.ManifestReply(cached.model, cached.version, b"", 0)
-
-
-def _blocks(copy, block_bytes):
-    """Yield the block requests for all missing pieces, piece by piece."""
-    for number in weight_copy.missing(copy):
+def _blocks(copy, numbers, block_bytes):
+    """Yield the block requests for pieces, one piece after the other."""
+    for number in numbers:
         for offset in range(0, copy.piece_bytes, block_bytes):
             size = min(block_bytes, copy.piece_bytes - offset)
             yield ttypes.BlockRequest(number, offset, size)
--- /dev/null
+++ b/testing/test_load_schedule.py
@@ -0,0 +1,92 @@
+import math
+
+from carobstand.core import load_schedule, named_versions
+from testing import weight_builders as build
+
+
+def test_a_version_in_progress_is_finished_if_the_newest_still_arrives_in_time():
+    outlook = build.outlook((2, 20.0), (3, 24.0), missing={2: 0.25})
+    assert load_schedule.version_to_receive(outlook, 24.0) == 2
+
+
+def test_the_newest_version_replaces_one_that_would_delay_it():
+    outlook = build.outlook((2, 18.0), (3, 20.0), missing={2: 0.625})
+    assert load_schedule.version_to_receive(outlook, 20.0) == 3
+
+
+def test_without_progress_the_newest_version_is_received():
+    outlook = build.outlook((2, 18.0), (3, 20.0))
+    assert load_schedule.version_to_receive(outlook, 20.0) == 3
+
+
+def test_a_nearly_complete_version_is_finished_after_an_outage_of_the_origin():
+    # The origin was down from 20.5 to 26.5; version 1 ends at 28.3, version 2 at 30.3.
+    outlook = build.outlook(
+        (2, 18.0), (3, 20.0), missing={2: 0.13}, copy_s=4.6, allowed_s=10.3
+    )
+    for now in (20.1, 22.0, 24.8, 26.5):
+        assert load_schedule.version_to_receive(outlook, now) == 2
+
+
+def test_an_older_version_that_would_end_at_once_is_not_finished():
+    outlook = build.outlook(
+        (2, 18.0), (3, 20.0), missing={2: 0.5}, copy_s=4.6, allowed_s=10.3
+    )
+    assert load_schedule.version_to_receive(outlook, 28.0) == 3
+
+
+def test_of_two_older_versions_the_one_that_serves_longer_is_finished():
+    outlook = build.outlook(
+        (2, 18.0), (3, 20.0), (4, 24.0), missing={2: 0.1, 3: 0.2}, copy_s=4.6
+    )
+    assert load_schedule.version_to_receive(outlook, 26.0) == 3
+
+
+def test_a_complete_version_is_not_received_again():
+    outlook = build.outlook((2, 18.0), (3, 20.0), complete=[2], missing={3: 0.9})
+    assert load_schedule.version_to_receive(outlook, 24.0) == 3
+
+
+def test_an_older_version_is_loaded_only_if_it_serves_before_the_newest():
+    outlook = build.outlook((2, 18.0), (3, 20.0), complete=[2], missing={3: 0.9})
+    # The newest one is complete at 28.7 (now 24.0) and at 25.2 (now 20.5); version 1
+    # ends at 26.0, version 2 at 28.0.
+    assert load_schedule.is_worth_loading(outlook, 2, 24.0)
+    assert not load_schedule.is_worth_loading(outlook, 2, 20.5)
+    assert not load_schedule.is_worth_loading(outlook, 2, 27.6)
+    assert load_schedule.is_worth_loading(outlook, 3, 27.6)
+
+
+def test_without_named_versions_any_complete_copy_is_loaded():
+    outlook = build.outlook(complete=[1], serving=None)
+    assert load_schedule.is_worth_loading(outlook, 1, 5.0)
+
+
+def load_times(received_at, ends_at):
+    servers = [f"10.0.0.{n}:80" for n in range(10)]
+    return sorted(
+        load_schedule.earliest_load_at(server, servers, 2, received_at, ends_at)
+        for server in servers
+    )
+
+
+def test_loads_are_spread_between_receipt_and_the_end_of_the_served_version():
+    times = load_times(received_at=105.2, ends_at=108.0)
+    assert times[0] >= 105.2
+    assert times[-1] <= 108.0 - load_schedule.LOAD_MARGIN_S
+    assert all(b - a < 1.0 for a, b in zip(times, times[1:], strict=False))
+    assert len(set(times)) == 10
+
+
+def test_loads_of_late_copies_are_spread_over_the_remaining_time():
+    times = load_times(received_at=107.0, ends_at=108.0)
+    assert 107.0 <= times[0] < times[-1] <= 108.0 - load_schedule.LOAD_MARGIN_S
+    assert set(load_times(received_at=109.0, ends_at=108.0)) == {109.0}
+
+
+def test_the_served_version_ends_when_the_first_newer_one_has_been_named_for_long():
+    # Loads of version 3 were spread until the end of version 2, which is not served.
+    outlook = build.outlook((2, 18.0), (3, 20.0), serving=1)
+    assert load_schedule.serving_ends_at(outlook) == 26.0
+    named = [named_versions.SeenVersion(1, 0.0)]
+    assert named_versions.begin_by(named, 1, 8.0) == math.inf
