Let entries receive pieces of weights from agents that hold them

Cause: copies existed only in the caches of entries and were lost with them, while agents held pieces and complete copies that nobody requested. A seeder that restarted downloaded the copy again beside the entry that had taken over. All agents of a region whose two entries failed switched to the same third one: on kydai its link took 7 s for the twelve of them.

The manifest tells what a source holds; a seeder asks the entries that would take over from it before it downloads what agents already hold. Agents spread over further pairs of entries.

Result: testing/test_rapid_versions.py with real agents and entries, among them one that replaces all entries while the origin is down; test_platform_weights.py unchanged, green.

--- a/src/carobstand/agent/platform_main.py
+++ b/src/carobstand/agent/platform_main.py
@@ -3,7 +3,7 @@
 import anyio
 
 from carobstand import command, errors, eventlog, http1, loops
-from carobstand.agent import loading, receiving, reporting, view
+from carobstand.agent import loading, piece_sharing, receiving, reporting, view
 from carobstand.platform import kv
 
 
@@ -28,6 +28,7 @@
             reporting.run,
             receiving.run,
             loading.run,
+            piece_sharing.run,
         ):
             tg.start_soon(loops.supervise, loop, state)
         tg.start_soon(
--- a/src/carobstand/agent/reporting.py
+++ b/src/carobstand/agent/reporting.py
@@ -4,7 +4,7 @@
 import attrs
 
 from carobstand import errors, eventlog
-from carobstand.core import deployment, report_pacing
+from carobstand.core import deployment, report_pacing, weight_copy
 from carobstand.platform import engine_client
 from carobstand.wire import fleet_codec
 from carobstand.wire.gen_fleet import ttypes
@@ -107,6 +107,10 @@
     load_in_ms = -1
     if view.load_at is not None:
         load_in_ms = max(0, int((view.load_at - anyio.current_time()) * 1000))
+    receiving = view.copies.get(view.target)
+    if receiving is not None and weight_copy.is_complete(receiving):
+        receiving = None
+    complete = [v for v, copy in view.copies.items() if weight_copy.is_complete(copy)]
     message = ttypes.EngineLoad(
         address=view.deployment.backend_address,
         started_ms=report.started_ms,
@@ -120,6 +124,9 @@
         first_layer=holding and holding.start,
         end_layer=holding and holding.end,
         load_in_ms=load_in_ms,
+        receiving_version=receiving and receiving.version,
+        receiving_pieces=receiving and len(receiving.pieces),
+        copies=sorted(complete),
     )
     raw = fleet_codec.encode(message)
     for entry in entries:
--- a/src/carobstand/core/engine_load.py
+++ b/src/carobstand/core/engine_load.py
@@ -15,6 +15,9 @@
     `number` increases with each report. `received_at` is the time of receipt on this
     process's clock. `next_load_at` is the time of the engine's next scheduled load of
     weights, None if none is known.
+
+    `agent_host` is the IP address of its agent. The agent holds `receiving_pieces` of
+    `receiving_version`, and complete copies of the versions in `copies`.
     """
 
     address: str
@@ -27,6 +30,10 @@
     holding: registry.Holding | None
     received_at: float
     next_load_at: float | None = None
+    agent_host: str = ""
+    receiving_version: int | None = None
+    receiving_pieces: int = 0
+    copies: tuple = ()
 
 
 @attrs.define(eq=False)
@@ -58,6 +65,13 @@
     return load
 
 
+def held_pieces(load, version, pieces):
+    """Return how many of the pieces of a version the engine's agent holds."""
+    if version in load.copies:
+        return pieces
+    return load.receiving_pieces if load.receiving_version == version else 0
+
+
 def update_from_answer(loads, registration, running, waiting, now):
     """Update the load of an engine from the headers of its response.
 
--- a/src/carobstand/core/weight_sources.py
+++ b/src/carobstand/core/weight_sources.py
@@ -84,9 +84,13 @@
     entries : list of Entry
     key : str
     spread : int
-        Number of entries of the region over which its agents are distributed.
+        Number of entries of the region over which its agents are distributed. If those
+        fail, the agents are distributed over as many others: the link of a single one
+        is too narrow for all of them.
     """
     own = ranked_in_region(entries, key, region)
-    near = sorted(own[:spread], key=lambda entry: rendezvous.score(vm, entry.vm))
-    ordered = near + own[spread:]
+    ordered = []
+    for start in range(0, len(own), spread):
+        group = own[start : start + spread]
+        ordered += sorted(group, key=lambda entry: rendezvous.score(vm, entry.vm))
     return ordered + [entry for entry in _ranked(entries, key) if entry not in ordered]
--- a/src/carobstand/entry/datagrams.py
+++ b/src/carobstand/entry/datagrams.py
@@ -45,7 +45,7 @@
 
 def _on_engine_load(fwd, message, peer):
     try:
-        load = _decode_load(message)
+        load = _decode_load(message, peer)
     except (TypeError, ValueError) as exc:
         eventlog.event("datagram.malformed", peer=peer, error=str(exc))
         return
@@ -74,7 +74,7 @@
     return fewer or (load.holding, load.is_busy) != (before.holding, before.is_busy)
 
 
-def _decode_load(message):
+def _decode_load(message, peer):
     now = anyio.current_time()
     holding = None
     if message.version is not None:
@@ -98,4 +98,8 @@
         holding=holding,
         received_at=now,
         next_load_at=loads_at,
+        agent_host=peer,
+        receiving_version=message.receiving_version,
+        receiving_pieces=int(message.receiving_pieces or 0),
+        copies=tuple(message.copies or ()),
     )
--- a/src/carobstand/entry/platform_main.py
+++ b/src/carobstand/entry/platform_main.py
@@ -48,7 +48,7 @@
     fwd.limits.permit_arrived = functools.partial(queueing.note_permit, fwd)
     ingress_server = ingress.server(fwd)
     readiness_server = readiness.server(state, leaving.is_set)
-    cache = weight_cache.WeightCache(state)
+    cache = weight_cache.WeightCache(state, fwd.loads)
     async with anyio.create_task_group() as tg:
         tg.start_soon(loops.supervise, fleet.observe, state)
         tg.start_soon(loops.supervise, registration.run, state)
--- a/src/carobstand/entry/weight_cache.py
+++ b/src/carobstand/entry/weight_cache.py
@@ -7,7 +7,7 @@
 import attrs
 
 from carobstand import errors, eventlog, signals
-from carobstand.core import weight_copy
+from carobstand.core import engine_load, weight_copy
 from carobstand.entry import change_relay, weight_fetching
 from carobstand.entry import fleet as fleets
 from carobstand.transfer import piece_server, piece_stream
@@ -57,8 +57,13 @@
         Scope of the fetch; None while it is stopped.
     is_dropped : bool
         Whether the version was removed from the cache.
+    fetched_since : float
+        Time at which the fetch was started.
     has_to_wait : callable without arguments
         Whether an older version is to be fetched before this one now.
+    agents : callable without arguments
+        Returns the number of its pieces that agents of the region hold, by the IP
+        address of the agent.
     changed : signals.Signal
         Notified when the manifest, a piece or `needs_pieces` changes.
     """
@@ -74,7 +79,9 @@
     wanted: collections.Counter = attrs.field(factory=collections.Counter)
     scope: anyio.CancelScope | None = None
     is_dropped: bool = False
+    fetched_since: float = 0.0
     has_to_wait: object = lambda: False
+    agents: object = dict
     changed: signals.Signal = attrs.field(factory=signals.Signal)
 
 
@@ -85,6 +92,8 @@
     Attributes
     ----------
     fleet : entry.fleet.Fleet
+    loads : core.engine_load.EngineLoads
+        Reports of agents, which tell what pieces they hold.
     held : dict of (str, int) to CachedVersion
         By model and version.
     tasks : task group
@@ -92,6 +101,7 @@
     """
 
     fleet: object
+    loads: object = attrs.field(factory=engine_load.EngineLoads)
     held: dict = attrs.field(factory=dict)
     tasks: object = None
 
@@ -184,11 +194,12 @@
             _drop(cache, (model, other))
         cached = cache.held[key] = CachedVersion(model, version)
         cached.has_to_wait = lambda: _has_to_wait(cache, cached)
+        cached.agents = lambda: _agents_that_hold(cache, cached)
     cached = cache.held[key]
     is_stopped = cached.scope is None and not cached.is_complete
     if is_stopped and (needs_pieces or cached.copy is None):
         cached.scope = anyio.CancelScope()
-        cached.last_read_at = cached.progressed_at = anyio.current_time()
+        cached.last_read_at = cached.fetched_since = anyio.current_time()
         cache.tasks.start_soon(_fetch, cache, cached, cached.scope)
     if needs_pieces and not cached.needs_pieces:
         cached.needs_pieces = True
@@ -212,6 +223,25 @@
     )
 
 
+def _agents_that_hold(cache, cached):
+    """Return the number of pieces of a version that agents of the region hold."""
+    fleet, now, found = cache.fleet, anyio.current_time(), {}
+    dep, config = fleet.deployment, fleet.configuration
+    for server in fleet.servers.servers.values():
+        service = config.services.get(server.service) if config else None
+        if service is None or service.weights is None:
+            continue
+        if cached.model not in service.weights.models:
+            continue
+        load = engine_load.fresh_load(cache.loads, server, now)
+        if load is None or dep.regions.get(server.failure_domain) != dep.region:
+            continue
+        pieces = engine_load.held_pieces(load, cached.version, service.weights.pieces)
+        if pieces:
+            found[load.agent_host] = pieces
+    return found
+
+
 async def _fetch(cache, cached, scope):
     """Fetch a version until it is complete or cancelled."""
     try:
--- a/src/carobstand/entry/weight_fetching.py
+++ b/src/carobstand/entry/weight_fetching.py
@@ -6,11 +6,13 @@
 """
 
 import functools
+import itertools
 
 import anyio
 
 from carobstand import errors, eventlog
 from carobstand.core import weight_sources
+from carobstand.entry import piece_gathering
 from carobstand.transfer import origin_download, piece_stream
 
 SILENCE_S = 1.5
@@ -36,6 +38,10 @@
 """Wait after the first read of the store until all entries are registered, which takes
 0.1 s. Without it, each entry would download from the origin after all were down."""
 
+ASKED_ENTRIES = 3
+"""Entries that a seeder asks for their pieces if agents hold some already: those that
+take over from it, in their order."""
+
 TURN_CHECK_S = 0.05
 """Interval of checks whether an older version is still to be fetched first."""
 
@@ -113,13 +119,36 @@
 
 
 async def fetch(fleet, cached):
-    """Fetch one version until it is complete, switching sources after failures.
+    """Fetch one version until it is complete, from other entries and from agents.
 
     Parameters
     ----------
     fleet : entry.fleet.Fleet
     cached : entry.weight_cache.CachedVersion
     """
+    try:
+        async with anyio.create_task_group() as tg:
+            for source in (_fetch_from_entries, _gather_from_agents):
+                tg.start_soon(_fetch_until_complete, source, fleet, cached, tg)
+    except BaseExceptionGroup as group:
+        raise errors.first_carobstand_error(group) from group
+    cached.is_complete = True
+    eventlog.event("weights.held", version=cached.copy.version)
+
+
+async def _fetch_until_complete(source, fleet, cached, tg):
+    await source(fleet, cached)
+    tg.cancel_scope.cancel()
+
+
+async def _gather_from_agents(fleet, cached):
+    while not cached.needs_pieces:
+        await cached.changed.wait(1.0)
+    await piece_gathering.run(fleet, cached, _notifier(cached))
+
+
+async def _fetch_from_entries(fleet, cached):
+    """Fetch from other entries or the origin, switching sources after failures."""
     failures = 0
     while True:
         try:
@@ -130,8 +159,6 @@
             await _until_entries_known(fleet)
             await _until_in_turn(cached)
             await _fetch_pieces(fleet, cached, failures)
-            cached.is_complete = True
-            eventlog.event("weights.held", version=cached.copy.version)
             return
         except FAILURES as exc:
             failures += 1
@@ -166,12 +193,19 @@
 
 
 async def _fetch_manifest(fleet, cached, failures):
-    """Fetch the manifest, alternately from the origin and from other entries."""
-    others = _entries(fleet)[1][1:] if cached.version else []
-    if failures % 2 and others:
-        peer = others[failures // 2 % len(others)]
+    """Fetch the manifest, alternately from the origin and from entries and agents."""
+    port = fleet.deployment.internal_ports[0]
+    others = [entry.address for entry in _entries(fleet)[1][1:]]
+    agents = [f"{host}:{port}" for host in cached.agents()]
+    # Entries and agents alternate, so that few failures lead to one that holds it.
+    pairs = itertools.zip_longest(agents, others)
+    peers = [peer for pair in pairs for peer in pair if peer] if cached.version else []
+    if failures % 2 and peers:
         cached.copy = await piece_stream.receive_manifest(
-            peer.address, cached.model, cached.version, MANIFEST_TIMEOUTS
+            peers[failures // 2 % len(peers)],
+            cached.model,
+            cached.version,
+            MANIFEST_TIMEOUTS,
         )
     else:
         cached.copy = await origin_download.fetch_manifest(
@@ -186,6 +220,8 @@
     me, order = _seeders(fleet, cached.model)
     rank = next(n for n, entry in enumerate(order) if entry.vm == me.vm)
     sources = sources_of(fleet, cached.model)
+    if not sources and not failures and cached.agents():
+        sources = await _entries_ahead(cached, order[1 : 1 + ASKED_ENTRIES])
     if not sources:
         await _download(fleet, cached)
         return
@@ -204,6 +240,31 @@
         await _download_instead(fleet, cached)
 
 
+async def _entries_ahead(cached, entries):
+    """Return the entry among some that holds most pieces, if it holds more than this.
+
+    A seeder that restarts would otherwise share the origin's link with the entry that
+    took over from it.
+    """
+    found = []
+
+    async def ask(entry):
+        try:
+            _, held = await piece_stream.receive_offer(
+                entry.address, cached.model, cached.version, MANIFEST_TIMEOUTS
+            )
+        except FAILURES as exc:
+            eventlog.debug("weights.not_offered", entry=entry.vm, error=str(exc))
+            return
+        if len(held) > len(cached.copy.pieces):
+            found.append((len(held), entry))
+
+    async with anyio.create_task_group() as tg:
+        for entry in entries:
+            tg.start_soon(ask, entry)
+    return [entry for _, entry in sorted(found, key=lambda item: -item[0])[:1]]
+
+
 async def _download_instead(fleet, cached):
     """Download from the origin if it responds and the source makes no progress."""
     await _until_in_turn(cached)
--- a/src/carobstand/transfer/piece_server.py
+++ b/src/carobstand/transfer/piece_server.py
@@ -60,7 +60,11 @@
         Waits for the piece of a block; returns False if it will not be held.
     """
     manifest = ttypes.ManifestReply(
-        copy.model, copy.version, b"".join(copy.digests), copy.piece_bytes
+        copy.model,
+        copy.version,
+        b"".join(copy.digests),
+        copy.piece_bytes,
+        piece_stream.encode_numbers(copy.pieces),
     )
     await piece_stream.send(frames, manifest)
     while not request.manifest_only:
--- a/src/carobstand/transfer/piece_stream.py
+++ b/src/carobstand/transfer/piece_stream.py
@@ -150,6 +150,15 @@
     StalledError
         If the source is still waiting for the manifest itself.
     """
+    copy, _ = await receive_offer(address, model, version, timeouts)
+    return copy
+
+
+async def receive_offer(address, model, version, timeouts):
+    """Return an empty `WeightCopy`, and the numbers of the pieces at the source.
+
+    Parameters and exceptions are those of `receive_manifest`.
+    """
     frames = await connect(address)
     try:
         await send(frames, ttypes.ManifestRequest(model, version, True))
@@ -185,17 +194,35 @@
         If a piece does not match its digest or the manifests differ; the manifest of
         either side may be corrupt.
     """
+
+    def choose(held):
+        return weight_copy.in_demand_order(copy, wanted)
+
+    await receive_chosen(address, copy, choose, on_piece, window, timeouts)
+
+
+async def receive_chosen(address, copy, choose, on_piece, window, timeouts):
+    """Receive pieces of a copy from the process at `address`.
+
+    Parameters
+    ----------
+    choose : callable of (frozenset of int)
+        Returns an iterator over the numbers of the pieces to receive, given those that
+        the source holds.
+    address, copy, on_piece, window, timeouts
+        Those of `receive_pieces`, which raises the same exceptions.
+    """
     frames = await connect(address)
     try:
         await send(frames, ttypes.ManifestRequest(copy.model, copy.version, False))
-        offered = await _receive_manifest(frames, copy.model, timeouts)
+        offered, held = await _receive_manifest(frames, copy.model, timeouts)
         if offered.digests != copy.digests:
             raise errors.WeightsError(
                 "the manifest of the source differs",
                 step="pieces.receive",
                 peer=frames.peer,
             )
-        numbers = weight_copy.in_demand_order(copy, wanted)
+        numbers = choose(held)
         await _receive_blocks(frames, copy, numbers, on_piece, window, timeouts)
     finally:
         await anyio.aclose_forcefully(frames.stream)
@@ -263,9 +290,24 @@
         raise errors.WireError(
             str(exc), step="pieces.receive", peer=frames.peer
         ) from exc
-    return weight_copy.WeightCopy(
+    copy = weight_copy.WeightCopy(
         reply.model, reply.version, digests, max(1, reply.piece_bytes)
     )
+    return copy, decode_numbers(reply.held or b"", len(digests))
+
+
+def encode_numbers(numbers):
+    """Return a bitmap of piece numbers: bit n % 8 of byte n / 8."""
+    bitmap = bytearray(max(numbers, default=-1) // 8 + 1)
+    for number in numbers:
+        bitmap[number // 8] |= 1 << number % 8
+    return bytes(bitmap)
+
+
+def decode_numbers(bitmap, pieces):
+    """Return the piece numbers below `pieces` whose bit is set."""
+    bits = range(min(pieces, 8 * len(bitmap)))
+    return frozenset(n for n in bits if bitmap[n // 8] >> n % 8 & 1)
 
 
 async def _receive_content(frames, timeouts, kind, content):
--- a/src/carobstand/wire/fleet.thrift
+++ b/src/carobstand/wire/fleet.thrift
@@ -103,6 +103,7 @@
   2: i32 version
   3: binary digests           // concatenated SHA-256 values
   4: i32 piece_bytes
+  5: optional binary held     // pieces that the source holds: bit n % 8 of byte n / 8
 }
 
 // Requests a part of a piece; the reply holds data once the piece is available.
--- a/src/carobstand/wire/gen_fleet/ttypes.py
+++ b/src/carobstand/wire/gen_fleet/ttypes.py
@@ -1133,15 +1133,17 @@
      - version
      - digests
      - piece_bytes
+     - held
 
     """
 
 
-    def __init__(self, model=None, version=None, digests=None, piece_bytes=None,):
+    def __init__(self, model=None, version=None, digests=None, piece_bytes=None, held=None,):
         self.model = model
         self.version = version
         self.digests = digests
         self.piece_bytes = piece_bytes
+        self.held = held
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1172,6 +1174,11 @@
                     self.piece_bytes = iprot.readI32()
                 else:
                     iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.STRING:
+                    self.held = iprot.readBinary()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1198,6 +1205,10 @@
             oprot.writeFieldBegin('piece_bytes', TType.I32, 4)
             oprot.writeI32(self.piece_bytes)
             oprot.writeFieldEnd()
+        if self.held is not None:
+            oprot.writeFieldBegin('held', TType.STRING, 5)
+            oprot.writeBinary(self.held)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1978,6 +1989,7 @@
     (2, TType.I32, 'version', None, None, ),  # 2
     (3, TType.STRING, 'digests', 'BINARY', None, ),  # 3
     (4, TType.I32, 'piece_bytes', None, None, ),  # 4
+    (5, TType.STRING, 'held', 'BINARY', None, ),  # 5
 )
 all_structs.append(BlockRequest)
 BlockRequest.thrift_spec = (
--- /dev/null
+++ b/testing/test_rapid_versions.py
@@ -0,0 +1,76 @@
+"""Versions named in quick succession, while the origin or entries are unavailable."""
+
+from carobstand.standin.platform import kv, origin
+from carobstand.transfer import piece_stream
+from testing import platform_fleet as fleets
+from testing.test_platform_weights import run_with_agents, versions
+
+
+def test_the_rest_of_a_copy_is_received_after_the_origin_was_lost():
+    # Both sides kept only the pieces of the newest version and began anew.
+    async def check(fleet):
+        backend_server = fleet.engines["i-1"]
+        fleet.origin.bytes_per_s = 3_000.0
+        fleets.name_version(fleet, 2)
+        await fleets.until(
+            lambda: backend_server.staged.get(4) == origin.piece(fleet.origin, 2, 4)
+        )
+        fleet.origin.is_down = True
+        fleets.name_version(fleet, 3)
+        await fleets.until(lambda: fleet.origin.newest == 3)
+        fleet.origin.is_down = False
+        await fleets.until(lambda: versions(fleet) == {3}, 20)
+        assert all(sent <= 1 for sent in fleet.origin.sent.values())
+
+    run_with_agents(check)
+
+
+def test_a_third_version_named_before_the_second_is_complete_is_loaded():
+    async def check(fleet):
+        fleet.origin.bytes_per_s = 5_000.0
+        for version in (2, 3, 4):
+            fleets.name_version(fleet, version)
+        await fleets.until(lambda: versions(fleet) == {4}, 20)
+
+    run_with_agents(check)
+
+
+def test_copies_outlive_the_entries_that_hold_them():
+    # The origin is down and all entries are replaced: only agents hold the copy.
+    async def check(fleet):
+        fleets.name_version(fleet, 2)
+        await fleets.until(lambda: versions(fleet) == {2}, 12)
+        fleet.origin.is_down = True
+        for vm in ("entry-1", "entry-2"):
+            await fleets.stop(fleet, vm)
+            kv.remove(fleet.store, f"carobstand/entries/{vm}")
+        await fleets.add_entry(fleet, "entry-3")
+        backend_server = await fleets.add_engine(fleet, "i-9", version=None)
+        await fleets.add_agent(fleet, backend_server, "side-9")
+        await fleets.until(lambda: backend_server.version == 2, 15)
+
+    run_with_agents(check)
+
+
+def test_pieces_that_were_staged_long_before_the_load_are_repaired():
+    async def check(fleet):
+        backend_server = fleet.engines["i-1"]
+        fleet.origin.bytes_per_s = 3_000.0
+        fleets.name_version(fleet, 2)
+        wanted = origin.piece(fleet.origin, 2, 0)
+        await fleets.until(lambda: backend_server.staged.get(0) == wanted)
+        fleet.origin.is_down = True
+        backend_server.staged[0] = b"rotten"
+        fleets.name_version(fleet, 3)
+        fleet.origin.is_down = False
+        await fleets.until(lambda: versions(fleet) == {3}, 20)
+        assert not backend_server.corrupt_loads
+
+    run_with_agents(check, engines=1)
+
+
+def test_piece_numbers_survive_the_wire():
+    for numbers in ((), (0,), (7, 8), range(96)):
+        raw = piece_stream.encode_numbers(numbers)
+        assert piece_stream.decode_numbers(raw, 96) == set(numbers)
+    assert piece_stream.decode_numbers(b"\xff\xff", 3) == {0, 1, 2}
--- a/testing/test_weight_fetching.py
+++ b/testing/test_weight_fetching.py
@@ -120,6 +120,17 @@
     assert first == {"e1", "e2"}
 
 
+def test_agents_spread_over_other_entries_when_theirs_fail():
+    # All twelve agents of a region switched to one entry, whose link took 7 s for them.
+    entries = [entry(f"n{number}") for number in range(6)]
+    found = [
+        weight_sources.sources_of_agent(f"side-{n}", "north", entries, "m", spread=2)
+        for n in range(20)
+    ]
+    for position in range(0, 6, 2):
+        assert len({order[position].vm for order in found}) == 2
+
+
 def test_agents_of_a_region_without_entries_receive_from_another():
     found = weight_sources.sources_of_agent("side-1", "east", ENTRIES, "m/1", spread=2)
     assert len(found) == len(ENTRIES)
