--- a/src/carobstand/agent/loading.py
+++ b/src/carobstand/agent/loading.py
@@ -36,8 +36,8 @@
         Version of the staged pieces.
     numbers : set of int
         Staged piece numbers.
-    peers : list of str or None
-        Addresses of the service's engines, for the load schedule; None until read.
+    peers : list of str
+        Addresses of the service's engines, for the load schedule.
     complete_at : float or None
         Time at which all pieces were staged.
     held : int
@@ -48,7 +48,7 @@
 
     version: int | None = None
     numbers: set = attrs.field(factory=set)
-    peers: list | None = None
+    peers: list = attrs.field(factory=list)
     complete_at: float | None = None
     held: int = 0
     progressed_at: float = 0.0
@@ -59,7 +59,7 @@
     stage = Stage()
     while True:
         try:
-            copy = _next_copy(view)
+            copy = _next_copy(view, stage)
             if copy is None:
                 await view.changed.wait(IDLE_S)
             else:
@@ -70,7 +70,7 @@
             await anyio.sleep(RETRY_S)
 
 
-def _next_copy(view):
+def _next_copy(view, stage):
     """Return the copy to stage now, or None."""
     report = view.report
     if report is None or report.is_busy or views.service(view) is None:
@@ -83,7 +83,8 @@
         copy
         for copy in newer
         if weight_copy.is_complete(copy)
-        and load_schedule.is_worth_loading(outlook, copy.version, now)
+        and _position(view, stage, copy)
+        < load_schedule.share_to_load(outlook, copy.version, now)
     ]
     received = [copy for copy in newer if copy.version == view.target]
     # Staging overwrites staged pieces, so complete copies are loaded before others that
@@ -96,7 +97,8 @@
     """Stage the received pieces; once complete, verify them and order the load."""
     if stage.version != copy.version:
         stage.version, stage.numbers = copy.version, set()
-        stage.peers = stage.complete_at = None
+        stage.complete_at = None
+        await _read_peers(view, stage)
     for number in [n for n in copy.pieces if n not in stage.numbers]:
         await engine_client.stage_piece(
             view.engine, copy.model, number, copy.pieces[number]
@@ -105,28 +107,25 @@
     if stage.held != len(stage.numbers):
         stage.held, stage.progressed_at = len(stage.numbers), anyio.current_time()
     if not weight_copy.is_complete(copy):
-        if stage.peers is None:
-            await _read_peers(view, stage)
         view.load_at = _load_at(view, stage, copy)
         await view.changed.wait(IDLE_S)
         return
     if stage.complete_at is None:
         stage.complete_at = anyio.current_time()
     view.load_at = _load_at(view, stage, copy)
-    while view.load_at is not None and _next_copy(view) is copy:
+    while view.load_at is not None and _next_copy(view, stage) is copy:
         left_s = view.load_at - anyio.current_time()
         if left_s <= 0:
             break
         await view.changed.wait(min(left_s, IDLE_S))
-    if _next_copy(view) is not copy:
+    if _next_copy(view, stage) is not copy:
         return
     await _repair_staged(view, copy)
     await _order_load(view, copy)
 
 
 async def _read_peers(view, stage):
-    """Read the engines of the service; if the store fails, assume only this one."""
-    stage.peers = []
+    """Read the engines of the service; if the store fails, the known ones are kept."""
     try:
         changes = await kv.list_prefix(
             view.store, records.SERVER_PREFIX, allow_stale=True
@@ -134,6 +133,7 @@
     except errors.StoreError as exc:
         eventlog.event("peers.unknown", error=str(exc))
         return
+    stage.peers = []
     for item in changes.items:
         try:
             found = records.decode_registration(item.key, item.value)
@@ -164,14 +164,15 @@
     else:
         complete_at = now + outlook.copy_s * outlook.missing[copy.version]
     return load_schedule.earliest_load_at(
-        view.deployment.backend_address,
-        stage.peers or [],
-        copy.version,
-        complete_at,
-        ends_at,
+        _position(view, stage, copy), complete_at, ends_at
     )
 
 
+def _position(view, stage, copy):
+    server = view.deployment.backend_address
+    return load_schedule.position(server, stage.peers, copy.version)
+
+
 async def _repair_staged(view, copy):
     """Read back all staged pieces and stage corrupt ones again."""
     corrupt = 0
--- a/src/carobstand/agent/piece_sharing.py
+++ b/src/carobstand/agent/piece_sharing.py
@@ -11,9 +11,9 @@
 from carobstand import errors
 from carobstand.transfer import piece_server
 
-MAX_READERS = 2
-"""Readers served at a time. The link also carries the engine's responses; readers
-request blocks of 6 KB, which a link of 4 Mbit/s sends in 12 ms."""
+MAX_READERS = 1
+"""Readers served at a time. The link also carries the engine's responses; a reader has
+6 KB under way, which a link of 4 Mbit/s sends in 12 ms."""
 
 
 @attrs.define(eq=False)
--- a/src/carobstand/core/load_schedule.py
+++ b/src/carobstand/core/load_schedule.py
@@ -23,6 +23,15 @@
 service."""
 
 
+RUNNING_S = 1.3
+"""Time until the requests that an engine runs have ended, on average: 1 to 2.6 s at
+most. A load costs an engine about as much service."""
+
+SPREAD_S = 3.0
+"""Shortest time over which loads are spread: the longest running request of 2.6 s and
+the load of 0.3 s, so that some engines are back before the last ones begin."""
+
+
 @attrs.frozen(kw_only=True)
 class Outlook:
     """What an agent knows when it chooses a version.
@@ -80,19 +89,25 @@
     return best if gain_s > LOAD_S else newest
 
 
-def is_worth_loading(outlook, version, now):
-    """Whether an engine gains from loading a complete copy of a version.
+def share_to_load(outlook, version, now):
+    """Return the share of the engines that load a complete copy of a version.
 
-    One that is not the newest must serve for longer than its load takes, between the
-    end of the served version and its own end or the arrival of the newest one.
+    All load the newest one. An older one must serve for longer than its load takes,
+    after the end of the served version. If the newest one arrives around that end, half
+    of the engines load the older one and serve while the others load the newest: all
+    loads at that moment would leave no engine in service. If the newest one arrives
+    earlier by enough to spread its loads, none load the older one.
     """
     if not outlook.named or version >= outlook.newest:
-        return True
-    until = min(
-        _ends_at(outlook, version), _received_at(outlook, (outlook.newest,), now)
-    )
-    since = max(now + LOAD_S, _ends_at(outlook, outlook.serving))
-    return until - since > LOAD_S
+        return 1.0
+    newest_at = _received_at(outlook, (outlook.newest,), now)
+    serving_end = serving_ends_at(outlook)
+    begins_at = max(now + LOAD_S, serving_end)
+    if _ends_at(outlook, version) - begins_at <= LOAD_S:
+        return 0.0
+    if newest_at >= max(now, serving_end) + RUNNING_S:
+        return 1.0
+    return 0.5 if newest_at > serving_end - SPREAD_S else 0.0
 
 
 def serving_ends_at(outlook):
@@ -137,12 +152,10 @@
     return copy_bytes / (link_bytes_per_s * LINK_SHARE)
 
 
-def earliest_load_at(server, servers, version, received_at, ends_at):
-    """Return the earliest time at which an engine may begin to load a version.
+def position(server, servers, version):
+    """Return the share of a service's engines that load a version before one of them.
 
-    The loads of a service's engines are spread over the time between the receipt of a
-    copy and the end of the served version, in a hash order that all agents compute
-    alike. All engines receive at about the same time, as their links are alike.
+    All agents compute the same order by rendezvous hashing.
 
     Parameters
     ----------
@@ -150,14 +163,28 @@
     servers : iterable of str
         All engines of the service, by a name that is the same at all agents.
     version : int
+    """
+    load_order = sorted(
+        set(servers) | {server}, key=lambda s: rendezvous.score(str(version), s)
+    )
+    return load_order.index(server) / len(load_order)
+
+
+def earliest_load_at(position, received_at, ends_at):
+    """Return the earliest time at which an engine may begin to load a version.
+
+    The loads of a service's engines are spread over the time between the receipt of a
+    copy and the end of the served version. All engines receive at about the same time,
+    as their links are alike.
+
+    Parameters
+    ----------
+    position : float
+        That of the engine, see `position`.
     received_at : float
         Time at which this server's copy is complete.
     ends_at : float
         Latest time at which requests may begin on the weights that are served.
     """
-    load_order = sorted(
-        set(servers) | {server}, key=lambda s: rendezvous.score(str(version), s)
-    )
     window_s = max(0.0, ends_at - LOAD_MARGIN_S - received_at)
-    window_fraction = load_order.index(server) / len(load_order)
-    return received_at + window_s * window_fraction
+    return received_at + window_s * position
--- a/src/carobstand/core/weight_copy.py
+++ b/src/carobstand/core/weight_copy.py
@@ -55,11 +55,12 @@
     return [n for n in range(len(copy.digests)) if n not in copy.pieces]
 
 
-def in_demand_order(copy, wanted):
+def in_demand_order(copy, wanted, available=frozenset()):
     """Yield the number of each missing piece once, requested ones first.
 
-    After a requested piece follow those behind it, as readers receive in ascending
-    order. An entry that lost its cache thus fetches first what its readers lack.
+    Then come those that the source holds, and then those behind the last one, as
+    readers receive in ascending order. An entry that lost its cache thus fetches first
+    what its readers lack.
 
     Parameters
     ----------
@@ -67,12 +68,15 @@
         Pieces that are added meanwhile are left out.
     wanted : collections.Counter
         Number of readers that wait for each piece; may change meanwhile.
+    available : frozenset of int
+        Pieces that the source holds.
     """
     yielded, last = set(), -1
     while left := [n for n in missing(copy) if n not in yielded]:
         requested = [n for n, _ in wanted.most_common() if n in left]
+        at_source = [n for n in left if n in available]
         following = [n for n in left if n > last]
-        last = (requested or following or left)[0]
+        last = (requested or at_source or following or left)[0]
         yielded.add(last)
         yield last
 
--- a/src/carobstand/entry/piece_gathering.py
+++ b/src/carobstand/entry/piece_gathering.py
@@ -2,7 +2,8 @@
 
 Load pattern: an entry lost its cache, or took over from one that is gone, while the
 origin is unavailable or slow. The pieces that agents hold then cross neither the
-origin's link nor that of the region.
+origin's link nor that of the region. Only pieces that readers wait for are received:
+agents keep the others, and their narrow links carry requests and responses too.
 """
 
 import anyio
@@ -25,14 +26,19 @@
 CHECK_S = 0.25
 """Interval of checks for agents that hold pieces; they report twice a second."""
 
-FAILURE_PAUSE_S = 2.0
-"""Time for which an agent that failed is not asked again."""
+PAUSE_S = 1.0
+"""Time for which an agent that sent pieces, or failed, is not asked again."""
+
+DEMAND_S = 0.3
+"""Time after a reader waited in which the pieces behind are received too: it requests
+the next one as soon as it has the last."""
 
 TIMEOUTS = piece_stream.Timeouts(silence_s=1.0, stuck_s=0.0)
 """An agent answers at once, as it offers only pieces that it holds."""
 
-WINDOW = piece_stream.Window(blocks=2, block_bytes=6144)
-"""Small, since the agent's narrow link also carries its engine's responses."""
+WINDOW = piece_stream.Window(blocks=2, block_bytes=3072)
+"""Small, since the agent's narrow link also carries its engine's responses and its own
+requests: with 24 KB under way, agents received half as fast in a replay."""
 
 _FAILURES = (
     errors.ConnectionClosedError,
@@ -73,12 +79,12 @@
             eventlog.debug("weights.agent_failed", agent=host, error=str(exc))
         finally:
             claimed -= mine
-            avoided[host] = anyio.current_time() + FAILURE_PAUSE_S
+            avoided[host] = anyio.current_time() + PAUSE_S
 
 
 def _choose_agent(cached, avoided):
     """Return the host of the agent that holds most pieces, if it is well ahead."""
-    if cached.copy is None:
+    if cached.copy is None or not cached.wanted:
         return None
     now = anyio.current_time()
     since = max(cached.progressed_at, cached.fetched_since)
@@ -103,12 +109,24 @@
             offered=len(offered),
             held=len(copy.pieces),
         )
-        # The main source is asked in ascending order; the two meet in the middle.
-        while left := sorted(offered - copy.pieces.keys() - claimed):
-            requested = [n for n, _ in cached.wanted.most_common() if n in left]
-            number = requested[0] if requested else left[-1]
+        for number in _in_demand(cached, offered, claimed):
             claimed.add(number)
             mine.add(number)
-            yield number
+            yield number, False
 
     await piece_stream.receive_chosen(address, copy, choose, on_piece, WINDOW, TIMEOUTS)
+
+
+def _in_demand(cached, offered, claimed):
+    """Yield pieces that readers wait for, and those behind while they wait."""
+    copy, last, wanted_at = cached.copy, -1, anyio.current_time()
+    while left := sorted(offered - copy.pieces.keys() - claimed):
+        requested = [n for n, _ in cached.wanted.most_common() if n in left]
+        following = [n for n in left if n > last]
+        if cached.wanted:
+            wanted_at = anyio.current_time()
+        chosen = requested or following
+        if not chosen or anyio.current_time() - wanted_at > DEMAND_S:
+            return
+        last = chosen[0]
+        yield last
--- a/src/carobstand/entry/weight_cache.py
+++ b/src/carobstand/entry/weight_cache.py
@@ -298,6 +298,8 @@
     async def until_held(block):
         if block.number in copy.pieces:
             return True
+        if block.ahead:
+            return await _until_held(frames, cached, copy, block)
         cached.wanted[block.number] += 1
         try:
             return await _until_held(frames, cached, copy, block)
--- a/src/carobstand/transfer/piece_stream.py
+++ b/src/carobstand/transfer/piece_stream.py
@@ -167,9 +167,7 @@
         await anyio.aclose_forcefully(frames.stream)
 
 
-async def receive_pieces(
-    address, copy, on_piece, window, timeouts, wanted=weight_copy.NO_REQUESTS
-):
+async def receive_pieces(address, copy, on_piece, window, timeouts, wanted=None):
     """Receive the missing pieces of a copy from the process at `address`.
 
     Parameters
@@ -182,8 +180,9 @@
         Called after each piece that was added.
     window : Window
     timeouts : Timeouts
-    wanted : collections.Counter
-        Pieces that readers wait for, see `core.weight_copy.in_demand_order`.
+    wanted : collections.Counter or None
+        Pieces that readers wait for, see `core.weight_copy.in_demand_order`; the
+        source sends others later. None if this process itself needs all.
 
     Raises
     ------
@@ -196,7 +195,9 @@
     """
 
     def choose(held):
-        return weight_copy.in_demand_order(copy, wanted)
+        requests = weight_copy.NO_REQUESTS if wanted is None else wanted
+        for number in weight_copy.in_demand_order(copy, requests, held):
+            yield number, wanted is not None and number not in wanted
 
     await receive_chosen(address, copy, choose, on_piece, window, timeouts)
 
@@ -207,8 +208,8 @@
     Parameters
     ----------
     choose : callable of (frozenset of int)
-        Returns an iterator over the numbers of the pieces to receive, given those that
-        the source holds.
+        Returns an iterator over the numbers of the pieces to receive, each with whether
+        it is received ahead of need, given those that the source holds.
     address, copy, on_piece, window, timeouts
         Those of `receive_pieces`, which raises the same exceptions.
     """
@@ -270,10 +271,10 @@
 
 def _blocks(copy, numbers, block_bytes):
     """Yield the block requests for pieces, one piece after the other."""
-    for number in numbers:
+    for number, is_ahead in numbers:
         for offset in range(0, copy.piece_bytes, block_bytes):
             size = min(block_bytes, copy.piece_bytes - offset)
-            yield ttypes.BlockRequest(number, offset, size)
+            yield ttypes.BlockRequest(number, offset, size, is_ahead or None)
 
 
 async def _receive_manifest(frames, model, timeouts):
--- a/src/carobstand/wire/fleet.thrift
+++ b/src/carobstand/wire/fleet.thrift
@@ -111,6 +111,7 @@
   1: i32 number
   2: i32 offset
   3: i32 size
+  4: optional bool ahead      // no agent waits for it; others go first
 }
 
 struct BlockReply {
--- a/src/carobstand/wire/gen_fleet/ttypes.py
+++ b/src/carobstand/wire/gen_fleet/ttypes.py
@@ -1233,14 +1233,16 @@
      - number
      - offset
      - size
+     - ahead
 
     """
 
 
-    def __init__(self, number=None, offset=None, size=None,):
+    def __init__(self, number=None, offset=None, size=None, ahead=None,):
         self.number = number
         self.offset = offset
         self.size = size
+        self.ahead = ahead
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1266,6 +1268,11 @@
                     self.size = iprot.readI32()
                 else:
                     iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.BOOL:
+                    self.ahead = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1288,6 +1295,10 @@
             oprot.writeFieldBegin('size', TType.I32, 3)
             oprot.writeI32(self.size)
             oprot.writeFieldEnd()
+        if self.ahead is not None:
+            oprot.writeFieldBegin('ahead', TType.BOOL, 4)
+            oprot.writeBool(self.ahead)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1997,6 +2008,7 @@
     (1, TType.I32, 'number', None, None, ),  # 1
     (2, TType.I32, 'offset', None, None, ),  # 2
     (3, TType.I32, 'size', None, None, ),  # 3
+    (4, TType.BOOL, 'ahead', None, None, ),  # 4
 )
 all_structs.append(BlockReply)
 BlockReply.thrift_spec = (
