Give precedence to the version that agents receive, and describe rapid changes

Cause: an entry that prefetches a version kept it in demand along the chain of entries, so that versions which agents had left were completed first; other entries paused a version while agents still received it through them.

Change: demand is what agents report or request themselves; a switch of the version is reported at once. Blocks requested for others are marked.

--- a/src/carobstand/agent/reporting.py
+++ b/src/carobstand/agent/reporting.py
@@ -32,12 +32,15 @@
         Number of the last report; increases also across restarts of the agent.
     near, far : core.report_pacing.LastReport
         Last report sent to entries of the own region, and of all other regions.
+    target : int or None
+        Version that was being received as of the last report.
     """
 
     udp: object
     number: int = 0
     near: report_pacing.LastReport = attrs.field(factory=report_pacing.LastReport)
     far: report_pacing.LastReport = attrs.field(factory=report_pacing.LastReport)
+    target: int | None = None
 
 
 async def run(view):
@@ -68,16 +71,23 @@
     near_s = report_pacing.region_interval_s(len(near))
     due = []
     loads_at = view.load_at
-    if report_pacing.is_due(sender.near, report, loads_at, near_s, 1, now):
+    # Entries fetch first the version that agents receive.
+    is_switched = view.target != sender.target
+    if is_switched or report_pacing.is_due(
+        sender.near, report, loads_at, near_s, 1, now
+    ):
         due += near
         sender.near = report_pacing.LastReport(report, loads_at, now)
     far_s, step = (
         report_pacing.OTHER_REGION_INTERVAL_S,
         report_pacing.OTHER_REGION_MIN_CHANGE,
     )
-    if report_pacing.is_due(sender.far, report, loads_at, far_s, step, now):
+    if is_switched or report_pacing.is_due(
+        sender.far, report, loads_at, far_s, step, now
+    ):
         due += far
         sender.far = report_pacing.LastReport(report, loads_at, now)
+    sender.target = view.target
     if due:
         sender.number = max(sender.number + 1, int(now * 1000))
         await _send(view, sender, report, due)
--- a/src/carobstand/entry/piece_gathering.py
+++ b/src/carobstand/entry/piece_gathering.py
@@ -112,7 +112,7 @@
         for number in _in_demand(cached, offered, claimed):
             claimed.add(number)
             mine.add(number)
-            yield number, False
+            yield number, False, True
 
     await piece_stream.receive_chosen(address, copy, choose, on_piece, WINDOW, TIMEOUTS)
 
--- a/src/carobstand/entry/weight_cache.py
+++ b/src/carobstand/entry/weight_cache.py
@@ -24,8 +24,8 @@
 """Time after the start within which all entries register."""
 
 UNUSED_TIMEOUT_S = 0.5
-"""Time without readers after which fetching a version that is no longer the newest is
-stopped: agents have moved on to the newest one. Its pieces are kept."""
+"""Time without requests of agents after which fetching a version that is no longer the
+newest is stopped: agents have moved on to the newest one. Its pieces are kept."""
 
 PRECEDENCE_S = 1.5
 """Time after its last piece in which an older version precedes newer ones. A download
@@ -45,10 +45,9 @@
     needs_pieces : bool
         Whether the pieces were requested, not only the manifest.
     is_complete : bool
-    readers : int
-        Number of processes that are receiving pieces from here.
-    last_read_at : float
-        Time at which a connection for this version last ended.
+    demanded_at : float
+        Time at which an agent last requested a piece from here, or reported that it
+        receives the version; at first that of the start of the fetch.
     progressed_at : float
         Time at which the last piece arrived, at first that of the first request.
     wanted : collections.Counter
@@ -73,8 +72,7 @@
     copy: weight_copy.WeightCopy | None = None
     needs_pieces: bool = False
     is_complete: bool = False
-    readers: int = 0
-    last_read_at: float = attrs.field(factory=anyio.current_time)
+    demanded_at: float = 0.0
     progressed_at: float = attrs.field(factory=anyio.current_time)
     wanted: collections.Counter = attrs.field(factory=collections.Counter)
     scope: anyio.CancelScope | None = None
@@ -119,6 +117,7 @@
         while True:
             _fetch_named(cache)
             _fetch_served(cache)
+            _note_demand(cache)
             _stop_unused(cache)
             await cache.fleet.changed.wait(CHECK_INTERVAL_S)
 
@@ -148,19 +147,42 @@
 
 
 def _stop_unused(cache):
-    """Stop fetching older versions that no process receives any more."""
-    now = anyio.current_time()
+    """Stop fetching older versions that no agent receives any more."""
     for (model, version), cached in list(cache.held.items()):
         newest = fleets.newest_version(cache.fleet, model)
-        if newest is None or version >= newest or cached.readers:
+        if newest is None or version >= newest or cached.scope is None:
             continue
-        if cached.scope is None or now - cached.last_read_at < UNUSED_TIMEOUT_S:
+        if _is_in_demand(cached):
             continue
         held = len(cached.copy.pieces) if cached.copy else 0
         eventlog.event("weights.paused", version=version, newest=newest, held=held)
         _stop(cached)
 
 
+def _is_in_demand(cached):
+    """Whether agents are receiving a version; entries that prefetch do not count."""
+    return anyio.current_time() - cached.demanded_at < UNUSED_TIMEOUT_S
+
+
+def _note_demand(cache):
+    """Note which versions agents receive, wherever they receive them from.
+
+    Through a chain of entries the end of a demand would become known too late.
+    """
+    incomplete = [item for item in cache.held.values() if not item.is_complete]
+    if not incomplete or not cache.fleet.named:
+        return
+    now = anyio.current_time()
+    received = {
+        load.receiving_version
+        for load in cache.loads.by_address.values()
+        if now - load.received_at < engine_load.MAX_REPORT_AGE_S
+    }
+    for cached in incomplete:
+        if cached.version in received:
+            cached.demanded_at = now
+
+
 def _stop(cached):
     """Stop fetching a version; what is held of it stays."""
     if cached.scope is not None:
@@ -199,7 +221,7 @@
     is_stopped = cached.scope is None and not cached.is_complete
     if is_stopped and (needs_pieces or cached.copy is None):
         cached.scope = anyio.CancelScope()
-        cached.last_read_at = cached.fetched_since = anyio.current_time()
+        cached.demanded_at = cached.fetched_since = anyio.current_time()
         cache.tasks.start_soon(_fetch, cache, cached, cached.scope)
     if needs_pieces and not cached.needs_pieces:
         cached.needs_pieces = True
@@ -216,7 +238,7 @@
     return any(
         other.model == cached.model
         and other.version < cached.version
-        and other.readers > 0
+        and _is_in_demand(other)
         and not other.is_complete
         and now - other.progressed_at < PRECEDENCE_S
         for other in cache.held.values()
@@ -268,12 +290,7 @@
     cached = get_or_fetch(cache, request.model, version, needs_pieces)
     if cached is None:
         raise errors.WireError("newer weights are held", step="pieces.serve")
-    cached.readers += needs_pieces
-    try:
-        await _send_copy(frames, cached, request)
-    finally:
-        cached.readers -= needs_pieces
-        cached.last_read_at = anyio.current_time()
+    await _send_copy(frames, cached, request)
 
 
 def _newest_version(cache, model):
@@ -296,9 +313,9 @@
     copy = cached.copy
 
     async def until_held(block):
-        if block.number in copy.pieces:
-            return True
-        if block.ahead:
+        if not block.relayed:
+            cached.demanded_at = anyio.current_time()
+        if block.ahead or block.number in copy.pieces:
             return await _until_held(frames, cached, copy, block)
         cached.wanted[block.number] += 1
         try:
@@ -315,6 +332,8 @@
     while block.number not in copy.pieces:
         if cached.copy is not copy or cached.is_dropped:
             return False
+        if not block.relayed:
+            cached.demanded_at = anyio.current_time()
         if not await cached.changed.wait(piece_stream.KEEPALIVE_INTERVAL_S):
             waiting = ttypes.BlockReply(block.number, block.offset, b"")
             await piece_stream.send(frames, waiting)
--- a/src/carobstand/entry/weight_fetching.py
+++ b/src/carobstand/entry/weight_fetching.py
@@ -234,7 +234,7 @@
             _notifier(cached),
             WINDOW,
             timeouts,
-            cached.wanted,
+            cached,
         )
     except errors.StalledError:
         await _download_instead(fleet, cached)
--- a/src/carobstand/transfer/piece_stream.py
+++ b/src/carobstand/transfer/piece_stream.py
@@ -167,7 +167,7 @@
         await anyio.aclose_forcefully(frames.stream)
 
 
-async def receive_pieces(address, copy, on_piece, window, timeouts, wanted=None):
+async def receive_pieces(address, copy, on_piece, window, timeouts, demand=None):
     """Receive the missing pieces of a copy from the process at `address`.
 
     Parameters
@@ -180,9 +180,9 @@
         Called after each piece that was added.
     window : Window
     timeouts : Timeouts
-    wanted : collections.Counter or None
-        Pieces that readers wait for, see `core.weight_copy.in_demand_order`; the
-        source sends others later. None if this process itself needs all.
+    demand : entry.weight_cache.CachedVersion or None
+        Tells what other processes request here, None if this one itself needs all
+        pieces. The source sends first what is needed.
 
     Raises
     ------
@@ -195,9 +195,9 @@
     """
 
     def choose(held):
-        requests = weight_copy.NO_REQUESTS if wanted is None else wanted
-        for number in weight_copy.in_demand_order(copy, requests, held):
-            yield number, wanted is not None and number not in wanted
+        wanted = demand.wanted if demand else weight_copy.NO_REQUESTS
+        for number in weight_copy.in_demand_order(copy, wanted, held):
+            yield number, bool(demand) and number not in wanted, bool(demand)
 
     await receive_chosen(address, copy, choose, on_piece, window, timeouts)
 
@@ -208,8 +208,9 @@
     Parameters
     ----------
     choose : callable of (frozenset of int)
-        Returns an iterator over the numbers of the pieces to receive, each with whether
-        it is received ahead of need, given those that the source holds.
+        Returns an iterator over the numbers of the pieces to receive, given those that
+        the source holds; each with whether no agent waits for it, and whether it is
+        for other processes.
     address, copy, on_piece, window, timeouts
         Those of `receive_pieces`, which raises the same exceptions.
     """
@@ -271,10 +272,12 @@
 
 def _blocks(copy, numbers, block_bytes):
     """Yield the block requests for pieces, one piece after the other."""
-    for number, is_ahead in numbers:
+    for number, is_ahead, is_relayed in numbers:
         for offset in range(0, copy.piece_bytes, block_bytes):
             size = min(block_bytes, copy.piece_bytes - offset)
-            yield ttypes.BlockRequest(number, offset, size, is_ahead or None)
+            yield ttypes.BlockRequest(
+                number, offset, size, is_ahead or None, is_relayed or None
+            )
 
 
 async def _receive_manifest(frames, model, timeouts):
--- a/src/carobstand/wire/fleet.thrift
+++ b/src/carobstand/wire/fleet.thrift
@@ -111,7 +111,8 @@
   1: i32 number
   2: i32 offset
   3: i32 size
-  4: optional bool ahead      // no agent waits for it; others go first
+  4: optional bool ahead      // no agent waits for this piece; others go first
+  5: optional bool relayed    // from an entry, for others
 }
 
 struct BlockReply {
--- a/src/carobstand/wire/gen_fleet/ttypes.py
+++ b/src/carobstand/wire/gen_fleet/ttypes.py
@@ -1234,15 +1234,17 @@
      - offset
      - size
      - ahead
+     - relayed
 
     """
 
 
-    def __init__(self, number=None, offset=None, size=None, ahead=None,):
+    def __init__(self, number=None, offset=None, size=None, ahead=None, relayed=None,):
         self.number = number
         self.offset = offset
         self.size = size
         self.ahead = ahead
+        self.relayed = relayed
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1273,6 +1275,11 @@
                     self.ahead = iprot.readBool()
                 else:
                     iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.BOOL:
+                    self.relayed = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1299,6 +1306,10 @@
             oprot.writeFieldBegin('ahead', TType.BOOL, 4)
             oprot.writeBool(self.ahead)
             oprot.writeFieldEnd()
+        if self.relayed is not None:
+            oprot.writeFieldBegin('relayed', TType.BOOL, 5)
+            oprot.writeBool(self.relayed)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2009,6 +2020,7 @@
     (2, TType.I32, 'offset', None, None, ),  # 2
     (3, TType.I32, 'size', None, None, ),  # 3
     (4, TType.BOOL, 'ahead', None, None, ),  # 4
+    (5, TType.BOOL, 'relayed', None, None, ),  # 5
 )
 all_structs.append(BlockReply)
 BlockReply.thrift_spec = (
--- a/testing/test_weight_cache.py
+++ b/testing/test_weight_cache.py
@@ -118,8 +118,9 @@
     async def check(cache):
         older = weight_cache.get_or_fetch(cache, "m", 2, needs_pieces=True)
         newer = weight_cache.get_or_fetch(cache, "m", 3, needs_pieces=True)
+        older.demanded_at -= weight_cache.UNUSED_TIMEOUT_S
         assert not newer.has_to_wait()
-        older.readers = 1
+        older.demanded_at = older.progressed_at = anyio.current_time()
         assert newer.has_to_wait() and not older.has_to_wait()
         older.progressed_at -= weight_cache.PRECEDENCE_S
         assert not newer.has_to_wait()
