--- a/src/carobstand/agent/reporting.py
+++ b/src/carobstand/agent/reporting.py
@@ -4,6 +4,7 @@
 import attrs
 
 from carobstand import errors, eventlog
+from carobstand.agent import view as views
 from carobstand.core import deployment, report_pacing, weight_copy
 from carobstand.platform import engine_client
 from carobstand.wire import fleet_codec
@@ -112,6 +113,19 @@
         view.changed.notify()
 
 
+def _named_ago_ms(view):
+    """Return how long ago versions were named, while that may matter to entries."""
+    service = views.service(view)
+    if service is None:
+        return {}
+    now, allowed_s = anyio.current_time(), view.deployment.bounds.version_s
+    return {
+        version: int((now - at) * 1000)
+        for (model, version), at in view.witnessed.items()
+        if model == service.weights.models[0] and now - at < allowed_s
+    }
+
+
 async def _send(view, sender, report, entries):
     holding = report.holding
     load_in_ms = -1
@@ -137,6 +151,7 @@
         receiving_version=receiving and receiving.version,
         receiving_pieces=receiving and len(receiving.pieces),
         copies=sorted(complete),
+        named_ago_ms=_named_ago_ms(view),
     )
     raw = fleet_codec.encode(message)
     for entry in entries:
--- a/src/carobstand/entry/datagrams.py
+++ b/src/carobstand/entry/datagrams.py
@@ -52,6 +52,9 @@
     before = fwd.loads.by_address.get(load.address)
     if not engine_load.put(fwd.loads, load):
         return
+    if message.named_ago_ms:
+        for server in _servers_at(fwd, load.address):
+            fleet.note_named(fwd.fleet, server, message.named_ago_ms)
     if before is None or load.started_ms > before.started_ms:
         for server in _servers_at(fwd, load.address):
             fleet.note_start(fwd.fleet, server.server_id, load.started_ms)
--- a/src/carobstand/entry/fleet.py
+++ b/src/carobstand/entry/fleet.py
@@ -57,6 +57,9 @@
 """Requests for old weights that have not begun this long before the deadline are
 withdrawn: reading a new named version takes 50 ms, sending a request 10 ms."""
 
+REDATED_S = 0.1
+"""Smallest change of the date of a named version that is logged."""
+
 PROCESS_START_S = 0.7
 """Time between the platform's start of the process and `Fleet.started`: imports take
 0.3 s on an idle VM, and twice that while all VMs start."""
@@ -92,6 +95,11 @@
         Signals that backend servers sent about themselves in responses.
     named : dict of str to list of core.named_versions.SeenVersion
         By model.
+    own_dates : dict of str to dict of int to float
+        Lower bounds of the times at which versions were named, by model and version,
+        as this entry knows them from the store.
+    witnesses : dict of str to core.named_versions.Witnesses
+        When agents saw versions being named, by model.
     roster : core.entry_roster.Roster
         Entries that run.
     prompt_parts : core.poison_parts.PoisonParts
@@ -132,6 +140,8 @@
         factory=announcements.Announcements
     )
     named: dict = attrs.field(factory=dict)
+    own_dates: dict = attrs.field(factory=dict)
+    witnesses: dict = attrs.field(factory=dict)
     roster: entry_roster.Roster = attrs.field(factory=entry_roster.Roster)
     prompt_parts: poison_parts.PoisonParts = attrs.field(
         factory=poison_parts.PoisonParts
@@ -411,7 +421,64 @@
     seen_at = _seen_at(fleet) if fleet.revision else _seen_at_before_start(fleet)
     if named_versions.add(known, named.version, seen_at):
         fleet.operator_items[item.key] = item
+        fleet.own_dates.setdefault(named.model, {})[named.version] = seen_at
         eventlog.event("version.named", model=named.model, version=named.version)
+        _redate(fleet, named.model)
+
+
+def note_named(fleet, server, ago_ms):
+    """Note when the agent of a server saw versions being named.
+
+    An entry that was out of touch with the store dates a version back to its last
+    confirmed state. Without these reports it stops using the served weights up to a
+    second before they end.
+
+    Parameters
+    ----------
+    fleet : Fleet
+    server : core.registry.Registration
+    ago_ms : dict of int to int
+        Time since then, by version.
+    """
+    services = fleet.configuration.services if fleet.configuration else {}
+    service = services.get(server.service)
+    if service is None or service.weights is None:
+        return
+    model, now = service.weights.models[0], anyio.current_time()
+    witnesses = fleet.witnesses.setdefault(model, named_versions.Witnesses())
+    changed = [
+        named_versions.note_seen(
+            witnesses,
+            version,
+            server.server_id,
+            server.failure_domain,
+            now - max(0, elapsed_ms) / 1000,
+        )
+        for version, elapsed_ms in ago_ms.items()
+    ]
+    if any(changed):
+        _redate(fleet, model)
+
+
+def _redate(fleet, model):
+    """Date the named versions of a model by what is known now."""
+    named = fleet.named.get(model)
+    if not named:
+        return
+    before = list(named)
+    named_versions.redate(
+        named,
+        fleet.own_dates.get(model, {}),
+        fleet.witnesses.get(model, named_versions.Witnesses()),
+    )
+    for item, old in zip(named, before, strict=True):
+        if abs(item.seen_at - old.seen_at) > REDATED_S:
+            eventlog.event(
+                "version.redated",
+                model=model,
+                version=item.version,
+                later_s=round(item.seen_at - old.seen_at, 3),
+            )
 
 
 def _seen_at(fleet):
--- a/src/carobstand/wire/fleet.thrift
+++ b/src/carobstand/wire/fleet.thrift
@@ -20,6 +20,8 @@
   14: optional i32 receiving_version  // version of which the agent receives pieces
   15: optional i32 receiving_pieces   // number of its pieces that the agent holds
   16: optional list<i32> copies       // versions that the agent holds completely
+  17: optional map<i32, i32> named_ago_ms  // by version named lately: time since the
+                              // agent's watch of the store showed it as it was written
 }
 
 // Datagram between entries: a request whose server failed while running it.
--- a/src/carobstand/wire/gen_fleet/ttypes.py
+++ b/src/carobstand/wire/gen_fleet/ttypes.py
@@ -35,11 +35,12 @@
      - receiving_version
      - receiving_pieces
      - copies
+     - named_ago_ms
 
     """
 
 
-    def __init__(self, address=None, started_ms=None, number=None, running=None, waiting=None, slowness=None, busy=None, model=None, version=None, first_layer=None, end_layer=None, load_in_ms=None, held_tokens=None, receiving_version=None, receiving_pieces=None, copies=None,):
+    def __init__(self, address=None, started_ms=None, number=None, running=None, waiting=None, slowness=None, busy=None, model=None, version=None, first_layer=None, end_layer=None, load_in_ms=None, held_tokens=None, receiving_version=None, receiving_pieces=None, copies=None, named_ago_ms=None,):
         self.address = address
         self.started_ms = started_ms
         self.number = number
@@ -56,6 +57,7 @@
         self.receiving_version = receiving_version
         self.receiving_pieces = receiving_pieces
         self.copies = copies
+        self.named_ago_ms = named_ago_ms
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -151,6 +153,17 @@
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 17:
+                if ftype == TType.MAP:
+                    self.named_ago_ms = {}
+                    (_ktype7, _vtype8, _size6) = iprot.readMapBegin()
+                    for _i10 in range(_size6):
+                        _key11 = iprot.readI32()
+                        _val12 = iprot.readI32()
+                        self.named_ago_ms[_key11] = _val12
+                    iprot.readMapEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -224,10 +237,18 @@
         if self.copies is not None:
             oprot.writeFieldBegin('copies', TType.LIST, 16)
             oprot.writeListBegin(TType.I32, len(self.copies))
-            for iter6 in self.copies:
-                oprot.writeI32(iter6)
+            for iter13 in self.copies:
+                oprot.writeI32(iter13)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
+        if self.named_ago_ms is not None:
+            oprot.writeFieldBegin('named_ago_ms', TType.MAP, 17)
+            oprot.writeMapBegin(TType.I32, TType.I32, len(self.named_ago_ms))
+            for kiter14, viter15 in self.named_ago_ms.items():
+                oprot.writeI32(kiter14)
+                oprot.writeI32(viter15)
+            oprot.writeMapEnd()
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -346,10 +367,10 @@
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.requests = []
-                    (_etype10, _size7) = iprot.readListBegin()
-                    for _i11 in range(_size7):
-                        _elem12 = iprot.readBinary()
-                        self.requests.append(_elem12)
+                    (_etype19, _size16) = iprot.readListBegin()
+                    for _i20 in range(_size16):
+                        _elem21 = iprot.readBinary()
+                        self.requests.append(_elem21)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -375,8 +396,8 @@
         if self.requests is not None:
             oprot.writeFieldBegin('requests', TType.LIST, 2)
             oprot.writeListBegin(TType.STRING, len(self.requests))
-            for iter13 in self.requests:
-                oprot.writeBinary(iter13)
+            for iter22 in self.requests:
+                oprot.writeBinary(iter22)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.age_ms is not None:
@@ -439,11 +460,11 @@
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.sightings = []
-                    (_etype17, _size14) = iprot.readListBegin()
-                    for _i18 in range(_size14):
-                        _elem19 = PartSighting()
-                        _elem19.read(iprot)
-                        self.sightings.append(_elem19)
+                    (_etype26, _size23) = iprot.readListBegin()
+                    for _i27 in range(_size23):
+                        _elem28 = PartSighting()
+                        _elem28.read(iprot)
+                        self.sightings.append(_elem28)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -484,8 +505,8 @@
         if self.sightings is not None:
             oprot.writeFieldBegin('sightings', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.sightings))
-            for iter20 in self.sightings:
-                iter20.write(oprot)
+            for iter29 in self.sightings:
+                iter29.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.sound_ms is not None:
@@ -547,11 +568,11 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.parts = []
-                    (_etype24, _size21) = iprot.readListBegin()
-                    for _i25 in range(_size21):
-                        _elem26 = PartEvidence()
-                        _elem26.read(iprot)
-                        self.parts.append(_elem26)
+                    (_etype33, _size30) = iprot.readListBegin()
+                    for _i34 in range(_size30):
+                        _elem35 = PartEvidence()
+                        _elem35.read(iprot)
+                        self.parts.append(_elem35)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -573,8 +594,8 @@
         if self.parts is not None:
             oprot.writeFieldBegin('parts', TType.LIST, 1)
             oprot.writeListBegin(TType.STRUCT, len(self.parts))
-            for iter27 in self.parts:
-                iter27.write(oprot)
+            for iter36 in self.parts:
+                iter36.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.address is not None:
@@ -1625,11 +1646,11 @@
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.items = []
-                    (_etype31, _size28) = iprot.readListBegin()
-                    for _i32 in range(_size28):
-                        _elem33 = NewsItem()
-                        _elem33.read(iprot)
-                        self.items.append(_elem33)
+                    (_etype40, _size37) = iprot.readListBegin()
+                    for _i41 in range(_size37):
+                        _elem42 = NewsItem()
+                        _elem42.read(iprot)
+                        self.items.append(_elem42)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1670,8 +1691,8 @@
         if self.items is not None:
             oprot.writeFieldBegin('items', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.items))
-            for iter34 in self.items:
-                iter34.write(oprot)
+            for iter43 in self.items:
+                iter43.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.age_ms is not None:
@@ -1927,6 +1948,7 @@
     (14, TType.I32, 'receiving_version', None, None, ),  # 14
     (15, TType.I32, 'receiving_pieces', None, None, ),  # 15
     (16, TType.LIST, 'copies', (TType.I32, None, False), None, ),  # 16
+    (17, TType.MAP, 'named_ago_ms', (TType.I32, None, TType.I32, None, False), None, ),  # 17
 )
 all_structs.append(FailedRun)
 FailedRun.thrift_spec = (
