--- a/src/carobstand/agent/loading.py
+++ b/src/carobstand/agent/loading.py
@@ -16,6 +16,12 @@
 RETRY_S = 0.3
 """Pause after the engine rejected a call or an order to load."""
 
+STALL_S = 1.0
+"""Time without a new piece after which the copy's completion cannot be predicted."""
+
+DRAIN_S = 2.6
+"""Longest time in which an engine finishes its running requests before a load."""
+
 LOAD_START_TIMEOUT_S = 2.0
 """Longest wait until the engine's report shows that an accepted load has started."""
 
@@ -30,16 +36,22 @@
         Version of the staged pieces.
     numbers : set of int
         Staged piece numbers.
-    peers : list of str or None
-        Addresses of the service's engines, for the load schedule; None until read.
+    peers : list of str
+        Addresses of the service's engines, for the load schedule.
     complete_at : float or None
         Time at which all pieces were staged.
+    held : int
+        Number of pieces at `progressed_at`.
+    progressed_at : float
+        Time at which a piece was last staged.
     """
 
     version: int | None = None
     numbers: set = attrs.field(factory=set)
-    peers: list | None = None
+    peers: list = attrs.field(factory=list)
     complete_at: float | None = None
+    held: int = 0
+    progressed_at: float = 0.0
 
 
 async def run(view):
@@ -47,7 +59,7 @@
     stage = Stage()
     while True:
         try:
-            copy = _next_copy(view)
+            copy = _next_copy(view, stage)
             if copy is None:
                 await view.changed.wait(IDLE_S)
             else:
@@ -58,19 +70,26 @@
             await anyio.sleep(RETRY_S)
 
 
-def _next_copy(view):
+def _next_copy(view, stage):
     """Return the copy to stage now, or None."""
     report = view.report
     if report is None or report.is_busy or views.service(view) is None:
         return None
     held = report.holding.version if report.holding else 0
     newer = [copy for version, copy in view.copies.items() if version > held]
-    for version in [v for v in view.copies if v <= held]:
-        del view.copies[version]
-    complete = [copy for copy in newer if weight_copy.is_complete(copy)]
-    # Staging overwrites staged pieces, so complete copies are loaded before newer ones
-    # that are still being received.
-    candidates = complete or newer
+    outlook = views.outlook(view, views.service(view))
+    now = anyio.current_time()
+    complete = [
+        copy
+        for copy in newer
+        if weight_copy.is_complete(copy)
+        and _position(view, stage, copy)
+        < load_schedule.share_to_load(outlook, copy.version, now)
+    ]
+    received = [copy for copy in newer if copy.version == view.target]
+    # Staging overwrites staged pieces, so complete copies are loaded before others that
+    # are still being received.
+    candidates = complete or received or newer
     return max(candidates, key=lambda copy: copy.version, default=None)
 
 
@@ -78,32 +97,35 @@
     """Stage the received pieces; once complete, verify them and order the load."""
     if stage.version != copy.version:
         stage.version, stage.numbers = copy.version, set()
-        stage.peers = stage.complete_at = None
+        stage.complete_at = None
+        await _read_peers(view, stage)
     for number in [n for n in copy.pieces if n not in stage.numbers]:
         await engine_client.stage_piece(
             view.engine, copy.model, number, copy.pieces[number]
         )
         stage.numbers.add(number)
+    if stage.held != len(stage.numbers):
+        stage.held, stage.progressed_at = len(stage.numbers), anyio.current_time()
     if not weight_copy.is_complete(copy):
-        if stage.peers is None:
-            await _read_peers(view, stage)
         view.load_at = _load_at(view, stage, copy)
         await view.changed.wait(IDLE_S)
         return
     if stage.complete_at is None:
         stage.complete_at = anyio.current_time()
     view.load_at = _load_at(view, stage, copy)
-    if view.load_at is not None:
-        await anyio.sleep_until(view.load_at)
-    if _next_copy(view) is not copy:
+    while view.load_at is not None and _next_copy(view, stage) is copy:
+        left_s = view.load_at - anyio.current_time()
+        if left_s <= 0:
+            break
+        await view.changed.wait(min(left_s, IDLE_S))
+    if _next_copy(view, stage) is not copy:
         return
     await _repair_staged(view, copy)
     await _order_load(view, copy)
 
 
 async def _read_peers(view, stage):
-    """Read the engines of the service; if the store fails, assume only this one."""
-    stage.peers = []
+    """Read the engines of the service; if the store fails, the known ones are kept."""
     try:
         changes = await kv.list_prefix(
             view.store, records.SERVER_PREFIX, allow_stale=True
@@ -111,6 +133,7 @@
     except errors.StoreError as exc:
         eventlog.event("peers.unknown", error=str(exc))
         return
+    stage.peers = []
     for item in changes.items:
         try:
             found = records.decode_registration(item.key, item.value)
@@ -129,22 +152,27 @@
     named = [n for n in view.named.get(copy.model, []) if n.version == copy.version]
     if not named or view.report is None or view.report.holding is None:
         return None
-    link = view.deployment.link_bytes_per_s
+    now = anyio.current_time()
+    outlook = views.outlook(view, views.service(view))
+    ends_at = load_schedule.serving_ends_at(outlook)
     if weight_copy.is_complete(copy):
         complete_at = stage.complete_at
+    elif now - stage.progressed_at > STALL_S and now < ends_at - DRAIN_S:
+        # The end of an outage is not known; until shortly before the served weights
+        # end, requests must not avoid engines for a load that may be far off.
+        return None
     else:
-        missing = (len(copy.digests) - len(copy.pieces)) * copy.piece_bytes
-        complete_at = anyio.current_time() + load_schedule.receive_s(missing, link)
+        complete_at = now + outlook.copy_s * outlook.missing[copy.version]
     return load_schedule.earliest_load_at(
-        view.deployment.backend_address,
-        stage.peers or [],
-        copy.version,
-        named[0],
-        complete_at,
-        view.deployment.bounds.version_s,
+        _position(view, stage, copy), complete_at, ends_at
     )
 
 
+def _position(view, stage, copy):
+    server = view.deployment.backend_address
+    return load_schedule.position(server, stage.peers, copy.version)
+
+
 async def _repair_staged(view, copy):
     """Read back all staged pieces and stage corrupt ones again."""
     corrupt = 0
--- a/src/carobstand/agent/reporting.py
+++ b/src/carobstand/agent/reporting.py
@@ -4,7 +4,8 @@
 import attrs
 
 from carobstand import errors, eventlog
-from carobstand.core import deployment, report_pacing
+from carobstand.agent import view as views
+from carobstand.core import deployment, report_pacing, weight_copy
 from carobstand.platform import engine_client
 from carobstand.wire import fleet_codec
 from carobstand.wire.gen_fleet import ttypes
@@ -32,12 +33,15 @@
         Number of the last report; increases also across restarts of the agent.
     near, far : core.report_pacing.LastReport
         Last report sent to entries of the own region, and of all other regions.
+    target : int or None
+        Version that was being received as of the last report.
     """
 
     udp: object
     number: int = 0
     near: report_pacing.LastReport = attrs.field(factory=report_pacing.LastReport)
     far: report_pacing.LastReport = attrs.field(factory=report_pacing.LastReport)
+    target: int | None = None
 
 
 async def run(view):
@@ -68,16 +72,23 @@
     near_s = report_pacing.region_interval_s(len(near))
     due = []
     loads_at = view.load_at
-    if report_pacing.is_due(sender.near, report, loads_at, near_s, 1, now):
+    # Entries fetch first the version that agents receive.
+    is_switched = view.target != sender.target
+    if is_switched or report_pacing.is_due(
+        sender.near, report, loads_at, near_s, 1, now
+    ):
         due += near
         sender.near = report_pacing.LastReport(report, loads_at, now)
     far_s, step = (
         report_pacing.OTHER_REGION_INTERVAL_S,
         report_pacing.OTHER_REGION_MIN_CHANGE,
     )
-    if report_pacing.is_due(sender.far, report, loads_at, far_s, step, now):
+    if is_switched or report_pacing.is_due(
+        sender.far, report, loads_at, far_s, step, now
+    ):
         due += far
         sender.far = report_pacing.LastReport(report, loads_at, now)
+    sender.target = view.target
     if due:
         sender.number = max(sender.number + 1, int(now * 1000))
         await _send(view, sender, report, due)
@@ -102,11 +113,28 @@
         view.changed.notify()
 
 
+def _named_ago_ms(view):
+    """Return how long ago versions were named, while that may matter to entries."""
+    service = views.service(view)
+    if service is None:
+        return {}
+    now, allowed_s = anyio.current_time(), view.deployment.bounds.version_s
+    return {
+        version: int((now - at) * 1000)
+        for (model, version), at in view.witnessed.items()
+        if model == service.weights.models[0] and now - at < allowed_s
+    }
+
+
 async def _send(view, sender, report, entries):
     holding = report.holding
     load_in_ms = -1
     if view.load_at is not None:
         load_in_ms = max(0, int((view.load_at - anyio.current_time()) * 1000))
+    receiving = view.copies.get(view.target)
+    if receiving is not None and weight_copy.is_complete(receiving):
+        receiving = None
+    complete = [v for v, copy in view.copies.items() if weight_copy.is_complete(copy)]
     message = ttypes.EngineLoad(
         address=view.deployment.backend_address,
         started_ms=report.started_ms,
@@ -120,6 +148,10 @@
         first_layer=holding and holding.start,
         end_layer=holding and holding.end,
         load_in_ms=load_in_ms,
+        receiving_version=receiving and receiving.version,
+        receiving_pieces=receiving and len(receiving.pieces),
+        copies=sorted(complete),
+        named_ago_ms=_named_ago_ms(view),
     )
     raw = fleet_codec.encode(message)
     for entry in entries:
--- a/src/carobstand/agent/view.py
+++ b/src/carobstand/agent/view.py
@@ -7,7 +7,7 @@
 import attrs
 
 from carobstand import entry_records, errors, eventlog, http1, signals
-from carobstand.core import named_versions, routes
+from carobstand.core import load_schedule, named_versions, routes, weight_copy
 from carobstand.platform import kv, records
 from carobstand.transfer import relayed_configuration
 
@@ -33,6 +33,13 @@
 """Shortest time, at most doubled, for which an agent whose engine serves delays its
 read of the configuration, to leave the link to entries."""
 
+IMMEDIATE_S = 0.05
+"""A watch that returns changes within this time did not wait for them; a response that
+arrives within it was not delayed."""
+
+STEADY_S = 5.0
+"""Time after a failed call of the store in which no change is dated by its arrival."""
+
 BATCH_DELAY_S = 1.0
 """Pause after changes of entries. They register one after another, and each watch that
 returns costs a call of the store."""
@@ -60,6 +67,12 @@
         were named before this process started and have a time of ``-inf``.
     versions_read : bool
         Whether the named versions have been listed at least once.
+    written_at : float or None
+        Time at which the changes that are being applied were written; None if that is
+        not known.
+    witnessed : dict of (str, int) to float
+        When versions were named, by model and version, of those that a watch showed as
+        they were written.
     entries : dict of str to core.weight_sources.Entry
         Registered entries by VM.
     report : core.engine_report.EngineReport or None
@@ -68,6 +81,8 @@
         Latest report, kept while the engine does not respond.
     copies : dict of int to core.weight_copy.WeightCopy
         Weights being received or complete, by version.
+    target : int or None
+        Version that is being received.
     load_at : float or None
         Scheduled time of the next order to load; None if none is expected soon.
     changed : signals.Signal
@@ -80,10 +95,13 @@
     configuration: object = None
     named: dict = attrs.field(factory=dict)
     versions_read: bool = False
+    written_at: float | None = None
+    witnessed: dict = attrs.field(factory=dict)
     entries: dict = attrs.field(factory=dict)
     report: object = None
     last_report: object = None
     copies: dict = attrs.field(factory=dict)
+    target: int | None = None
     load_at: float | None = None
     changed: signals.Signal = attrs.field(factory=signals.Signal)
 
@@ -101,6 +119,32 @@
     return next((item.origin for item in services if item.origin), None)
 
 
+def outlook(view, service):
+    """Return the `core.load_schedule.Outlook` of the engine, or None without a report.
+
+    An engine that stops reporting for a while still holds its weights, and a complete
+    copy that is newer is about to be loaded.
+    """
+    report = view.report or view.last_report
+    if report is None:
+        return None
+    size = service.weights.pieces * service.weights.piece_bytes
+    source = origin(view)
+    rates = [view.deployment.link_bytes_per_s, source.bytes_per_s if source else 0]
+    return load_schedule.Outlook(
+        named=view.named.get(service.weights.models[0], []),
+        serving=report.holding.version if report.holding else None,
+        complete=[v for v, c in view.copies.items() if weight_copy.is_complete(c)],
+        missing={
+            version: 1 - len(copy.pieces) / len(copy.digests)
+            for version, copy in view.copies.items()
+            if not weight_copy.is_complete(copy)
+        },
+        copy_s=max(load_schedule.receive_s(size, rate) for rate in rates),
+        allowed_s=view.deployment.bounds.version_s,
+    )
+
+
 async def read_configuration(view):
     """Follow the configuration until it contains the engine's service.
 
@@ -185,8 +229,9 @@
     until : callable without arguments
         Whether to stop.
     """
-    revision, era, pause_s = None, 0, RETRY_MIN_S
+    revision, era, pause_s, failed_at = None, 0, RETRY_MIN_S, -math.inf
     while not until():
+        sent_at, is_watch = anyio.current_time(), revision is not None
         try:
             if revision is None:
                 changes = await kv.list_prefix(view.store, prefix)
@@ -199,6 +244,8 @@
                 if changes.era != era:
                     revision = None
                     continue
+            is_steady = is_watch and sent_at - failed_at > STEADY_S
+            view.written_at = _written_at(changes, sent_at) if is_steady else None
             for item in changes.items:
                 _apply_readable(apply, item)
             revision, era = changes.revision, changes.era
@@ -211,10 +258,23 @@
             revision = None
         except errors.StoreError as exc:
             eventlog.event("store.failed", error=str(exc), prefix=prefix)
+            failed_at = anyio.current_time()
             await anyio.sleep(pause_s)
             pause_s = min(RETRY_MAX_S, pause_s * 2)
 
 
+def _written_at(changes, sent_at):
+    """Return when changes were written that a watch returned, or None if unknown.
+
+    If the watch had waited for them and they arrived without delay, it is the time at
+    which the response began.
+    """
+    now = anyio.current_time()
+    if changes.began_at - sent_at < IMMEDIATE_S or now - changes.began_at > IMMEDIATE_S:
+        return None
+    return changes.began_at
+
+
 def _apply_readable(apply, item):
     try:
         apply(item)
@@ -237,6 +297,8 @@
     known = view.named.setdefault(named.model, [])
     seen_at = anyio.current_time() if view.versions_read else -math.inf
     if named_versions.add(known, named.version, seen_at):
+        if view.written_at is not None:
+            view.witnessed[named.model, named.version] = view.written_at
         eventlog.event("version.named", model=named.model, version=named.version)
 
 
--- a/src/carobstand/transfer/piece_stream.py
+++ b/src/carobstand/transfer/piece_stream.py
@@ -150,6 +150,15 @@
     StalledError
         If the source is still waiting for the manifest itself.
     """
+    copy, _ = await receive_offer(address, model, version, timeouts)
+    return copy
+
+
+async def receive_offer(address, model, version, timeouts):
+    """Return an empty `WeightCopy`, and the numbers of the pieces at the source.
+
+    Parameters and exceptions are those of `receive_manifest`.
+    """
     frames = await connect(address)
     try:
         await send(frames, ttypes.ManifestRequest(model, version, True))
@@ -158,7 +167,7 @@
         await anyio.aclose_forcefully(frames.stream)
 
 
-async def receive_pieces(address, copy, on_piece, window, timeouts):
+async def receive_pieces(address, copy, on_piece, window, timeouts, demand=None):
     """Receive the missing pieces of a copy from the process at `address`.
 
     Parameters
@@ -171,6 +180,9 @@
         Called after each piece that was added.
     window : Window
     timeouts : Timeouts
+    demand : entry.weight_cache.CachedVersion or None
+        Tells what other processes request here, None if this one itself needs all
+        pieces. The source sends first what is needed.
 
     Raises
     ------
@@ -181,23 +193,45 @@
         If a piece does not match its digest or the manifests differ; the manifest of
         either side may be corrupt.
     """
+
+    def choose(held):
+        wanted = demand.wanted if demand else weight_copy.NO_REQUESTS
+        for number in weight_copy.in_demand_order(copy, wanted, held):
+            yield number, bool(demand) and number not in wanted, bool(demand)
+
+    await receive_chosen(address, copy, choose, on_piece, window, timeouts)
+
+
+async def receive_chosen(address, copy, choose, on_piece, window, timeouts):
+    """Receive pieces of a copy from the process at `address`.
+
+    Parameters
+    ----------
+    choose : callable of (frozenset of int)
+        Returns an iterator over the numbers of the pieces to receive, given those that
+        the source holds; each with whether no agent waits for it, and whether it is
+        for other processes.
+    address, copy, on_piece, window, timeouts
+        Those of `receive_pieces`, which raises the same exceptions.
+    """
     frames = await connect(address)
     try:
         await send(frames, ttypes.ManifestRequest(copy.model, copy.version, False))
-        offered = await _receive_manifest(frames, copy.model, timeouts)
+        offered, held = await _receive_manifest(frames, copy.model, timeouts)
         if offered.digests != copy.digests:
             raise errors.WeightsError(
                 "the manifest of the source differs",
                 step="pieces.receive",
                 peer=frames.peer,
             )
-        await _receive_blocks(frames, copy, on_piece, window, timeouts)
+        numbers = choose(held)
+        await _receive_blocks(frames, copy, numbers, on_piece, window, timeouts)
     finally:
         await anyio.aclose_forcefully(frames.stream)
 
 
-async def _receive_blocks(frames, copy, on_piece, window, timeouts):
-    wanted = iter(_blocks(copy, window.block_bytes))
+async def _receive_blocks(frames, copy, numbers, on_piece, window, timeouts):
+    wanted = _blocks(copy, numbers, window.block_bytes)
     expected = collections.deque()
     parts = []
     while True:
@@ -236,17 +270,14 @@
     return reply.data
 
 
-def pending_manifest_reply(cached):
-    """Return the reply of a source that still waits for the manifest itself."""
-    return ttypes.ManifestReply(cached.model, cached.version, b"", 0)
-
-
-def _blocks(copy, block_bytes):
-    """Yield the block requests for all missing pieces, piece by piece."""
-    for number in weight_copy.missing(copy):
+def _blocks(copy, numbers, block_bytes):
+    """Yield the block requests for pieces, one piece after the other."""
+    for number, is_ahead, is_relayed in numbers:
         for offset in range(0, copy.piece_bytes, block_bytes):
             size = min(block_bytes, copy.piece_bytes - offset)
-            yield ttypes.BlockRequest(number, offset, size)
+            yield ttypes.BlockRequest(
+                number, offset, size, is_ahead or None, is_relayed or None
+            )
 
 
 async def _receive_manifest(frames, model, timeouts):
@@ -263,9 +294,24 @@
         raise errors.WireError(
             str(exc), step="pieces.receive", peer=frames.peer
         ) from exc
-    return weight_copy.WeightCopy(
+    copy = weight_copy.WeightCopy(
         reply.model, reply.version, digests, max(1, reply.piece_bytes)
     )
+    return copy, decode_numbers(reply.held or b"", len(digests))
+
+
+def encode_numbers(numbers):
+    """Return a bitmap of piece numbers: bit n % 8 of byte n / 8."""
+    bitmap = bytearray(max(numbers, default=-1) // 8 + 1)
+    for number in numbers:
+        bitmap[number // 8] |= 1 << number % 8
+    return bytes(bitmap)
+
+
+def decode_numbers(bitmap, pieces):
+    """Return the piece numbers below `pieces` whose bit is set."""
+    bits = range(min(pieces, 8 * len(bitmap)))
+    return frozenset(n for n in bits if bitmap[n // 8] >> n % 8 & 1)
 
 
 async def _receive_content(frames, timeouts, kind, content):
--- a/src/carobstand/wire/fleet.thrift
+++ b/src/carobstand/wire/fleet.thrift
@@ -20,6 +20,8 @@
   14: optional i32 receiving_version  // version of which the agent receives pieces
   15: optional i32 receiving_pieces   // number of its pieces that the agent holds
   16: optional list<i32> copies       // versions that the agent holds completely
+  17: optional map<i32, i32> named_ago_ms  // by version named lately: time since the
+                              // agent's watch of the store showed it as it was written
 }
 
 // Datagram between entries: a request whose server failed while running it.
@@ -118,6 +120,7 @@
   2: i32 version
   3: binary digests           // concatenated SHA-256 values
   4: i32 piece_bytes
+  5: optional binary held     // pieces that the source holds: bit n % 8 of byte n / 8
 }
 
 // Requests a part of a piece; the reply holds data once the piece is available.
@@ -125,6 +128,8 @@
   1: i32 number
   2: i32 offset
   3: i32 size
+  4: optional bool ahead      // no agent waits for this piece; others go first
+  5: optional bool relayed    // from an entry, for others
 }
 
 struct BlockReply {
