Do not load an older version whose load may outlast it

The load of an older version must now be over, with the longest running request and the engine's slowness, before that version ends.

--- a/src/carobstand/core/load_schedule.py
+++ b/src/carobstand/core/load_schedule.py
@@ -27,6 +27,11 @@
 """Time until the requests that an engine runs have ended, on average: 1 to 2.6 s at
 most. A load costs an engine about as much service."""
 
+MAX_LOAD_S = 3.5
+"""Longest time from the order to load until the first request begins on the loaded
+weights, at usual speed: the longest running request of 2.6 s, the load, and a margin.
+An engine keeps the requests of its queue during a load and begins them afterwards."""
+
 SPREAD_S = 3.0
 """Shortest time over which loads are spread: the longest running request of 2.6 s and
 the load of 0.3 s, so that some engines are back before the last ones begin."""
@@ -50,6 +55,8 @@
         Time to receive a complete copy.
     allowed_s : float
         Time after a version is named during which requests may begin on older ones.
+    slowness : float
+        Ratio of the engine's present to its usual time for a unit of work.
     """
 
     named: list
@@ -58,6 +65,7 @@
     missing: dict
     copy_s: float
     allowed_s: float
+    slowness: float = 1.0
 
     @property
     def newest(self):
@@ -93,13 +101,16 @@
     """Return the share of the engines that load a complete copy of a version.
 
     All load the newest one. An older one must serve for longer than its load takes,
-    after the end of the served version. If the newest one arrives around that end, half
+    after the end of the served version, and its load must be over before its own end.
+    If the newest one arrives around that end, half
     of the engines load the older one and serve while the others load the newest: all
     loads at that moment would leave no engine in service. If the newest one arrives
     earlier by enough to spread its loads, none load the older one.
     """
     if not outlook.named or version >= outlook.newest:
         return 1.0
+    if now + MAX_LOAD_S * max(1.0, outlook.slowness) > _ends_at(outlook, version):
+        return 0.0
     newest_at = _received_at(outlook, (outlook.newest,), now)
     serving_end = serving_ends_at(outlook)
     begins_at = max(now + LOAD_S, serving_end)
--- a/testing/test_load_schedule.py
+++ b/testing/test_load_schedule.py
@@ -98,3 +98,30 @@
     assert load_schedule.serving_ends_at(outlook) == 26.0
     named = [named_versions.SeenVersion(1, 0.0)]
     assert named_versions.begin_by(named, 1, 8.0) == math.inf
+
+
+def test_an_older_version_is_not_loaded_if_its_load_may_outlast_it():
+    """Requests that wait in an engine during a load begin on the loaded weights.
+
+    In a trial, an engine that was ordered to load version 2 a second before its end
+    began waiting requests on it 10 ms too late.
+    """
+    named = [
+        named_versions.SeenVersion(2, 0.0),
+        named_versions.SeenVersion(3, 2.0),
+    ]
+    fields = {
+        "named": named,
+        "serving": 1,
+        "complete": [2],
+        "missing": {3: 1.0},
+        "copy_s": 8.0,
+        "allowed_s": 10.0,
+    }
+    outlook = load_schedule.Outlook(**fields)
+    ends_at = 12.0
+    in_time = ends_at - load_schedule.MAX_LOAD_S
+    assert load_schedule.share_to_load(outlook, 2, in_time) == 1.0
+    assert load_schedule.share_to_load(outlook, 2, in_time + 0.1) == 0.0
+    slow = load_schedule.Outlook(**fields, slowness=2.5)
+    assert load_schedule.share_to_load(slow, 2, in_time) == 0.0
