Test stalled streams in allowed regions, and the bound of evacuations

A stalled stream is the one kind of moved stream that needs no agent: it goes to allowed servers only, and follows a change. The setting evacuation_ms is checked where the settings are decoded.

--- a/testing/platform_builders.py
+++ b/testing/platform_builders.py
@@ -43,7 +43,12 @@
         "internal_port_range": [7700, 7715],
         "heartbeat_interval_ms": 1200,
         "limits": {"memory_mb": 300, "link_mbps": 8.0},
-        "bounds": {"drain_ms": 2000, "grace_s": 8, "retry_budget_slack": 106},
+        "bounds": {
+            "drain_ms": 2000,
+            "grace_s": 8,
+            "retry_budget_slack": 106,
+            "evacuation_ms": 4000,
+        },
         "platform": {"address": "127.0.0.1:8007", "min_ttl_ms": 1000},
     }
     return {**record, **changes}
--- a/testing/test_allowed_regions.py
+++ b/testing/test_allowed_regions.py
@@ -248,6 +248,27 @@
     domains.run_running(check)
 
 
+@pytest.mark.parametrize("route", [["south"], []])
+def test_a_stalled_stream_is_moved_to_allowed_servers_only(route):
+    async def check(fleet):
+        await domains.limit_regions(fleet, route=["south"])
+        server = fleet.engines["i-b-1"]
+        server.fault, server.faults_left = "trickle", 1
+        answers = []
+
+        async def ask():
+            answers.append(await fleets.send_request(fleet, "/s/x", deadline_s=4.0))
+
+        async with anyio.create_task_group() as tg:
+            tg.start_soon(ask)
+            await fleets.until(lambda: server.runs)
+            await domains.limit_regions(fleet, route=route)
+        assert answers[0].complete is not bool(route)
+        assert domains.arrivals(fleet, "a") == int(not route)
+
+    domains.run_running(check)
+
+
 def test_a_request_is_withheld_if_its_region_is_taken_away_while_it_connects(
     monkeypatch,
 ):
--- a/testing/test_records.py
+++ b/testing/test_records.py
@@ -24,6 +24,7 @@
     assert dep.internal_ports == (7700, 7715)
     assert dep.bounds.drain_s == 2.0
     assert dep.bounds.retry_slack == 106
+    assert dep.bounds.evacuation_s == 4.0
     assert dep.link_bytes_per_s == 1e6
 
 
