Use the slowness that servers report and estimate unreported requests

Cause: each report with a fourth figure in Server-Load was lost, a change of speed made no report due, and plain servers were ranked without it.

A change of 10% makes a report due at the interval of loads.

--- a/src/carobstand/core/eligibility.py
+++ b/src/carobstand/core/eligibility.py
@@ -100,11 +100,14 @@
         Weights that the server holds, by its latest report.
     load : core.engine_load.EngineLoad or None
         Latest report, or None if there is no fresh one.
+    slowness : float
+        Ratio of the present to the usual time for a unit of work there.
     """
 
     server: object
     holding: object
     load: object
+    slowness: float = 1.0
 
 
 @attrs.define(eq=False)
@@ -156,7 +159,9 @@
         if reason is not None:
             result.excluded[server.server_id] = reason
             continue
-        candidate = Candidate(server, holding if server.runs_model else None, load)
+        slowness = engine_load.slowness(conditions.loads, server.address, load, now)
+        holding = holding if server.runs_model else None
+        candidate = Candidate(server, holding, load, slowness)
         (result.avoided if is_avoided else result.found).append(candidate)
     return result
 
--- a/src/carobstand/core/exchange.py
+++ b/src/carobstand/core/exchange.py
@@ -76,11 +76,22 @@
 
 @attrs.frozen(kw_only=True)
 class Load:
-    """Running and waiting requests of a backend server, and its slots."""
+    """Load that a backend server announces in a response.
+
+    Attributes
+    ----------
+    running, waiting : int
+        Number of requests in progress and in the server's queue.
+    slots : int
+        Number of requests that the server runs at the same time.
+    slowness : float or None
+        Ratio of the present to the usual time for a unit of work, None if not told.
+    """
 
     running: int
     waiting: int
     slots: int
+    slowness: float | None = None
 
 
 @attrs.frozen(kw_only=True)
--- a/src/carobstand/core/latency_model.py
+++ b/src/carobstand/core/latency_model.py
@@ -10,6 +10,8 @@
 slots are free then, but the number of prompt tokens per pass limits the start rate.
 """
 
+import math
+
 import attrs
 
 RESIDUAL_PASSES = 0.5
@@ -78,7 +80,25 @@
     return max(0.0, answer_tokens / model.steps_per_pass - 1) * pass_s
 
 
-def predict(model, occupancy, pending_tokens, prompt_tokens, slowness=1.0):
+def expected_excess(mean, variance):
+    """Return the expected value of ``max(0, x)`` for an uncertain number `x`.
+
+    It is exact for a normal distribution with mean 0, and close to it elsewhere.
+    """
+    if not variance:
+        return max(0.0, mean)
+    return (mean + math.sqrt(mean * mean + 2 / math.pi * variance)) / 2
+
+
+def predict(
+    model,
+    occupancy,
+    pending_tokens,
+    prompt_tokens,
+    slowness=1.0,
+    variance=0.0,
+    interval_s=None,
+):
     """Return the `Prediction` for one additional request.
 
     Parameters
@@ -91,9 +111,16 @@
     prompt_tokens : int
     slowness : float
         Above 1 for an engine that is slower than the published parameters.
+    variance : float
+        Variance of `occupancy`, which is an estimate. With 0.9 requests expected at an
+        engine with one slot, every second request or so waits for the slot.
+    interval_s : float or None
+        `slot_interval_s` of the model, if the caller has it.
     """
-    ahead = max(0.0, occupancy + 1 - model.slots)
-    slot_wait_s = ahead * slot_interval_s(model)
+    ahead = expected_excess(occupancy + 1 - model.slots, variance)
+    if interval_s is None:
+        interval_s = slot_interval_s(model)
+    slot_wait_s = ahead * interval_s
     pass_s = decode_pass_s(model, min(model.slots, occupancy + 1))
     chunk = max(1, model.prompt_tokens_per_step)
     passes_before = (pending_tokens + prompt_tokens / 2) // chunk
--- a/src/carobstand/core/placement.py
+++ b/src/carobstand/core/placement.py
@@ -34,7 +34,8 @@
     """A candidate with its predicted times and its cost.
 
     `first_event_s` is the predicted time to the first byte at the server, which the
-    actual one may exceed by `margin_s`. The choice with the lowest `cost_s` is best.
+    actual one may exceed by `margin_s`. It includes `corrections_s`: the correction of
+    the service, and the whole one. The choice with the lowest `cost_s` is best.
     """
 
     candidate: eligibility.Candidate
@@ -43,6 +44,7 @@
     occupancy: float
     cost_s: float
     margin_s: float = 0.0
+    corrections_s: tuple = (0.0, 0.0)
 
 
 @attrs.frozen
@@ -74,6 +76,20 @@
     by_region: dict = attrs.field(factory=dict)
 
 
+@attrs.frozen
+class _EngineTimes:
+    """Times of a latency model that one ranking uses for all engines."""
+
+    model: object
+    interval_s: float
+    noise_s: float
+
+
+def _engine_times(model):
+    noise_s = NOISE_PASSES * latency_model.decode_pass_s(model, model.slots)
+    return _EngineTimes(model, latency_model.slot_interval_s(model), noise_s)
+
+
 def rank(
     candidates,
     service,
@@ -85,6 +101,7 @@
     draw,
     begin_by,
     now,
+    others_sends_per_s=0.0,
 ):
     """Return a `Choice` for each candidate that can start in time, the best first.
 
@@ -106,6 +123,9 @@
     begin_by : callable of (core.registry.Holding or None)
         Returns the latest time at which a request may start on the given weights.
     now : float
+    others_sends_per_s : float
+        Requests that other entries send to an average server of the service, per
+        second; 0 if that is not known.
     """
     empty = outstanding.Outstanding()
     found = candidates.usable
@@ -115,34 +135,45 @@
     )
     mean_pending = pending / max(1, len(found))
     model = service.latency_model if service is not None else None
-    interval_s = latency_model.slot_interval_s(model) if model else 0.0
+    times = _engine_times(model) if model else None
+    name = found[0].server.service if found else ""
+    service_s = calibration.service_correction_s(prediction_errors, name, now)
+    margin_s = calibration.margin_s(prediction_errors, name, now)
     choices = []
     for candidate, state in zip(found, states, strict=True):
         load, server = candidate.load, candidate.server
         others = _effective_entries(server, location)
         occupied = outstanding.occupancy(state, load, others)
         if model is None:
-            first_s, wait_s, cost_s = _predict_plain(server, occupied, draw)
+            first_s, wait_s, cost_s = _predict_plain(candidate, occupied, draw)
         else:
             pending = outstanding.pending_prompt_tokens(
                 state, mean_pending, load, others, model.usual_prompt_tokens
             )
+            occupied, variance = _add_unreported(
+                occupied, candidate, times, others_sends_per_s, now
+            )
             first_s, wait_s, cost_s = _predict_engine(
-                candidate, model, interval_s, occupied, pending, size, draw, now
+                candidate, times, (occupied, variance), pending, size, draw, now
             )
         if now + wait_s >= begin_by(candidate.holding):
             reason = eligibility.Reason.OUTDATED_WEIGHTS
             candidates.excluded[server.server_id] = reason
             continue
-        correction_s = calibration.correction_s(
-            prediction_errors, server.service, server.server_id, now
+        correction_s = calibration.server_correction_s(
+            prediction_errors, service_s, server.server_id, now
         )
         server_health = healths.get(server.server_id)
         cost_s += correction_s + _distance_penalty_s(server, location)
         if server_health is not None:
             cost_s += health.penalty_s(server_health)
         first_s += correction_s
-        choices.append(Choice(candidate, first_s, wait_s, occupied, cost_s))
+        corrections_s = (service_s, correction_s)
+        choices.append(
+            Choice(
+                candidate, first_s, wait_s, occupied, cost_s, margin_s, corrections_s
+            )
+        )
     choices.sort(key=lambda choice: choice.cost_s)
     return choices
 
@@ -158,21 +189,45 @@
     return near + REMOTE_SHARE * remote if location.by_region else location.others
 
 
-def _predict_plain(server, occupied, draw):
+def _predict_plain(candidate, occupied, draw):
     """Return first event, wait and cost in s at a server without a latency model."""
+    server = candidate.server
     slots = max(1, server.slots)
-    wait_s = max(0.0, occupied + 1 - slots) * PLAIN_REQUEST_S / slots
-    first_s = wait_s + PLAIN_REQUEST_S
-    return first_s, wait_s, first_s + PLAIN_REQUEST_S * (occupied + draw()) / slots
+    request_s = PLAIN_REQUEST_S * candidate.slowness
+    wait_s = max(0.0, occupied + 1 - slots) * request_s / slots
+    first_s = wait_s + request_s
+    return first_s, wait_s, first_s + request_s * (occupied + draw()) / slots
+
 
+def _add_unreported(occupied, candidate, times, others_sends_per_s, now):
+    """Add the requests that other entries began and ended since a report.
+
+    Returns
+    -------
+    occupied, variance : float
+        Estimate of the requests at the server, and its variance.
+    """
+    load = candidate.load
+    if load is None or not others_sends_per_s:
+        return occupied, 0.0
+    age_s = outstanding.unreported_s(load, now)
+    began = outstanding.CROWDING * others_sends_per_s * age_s
+    running = min(1.0, load.running / times.model.slots)
+    ended = running * age_s / (times.interval_s * candidate.slowness)
+    return max(0.0, occupied + began - ended), began + ended
 
-def _predict_engine(candidate, model, interval_s, occupied, pending, size, draw, now):
-    """Return first event, wait and cost in s at an engine."""
-    slowness = candidate.load.slowness if candidate.load else 1.0
+
+def _predict_engine(candidate, times, occupancy, pending, size, draw, now):
+    """Return first event, wait and cost in s at an engine.
+
+    `occupancy` is an estimate and its variance.
+    """
+    occupied, variance = occupancy
+    model, interval_s, slowness = times.model, times.interval_s, candidate.slowness
     found = latency_model.predict(
-        model, occupied, pending, size.prompt_tokens, slowness
+        model, occupied, pending, size.prompt_tokens, slowness, variance, interval_s
     )
-    noise_s = draw() * NOISE_PASSES * latency_model.decode_pass_s(model, model.slots)
+    noise_s = draw() * times.noise_s
     # Among engines with free slots, prefer the one with fewer requests.
     occupancy_cost_s = interval_s * min(1.0, occupied / model.slots)
     cost_s = found.first_event_s + noise_s + occupancy_cost_s
--- a/src/carobstand/core/report_pacing.py
+++ b/src/carobstand/core/report_pacing.py
@@ -19,6 +19,10 @@
 OTHER_REGION_MIN_CHANGE = 2
 """Smallest change in the number of requests that is reported to other regions."""
 
+MIN_SLOWNESS_CHANGE = 0.1
+"""Smallest change of an engine's slowness, relative to the one last sent, that is
+reported. Smaller ones change the predicted first event by less than its usual error."""
+
 MIN_LOAD_SHIFT_S = 0.1
 """A shift of the time of a weight load by more than this is reported at once."""
 
@@ -55,7 +59,7 @@
     loads_at : float or None
         When the engine will be ordered to load weights; None if that is not near.
     interval_s : float
-        Shortest time between two reports of a changed load.
+        Shortest time between two reports of a changed load or slowness.
     min_change : int
         Smallest change in the number of requests that is reported.
     now : float
@@ -67,8 +71,15 @@
         return True
     if now - sent.sent_at >= REPEAT_S:
         return True
+    if now - sent.sent_at < interval_s:
+        return False
     change = abs(_requests(report) - _requests(before))
-    return change >= min_change and now - sent.sent_at >= interval_s
+    return change >= min_change or _has_other_speed(before, report)
+
+
+def _has_other_speed(before, report):
+    change = abs(report.slowness - before.slowness)
+    return change >= MIN_SLOWNESS_CHANGE * before.slowness
 
 
 def _has_shifted(before, after):
--- a/src/carobstand/entry/datagrams.py
+++ b/src/carobstand/entry/datagrams.py
@@ -71,7 +71,12 @@
 def _has_more_capacity(before, load):
     """Whether a new load report may allow waiting requests to be sent."""
     fewer = load.running + load.waiting < before.running + before.waiting
-    return fewer or (load.holding, load.is_busy) != (before.holding, before.is_busy)
+    is_faster = load.slowness < before.slowness
+    return (
+        fewer
+        or is_faster
+        or (load.holding, load.is_busy) != (before.holding, before.is_busy)
+    )
 
 
 def _decode_load(message):
@@ -93,7 +98,7 @@
         number=int(message.number),
         running=int(message.running),
         waiting=int(message.waiting),
-        slowness=float(message.slowness or 1.0),
+        slowness=engine_load.usable_slowness(message.slowness),
         is_busy=bool(message.busy),
         holding=holding,
         received_at=now,
--- a/src/carobstand/entry/forwarding.py
+++ b/src/carobstand/entry/forwarding.py
@@ -105,6 +105,8 @@
     delays : dict of str to float
         `core.queue_policy.shared_delay_s` by service.
         Cached for the configuration version `delays_version`.
+    send_rates : dict of str to core.outstanding.SendRate
+        By service.
     prediction_errors : core.calibration.Calibration
     budgets : dict of str to core.retry_budget.Budget
         By service.
@@ -129,6 +131,7 @@
     sizes: dict = attrs.field(factory=dict)
     delays: dict = attrs.field(factory=dict)
     delays_version: int | None = None
+    send_rates: dict = attrs.field(factory=dict)
     prediction_errors: calibration.Calibration = attrs.field(
         factory=calibration.Calibration
     )
@@ -446,14 +449,13 @@
 
 
 def _record_load(fwd, server, head):
-    if head.load is not None:
-        engine_load.update_from_answer(
-            fwd.loads,
-            server,
-            head.load.running,
-            head.load.waiting,
-            anyio.current_time(),
-        )
+    """Record the load that a server tells; ignore a response from another one there."""
+    if head.load is None or head.server_id not in ("", server.server_id):
+        return
+    now, load = anyio.current_time(), head.load
+    engine_load.update_from_answer(fwd.loads, server, load.running, load.waiting, now)
+    if load.slowness is not None:
+        engine_load.note_slowness(fwd.loads, server.address, load.slowness, now)
 
 
 def _record_announcements(fwd, call, server, head):
@@ -490,8 +492,11 @@
         request=call.req.request_id,
         server=chosen.candidate.server.server_id,
         status=head.status,
-        occupancy=chosen.occupancy,
+        occupancy=round(chosen.occupancy, 1),
         predicted_s=round(chosen.first_event_s, 3),
+        margin_s=round(chosen.margin_s, 3),
+        slowness=round(chosen.candidate.slowness, 2),
+        told_slowness=head.load and head.load.slowness,
         took_s=round(now - call.sent_at, 3),
         held_s=round(call.sent_at - call.terms.arrived, 3),
         report_age_s=chosen.candidate.load
--- a/src/carobstand/platform/http_headers.py
+++ b/src/carobstand/platform/http_headers.py
@@ -29,6 +29,10 @@
 }
 """Headers to a backend server that only the system sets; a caller's are dropped."""
 
+MAX_LOAD_DIGITS = 9
+"""Most characters of a figure of `Server-Load`; longer ones could not be converted to
+a floating-point number."""
+
 MAX_REQUEST_PRIORITY = 9
 """Lowest priority in an engine's queue; 0 is served first."""
 
@@ -201,10 +205,19 @@
 
 
 def _parse_load(text):
-    numbers = [_parse_integer(part) for part in text.split(",")]
-    if len(numbers) != 3 or None in numbers:
+    """Return the `Load` of three figures, or four with the slowness in hundredths."""
+    parts = text.split(",")
+    if len(parts) not in (3, 4) or max(map(len, parts)) > MAX_LOAD_DIGITS:
+        return None
+    numbers = [_parse_integer(part) for part in parts]
+    if None in numbers or numbers[3:] == [0]:
         return None
-    return exchange.Load(running=numbers[0], waiting=numbers[1], slots=numbers[2])
+    return exchange.Load(
+        running=numbers[0],
+        waiting=numbers[1],
+        slots=numbers[2],
+        slowness=numbers[3] / 100 if numbers[3:] else None,
+    )
 
 
 def refusal_headers(req, retry_after_s):
--- a/testing/test_http_headers.py
+++ b/testing/test_http_headers.py
@@ -120,6 +120,21 @@
     assert b"content-length" not in names(head.headers)
 
 
+@pytest.mark.parametrize(
+    "value", ["3,1,8,0", "3,1,8,-250", "3,1,8,2.5", "3,1,8,", "3,1,8,250,1", "9" * 400]
+)
+def test_a_malformed_load_is_ignored(value):
+    raw = h11.Response(status_code=200, headers=[("Server-Load", value)]).headers
+    assert http_headers.decode_response_head(200, raw).load is None
+
+
+@pytest.mark.parametrize(("value", "slowness"), [("3,1,8,250", 2.5), ("3,1,8", None)])
+def test_a_load_may_tell_the_slowness_of_the_server(value, slowness):
+    raw = h11.Response(status_code=200, headers=[("Server-Load", value)]).headers
+    load = http_headers.decode_response_head(200, raw).load
+    assert load == exchange.Load(running=3, waiting=1, slots=8, slowness=slowness)
+
+
 def test_only_complete_events_are_passed_on_however_the_data_is_split():
     raw = b"id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\ndata: c\n\n"
     for size in range(1, len(raw)):
--- a/testing/test_report_pacing.py
+++ b/testing/test_report_pacing.py
@@ -44,6 +44,15 @@
     assert due(changed(running=5), 10.11, interval_s=0.1, min_change=1)
 
 
+def test_a_change_of_speed_is_due_after_the_interval():
+    slow = changed(slowness=2.5)
+    assert not due(slow, 10.2)
+    assert due(slow, 10.31)
+    assert not due(changed(slowness=1.05), 10.4)
+    sent = report_pacing.LastReport(slow, None, 10.0)
+    assert report_pacing.is_due(sent, FIRST, None, 0.3, 2, 10.31)
+
+
 def test_report_messages_do_not_grow_with_the_square_of_the_fleet():
     def messages_per_s(regions, engines, entries):
         """Return the reports per second to each entry while all loads change."""
