Learn answer lengths and rank engines by the work they have left

Cause: hints are off by a factor of two, prompts that other entries sent since a report were assumed to lie where this entry's own do, and all requests at a full engine counted the same, whatever is left of their answers.

Change: core/expected_work.py learns the logarithms of lengths by route, customer and part of the prompt, and weighs them against the hint by their variances; at most 1,024 customers and parts. core/server_work.py keeps the tokens that own requests have left to read and to write as their events arrive, and estimates those of others from the report and the rate of sends. Streams report events and lengths to it.

--- a/src/carobstand/core/latency_model.py
+++ b/src/carobstand/core/latency_model.py
@@ -90,15 +90,40 @@
     return (mean + math.sqrt(mean * mean + 2 / math.pi * variance)) / 2
 
 
-def predict(
-    model,
-    occupancy,
-    pending_tokens,
-    prompt_tokens,
-    slowness=1.0,
-    variance=0.0,
-    interval_s=None,
-):
+@attrs.frozen
+class Times:
+    """Times that are the same at all engines for one request.
+
+    Attributes
+    ----------
+    model : core.routes.LatencyModel
+    interval_s : float
+        Mean time between two slots becoming free at a full engine.
+    usual_read_s, own_read_s : float
+        Prefill time of a usual prompt, and of the prompt of the request.
+    prompt_tokens : int
+        Size of that prompt.
+    """
+
+    model: object
+    interval_s: float
+    usual_read_s: float
+    own_read_s: float
+    prompt_tokens: int
+
+
+def times(model, prompt_tokens):
+    """Return the `Times` of a request with a prompt of `prompt_tokens`."""
+    return Times(
+        model,
+        slot_interval_s(model),
+        prefill_s(model, model.usual_prompt_tokens),
+        prefill_s(model, prompt_tokens),
+        prompt_tokens,
+    )
+
+
+def predict(model, occupancy, pending_tokens, prompt_tokens, slowness=1.0):
     """Return the `Prediction` for one additional request.
 
     Parameters
@@ -111,22 +136,33 @@
     prompt_tokens : int
     slowness : float
         Above 1 for an engine that is slower than the published parameters.
+    """
+    request = times(model, prompt_tokens)
+    return predict_with(request, occupancy, pending_tokens, slowness)
+
+
+def predict_with(request, occupancy, pending_tokens, slowness, variance=0.0, ratio=1.0):
+    """Return the `Prediction` for a request whose `Times` are known.
+
+    Parameters
+    ----------
+    request : Times
+    occupancy, pending_tokens, slowness : float
+        As for `predict`.
     variance : float
         Variance of `occupancy`, which is an estimate. With 0.9 requests expected at an
         engine with one slot, every second request or so waits for the slot.
-    interval_s : float or None
-        `slot_interval_s` of the model, if the caller has it.
+    ratio : float
+        Answer tokens left per request at the engine, relative to the usual number.
     """
+    model = request.model
     ahead = expected_excess(occupancy + 1 - model.slots, variance)
-    if interval_s is None:
-        interval_s = slot_interval_s(model)
-    slot_wait_s = ahead * interval_s
+    slot_wait_s = ahead * ratio * request.interval_s
     pass_s = decode_pass_s(model, min(model.slots, occupancy + 1))
     chunk = max(1, model.prompt_tokens_per_step)
-    passes_before = (pending_tokens + prompt_tokens / 2) // chunk
-    prefill_wait_s = passes_before * pass_s + prefill_s(
-        model, model.usual_prompt_tokens
-    ) * (pending_tokens / max(1, model.usual_prompt_tokens))
-    wait_s = slowness * max(slot_wait_s, prefill_wait_s)
-    own_s = (1 + RESIDUAL_PASSES) * pass_s + prefill_s(model, prompt_tokens)
+    passes_before = (pending_tokens + request.prompt_tokens / 2) // chunk
+    usual_tokens = max(1, model.usual_prompt_tokens)
+    read_s = request.usual_read_s * pending_tokens / usual_tokens
+    wait_s = slowness * max(slot_wait_s, passes_before * pass_s + read_s)
+    own_s = (1 + RESIDUAL_PASSES) * pass_s + request.own_read_s
     return Prediction(wait_s, wait_s + slowness * own_s)
--- a/src/carobstand/core/outstanding.py
+++ b/src/carobstand/core/outstanding.py
@@ -7,6 +7,8 @@
 
 import attrs
 
+from carobstand.core import server_work
+
 REPORT_DELAY_S = 0.015
 """A request sent this shortly before a report was received may not be counted in it:
 the request and the report each take a few milliseconds on the network."""
@@ -76,32 +78,32 @@
     ----------
     sent : dict of object to float
         Time at which each request in progress was sent.
-    pending_prompts : dict of object to int
-        Prompt tokens of the requests whose answer has not started.
+    work : core.server_work.Work
+        Work left of the requests in progress.
     finished : list of (float, float)
         Times at which requests were sent and ended.
     """
 
     sent: dict = attrs.field(factory=dict)
-    pending_prompts: dict = attrs.field(factory=dict)
+    work: server_work.Work = attrs.field(factory=server_work.Work)
     finished: list = attrs.field(factory=list)
 
 
-def begin(state, token, prompt_tokens, now):
-    """Record that a request was sent."""
+def begin(state, token, prompt_tokens, now, answer_tokens=0):
+    """Record that a request was sent, with the expected length of its answer."""
     state.sent[token] = now
-    state.pending_prompts[token] = prompt_tokens
+    server_work.begin(state.work, token, prompt_tokens, answer_tokens)
 
 
 def answer_started(state, token):
     """Record that the answer to a request has started."""
-    state.pending_prompts.pop(token, None)
+    server_work.record_read(state.work, token)
 
 
 def end(state, token, now):
     """Record that a request ended."""
     sent_at = state.sent.pop(token)
-    state.pending_prompts.pop(token, None)
+    server_work.end(state.work, token)
     while state.finished and state.finished[0][1] < now - FINISHED_RETENTION_S:
         state.finished.pop(0)
     state.finished.append((sent_at, now))
@@ -112,10 +114,16 @@
 
     The report was received at `received_at`.
     """
-    since = received_at - REPORT_DELAY_S
-    sent = sum(at > since for at in state.sent.values())
-    ended = sum(at > since >= sent_at for sent_at, at in state.finished)
-    return sent - ended
+    since, change = received_at - REPORT_DELAY_S, 0
+    for sent_at in state.sent.values():
+        if sent_at > since:
+            change += 1
+    for sent_at, ended_at in reversed(state.finished):
+        if ended_at <= since:
+            break
+        if sent_at <= since:
+            change -= 1
+    return change
 
 
 def occupancy(state, load, others):
@@ -146,7 +154,9 @@
 
 
 def pending_prompt_tokens(state, mean_pending, load, others, usual_prompt_tokens):
-    """Return an estimate of the prompt tokens that a server has not processed yet.
+    """Return an estimate of the prompt tokens that a server has not read yet.
+
+    It is used where the rate of other entries' sends is not known.
 
     Parameters
     ----------
@@ -159,7 +169,7 @@
         Number of other entries that send requests to the server.
     usual_prompt_tokens : int
     """
-    own = sum(state.pending_prompts.values())
+    own = state.work.to_read
     theirs = others * (CORRELATED_SHARE * own + (1 - CORRELATED_SHARE) * mean_pending)
     reported = load.waiting * usual_prompt_tokens if load else 0
     return max(own + theirs, reported)
--- a/src/carobstand/core/placement.py
+++ b/src/carobstand/core/placement.py
@@ -8,6 +8,7 @@
     health,
     latency_model,
     outstanding,
+    server_work,
 )
 
 REGION_PENALTY_S = 0.03
@@ -76,20 +77,6 @@
     by_region: dict = attrs.field(factory=dict)
 
 
-@attrs.frozen
-class _EngineTimes:
-    """Times of a latency model that one ranking uses for all engines."""
-
-    model: object
-    interval_s: float
-    noise_s: float
-
-
-def _engine_times(model):
-    noise_s = NOISE_PASSES * latency_model.decode_pass_s(model, model.slots)
-    return _EngineTimes(model, latency_model.slot_interval_s(model), noise_s)
-
-
 def rank(
     candidates,
     service,
@@ -130,32 +117,46 @@
     empty = outstanding.Outstanding()
     found = candidates.usable
     states = [in_progress.get(c.server.server_id, empty) for c in found]
-    pending = sum(
-        sum(state.pending_prompts.values()) for state in states if state.pending_prompts
-    )
+    pending = sum(state.work.to_read for state in states)
     mean_pending = pending / max(1, len(found))
     model = service.latency_model if service is not None else None
-    times = _engine_times(model) if model else None
+    times = noise_s = None
+    if model is not None:
+        times = latency_model.times(model, size.prompt_tokens)
+        noise_s = NOISE_PASSES * latency_model.decode_pass_s(model, model.slots)
     name = found[0].server.service if found else ""
     service_s = calibration.service_correction_s(prediction_errors, name, now)
     margin_s = calibration.margin_s(prediction_errors, name, now)
-    choices = []
+    choices, domains = [], {}
     for candidate, state in zip(found, states, strict=True):
         load, server = candidate.load, candidate.server
-        others = _effective_entries(server, location)
+        domain = server.failure_domain
+        if domain not in domains:
+            domains[domain] = (
+                _effective_entries(server, location),
+                _distance_penalty_s(server, location),
+            )
+        others, distance_s = domains[domain]
         occupied = outstanding.occupancy(state, load, others)
         if model is None:
             first_s, wait_s, cost_s = _predict_plain(candidate, occupied, draw)
         else:
-            pending = outstanding.pending_prompt_tokens(
-                state, mean_pending, load, others, model.usual_prompt_tokens
-            )
-            occupied, variance = _add_unreported(
-                occupied, candidate, times, others_sends_per_s, now
+            if load is None or not others_sends_per_s:
+                variance = 0.0
+                pending = outstanding.pending_prompt_tokens(
+                    state, mean_pending, load, others, model.usual_prompt_tokens
+                )
+            else:
+                occupied, variance, pending = _add_unreported(
+                    occupied, candidate, state.work, times, others_sends_per_s, now
+                )
+            ratio = server_work.write_ratio(
+                state.work, occupied, model.usual_answer_tokens
             )
             first_s, wait_s, cost_s = _predict_engine(
-                candidate, times, (occupied, variance), pending, size, draw, now
+                candidate, times, (occupied, variance, pending, ratio), size, now
             )
+            cost_s += draw() * noise_s
         if now + wait_s >= begin_by(candidate.holding):
             reason = eligibility.Reason.OUTDATED_WEIGHTS
             candidates.excluded[server.server_id] = reason
@@ -164,7 +165,7 @@
             prediction_errors, service_s, server.server_id, now
         )
         server_health = healths.get(server.server_id)
-        cost_s += correction_s + _distance_penalty_s(server, location)
+        cost_s += correction_s + distance_s
         if server_health is not None:
             cost_s += health.penalty_s(server_health)
         first_s += correction_s
@@ -199,38 +200,52 @@
     return first_s, wait_s, first_s + request_s * (occupied + draw()) / slots
 
 
-def _add_unreported(occupied, candidate, times, others_sends_per_s, now):
+def _add_unreported(occupied, candidate, work, times, others_sends_per_s, now):
     """Add the requests that other entries began and ended since a report.
 
     Returns
     -------
     occupied, variance : float
         Estimate of the requests at the server, and its variance.
+    pending : float
+        Estimate of the prompt tokens that it has left to read.
     """
-    load = candidate.load
-    if load is None or not others_sends_per_s:
-        return occupied, 0.0
+    load, model = candidate.load, times.model
     age_s = outstanding.unreported_s(load, now)
-    began = outstanding.CROWDING * others_sends_per_s * age_s
-    running = min(1.0, load.running / times.model.slots)
+    per_s = outstanding.CROWDING * others_sends_per_s
+    began = per_s * age_s
+    running = min(1.0, load.running / model.slots)
     ended = running * age_s / (times.interval_s * candidate.slowness)
-    return max(0.0, occupied + began - ended), began + ended
+    pending = server_work.tokens_to_read(
+        work,
+        load.waiting,
+        per_s * min(age_s, server_work.READING_S),
+        model.usual_prompt_tokens,
+    )
+    return max(0.0, occupied + began - ended), began + ended, pending
 
 
-def _predict_engine(candidate, times, occupancy, pending, size, draw, now):
+def _predict_engine(candidate, times, state, size, now):
     """Return first event, wait and cost in s at an engine.
 
-    `occupancy` is an estimate and its variance.
+    Parameters
+    ----------
+    candidate : core.eligibility.Candidate
+    times : core.latency_model.Times
+    state : (float, float, float, float)
+        Requests at the engine, the variance of this number, the prompt tokens that it
+        has left to read, and the ratio of `core.server_work.write_ratio`.
+    size : Size
+    now : float
     """
-    occupied, variance = occupancy
-    model, interval_s, slowness = times.model, times.interval_s, candidate.slowness
-    found = latency_model.predict(
-        model, occupied, pending, size.prompt_tokens, slowness, variance, interval_s
+    occupied, variance, pending, ratio = state
+    model, slowness = times.model, candidate.slowness
+    found = latency_model.predict_with(
+        times, occupied, pending, slowness, variance, ratio
     )
-    noise_s = draw() * times.noise_s
-    # Among engines with free slots, prefer the one with fewer requests.
-    occupancy_cost_s = interval_s * min(1.0, occupied / model.slots)
-    cost_s = found.first_event_s + noise_s + occupancy_cost_s
+    # Among engines with free slots, prefer the one with less work left.
+    cost_s = found.first_event_s
+    cost_s += times.interval_s * ratio * min(1.0, occupied / model.slots)
     if candidate.load is not None and candidate.load.next_load_at is not None:
         ends_at = now + found.first_event_s
         ends_at += slowness * latency_model.answer_s(
--- a/src/carobstand/entry/forwarding.py
+++ b/src/carobstand/entry/forwarding.py
@@ -16,12 +16,14 @@
     entry_roster,
     event_stream,
     exchange,
+    expected_work,
     health,
     latency_model,
     placement,
     queue_policy,
     retry_budget,
     routes,
+    server_work,
 )
 from carobstand.entry import (
     backend_pool,
@@ -69,9 +71,6 @@
 MOVE_MAX_GAP_S = 0.2
 """Maximum predicted gap in a stream that moves."""
 
-UNKNOWN_REMAINING_SHARE = 0.25
-"""Expected remainder of a response longer than estimated, as a share of what it has."""
-
 MOVE_BUDGET_SHARE = 0.4
 """Share of the retry budget that moves may use; the rest is reserved for faults."""
 
@@ -108,6 +107,7 @@
     send_rates : dict of str to core.outstanding.SendRate
         By service.
     prediction_errors : core.calibration.Calibration
+    answer_lengths : core.expected_work.Learned
     budgets : dict of str to core.retry_budget.Budget
         By service.
     queue : entry.queueing.Queue
@@ -135,6 +135,7 @@
     prediction_errors: calibration.Calibration = attrs.field(
         factory=calibration.Calibration
     )
+    answer_lengths: expected_work.Learned = attrs.field(factory=expected_work.Learned)
     budgets: dict = attrs.field(factory=dict)
     queue: queueing.Queue = attrs.field(factory=queueing.Queue)
     loads: engine_load.EngineLoads = attrs.field(factory=engine_load.EngineLoads)
@@ -502,7 +503,8 @@
         report_age_s=chosen.candidate.load
         and round(call.sent_at - chosen.candidate.load.received_at, 3),
         prompt=call.size.prompt_tokens,
-        answer=call.size.answer_tokens,
+        answer=round(call.size.answer_tokens),
+        hint=call.req.answer_hint,
     )
 
 
@@ -578,9 +580,11 @@
         if not events.in_order or events.is_too_long:
             reason = "events out of order" if complete else "an event is too long"
             raise errors.HttpError(reason, step="forward.receive", peer=conn.peer)
-        if events.events > before and not call.has_begun:
-            call.has_begun = True
-            poison_parts.record_answer(fwd, call)
+        if events.events > before:
+            queueing.record_events(fwd, call, chosen, events.events - before)
+            if not call.has_begun:
+                call.has_begun = True
+                poison_parts.record_answer(fwd, call)
         if complete and not call.reply.started:
             await http1_server.start_response_with(
                 call.reply, 200, head.headers, complete
@@ -596,6 +600,7 @@
         raise errors.HttpError(reason, step="forward.receive", peer=conn.peer)
     if not call.reply.started:
         await http1_server.start_response(call.reply, 200, head.headers)
+    queueing.record_answer_length(fwd, call)
     await http1_server.finish_response(call.reply)
     return Outcome.DONE
 
@@ -665,9 +670,8 @@
     if service is None or service.latency_model is None:
         return False
     received_tokens = call.events.events * service.latency_model.steps_per_pass
-    remaining_tokens = max(
-        call.size.answer_tokens - received_tokens,
-        UNKNOWN_REMAINING_SHARE * received_tokens,
+    remaining_tokens = server_work.remaining_tokens(
+        call.size.answer_tokens, received_tokens
     )
     if (
         latency_model.answer_s(service.latency_model, remaining_tokens, load.running)
--- a/src/carobstand/entry/ingress.py
+++ b/src/carobstand/entry/ingress.py
@@ -7,6 +7,7 @@
 
 from carobstand import eventlog, http1_server
 from carobstand.core import (
+    expected_work,
     first_attempts,
     latency_model,
     placement,
@@ -15,7 +16,7 @@
     routes,
     value_density,
 )
-from carobstand.entry import fleet, forwarding
+from carobstand.entry import fleet, forwarding, queueing
 from carobstand.platform import http_headers
 
 DEFAULT_DEADLINE_S = 30.0
@@ -73,15 +74,18 @@
             return await forwarding.refuse(reply, req, 401, "unknown key")
     eventlog.debug("request.accepted", request=req.request_id, route=route.name)
     service = routes.pick_service(route, random.random())
-    size = _size(req, config.services.get(service))
+    parts = poison_parts.shareable(req.prompt_parts)
+    customer_name = customer.name if customer else ""
+    group = queueing.length_group(route, customer_name, parts)
+    size = _size(fwd, req, group, config.services.get(service))
     call = forwarding.Call(
         req=req,
         body=request.body,
         route=route,
         service=service,
-        customer=customer.name if customer else "",
+        customer=customer_name,
         reply=reply,
-        parts=poison_parts.shareable(req.prompt_parts),
+        parts=parts,
         size=size,
         terms=queue_policy.Terms(
             arrived=request.received_at,
@@ -139,15 +143,21 @@
     return fwd.delays[name]
 
 
-def _size(req, service):
+def _size(fwd, req, group, service):
     """Return the size of a generation in tokens.
 
-    The size of its answer is the caller's estimate or the usual one of the service.
+    The size of its answer is the expected one by earlier answers and the caller's
+    estimate; without answers that estimate, or the usual size of the service.
     """
     if service is None or service.latency_model is None:
         return placement.Size()
-    usual_tokens = service.latency_model.usual_answer_tokens
-    answer = req.answer_hint or min(usual_tokens, req.max_answer_tokens or usual_tokens)
+    expected = expected_work.expect(
+        fwd.answer_lengths,
+        *group,
+        req.answer_hint,
+        service.latency_model.usual_answer_tokens,
+    )
+    answer = expected_work.mean_tokens(expected, req.max_answer_tokens)
     return placement.Size(req.prompt_tokens, answer)
 
 
--- a/src/carobstand/entry/queueing.py
+++ b/src/carobstand/entry/queueing.py
@@ -10,11 +10,13 @@
 from carobstand.core import (
     calibration,
     eligibility,
+    expected_work,
     latency_model,
     outstanding,
     placement,
     queue_policy,
     sampling,
+    server_work,
     shortlist,
 )
 from carobstand.entry import fleet, server_limits
@@ -367,7 +369,11 @@
     server_limits.take(fwd.limits, server_id)
     state = fwd.in_progress.setdefault(server_id, outstanding.Outstanding())
     now = anyio.current_time()
-    outstanding.begin(state, call, call.size.prompt_tokens, now)
+    expected = call.size.answer_tokens
+    if call.reply.started:
+        written = call.events.events * _tokens_per_event(fwd, call)
+        expected = server_work.remaining_tokens(expected, written)
+    outstanding.begin(state, call, call.size.prompt_tokens, now, expected)
     rate = fwd.send_rates.setdefault(call.service, outstanding.SendRate())
     outstanding.count_send(rate, now)
 
@@ -390,6 +396,51 @@
         fwd.capacity_freed.notify()
 
 
+def record_events(fwd, call, choice, events):
+    """Record that more events of an answer have arrived."""
+    state = fwd.in_progress[choice.candidate.server.server_id]
+    tokens = events * _tokens_per_event(fwd, call)
+    server_work.record_written(state.work, call, tokens)
+
+
+def record_answer_length(fwd, call):
+    """Learn the length of an answer that is complete.
+
+    A stream that the caller resumed shows only the end of its answer.
+    """
+    service = service_of(fwd, call)
+    if service is None or service.latency_model is None or call.req.resume_after:
+        return
+    tokens = answer_tokens(call.events.events, service.latency_model.steps_per_pass)
+    group = length_group(call.route, call.customer, call.parts)
+    hint = call.req.answer_hint
+    expected_work.observe(fwd.answer_lengths, *group, hint, tokens)
+    eventlog.debug(
+        "answer.completed",
+        request=call.req.request_id,
+        tokens=tokens,
+        expected=round(call.size.answer_tokens),
+        hint=hint,
+    )
+
+
+def length_group(route, customer, parts):
+    """Return the keys of a route, customer and part by which lengths are learned."""
+    return (route.host, route.prefix), customer, parts[-1] if parts else None
+
+
+def answer_tokens(events, tokens_per_event):
+    """Return the expected length of an answer; its last event may hold fewer tokens."""
+    return max(1, events * tokens_per_event - (tokens_per_event - 1) // 2)
+
+
+def _tokens_per_event(fwd, call):
+    service = service_of(fwd, call)
+    if service is None or service.latency_model is None:
+        return 0
+    return service.latency_model.steps_per_pass
+
+
 def end(fwd, call, choice):
     """Free the slot of a request, and wake the evaluation of waiting ones."""
     server_id = choice.candidate.server.server_id
--- a/testing/load_replay.py
+++ b/testing/load_replay.py
@@ -16,11 +16,13 @@
     calibration,
     eligibility,
     engine_load,
+    expected_work,
     outstanding,
     placement,
     queue_policy,
     routes,
     sampling,
+    server_work,
 )
 from testing import platform_builders as build
 
@@ -100,6 +102,7 @@
     in_progress: dict = attrs.field(factory=dict)
     errors: calibration.Calibration = attrs.field(factory=calibration.Calibration)
     rate: outstanding.SendRate = attrs.field(factory=outstanding.SendRate)
+    learned: expected_work.Learned = attrs.field(factory=expected_work.Learned)
 
 
 @attrs.frozen(kw_only=True)
@@ -112,6 +115,8 @@
         Whether the slowness told in responses is used.
     counts_unreported : bool
         Whether unreported sends of other entries are estimated.
+    learns : bool
+        Whether answer lengths are learned and the work left is kept.
     admits : bool
         Whether `queue_policy.decide` holds and rejects requests.
     uses_margin : bool
@@ -120,11 +125,12 @@
 
     uses_told: bool = True
     counts_unreported: bool = True
+    learns: bool = True
     admits: bool = False
     uses_margin: bool = False
 
 
-BEFORE = Policy(uses_told=False, counts_unreported=False)
+BEFORE = Policy(uses_told=False, counts_unreported=False, learns=False)
 
 
 def lognormal(rng, median, sigma):
@@ -278,11 +284,21 @@
         server_id = choice.candidate.server.server_id
         req.choice, req.sent, req.unread = choice, self.now, req.prompt
         state = entry.in_progress.setdefault(server_id, outstanding.Outstanding())
-        outstanding.begin(state, req, req.prompt, self.now)
+        length = self.expected(entry, req)
+        outstanding.begin(state, req, req.prompt, self.now, length)
         outstanding.count_send(entry.rate, self.now)
         engine = self.engines[server_id]
         self.at(self.now + NETWORK_S, self.arrive, engine, entry, req)
 
+    def expected(self, entry, req):
+        """Return the mean of the expected answer length, 0 if nothing is learned."""
+        if not self.policy.learns:
+            return 0
+        found = expected_work.expect(
+            entry.learned, *key_of(req), req.hint, MODEL.usual_answer_tokens
+        )
+        return expected_work.mean_tokens(found)
+
     def arrive(self, engine, entry, req):
         engine.queue.append((req, entry))
         if not engine.is_working:
@@ -319,6 +335,8 @@
             arrives = self.now + NETWORK_S
             if is_first:
                 self.at(arrives, self.first_event, engine, entry, req, load)
+            else:
+                self.at(arrives, self.next_event, engine, entry, req)
             if is_last:
                 self.at(arrives, self.last_event, engine, entry, req)
         self.begin_pass(engine)
@@ -342,11 +360,22 @@
         if self.policy.uses_told:
             engine_load.note_slowness(entry.loads, server.address, slowness, self.now)
 
+    def next_event(self, engine, entry, req):
+        work = entry.in_progress[engine.server.server_id].work
+        if self.policy.learns:
+            server_work.record_written(work, req, MODEL.steps_per_pass)
+
     def last_event(self, engine, entry, req):
+        expected_work.observe(entry.learned, *key_of(req), req.hint, req.answer)
         state = entry.in_progress[engine.server.server_id]
         outstanding.end(state, req, self.now)
 
 
+def key_of(req):
+    """Return route, customer and shared part of a request."""
+    return req.route, str(req.customer), req.part
+
+
 def idle_first_event_s(req):
     return 1.5 * MODEL.steps_per_pass * MODEL.step_s + (
         req.prompt / MODEL.prefill_tokens_per_s
