--- a/src/carobstand/entry/forwarding.py
+++ b/src/carobstand/entry/forwarding.py
@@ -364,7 +364,7 @@
     poison_parts.record_sent(fwd, call)
     try:
         head, data = await _receive_unless_convicted(fwd, call, chosen, conn)
-        queueing.record_response_started(fwd, call, chosen)
+        queueing.record_response_started(fwd, call, chosen, not _says_not_run(head))
         _record_load(fwd, server, head)
         _record_announcements(fwd, call, server, head)
         _log_start(call, chosen, head)
@@ -513,7 +513,7 @@
 
 
 async def _forward_response(fwd, call, chosen, conn, head, data):
-    if head.not_run or head.status == 421:
+    if _says_not_run(head):
         await _read_refusal(conn)
         return Outcome.NOT_RUN
     if _is_stream(call, head):
@@ -521,6 +521,10 @@
     return await _forward_buffered(fwd, call, conn, head)
 
 
+def _says_not_run(head):
+    return head.not_run or head.status == 421
+
+
 async def _read_refusal(conn):
     """Read and discard the body of a rejection to allow reuse of its connection."""
     try:
--- a/src/carobstand/entry/queueing.py
+++ b/src/carobstand/entry/queueing.py
@@ -378,20 +378,24 @@
     outstanding.count_send(rate, now)
 
 
-def record_response_started(fwd, call, choice):
-    """Record that a server has begun its response, and the prediction error."""
+def record_response_started(fwd, call, choice, is_run=True):
+    """Record that a server has begun its response, and the prediction error.
+
+    A response that says that the request was not run tells nothing of the prediction.
+    """
     now = anyio.current_time()
     server = choice.candidate.server
     outstanding.answer_started(fwd.in_progress[server.server_id], call)
-    calibration.observe(
-        fwd.prediction_errors,
-        server.service,
-        server.server_id,
-        choice.first_event_s,
-        now - call.sent_at,
-        now,
-        choice.corrections_s,
-    )
+    if is_run:
+        calibration.observe(
+            fwd.prediction_errors,
+            server.service,
+            server.server_id,
+            choice.first_event_s,
+            now - call.sent_at,
+            now,
+            choice.corrections_s,
+        )
     if fwd.queue.waiters:
         fwd.capacity_freed.notify()
 
--- a/testing/load_replay.py
+++ b/testing/load_replay.py
@@ -130,7 +130,8 @@
     uses_margin: bool = False
 
 
-BEFORE = Policy(uses_told=False, counts_unreported=False, learns=False)
+AFTER = Policy(admits=True)
+BEFORE = attrs.evolve(AFTER, uses_told=False, counts_unreported=False, learns=False)
 
 
 def lognormal(rng, median, sigma):
