Take the estimate of unreported requests out of predictions

Cause: it grew with the age of a report, so all entries preferred the server that had reported last, and got there at the same time. The replay had missed it, as each entry got reports at times of its own there; agents send a report to all entries at once.

Change: predictions and the order of servers use reports as before; the margin alone covers what they do not show. The replay delivers a report to all entries at once.

--- a/src/carobstand/core/calibration.py
+++ b/src/carobstand/core/calibration.py
@@ -91,7 +91,15 @@
     mean.updated = now
 
 
-def observe(state, service, server_id, predicted_s, actual_s, now, applied=None):
+def observe(
+    state,
+    service,
+    server_id,
+    predicted_s,
+    actual_s,
+    now,
+    applied=None,
+):
     """Record the time to the first byte of a request.
 
     Parameters
--- a/src/carobstand/core/placement.py
+++ b/src/carobstand/core/placement.py
@@ -88,7 +88,6 @@
     draw,
     begin_by,
     now,
-    others_sends_per_s=0.0,
 ):
     """Return a `Choice` for each candidate that can start in time, the best first.
 
@@ -110,9 +109,6 @@
     begin_by : callable of (core.registry.Holding or None)
         Returns the latest time at which a request may start on the given weights.
     now : float
-    others_sends_per_s : float
-        Requests that other entries send to an average server of the service, per
-        second; 0 if that is not known.
     """
     empty = outstanding.Outstanding()
     found = candidates.usable
@@ -141,20 +137,14 @@
         if model is None:
             first_s, wait_s, cost_s = _predict_plain(candidate, occupied, draw)
         else:
-            if load is None or not others_sends_per_s:
-                variance = 0.0
-                pending = outstanding.pending_prompt_tokens(
-                    state, mean_pending, load, others, model.usual_prompt_tokens
-                )
-            else:
-                occupied, variance, pending = _add_unreported(
-                    occupied, candidate, state.work, times, others_sends_per_s, now
-                )
+            pending = outstanding.pending_prompt_tokens(
+                state, mean_pending, load, others, model.usual_prompt_tokens
+            )
             ratio = server_work.write_ratio(
                 state.work, occupied, model.usual_answer_tokens
             )
             first_s, wait_s, cost_s = _predict_engine(
-                candidate, times, (occupied, variance, pending, ratio), size, now
+                candidate, times, (occupied, pending, ratio), size, now
             )
             cost_s += draw() * noise_s
         if now + wait_s >= begin_by(candidate.holding):
@@ -200,31 +190,6 @@
     return first_s, wait_s, first_s + request_s * (occupied + draw()) / slots
 
 
-def _add_unreported(occupied, candidate, work, times, others_sends_per_s, now):
-    """Add the requests that other entries began and ended since a report.
-
-    Returns
-    -------
-    occupied, variance : float
-        Estimate of the requests at the server, and its variance.
-    pending : float
-        Estimate of the prompt tokens that it has left to read.
-    """
-    load, model = candidate.load, times.model
-    age_s = outstanding.unreported_s(load, now)
-    per_s = outstanding.CROWDING * others_sends_per_s
-    began = per_s * age_s
-    running = min(1.0, load.running / model.slots)
-    ended = running * age_s / (times.interval_s * candidate.slowness)
-    pending = server_work.tokens_to_read(
-        work,
-        load.waiting,
-        per_s * min(age_s, server_work.READING_S),
-        model.usual_prompt_tokens,
-    )
-    return max(0.0, occupied + began - ended), began + ended, pending
-
-
 def _predict_engine(candidate, times, state, size, now):
     """Return first event, wait and cost in s at an engine.
 
@@ -232,17 +197,15 @@
     ----------
     candidate : core.eligibility.Candidate
     times : core.latency_model.Times
-    state : (float, float, float, float)
-        Requests at the engine, the variance of this number, the prompt tokens that it
-        has left to read, and the ratio of `core.server_work.write_ratio`.
+    state : (float, float, float)
+        Requests at the engine, the prompt tokens that it has left to read, and the
+        ratio of `core.server_work.write_ratio`.
     size : Size
     now : float
     """
-    occupied, variance, pending, ratio = state
+    occupied, pending, ratio = state
     model, slowness = times.model, candidate.slowness
-    found = latency_model.predict_with(
-        times, occupied, pending, slowness, variance, ratio
-    )
+    found = latency_model.predict_with(times, occupied, pending, slowness, ratio)
     # Among engines with free slots, prefer the one with less work left.
     cost_s = found.first_event_s
     cost_s += times.interval_s * ratio * min(1.0, occupied / model.slots)
--- a/src/carobstand/core/server_work.py
+++ b/src/carobstand/core/server_work.py
@@ -11,10 +11,6 @@
 """Expected remainder of an answer that is longer than expected, as a share of what was
 written of it."""
 
-READING_S = 0.12
-"""Time that a prompt waits until it is read, at an engine with a free slot: the rest of
-the pass in progress and the one that reads it."""
-
 MIN_WRITE_RATIO, MAX_WRITE_RATIO = 0.5, 2.0
 """Range of the work left per request relative to the usual one; the requests of other
 entries are estimates, and more extreme values come from their errors."""
@@ -85,22 +81,6 @@
         work.to_write = 0.0
 
 
-def tokens_to_read(work, waiting, began, usual_tokens):
-    """Return the prompt tokens that a server has left to read.
-
-    Parameters
-    ----------
-    work : Work
-    waiting : int
-        Requests that wait at the server by its report.
-    began : float
-        Requests that other entries sent within `READING_S` and no report shows.
-    usual_tokens : int
-        Prompt tokens of a usual request.
-    """
-    return work.to_read + (waiting + began) * usual_tokens
-
-
 def write_ratio(work, occupancy, usual_tokens):
     """Return the answer tokens left per request, relative to the usual number.
 
--- a/src/carobstand/entry/forwarding.py
+++ b/src/carobstand/entry/forwarding.py
@@ -104,8 +104,6 @@
     delays : dict of str to float
         `core.queue_policy.shared_delay_s` by service.
         Cached for the configuration version `delays_version`.
-    send_rates : dict of str to core.outstanding.SendRate
-        By service.
     prediction_errors : core.calibration.Calibration
     answer_lengths : core.expected_work.Learned
     budgets : dict of str to core.retry_budget.Budget
@@ -131,7 +129,6 @@
     sizes: dict = attrs.field(factory=dict)
     delays: dict = attrs.field(factory=dict)
     delays_version: int | None = None
-    send_rates: dict = attrs.field(factory=dict)
     prediction_errors: calibration.Calibration = attrs.field(
         factory=calibration.Calibration
     )
--- a/src/carobstand/entry/queueing.py
+++ b/src/carobstand/entry/queueing.py
@@ -31,10 +31,6 @@
 """Requests of a service that may find no slot in one pass before the rest is skipped;
 each evaluation ranks all servers."""
 
-SERVER_COUNT_INTERVAL_S = 0.25
-"""Interval at which the servers of a service are counted; reports of their weights take
-as long to arrive."""
-
 PLAIN_FIRST_BYTE_S = 0.05
 """Time to the first byte of an idle server without a latency model."""
 
@@ -317,33 +313,10 @@
         random.random,
         lambda holding: fleet.begin_by(fwd.fleet, holding),
         now,
-        _others_sends_per_s(fwd, call.service, entry_location.others, now),
     )
     return choices, found.excluded
 
 
-def _others_sends_per_s(fwd, service, others, now):
-    """Return the sends of other entries to an average engine of a service, per second.
-
-    The others are taken to send as much as this entry.
-    """
-    state = fwd.send_rates.get(service)
-    if state is None:
-        return 0.0
-    if now - state.counted_at > SERVER_COUNT_INTERVAL_S:
-        state.counted_at = now
-        state.servers = sum(
-            server.service == service and _is_serving(fwd.loads, server)
-            for server in fwd.fleet.servers.servers.values()
-        )
-    return others * outstanding.sends_per_s(state, now) / max(1, state.servers)
-
-
-def _is_serving(loads, server):
-    load = loads.by_address.get(server.address)
-    return load is not None and load.holding is not None and not load.is_busy
-
-
 def service_of(fwd, call):
     """Return the `Service` of a call, or None if it is not configured."""
     config = fwd.fleet.configuration
@@ -374,8 +347,6 @@
         written = call.events.events * _tokens_per_event(fwd, call)
         expected = server_work.remaining_tokens(expected, written)
     outstanding.begin(state, call, call.size.prompt_tokens, now, expected)
-    rate = fwd.send_rates.setdefault(call.service, outstanding.SendRate())
-    outstanding.count_send(rate, now)
 
 
 def record_response_started(fwd, call, choice, is_run=True):
--- a/testing/load_replay.py
+++ b/testing/load_replay.py
@@ -101,7 +101,6 @@
     loads: engine_load.EngineLoads = attrs.field(factory=engine_load.EngineLoads)
     in_progress: dict = attrs.field(factory=dict)
     errors: calibration.Calibration = attrs.field(factory=calibration.Calibration)
-    rate: outstanding.SendRate = attrs.field(factory=outstanding.SendRate)
     learned: expected_work.Learned = attrs.field(factory=expected_work.Learned)
 
 
@@ -113,8 +112,6 @@
     ----------
     uses_told : bool
         Whether the slowness told in responses is used.
-    counts_unreported : bool
-        Whether unreported sends of other entries are estimated.
     learns : bool
         Whether answer lengths are learned and the work left is kept.
     admits : bool
@@ -124,14 +121,13 @@
     """
 
     uses_told: bool = True
-    counts_unreported: bool = True
     learns: bool = True
     admits: bool = False
     uses_margin: bool = False
 
 
 AFTER = Policy(admits=True)
-BEFORE = attrs.evolve(AFTER, uses_told=False, counts_unreported=False, learns=False)
+BEFORE = attrs.evolve(AFTER, uses_told=False, learns=False)
 
 
 def lognormal(rng, median, sigma):
@@ -160,7 +156,7 @@
 class Replay:
     """One run; `requests` holds all requests afterwards."""
 
-    def __init__(self, policy, *, seed, load, engines=18, entries=13, duration_s=15.0):
+    def __init__(self, policy, *, seed, load, engines=12, entries=9, duration_s=15.0):
         self.policy, self.now, self.order = policy, 0.0, itertools.count()
         self.rng, self.events = random.Random(seed), []
         self.engines = {}
@@ -182,8 +178,7 @@
             self.at(req.arrived, self.evaluate, entry, req)
         for engine in self.engines.values():
             self.at(self.rng.expovariate(1 / 3.4), self.slow_down, engine)
-            for entry in self.entries:
-                self.report(engine, entry)
+            self.at(self.rng.uniform(0.0, REPORT_S[1]), self.report, engine)
         self.end = duration_s
 
     def at(self, time, func, *args):
@@ -206,7 +201,8 @@
         usual_s = SLOW_S * (1 - SLOW_SHARE) / SLOW_SHARE
         self.at(self.now + self.rng.expovariate(1 / usual_s), self.slow_down, engine)
 
-    def report(self, engine, entry):
+    def report(self, engine):
+        """Send a report, which all entries receive at the same time."""
         engine.number += 1
         load = build.load_report(
             engine.server,
@@ -216,9 +212,9 @@
             slowness=engine.slowness,
             received_at=self.now + NETWORK_S,
         )
-        self.at(self.now + NETWORK_S, engine_load.put, entry.loads, load)
-        interval_s = self.rng.uniform(*REPORT_S)
-        self.at(self.now + interval_s, self.report, engine, entry)
+        for entry in self.entries:
+            self.at(self.now + NETWORK_S, engine_load.put, entry.loads, load)
+        self.at(self.now + self.rng.uniform(*REPORT_S), self.report, engine)
 
     def rank(self, entry, req, servers):
         conditions = eligibility.Conditions(
@@ -228,10 +224,6 @@
             announced=announcements.Announcements(),
         )
         found = eligibility.sort_out(servers, conditions, self.now)
-        sends_per_s = 0.0
-        if self.policy.counts_unreported:
-            own = outstanding.sends_per_s(entry.rate, self.now)
-            sends_per_s = own * self.location.others / len(self.servers)
         return placement.rank(
             found,
             SERVICE,
@@ -243,7 +235,6 @@
             self.rng.random,
             lambda holding: math.inf,
             self.now,
-            sends_per_s,
         )
 
     def best(self, entry, req):
@@ -287,7 +278,6 @@
         state = entry.in_progress.setdefault(server_id, outstanding.Outstanding())
         length = self.expected(entry, req)
         outstanding.begin(state, req, req.prompt, self.now, length)
-        outstanding.count_send(entry.rate, self.now)
         engine = self.engines[server_id]
         self.at(self.now + NETWORK_S, self.arrive, engine, entry, req)
 
