--- a/src/carobstand/core/placement.py
+++ b/src/carobstand/core/placement.py
@@ -8,6 +8,7 @@
     health,
     latency_model,
     outstanding,
+    server_work,
 )
 
 REGION_PENALTY_S = 0.03
@@ -34,7 +35,8 @@
     """A candidate with its predicted times and its cost.
 
     `first_event_s` is the predicted time to the first byte at the server, which the
-    actual one may exceed by `margin_s`. The choice with the lowest `cost_s` is best.
+    actual one may exceed by `margin_s`. It includes `corrections_s`: the correction of
+    the service, and the whole one. The choice with the lowest `cost_s` is best.
     """
 
     candidate: eligibility.Candidate
@@ -43,6 +45,7 @@
     occupancy: float
     cost_s: float
     margin_s: float = 0.0
+    corrections_s: tuple = (0.0, 0.0)
 
 
 @attrs.frozen
@@ -110,39 +113,58 @@
     empty = outstanding.Outstanding()
     found = candidates.usable
     states = [in_progress.get(c.server.server_id, empty) for c in found]
-    pending = sum(
-        sum(state.pending_prompts.values()) for state in states if state.pending_prompts
-    )
+    pending = sum(state.work.to_read for state in states)
     mean_pending = pending / max(1, len(found))
     model = service.latency_model if service is not None else None
-    interval_s = latency_model.slot_interval_s(model) if model else 0.0
-    choices = []
+    times = noise_s = None
+    if model is not None:
+        times = latency_model.times(model, size.prompt_tokens)
+        noise_s = NOISE_PASSES * latency_model.decode_pass_s(model, model.slots)
+    name = found[0].server.service if found else ""
+    service_s = calibration.service_correction_s(prediction_errors, name, now)
+    margin_s = calibration.margin_s(prediction_errors, name, now)
+    choices, domains = [], {}
     for candidate, state in zip(found, states, strict=True):
         load, server = candidate.load, candidate.server
-        others = _effective_entries(server, location)
+        domain = server.failure_domain
+        if domain not in domains:
+            domains[domain] = (
+                _effective_entries(server, location),
+                _distance_penalty_s(server, location),
+            )
+        others, distance_s = domains[domain]
         occupied = outstanding.occupancy(state, load, others)
         if model is None:
-            first_s, wait_s, cost_s = _predict_plain(server, occupied, draw)
+            first_s, wait_s, cost_s = _predict_plain(candidate, occupied, draw)
         else:
             pending = outstanding.pending_prompt_tokens(
                 state, mean_pending, load, others, model.usual_prompt_tokens
             )
+            ratio = server_work.write_ratio(
+                state.work, occupied, model.usual_answer_tokens
+            )
             first_s, wait_s, cost_s = _predict_engine(
-                candidate, model, interval_s, occupied, pending, size, draw, now
+                candidate, times, (occupied, pending, ratio), size, now
             )
+            cost_s += draw() * noise_s
         if now + wait_s >= begin_by(candidate.holding):
             reason = eligibility.Reason.OUTDATED_WEIGHTS
             candidates.excluded[server.server_id] = reason
             continue
-        correction_s = calibration.correction_s(
-            prediction_errors, server.service, server.server_id, now
+        correction_s = calibration.server_correction_s(
+            prediction_errors, service_s, server.server_id, now
         )
         server_health = healths.get(server.server_id)
-        cost_s += correction_s + _distance_penalty_s(server, location)
+        cost_s += correction_s + distance_s
         if server_health is not None:
             cost_s += health.penalty_s(server_health)
         first_s += correction_s
-        choices.append(Choice(candidate, first_s, wait_s, occupied, cost_s))
+        corrections_s = (service_s, correction_s)
+        choices.append(
+            Choice(
+                candidate, first_s, wait_s, occupied, cost_s, margin_s, corrections_s
+            )
+        )
     choices.sort(key=lambda choice: choice.cost_s)
     return choices
 
@@ -158,24 +180,35 @@
     return near + REMOTE_SHARE * remote if location.by_region else location.others
 
 
-def _predict_plain(server, occupied, draw):
+def _predict_plain(candidate, occupied, draw):
     """Return first event, wait and cost in s at a server without a latency model."""
+    server = candidate.server
     slots = max(1, server.slots)
-    wait_s = max(0.0, occupied + 1 - slots) * PLAIN_REQUEST_S / slots
-    first_s = wait_s + PLAIN_REQUEST_S
-    return first_s, wait_s, first_s + PLAIN_REQUEST_S * (occupied + draw()) / slots
-
-
-def _predict_engine(candidate, model, interval_s, occupied, pending, size, draw, now):
-    """Return first event, wait and cost in s at an engine."""
-    slowness = candidate.load.slowness if candidate.load else 1.0
-    found = latency_model.predict(
-        model, occupied, pending, size.prompt_tokens, slowness
-    )
-    noise_s = draw() * NOISE_PASSES * latency_model.decode_pass_s(model, model.slots)
-    # Among engines with free slots, prefer the one with fewer requests.
-    occupancy_cost_s = interval_s * min(1.0, occupied / model.slots)
-    cost_s = found.first_event_s + noise_s + occupancy_cost_s
+    request_s = PLAIN_REQUEST_S * candidate.slowness
+    wait_s = max(0.0, occupied + 1 - slots) * request_s / slots
+    first_s = wait_s + request_s
+    return first_s, wait_s, first_s + request_s * (occupied + draw()) / slots
+
+
+def _predict_engine(candidate, times, state, size, now):
+    """Return first event, wait and cost in s at an engine.
+
+    Parameters
+    ----------
+    candidate : core.eligibility.Candidate
+    times : core.latency_model.Times
+    state : (float, float, float)
+        Requests at the engine, the prompt tokens that it has left to read, and the
+        ratio of `core.server_work.write_ratio`.
+    size : Size
+    now : float
+    """
+    occupied, pending, ratio = state
+    model, slowness = times.model, candidate.slowness
+    found = latency_model.predict_with(times, occupied, pending, slowness, ratio)
+    # Among engines with free slots, prefer the one with less work left.
+    cost_s = found.first_event_s
+    cost_s += times.interval_s * ratio * min(1.0, occupied / model.slots)
     if candidate.load is not None and candidate.load.next_load_at is not None:
         ends_at = now + found.first_event_s
         ends_at += slowness * latency_model.answer_s(
--- a/src/carobstand/entry/forwarding.py
+++ b/src/carobstand/entry/forwarding.py
@@ -17,12 +17,14 @@
     entry_roster,
     event_stream,
     exchange,
+    expected_work,
     health,
     latency_model,
     placement,
     queue_policy,
     retry_budget,
     routes,
+    server_work,
 )
 from carobstand.entry import (
     backend_pool,
@@ -64,9 +66,6 @@
 MOVE_MAX_GAP_S = 0.2
 """Maximum predicted gap in a stream that moves."""
 
-UNKNOWN_REMAINING_SHARE = 0.25
-"""Expected remainder of a response longer than estimated, as a share of what it has."""
-
 MOVE_BUDGET_SHARE = 0.4
 """Share of the retry budget that moves may use; the rest is reserved for faults."""
 
@@ -101,6 +100,7 @@
         `core.queue_policy.shared_delay_s` by service.
         Cached for the configuration version `delays_version`.
     prediction_errors : core.calibration.Calibration
+    answer_lengths : core.expected_work.Learned
     budgets : dict of str to core.retry_budget.Budget
         By service.
     queue : entry.queueing.Queue
@@ -129,6 +129,7 @@
     prediction_errors: calibration.Calibration = attrs.field(
         factory=calibration.Calibration
     )
+    answer_lengths: expected_work.Learned = attrs.field(factory=expected_work.Learned)
     budgets: dict = attrs.field(factory=dict)
     queue: queueing.Queue = attrs.field(factory=queueing.Queue)
     loads: engine_load.EngineLoads = attrs.field(factory=engine_load.EngineLoads)
@@ -385,7 +386,7 @@
     poison_parts.record_sent(fwd, call)
     try:
         head, data = await _receive_unless_convicted(fwd, call, chosen, conn)
-        queueing.record_response_started(fwd, call, chosen)
+        queueing.record_response_started(fwd, call, chosen, not _says_not_run(head))
         _record_load(fwd, server, head)
         _record_announcements(fwd, call, server, head)
         _log_start(call, chosen, head)
@@ -471,14 +472,13 @@
 
 
 def _record_load(fwd, server, head):
-    if head.load is not None:
-        engine_load.update_from_answer(
-            fwd.loads,
-            server,
-            head.load.running,
-            head.load.waiting,
-            anyio.current_time(),
-        )
+    """Record the load that a server tells; ignore a response from another one there."""
+    if head.load is None or head.server_id not in ("", server.server_id):
+        return
+    now, load = anyio.current_time(), head.load
+    engine_load.update_from_answer(fwd.loads, server, load.running, load.waiting, now)
+    if load.slowness is not None:
+        engine_load.note_slowness(fwd.loads, server.address, load.slowness, now)
 
 
 def _record_announcements(fwd, call, server, head):
@@ -515,14 +515,18 @@
         request=call.req.request_id,
         server=chosen.candidate.server.server_id,
         status=head.status,
-        occupancy=chosen.occupancy,
+        occupancy=round(chosen.occupancy, 1),
         predicted_s=round(chosen.first_event_s, 3),
+        margin_s=round(chosen.margin_s, 3),
+        slowness=round(chosen.candidate.slowness, 2),
+        told_slowness=head.load and head.load.slowness,
         took_s=round(now - call.sent_at, 3),
         held_s=round(call.sent_at - call.terms.arrived, 3),
         report_age_s=chosen.candidate.load
         and round(call.sent_at - chosen.candidate.load.received_at, 3),
         prompt=call.size.prompt_tokens,
-        answer=call.size.answer_tokens,
+        answer=round(call.size.answer_tokens),
+        hint=call.req.answer_hint,
     )
 
 
@@ -531,7 +535,7 @@
 
 
 async def _forward_response(fwd, call, chosen, conn, head, data):
-    if head.not_run or head.status == 421:
+    if _says_not_run(head):
         await response_bodies.discard_refusal(conn)
         return Outcome.NOT_RUN
     if _is_stream(call, head):
@@ -539,6 +543,10 @@
     return await _forward_buffered(fwd, call, conn, head)
 
 
+def _says_not_run(head):
+    return head.not_run or head.status == 421
+
+
 async def _forward_buffered(fwd, call, conn, head):
     body = await response_bodies.receive(conn, fwd.bodies)
     try:
@@ -584,9 +592,11 @@
         if not events.in_order or events.is_too_long:
             reason = "events out of order" if complete else "an event is too long"
             raise errors.HttpError(reason, step="forward.receive", peer=conn.peer)
-        if events.events > before and not call.has_begun:
-            call.has_begun = True
-            poison_parts.record_answer(fwd, call)
+        if events.events > before:
+            queueing.record_events(fwd, call, chosen, events.events - before)
+            if not call.has_begun:
+                call.has_begun = True
+                poison_parts.record_answer(fwd, call)
         if complete and not call.reply.started:
             await http1_server.start_response_with(
                 call.reply, 200, head.headers, complete
@@ -602,6 +612,7 @@
         raise errors.HttpError(reason, step="forward.receive", peer=conn.peer)
     if not call.reply.started:
         await http1_server.start_response(call.reply, 200, head.headers)
+    queueing.record_answer_length(fwd, call)
     await http1_server.finish_response(call.reply)
     return Outcome.DONE
 
@@ -671,9 +682,8 @@
     if service is None or service.latency_model is None:
         return False
     received_tokens = call.events.events * service.latency_model.steps_per_pass
-    remaining_tokens = max(
-        call.size.answer_tokens - received_tokens,
-        UNKNOWN_REMAINING_SHARE * received_tokens,
+    remaining_tokens = server_work.remaining_tokens(
+        call.size.answer_tokens, received_tokens
     )
     if (
         latency_model.answer_s(service.latency_model, remaining_tokens, load.running)
--- a/src/carobstand/entry/queueing.py
+++ b/src/carobstand/entry/queueing.py
@@ -10,12 +10,14 @@
 from carobstand.core import (
     calibration,
     eligibility,
+    expected_work,
     latency_model,
     outstanding,
     placement,
     queue_policy,
     routes,
     sampling,
+    server_work,
     shortlist,
 )
 from carobstand.entry import allowed_regions, fleet, server_limits
@@ -165,8 +167,9 @@
         request=call.req.request_id,
         service=call.service,
         best=best and best.candidate.server.server_id,
-        occupancy=best and best.occupancy,
+        occupancy=best and round(best.occupancy, 1),
         predicted_s=best and round(best.first_event_s, 3),
+        margin_s=best and round(best.margin_s, 3),
         report_age_s=best
         and best.candidate.load
         and round(now - best.candidate.load.received_at, 3),
@@ -410,26 +413,81 @@
     server_id = choice.candidate.server.server_id
     server_limits.take(fwd.limits, server_id)
     state = fwd.in_progress.setdefault(server_id, outstanding.Outstanding())
-    outstanding.begin(state, call, call.size.prompt_tokens, anyio.current_time())
+    now = anyio.current_time()
+    expected = call.size.answer_tokens
+    if call.reply.started:
+        written = call.events.events * _tokens_per_event(fwd, call)
+        expected = server_work.remaining_tokens(expected, written)
+    outstanding.begin(state, call, call.size.prompt_tokens, now, expected)
+
 
+def record_response_started(fwd, call, choice, is_run=True):
+    """Record that a server has begun its response, and the prediction error.
 
-def record_response_started(fwd, call, choice):
-    """Record that a server has begun its response, and the prediction error."""
+    A response that says that the request was not run tells nothing of the prediction.
+    """
     now = anyio.current_time()
     server = choice.candidate.server
     outstanding.answer_started(fwd.in_progress[server.server_id], call)
-    calibration.observe(
-        fwd.prediction_errors,
-        server.service,
-        server.server_id,
-        choice.first_event_s,
-        now - call.sent_at,
-        now,
-    )
+    if is_run:
+        calibration.observe(
+            fwd.prediction_errors,
+            server.service,
+            server.server_id,
+            choice.first_event_s,
+            now - call.sent_at,
+            now,
+            choice.corrections_s,
+        )
     if fwd.queue.waiters:
         fwd.capacity_freed.notify()
 
 
+def record_events(fwd, call, choice, events):
+    """Record that more events of an answer have arrived."""
+    state = fwd.in_progress[choice.candidate.server.server_id]
+    tokens = events * _tokens_per_event(fwd, call)
+    server_work.record_written(state.work, call, tokens)
+
+
+def record_answer_length(fwd, call):
+    """Learn the length of an answer that is complete.
+
+    A stream that the caller resumed shows only the end of its answer.
+    """
+    service = service_of(fwd, call)
+    if service is None or service.latency_model is None or call.req.resume_after:
+        return
+    tokens = answer_tokens(call.events.events, service.latency_model.steps_per_pass)
+    group = length_group(call.route, call.customer, call.parts)
+    hint = call.req.answer_hint
+    expected_work.observe(fwd.answer_lengths, *group, hint, tokens)
+    eventlog.debug(
+        "answer.completed",
+        request=call.req.request_id,
+        tokens=tokens,
+        expected=round(call.size.answer_tokens),
+        hint=hint,
+    )
+
+
+def length_group(route, customer, parts):
+    """Return the keys of a route, customer and part by which lengths are learned."""
+    return (route.host, route.prefix), customer, parts[-1] if parts else None
+
+
+def answer_tokens(events, tokens_per_event):
+    """Return the expected length of an answer; its last event may hold fewer tokens."""
+    return max(1, events * tokens_per_event - (tokens_per_event - 1) // 2)
+
+
+def _tokens_per_event(fwd, call):
+    service = service_of(fwd, call)
+    if service is None or service.latency_model is None:
+        return 0
+    return service.latency_model.steps_per_pass
+
+
 def end(fwd, call, choice):
     """Free the slot of a request, and wake the evaluation of waiting ones."""
     server_id = choice.candidate.server.server_id
