Rank servers once per pass for requests of the same kind

A pass over waiting requests ranked all servers for up to 8 requests that found none, and for each sent one. It now ranks for the first request of each kind (service, allowed regions, tried servers, class of prompt size) since one was sent, and decides on the others with that choice.

--- a/src/carobstand/entry/queueing.py
+++ b/src/carobstand/entry/queueing.py
@@ -1,6 +1,7 @@
 """Queue of requests that wait for a backend server with a free slot."""
 
 import collections
+import math
 import random
 
 import anyio
@@ -26,9 +27,9 @@
 MIN_CHECK_INTERVAL_S = 0.005
 """Minimum interval between evaluations; under load, slots are freed continually."""
 
-MAX_FAILED_EVALUATIONS = 8
-"""Requests of a service that may find no slot in one pass before the rest is skipped;
-each evaluation ranks all servers."""
+SIZE_CLASS_FACTOR = 4.0
+"""Ratio between the limits of classes of prompt sizes, for each of which a pass ranks
+the servers once. It bounds the rankings of a pass to three or four."""
 
 PLAIN_FIRST_BYTE_S = 0.05
 """Time to the first byte of an idle server without a latency model."""
@@ -114,26 +115,60 @@
         (waiter for waiter in fwd.queue.waiters if not waiter.done.is_set()),
         key=lambda waiter: _order(fwd, waiter.call, now),
     )
-    failed_evaluations = collections.Counter()
+    rankings, ahead = {}, collections.Counter()
     for waiter in ready:
-        service = waiter.call.service
-        ahead = failed_evaluations[service]
-        if ahead < MAX_FAILED_EVALUATIONS:
-            choice, excluded, verdict = _evaluate(fwd, waiter.call, now, ahead)
-        else:
-            choice, excluded = None, {}
-            verdict = _skipped_verdict(fwd, waiter.call, now, ahead)
+        call = waiter.call
+        best, excluded, verdict = _evaluate_in_pass(
+            fwd, call, now, ahead[call.service], rankings
+        )
         if verdict is queue_policy.Verdict.HOLD:
-            failed_evaluations[service] += 1
+            ahead[call.service] += 1
             continue
         if verdict is queue_policy.Verdict.SEND:
-            waiter.choice = choice
-            begin(fwd, waiter.call, choice)
+            waiter.choice = best
+            begin(fwd, call, best)
+            rankings.clear()
         else:
-            _reject(fwd, waiter.call, choice, excluded)
+            _reject(fwd, call, best, excluded)
         waiter.done.set()
 
 
+def _evaluate_in_pass(fwd, call, now, ahead, rankings):
+    """Return what `_evaluate` returns, with the servers ranked for an earlier call.
+
+    Servers are ranked anew only to send a call, to reject it for want of any server, or
+    for the first call of its kind since one was sent. The rankings of a pass therefore
+    grow with the requests that leave the queue and not with those that wait.
+
+    Parameters
+    ----------
+    rankings : dict of tuple to (core.placement.Choice or None, dict)
+        Best choice and excluded servers by kind of call, since a call was sent.
+    """
+    kind = _kind(fwd, call)
+    if kind in rankings:
+        best, excluded = rankings[kind]
+        verdict = _verdict(fwd, call, best, excluded, now, ahead)
+        is_held = verdict is queue_policy.Verdict.HOLD
+        # Without a choice, a smaller call may fit into the memory of a server.
+        if is_held or (best and verdict is queue_policy.Verdict.REFUSE):
+            return best, excluded, verdict
+    best, excluded = rankings[kind] = _best(fwd, call, now)
+    return best, excluded, _verdict(fwd, call, best, excluded, now, ahead)
+
+
+def _kind(fwd, call):
+    """Return what is equal for calls to which the same server is the best one."""
+    conditions = _conditions(fwd, call)
+    allowed = conditions.allowed_regions
+    return (
+        call.service,
+        None if allowed is None else frozenset(allowed),
+        frozenset(call.tried),
+        int(math.log(max(1, call.size.prompt_tokens), SIZE_CLASS_FACTOR)),
+    )
+
+
 def pressure(fwd, service, now):
     """Return how overloaded a service is, from 0 to 1."""
     return missed_targets.pressure(fwd.outcomes.get(service), now)
@@ -183,11 +218,16 @@
     `ahead` calls of its service are served before.
     """
     best, excluded = _best(fwd, call, now)
+    return best, excluded, _verdict(fwd, call, best, excluded, now, ahead)
+
+
+def _verdict(fwd, call, best, excluded, now, ahead):
+    """Return the `Verdict` on a call, given its best choice or None."""
     if best is None and eligibility.is_hopeless(excluded):
         if not call.terms.is_started:
-            return None, excluded, queue_policy.Verdict.REFUSE
+            return queue_policy.Verdict.REFUSE
     wait_s = permit_wait_s(fwd, call.service, ahead) if best is None else None
-    verdict = queue_policy.decide(
+    return queue_policy.decide(
         call.terms,
         best,
         idle_first_byte_s(fwd, call),
@@ -195,7 +235,6 @@
         wait_s,
         pressure(fwd, call.service, now),
     )
-    return best, excluded, verdict
 
 
 def permit_wait_s(fwd, service, ahead):
@@ -216,18 +255,6 @@
     return server_limits.expected_wait_s(fwd.limits, ready, ahead)
 
 
-def _skipped_verdict(fwd, call, now, ahead):
-    """Return the verdict on a call that is not evaluated, as many found no slot."""
-    wait_s = permit_wait_s(fwd, call.service, ahead)
-    shortest_s = idle_first_byte_s(fwd, call)
-    if wait_s is not None:
-        return queue_policy.decide(call.terms, None, shortest_s, now, wait_s)
-    overload = pressure(fwd, call.service, now)
-    if queue_policy.may_hold(call.terms, shortest_s, now, overload):
-        return queue_policy.Verdict.HOLD
-    return queue_policy.Verdict.REFUSE
-
-
 def _best(fwd, call, now):
     """Return the best choice for a call and the excluded servers.
 
