Share the capacity of an overloaded service over all entries

Entries admitted by their own view: under overload a customer with a twentieth of the traffic paid for the others, and a low priority got capacity at one entry while a high one was rejected at another.

Entries now report demand by priority and customer to the entry that rendezvous hashing names (DemandReport), which answers what to admit (DemandSummary): priorities in order, max-min fair shares by cost among the customers of the marginal one. Requests beyond their share use spare capacity only. Without a fresh answer the next entry is asked, and the own view counts.

--- a/src/carobstand/core/queue_policy.py
+++ b/src/carobstand/core/queue_policy.py
@@ -29,6 +29,10 @@
 """The same for an overloaded service. Late requests at fuller engines delay those that
 can be on time: with 0.75, replays had 8% to 20% fewer answers on time."""
 
+MAX_SPARE_OCCUPANCY = 0.75
+"""Share of an engine's slots up to which it serves requests beyond their share. Replays
+with 0.5 had 2% fewer answers on time."""
+
 MAX_MARGIN_SHARE = 0.7
 """Maximum margin of a prediction, as a share of the time that a request can spare. More
 would reject requests that an engine with few others would answer on time, and no later
@@ -70,6 +74,8 @@
         Maximum delay caused by other requests at the server to which it is sent.
     advance : float
         Value per engine time relative to the mean, from `core.value_density.advance`.
+    is_admitted : bool
+        Whether it is within its customer's share of the capacity.
     """
 
     arrived: float
@@ -79,6 +85,7 @@
     is_started: bool = False
     max_delay_s: float = math.inf
     advance: float = 0.0
+    is_admitted: bool = True
 
 
 def shared_delay_s(targets_s, shortest_s):
@@ -108,7 +115,8 @@
     if terms.is_started:
         return (-1, False, terms.target)
     due = terms.target - ADVANCE_S * terms.advance
-    return (is_late(terms, shortest_s, now), terms.priority, due)
+    is_behind = 2 * is_late(terms, shortest_s, now) or int(not terms.is_admitted)
+    return (is_behind, terms.priority, due)
 
 
 def engine_priority(terms, shortest_s, now):
@@ -121,7 +129,9 @@
         return 0
     if is_late(terms, shortest_s, now):
         return min(FIRST_LATE_PRIORITY + terms.priority, LAST_PRIORITY)
-    return min(1 + terms.priority, FIRST_LATE_PRIORITY - 1)
+    if not terms.is_admitted:
+        return FIRST_LATE_PRIORITY - 1
+    return min(1 + terms.priority, FIRST_LATE_PRIORITY - 2)
 
 
 def _margin_s(terms, best, shortest_s, pressure):
@@ -151,6 +161,8 @@
     if best is None and permit_wait_s is not None:
         return _decide_limited(terms, shortest_s, now, permit_wait_s)
     late = is_late(terms, shortest_s, now)
+    if not terms.is_admitted and not late:
+        return _decide_beyond_share(terms, best, shortest_s, now)
     if best is not None:
         latest = terms.target - _margin_s(terms, best, shortest_s, pressure)
         on_time = now + best.first_event_s + NETWORK_TIME_S <= latest
@@ -168,6 +180,17 @@
     return Verdict.HOLD if is_held else Verdict.REFUSE
 
 
+def _decide_beyond_share(terms, best, shortest_s, now):
+    """Return the `Verdict` for a request that only spare capacity may serve."""
+    if best is None:
+        return Verdict.REFUSE
+    latest = terms.target - _margin_s(terms, best, shortest_s, 1.0)
+    on_time = now + best.first_event_s + NETWORK_TIME_S <= latest
+    slots = max(1, best.candidate.server.slots)
+    is_spare = best.occupancy <= slots * MAX_SPARE_OCCUPANCY
+    return Verdict.SEND if on_time and is_spare else Verdict.REFUSE
+
+
 def _blend(calm, overloaded, pressure):
     return calm + pressure * (overloaded - calm)
 
--- a/src/carobstand/entry/datagrams.py
+++ b/src/carobstand/entry/datagrams.py
@@ -5,6 +5,7 @@
 from carobstand import errors, eventlog
 from carobstand.core import engine_load, registry
 from carobstand.entry import (
+    demand_exchange,
     fleet,
     permit_exchange,
     poison_parts,
@@ -39,6 +40,10 @@
                 poison_parts.on_report(fwd, message, peer[0])
             elif isinstance(message, ttypes.PartQuery):
                 poison_parts.on_query(fwd, message, peer[0])
+            elif isinstance(message, ttypes.DemandReport):
+                demand_exchange.on_report(fwd, message, peer[0])
+            elif isinstance(message, ttypes.DemandSummary):
+                demand_exchange.on_summary(fwd, message, peer[0])
             elif isinstance(message, ttypes.EntryLeaving):
                 permit_exchange.on_leaving(fwd.limits, message)
 
--- a/src/carobstand/entry/forwarding.py
+++ b/src/carobstand/entry/forwarding.py
@@ -25,6 +25,7 @@
 )
 from carobstand.entry import (
     backend_pool,
+    demand_exchange,
     fleet,
     poison_parts,
     poison_requests,
@@ -128,6 +129,7 @@
     capacity_freed : signals.Signal
         Notified when a backend server may have a free slot.
     limits : entry.server_limits.ServerLimits
+    demand : entry.demand_exchange.Demand
     """
 
     fleet: fleet.Fleet
@@ -155,6 +157,7 @@
             lambda self: server_limits.ServerLimits(self.fleet), takes_self=True
         )
     )
+    demand: demand_exchange.Demand = attrs.field(factory=demand_exchange.Demand)
 
 
 @attrs.define(eq=False)
--- a/src/carobstand/entry/platform_main.py
+++ b/src/carobstand/entry/platform_main.py
@@ -9,6 +9,7 @@
 from carobstand.entry import (
     backend_pool,
     datagrams,
+    demand_exchange,
     fleet,
     forwarding,
     ingress,
@@ -46,6 +47,7 @@
     state = fleet.Fleet(dep, kv.connect(dep.store_address))
     fwd = forwarding.Forwarder(state)
     fwd.limits.permit_arrived = functools.partial(queueing.note_permit, fwd)
+    fwd.demand.capacity_of = functools.partial(queueing.known_capacity, fwd)
     ingress_server = ingress.server(fwd)
     readiness_server = readiness.server(state, leaving.is_set)
     cache = weight_cache.WeightCache(state)
@@ -60,6 +62,7 @@
         tg.start_soon(loops.supervise, poison_parts.run, fwd)
         tg.start_soon(loops.supervise, queueing.process_waiters, fwd)
         tg.start_soon(loops.supervise, permit_exchange.run, fwd.limits)
+        tg.start_soon(loops.supervise, demand_exchange.run, fwd)
         tg.start_soon(loops.supervise, _close_idle_connections, fwd)
         tg.start_soon(
             loops.supervise, command.reload_settings_on_hangup, state, hangups
--- a/src/carobstand/entry/queueing.py
+++ b/src/carobstand/entry/queueing.py
@@ -9,6 +9,7 @@
 
 from carobstand import eventlog
 from carobstand.core import (
+    announcements,
     calibration,
     eligibility,
     latency_model,
@@ -18,8 +19,9 @@
     queue_policy,
     sampling,
     shortlist,
+    value_density,
 )
-from carobstand.entry import fleet, server_limits
+from carobstand.entry import demand_exchange, fleet, server_limits
 
 MAX_CHECK_INTERVAL_S = 0.02
 """Maximum interval between evaluations of waiting requests."""
@@ -61,6 +63,9 @@
     The call occupies a slot of the server until `end`.
     """
     waiter = Waiter(call)
+    if not call.attempts_sent and _can_be_on_time(fwd, call):
+        if not demand_exchange.admit(fwd, call):
+            call.terms = attrs.evolve(call.terms, is_admitted=False)
     if not _is_behind(fwd, call):
         choice, excluded, verdict = _evaluate(fwd, call, anyio.current_time(), 0)
         if verdict is queue_policy.Verdict.SEND:
@@ -174,11 +179,19 @@
     return missed_targets.pressure(fwd.outcomes.get(service), now)
 
 
-def _record_outcome(fwd, call, is_met):
-    """Record whether a call met its target, if it could do so when it arrived."""
+def _can_be_on_time(fwd, call):
+    """Whether a call has a target that it could meet when it arrived."""
     terms, shortest_s = call.terms, idle_first_byte_s(fwd, call)
-    if terms.is_started or queue_policy.is_late(terms, shortest_s, terms.arrived):
+    if terms.is_started or not math.isfinite(terms.target):
+        return False
+    return not queue_policy.is_late(terms, shortest_s, terms.arrived)
+
+
+def _record_outcome(fwd, call, is_met, is_answered=True):
+    """Record whether a call met its target, if it could do so when it arrived."""
+    if not _can_be_on_time(fwd, call):
         return
+    demand_exchange.record_outcome(fwd, call, is_met, is_answered)
     state = fwd.outcomes.setdefault(call.service, missed_targets.Outcomes())
     missed_targets.record(state, is_met, anyio.current_time())
 
@@ -186,7 +199,7 @@
 def _reject(fwd, call, best, excluded):
     """Log why a call is rejected; `best` is None if no server was available."""
     now = anyio.current_time()
-    _record_outcome(fwd, call, False)
+    _record_outcome(fwd, call, False, is_answered=False)
     permit_wait = None if best else permit_wait_s(fwd, call.service, 0)
     eventlog.event(
         "request.turned_away",
@@ -203,7 +216,43 @@
         held_s=round(now - call.terms.arrived, 3),
         excluded=eligibility.count_reasons(excluded),
         pressure=round(pressure(fwd, call.service, now), 2),
+        admitted=call.terms.is_admitted,
+    )
+
+
+def known_capacity(fwd, service):
+    """Return the capacity of a service's servers in s of server time per s.
+
+    Returns
+    -------
+    capacity : float or None
+        None if it is not known: servers without a latency model and without limits.
+    """
+    config = fwd.fleet.configuration
+    found = config.services.get(service) if config else None
+    model = found.latency_model if found else None
+    conditions = eligibility.Conditions(
+        service=service,
+        loads=fwd.loads,
+        healths=fwd.healths,
+        announced=fwd.fleet.announced,
+        regions=fwd.fleet.deployment.regions,
+    )
+    now = anyio.current_time()
+    usable = eligibility.sort_out(fwd.fleet.servers.servers, conditions, now).usable
+    capacities = [_server_capacity(fwd, item, model) for item in usable]
+    return None if None in capacities else sum(capacities)
+
+
+def _server_capacity(fwd, candidate, model):
+    limit = announcements.limit_of(fwd.fleet.announced, candidate.server.server_id)
+    if model is None:
+        return limit
+    cost_s = value_density.cost_s(
+        model, model.usual_prompt_tokens, model.usual_answer_tokens
     )
+    slowness = candidate.load.slowness if candidate.load else 1.0
+    return min(1 / max(1.0, slowness), math.inf if limit is None else limit * cost_s)
 
 
 def can_start_within(fwd, call, gap_s):
--- a/src/carobstand/wire/fleet.thrift
+++ b/src/carobstand/wire/fleet.thrift
@@ -91,6 +91,39 @@
   1: string vm
 }
 
+// Requests of one priority and customer that arrive at an entry; in a summary, the part
+// of them to admit.
+struct DemandRow {
+  1: i32 rank                 // priority, 0 first
+  2: string customer
+  3: i32 amount               // demand: ms of server time per s; summary: admitted, 1/1000
+}
+
+// Datagram between entries: what an entry is asked for of one service, to the entry that
+// shares the service's capacity.
+struct DemandReport {
+  1: string name             // of the service
+  2: string vm                // entry that reports, and where it is reached
+  3: string address
+  4: i32 number               // increasing report number of the entry
+  5: list<DemandRow> rows
+  6: i32 met                  // admitted requests since the last report by their outcome
+  7: i32 late
+  8: i32 rejected             // requests that could have been on time
+  9: i32 served               // ms of server time per s of requests that were answered
+}
+
+// Datagram between entries: reply to a report.
+struct DemandSummary {
+  1: string name             // of the service
+  2: i32 number               // of the report
+  3: i32 refresh_ms           // time after which the next report is expected
+  4: i32 capacity             // ms of server time per s
+  5: optional i32 marginal_rank  // lower ranks are admitted, higher ones are not; absent:
+                                 // nothing is restricted
+  6: list<DemandRow> rows     // customers of that rank that are admitted in part
+}
+
 // First frame of a connection: requests the manifest of a version.
 struct ManifestRequest {
   1: string model
@@ -158,4 +191,6 @@
   11: EntryLeaving entry_leaving
   12: PartReport part_report
   13: PartQuery part_query
+  14: DemandReport demand_report
+  15: DemandSummary demand_summary
 }
--- a/src/carobstand/wire/gen_fleet/ttypes.py
+++ b/src/carobstand/wire/gen_fleet/ttypes.py
@@ -1047,6 +1047,360 @@
         return not (self == other)
 
 
+class DemandRow(object):
+    """
+    Attributes:
+     - rank
+     - customer
+     - amount
+
+    """
+
+
+    def __init__(self, rank=None, customer=None, amount=None,):
+        self.rank = rank
+        self.customer = customer
+        self.amount = amount
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I32:
+                    self.rank = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.customer = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I32:
+                    self.amount = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('DemandRow')
+        if self.rank is not None:
+            oprot.writeFieldBegin('rank', TType.I32, 1)
+            oprot.writeI32(self.rank)
+            oprot.writeFieldEnd()
+        if self.customer is not None:
+            oprot.writeFieldBegin('customer', TType.STRING, 2)
+            oprot.writeString(self.customer.encode('utf-8') if sys.version_info[0] == 2 else self.customer)
+            oprot.writeFieldEnd()
+        if self.amount is not None:
+            oprot.writeFieldBegin('amount', TType.I32, 3)
+            oprot.writeI32(self.amount)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class DemandReport(object):
+    """
+    Attributes:
+     - name
+     - vm
+     - address
+     - number
+     - rows
+     - met
+     - late
+     - rejected
+     - served
+
+    """
+
+
+    def __init__(self, name=None, vm=None, address=None, number=None, rows=None, met=None, late=None, rejected=None, served=None,):
+        self.name = name
+        self.vm = vm
+        self.address = address
+        self.number = number
+        self.rows = rows
+        self.met = met
+        self.late = late
+        self.rejected = rejected
+        self.served = served
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.name = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.vm = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.STRING:
+                    self.address = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I32:
+                    self.number = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.LIST:
+                    self.rows = []
+                    (_etype31, _size28) = iprot.readListBegin()
+                    for _i32 in range(_size28):
+                        _elem33 = DemandRow()
+                        _elem33.read(iprot)
+                        self.rows.append(_elem33)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.I32:
+                    self.met = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.I32:
+                    self.late = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 8:
+                if ftype == TType.I32:
+                    self.rejected = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 9:
+                if ftype == TType.I32:
+                    self.served = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('DemandReport')
+        if self.name is not None:
+            oprot.writeFieldBegin('name', TType.STRING, 1)
+            oprot.writeString(self.name.encode('utf-8') if sys.version_info[0] == 2 else self.name)
+            oprot.writeFieldEnd()
+        if self.vm is not None:
+            oprot.writeFieldBegin('vm', TType.STRING, 2)
+            oprot.writeString(self.vm.encode('utf-8') if sys.version_info[0] == 2 else self.vm)
+            oprot.writeFieldEnd()
+        if self.address is not None:
+            oprot.writeFieldBegin('address', TType.STRING, 3)
+            oprot.writeString(self.address.encode('utf-8') if sys.version_info[0] == 2 else self.address)
+            oprot.writeFieldEnd()
+        if self.number is not None:
+            oprot.writeFieldBegin('number', TType.I32, 4)
+            oprot.writeI32(self.number)
+            oprot.writeFieldEnd()
+        if self.rows is not None:
+            oprot.writeFieldBegin('rows', TType.LIST, 5)
+            oprot.writeListBegin(TType.STRUCT, len(self.rows))
+            for iter34 in self.rows:
+                iter34.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.met is not None:
+            oprot.writeFieldBegin('met', TType.I32, 6)
+            oprot.writeI32(self.met)
+            oprot.writeFieldEnd()
+        if self.late is not None:
+            oprot.writeFieldBegin('late', TType.I32, 7)
+            oprot.writeI32(self.late)
+            oprot.writeFieldEnd()
+        if self.rejected is not None:
+            oprot.writeFieldBegin('rejected', TType.I32, 8)
+            oprot.writeI32(self.rejected)
+            oprot.writeFieldEnd()
+        if self.served is not None:
+            oprot.writeFieldBegin('served', TType.I32, 9)
+            oprot.writeI32(self.served)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class DemandSummary(object):
+    """
+    Attributes:
+     - name
+     - number
+     - refresh_ms
+     - capacity
+     - marginal_rank
+     - rows
+
+    """
+
+
+    def __init__(self, name=None, number=None, refresh_ms=None, capacity=None, marginal_rank=None, rows=None,):
+        self.name = name
+        self.number = number
+        self.refresh_ms = refresh_ms
+        self.capacity = capacity
+        self.marginal_rank = marginal_rank
+        self.rows = rows
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.name = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I32:
+                    self.number = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I32:
+                    self.refresh_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I32:
+                    self.capacity = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.I32:
+                    self.marginal_rank = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.LIST:
+                    self.rows = []
+                    (_etype38, _size35) = iprot.readListBegin()
+                    for _i39 in range(_size35):
+                        _elem40 = DemandRow()
+                        _elem40.read(iprot)
+                        self.rows.append(_elem40)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('DemandSummary')
+        if self.name is not None:
+            oprot.writeFieldBegin('name', TType.STRING, 1)
+            oprot.writeString(self.name.encode('utf-8') if sys.version_info[0] == 2 else self.name)
+            oprot.writeFieldEnd()
+        if self.number is not None:
+            oprot.writeFieldBegin('number', TType.I32, 2)
+            oprot.writeI32(self.number)
+            oprot.writeFieldEnd()
+        if self.refresh_ms is not None:
+            oprot.writeFieldBegin('refresh_ms', TType.I32, 3)
+            oprot.writeI32(self.refresh_ms)
+            oprot.writeFieldEnd()
+        if self.capacity is not None:
+            oprot.writeFieldBegin('capacity', TType.I32, 4)
+            oprot.writeI32(self.capacity)
+            oprot.writeFieldEnd()
+        if self.marginal_rank is not None:
+            oprot.writeFieldBegin('marginal_rank', TType.I32, 5)
+            oprot.writeI32(self.marginal_rank)
+            oprot.writeFieldEnd()
+        if self.rows is not None:
+            oprot.writeFieldBegin('rows', TType.LIST, 6)
+            oprot.writeListBegin(TType.STRUCT, len(self.rows))
+            for iter41 in self.rows:
+                iter41.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class ManifestRequest(object):
     """
     Attributes:
@@ -1592,11 +1946,11 @@
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.items = []
-                    (_etype31, _size28) = iprot.readListBegin()
-                    for _i32 in range(_size28):
-                        _elem33 = NewsItem()
-                        _elem33.read(iprot)
-                        self.items.append(_elem33)
+                    (_etype45, _size42) = iprot.readListBegin()
+                    for _i46 in range(_size42):
+                        _elem47 = NewsItem()
+                        _elem47.read(iprot)
+                        self.items.append(_elem47)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1637,8 +1991,8 @@
         if self.items is not None:
             oprot.writeFieldBegin('items', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.items))
-            for iter34 in self.items:
-                iter34.write(oprot)
+            for iter48 in self.items:
+                iter48.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.age_ms is not None:
@@ -1691,11 +2045,13 @@
      - entry_leaving
      - part_report
      - part_query
+     - demand_report
+     - demand_summary
 
     """
 
 
-    def __init__(self, engine_load=None, failed_run=None, manifest_request=None, manifest_reply=None, block_request=None, block_reply=None, news_request=None, news_reply=None, permit_request=None, permit_reply=None, entry_leaving=None, part_report=None, part_query=None,):
+    def __init__(self, engine_load=None, failed_run=None, manifest_request=None, manifest_reply=None, block_request=None, block_reply=None, news_request=None, news_reply=None, permit_request=None, permit_reply=None, entry_leaving=None, part_report=None, part_query=None, demand_report=None, demand_summary=None,):
         self.engine_load = engine_load
         self.failed_run = failed_run
         self.manifest_request = manifest_request
@@ -1709,6 +2065,8 @@
         self.entry_leaving = entry_leaving
         self.part_report = part_report
         self.part_query = part_query
+        self.demand_report = demand_report
+        self.demand_summary = demand_summary
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1797,6 +2155,18 @@
                     self.part_query.read(iprot)
                 else:
                     iprot.skip(ftype)
+            elif fid == 14:
+                if ftype == TType.STRUCT:
+                    self.demand_report = DemandReport()
+                    self.demand_report.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            elif fid == 15:
+                if ftype == TType.STRUCT:
+                    self.demand_summary = DemandSummary()
+                    self.demand_summary.read(iprot)
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1859,6 +2229,14 @@
             oprot.writeFieldBegin('part_query', TType.STRUCT, 13)
             self.part_query.write(oprot)
             oprot.writeFieldEnd()
+        if self.demand_report is not None:
+            oprot.writeFieldBegin('demand_report', TType.STRUCT, 14)
+            self.demand_report.write(oprot)
+            oprot.writeFieldEnd()
+        if self.demand_summary is not None:
+            oprot.writeFieldBegin('demand_summary', TType.STRUCT, 15)
+            self.demand_summary.write(oprot)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1964,6 +2342,36 @@
     None,  # 0
     (1, TType.STRING, 'vm', 'UTF8', None, ),  # 1
 )
+all_structs.append(DemandRow)
+DemandRow.thrift_spec = (
+    None,  # 0
+    (1, TType.I32, 'rank', None, None, ),  # 1
+    (2, TType.STRING, 'customer', 'UTF8', None, ),  # 2
+    (3, TType.I32, 'amount', None, None, ),  # 3
+)
+all_structs.append(DemandReport)
+DemandReport.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'name', 'UTF8', None, ),  # 1
+    (2, TType.STRING, 'vm', 'UTF8', None, ),  # 2
+    (3, TType.STRING, 'address', 'UTF8', None, ),  # 3
+    (4, TType.I32, 'number', None, None, ),  # 4
+    (5, TType.LIST, 'rows', (TType.STRUCT, [DemandRow, None], False), None, ),  # 5
+    (6, TType.I32, 'met', None, None, ),  # 6
+    (7, TType.I32, 'late', None, None, ),  # 7
+    (8, TType.I32, 'rejected', None, None, ),  # 8
+    (9, TType.I32, 'served', None, None, ),  # 9
+)
+all_structs.append(DemandSummary)
+DemandSummary.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'name', 'UTF8', None, ),  # 1
+    (2, TType.I32, 'number', None, None, ),  # 2
+    (3, TType.I32, 'refresh_ms', None, None, ),  # 3
+    (4, TType.I32, 'capacity', None, None, ),  # 4
+    (5, TType.I32, 'marginal_rank', None, None, ),  # 5
+    (6, TType.LIST, 'rows', (TType.STRUCT, [DemandRow, None], False), None, ),  # 6
+)
 all_structs.append(ManifestRequest)
 ManifestRequest.thrift_spec = (
     None,  # 0
@@ -2035,6 +2443,8 @@
     (11, TType.STRUCT, 'entry_leaving', [EntryLeaving, None], None, ),  # 11
     (12, TType.STRUCT, 'part_report', [PartReport, None], None, ),  # 12
     (13, TType.STRUCT, 'part_query', [PartQuery, None], None, ),  # 13
+    (14, TType.STRUCT, 'demand_report', [DemandReport, None], None, ),  # 14
+    (15, TType.STRUCT, 'demand_summary', [DemandSummary, None], None, ),  # 15
 )
 fix_spec(all_structs)
 del all_structs
--- a/testing/overload_replay.py
+++ b/testing/overload_replay.py
@@ -6,6 +6,7 @@
 """
 
 import collections
+import functools
 import heapq
 import itertools
 import random
@@ -31,6 +32,8 @@
 )
 from carobstand.entry import fleet as fleets
 from carobstand.entry import forwarding, ingress, queueing
+from carobstand.wire import fleet_codec
+from carobstand.wire.gen_fleet import ttypes
 from testing import platform_builders as build
 from testing import virtual_time
 
@@ -151,6 +154,7 @@
     errors: dict = attrs.field(factory=dict)
     datagrams: int = 0
     bytes_sent: int = 0
+    unreachable: set = attrs.field(factory=set)
 
 
 def _service():
@@ -172,6 +176,36 @@
     return forwarding.Forwarder(fleet)
 
 
+async def _run_exchange(replay, fwd):
+    """Exchange demand with the other entries, if the program does so."""
+    exchange_module = getattr(queueing, "demand_exchange", None)
+    if exchange_module is None:
+        return
+    fwd.demand.capacity_of = functools.partial(queueing.known_capacity, fwd)
+    replay.tasks.start_soon(exchange_module.run, fwd)
+    while True:
+        outbox, fwd.limits.outbox = fwd.limits.outbox, []
+        for address, message in outbox:
+            raw = fleet_codec.encode(message)
+            replay.datagrams += 1
+            replay.bytes_sent += len(raw)
+            replay.tasks.start_soon(_deliver_datagram, replay, address, raw)
+        await anyio.sleep(0.02)
+
+
+async def _deliver_datagram(replay, address, raw):
+    await anyio.sleep(replay.draw.uniform(0.002, REPORT_DELAY_S))
+    if address in replay.unreachable:
+        return
+    message = fleet_codec.decode(raw)
+    for fwd in replay.entries:
+        if address.startswith(f"{fwd.fleet.deployment.ip}:"):
+            if isinstance(message, ttypes.DemandReport):
+                queueing.demand_exchange.on_report(fwd, message, "peer")
+            else:
+                queueing.demand_exchange.on_summary(fwd, message, "peer")
+
+
 async def _report(replay, engine):
     number = itertools.count(1)
     await anyio.sleep(replay.draw.uniform(0, REPORT_INTERVAL_S))
@@ -344,16 +378,17 @@
                 tg.start_soon(_report, replay, engine)
             for fwd in replay.entries:
                 tg.start_soon(queueing.process_waiters, fwd)
+                tg.start_soon(_run_exchange, replay, fwd)
             for source in sources:
                 tg.start_soon(_callers, replay, source, seconds)
             if disturb is not None:
                 tg.start_soon(disturb, replay)
-            await anyio.sleep(seconds + DEADLINE_S + 2)
+            await anyio.sleep(seconds + DEADLINE_S)
             tg.cancel_scope.cancel()
     return replay.requests
 
 
-def run(sources, engines=10, entries=8, seconds=16, seed=1, disturb=None):
+def run(sources, engines=10, entries=8, seconds=13, seed=1, disturb=None):
     """Return the `Request` objects of a replay."""
     return virtual_time.run(_replay, sources, engines, entries, seconds, seed, disturb)
 
@@ -362,7 +397,7 @@
 """Requests that an engine answers on time each second, if all are spread evenly."""
 
 
-def capacity_halved(seed=1, engines=10):
+def capacity_halved(seed=1, engines=10, entries=8):
     """Half of the engines load nothing and take nothing for 8 s."""
 
     async def disturb(replay):
@@ -379,7 +414,7 @@
         Source(customer, priority, lambda _, s=share: per_s * s)
         for customer, priority, share in MIX
     ]
-    return run(sources, engines, seed=seed, disturb=disturb)
+    return run(sources, engines, entries, seed=seed, disturb=disturb)
 
 
 MIX = (
@@ -394,7 +429,7 @@
 """Customer, priority and share of the traffic."""
 
 
-def priority_bursting(seed=1, engines=10):
+def priority_bursting(seed=1, engines=10, entries=8):
     """Priority 1 rises to 2.5 times its rate for 8 s."""
     per_s = 0.8 * CAPACITY_PER_S * engines
 
@@ -406,17 +441,17 @@
         return at
 
     sources = [Source(name, rank, rate(rank, share)) for name, rank, share in MIX]
-    return run(sources, engines, seed=seed)
+    return run(sources, engines, entries, seed=seed)
 
 
-def customer_dominating(seed=1, engines=10):
+def customer_dominating(seed=1, engines=10, entries=8):
     """One of five customers sends two thirds of 1.7 times the capacity."""
     per_s = 1.7 * CAPACITY_PER_S * engines
     shares = {"large": 2 / 3, "b": 0.15, "c": 0.1, "d": 0.05, "e": 1 / 30}
     sources = [
         Source(name, 1, lambda _, s=share: per_s * s) for name, share in shares.items()
     ]
-    return run(sources, engines, seed=seed)
+    return run(sources, engines, entries, seed=seed)
 
 
 async def slow_down(replay):
@@ -427,14 +462,14 @@
         await anyio.sleep(0.6)
 
 
-def uneven(seed=1, engines=10, load=0.75):
+def uneven(seed=1, engines=10, entries=8, load=0.75):
     """Engines slow down for 0.6 s at a time, below their capacity."""
     per_s = load * CAPACITY_PER_S * engines
     sources = [
         Source(customer, priority, lambda _, s=share: per_s * s)
         for customer, priority, share in MIX
     ]
-    return run(sources, engines, seed=seed, disturb=slow_down)
+    return run(sources, engines, entries, seed=seed, disturb=slow_down)
 
 
 REPLAYS = {
