--- a/src/carobstand/entry/queueing.py
+++ b/src/carobstand/entry/queueing.py
@@ -1,6 +1,7 @@
 """Queue of requests that wait for a backend server with a free slot."""
 
 import collections
+import math
 import random
 
 import anyio
@@ -8,10 +9,12 @@
 
 from carobstand import eventlog
 from carobstand.core import (
+    announcements,
     calibration,
     eligibility,
     expected_work,
     latency_model,
+    missed_targets,
     outstanding,
     placement,
     queue_policy,
@@ -19,8 +22,9 @@
     sampling,
     server_work,
     shortlist,
+    value_density,
 )
-from carobstand.entry import allowed_regions, fleet, server_limits
+from carobstand.entry import allowed_regions, demand_exchange, fleet, server_limits
 
 MAX_CHECK_INTERVAL_S = 0.02
 """Maximum interval between evaluations of waiting requests."""
@@ -28,9 +32,9 @@
 MIN_CHECK_INTERVAL_S = 0.005
 """Minimum interval between evaluations; under load, slots are freed continually."""
 
-MAX_FAILED_EVALUATIONS = 8
-"""Requests of a service that may find no slot in one pass before the rest is skipped;
-each evaluation ranks all servers."""
+SIZE_CLASS_FACTOR = 4.0
+"""Ratio between the limits of classes of prompt sizes, for each of which a pass ranks
+the servers once. It bounds the rankings of a pass to three or four."""
 
 MAX_SHORTLISTS = 64
 """Maximum number of shortlists of a service, one for each set of allowed regions; all
@@ -66,13 +70,16 @@
     The call occupies a slot of the server until `end`.
     """
     waiter = Waiter(call)
+    if not call.attempts_sent and _can_be_on_time(fwd, call):
+        if not demand_exchange.admit(fwd, call):
+            call.terms = attrs.evolve(call.terms, is_admitted=False)
     if not _is_behind(fwd, call):
         choice, excluded, verdict = _evaluate(fwd, call, anyio.current_time(), 0)
         if verdict is queue_policy.Verdict.SEND:
             begin(fwd, call, choice)
             return choice
         if verdict is queue_policy.Verdict.REFUSE:
-            _log_rejection(fwd, call, choice, excluded)
+            _reject(fwd, call, choice, excluded)
             return None
     fwd.queue.waiters.append(waiter)
     fwd.capacity_freed.notify()
@@ -108,7 +115,7 @@
 
 
 def _order(fwd, call, now):
-    return queue_policy.sort_key(call.terms, _idle_first_byte_s(fwd, call), now)
+    return queue_policy.sort_key(call.terms, idle_first_byte_s(fwd, call), now)
 
 
 async def process_waiters(fwd):
@@ -128,39 +135,95 @@
         (waiter for waiter in fwd.queue.waiters if not waiter.done.is_set()),
         key=lambda waiter: _order(fwd, waiter.call, now),
     )
-    failed_evaluations = collections.Counter()
+    rankings, ahead = {}, collections.Counter()
     for waiter in ready:
-        service = waiter.call.service
-        regions = allowed_regions.of_call(fwd.fleet, waiter.call)
-        ahead = _count_ahead(failed_evaluations, service, regions)
-        if failed_evaluations[service, regions] < MAX_FAILED_EVALUATIONS:
-            choice, excluded, verdict = _evaluate(fwd, waiter.call, now, ahead)
-        else:
-            choice, excluded = None, {}
-            verdict = _skipped_verdict(fwd, waiter.call, now, ahead)
+        call = waiter.call
+        regions = allowed_regions.of_call(fwd.fleet, call)
+        before = _count_ahead(ahead, call.service, regions)
+        best, excluded, verdict = _evaluate_in_pass(fwd, call, now, before, rankings)
         if verdict is queue_policy.Verdict.HOLD:
-            failed_evaluations[service, regions] += 1
+            ahead[call.service, regions] += 1
             continue
         if verdict is queue_policy.Verdict.SEND:
-            waiter.choice = choice
-            begin(fwd, waiter.call, choice)
+            waiter.choice = best
+            begin(fwd, call, best)
+            rankings.clear()
         else:
-            _log_rejection(fwd, waiter.call, choice, excluded)
+            _reject(fwd, call, best, excluded)
         waiter.done.set()
 
 
-def _count_ahead(failed_evaluations, service, regions):
+def _count_ahead(held, service, regions):
     """Return how many of the calls that found no slot wait for the same servers."""
     return sum(
         count
-        for (name, others), count in failed_evaluations.items()
+        for (name, others), count in held.items()
         if name == service and routes.share_regions(regions, others)
     )
 
 
-def _log_rejection(fwd, call, best, excluded):
-    """Log why a request is rejected; `best` is None if no server was available."""
+def _evaluate_in_pass(fwd, call, now, ahead, rankings):
+    """Return what `_evaluate` returns, with the servers ranked for an earlier call.
+
+    Servers are ranked anew only to send a call, to reject it for want of any server, or
+    for the first call of its kind since one was sent. The rankings of a pass therefore
+    grow with the requests that leave the queue and not with those that wait.
+
+    Parameters
+    ----------
+    rankings : dict of tuple to (core.placement.Choice or None, dict)
+        Best choice and excluded servers by kind of call, since a call was sent.
+    """
+    kind = _kind(fwd, call)
+    if kind in rankings:
+        best, excluded = rankings[kind]
+        verdict = _verdict(fwd, call, best, excluded, now, ahead)
+        is_held = verdict is queue_policy.Verdict.HOLD
+        # Without a choice, a smaller call may fit into the memory of a server.
+        if is_held or (best and verdict is queue_policy.Verdict.REFUSE):
+            return best, excluded, verdict
+    best, excluded = rankings[kind] = _best(fwd, call, now)
+    return best, excluded, _verdict(fwd, call, best, excluded, now, ahead)
+
+
+def _kind(fwd, call):
+    """Return what is equal for calls to which the same server is the best one."""
+    conditions = _conditions(fwd, call)
+    allowed = conditions.allowed_regions
+    return (
+        call.service,
+        None if allowed is None else frozenset(allowed),
+        frozenset(call.tried),
+        int(math.log(max(1, call.size.prompt_tokens), SIZE_CLASS_FACTOR)),
+    )
+
+
+def pressure(fwd, service, now):
+    """Return how overloaded a service is, from 0 to 1."""
+    return missed_targets.pressure(fwd.outcomes.get(service), now)
+
+
+def _can_be_on_time(fwd, call):
+    """Whether a call has a target that it could meet when it arrived."""
+    terms, shortest_s = call.terms, idle_first_byte_s(fwd, call)
+    if terms.is_started or not math.isfinite(terms.target):
+        return False
+    return not queue_policy.is_late(terms, shortest_s, terms.arrived)
+
+
+def _record_outcome(fwd, call, is_met, is_answered=True):
+    """Record whether a call met its target, if it could do so when it arrived."""
+    if not _can_be_on_time(fwd, call):
+        return
+    demand_exchange.record_outcome(fwd, call, is_met, is_answered)
+    state = fwd.outcomes.setdefault(call.service, missed_targets.Outcomes())
+    missed_targets.record(state, is_met, anyio.current_time())
+
+
+def _reject(fwd, call, best, excluded):
+    """Log why a call is rejected; `best` is None if no server was available."""
     now = anyio.current_time()
+    _record_outcome(fwd, call, False, is_answered=False)
     permit_wait = None if best else permit_wait_s(fwd, call, 0)
     eventlog.event(
         "request.turned_away",
@@ -177,7 +240,44 @@
         left_s=round(min(call.terms.target, call.terms.deadline) - now, 3),
         held_s=round(now - call.terms.arrived, 3),
         excluded=eligibility.count_reasons(excluded),
+        pressure=round(pressure(fwd, call.service, now), 2),
+        admitted=call.terms.is_admitted,
+    )
+
+
+def known_capacity(fwd, service):
+    """Return the capacity of a service's servers in s of server time per s.
+
+    Returns
+    -------
+    capacity : float or None
+        None if it is not known: servers without a latency model and without limits.
+    """
+    config = fwd.fleet.configuration
+    found = config.services.get(service) if config else None
+    model = found.latency_model if found else None
+    conditions = eligibility.Conditions(
+        service=service,
+        loads=fwd.loads,
+        healths=fwd.healths,
+        announced=fwd.fleet.announced,
+        regions=fwd.fleet.deployment.regions,
     )
+    now = anyio.current_time()
+    usable = eligibility.sort_out(fwd.fleet.servers.servers, conditions, now).usable
+    capacities = [_server_capacity(fwd, item, model) for item in usable]
+    return None if None in capacities else sum(capacities)
+
+
+def _server_capacity(fwd, candidate, model):
+    limit = announcements.limit_of(fwd.fleet.announced, candidate.server.server_id)
+    if model is None:
+        return limit
+    cost_s = value_density.cost_s(
+        model, model.usual_prompt_tokens, model.usual_answer_tokens
+    )
+    slowness = candidate.load.slowness if candidate.load else 1.0
+    return min(1 / max(1.0, slowness), math.inf if limit is None else limit * cost_s)
 
 
 def can_start_within(fwd, call, gap_s):
@@ -192,15 +292,24 @@
     `ahead` calls of its service are served before.
     """
     best, excluded = _best(fwd, call, now)
+    return best, excluded, _verdict(fwd, call, best, excluded, now, ahead)
+
+
+def _verdict(fwd, call, best, excluded, now, ahead):
+    """Return the `Verdict` on a call, given its best choice or None."""
     regions = allowed_regions.of_call(fwd.fleet, call)
     if best is None and eligibility.is_hopeless(excluded, regions):
         if not call.terms.is_started:
-            return None, excluded, queue_policy.Verdict.REFUSE
+            return queue_policy.Verdict.REFUSE
     wait_s = permit_wait_s(fwd, call, ahead) if best is None else None
-    verdict = queue_policy.decide(
-        call.terms, best, _idle_first_byte_s(fwd, call), now, wait_s
+    return queue_policy.decide(
+        call.terms,
+        best,
+        idle_first_byte_s(fwd, call),
+        now,
+        wait_s,
+        pressure(fwd, call.service, now),
     )
-    return best, excluded, verdict
 
 
 def permit_wait_s(fwd, call, ahead):
@@ -245,17 +354,6 @@
     return eligibility.location_reason(known, _conditions(fwd, call))
 
 
-def _skipped_verdict(fwd, call, now, ahead):
-    """Return the verdict on a call that is not evaluated, as many found no slot."""
-    wait_s = permit_wait_s(fwd, call, ahead)
-    shortest_s = _idle_first_byte_s(fwd, call)
-    if wait_s is not None:
-        return queue_policy.decide(call.terms, None, shortest_s, now, wait_s)
-    if queue_policy.may_hold(call.terms, shortest_s, now):
-        return queue_policy.Verdict.HOLD
-    return queue_policy.Verdict.REFUSE
-
-
 def _best(fwd, call, now):
     """Return the best choice for a call and the excluded servers.
 
@@ -321,9 +419,9 @@
     picked = {key: known[key] for key in random.sample(near, count)}
     choices, _ = _rank(fwd, call, picked, now)
     left_s = call.terms.target - queue_policy.NETWORK_TIME_S - now
-    idle_first_byte_s = _idle_first_byte_s(fwd, call)
+    shortest_s = idle_first_byte_s(fwd, call)
     if choices and sampling.is_good_enough(
-        choices[0].first_event_s, idle_first_byte_s, left_s
+        choices[0].first_event_s, shortest_s, left_s
     ):
         return choices[0]
     return None
@@ -395,7 +493,7 @@
     return config.services.get(call.service) if config else None
 
 
-def _idle_first_byte_s(fwd, call):
+def idle_first_byte_s(fwd, call):
     """Return the predicted time to the first byte of a call at an idle server."""
     if call.idle_first_byte_s is None:
         call.idle_first_byte_s = PLAIN_FIRST_BYTE_S
@@ -428,6 +526,9 @@
     """
     now = anyio.current_time()
     server = choice.candidate.server
+    if call.attempts_sent <= 1:
+        arrives_at = now + queue_policy.NETWORK_TIME_S / 2
+        _record_outcome(fwd, call, arrives_at <= call.terms.target)
     outstanding.answer_started(fwd.in_progress[server.server_id], call)
     if is_run:
         calibration.observe(
