--- a/testing/platform_builders.py
+++ b/testing/platform_builders.py
@@ -43,7 +43,13 @@
         "internal_port_range": [7700, 7715],
         "heartbeat_interval_ms": 1200,
         "limits": {"memory_mb": 300, "link_mbps": 8.0},
-        "bounds": {"drain_ms": 2000, "grace_s": 8, "retry_budget_slack": 106},
+        "bounds": {
+            "drain_ms": 2000,
+            "grace_s": 8,
+            "retry_budget_slack": 106,
+            "warmup_overshoot": 1.2,
+            "warmup_slack": 7,
+        },
         "platform": {"address": "127.0.0.1:8007", "min_ttl_ms": 1000},
     }
     return {**record, **changes}
@@ -101,6 +107,8 @@
             {
                 "name": "weights",
                 "origin": "127.0.0.1:8006",
+                "warmup_s": 3,
+                "warmup_per_s": 26,
                 "zone": "a",
                 "link_mbps": 7.3,
                 "max_connections": 48,
--- a/testing/test_records.py
+++ b/testing/test_records.py
@@ -24,6 +24,7 @@
     assert dep.internal_ports == (7700, 7715)
     assert dep.bounds.drain_s == 2.0
     assert dep.bounds.retry_slack == 106
+    assert (dep.bounds.warmup_overshoot, dep.bounds.warmup_slack) == (1.2, 7)
     assert dep.link_bytes_per_s == 1e6
 
 
@@ -80,6 +81,9 @@
     assert config.customers["k2"].name == "acme"
     assert config.needs_keys
     assert config.services["drafter"].latency_model.slots == 16
+    assert config.services["drafter"].warmup_per_s == 0.0
+    assert config.services["weights"].warmup_s == 3.0
+    assert config.services["weights"].warmup_per_s == 26.0
     assert config.services["drafter"].weights.pieces == 96
     assert config.services["weights"].origin.address == "127.0.0.1:8006"
     assert config.limits.idle_timeout_s == 15.0
@@ -108,6 +112,8 @@
         {"routes": {}},
         {"tenants": [{"name": "acme", "api_keys": [1]}]},
         {"services": [{"name": 1}]},
+        {"services": [{"name": "x", "warmup_per_s": -1}]},
+        {"services": [{"name": "x", "warmup_s": float("nan")}]},
     ],
 )
 def test_a_configuration_with_wrong_types_is_rejected(changes):
