--- a/testing/cold_builders.py
+++ b/testing/cold_builders.py
@@ -4,8 +4,9 @@
 
 import anyio
 
-from carobstand.core import routes
+from carobstand.core import routes, weight_sources
 from carobstand.entry import fleet as fleets
+from carobstand.entry import forwarding
 from carobstand.platform import kv
 from carobstand.standin.platform import engine
 from testing import limit_simulation as simulation
@@ -57,9 +58,9 @@
     return virtual_time.run(run)
 
 
-def fleet(warmup_s=3.0, per_s=26.0, is_first_read=False):
+def fleet(warmup_s=3.0, per_s=26.0, is_first_read=False, vm="1"):
     """Return a `Fleet` whose service ``desk`` limits requests to cold servers."""
-    state = fleets.Fleet(build.deployment_of("1", "10.0.0.1"), store=None)
+    state = fleets.Fleet(build.deployment_of(vm, f"10.0.0.{vm}"), store=None)
     service = routes.Service(name="desk", warmup_s=warmup_s, warmup_per_s=per_s)
     state.configuration = routes.Configuration(
         version=1, routes={}, services={"desk": service}
@@ -75,3 +76,14 @@
     value = build.encode_record(record)
     state.changes_since = anyio.current_time()
     fleets.apply_item(state, kv.Item(f"servers/{server_id}", value, 1))
+
+
+def joined(vm, vms, cold_ms=3000):
+    """Return the `ServerLimits` of a registered entry that knows `vms` and a server."""
+    state = fleet(vm=vm)
+    for item in vms:
+        entry = weight_sources.Entry(item, f"10.0.0.{item}:7700", "a", "north")
+        state.roster.entries[item] = entry
+    state.confirmed_at = anyio.current_time()
+    list_server(state, warmup_remaining_ms=cold_ms)
+    return forwarding.Forwarder(state).limits
--- a/testing/test_cold_servers.py
+++ b/testing/test_cold_servers.py
@@ -9,9 +9,10 @@
 import anyio
 import pytest
 
-from carobstand.core import announcements, eligibility, permits
+from carobstand.core import announcements, eligibility, exchange, permits
 from carobstand.entry import fleet as fleets
 from carobstand.entry import forwarding, permit_exchange, server_limits
+from carobstand.wire.gen_fleet import ttypes
 from testing import cold_builders as build
 from testing import limit_checks, virtual_time
 from testing import limit_simulation as simulation
@@ -298,3 +299,48 @@
         assert not any(server_limits.is_limited(item, "i-1") for item in pair)
 
     virtual_time.run(scenario)
+
+
+def test_an_entry_that_joins_takes_over_the_grants_once_the_others_know():
+    """Two that grant the full limit at once would exceed the allowed number."""
+
+    async def scenario():
+        first, *others = permits.granting_entries("i-1", "12345", count=3)
+        nodes = {vm: build.joined(vm, "12345") for vm in (first, *others)}
+        new, old = nodes[first], nodes[others[0]]
+        old.fleet.roster.entries.pop(first)
+        asking = ttypes.PermitRequest(
+            "i-1", vm="9", address="10.0.0.9:1", wanted=50, number=1
+        )
+        permit_exchange.on_request(old, asking, "peer")
+        permit_exchange.step(new)
+        rate = permit_exchange._permits_per_s(new, "i-1", permits.Rank.FIRST)
+        joined = [
+            item for _, item in new.outbox if isinstance(item, ttypes.EntryJoined)
+        ]
+        assert len(joined) == 4 and not joined[0].is_reply
+        permit_exchange.on_joined(old, joined[0], "peer")
+        assert server_limits.granting(old, "i-1")[0] == first
+        await anyio.sleep(0.2)
+        permit_exchange.step(old)
+        assert not old.granters
+        for vm in others:
+            assert not server_limits.is_confirmed(new, "i-1", 5.0)
+            reply = ttypes.EntryJoined(vm, "10.0.0.1:1", is_reply=True)
+            permit_exchange.on_joined(new, reply, "peer")
+        full = permit_exchange._permits_per_s(new, "i-1", permits.Rank.FIRST)
+        assert rate == pytest.approx(permits.COLD_STALE_SHARE * full)
+
+    virtual_time.run(scenario)
+
+
+def test_what_a_response_tells_goes_to_the_entry_that_grants():
+    async def scenario():
+        first, other = permits.granting_entries("i-1", "12345")
+        limits = build.joined(other, "12345", cold_ms=0)
+        head = exchange.AnswerHead(status=200, cold_s=2.0)
+        server_limits.record_answer(limits, "i-1", 1000, head, 0.0)
+        [(address, message)] = limits.outbox
+        assert address == f"10.0.0.{first}:7700" and message.cold_ms == 2000
+
+    virtual_time.run(scenario)
