--- a/testing/platform_builders.py
+++ b/testing/platform_builders.py
@@ -48,6 +48,8 @@
             "grace_s": 8,
             "retry_budget_slack": 106,
             "evacuation_ms": 4000,
+            "warmup_overshoot": 1.2,
+            "warmup_slack": 7,
         },
         "platform": {"address": "127.0.0.1:8007", "min_ttl_ms": 1000},
     }
@@ -106,6 +108,8 @@
             {
                 "name": "weights",
                 "origin": "127.0.0.1:8006",
+                "warmup_s": 3,
+                "warmup_per_s": 26,
                 "zone": "a",
                 "link_mbps": 7.3,
                 "max_connections": 48,
