--- a/testing/test_server_limits.py
+++ b/testing/test_server_limits.py
@@ -127,6 +127,8 @@
         await anyio.sleep(1.5)
         leaving = granting_vm(fleet)
         traffic.entries = [vm for vm in traffic.entries if vm != leaving]
+        # Requests that were started just now still look up the entry's address.
+        await anyio.sleep(traffic.gap_s)
         fleet.entries.pop(leaving).leaving.set()
         await anyio.sleep(1.5)
         await platform_fleet.add_entry(fleet, "entry-10", ready=False)
