Do not load an older copy while the newest is expected in time

Cause: with version 2 complete but excluded and no manifest of version 3 yet, the agent staged and loaded version 2 as the only copy. While the manifest was awaited, it went on reporting the old version as received, which delayed the newest at entries. Pieces received only to use an idle link counted as demand.

Change: only incomplete copies are staged in advance; the chosen version is reported from the start; spare requests are marked. The replay moves to bench/weight_replay.py.

--- a/testing/weight_replay.py
+++ b/bench/weight_replay.py
@@ -2,14 +2,17 @@
 
 Links, the origin and the engines are simulated; transfers, caches and loads are the
 product's own code. The store is left out: all processes learn of a version at once.
+
+Usage: ``python -m bench.weight_replay``, which prints one line for each day of `DAYS`.
 """
 
+import asyncio
+import collections
 import contextlib
 import contextvars
 import hashlib
 import math
 import random
-import types
 from unittest import mock
 
 import anyio
@@ -31,6 +34,7 @@
 from carobstand.entry import fleet as fleets
 from carobstand.platform import engine_client, weights_origin
 from carobstand.wire import fleet_codec
+from testing import virtual_time
 
 MODEL = "m"
 PORT = 7000
@@ -79,6 +83,7 @@
     free_at: float = 0.0
 
     def pass_through(self, size, at):
+        """Return the time at which data accepted at a time has passed."""
         self.free_at = max(self.free_at, at) + size / self.rate
         return self.free_at
 
@@ -92,6 +97,7 @@
         self.other, self.under_way, self.is_closing = None, 0, False
 
     async def send(self, data):
+        """Send data to the other end."""
         if self.other.sender.statistics().open_receive_streams == 0:
             raise anyio.BrokenResourceError
         replay = self.replay
@@ -119,9 +125,11 @@
         self.replay.loop.call_later(link.pass_through(len(data), now) - now, put)
 
     async def receive(self, max_bytes=0):
+        """Return the next data."""
         return await self.receiver.receive()
 
     async def aclose(self):
+        """Close both ends, once data that is under way has arrived."""
         self.receiver.close()
         self.other.is_closing = True
         if not self.other.under_way:
@@ -129,6 +137,8 @@
 
 
 class Listener:
+    """Accepts connections to a VM."""
+
     def __init__(self, replay, host):
         self.replay, self.host = replay, host
 
@@ -139,6 +149,8 @@
         self.replay.listeners.pop(self.host, None)
 
     async def serve(self, handler):
+        """Handle connections until cancelled."""
+
         async def handle(stream):
             # Tasks inherit the context of the connecting VM.
             _vm.set(self.host)
@@ -207,12 +219,15 @@
                 self.links[host] = (Link(day.agent_rate), Link(day.agent_rate))
 
     def region_of(self, host):
+        """Return the region of a VM."""
         return "r" + host.split(".")[1]
 
     def piece(self, version, number):
+        """Return the bytes of a piece."""
         return random.Random(f"{version}/{number}").randbytes(self.day.piece_bytes)
 
     def deployment(self, host, rate):
+        """Return the `Deployment` of a process."""
         region = self.region_of(host)
         return deployment.Deployment(
             vm=host,
@@ -229,6 +244,7 @@
         )
 
     def configuration(self):
+        """Return the configuration with the origin and one service of engines."""
         day = self.day
         origin = routes.Origin(
             address="o:1",
@@ -246,6 +262,7 @@
         return routes.Configuration(version=1, routes={}, services={"s": service})
 
     def report(self, host):
+        """Return the `EngineReport` of an engine."""
         engine = self.engines[host]
         holding = engine.version and registry.Holding(
             model=MODEL, version=engine.version
@@ -395,6 +412,7 @@
         pass
 
     async def sendto(self, raw, host, port):
+        """Deliver a datagram."""
         load = datagrams._decode_load(fleet_codec.decode(raw), _vm.get())
         if host in self.replay.loads_seen:
             engine_load.put(self.replay.loads_seen[host], load)
@@ -463,7 +481,7 @@
         state.changed.notify()
 
 
-async def play(day, events, until_s, seed=1, on_tick=None):
+async def play(day, events, until_s, seed=1):
     """Play a day; return the `Replay` and a list of (time, usable engines).
 
     Parameters
@@ -474,7 +492,7 @@
     until_s : float
     """
     replay, usable = Replay(day, seed), []
-    replay.loop = types.SimpleNamespace(call_later=_event_loop().call_later)
+    replay.loop = asyncio.get_running_loop()
     left = list(events)
     with contextlib.ExitStack() as stack:
         for patch in _patches(replay):
@@ -494,15 +512,96 @@
     return replay, usable
 
 
-def _event_loop():
-    import asyncio
-
-    return asyncio.get_running_loop()
-
-
 def seconds_without(usable):
     """Return the seconds in which no engine was usable, and the lost engine seconds."""
     step_s = usable[1][0] - usable[0][0]
     most = max(count for _, count in usable)
     none_s = sum(count == 0 for _, count in usable) * step_s
     return round(none_s, 2), round(sum(most - count for _, count in usable) * step_s, 1)
+
+
+def _name(version):
+    return lambda replay: name_version(replay, version)
+
+
+def _set_origin(is_down):
+    return lambda replay: setattr(replay, "is_origin_down", is_down)
+
+
+def _kill_holders(replay):
+    """Kill all entries that hold pieces of version 3, and restart them 1 s later."""
+    for host, cache in list(replay.caches.items()):
+        cached = cache.held.get((MODEL, 3))
+        if cached and cached.copy and cached.copy.pieces:
+            kill(replay, host)
+            replay.loop.call_later(1.0, start_entry, replay, host)
+
+
+_OUTAGE = [(20.5, _set_origin(True)), (26.5, _set_origin(False))]
+_TWO = [(18.0, _name(2)), (20.0, _name(3))]
+
+DAYS = {
+    "one version": [(18.0, _name(2))],
+    "two versions": _TWO,
+    "one version, origin lost": [(18.0, _name(2)), *_OUTAGE],
+    "two versions, origin and entries lost": [*_TWO, *_OUTAGE, (29.0, _kill_holders)],
+    "three versions": [*_TWO, (22.0, _name(4))],
+}
+"""Events of each day, those of docs/hard-load.md, section 5, among them."""
+
+
+@attrs.frozen
+class Result:
+    """What a day showed.
+
+    Attributes
+    ----------
+    without_s : float
+        Seconds in which no engine might serve.
+    lost_s : float
+        Sum over all engines of the seconds in which they might not serve.
+    fewest : int
+        Smallest number of engines that might serve at a time.
+    copies : dict of int to float
+        Copies of each version that the origin sent.
+    loaded : dict of int to int
+        Number of loads of each version.
+    mb_between_regions : float
+    """
+
+    without_s: float
+    lost_s: float
+    fewest: int
+    copies: dict
+    loaded: dict
+    mb_between_regions: float
+
+
+def result_of(name, until_s=36.0, **changes):
+    """Replay a day of `DAYS`; return its `Result`.
+
+    `changes` are those of the deployment, as fields of `Day`.
+    """
+    replay, usable = virtual_time.run(lambda: play(Day(**changes), DAYS[name], until_s))
+    without_s, lost_s = seconds_without(usable)
+    return Result(
+        without_s=without_s,
+        lost_s=lost_s,
+        fewest=min(count for _, count in usable),
+        copies={
+            version: round(sent / replay.day.pieces, 2)
+            for version, sent in replay.origin_sent.items()
+        },
+        loaded=dict(collections.Counter(version for _, _, version in replay.loads)),
+        mb_between_regions=round(replay.bytes_between_regions / 1e6, 2),
+    )
+
+
+def main():
+    """Print the results of all days."""
+    for name in DAYS:
+        print(f"{name}: {result_of(name)}")
+
+
+if __name__ == "__main__":
+    main()
--- a/src/carobstand/agent/loading.py
+++ b/src/carobstand/agent/loading.py
@@ -61,6 +61,7 @@
         try:
             copy = _next_copy(view, stage)
             if copy is None:
+                view.load_at = None
                 await view.changed.wait(IDLE_S)
             else:
                 await _advance(view, stage, copy)
@@ -86,10 +87,11 @@
         and _position(view, stage, copy)
         < load_schedule.share_to_load(outlook, copy.version, now)
     ]
-    received = [copy for copy in newer if copy.version == view.target]
+    incomplete = [copy for copy in newer if not weight_copy.is_complete(copy)]
+    received = [copy for copy in incomplete if copy.version == view.target]
     # Staging overwrites staged pieces, so complete copies are loaded before others that
     # are still being received.
-    candidates = complete or received or newer
+    candidates = complete or received or incomplete
     return max(candidates, key=lambda copy: copy.version, default=None)
 
 
--- a/src/carobstand/agent/receiving.py
+++ b/src/carobstand/agent/receiving.py
@@ -88,6 +88,8 @@
 async def _receive(view, service, version, failures):
     """Receive one version; stop early if another version supersedes it."""
     model = service.weights.models[0]
+    # Reported as demand, also while the manifest is awaited.
+    view.target = version
     source = await _select_source(view, model, failures)
     copy = view.copies.get(version)
     if copy is None:
@@ -197,7 +199,7 @@
             if other is None:
                 other = await _receive_manifest(view, copy.model, version, source)
                 _keep(view, other)
-            await _receive_pieces(view, other, source)
+            await _receive_pieces(view, other, source, is_spare=True)
             _note_received(view, other)
             tg.cancel_scope.cancel()
     except BaseExceptionGroup as group:
@@ -237,7 +239,7 @@
     return await origin_download.fetch_manifest(_require_origin(view), model, version)
 
 
-async def _receive_pieces(view, copy, source):
+async def _receive_pieces(view, copy, source, is_spare=False):
     def on_piece(number):
         view.changed.notify()
 
@@ -245,7 +247,7 @@
         return
     if source is not None:
         await piece_stream.receive_pieces(
-            source.address, copy, on_piece, WINDOW, TIMEOUTS
+            source.address, copy, on_piece, WINDOW, TIMEOUTS, is_spare=is_spare
         )
     else:
         await origin_download.download_pieces(_require_origin(view), copy, on_piece)
--- a/src/carobstand/agent/reporting.py
+++ b/src/carobstand/agent/reporting.py
@@ -131,9 +131,9 @@
     load_in_ms = -1
     if view.load_at is not None:
         load_in_ms = max(0, int((view.load_at - anyio.current_time()) * 1000))
-    receiving = view.copies.get(view.target)
+    receiving, receiving_version = view.copies.get(view.target), view.target
     if receiving is not None and weight_copy.is_complete(receiving):
-        receiving = None
+        receiving = receiving_version = None
     complete = [v for v, copy in view.copies.items() if weight_copy.is_complete(copy)]
     message = ttypes.EngineLoad(
         address=view.deployment.backend_address,
@@ -148,10 +148,10 @@
         first_layer=holding and holding.start,
         end_layer=holding and holding.end,
         load_in_ms=load_in_ms,
-        receiving_version=receiving and receiving.version,
+        receiving_version=receiving_version,
         receiving_pieces=receiving and len(receiving.pieces),
-        copies=sorted(complete),
-        named_ago_ms=_named_ago_ms(view),
+        copies=sorted(complete) or None,
+        named_ago_ms=_named_ago_ms(view) or None,
     )
     raw = fleet_codec.encode(message)
     for entry in entries:
--- a/src/carobstand/entry/weight_cache.py
+++ b/src/carobstand/entry/weight_cache.py
@@ -313,7 +313,7 @@
     copy = cached.copy
 
     async def until_held(block):
-        if not block.relayed:
+        if not block.spare:
             cached.demanded_at = anyio.current_time()
         if block.ahead or block.number in copy.pieces:
             return await _until_held(frames, cached, copy, block)
@@ -332,7 +332,7 @@
     while block.number not in copy.pieces:
         if cached.copy is not copy or cached.is_dropped:
             return False
-        if not block.relayed:
+        if not block.spare:
             cached.demanded_at = anyio.current_time()
         if not await cached.changed.wait(piece_stream.KEEPALIVE_INTERVAL_S):
             waiting = ttypes.BlockReply(block.number, block.offset, b"")
--- a/src/carobstand/transfer/piece_stream.py
+++ b/src/carobstand/transfer/piece_stream.py
@@ -167,7 +167,9 @@
         await anyio.aclose_forcefully(frames.stream)
 
 
-async def receive_pieces(address, copy, on_piece, window, timeouts, demand=None):
+async def receive_pieces(
+    address, copy, on_piece, window, timeouts, demand=None, is_spare=False
+):
     """Receive the missing pieces of a copy from the process at `address`.
 
     Parameters
@@ -183,6 +185,8 @@
     demand : entry.weight_cache.CachedVersion or None
         Tells what other processes request here, None if this one itself needs all
         pieces. The source sends first what is needed.
+    is_spare : bool
+        Whether the version is received only because the link would be idle.
 
     Raises
     ------
@@ -197,7 +201,8 @@
     def choose(held):
         wanted = demand.wanted if demand else weight_copy.NO_REQUESTS
         for number in weight_copy.in_demand_order(copy, wanted, held):
-            yield number, bool(demand) and number not in wanted, bool(demand)
+            is_ahead = bool(demand) and number not in wanted
+            yield number, is_ahead, is_spare or bool(demand)
 
     await receive_chosen(address, copy, choose, on_piece, window, timeouts)
 
@@ -210,7 +215,7 @@
     choose : callable of (frozenset of int)
         Returns an iterator over the numbers of the pieces to receive, given those that
         the source holds; each with whether no agent waits for it, and whether it is
-        for other processes.
+        no evidence that agents receive the version.
     address, copy, on_piece, window, timeouts
         Those of `receive_pieces`, which raises the same exceptions.
     """
@@ -272,11 +277,11 @@
 
 def _blocks(copy, numbers, block_bytes):
     """Yield the block requests for pieces, one piece after the other."""
-    for number, is_ahead, is_relayed in numbers:
+    for number, is_ahead, is_spare in numbers:
         for offset in range(0, copy.piece_bytes, block_bytes):
             size = min(block_bytes, copy.piece_bytes - offset)
             yield ttypes.BlockRequest(
-                number, offset, size, is_ahead or None, is_relayed or None
+                number, offset, size, is_ahead or None, is_spare or None
             )
 
 
--- a/src/carobstand/wire/fleet.thrift
+++ b/src/carobstand/wire/fleet.thrift
@@ -114,7 +114,7 @@
   2: i32 offset
   3: i32 size
   4: optional bool ahead      // no agent waits for this piece; others go first
-  5: optional bool relayed    // from an entry, for others
+  5: optional bool spare      // does not count as demand for this version
 }
 
 struct BlockReply {
--- a/src/carobstand/wire/gen_fleet/ttypes.py
+++ b/src/carobstand/wire/gen_fleet/ttypes.py
@@ -1255,17 +1255,17 @@
      - offset
      - size
      - ahead
-     - relayed
+     - spare
 
     """
 
 
-    def __init__(self, number=None, offset=None, size=None, ahead=None, relayed=None,):
+    def __init__(self, number=None, offset=None, size=None, ahead=None, spare=None,):
         self.number = number
         self.offset = offset
         self.size = size
         self.ahead = ahead
-        self.relayed = relayed
+        self.spare = spare
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1298,7 +1298,7 @@
                     iprot.skip(ftype)
             elif fid == 5:
                 if ftype == TType.BOOL:
-                    self.relayed = iprot.readBool()
+                    self.spare = iprot.readBool()
                 else:
                     iprot.skip(ftype)
             else:
@@ -1327,9 +1327,9 @@
             oprot.writeFieldBegin('ahead', TType.BOOL, 4)
             oprot.writeBool(self.ahead)
             oprot.writeFieldEnd()
-        if self.relayed is not None:
-            oprot.writeFieldBegin('relayed', TType.BOOL, 5)
-            oprot.writeBool(self.relayed)
+        if self.spare is not None:
+            oprot.writeFieldBegin('spare', TType.BOOL, 5)
+            oprot.writeBool(self.spare)
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
@@ -2042,7 +2042,7 @@
     (2, TType.I32, 'offset', None, None, ),  # 2
     (3, TType.I32, 'size', None, None, ),  # 3
     (4, TType.BOOL, 'ahead', None, None, ),  # 4
-    (5, TType.BOOL, 'relayed', None, None, ),  # 5
+    (5, TType.BOOL, 'spare', None, None, ),  # 5
 )
 all_structs.append(BlockReply)
 BlockReply.thrift_spec = (
--- a/testing/test_rapid_versions.py
+++ b/testing/test_rapid_versions.py
@@ -1,8 +1,10 @@
 """Versions named in quick succession, while the origin or entries are unavailable."""
 
+from carobstand.agent import loading
 from carobstand.standin.platform import kv, origin
 from carobstand.transfer import piece_stream
 from testing import platform_fleet as fleets
+from testing import virtual_time, weight_builders
 from testing.test_platform_weights import run_with_agents, versions
 
 
@@ -74,3 +76,16 @@
         raw = piece_stream.encode_numbers(numbers)
         assert piece_stream.decode_numbers(raw, 96) == set(numbers)
     assert piece_stream.decode_numbers(b"\xff\xff", 3) == {0, 1, 2}
+
+
+def test_an_older_copy_is_not_loaded_while_the_newest_is_expected_in_time():
+    # Without a manifest of version 3 yet, version 2 was the only copy to stage.
+    async def check():
+        state = weight_builders.agent_view(serving=1, named=(2, 3))
+        stage = loading.Stage()
+        weight_builders.add_copy(state, 2)
+        assert loading._next_copy(state, stage) is None
+        copy = weight_builders.add_copy(state, 3)
+        assert loading._next_copy(state, stage) is copy
+
+    virtual_time.run(check)
