--- a/testing/test_reported_slowness.py
+++ b/testing/test_reported_slowness.py
@@ -2,6 +2,7 @@
 
 import math
 
+import anyio
 import pytest
 
 from carobstand.core import (
@@ -9,8 +10,10 @@
     calibration,
     eligibility,
     engine_load,
+    exchange,
     placement,
 )
+from carobstand.entry import forwarding
 from testing import platform_builders as build
 
 SIZE = placement.Size(prompt_tokens=964, answer_tokens=119)
@@ -130,3 +133,18 @@
     assert fresh_s > 0.2
     assert 0 < calibration.margin_s(state, "s", at + 1.0) < fresh_s
     assert calibration.margin_s(state, "s", at + calibration.MARGIN_WINDOW_S) == 0.0
+
+
+def test_an_entry_keeps_the_slowness_that_a_plain_server_tells():
+    fwd = forwarding.Forwarder(None)
+    server = build.registration(runs_model=False)
+    load = exchange.Load(running=1, waiting=0, slots=8, slowness=2.5)
+
+    async def record(server_id):
+        head = exchange.AnswerHead(status=200, server_id=server_id, load=load)
+        forwarding._record_load(fwd, server, head)
+        now = anyio.current_time()
+        return engine_load.slowness(fwd.loads, server.address, None, now)
+
+    assert anyio.run(record, "another server at this address") == 1.0
+    assert anyio.run(record, server.server_id) == pytest.approx(2.5, abs=0.1)
