Pass the time to the look-up of a server's limit in the estimate of capacity

The merge of cold servers and shares of capacity left a call without the time, so the entry that shares a service's capacity failed on each report (TypeError, found by testing/test_overload_replay.py). Evacuated failure domains no longer count as capacity.

--- a/src/carobstand/entry/queueing.py
+++ b/src/carobstand/entry/queueing.py
@@ -262,15 +262,17 @@
         healths=fwd.healths,
         announced=fwd.fleet.announced,
         regions=fwd.fleet.deployment.regions,
+        evacuated=fwd.fleet.evacuation_marks.in_force,
     )
     now = anyio.current_time()
     usable = eligibility.sort_out(fwd.fleet.servers.servers, conditions, now).usable
-    capacities = [_server_capacity(fwd, item, model) for item in usable]
+    capacities = [_server_capacity(fwd, item, model, now) for item in usable]
     return None if None in capacities else sum(capacities)
 
 
-def _server_capacity(fwd, candidate, model):
-    limit = announcements.limit_of(fwd.fleet.announced, candidate.server.server_id)
+def _server_capacity(fwd, candidate, model, now):
+    server_id = candidate.server.server_id
+    limit = announcements.limit_of(fwd.fleet.announced, server_id, now)
     if model is None:
         return limit
     cost_s = value_density.cost_s(
