Let a restarted first entry of a region read from the one that took over

Cause: it received the copy from another region again, beside the entry that had taken over from it while it was down.

Change: like a restarted seeder, it asks the entries that take over from it, if agents hold pieces already.

--- a/src/carobstand/entry/weight_fetching.py
+++ b/src/carobstand/entry/weight_fetching.py
@@ -39,8 +39,8 @@
 0.1 s. Without it, each entry would download from the origin after all were down."""
 
 ASKED_ENTRIES = 3
-"""Entries that a seeder asks for their pieces if agents hold some already: those that
-take over from it, in their order."""
+"""Entries that a seeder, or the first one of a region, asks for their pieces if agents
+hold some already: those that take over from it, in their order."""
 
 TURN_CHECK_S = 0.05
 """Interval of checks whether an older version is still to be fetched first."""
@@ -220,8 +220,8 @@
     me, order = _seeders(fleet, cached.model)
     rank = next(n for n, entry in enumerate(order) if entry.vm == me.vm)
     sources = sources_of(fleet, cached.model)
-    if not sources and not failures and cached.agents():
-        sources = await _entries_ahead(cached, order[1 : 1 + ASKED_ENTRIES])
+    if not failures and cached.agents():
+        sources = await _entries_ahead(cached, me, order) or sources
     if not sources:
         await _download(fleet, cached)
         return
@@ -240,12 +240,21 @@
         await _download_instead(fleet, cached)
 
 
-async def _entries_ahead(cached, entries):
-    """Return the entry among some that holds most pieces, if it holds more than this.
+async def _entries_ahead(cached, me, order):
+    """Return the entry that took over from this one, if it holds more pieces.
 
-    A seeder that restarts would otherwise share the origin's link with the entry that
-    took over from it.
+    A restarted seeder would otherwise share the origin's link with it, and a restarted
+    first entry of a region would receive the copy from another region once more.
     """
+    own = weight_sources.ranked_in_region(
+        order, weight_sources.copy_key(cached.model), me.region
+    )
+    if order[0].vm == me.vm:
+        entries = order[1 : 1 + ASKED_ENTRIES]
+    elif own[0].vm == me.vm:
+        entries = own[1 : 1 + ASKED_ENTRIES]
+    else:
+        return []
     found = []
 
     async def ask(entry):
