--- a/src/carobstand/entry/piece_gathering.py
+++ b/src/carobstand/entry/piece_gathering.py
@@ -38,7 +38,7 @@
 
 WINDOW = piece_stream.Window(blocks=2, block_bytes=3072)
 """Small, since the agent's narrow link also carries its engine's responses and its own
-requests: with 24 KB under way, agents received half as fast in a replay."""
+requests for pieces."""
 
 _FAILURES = (
     errors.ConnectionClosedError,
