--- a/src/carobstand/agent/reporting.py
+++ b/src/carobstand/agent/reporting.py
@@ -109,6 +109,7 @@
             busy=report.is_busy,
             running=report.running,
             waiting=report.waiting,
+            memory_tokens=report.memory_tokens,
         )
         view.changed.notify()
 
@@ -148,6 +149,7 @@
         first_layer=holding and holding.start,
         end_layer=holding and holding.end,
         load_in_ms=load_in_ms,
+        held_tokens=report.held_tokens,
         receiving_version=receiving and receiving.version,
         receiving_pieces=receiving and len(receiving.pieces),
         copies=sorted(complete),
--- a/src/carobstand/core/eligibility.py
+++ b/src/carobstand/core/eligibility.py
@@ -29,6 +29,7 @@
     LIMITED = "limited"
     COLD = "cold"
     NO_MEMORY = "no memory"
+    TOO_LARGE = "too large for its memory"
 
 
 _FINAL = {
@@ -37,6 +38,7 @@
     Reason.ALREADY_TRIED,
     Reason.OUTSIDE_REGIONS,
     Reason.EVACUATED,
+    Reason.TOO_LARGE,
 }
 
 
@@ -74,7 +76,9 @@
         `Reason.LIMITED`, `Reason.COLD`, or None. It is called last, as it may ask for
         a permit.
     lacks_memory : callable of (core.registry.Registration)
-        Whether the request does not fit into the memory of a server.
+        Whether the request does not fit into the memory that a server has left.
+    is_too_large : bool
+        Whether the request exceeds the memory of each engine of the service.
     """
 
     service: str
@@ -87,6 +91,7 @@
     evacuated: set = attrs.field(factory=set)
     withholds: object = never
     lacks_memory: object = never
+    is_too_large: bool = False
 
 
 @attrs.frozen
@@ -204,6 +209,8 @@
         return reason
     if announcements.is_leaving(conditions.announced, server.server_id):
         return Reason.LEAVING
+    if conditions.is_too_large and server.runs_model:
+        return Reason.TOO_LARGE
     return None
 
 
--- a/src/carobstand/core/engine_load.py
+++ b/src/carobstand/core/engine_load.py
@@ -30,6 +30,9 @@
     `reported_at` is the time of receipt of the report itself. `next_load_at` is the
     time of the engine's next scheduled load of weights, None if none is known.
 
+    `held_tokens` is the number of tokens of all requests in the engine's memory at
+    `reported_at`, None if not known.
+
     `agent_host` is the IP address of its agent. The agent holds `receiving_pieces` of
     `receiving_version`, and complete copies of the versions in `copies`.
     """
@@ -48,6 +51,7 @@
     receiving_version: int | None = None
     receiving_pieces: int = 0
     copies: tuple = ()
+    held_tokens: int | None = None
     reported_at: float = attrs.field(
         default=attrs.Factory(lambda self: self.received_at, takes_self=True)
     )
--- a/src/carobstand/core/engine_report.py
+++ b/src/carobstand/core/engine_report.py
@@ -23,6 +23,10 @@
         Start time in Unix milliseconds, 0 if not known.
     slowness : float
         Ratio of its actual to its published processing time; above 1 if it is slower.
+    held_tokens, memory_tokens : int or None
+        Tokens of the requests that it holds in its memory, and those that fit; None if
+        not known. Reports that differ only in these are equal: they change with each
+        event of an answer, and no poll or report is due for that.
     """
 
     holding: registry.Holding | None = None
@@ -32,3 +36,5 @@
     waiting: int = 0
     started_ms: int = 0
     slowness: float = 1.0
+    held_tokens: int | None = attrs.field(default=None, eq=False)
+    memory_tokens: int | None = attrs.field(default=None, eq=False)
--- a/src/carobstand/core/outstanding.py
+++ b/src/carobstand/core/outstanding.py
@@ -30,8 +30,8 @@
         Time at which each request in progress was sent.
     work : core.server_work.Work
         Work left of the requests in progress.
-    finished : list of (float, float)
-        Times at which requests were sent and ended.
+    finished : list of (float, float, int)
+        Times at which requests were sent and ended, and their prompt tokens.
     """
 
     sent: dict = attrs.field(factory=dict)
@@ -53,10 +53,11 @@
 def end(state, token, now):
     """Record that a request ended."""
     sent_at = state.sent.pop(token)
+    prompt_tokens = state.work.items[token].prompt_tokens
     server_work.end(state.work, token)
     while state.finished and state.finished[0][1] < now - FINISHED_RETENTION_S:
         state.finished.pop(0)
-    state.finished.append((sent_at, now))
+    state.finished.append((sent_at, now, prompt_tokens))
 
 
 def unreported_change(state, received_at):
@@ -68,7 +69,7 @@
     for sent_at in state.sent.values():
         if sent_at > since:
             change += 1
-    for sent_at, ended_at in reversed(state.finished):
+    for sent_at, ended_at, _ in reversed(state.finished):
         if ended_at <= since:
             break
         if sent_at <= since:
@@ -76,6 +77,17 @@
     return change
 
 
+def freed_tokens(state, sent_before, ended_after):
+    """Return the prompt tokens of requests that were sent and ended at such times."""
+    freed = 0
+    for sent_at, ended_at, prompt_tokens in reversed(state.finished):
+        if ended_at <= ended_after:
+            break
+        if sent_at <= sent_before:
+            freed += prompt_tokens
+    return freed
+
+
 def occupancy(state, load, others):
     """Return the number of requests at a server, estimated for other entries.
 
--- a/src/carobstand/core/placement.py
+++ b/src/carobstand/core/placement.py
@@ -129,7 +129,7 @@
         domain = server.failure_domain
         if domain not in domains:
             domains[domain] = (
-                _effective_entries(server, location),
+                effective_entries(server, location),
                 _distance_penalty_s(server, location),
             )
         others, distance_s = domains[domain]
@@ -169,7 +169,7 @@
     return choices
 
 
-def _effective_entries(server, location):
+def effective_entries(server, location):
     """Return the number of other entries that send to a server.
 
     Entries in other regions count as `REMOTE_SHARE` each.
--- a/src/carobstand/core/server_work.py
+++ b/src/carobstand/core/server_work.py
@@ -18,10 +18,21 @@
 
 @attrs.define(eq=False)
 class Item:
-    """Work left of one request of this entry."""
+    """Work left of one request of this entry.
+
+    Attributes
+    ----------
+    to_read : int
+        Prompt tokens that are not read yet.
+    expected : float
+        Expected length of the answer in tokens.
+    prompt_tokens, written : int
+        Size of the prompt, and answer tokens that have arrived.
+    """
 
     to_read: int
     expected: float
+    prompt_tokens: int = 0
     written: int = 0
 
 
@@ -48,7 +59,7 @@
 
 def begin(work, token, prompt_tokens, answer_tokens):
     """Add a request that was sent."""
-    work.items[token] = Item(prompt_tokens, answer_tokens)
+    work.items[token] = Item(prompt_tokens, answer_tokens, prompt_tokens)
     work.to_read += prompt_tokens
     work.to_write += answer_tokens
 
--- a/src/carobstand/entry/datagrams.py
+++ b/src/carobstand/entry/datagrams.py
@@ -104,7 +104,7 @@
             start=message.first_layer or 0,
             end=message.end_layer,
         )
-    loads_at = None
+    loads_at, held_tokens = None, message.held_tokens
     if message.load_in_ms is not None and message.load_in_ms >= 0:
         loads_at = now + message.load_in_ms / 1000
     return engine_load.EngineLoad(
@@ -122,4 +122,5 @@
         receiving_version=message.receiving_version,
         receiving_pieces=int(message.receiving_pieces or 0),
         copies=tuple(message.copies or ()),
+        held_tokens=None if held_tokens is None else max(0, int(held_tokens)),
     )
--- a/src/carobstand/entry/queueing.py
+++ b/src/carobstand/entry/queueing.py
@@ -12,6 +12,8 @@
     announcements,
     calibration,
     eligibility,
+    engine_load,
+    engine_memory,
     expected_work,
     latency_model,
     missed_targets,
@@ -195,6 +197,7 @@
         None if allowed is None else frozenset(allowed),
         frozenset(call.tried),
         int(math.log(max(1, call.size.prompt_tokens), SIZE_CLASS_FACTOR)),
+        int(math.log(max(1, _needed_tokens(call)), SIZE_CLASS_FACTOR)),
     )
 
 
@@ -440,8 +443,13 @@
     return near, sum(item.region == dep.region for item in entries)
 
 
-def _conditions(fwd, call):
-    """Return the `Conditions` that decide which servers may run a call."""
+def _conditions(fwd, call, location=None):
+    """Return the `Conditions` that decide which servers may run a call.
+
+    The memory that servers have left is only considered given the `EntryLocation`.
+    """
+    service = service_of(fwd, call)
+    model = service.latency_model if service else None
     return eligibility.Conditions(
         service=call.service,
         loads=fwd.loads,
@@ -452,9 +460,35 @@
         allowed_regions=allowed_regions.of_call(fwd.fleet, call),
         evacuated=fwd.fleet.evacuation_marks.in_force,
         withholds=lambda server_id: server_limits.withholds(fwd.limits, server_id),
+        lacks_memory=_memory_condition(fwd, call, model, location),
+        is_too_large=_needed_tokens(call) > engine_memory.limit_tokens(model),
     )
 
 
+def _needed_tokens(call):
+    return engine_memory.needed_tokens(call.size, call.req.max_answer_tokens)
+
+
+def _memory_condition(fwd, call, model, location):
+    """Return the condition that a server lacks memory for a call."""
+    if location is None or math.isinf(engine_memory.limit_tokens(model)):
+        return eligibility.never
+    needed, now = _needed_tokens(call), anyio.current_time()
+    idle = outstanding.Outstanding()
+
+    def lacks_memory(server):
+        return server.runs_model and not engine_memory.fits(
+            model,
+            fwd.in_progress.get(server.server_id, idle),
+            engine_load.fresh_load(fwd.loads, server, now),
+            placement.effective_entries(server, location),
+            needed,
+            now,
+        )
+
+    return lacks_memory
+
+
 def _rank(fwd, call, servers, now):
     """Return the choices among `servers` for a call, best first, and the excluded.
 
@@ -464,14 +498,8 @@
     excluded : dict of str to core.eligibility.Reason
         By server id.
     """
-    found = eligibility.sort_out(servers, _conditions(fwd, call), now)
-    dep = fwd.fleet.deployment
-    entry_location = placement.EntryLocation(
-        failure_domain=dep.failure_domain,
-        regions=dep.regions,
-        others=max(0, len(fwd.fleet.roster.entries) - 1),
-        by_region=_others_by_region(fwd.fleet),
-    )
+    location = _location(fwd)
+    found = eligibility.sort_out(servers, _conditions(fwd, call, location), now)
     choices = placement.rank(
         found,
         service_of(fwd, call),
@@ -479,7 +507,7 @@
         fwd.healths,
         fwd.prediction_errors,
         call.size,
-        entry_location,
+        location,
         random.random,
         lambda holding: fleet.begin_by(fwd.fleet, holding),
         now,
@@ -487,6 +515,17 @@
     return choices, found.excluded
 
 
+def _location(fwd):
+    """Return the `EntryLocation` of this entry."""
+    dep = fwd.fleet.deployment
+    return placement.EntryLocation(
+        failure_domain=dep.failure_domain,
+        regions=dep.regions,
+        others=max(0, len(fwd.fleet.roster.entries) - 1),
+        by_region=_others_by_region(fwd.fleet),
+    )
+
+
 def service_of(fwd, call):
     """Return the `Service` of a call, or None if it is not configured."""
     config = fwd.fleet.configuration
--- a/src/carobstand/platform/engine_client.py
+++ b/src/carobstand/platform/engine_client.py
@@ -1,6 +1,7 @@
 """HTTP client of a platform engine: its report, orders and staged weights."""
 
 import json
+import math
 
 import attrs
 
@@ -15,6 +16,11 @@
 """Largest response accepted; a piece of weights has some ten kilobytes."""
 
 
+MAX_CACHED_TOKENS = 2**53
+"""Largest figure of an engine's memory that counts; a larger one is an error, and would
+not fit into the i64 of reports to entries."""
+
+
 @attrs.frozen
 class Staged:
     """Result of an order: accepted, already in effect, or conflicting.
@@ -47,9 +53,28 @@
         waiting=record.integer("waiting", 0),
         started_ms=record.integer("born", 0),
         slowness=record.number("pace", 1.0),
+        held_tokens=_cached_tokens(record, "kv_cache_used"),
+        memory_tokens=_cached_tokens(record, "kv_cache_total"),
     )
 
 
+def _cached_tokens(record, name):
+    """Return a figure of an engine's memory in tokens, or None if it is not known.
+
+    The engine counts tokens x layers. A malformed figure is not an error: the engine
+    serves requests without it.
+    """
+    try:
+        layers = record.record("layers")
+        count = layers.integer("to", 0) - layers.integer("from", 0)
+        value = record.number(name, -1)
+    except errors.RecordError:
+        return None
+    if count <= 0 or not 0 <= value <= MAX_CACHED_TOKENS:
+        return None
+    return math.ceil(value / count)
+
+
 async def load_staged(caller, model, version, expected_orders):
     """Order the engine to load the staged weights once its running requests end.
 
--- a/src/carobstand/standin/platform/engine.py
+++ b/src/carobstand/standin/platform/engine.py
@@ -13,6 +13,9 @@
 from carobstand import http1_server, signals
 from carobstand.standin.platform import answers, kv
 
+LAYERS = 4
+"""Layers of the weights that an engine serves."""
+
 DEFAULT_EVENTS = 5
 """Events of a stream if the request has no ``X-Events`` header."""
 
@@ -35,7 +38,7 @@
     """A request that started to run.
 
     `ended` is how it ended: its status, ``crash``, ``cut``, or ``gone`` if it was
-    interrupted.
+    interrupted. `held_tokens` are those of its prompt and answer, 0 once it ended.
     """
 
     request_id: str
@@ -44,6 +47,7 @@
     body: bytes
     path: str
     ended: str = ""
+    held_tokens: int = 0
 
 
 @attrs.frozen
@@ -144,6 +148,12 @@
         Number of loads whose pieces had other digests than expected.
     body_bytes : int
         Smallest size of the response bodies of a plain service.
+    memory_tokens : int
+        Tokens of running requests above which it crashes; 0 for no limit, then reports
+        do not tell its memory.
+    tokens_per_event : int
+    held_tokens, most_held_tokens : int
+        Tokens of running requests, now and at most.
     """
 
     server_id: str
@@ -188,6 +198,10 @@
     expected_digests: object = None
     corrupt_loads: int = 0
     body_bytes: int = 0
+    memory_tokens: int = 0
+    tokens_per_event: int = 6
+    held_tokens: int = 0
+    most_held_tokens: int = 0
     slot_released: signals.Signal = attrs.field(factory=signals.Signal)
 
 
@@ -219,7 +233,7 @@
     return {
         "stage": "unified",
         "models": [{"name": engine.model, "version": engine.version, "adapters": []}],
-        "layers": {"from": 0, "to": 4, "version": engine.version},
+        "layers": {"from": 0, "to": LAYERS, "version": engine.version},
     }
 
 
@@ -271,9 +285,34 @@
         "running": engine.running,
         "born": engine.started_ms,
         "pace": 1.0,
+        **_memory_report(engine),
     }
 
 
+def _memory_report(engine):
+    if not engine.memory_tokens:
+        return {}
+    return {
+        "kv_cache_used": engine.held_tokens * LAYERS,
+        "kv_cache_total": engine.memory_tokens * LAYERS,
+    }
+
+
+def _hold(engine, run, tokens):
+    """Add tokens of a run to the memory in use; crash if they do not fit."""
+    run.held_tokens += tokens
+    engine.held_tokens += tokens
+    engine.most_held_tokens = max(engine.most_held_tokens, engine.held_tokens)
+    if 0 < engine.memory_tokens < engine.held_tokens:
+        run.ended = "crash"
+        crash(engine)
+
+
+def _prompt_tokens(headers):
+    prompt = headers.get(b"token-usage", "").partition(",")[0]
+    return int(prompt) if prompt.isdigit() else 0
+
+
 async def _handle_staging(engine, request, reply, path, query):
     number = int(query.get("number", -1))
     if request.method == b"PUT":
@@ -368,9 +407,13 @@
     engine.runs.append(run)
     engine.running += 1
     try:
-        await _execute(engine, run, request, reply, common_headers, fault, headers)
+        _hold(engine, run, _prompt_tokens(headers))
+        if started_ms == engine.started_ms:
+            await _execute(engine, run, request, reply, common_headers, fault, headers)
     finally:
         engine.running -= 1
+        engine.held_tokens -= run.held_tokens
+        run.held_tokens = 0
         run.ended = run.ended or "gone"
         engine.slot_released.notify()
 
@@ -509,6 +552,9 @@
         return await answers.send_json(reply, {"error": "no"}, 500, headers[:-1])
     for number in range(first, count + 1):
         await anyio.sleep(engine.step_s)
+        if started_ms != engine.started_ms:
+            return
+        _hold(engine, run, engine.tokens_per_event)
         if started_ms != engine.started_ms:
             return
         event = b"id: %d\ndata: %s/%d\n\n" % (number, run.request_id.encode(), number)
--- a/testing/test_eligibility.py
+++ b/testing/test_eligibility.py
@@ -61,6 +61,7 @@
         ),
         (Reason.REFUSING, SERVER, {"healths": refusing()}),
         (Reason.NO_MEMORY, SERVER, {"lacks_memory": lambda server: True}),
+        (Reason.TOO_LARGE, SERVER, {"is_too_large": True}),
         (Reason.COLD, SERVER, {"withholds": lambda server_id: Reason.COLD}),
     ],
 )
