--- a/src/carobstand/entry/queueing.py
+++ b/src/carobstand/entry/queueing.py
@@ -202,7 +202,13 @@
 
 
 def pressure(fwd, service, now):
-    """Return how overloaded a service is, from 0 to 1."""
+    """Return how overloaded a service is, from 0 to 1.
+
+    It is 1 while its capacity is shared: an entry with few requests does not see the
+    overload soon enough by itself.
+    """
+    if demand_exchange.is_restricted(fwd, service, now):
+        return 1.0
     return missed_targets.pressure(fwd.outcomes.get(service), now)
 
 
@@ -265,15 +271,17 @@
         healths=fwd.healths,
         announced=fwd.fleet.announced,
         regions=fwd.fleet.deployment.regions,
+        evacuated=fwd.fleet.evacuation_marks.in_force,
     )
     now = anyio.current_time()
     usable = eligibility.sort_out(fwd.fleet.servers.servers, conditions, now).usable
-    capacities = [_server_capacity(fwd, item, model) for item in usable]
+    capacities = [_server_capacity(fwd, item, model, now) for item in usable]
     return None if None in capacities else sum(capacities)
 
 
-def _server_capacity(fwd, candidate, model):
-    limit = announcements.limit_of(fwd.fleet.announced, candidate.server.server_id)
+def _server_capacity(fwd, candidate, model, now):
+    server_id = candidate.server.server_id
+    limit = announcements.limit_of(fwd.fleet.announced, server_id, now)
     if model is None:
         return limit
     cost_s = value_density.cost_s(
