Split entry/fleet.py by what is learned from the store

Cold servers, evacuation marks and named versions each get a module, and so does asking other entries for what a restored store may have lost. fleet.py keeps the state and the reading and following of the store. Functions are moved, not changed; some lose their leading underscore as they are called across modules.

--- a/src/carobstand/entry/datagrams.py
+++ b/src/carobstand/entry/datagrams.py
@@ -5,12 +5,13 @@
 from carobstand import errors, eventlog
 from carobstand.core import engine_load, registry
 from carobstand.entry import (
+    cold_servers,
     demand_exchange,
-    fleet,
     permit_exchange,
     poison_parts,
     poison_requests,
     queueing,
+    versions,
 )
 from carobstand.wire import fleet_codec
 from carobstand.wire.gen_fleet import ttypes
@@ -61,13 +62,13 @@
         return
     if message.named_ago_ms:
         for server in _servers_at(fwd, load.address):
-            fleet.note_named(fwd.fleet, server, message.named_ago_ms)
+            versions.note_named(fwd.fleet, server, message.named_ago_ms)
     if before is None or load.started_ms > before.started_ms:
         for server in _servers_at(fwd, load.address):
-            fleet.note_start(fwd.fleet, server.server_id, load.started_ms)
+            cold_servers.note_start(fwd.fleet, server.server_id, load.started_ms)
             known_ms = max(server.started_ms, before.started_ms if before else 0)
             if 0 < known_ms < load.started_ms:
-                fleet.assume_cold(
+                cold_servers.assume_cold(
                     fwd.fleet, server.server_id, load.started_ms, "report"
                 )
     if not fwd.queue.waiters:
--- a/src/carobstand/entry/fleet.py
+++ b/src/carobstand/entry/fleet.py
@@ -1,7 +1,6 @@
 """State of the deployment as read from the store, and the loop that follows it."""
 
 import math
-import random
 
 import anyio
 import attrs
@@ -12,14 +11,19 @@
     change_feed,
     entry_roster,
     evacuation,
-    named_versions,
-    permits,
     poison_parts,
     registry,
     routes,
     weight_sources,
 )
-from carobstand.entry import change_relay, startup
+from carobstand.entry import (
+    change_relay,
+    cold_servers,
+    evacuations,
+    restored_items,
+    startup,
+    versions,
+)
 from carobstand.platform import kv, records
 
 SYSTEM_PREFIX = "carobstand/"
@@ -34,12 +38,6 @@
 API keys are no longer accepted, or at which others do not accept a reader's changes.
 The rest is left for one more store call."""
 
-ASKED_ENTRIES = 3
-"""Entries that are asked for what a restored store may have lost."""
-
-ASK_TIMEOUT_S = 0.4
-"""Timeout of such a question; the store's own items are used without a reply."""
-
 BATCH_SHARE = 0.12
 """Pause after each watch with changes, as a share of the time within which a change
 must take effect. Registrations come in series, and each watch that returns changes is
@@ -55,20 +53,6 @@
 WATCH_GAP_S = 1.0
 """Longest time for which a watch may miss changes if the store drops its history."""
 
-VERSION_SLACK_S = 0.2
-"""Requests for old weights that have not begun this long before the deadline are
-withdrawn: reading a new named version takes 50 ms, sending a request 10 ms."""
-
-REDATED_S = 0.1
-"""Smallest change of the date of a named version that is logged."""
-
-PROCESS_START_S = 0.7
-"""Time between the platform's start of the process and `Fleet.started`: imports take
-0.3 s on an idle VM, and twice that while all VMs start."""
-
-START_LAG_HEARTBEATS = 2
-"""Heartbeat intervals within which a server's start is reported to this entry."""
-
 IMMEDIATE_S = 0.05
 """Changes that a watch returns within this time were made before it was sent."""
 
@@ -216,13 +200,13 @@
     fleet.was_restored |= is_restored
     told = []
     if is_restored or not fleet.revision:
-        told = await _ask_others(fleet, found)
+        told = await restored_items.ask_others(fleet, found)
     for item in [*found[0].items, *(answer.item for answer in told)]:
         if not records.is_evacuation_key(item.key):
             apply_item(fleet, item)
     _replace_own_records(fleet, found[2].items)
     _replace_servers(fleet, found[1].items)
-    _replace_marks(fleet, found[0], told, is_restored)
+    evacuations.replace_marks(fleet, found[0], told, is_restored)
     # The next watch reads what changed since the earliest of the reads.
     fleet.revision = min(changes.revision for changes in found)
     fleet.era = own.era
@@ -241,58 +225,6 @@
     )
 
 
-async def _ask_others(fleet, found):
-    """Return what other entries hold of operators' items that the store may have lost.
-
-    A store that has come back from a copy shows older items until they are written
-    again, and a process that starts meanwhile knows nothing else.
-
-    Parameters
-    ----------
-    fleet : Fleet
-    found : list of platform.kv.Changes
-        The operators' items, registrations of servers, and items of entries as read.
-
-    Returns
-    -------
-    told : list of entry.change_relay.Told
-    """
-    own = fleet.deployment
-    others = startup.registered_entries(found[2].items)
-    others.pop(own.vm, None)
-    near = sorted(
-        others.values(), key=lambda item: (item.region != own.region, random.random())
-    )
-    version = _newest_configuration_version(fleet, found[0].items)
-    told = []
-
-    async def ask(entry):
-        try:
-            with anyio.fail_after(ASK_TIMEOUT_S):
-                told.extend(await change_relay.ask_for_newer(entry, version))
-        except (errors.CarobstandError, TimeoutError) as exc:
-            eventlog.event("entry.not_asked", entry=entry.vm, error=str(exc))
-
-    async with anyio.create_task_group() as tg:
-        for entry in near[:ASKED_ENTRIES]:
-            tg.start_soon(ask, entry)
-    return [
-        answer for answer in told if answer.item.key.startswith(records.OPERATOR_PREFIX)
-    ]
-
-
-def _newest_configuration_version(fleet, items):
-    """Return the version of the newest configuration held or read, 0 if none."""
-    versions = [fleet.configuration.version if fleet.configuration else 0]
-    for item in items:
-        if item.key == records.CONFIGURATION_KEY:
-            try:
-                versions.append(records.decode_configuration(item.value).version)
-            except errors.RecordError as exc:
-                eventlog.event("record.unreadable", key=item.key, error=exc.message)
-    return max(versions)
-
-
 async def _follow(fleet):
     """Watch the store once and apply the changes that it returns."""
     sent_at = anyio.current_time()
@@ -320,7 +252,7 @@
     fleet.confirmed_at = min(sent_at + waited_s, anyio.current_time())
     fleet.changes_since = fleet.confirmed_at if is_delayed else changes.began_at
     expire_missing(fleet)
-    _settle_marks(fleet)
+    evacuations.settle_marks(fleet)
     if changes.items:
         fleet.changed.notify()
         await anyio.sleep(batch_delay_s(fleet.deployment.bounds))
@@ -389,7 +321,7 @@
     fleet.store_failed_at = max(fleet.store_failed_at, store_failed_at)
     fleet.changes_since = max(fleet.changes_since, confirmed_at)
     expire_missing(fleet)
-    _settle_marks(fleet)
+    evacuations.settle_marks(fleet)
     if changes:
         fleet.changed.notify()
 
@@ -411,11 +343,11 @@
         if item.key == records.CONFIGURATION_KEY:
             _apply_configuration(fleet, item)
         elif item.key.startswith(records.VERSION_PREFIX):
-            _apply_version(fleet, item)
+            versions.apply_version(fleet, item)
         elif item.key.startswith(records.SERVER_PREFIX):
             _apply_server(fleet, item)
         elif records.is_evacuation_key(item.key):
-            _apply_mark(fleet, item)
+            evacuations.apply_mark(fleet, item)
         elif item.key.startswith(entry_records.PREFIX):
             _apply_entry(fleet, item)
         elif item.key.startswith(part_records.PREFIX):
@@ -436,213 +368,6 @@
         )
 
 
-def _apply_version(fleet, item):
-    if item.value is None:
-        return
-    named = records.decode_named_version(item.value)
-    known = fleet.named.setdefault(named.model, [])
-    # A process that has just started cannot know when the version was named.
-    seen_at = _seen_at(fleet) if fleet.revision else _seen_at_before_start(fleet)
-    if named_versions.add(known, named.version, seen_at):
-        fleet.operator_items[item.key] = item
-        fleet.own_dates.setdefault(named.model, {})[named.version] = seen_at
-        eventlog.event("version.named", model=named.model, version=named.version)
-        _redate(fleet, named.model)
-
-
-def note_named(fleet, server, ago_ms):
-    """Note when the agent of a server saw versions being named.
-
-    An entry that was out of touch with the store dates a version back to its last
-    confirmed state. Without these reports it stops using the served weights up to a
-    second before they end.
-
-    Parameters
-    ----------
-    fleet : Fleet
-    server : core.registry.Registration
-    ago_ms : dict of int to int
-        Time since then, by version.
-    """
-    services = fleet.configuration.services if fleet.configuration else {}
-    service = services.get(server.service)
-    if service is None or service.weights is None:
-        return
-    model, now = service.weights.models[0], anyio.current_time()
-    witnesses = fleet.witnesses.setdefault(model, named_versions.Witnesses())
-    changed = [
-        named_versions.note_seen(
-            witnesses,
-            version,
-            server.server_id,
-            server.failure_domain,
-            now - max(0, elapsed_ms) / 1000,
-        )
-        for version, elapsed_ms in ago_ms.items()
-    ]
-    if any(changed):
-        _redate(fleet, model)
-
-
-def _redate(fleet, model):
-    """Date the named versions of a model by what is known now."""
-    named = fleet.named.get(model)
-    if not named:
-        return
-    before = list(named)
-    named_versions.redate(
-        named,
-        fleet.own_dates.get(model, {}),
-        fleet.witnesses.get(model, named_versions.Witnesses()),
-    )
-    for item, old in zip(named, before, strict=True):
-        if abs(item.seen_at - old.seen_at) > REDATED_S:
-            eventlog.event(
-                "version.redated",
-                model=model,
-                version=item.version,
-                later_s=round(item.seen_at - old.seen_at, 3),
-            )
-
-
-def _seen_at(fleet):
-    """Return the time to record for a named version that was just read.
-
-    After a store outage the version may have been named long ago; the time limits do
-    not apply to a process that has just reconnected to the store.
-    """
-    bounds = fleet.deployment.bounds
-    regained = fleet.store_failed_at + bounds.contact_s - bounds.version_s
-    return max(fleet.changes_since, regained)
-
-
-def _seen_at_before_start(fleet):
-    """Return the time to record for versions that were named before this process.
-
-    The time limits do not apply to a process that has just started.
-    """
-    bounds = fleet.deployment.bounds
-    return fleet.started - PROCESS_START_S + bounds.contact_s - bounds.version_s
-
-
-def _apply_mark(fleet, item):
-    failure_domain = records.decode_evacuation_key(item.key)
-    if item.value is not None:
-        if evacuation.put(fleet.evacuation_marks, failure_domain, item.revision):
-            _note_mark(fleet, evacuation.Change.APPLIED, failure_domain)
-    elif evacuation.remove(fleet.evacuation_marks, failure_domain):
-        note_evacuation_revoked(fleet, failure_domain)
-
-
-def _replace_marks(fleet, read, told, is_restored):
-    """Replace the evacuation marks by those of a full read.
-
-    Parameters
-    ----------
-    fleet : Fleet
-    read : platform.kv.Changes
-        The operators' items.
-    told : list of entry.change_relay.Told
-        Items of other entries.
-    is_restored : bool
-        Whether the store came back from a copy since the last read.
-    """
-    now = anyio.current_time()
-    found = {}
-    for item in read.items:
-        failure_domain = _marked_domain(item)
-        if failure_domain is not None:
-            found[failure_domain] = item.revision
-    known = [mark for answer in told for mark in _marks_told(answer, read.era)]
-    changes = evacuation.learn(fleet.evacuation_marks, known, found, now)
-    changes += evacuation.replace(fleet.evacuation_marks, found, is_restored, now)
-    for change, failure_domain in changes:
-        _note_mark(fleet, change, failure_domain)
-
-
-def _marked_domain(item):
-    """Return the failure domain that an item marks, or None."""
-    if not records.is_evacuation_key(item.key):
-        return None
-    try:
-        return records.decode_evacuation_key(item.key)
-    except errors.RecordError as exc:
-        eventlog.event("record.unreadable", key=item.key, error=exc.message)
-        return None
-
-
-def _marks_told(answer, era):
-    """Return what another entry tells of a mark, as a list of at most one item.
-
-    A mark that it has from the same era of the store would be in the store if it were
-    still in force: this process reads the store itself.
-    """
-    failure_domain = _marked_domain(answer.item)
-    is_removed = answer.item.value is None
-    is_outdated = not is_removed and answer.since is None and answer.era == era
-    if failure_domain is None or is_outdated:
-        return []
-    return [
-        evacuation.Told(
-            failure_domain=failure_domain,
-            revision=answer.item.revision,
-            is_removed=is_removed,
-            since=answer.since,
-        )
-    ]
-
-
-def _settle_marks(fleet):
-    """Give up what a restored store contradicts and operators did not repeat."""
-    changes = evacuation.settle(
-        fleet.evacuation_marks,
-        fleet.confirmed_at,
-        fleet.store_failed_at,
-        fleet.deployment.bounds,
-    )
-    for change, failure_domain in changes:
-        _note_mark(fleet, change, failure_domain)
-
-
-def _note_mark(fleet, change, failure_domain):
-    """Log what became of an evacuation mark."""
-    if change is evacuation.Change.REVOKED:
-        return note_evacuation_revoked(fleet, failure_domain)
-    eventlog.event(
-        "evacuation.changed",
-        failure_domain=failure_domain,
-        change=change.value,
-        is_known=failure_domain in fleet.deployment.regions,
-        servers=_count_servers(fleet, failure_domain),
-    )
-
-
-def note_evacuation_revoked(fleet, failure_domain):
-    """Record that servers of a failure domain may get requests again from now on.
-
-    Called once for each evacuation that ends here, whether its mark was removed or a
-    restored store did not show it again in time.
-    """
-    eventlog.event(
-        "evacuation.revoked",
-        failure_domain=failure_domain,
-        servers=_count_servers(fleet, failure_domain),
-    )
-    # They are usually cold, and registrations tell so with a delay.
-    servers = fleet.servers.servers.values()
-    returned = [
-        server.server_id
-        for server in servers
-        if server.failure_domain == failure_domain
-    ]
-    mark_cold(fleet, returned, "evacuation")
-
-
-def _count_servers(fleet, failure_domain):
-    servers = fleet.servers.servers.values()
-    return sum(server.failure_domain == failure_domain for server in servers)
-
-
 def _apply_server(fleet, item):
     server_id = item.key.removeprefix(records.SERVER_PREFIX)
     now = anyio.current_time()
@@ -657,8 +382,8 @@
         raise
     known = _last_registration(fleet, server_id)
     registry.put(fleet.servers, registration)
-    note_start(fleet, server_id, registration.started_ms)
-    _note_cold_record(fleet, registration, known)
+    cold_servers.note_start(fleet, server_id, registration.started_ms)
+    cold_servers.note_cold_record(fleet, registration, known)
     eventlog.event(
         "server.listed",
         server=server_id,
@@ -668,162 +393,11 @@
     )
 
 
-def note_start(fleet, server_id, started_ms):
-    """Record a server start, which invalidates its earlier announcements."""
-    lag_s = START_LAG_HEARTBEATS * fleet.deployment.heartbeat_s
-    now = anyio.current_time()
-    if announcements.record_start(fleet.announced, server_id, started_ms, now, lag_s):
-        eventlog.event("server.started_anew", server=server_id, start=started_ms)
-
-
-def assume_cold(fleet, server_id, started_ms, source, is_known=True):
-    """Record that a server is cold, as it started during traffic.
-
-    What a statement told of the same start takes precedence.
-    """
-    if not announcements.tells_cold(fleet.announced, server_id, started_ms):
-        cold_s = _warmup_s(fleet, server_id)
-        _set_cold(fleet, server_id, started_ms, cold_s, -math.inf, source, is_known)
-
-
-def mark_cold(fleet, server_ids, source):
-    """Record that servers are cold for the `warmup_s` of their service from now.
-
-    A later statement of a server, or a later start, takes precedence.
-
-    Parameters
-    ----------
-    fleet : Fleet
-    server_ids : iterable of str
-        Servers of services without a limit for cold servers are passed over.
-    source : str
-        Where it is known from, for the log.
-    """
-    now = anyio.current_time()
-    for server_id in server_ids:
-        listed = fleet.servers.servers.get(server_id)
-        if listed is None:
-            continue
-        known = fleet.announced.by_server.get(server_id)
-        started_ms = max(listed.started_ms, known.started_ms if known else 0)
-        cold_s = _warmup_s(fleet, server_id)
-        if known is not None:
-            cold_s = max(cold_s, known.cold_until - now)
-        _set_cold(fleet, server_id, started_ms, cold_s, now, source)
-
-
-def _note_cold_record(fleet, registration, known):
-    """Record whether a server is cold, by a registration that was just read.
-
-    Parameters
-    ----------
-    fleet : Fleet
-    registration : core.registry.Registration
-    known : core.registry.Registration or None
-        The last one of the same server.
-    """
-    server_id, started_ms = registration.server_id, registration.started_ms
-    if registration.malformed_cold:
-        eventlog.event(
-            "server.cold_malformed", server=server_id, value=registration.malformed_cold
-        )
-    cold_s = registration.cold_s
-    if cold_s is not None:
-        named_at = anyio.current_time() if cold_s else fleet.changes_since
-        is_known = known is not None
-        _set_cold(fleet, server_id, started_ms, cold_s, named_at, "record", is_known)
-    elif fleet.first_read_at is not None and _is_new_start(fleet, registration, known):
-        assume_cold(fleet, server_id, started_ms, "start", known is not None)
-
-
-def knows_cold(fleet, server_id, started_ms):
-    """Whether it is known here if the given start of a server, or a later one, is cold.
-
-    Others may only assume that it is cold.
-    """
-    listed = fleet.servers.servers.get(server_id)
-    is_told = (
-        listed is not None
-        and listed.cold_s is not None
-        and listed.started_ms >= started_ms
-    )
-    return is_told or announcements.tells_cold(fleet.announced, server_id, started_ms)
-
-
-def _is_new_start(fleet, registration, known):
-    if known is None or known.started_ms != registration.started_ms:
-        return True
-    return not known.started_ms and registration.server_id in fleet.servers.removed
-
-
 def _last_registration(fleet, server_id):
     servers = fleet.servers
     return servers.servers.get(server_id) or servers.removed.get(server_id)
 
 
-def _warmup_s(fleet, server_id):
-    service = _service_of(fleet, server_id)
-    return service.warmup_s if service is not None else 0.0
-
-
-def _service_of(fleet, server_id):
-    server = fleet.servers.servers.get(server_id)
-    if server is None or fleet.configuration is None:
-        return None
-    return fleet.configuration.services.get(server.service)
-
-
-def _set_cold(fleet, server_id, started_ms, cold_s, named_at, source, is_known=True):
-    is_changed = note_cold(fleet, server_id, started_ms, cold_s, named_at, source)
-    # Entries that do not know a new server yet learn both from the same record.
-    if is_changed and is_known:
-        fleet.cold_changed(server_id)
-
-
-def note_cold(fleet, server_id, started_ms, cold_s, named_at, source, told_per_s=0.0):
-    """Record a statement that a server is cold for `cold_s`, or warm.
-
-    Parameters
-    ----------
-    fleet : Fleet
-    server_id : str
-    started_ms : int
-        Start of the server, 0 if it is not known.
-    cold_s : float
-    named_at : float
-        Time of the statement; minus infinity if it is assumed because of a start.
-    source : str
-        Where it is known from, for the log.
-    told_per_s : float
-        Requests per second that it sustains while cold, as another entry says; used
-        if the service of the server is not known here.
-
-    Returns
-    -------
-    is_changed : bool
-        Whether it became cold or warm. False if its service has no such limit.
-    """
-    service = _service_of(fleet, server_id)
-    per_s = told_per_s if service is None else service.warmup_per_s
-    if not per_s:
-        return False
-    bounds, now = fleet.deployment.bounds, anyio.current_time()
-    allowed = per_s * bounds.warmup_overshoot + bounds.warmup_slack
-    warmup = permits.Warmup(per_s, allowed)
-    if not announcements.record_cold(
-        fleet.announced, server_id, started_ms, now + cold_s, named_at, warmup, now
-    ):
-        return False
-    eventlog.event(
-        "server.cold",
-        server=server_id,
-        cold_s=round(cold_s, 3),
-        limit=round(permits.cold_limit(warmup), 2),
-        source=source,
-    )
-    return True
-
-
 def _replace_servers(fleet, items):
     listed = []
     for item in items:
@@ -839,10 +413,10 @@
     }
     registry.replace_all(fleet.servers, listed, now, _lapse_grace(fleet, now))
     for item in listed:
-        note_start(fleet, item.server_id, item.started_ms)
+        cold_servers.note_start(fleet, item.server_id, item.started_ms)
         # A record that was read before would make the server cold once more.
         if item != before[item.server_id]:
-            _note_cold_record(fleet, item, before[item.server_id])
+            cold_servers.note_cold_record(fleet, item, before[item.server_id])
 
 
 def _lapse_grace(fleet, now):
@@ -898,41 +472,3 @@
 def _max_key_age_s(fleet):
     """Return the age of the local copy at which its API keys are not accepted."""
     return fleet.deployment.bounds.revoke_s - WATCH_GAP_S - KEY_SLACK_S
-
-
-def begin_by(fleet, holding):
-    """Return the time by which requests for given weights must have begun.
-
-    Parameters
-    ----------
-    fleet : Fleet
-    holding : core.registry.Holding or None
-
-    Returns
-    -------
-    time : float
-        Infinite for the newest weights.
-    """
-    if holding is None:
-        return math.inf
-    allowed_s = fleet.deployment.bounds.version_s - VERSION_SLACK_S
-    named = fleet.named.get(holding.model, [])
-    return named_versions.begin_by(named, holding.version, allowed_s)
-
-
-def newest_version(fleet, model):
-    """Return the newest named version of a model, or None."""
-    named = fleet.named.get(model)
-    return named[-1].version if named else None
-
-
-def holdings(fleet):
-    """Return the weights that registered engines report as served."""
-    servers = fleet.servers.servers.values()
-    return [server.holding for server in servers if server.holding]
-
-
-def served_version(fleet, model):
-    """Return the newest version of a model that a registered engine serves, or None."""
-    versions = [item.version for item in holdings(fleet) if item.model == model]
-    return max(versions, default=None)
--- a/src/carobstand/entry/forwarding.py
+++ b/src/carobstand/entry/forwarding.py
@@ -35,6 +35,7 @@
     queueing,
     response_bodies,
     server_limits,
+    versions,
 )
 from carobstand.platform import http_headers
 
@@ -443,7 +444,7 @@
     """Send a request and return what `_receive_start` returns."""
     with poison_parts.unanswered(fwd, call):
         await _send_request(fwd, call, chosen, conn)
-        begin_by = fleet.begin_by(fwd.fleet, chosen.candidate.holding)
+        begin_by = versions.begin_by(fwd.fleet, chosen.candidate.holding)
         return await _receive_start(fwd, call, conn, begin_by)
     raise errors.HttpError(
         "a part of its prompt was convicted", step="forward.receive", peer=conn.peer
--- a/src/carobstand/entry/queueing.py
+++ b/src/carobstand/entry/queueing.py
@@ -24,7 +24,13 @@
     shortlist,
     value_density,
 )
-from carobstand.entry import allowed_regions, demand_exchange, fleet, server_limits
+from carobstand.entry import (
+    allowed_regions,
+    demand_exchange,
+    fleet,
+    server_limits,
+    versions,
+)
 
 MAX_CHECK_INTERVAL_S = 0.02
 """Maximum interval between evaluations of waiting requests."""
@@ -481,7 +487,7 @@
         call.size,
         entry_location,
         random.random,
-        lambda holding: fleet.begin_by(fwd.fleet, holding),
+        lambda holding: versions.begin_by(fwd.fleet, holding),
         now,
     )
     return choices, found.excluded
--- a/src/carobstand/entry/server_limits.py
+++ b/src/carobstand/entry/server_limits.py
@@ -20,6 +20,7 @@
     exchange,
     permits,
 )
+from carobstand.entry import cold_servers
 from carobstand.entry import fleet as fleets
 from carobstand.wire.gen_fleet import ttypes
 
@@ -236,7 +237,7 @@
 
 def learn_cold(limits, server_id, started_ms, cold_s, named_at, source, told_per_s=0.0):
     """Record that a server is cold or warm; return whether that changed."""
-    if not fleets.note_cold(
+    if not cold_servers.note_cold(
         limits.fleet, server_id, started_ms, cold_s, named_at, source, told_per_s
     ):
         return False
@@ -421,9 +422,9 @@
     if cold_ms < 0 or not 0 < per_s < math.inf:
         raise ValueError(f"cold for {cold_ms} ms, {per_s} requests/s")
     server_id, started_ms = message.server_id, message.started_ms or 0
-    fleets.note_start(limits.fleet, server_id, started_ms)
+    cold_servers.note_start(limits.fleet, server_id, started_ms)
     if message.cold_named_ms is None:
-        if not cold_ms or fleets.knows_cold(limits.fleet, server_id, started_ms):
+        if not cold_ms or cold_servers.knows_cold(limits.fleet, server_id, started_ms):
             return False
         named_at = -math.inf
     else:
--- a/src/carobstand/entry/weight_cache.py
+++ b/src/carobstand/entry/weight_cache.py
@@ -8,8 +8,7 @@
 
 from carobstand import errors, eventlog, signals
 from carobstand.core import engine_load, weight_copy
-from carobstand.entry import change_relay, weight_fetching
-from carobstand.entry import fleet as fleets
+from carobstand.entry import change_relay, versions, weight_fetching
 from carobstand.transfer import piece_server, piece_stream
 from carobstand.wire.gen_fleet import ttypes
 
@@ -125,7 +124,7 @@
 def _fetch_named(cache):
     """Start fetching named versions that this entry caches for its region."""
     for model in cache.fleet.named:
-        version = fleets.newest_version(cache.fleet, model)
+        version = versions.newest_version(cache.fleet, model)
         if weight_fetching.should_prefetch(cache.fleet, model):
             get_or_fetch(cache, model, version, needs_pieces=True)
 
@@ -140,8 +139,8 @@
         return
     if anyio.current_time() - fleet.started < REGISTRATION_WAIT_S:
         return
-    for model in {holding.model for holding in fleets.holdings(fleet)}:
-        version = fleets.served_version(fleet, model)
+    for model in {holding.model for holding in versions.holdings(fleet)}:
+        version = versions.served_version(fleet, model)
         if weight_fetching.is_seeder(fleet, model):
             get_or_fetch(cache, model, version, needs_pieces=True)
 
@@ -149,7 +148,7 @@
 def _stop_unused(cache):
     """Stop fetching older versions that no agent receives any more."""
     for (model, version), cached in list(cache.held.items()):
-        newest = fleets.newest_version(cache.fleet, model)
+        newest = versions.newest_version(cache.fleet, model)
         if newest is None or version >= newest or cached.scope is None:
             continue
         if _is_in_demand(cached):
@@ -295,9 +294,9 @@
 
 def _newest_version(cache, model):
     """Return the version to send if the newest one is requested."""
-    version = fleets.newest_version(cache.fleet, model)
+    version = versions.newest_version(cache.fleet, model)
     if version is None:
-        version = fleets.served_version(cache.fleet, model)
+        version = versions.served_version(cache.fleet, model)
     return version or piece_stream.NEWEST
 
 
--- a/testing/test_announcements.py
+++ b/testing/test_announcements.py
@@ -102,9 +102,9 @@
 def test_a_leaving_server_gets_requests_again_after_a_restart_only(
     monkeypatch,
 ):
-    from carobstand.entry import fleet as entry_fleet
+    from carobstand.entry import cold_servers
 
-    monkeypatch.setattr(entry_fleet, "START_LAG_HEARTBEATS", 0)
+    monkeypatch.setattr(cold_servers, "START_LAG_HEARTBEATS", 0)
 
     async def check(fleet, first, second):
         first.announces_leaving = True
--- a/testing/test_cold_servers.py
+++ b/testing/test_cold_servers.py
@@ -10,8 +10,7 @@
 import pytest
 
 from carobstand.core import announcements, eligibility, exchange, permits
-from carobstand.entry import fleet as fleets
-from carobstand.entry import forwarding, permit_exchange, server_limits
+from carobstand.entry import cold_servers, forwarding, permit_exchange, server_limits
 from carobstand.wire.gen_fleet import ttypes
 from testing import cold_builders as build
 from testing import limit_checks, virtual_time
@@ -221,9 +220,9 @@
         await anyio.sleep(1.0)
         now = anyio.current_time()
         for started_ms, named_at in ((4000, now), (5000, now - 2.0)):
-            fleets.note_cold(state, "i-1", started_ms, 0.0, named_at, "test")
+            cold_servers.note_cold(state, "i-1", started_ms, 0.0, named_at, "test")
         assert cold_left(state) == pytest.approx(2.0)
-        fleets.assume_cold(state, "i-1", 5000, "test")
+        cold_servers.assume_cold(state, "i-1", 5000, "test")
         assert cold_left(state) == pytest.approx(2.0)
 
     virtual_time.run(scenario)
@@ -234,7 +233,7 @@
         state = build.fleet()
         build.list_server(state, "i-1", warmup_remaining_ms=0)
         build.list_server(state, "i-2", warmup_remaining_ms=9000)
-        fleets.mark_cold(state, ["i-1", "i-2", "unknown"], "evacuation")
+        cold_servers.mark_cold(state, ["i-1", "i-2", "unknown"], "evacuation")
         assert [cold_left(state, item) for item in ("i-1", "i-2")] == [3.0, 9.0]
         assert cold_left(state, "unknown") == 0.0
 
--- a/testing/test_evacuation.py
+++ b/testing/test_evacuation.py
@@ -10,7 +10,7 @@
 import pytest
 
 from carobstand.core import deployment, evacuation
-from carobstand.entry import backend_pool, change_relay, queueing
+from carobstand.entry import backend_pool, change_relay, evacuations, queueing
 from carobstand.platform import kv as kv_client
 from carobstand.standin.platform import engine, kv
 from testing import domain_fleet as domains
@@ -106,7 +106,7 @@
     item = kv_client.Item("op/evacuate/a", b"{}", 5)
     for era, since, count in ((2, None, 0), (1, None, 1), (2, 3.0, 1)):
         told = change_relay.Told(item, era, since)
-        assert len(fleets.entry_fleet._marks_told(told, 2)) == count
+        assert len(evacuations._marks_told(told, 2)) == count
 
 
 def test_an_entry_behind_a_reader_settles_marks_too():
--- a/testing/test_named_versions.py
+++ b/testing/test_named_versions.py
@@ -7,6 +7,7 @@
 from carobstand.agent import view as views
 from carobstand.core import named_versions, registry
 from carobstand.entry import fleet as fleets
+from carobstand.entry import versions
 from carobstand.platform import kv, records
 from testing import platform_builders as build
 from testing import virtual_time, weight_builders
@@ -53,16 +54,16 @@
     item = kv.Item(f"{records.VERSION_PREFIX}m", b'{"model":"m","version":2}', 8)
     fleets.apply_item(fleet, item)
     holding = registry.Holding(model="m", version=1)
-    early = fleets.begin_by(fleet, holding)
+    early = versions.begin_by(fleet, holding)
 
     async def report():
         await anyio.sleep(19.0 - anyio.current_time())
         for server_id, domain in (("i1", "a"), ("i2", "a"), ("i3", "b")):
             server = build.registration(server_id, failure_domain=domain)
-            fleets.note_named(fleet, server, {2: 1000})
+            versions.note_named(fleet, server, {2: 1000})
 
     virtual_time.run(report)
-    assert math.isclose(fleets.begin_by(fleet, holding), early + 0.9 - DELAY_S)
+    assert math.isclose(versions.begin_by(fleet, holding), early + 0.9 - DELAY_S)
 
 
 def test_an_agent_dates_only_changes_for_which_its_watch_had_waited():
--- a/testing/test_news_of_versions.py
+++ b/testing/test_news_of_versions.py
@@ -7,6 +7,7 @@
 from carobstand.agent import view as views
 from carobstand.core import deployment, registry
 from carobstand.entry import fleet as fleets
+from carobstand.entry import versions
 from carobstand.platform import kv
 from testing import platform_builders as build
 
@@ -99,8 +100,8 @@
         await fleets._follow(state)
         bounds = DEPLOYMENT.bounds
         holding = registry.Holding(model="m", version=1)
-        end = fleets.begin_by(state, holding) - now
-        slack_s = fleets.VERSION_SLACK_S
+        end = versions.begin_by(state, holding) - now
+        slack_s = versions.VERSION_SLACK_S
         assert end == pytest.approx(bounds.contact_s - 0.1 - slack_s, abs=0.05)
 
     anyio.run(test)
--- a/testing/test_weight_fetching.py
+++ b/testing/test_weight_fetching.py
@@ -14,7 +14,7 @@
     weight_sources,
 )
 from carobstand.entry import fleet as fleets
-from carobstand.entry import weight_fetching
+from carobstand.entry import versions, weight_fetching
 from carobstand.platform import kv, records
 
 
@@ -182,10 +182,10 @@
     fleet.started = 100.0
     named = kv.Item(f"{records.VERSION_PREFIX}m", b'{"model":"m","version":2}', 1)
     fleets.apply_item(fleet, named)
-    begin_by = fleets.begin_by(fleet, registry.Holding(model="m", version=1))
+    begin_by = versions.begin_by(fleet, registry.Holding(model="m", version=1))
     # The platform started the process before the process could read a clock.
     started = fleet.started - 0.6
-    assert begin_by <= started + bounds.contact_s - fleets.VERSION_SLACK_S
+    assert begin_by <= started + bounds.contact_s - versions.VERSION_SLACK_S
 
 
 def test_pieces_that_readers_wait_for_are_fetched_first():
