Split entry/forwarding.py: streams, rejections and retries

Forwarding of streams with stall detection and moves, and final responses to rejected or failed requests, get a module each. Both forwarding and streams need the result of an attempt and the retry budget, which are in entry/retries.py so that no import cycle results. Functions are moved, not changed.

--- a/src/carobstand/entry/forwarding.py
+++ b/src/carobstand/entry/forwarding.py
@@ -1,9 +1,5 @@
 """Forwards decoded requests: server selection, attempts, retries, final response."""
 
-import enum
-import math
-import random
-
 import anyio
 import attrs
 
@@ -14,17 +10,14 @@
     calibration,
     crashes,
     engine_load,
-    entry_roster,
     event_stream,
     exchange,
     expected_work,
     health,
-    latency_model,
     placement,
     queue_policy,
     retry_budget,
     routes,
-    server_work,
 )
 from carobstand.entry import (
     backend_pool,
@@ -33,61 +26,18 @@
     poison_parts,
     poison_requests,
     queueing,
+    rejections,
     response_bodies,
+    retries,
     server_limits,
+    streams,
     versions,
 )
 from carobstand.platform import http_headers
 
-RETRY_AFTER_MIN_S = 1.0
-RETRY_AFTER_MAX_S = 1.9
-"""Range of Retry-After for requests that found no free slot, random so that callers do
-not return at the same time. Short overloads, such as some engines loading weights, are
-over by then."""
-
-RETRY_AFTER_OVERLOADED_S = 2.0
-"""Time added to the range of an overloaded service, whose spare capacity returns later
-and has to serve all rejected callers."""
-
-RETRY_RESERVE_S = 1.0
-"""Time before its deadline at which a rejected caller should return at the latest."""
-
-POISON_STATUS = 422
-"""Status of a request that no server can answer, so that callers do not repeat it."""
-
 FINAL_RESPONSE_S = 0.3
 """Time reserved for final responses to reach their callers before a planned stop."""
 
-STALL_GAP_FACTOR = 3
-"""Factor on the maximum gap, or target time, of the route: a retryable request whose
-server is silent for longer is moved to another server."""
-
-STALL_MIN_S = 1.0
-"""Minimum silence that counts as a stall; passes with long prompts are far shorter."""
-
-MOVE_MAX_RUNNING = 6
-"""Streams are moved off a server about to load only if it runs at most this many: then
-a move lets it become idle sooner. On a fuller server the others take as long anyway."""
-
-MOVE_MIN_REMAINING_S = 0.4
-"""Minimum predicted remaining time that justifies a move, which repeats the prefill."""
-
-MOVE_MAX_GAP_S = 0.2
-"""Maximum predicted gap in a stream that moves."""
-
-MOVE_BUDGET_SHARE = 0.4
-"""Share of the retry budget that moves may use; the rest is reserved for faults."""
-
-
-class Outcome(enum.Enum):
-    """Result of one attempt at a backend server."""
-
-    DONE = "done"
-    NOT_SENT = "not sent"
-    NOT_RUN = "not run"
-    UNKNOWN = "unknown"
-    MOVED = "moved"
-
 
 @attrs.define(eq=False)
 class Forwarder:
@@ -249,7 +199,7 @@
         finally:
             fwd.scopes.discard(scope)
     if scope.cancelled_caught:
-        await _give_up(fwd, call, 504, "deadline")
+        await rejections.give_up(fwd, call, 504, "deadline")
 
 
 def limit_deadlines(fwd, stops_at):
@@ -262,108 +212,34 @@
 async def _try_servers(fwd, call):
     while True:
         if poison_requests.is_poison(fwd, call):
-            return await _give_up(fwd, call, 502, "it crashes servers")
+            return await rejections.give_up(fwd, call, 502, "it crashes servers")
         if poison_parts.is_rejected(fwd, call):
-            return await _reject_for_part(call)
+            return await rejections.reject_for_part(call)
         chosen = await queueing.place(fwd, call)
         if chosen is None:
-            return await _give_up(fwd, call, 502, "no server has room in time")
+            return await rejections.give_up(
+                fwd, call, 502, "no server has room in time"
+            )
         try:
             # A part may have been convicted while the request waited.
             if poison_parts.is_rejected(fwd, call):
-                return await _reject_for_part(call)
+                return await rejections.reject_for_part(call)
             outcome = await _send(fwd, call, chosen)
         finally:
             queueing.end(fwd, call, chosen)
-        if outcome is Outcome.DONE:
+        if outcome is retries.Outcome.DONE:
             poison_requests.record_answered(fwd, call)
             return None
         if call.reply.started:
             call.terms = attrs.evolve(call.terms, is_started=True)
-        if not _may_retry(call, outcome):
-            return await _give_up(fwd, call, 502, outcome.value)
+        if not retries.may_retry(call, outcome):
+            return await rejections.give_up(fwd, call, 502, outcome.value)
         if call.lost and not await poison_parts.may_resend(fwd, call.lost):
-            return await _give_up(fwd, call, 502, "it may have crashed a server")
-        if call.attempts_sent and not _reserve_retry(fwd, call):
-            return await _give_up(fwd, call, 502, "retry budget is spent")
-
-
-async def _reject_for_part(call):
-    """Reject a request that would crash the server that answers it."""
-    reason = "a part of its prompt crashes servers"
-    if call.reply.started:
-        eventlog.event("request.cut", request=call.req.request_id, reason=reason)
-        return
-    await refuse(call.reply, call.req, POISON_STATUS, reason)
-
-
-def _may_retry(call, outcome):
-    if outcome is Outcome.NOT_SENT:
-        return True
-    if call.attempts_sent >= call.route.max_servers:
-        return False
-    if call.reply.started and call.route.kind is not routes.Kind.STREAM:
-        return False
-    return outcome is Outcome.NOT_RUN or routes.is_retryable(call.route)
-
-
-def _reserve_retry(fwd, call, share=1.0):
-    """Reserve a retry from the service's budget, of which `share` may be used."""
-    if call.has_reserved_retry:
-        return True
-    now, bounds = anyio.current_time(), fwd.fleet.deployment.bounds
-    call.has_reserved_retry = retry_budget.withdraw(
-        fwd.budgets[call.service],
-        bounds,
-        entry_roster.count_within(fwd.fleet.roster, now, bounds.retry_window_s),
-        now,
-        share,
-    )
-    return call.has_reserved_retry
-
-
-async def _give_up(fwd, call, status, reason):
-    """End a request that no server could complete, with a final response."""
-    if call.reply.started:
-        # The caller detects the truncation, as the last chunk is missing.
-        eventlog.event("request.cut", request=call.req.request_id, reason=reason)
-        return
-    if not call.may_have_run:
-        await refuse(call.reply, call.req, 503, reason, _retry_after_s(fwd, call))
-    else:
-        await refuse(call.reply, call.req, status, reason, None)
-
-
-def _retry_after_s(fwd, call):
-    """Return the time after which a call that did not run may find a free slot."""
-    now = anyio.current_time()
-    ids = queueing.located_ids(fwd, call)
-    quiet_s = announcements.remaining_pause_s(fwd.fleet.announced, ids, now)
-    if not math.isfinite(quiet_s):
-        quiet_s = 0.0
-    waiting = sum(queueing.competes(fwd, item.call, call) for item in fwd.queue.waiters)
-    permit_s = queueing.permit_wait_s(fwd, call, waiting) or 0.0
-    earliest_s = max(RETRY_AFTER_MIN_S, quiet_s, permit_s)
-    overload = queueing.pressure(fwd, call.service, now)
-    spread_s = RETRY_AFTER_MAX_S - RETRY_AFTER_MIN_S
-    spread_s += overload * RETRY_AFTER_OVERLOADED_S
-    # A delay beyond the deadline would be the caller's last.
-    left_s = call.terms.deadline - now - RETRY_RESERVE_S - earliest_s
-    return earliest_s + random.uniform(0.0, max(0.0, min(spread_s, left_s)))
-
-
-async def refuse(reply, req, status, reason, retry_after_s=None):
-    """Respond to a request that is rejected or failed."""
-    eventlog.event(
-        "request.refused",
-        request=req and req.request_id,
-        status=status,
-        reason=reason,
-        retry_after_s=retry_after_s,
-    )
-    headers = http_headers.refusal_headers(req, retry_after_s)
-    body = b'{"error":"%s"}' % reason.encode()
-    await http1_server.respond(reply, status, headers, body)
+            return await rejections.give_up(
+                fwd, call, 502, "it may have crashed a server"
+            )
+        if call.attempts_sent and not retries.reserve_retry(fwd, call):
+            return await rejections.give_up(fwd, call, 502, "retry budget is spent")
 
 
 async def _send(fwd, call, chosen):
@@ -371,7 +247,7 @@
 
     Returns
     -------
-    outcome : Outcome
+    outcome : entry.retries.Outcome
     """
     server = chosen.candidate.server
     state = fwd.healths.setdefault(server.server_id, health.ServerHealth())
@@ -381,7 +257,7 @@
     except errors.HttpError as exc:
         health.refused(state, anyio.current_time(), server.started_ms)
         eventlog.event("backend.unreachable", server=server.server_id, error=str(exc))
-        return Outcome.NOT_SENT
+        return retries.Outcome.NOT_SENT
     reason = queueing.withheld_reason(fwd, call, server)
     if reason is not None:
         # The server may be tried once it is allowed again: it received nothing.
@@ -393,7 +269,7 @@
             server=server.server_id,
             reason=reason.value,
         )
-        return Outcome.NOT_SENT
+        return retries.Outcome.NOT_SENT
     kept = False
     may_have_run_before = call.may_have_run
     call.may_have_run = True
@@ -411,11 +287,11 @@
         outcome = await _forward_response(fwd, call, chosen, conn, head, data)
         if head.status == 421:
             health.refused(state, anyio.current_time(), server.started_ms)
-        if outcome is Outcome.NOT_RUN:
+        if outcome is retries.Outcome.NOT_RUN:
             call.may_have_run = may_have_run_before
         else:
             health.answered(state)
-        if outcome in (Outcome.DONE, Outcome.NOT_RUN):
+        if outcome in (retries.Outcome.DONE, retries.Outcome.NOT_RUN):
             kept = backend_pool.release(fwd.pool, conn)
         return outcome
     except errors.HttpError as exc:
@@ -434,7 +310,7 @@
             parts=call.req.prompt_parts[:-1],
             error=str(exc),
         )
-        return Outcome.UNKNOWN
+        return retries.Outcome.UNKNOWN
     finally:
         if not kept:
             await backend_pool.discard(fwd.pool, conn)
@@ -475,7 +351,7 @@
     An attempt on outdated weights that has not begun by `begin_by` is abandoned.
     """
     with anyio.CancelScope(deadline=begin_by):
-        raw = await _receive_unless_stalled(fwd, call, conn, http1.receive_head)
+        raw = await streams.receive_unless_stalled(fwd, call, conn, http1.receive_head)
         head = http_headers.decode_response_head(raw.status_code, raw.headers)
         if head.request_id != call.req.request_id:
             raise errors.HttpError(
@@ -485,7 +361,9 @@
             )
         if not _is_stream(call, head):
             return head, None
-        return head, await _receive_unless_stalled(fwd, call, conn, http1.receive_data)
+        return head, await streams.receive_unless_stalled(
+            fwd, call, conn, http1.receive_data
+        )
     raise errors.HttpError(
         "not begun before the weights became outdated",
         step="forward.receive",
@@ -559,9 +437,9 @@
 async def _forward_response(fwd, call, chosen, conn, head, data):
     if _says_not_run(head):
         await response_bodies.discard_refusal(conn)
-        return Outcome.NOT_RUN
+        return retries.Outcome.NOT_RUN
     if _is_stream(call, head):
-        return await _forward_stream(fwd, call, chosen, conn, head, data)
+        return await streams.forward_stream(fwd, call, chosen, conn, head, data)
     return await _forward_buffered(fwd, call, conn, head)
 
 
@@ -586,132 +464,15 @@
         )
     implies_not_run = head.status in (408, 429, 503)
     if implies_not_run or (200 <= head.status < 300 and not head.is_signed):
-        return Outcome.UNKNOWN
-    if head.status >= 500 and _may_retry(call, Outcome.UNKNOWN):
-        if _reserve_retry(fwd, call):
-            return Outcome.UNKNOWN
+        return retries.Outcome.UNKNOWN
+    if head.status >= 500 and retries.may_retry(call, retries.Outcome.UNKNOWN):
+        if retries.reserve_retry(fwd, call):
+            return retries.Outcome.UNKNOWN
     if head.status < 300:
         poison_parts.record_answer(fwd, call)
     if not body.is_complete:
         await response_bodies.pass_through(conn, body, call.reply, head)
-        return Outcome.DONE
+        return retries.Outcome.DONE
     raw = b"".join(body.chunks)
     await http1_server.respond(call.reply, head.status, head.headers, raw)
-    return Outcome.DONE
-
-
-async def _forward_stream(fwd, call, chosen, conn, head, data):
-    if not head.is_signed:
-        raise errors.HttpError(
-            "stream without signature", step="forward.receive", peer=conn.peer
-        )
-    events = call.events
-    event_stream.resume(events)
-    delivered = events.events
-    while data is not None:
-        before = events.events
-        complete = event_stream.feed(events, data)
-        if not events.in_order or events.is_too_long:
-            reason = "events out of order" if complete else "an event is too long"
-            raise errors.HttpError(reason, step="forward.receive", peer=conn.peer)
-        if events.events > before:
-            queueing.record_events(fwd, call, chosen, events.events - before)
-            if not call.has_begun:
-                call.has_begun = True
-                poison_parts.record_answer(fwd, call)
-        if complete and not call.reply.started:
-            await http1_server.start_response_with(
-                call.reply, 200, head.headers, complete
-            )
-        elif complete:
-            await http1_server.send_data(call.reply, complete)
-        if complete and _should_move(fwd, call, chosen):
-            return Outcome.MOVED
-        data = await _receive_more(fwd, call, conn, events.events > before)
-    is_empty = events.events == delivered
-    if events.pending or (is_empty and not head.is_framed):
-        reason = "stream ended " + ("before" if is_empty else "within") + " an event"
-        raise errors.HttpError(reason, step="forward.receive", peer=conn.peer)
-    if not call.reply.started:
-        await http1_server.start_response(call.reply, 200, head.headers)
-    queueing.record_answer_length(fwd, call)
-    await http1_server.finish_response(call.reply)
-    return Outcome.DONE
-
-
-async def _receive_more(fwd, call, conn, is_progress):
-    """Return more of a stream; only complete events count as progress."""
-    if is_progress:
-        call.progress_at = anyio.current_time()
-    return await _receive_unless_stalled(fwd, call, conn, http1.receive_data)
-
-
-async def _receive_unless_stalled(fwd, call, conn, receive):
-    """Return ``await receive(conn)``; raise if a stalled request should be moved.
-
-    A merely slow server is waited for. A request is moved only after a silence far
-    beyond the gaps that the route allows, and only if another server can start it at
-    once.
-
-    Raises
-    ------
-    HttpError
-        If the server stalled and another one can continue.
-    """
-    if not routes.is_retryable(call.route):
-        return await receive(conn)
-    stall_s = max(STALL_MIN_S, STALL_GAP_FACTOR * _allowed_wait_s(call))
-    while True:
-        due = max(call.progress_at, call.sent_at) + stall_s
-        with anyio.CancelScope(deadline=max(due, anyio.current_time())) as scope:
-            return await receive(conn)
-        if scope.cancelled_caught and _can_switch_server(fwd, call):
-            raise errors.HttpError(
-                f"no progress for {stall_s:.1f} s",
-                step="forward.receive",
-                peer=conn.peer,
-            )
-        call.progress_at = anyio.current_time()
-
-
-def _allowed_wait_s(call):
-    """Return the route's limit for the time to the first event or between two."""
-    return call.route.max_gap_s if call.reply.started else call.route.target_s
-
-
-def _can_switch_server(fwd, call):
-    """Return whether another server can take a call now and the budget allows it."""
-    if not _may_retry(call, Outcome.UNKNOWN):
-        return False
-    return queueing.can_start_within(fwd, call, MOVE_MAX_GAP_S) and _reserve_retry(
-        fwd, call
-    )
-
-
-def _should_move(fwd, call, chosen):
-    """Return whether to move a stream so that its server can load weights sooner.
-
-    A server that was ordered to load first finishes its running requests and accepts
-    no others meanwhile; one long response would leave all its other slots idle.
-    """
-    server = chosen.candidate.server
-    load = engine_load.fresh_load(fwd.loads, server, anyio.current_time())
-    if load is None or not load.is_busy or load.running > MOVE_MAX_RUNNING:
-        return False
-    if not _may_retry(call, Outcome.UNKNOWN):
-        return False
-    service = queueing.service_of(fwd, call)
-    if service is None or service.latency_model is None:
-        return False
-    received_tokens = call.events.events * service.latency_model.steps_per_pass
-    remaining_tokens = server_work.remaining_tokens(
-        call.size.answer_tokens, received_tokens
-    )
-    if (
-        latency_model.answer_s(service.latency_model, remaining_tokens, load.running)
-        < MOVE_MIN_REMAINING_S
-    ):
-        return False
-    if not queueing.can_start_within(fwd, call, MOVE_MAX_GAP_S):
-        return False
-    return _reserve_retry(fwd, call, MOVE_BUDGET_SHARE)
+    return retries.Outcome.DONE
--- a/src/carobstand/entry/ingress.py
+++ b/src/carobstand/entry/ingress.py
@@ -16,7 +16,13 @@
     routes,
     value_density,
 )
-from carobstand.entry import allowed_regions, fleet, forwarding, queueing
+from carobstand.entry import (
+    allowed_regions,
+    fleet,
+    forwarding,
+    queueing,
+    rejections,
+)
 from carobstand.platform import http_headers
 
 DEFAULT_DEADLINE_S = 30.0
@@ -54,23 +60,23 @@
             request.method, request.target, request.headers
         )
     except ValueError as exc:
-        return await forwarding.refuse(reply, None, 400, str(exc))
+        return await rejections.refuse(reply, None, 400, str(exc))
     config = fwd.fleet.configuration
     if config is None:
-        return await forwarding.refuse(
+        return await rejections.refuse(
             reply, req, 503, "no configuration", CONFIGURATION_RETRY_AFTER_S
         )
     route = allowed_regions.find_route(config, req)
     if route is None:
-        return await forwarding.refuse(reply, req, 404, "no route")
+        return await rejections.refuse(reply, req, 404, "no route")
     customer = config.customers.get(req.key)
     if config.needs_keys and not route.is_public:
         if not fleet.are_keys_current(fwd.fleet, anyio.current_time()):
-            return await forwarding.refuse(
+            return await rejections.refuse(
                 reply, req, 503, "keys not current", CONFIGURATION_RETRY_AFTER_S
             )
         if customer is None:
-            return await forwarding.refuse(reply, req, 401, "unknown key")
+            return await rejections.refuse(reply, req, 401, "unknown key")
     eventlog.debug("request.accepted", request=req.request_id, route=route.name)
     service = routes.pick_service(route, random.random())
     parts = poison_parts.shareable(req.prompt_parts)
--- a/testing/overload_replay.py
+++ b/testing/overload_replay.py
@@ -31,7 +31,7 @@
     weight_sources,
 )
 from carobstand.entry import fleet as fleets
-from carobstand.entry import forwarding, ingress, queueing
+from carobstand.entry import forwarding, ingress, queueing, rejections
 from carobstand.wire import fleet_codec
 from carobstand.wire.gen_fleet import ttypes
 from testing import platform_builders as build
@@ -278,7 +278,7 @@
             if choice is not None:
                 await _run_attempt(replay, fwd, call, choice, request)
                 return
-            retry_s = forwarding._retry_after_s(fwd, call)
+            retry_s = rejections._retry_after_s(fwd, call)
             await anyio.sleep(CALLER_LINK_S + retry_s)
             continue
         return
--- a/testing/test_allowed_regions.py
+++ b/testing/test_allowed_regions.py
@@ -12,7 +12,7 @@
     routes,
     weight_sources,
 )
-from carobstand.entry import backend_pool, forwarding, queueing
+from carobstand.entry import backend_pool, queueing, streams
 from carobstand.platform import records
 from testing import domain_fleet as domains
 from testing import platform_builders as build
@@ -154,9 +154,9 @@
     async def check():
         fwd = domains.forwarder({"i-1": "a", "i-2": "b"})
         call = domains.call(tried={"i-1"})
-        assert queueing.can_start_within(fwd, call, forwarding.MOVE_MAX_GAP_S)
+        assert queueing.can_start_within(fwd, call, streams.MOVE_MAX_GAP_S)
         domains.configure(fwd, route=["north"])
-        assert not queueing.can_start_within(fwd, call, forwarding.MOVE_MAX_GAP_S)
+        assert not queueing.can_start_within(fwd, call, streams.MOVE_MAX_GAP_S)
 
     anyio.run(check)
 
--- a/testing/test_entry_roster.py
+++ b/testing/test_entry_roster.py
@@ -6,7 +6,7 @@
 from carobstand import entry_records
 from carobstand.core import entry_roster, retry_budget, weight_sources
 from carobstand.entry import fleet as fleets
-from carobstand.entry import forwarding
+from carobstand.entry import forwarding, retries
 from carobstand.platform import kv as store_client
 from carobstand.standin.platform import kv
 from testing import platform_builders as build
@@ -51,7 +51,7 @@
 def allowed_retries(fwd):
     """Return how many retries an entry allows itself now."""
     count = 0
-    while forwarding._reserve_retry(fwd, Call()):
+    while retries.reserve_retry(fwd, Call()):
         count += 1
     return count
 
--- a/testing/test_poison_parts.py
+++ b/testing/test_poison_parts.py
@@ -9,13 +9,13 @@
 import pytest
 
 from carobstand.core import poison_parts as core_parts
-from carobstand.entry import forwarding, poison_parts
+from carobstand.entry import poison_parts, rejections
 from carobstand.standin.platform import engine, kv
 from carobstand.wire import fleet_codec
 from carobstand.wire.gen_fleet import ttypes
 from testing import entry_processes, part_traffic, platform_fleet
 
-REJECTED = forwarding.POISON_STATUS
+REJECTED = rejections.POISON_STATUS
 SEEDS = int(os.environ.get("CAROBSTAND_SEEDS", "2"))
 """Number of seeds of the longer scenario; more are run by hand."""
 
--- a/testing/test_store_restored.py
+++ b/testing/test_store_restored.py
@@ -7,7 +7,7 @@
 
 from carobstand import entry_records, part_records
 from carobstand.core import poison_parts
-from carobstand.entry import forwarding
+from carobstand.entry import rejections
 from carobstand.platform import kv as kv_client
 from carobstand.standin.platform import engine, kv
 from carobstand.wire import fleet_codec
@@ -299,7 +299,7 @@
         await anyio.sleep(1.0)
         headers = [("Prompt-Prefix", "c1:40,d1:8")]
         first = await platform_fleet.send_request(fleet, "/s/x", headers=headers)
-        assert first.status == forwarding.POISON_STATUS
+        assert first.status == rejections.POISON_STATUS
         report = ttypes.PartReport(
             [ttypes.PartEvidence(part, [], sound_ms=0)], "127.0.0.1:1"
         )
