Send rejected callers back when the first engine has loaded its weights

While all engines of a service load weights or wait for them, callers were told to come back after 1 to 1.9 s, were rejected again, and had no further try. The earliest end of a load that agents announce now bounds Retry-After from below.

Tests of rejections, forwarding and weights: 61 passed.

--- a/src/carobstand/entry/rejections.py
+++ b/src/carobstand/entry/rejections.py
@@ -6,8 +6,8 @@
 import anyio
 
 from carobstand import eventlog, http1_server
-from carobstand.core import announcements
-from carobstand.entry import queueing
+from carobstand.core import announcements, expected_return
+from carobstand.entry import queueing, versions
 from carobstand.platform import http_headers
 
 RETRY_AFTER_MIN_S = 1.0
@@ -57,7 +57,8 @@
         quiet_s = 0.0
     waiting = sum(queueing.competes(fwd, item.call, call) for item in fwd.queue.waiters)
     permit_s = queueing.permit_wait_s(fwd, call, waiting) or 0.0
-    earliest_s = max(RETRY_AFTER_MIN_S, quiet_s, permit_s)
+    loaded_s = _until_loaded_s(fwd, ids, now)
+    earliest_s = max(RETRY_AFTER_MIN_S, quiet_s, permit_s, loaded_s)
     overload = queueing.pressure(fwd, call.service, now)
     spread_s = RETRY_AFTER_MAX_S - RETRY_AFTER_MIN_S
     spread_s += overload * RETRY_AFTER_OVERLOADED_S
@@ -66,6 +67,18 @@
     return earliest_s + random.uniform(0.0, max(0.0, min(spread_s, left_s)))
 
 
+def _until_loaded_s(fwd, ids, now):
+    """Return the time until the first engine serves, if all of them load weights."""
+    known = fwd.fleet.servers.servers
+    servers = [known[key] for key in ids if known[key].is_ready]
+    return expected_return.expected_s(
+        fwd.loads,
+        servers,
+        lambda holding: now < versions.begin_by(fwd.fleet, holding),
+        now,
+    )
+
+
 async def refuse(reply, req, status, reason, retry_after_s=None):
     """Respond to a request that is rejected or failed."""
     eventlog.event(
