--- a/src/carobstand/core/admission_shares.py
+++ b/src/carobstand/core/admission_shares.py
@@ -62,6 +62,13 @@
 INCREASE = 1.04
 """Factors on the estimate, once for each `STEP_S`."""
 
+MAX_OVER_DEMAND = 2.0
+"""Highest estimate of the capacity of servers without a latency model, relative to the
+demand for them."""
+
+MIN_CAPACITY = 0.1
+"""Lowest such estimate, in s of server time per s: from 0 it could not rise again."""
+
 STEP_S = 0.5
 """Interval at which the estimate is corrected; a report's outcomes are as old."""
 
@@ -242,10 +249,14 @@
         sharing.share += 0.1 * (INITIAL_SHARE - sharing.share)
     elif known_capacity is not None:
         sharing.share = min(MAX_SHARE, max(MIN_SHARE, factor * sharing.share))
-    elif sharing.capacity is None:
-        sharing.capacity = sum(item.served for item in sharing.reports.values())
     else:
-        sharing.capacity *= factor
+        served = sum(item.served for item in sharing.reports.values())
+        offered = sum(sum(item.rows.values()) for item in sharing.reports.values())
+        estimate = served if sharing.capacity is None else factor * sharing.capacity
+        # Not below what is served now, as servers may have come back, nor far above
+        # the demand, as rejections may have other causes than the load.
+        most = max(served, MAX_OVER_DEMAND * offered)
+        sharing.capacity = max(served, MIN_CAPACITY, min(most, estimate))
 
 
 @attrs.frozen
--- a/src/carobstand/core/expected_work.py
+++ b/src/carobstand/core/expected_work.py
@@ -155,6 +155,8 @@
     """Return mean and variance of the logarithm, from the group and the hint."""
     mean = _group_mean(state, lengths, _group_keys(*group))
     variance = max(MIN_VARIANCE, lengths.residuals.variance)
+    if lengths.residuals.count < MIN_ANSWERS:
+        variance = max(variance, lengths.lengths.variance)
     if not hint or lengths.hint_errors.count < MIN_ANSWERS:
         return mean, variance
     hint_variance = max(MIN_VARIANCE, lengths.hint_errors.variance)
@@ -168,7 +170,9 @@
     value = math.log(max(1, tokens))
     lengths = state.routes.setdefault(route, RouteLengths())
     keys = _group_keys(route, customer, part)
-    _count(lengths.residuals, value - _group_mean(state, lengths, keys))
+    if lengths.lengths.count >= MIN_ANSWERS:
+        # The first means are too uncertain to tell how much lengths vary.
+        _count(lengths.residuals, value - _group_mean(state, lengths, keys))
     if hint:
         _count(lengths.hint_errors, value - math.log(hint))
     _count(lengths.lengths, value)
--- a/src/carobstand/entry/demand_exchange.py
+++ b/src/carobstand/entry/demand_exchange.py
@@ -81,6 +81,8 @@
     own : dict of str to ServiceDemand
     sharings : dict of str to core.admission_shares.Sharing
         Of the services whose capacity this entry shares.
+    capacities : dict of str to (float or None, float)
+        Capacity of each such service, and until when it is not computed again.
     capacity_of : callable of (str)
         Returns the capacity of a service's servers in s of server time per s, or None
         if it is not known.
@@ -90,10 +92,16 @@
 
     own: dict = attrs.field(factory=dict)
     sharings: dict = attrs.field(factory=dict)
+    capacities: dict = attrs.field(factory=dict)
     capacity_of: object = lambda service: None
     draw: object = random.random
 
 
+RISE_REPORT_S = 2.0
+"""Shortest time until a report of a higher demand without overload. The rates of a
+service with a few requests per second change by half all the time."""
+
+
 def _cost_s(fwd, call):
     """Return the server time that a call takes; 1 without a latency model."""
     config = fwd.fleet.configuration
@@ -164,8 +172,9 @@
     is_sharing = own.shares.marginal_rank is not None
     if is_sharing or admission_shares.shows_overload(own.met, own.late, own.rejected):
         return since_s >= own.refresh_s
-    factor = admission_shares.CHANGE_FACTOR
-    if total > factor * own.reported or total < own.reported / factor:
+    # A decrease without overload changes nothing for others.
+    is_risen = total > admission_shares.CHANGE_FACTOR * own.reported
+    if is_risen and since_s >= RISE_REPORT_S:
         return True
     return total > 0 and since_s >= admission_shares.IDLE_REPORT_S
 
@@ -198,7 +207,7 @@
 
 
 def _to_ms(seconds):
-    return min(MAX_AMOUNT, round(1000 * seconds))
+    return round(min(MAX_AMOUNT, 1000 * seconds))
 
 
 def _send(fwd, address, message):
@@ -229,7 +238,7 @@
         if not message.vm or not message.name or not 0 < port <= MAX_PORT:
             raise ValueError(f"no VM or service, or address {message.address!r}")
         summary = _summary(fwd, message)
-    except (TypeError, ValueError) as exc:
+    except (TypeError, ValueError, OverflowError) as exc:
         eventlog.event("datagram.malformed", peer=peer, error=str(exc))
         return
     if message.vm in entry_roster.running(fwd.fleet.roster, anyio.current_time()):
@@ -260,7 +269,7 @@
     admission_shares.put(sharing, report.vm, item)
     was_overloaded = sharing.is_overloaded
     shares, capacity = admission_shares.shares_now(
-        sharing, fwd.demand.capacity_of(report.name), now
+        sharing, _known_capacity(fwd, report.name, now), now
     )
     if sharing.is_overloaded != was_overloaded:
         eventlog.event(
@@ -286,6 +295,18 @@
     )
 
 
+def _known_capacity(fwd, service, now):
+    """Return the capacity of a service's servers, computed at most twice a second.
+
+    It looks at each server, and each entry reports.
+    """
+    capacity, until = fwd.demand.capacities.get(service, (None, 0.0))
+    if now >= until:
+        capacity = fwd.demand.capacity_of(service)
+        fwd.demand.capacities[service] = capacity, now + admission_shares.STEP_S
+    return capacity
+
+
 def on_summary(fwd, message, peer):
     """Process a datagram that tells what to admit; one to an old report is ignored."""
     own = fwd.demand.own.get(message.name)
--- a/src/carobstand/entry/forwarding.py
+++ b/src/carobstand/entry/forwarding.py
@@ -159,6 +159,8 @@
         How the last attempt ended, if its server closed the connection before that.
     is_probe : bool
         Whether it is sent though a part of its prompt is convicted.
+    is_passed_through : bool
+        Whether a response that is not a stream is delivered as it arrives.
     events : core.event_stream.EventStream
         State of the stream that is delivered to the caller.
     """
@@ -184,6 +186,7 @@
     has_begun: bool = False
     lost: object = None
     is_probe: bool = False
+    is_passed_through: bool = False
     events: event_stream.EventStream = attrs.field(factory=event_stream.EventStream)
 
 
@@ -471,6 +474,7 @@
     if head.status < 300:
         poison_parts.record_answer(fwd, call)
     if not body.is_complete:
+        call.is_passed_through = True
         await response_bodies.pass_through(conn, body, call.reply, head)
         return retries.Outcome.DONE
     raw = b"".join(body.chunks)
--- a/src/carobstand/entry/retries.py
+++ b/src/carobstand/entry/retries.py
@@ -23,7 +23,9 @@
         return True
     if call.attempts_sent >= call.route.max_servers:
         return False
-    if call.reply.started and call.route.kind is not routes.Kind.STREAM:
+    if call.reply.started and (
+        call.is_passed_through or call.route.kind is not routes.Kind.STREAM
+    ):
         return False
     return outcome is Outcome.NOT_RUN or routes.is_retryable(call.route)
 
--- a/src/carobstand/platform/http_headers.py
+++ b/src/carobstand/platform/http_headers.py
@@ -33,6 +33,10 @@
 """Most characters of a figure of `Server-Load`; longer ones could not be converted to
 a floating-point number."""
 
+MAX_TOKENS = 10_000_000
+"""Largest number of tokens of a prompt or an answer that is taken as told. Sums of work
+would lose the other requests by rounding with larger ones."""
+
 MAX_REQUEST_PRIORITY = 9
 """Lowest priority in an engine's queue; 0 is served first."""
 
@@ -69,7 +73,7 @@
         key=values.get(b"api-key", ""),
         prompt_tokens=prompt,
         max_answer_tokens=answer,
-        answer_hint=_parse_integer(values.get(b"length-hint")) or 0,
+        answer_hint=_parse_tokens(values.get(b"length-hint")),
         resume_after=_parse_integer(values.get(b"last-event-id")),
         prompt_parts=_parse_parts(values.get(b"prompt-prefix", "")),
         headers=tuple(
@@ -96,7 +100,7 @@
 
 def _parse_token_counts(text):
     prompt, _, answer = text.partition(",")
-    return _parse_integer(prompt) or 0, _parse_integer(answer) or 0
+    return _parse_tokens(prompt), _parse_tokens(answer)
 
 
 def _parse_parts(text):
@@ -112,6 +116,11 @@
     return int(text) if text.isascii() and text.isdigit() else None
 
 
+def _parse_tokens(text):
+    """Return a number of tokens, at most `MAX_TOKENS`; 0 if `text` is not one."""
+    return min(MAX_TOKENS, _parse_integer(text) or 0)
+
+
 def backend_headers(req, out, body):
     """Return the headers of a request to a backend server.
 
