Move the ranking of servers from entry/queueing.py to entry/server_choice.py

queueing.py keeps the queue, its passes and the accounting of requests in progress. Functions are moved, not changed; _best and _conditions are now best and conditions_of.

--- a/src/carobstand/entry/forwarding.py
+++ b/src/carobstand/entry/forwarding.py
@@ -29,6 +29,7 @@
     rejections,
     response_bodies,
     retries,
+    server_choice,
     server_limits,
     streams,
     versions,
@@ -258,7 +259,7 @@
         health.refused(state, anyio.current_time(), server.started_ms)
         eventlog.event("backend.unreachable", server=server.server_id, error=str(exc))
         return retries.Outcome.NOT_SENT
-    reason = queueing.withheld_reason(fwd, call, server)
+    reason = server_choice.withheld_reason(fwd, call, server)
     if reason is not None:
         # The server may be tried once it is allowed again: it received nothing.
         call.tried.discard(server.server_id)
@@ -337,7 +338,7 @@
         customer=call.customer,
         version=holding.version if holding else None,
         priority=queue_policy.engine_priority(
-            call.terms, queueing.idle_first_byte_s(fwd, call), now
+            call.terms, server_choice.idle_first_byte_s(fwd, call), now
         ),
         resume_after=call.events.last_id if resumed else None,
     )
--- a/src/carobstand/entry/queueing.py
+++ b/src/carobstand/entry/queueing.py
@@ -2,7 +2,6 @@
 
 import collections
 import math
-import random
 
 import anyio
 import attrs
@@ -13,13 +12,10 @@
     calibration,
     eligibility,
     expected_work,
-    latency_model,
     missed_targets,
     outstanding,
-    placement,
     queue_policy,
     routes,
-    sampling,
     server_work,
     shortlist,
     value_density,
@@ -27,9 +23,8 @@
 from carobstand.entry import (
     allowed_regions,
     demand_exchange,
-    fleet,
+    server_choice,
     server_limits,
-    versions,
 )
 
 MAX_CHECK_INTERVAL_S = 0.02
@@ -42,13 +37,6 @@
 """Ratio between the limits of classes of prompt sizes, for each of which a pass ranks
 the servers once. It bounds the rankings of a pass to three or four."""
 
-MAX_SHORTLISTS = 64
-"""Maximum number of shortlists of a service, one for each set of allowed regions; all
-are made anew when there are more, as after many changes of the configuration."""
-
-PLAIN_FIRST_BYTE_S = 0.05
-"""Time to the first byte of an idle server without a latency model."""
-
 
 @attrs.define(eq=False)
 class Waiter:
@@ -121,7 +109,9 @@
 
 
 def _order(fwd, call, now):
-    return queue_policy.sort_key(call.terms, idle_first_byte_s(fwd, call), now)
+    return queue_policy.sort_key(
+        call.terms, server_choice.idle_first_byte_s(fwd, call), now
+    )
 
 
 async def process_waiters(fwd):
@@ -188,13 +178,13 @@
         # Without a choice, a smaller call may fit into the memory of a server.
         if is_held or (best and verdict is queue_policy.Verdict.REFUSE):
             return best, excluded, verdict
-    best, excluded = rankings[kind] = _best(fwd, call, now)
+    best, excluded = rankings[kind] = server_choice.best(fwd, call, now)
     return best, excluded, _verdict(fwd, call, best, excluded, now, ahead)
 
 
 def _kind(fwd, call):
     """Return what is equal for calls to which the same server is the best one."""
-    conditions = _conditions(fwd, call)
+    conditions = server_choice.conditions_of(fwd, call)
     allowed = conditions.allowed_regions
     return (
         call.service,
@@ -211,7 +201,7 @@
 
 def _can_be_on_time(fwd, call):
     """Whether a call has a target that it could meet when it arrived."""
-    terms, shortest_s = call.terms, idle_first_byte_s(fwd, call)
+    terms, shortest_s = call.terms, server_choice.idle_first_byte_s(fwd, call)
     if terms.is_started or not math.isfinite(terms.target):
         return False
     return not queue_policy.is_late(terms, shortest_s, terms.arrived)
@@ -288,7 +278,7 @@
 
 def can_start_within(fwd, call, gap_s):
     """Return whether a server is predicted to start a call within `gap_s`."""
-    best, _ = _best(fwd, call, anyio.current_time())
+    best, _ = server_choice.best(fwd, call, anyio.current_time())
     return best is not None and best.first_event_s <= gap_s
 
 
@@ -297,7 +287,7 @@
 
     `ahead` calls of its service are served before.
     """
-    best, excluded = _best(fwd, call, now)
+    best, excluded = server_choice.best(fwd, call, now)
     return best, excluded, _verdict(fwd, call, best, excluded, now, ahead)
 
 
@@ -311,7 +301,7 @@
     return queue_policy.decide(
         call.terms,
         best,
-        idle_first_byte_s(fwd, call),
+        server_choice.idle_first_byte_s(fwd, call),
         now,
         wait_s,
         pressure(fwd, call.service, now),
@@ -327,7 +317,7 @@
         None if a server that may run the call has no limit, or if no permits were
         requested yet.
     """
-    conditions = _conditions(fwd, call)
+    conditions = server_choice.conditions_of(fwd, call)
     usable = [
         server.server_id
         for server in fwd.fleet.servers.servers.values()
@@ -339,179 +329,6 @@
     return server_limits.expected_wait_s(fwd.limits, usable, ahead)
 
 
-def located_ids(fwd, call):
-    """Return the ids of the servers of a call's service where it may run."""
-    conditions = _conditions(fwd, call)
-    return [
-        server.server_id
-        for server in fwd.fleet.servers.servers.values()
-        if server.service == call.service
-        and eligibility.location_reason(server, conditions) is None
-    ]
-
-
-def withheld_reason(fwd, call, server):
-    """Return the `Reason` why a call may no longer go to its chosen server, or None.
-
-    The configuration and the evacuation marks may have changed since the choice, for
-    example while a connection was opened.
-    """
-    known = fwd.fleet.servers.servers.get(server.server_id, server)
-    return eligibility.location_reason(known, _conditions(fwd, call))
-
-
-def _best(fwd, call, now):
-    """Return the best choice for a call and the excluded servers.
-
-    Returns
-    -------
-    choice : core.placement.Choice or None
-        None if no server can take the call.
-    excluded : dict of str to core.eligibility.Reason
-        By server id; complete if there is no choice.
-    """
-    if fwd.fleet.servers.lapsed:
-        fleet.expire_missing(fwd.fleet)
-    known = fwd.fleet.servers.servers
-    sampled = _best_of_sample(fwd, call, known, now)
-    if sampled is not None:
-        return sampled, {}
-    state = _shortlist(fwd, call)
-    shortlisted_ids = shortlist.ids_to_rank(state, len(known), now)
-    if shortlisted_ids is not None:
-        shortlisted = {key: known[key] for key in shortlisted_ids if key in known}
-        choices, _ = _rank(fwd, call, shortlisted, now)
-        if choices:
-            return choices[0], {}
-    choices, excluded = _rank(fwd, call, known, now)
-    ranked = [choice.candidate.server.server_id for choice in choices]
-    shortlist.record_full_ranking(state, ranked, now)
-    return (choices[0] if choices else None), excluded
-
-
-def _shortlist(fwd, call):
-    """Return the `Shortlist` of a call's service and allowed regions.
-
-    One shortlist for all would hide the servers of some regions from the requests that
-    may run only there.
-    """
-    by_regions = fwd.shortlists.setdefault(call.service, {})
-    regions = allowed_regions.of_call(fwd.fleet, call)
-    if regions not in by_regions and len(by_regions) >= MAX_SHORTLISTS:
-        by_regions.clear()
-    return by_regions.setdefault(regions, shortlist.Shortlist())
-
-
-def _others_by_region(state):
-    """Return the number of other entries by region."""
-    own_vm = state.deployment.vm
-    found = collections.Counter(
-        item.region for item in state.roster.entries.values() if item.vm != own_vm
-    )
-    return dict(found)
-
-
-def _best_of_sample(fwd, call, known, now):
-    """Return the best of a random sample of the nearest servers if good, else None."""
-    domains, entries = _sampled_domains(fwd, call)
-    near = [
-        key
-        for key, server in known.items()
-        if server.service == call.service and server.failure_domain in domains
-    ]
-    count = sampling.sample_size(len(near), entries)
-    if count >= len(near):
-        return None
-    picked = {key: known[key] for key in random.sample(near, count)}
-    choices, _ = _rank(fwd, call, picked, now)
-    left_s = call.terms.target - queue_policy.NETWORK_TIME_S - now
-    shortest_s = idle_first_byte_s(fwd, call)
-    if choices and sampling.is_good_enough(
-        choices[0].first_event_s, shortest_s, left_s
-    ):
-        return choices[0]
-    return None
-
-
-def _sampled_domains(fwd, call):
-    """Return the failure domains to sample for a call, and the entries that do so.
-
-    They are those of the region, or all others if the call may not run in the region.
-    """
-    dep, entries = fwd.fleet.deployment, fwd.fleet.roster.entries.values()
-    usable = eligibility.open_domains(_conditions(fwd, call))
-    near = {domain for domain in usable if dep.regions[domain] == dep.region}
-    if not near:
-        return usable, len(entries)
-    return near, sum(item.region == dep.region for item in entries)
-
-
-def _conditions(fwd, call):
-    """Return the `Conditions` that decide which servers may run a call."""
-    return eligibility.Conditions(
-        service=call.service,
-        loads=fwd.loads,
-        healths=fwd.healths,
-        announced=fwd.fleet.announced,
-        tried=call.tried,
-        regions=fwd.fleet.deployment.regions,
-        allowed_regions=allowed_regions.of_call(fwd.fleet, call),
-        evacuated=fwd.fleet.evacuation_marks.in_force,
-        withholds=lambda server_id: server_limits.withholds(fwd.limits, server_id),
-    )
-
-
-def _rank(fwd, call, servers, now):
-    """Return the choices among `servers` for a call, best first, and the excluded.
-
-    Returns
-    -------
-    choices : list of core.placement.Choice
-    excluded : dict of str to core.eligibility.Reason
-        By server id.
-    """
-    found = eligibility.sort_out(servers, _conditions(fwd, call), now)
-    dep = fwd.fleet.deployment
-    entry_location = placement.EntryLocation(
-        failure_domain=dep.failure_domain,
-        regions=dep.regions,
-        others=max(0, len(fwd.fleet.roster.entries) - 1),
-        by_region=_others_by_region(fwd.fleet),
-    )
-    choices = placement.rank(
-        found,
-        service_of(fwd, call),
-        fwd.in_progress,
-        fwd.healths,
-        fwd.prediction_errors,
-        call.size,
-        entry_location,
-        random.random,
-        lambda holding: versions.begin_by(fwd.fleet, holding),
-        now,
-    )
-    return choices, found.excluded
-
-
-def service_of(fwd, call):
-    """Return the `Service` of a call, or None if it is not configured."""
-    config = fwd.fleet.configuration
-    return config.services.get(call.service) if config else None
-
-
-def idle_first_byte_s(fwd, call):
-    """Return the predicted time to the first byte of a call at an idle server."""
-    if call.idle_first_byte_s is None:
-        call.idle_first_byte_s = PLAIN_FIRST_BYTE_S
-        service = service_of(fwd, call)
-        if service is not None and service.latency_model is not None:
-            idle = latency_model.predict(
-                service.latency_model, 0, 0, call.size.prompt_tokens
-            )
-            call.idle_first_byte_s = idle.first_event_s
-    return call.idle_first_byte_s
-
-
 def begin(fwd, call, choice):
     """Count a request as in progress at its chosen server, and use a permit for it."""
     server_id = choice.candidate.server.server_id
@@ -562,7 +379,7 @@
 
     A stream that the caller resumed shows only the end of its answer.
     """
-    service = service_of(fwd, call)
+    service = server_choice.service_of(fwd, call)
     if service is None or service.latency_model is None or call.req.resume_after:
         return
     tokens = answer_tokens(call.events.events, service.latency_model.steps_per_pass)
@@ -589,7 +406,7 @@
 
 
 def _tokens_per_event(fwd, call):
-    service = service_of(fwd, call)
+    service = server_choice.service_of(fwd, call)
     if service is None or service.latency_model is None:
         return 0
     return service.latency_model.steps_per_pass
--- a/src/carobstand/entry/rejections.py
+++ b/src/carobstand/entry/rejections.py
@@ -7,7 +7,7 @@
 
 from carobstand import eventlog, http1_server
 from carobstand.core import announcements
-from carobstand.entry import queueing
+from carobstand.entry import queueing, server_choice
 from carobstand.platform import http_headers
 
 RETRY_AFTER_MIN_S = 1.0
@@ -51,7 +51,7 @@
 def _retry_after_s(fwd, call):
     """Return the time after which a call that did not run may find a free slot."""
     now = anyio.current_time()
-    ids = queueing.located_ids(fwd, call)
+    ids = server_choice.located_ids(fwd, call)
     quiet_s = announcements.remaining_pause_s(fwd.fleet.announced, ids, now)
     if not math.isfinite(quiet_s):
         quiet_s = 0.0
--- /dev/null
+++ b/src/carobstand/entry/server_choice.py
@@ -0,0 +1,194 @@
+"""Choice of a backend server for a call: ranks the servers that may run it."""
+
+import collections
+import random
+
+from carobstand.core import (
+    eligibility,
+    latency_model,
+    placement,
+    queue_policy,
+    sampling,
+    shortlist,
+)
+from carobstand.entry import allowed_regions, fleet, server_limits, versions
+
+MAX_SHORTLISTS = 64
+"""Maximum number of shortlists of a service, one for each set of allowed regions; all
+are made anew when there are more, as after many changes of the configuration."""
+
+PLAIN_FIRST_BYTE_S = 0.05
+"""Time to the first byte of an idle server without a latency model."""
+
+
+def best(fwd, call, now):
+    """Return the best choice for a call and the excluded servers.
+
+    Returns
+    -------
+    choice : core.placement.Choice or None
+        None if no server can take the call.
+    excluded : dict of str to core.eligibility.Reason
+        By server id; complete if there is no choice.
+    """
+    if fwd.fleet.servers.lapsed:
+        fleet.expire_missing(fwd.fleet)
+    known = fwd.fleet.servers.servers
+    sampled = _best_of_sample(fwd, call, known, now)
+    if sampled is not None:
+        return sampled, {}
+    state = _shortlist(fwd, call)
+    shortlisted_ids = shortlist.ids_to_rank(state, len(known), now)
+    if shortlisted_ids is not None:
+        shortlisted = {key: known[key] for key in shortlisted_ids if key in known}
+        choices, _ = _rank(fwd, call, shortlisted, now)
+        if choices:
+            return choices[0], {}
+    choices, excluded = _rank(fwd, call, known, now)
+    ranked = [choice.candidate.server.server_id for choice in choices]
+    shortlist.record_full_ranking(state, ranked, now)
+    return (choices[0] if choices else None), excluded
+
+
+def _shortlist(fwd, call):
+    """Return the `Shortlist` of a call's service and allowed regions.
+
+    One shortlist for all would hide the servers of some regions from the requests that
+    may run only there.
+    """
+    by_regions = fwd.shortlists.setdefault(call.service, {})
+    regions = allowed_regions.of_call(fwd.fleet, call)
+    if regions not in by_regions and len(by_regions) >= MAX_SHORTLISTS:
+        by_regions.clear()
+    return by_regions.setdefault(regions, shortlist.Shortlist())
+
+
+def _others_by_region(state):
+    """Return the number of other entries by region."""
+    own_vm = state.deployment.vm
+    found = collections.Counter(
+        item.region for item in state.roster.entries.values() if item.vm != own_vm
+    )
+    return dict(found)
+
+
+def _best_of_sample(fwd, call, known, now):
+    """Return the best of a random sample of the nearest servers if good, else None."""
+    domains, entries = _sampled_domains(fwd, call)
+    near = [
+        key
+        for key, server in known.items()
+        if server.service == call.service and server.failure_domain in domains
+    ]
+    count = sampling.sample_size(len(near), entries)
+    if count >= len(near):
+        return None
+    picked = {key: known[key] for key in random.sample(near, count)}
+    choices, _ = _rank(fwd, call, picked, now)
+    left_s = call.terms.target - queue_policy.NETWORK_TIME_S - now
+    shortest_s = idle_first_byte_s(fwd, call)
+    if choices and sampling.is_good_enough(
+        choices[0].first_event_s, shortest_s, left_s
+    ):
+        return choices[0]
+    return None
+
+
+def _sampled_domains(fwd, call):
+    """Return the failure domains to sample for a call, and the entries that do so.
+
+    They are those of the region, or all others if the call may not run in the region.
+    """
+    dep, entries = fwd.fleet.deployment, fwd.fleet.roster.entries.values()
+    usable = eligibility.open_domains(conditions_of(fwd, call))
+    near = {domain for domain in usable if dep.regions[domain] == dep.region}
+    if not near:
+        return usable, len(entries)
+    return near, sum(item.region == dep.region for item in entries)
+
+
+def conditions_of(fwd, call):
+    """Return the `Conditions` that decide which servers may run a call."""
+    return eligibility.Conditions(
+        service=call.service,
+        loads=fwd.loads,
+        healths=fwd.healths,
+        announced=fwd.fleet.announced,
+        tried=call.tried,
+        regions=fwd.fleet.deployment.regions,
+        allowed_regions=allowed_regions.of_call(fwd.fleet, call),
+        evacuated=fwd.fleet.evacuation_marks.in_force,
+        withholds=lambda server_id: server_limits.withholds(fwd.limits, server_id),
+    )
+
+
+def _rank(fwd, call, servers, now):
+    """Return the choices among `servers` for a call, best first, and the excluded.
+
+    Returns
+    -------
+    choices : list of core.placement.Choice
+    excluded : dict of str to core.eligibility.Reason
+        By server id.
+    """
+    found = eligibility.sort_out(servers, conditions_of(fwd, call), now)
+    dep = fwd.fleet.deployment
+    entry_location = placement.EntryLocation(
+        failure_domain=dep.failure_domain,
+        regions=dep.regions,
+        others=max(0, len(fwd.fleet.roster.entries) - 1),
+        by_region=_others_by_region(fwd.fleet),
+    )
+    choices = placement.rank(
+        found,
+        service_of(fwd, call),
+        fwd.in_progress,
+        fwd.healths,
+        fwd.prediction_errors,
+        call.size,
+        entry_location,
+        random.random,
+        lambda holding: versions.begin_by(fwd.fleet, holding),
+        now,
+    )
+    return choices, found.excluded
+
+
+def located_ids(fwd, call):
+    """Return the ids of the servers of a call's service where it may run."""
+    conditions = conditions_of(fwd, call)
+    return [
+        server.server_id
+        for server in fwd.fleet.servers.servers.values()
+        if server.service == call.service
+        and eligibility.location_reason(server, conditions) is None
+    ]
+
+
+def withheld_reason(fwd, call, server):
+    """Return the `Reason` why a call may no longer go to its chosen server, or None.
+
+    The configuration and the evacuation marks may have changed since the choice, for
+    example while a connection was opened.
+    """
+    known = fwd.fleet.servers.servers.get(server.server_id, server)
+    return eligibility.location_reason(known, conditions_of(fwd, call))
+
+
+def service_of(fwd, call):
+    """Return the `Service` of a call, or None if it is not configured."""
+    config = fwd.fleet.configuration
+    return config.services.get(call.service) if config else None
+
+
+def idle_first_byte_s(fwd, call):
+    """Return the predicted time to the first byte of a call at an idle server."""
+    if call.idle_first_byte_s is None:
+        call.idle_first_byte_s = PLAIN_FIRST_BYTE_S
+        service = service_of(fwd, call)
+        if service is not None and service.latency_model is not None:
+            idle = latency_model.predict(
+                service.latency_model, 0, 0, call.size.prompt_tokens
+            )
+            call.idle_first_byte_s = idle.first_event_s
+    return call.idle_first_byte_s
--- a/src/carobstand/entry/streams.py
+++ b/src/carobstand/entry/streams.py
@@ -10,7 +10,7 @@
     routes,
     server_work,
 )
-from carobstand.entry import poison_parts, queueing, retries
+from carobstand.entry import poison_parts, queueing, retries, server_choice
 
 STALL_GAP_FACTOR = 3
 """Factor on the maximum gap, or target time, of the route: a retryable request whose
@@ -150,7 +150,7 @@
         return False
     if not retries.may_retry(call, retries.Outcome.UNKNOWN):
         return False
-    service = queueing.service_of(fwd, call)
+    service = server_choice.service_of(fwd, call)
     if service is None or service.latency_model is None:
         return False
     received_tokens = call.events.events * service.latency_model.steps_per_pass
--- a/testing/test_queueing.py
+++ b/testing/test_queueing.py
@@ -13,7 +13,7 @@
     routes,
 )
 from carobstand.entry import fleet as fleets
-from carobstand.entry import forwarding, queueing
+from carobstand.entry import forwarding, queueing, server_choice
 from testing import platform_builders as build
 
 DEPLOYMENT = deployment.Deployment(
@@ -62,13 +62,13 @@
 def evaluations(monkeypatch):
     """Return a list of the calls for which all servers were evaluated."""
     evaluated_calls = []
-    evaluate = queueing._best
+    evaluate = server_choice.best
 
     def count(fwd, call, now):
         evaluated_calls.append(call)
         return evaluate(fwd, call, now)
 
-    monkeypatch.setattr(queueing, "_best", count)
+    monkeypatch.setattr(server_choice, "best", count)
     return evaluated_calls
 
 
