--- a/src/carobstand/entry/forwarding.py
+++ b/src/carobstand/entry/forwarding.py
@@ -29,6 +29,7 @@
     rejections,
     response_bodies,
     retries,
+    server_choice,
     server_limits,
     streams,
     versions,
@@ -161,6 +162,8 @@
         Whether it is sent though a part of its prompt is convicted.
     is_passed_through : bool
         Whether a response that is not a stream is delivered as it arrives.
+    is_counted : bool
+        Whether it is counted as demand for its service.
     events : core.event_stream.EventStream
         State of the stream that is delivered to the caller.
     """
@@ -187,6 +190,7 @@
     lost: object = None
     is_probe: bool = False
     is_passed_through: bool = False
+    is_counted: bool = False
     events: event_stream.EventStream = attrs.field(factory=event_stream.EventStream)
 
 
@@ -261,7 +265,7 @@
         health.refused(state, anyio.current_time(), server.started_ms)
         eventlog.event("backend.unreachable", server=server.server_id, error=str(exc))
         return retries.Outcome.NOT_SENT
-    reason = queueing.withheld_reason(fwd, call, server)
+    reason = server_choice.withheld_reason(fwd, call, server)
     if reason is not None:
         # The server may be tried once it is allowed again: it received nothing.
         call.tried.discard(server.server_id)
@@ -340,7 +344,7 @@
         customer=call.customer,
         version=holding.version if holding else None,
         priority=queue_policy.engine_priority(
-            call.terms, queueing.idle_first_byte_s(fwd, call), now
+            call.terms, server_choice.idle_first_byte_s(fwd, call), now
         ),
         resume_after=call.events.last_id if resumed else None,
     )
