--- a/src/carobstand/agent/loading.py
+++ b/src/carobstand/agent/loading.py
@@ -106,6 +106,9 @@
             view.engine, copy.model, number, copy.pieces[number]
         )
         stage.numbers.add(number)
+    if view.copies.get(copy.version) is not copy:
+        # It was dropped while pieces were staged.
+        return
     if stage.held != len(stage.numbers):
         stage.held, stage.progressed_at = len(stage.numbers), anyio.current_time()
     if not weight_copy.is_complete(copy):
@@ -120,6 +123,8 @@
         if left_s <= 0:
             break
         await view.changed.wait(min(left_s, IDLE_S))
+        # An engine that has lost its weights meanwhile loads without delay.
+        view.load_at = _load_at(view, stage, copy)
     if _next_copy(view, stage) is not copy:
         return
     await _repair_staged(view, copy)
--- a/src/carobstand/core/admission_shares.py
+++ b/src/carobstand/core/admission_shares.py
@@ -66,6 +66,9 @@
 """Highest estimate of the capacity of servers without a latency model, relative to the
 demand for them."""
 
+MIN_OF_SERVED = 0.5
+"""Lowest such estimate, relative to what is answered, which includes late answers."""
+
 MIN_CAPACITY = 0.1
 """Lowest such estimate, in s of server time per s: from 0 it could not rise again."""
 
@@ -253,10 +256,11 @@
         served = sum(item.served for item in sharing.reports.values())
         offered = sum(sum(item.rows.values()) for item in sharing.reports.values())
         estimate = served if sharing.capacity is None else factor * sharing.capacity
-        # Not below what is served now, as servers may have come back, nor far above
+        # Not far below what is served now, as servers may have come back, nor far above
         # the demand, as rejections may have other causes than the load.
+        least = max(MIN_CAPACITY, MIN_OF_SERVED * served)
         most = max(served, MAX_OVER_DEMAND * offered)
-        sharing.capacity = max(served, MIN_CAPACITY, min(most, estimate))
+        sharing.capacity = max(least, min(most, estimate))
 
 
 @attrs.frozen
--- a/src/carobstand/core/read_order.py
+++ b/src/carobstand/core/read_order.py
@@ -21,9 +21,6 @@
 MAX_WAIT_S = 6.0
 """Longest such wait: recovery may take 12 to 15 s in all."""
 
-ASKED_AT_ONCE = 2
-"""Entries that are asked at a time, best rank first."""
-
 
 @attrs.frozen
 class Plan:
--- a/src/carobstand/entry/server_choice.py
+++ b/src/carobstand/entry/server_choice.py
@@ -157,6 +157,7 @@
 
 
 def needed_tokens(call):
+    """Return the tokens of a call that count in the memory of an engine."""
     return engine_memory.needed_tokens(call.size, call.req.max_answer_tokens)
 
 
--- a/src/carobstand/entry/startup.py
+++ b/src/carobstand/entry/startup.py
@@ -5,6 +5,8 @@
 changes after the revision of the entry that passed it on are read by the next watch.
 """
 
+import random
+
 import anyio
 import attrs
 
@@ -16,9 +18,13 @@
 RETRY_S = 0.2
 """Pause before other entries are asked again."""
 
-FIRST_ROUND_S = 0.5
-"""Longest time for asking others once. An entry that restarts alone finds the
-configuration at others even if it is the first to read it from the store."""
+ASKED_AT_ONCE = 2
+"""Entries that are asked at a time."""
+
+MAX_AGE_SHARE = 0.8
+"""Maximum age of a relayed configuration, as a share of the time within which changes
+must take effect. Watches of other entries last nearly as long; the first watch of this
+one, right after its start, returns what is missing."""
 
 
 @attrs.frozen
@@ -47,7 +53,9 @@
     """
     me = weight_sources.entry_from_deployment(fleet.deployment)
     plan = read_order.plan(entries.values(), me)
-    relayed = await _ask_others(plan)
+    bounds = fleet.deployment.bounds
+    max_age_s = MAX_AGE_SHARE * min(bounds.apply_s, bounds.drain_s)
+    relayed = await _ask_others(plan, max_age_s)
     sent_at = anyio.current_time()
     if relayed is not None:
         rest = await kv.list_prefix(
@@ -71,21 +79,51 @@
     return OperatorItems(changes, min(sent_at, relayed.confirmed_at))
 
 
-async def _ask_others(plan):
-    """Return the `Relayed` configuration of another entry, or None in time."""
+async def _ask_others(plan, max_age_s):
+    """Return the `Relayed` configuration of another entry, or None in time.
+
+    The entries that read it first and others, which may have it from before, are asked
+    in turn. A reply that has begun within the time is awaited.
+    """
     until = anyio.current_time() + plan.wait_s
-    with anyio.move_on_after(max(plan.wait_s, FIRST_ROUND_S)):
-        while True:
-            for entry in plan.others[: read_order.ASKED_AT_ONCE]:
-                relayed = await _ask(entry)
-                if relayed is not None:
-                    return relayed
-            if not plan.others or anyio.current_time() >= until:
-                break
-            await anyio.sleep(RETRY_S)
+    first, others = plan.others[:ASKED_AT_ONCE], plan.others[ASKED_AT_ONCE:]
+    asks_first = True
+    while plan.others:
+        asked = first
+        if not asks_first:
+            asked = random.sample(others, min(len(others), ASKED_AT_ONCE))
+        relayed = await _first_reply(asked, max_age_s)
+        if relayed is not None:
+            return relayed
+        asks_first = not asks_first or not others
+        if not asks_first:
+            continue
+        if anyio.current_time() >= until:
+            break
+        await anyio.sleep(RETRY_S)
     return None
 
 
+async def _first_reply(entries, max_age_s):
+    """Return the first usable configuration of some entries, or None."""
+    found = []
+
+    async def ask(entry):
+        relayed = await _ask(entry)
+        if relayed is None or found:
+            return
+        if anyio.current_time() - relayed.confirmed_at > max_age_s:
+            # That entry may have missed changes that are in force by now.
+            return
+        found.append(relayed)
+        tg.cancel_scope.cancel()
+
+    async with anyio.create_task_group() as tg:
+        for entry in entries:
+            tg.start_soon(ask, entry)
+    return found[0] if found else None
+
+
 async def _ask(entry):
     try:
         return await relayed_configuration.ask(entry.address, services_only=False)
--- a/src/carobstand/entry/weight_cache.py
+++ b/src/carobstand/entry/weight_cache.py
@@ -331,6 +331,9 @@
     while block.number not in copy.pieces:
         if cached.copy is not copy or cached.is_dropped:
             return False
+        if cached.scope is None and not cached.is_complete:
+            # Its fetch was stopped; a new request for the version resumes it.
+            return False
         if not block.spare:
             cached.demanded_at = anyio.current_time()
         if not await cached.changed.wait(piece_stream.KEEPALIVE_INTERVAL_S):
--- a/testing/test_store_following.py
+++ b/testing/test_store_following.py
@@ -5,7 +5,7 @@
 import anyio
 import pytest
 
-from carobstand import entry_records
+from carobstand import entry_records, errors
 from carobstand.core import change_feed, weight_sources
 from carobstand.entry import fleet as fleets
 from carobstand.platform import kv
@@ -67,7 +67,11 @@
     async def ask_for_newer(entry, version):
         return []
 
+    async def ask(address, services_only):
+        raise errors.ConnectionClosedError("no such entry", step="news.ask")
+
     async def run():
+        monkeypatch.setattr(fleets.startup.relayed_configuration, "ask", ask)
         monkeypatch.setattr(fleets.change_relay, "ask_for_newer", ask_for_newer)
         monkeypatch.setattr(kv, "watch", watch)
         monkeypatch.setattr(kv, "list_prefix", list_prefix)
