--- a/src/carobstand/entry/queueing.py
+++ b/src/carobstand/entry/queueing.py
@@ -173,18 +173,23 @@
 
     Parameters
     ----------
-    rankings : dict of tuple to (core.placement.Choice or None, dict)
-        Best choice and excluded servers by kind of call, since a call was sent.
+    rankings : dict of tuple to (core.placement.Choice or None, dict, int)
+        Best choice and excluded servers by kind of call, since a call was sent, and the
+        size in tokens below which a call may still fit into the memory of a server.
     """
     kind = _kind(fwd, call)
     if kind in rankings:
-        best, excluded = rankings[kind]
+        best, excluded, fitting_tokens = rankings[kind]
         verdict = _verdict(fwd, call, best, excluded, now, ahead)
         is_held = verdict is queue_policy.Verdict.HOLD
         # Without a choice, a smaller call may fit into the memory of a server.
-        if is_held or (best and verdict is queue_policy.Verdict.REFUSE):
+        is_usable = is_held or (best and verdict is queue_policy.Verdict.REFUSE)
+        if is_usable and _needed_tokens(call) >= fitting_tokens:
             return best, excluded, verdict
-    best, excluded = rankings[kind] = _best(fwd, call, now)
+    best, excluded = _best(fwd, call, now)
+    lacks_memory = eligibility.Reason.NO_MEMORY in excluded.values()
+    fitting_tokens = _needed_tokens(call) if not best and lacks_memory else 0
+    rankings[kind] = best, excluded, fitting_tokens
     return best, excluded, _verdict(fwd, call, best, excluded, now, ahead)
 
 
@@ -197,7 +202,6 @@
         None if allowed is None else frozenset(allowed),
         frozenset(call.tried),
         int(math.log(max(1, call.size.prompt_tokens), SIZE_CLASS_FACTOR)),
-        int(math.log(max(1, _needed_tokens(call)), SIZE_CLASS_FACTOR)),
     )
 
 
