Add carobstand-explain: where a request would go now, and why not elsewhere

It asks a running entry over its internal port. The entry ranks all servers by the code that places requests, without sending anything, requesting permits or learning from the question.

--- a/src/carobstand/entry/demand_exchange.py
+++ b/src/carobstand/entry/demand_exchange.py
@@ -117,6 +117,15 @@
     return admission_shares.is_admitted(own.drawing, own.shares, *key, fwd.demand.draw)
 
 
+def admitted_part(fwd, call):
+    """Return the part of calls like this one that `admit` would admit now."""
+    own = fwd.demand.own.get(call.service)
+    if own is None or anyio.current_time() > own.shares_until:
+        return 1.0
+    key = call.terms.priority, call.customer
+    return admission_shares.admitted_part(own.shares, *key)
+
+
 def is_restricted(fwd, service, now):
     """Whether the demand of all entries for a service exceeds its capacity."""
     own = fwd.demand.own.get(service)
--- a/src/carobstand/entry/ingress.py
+++ b/src/carobstand/entry/ingress.py
@@ -76,7 +76,7 @@
     parts = poison_parts.shareable(req.prompt_parts)
     customer_name = customer.name if customer else ""
     group = queueing.length_group(route, customer_name, parts)
-    size = _size(fwd, req, group, config.services.get(service))
+    size = expected_size(fwd, req, group, config.services.get(service))
     call = forwarding.Call(
         req=req,
         body=request.body,
@@ -90,8 +90,8 @@
         terms=queue_policy.Terms(
             arrived=request.received_at,
             target=_target_time(fwd, req, route, request.received_at),
-            deadline=_deadline(fwd, req, route, request.received_at),
-            priority=_priority(route, customer),
+            deadline=deadline(fwd, req, route, request.received_at),
+            priority=priority_of(route, customer),
             max_delay_s=_tolerated_delay_s(fwd, config, service),
             advance=_advance(fwd, size, route, config.services.get(service)),
         ),
@@ -99,14 +99,15 @@
     return await forwarding.serve(fwd, call)
 
 
-def _deadline(fwd, req, route, arrived):
+def deadline(fwd, req, route, arrived):
     """Return the deadline of the final response, on the loop's clock."""
     requested_s = DEFAULT_DEADLINE_S if req.deadline_s is None else req.deadline_s
     latest = arrived + min(requested_s - RESPONSE_LATENCY_S, route.timeout_s)
     return min(latest, fwd.fleet.stops_at)
 
 
-def _priority(route, customer):
+def priority_of(route, customer):
+    """Return the priority of a customer's requests on a route."""
     if customer is None or customer.priority is None:
         return route.priority
     return customer.priority
@@ -132,18 +133,22 @@
     if fwd.delays_version != config.version:
         fwd.delays, fwd.delays_version = {}, config.version
     if name not in fwd.delays:
-        service = config.services.get(name)
-        if service is None or service.latency_model is None:
-            fwd.delays[name] = math.inf
-        else:
-            usual_tokens = service.latency_model.usual_prompt_tokens
-            idle = latency_model.predict(service.latency_model, 0, 0, usual_tokens)
-            targets = routes.first_byte_targets_s(config, name)
-            fwd.delays[name] = queue_policy.shared_delay_s(targets, idle.first_event_s)
+        fwd.delays[name] = shared_delay_s(config, name)
     return fwd.delays[name]
 
 
-def _size(fwd, req, group, service):
+def shared_delay_s(config, name):
+    """Return `core.queue_policy.shared_delay_s` of a service."""
+    service = config.services.get(name)
+    if service is None or service.latency_model is None:
+        return math.inf
+    usual_tokens = service.latency_model.usual_prompt_tokens
+    idle = latency_model.predict(service.latency_model, 0, 0, usual_tokens)
+    targets = routes.first_byte_targets_s(config, name)
+    return queue_policy.shared_delay_s(targets, idle.first_event_s)
+
+
+def expected_size(fwd, req, group, service):
     """Return the size of a generation in tokens.
 
     The size of its answer is the expected one by earlier answers and the caller's
--- a/src/carobstand/entry/platform_main.py
+++ b/src/carobstand/entry/platform_main.py
@@ -10,6 +10,7 @@
     backend_pool,
     datagrams,
     demand_exchange,
+    explaining,
     fleet,
     forwarding,
     ingress,
@@ -51,6 +52,7 @@
     ingress_server = ingress.server(fwd)
     readiness_server = readiness.server(state, leaving.is_set)
     cache = weight_cache.WeightCache(state, fwd.loads)
+    cache.explain = functools.partial(explaining.explain, fwd)
     async with anyio.create_task_group() as tg:
         tg.start_soon(loops.supervise, fleet.observe, state)
         tg.start_soon(loops.supervise, registration.run, state)
--- a/src/carobstand/entry/queueing.py
+++ b/src/carobstand/entry/queueing.py
@@ -72,7 +72,7 @@
     The call occupies a slot of the server until `end`.
     """
     waiter = Waiter(call)
-    if not call.attempts_sent and _can_be_on_time(fwd, call):
+    if not call.attempts_sent and can_be_on_time(fwd, call):
         if not demand_exchange.admit(fwd, call):
             call.terms = attrs.evolve(call.terms, is_admitted=False)
     if not _is_behind(fwd, call):
@@ -216,7 +216,7 @@
     return missed_targets.pressure(fwd.outcomes.get(service), now)
 
 
-def _can_be_on_time(fwd, call):
+def can_be_on_time(fwd, call):
     """Whether a call has a target that it could meet when it arrived."""
     terms, shortest_s = call.terms, idle_first_byte_s(fwd, call)
     if terms.is_started or not math.isfinite(terms.target):
@@ -226,7 +226,7 @@
 
 def _record_outcome(fwd, call, is_met, is_answered=True):
     """Record whether a call met its target, if it could do so when it arrived."""
-    if not _can_be_on_time(fwd, call):
+    if not can_be_on_time(fwd, call):
         return
     demand_exchange.record_outcome(fwd, call, is_met, is_answered)
     state = fwd.outcomes.setdefault(call.service, missed_targets.Outcomes())
@@ -301,6 +301,30 @@
     return best is not None and best.first_event_s <= gap_s
 
 
+def assess(fwd, call):
+    """Return what would happen to a call that arrives now, without any effect.
+
+    All servers are ranked; a call that is placed may be sent to the best one of a
+    sample or of a shortlist.
+
+    Returns
+    -------
+    choices : list of core.placement.Choice
+        The best one first.
+    excluded : dict of str to core.eligibility.Reason
+        By server id.
+    verdict : core.queue_policy.Verdict
+    is_behind : bool
+        Whether requests with precedence wait for the same servers.
+    """
+    now, servers = anyio.current_time(), fwd.fleet.servers.servers
+    withholds = server_limits.would_withhold
+    choices, excluded = _rank(fwd, call, servers, now, withholds)
+    best = choices[0] if choices else None
+    verdict = _verdict(fwd, call, best, excluded, now, 0)
+    return choices, excluded, verdict, _is_behind(fwd, call)
+
+
 def _evaluate(fwd, call, now, ahead):
     """Return the best choice for a call, the excluded servers, and the verdict.
 
@@ -455,7 +479,7 @@
     return near, sum(item.region == dep.region for item in entries)
 
 
-def _conditions(fwd, call, location=None):
+def _conditions(fwd, call, location=None, withholds=server_limits.withholds):
     """Return the `Conditions` that decide which servers may run a call.
 
     The memory that servers have left is only considered given the `EntryLocation`.
@@ -471,7 +495,7 @@
         regions=fwd.fleet.deployment.regions,
         allowed_regions=allowed_regions.of_call(fwd.fleet, call),
         evacuated=fwd.fleet.evacuation_marks.in_force,
-        withholds=lambda server_id: server_limits.withholds(fwd.limits, server_id),
+        withholds=lambda server_id: withholds(fwd.limits, server_id),
         lacks_memory=_memory_condition(fwd, call, model, location),
         is_too_large=_needed_tokens(call) > engine_memory.limit_tokens(model),
     )
@@ -501,7 +525,7 @@
     return lacks_memory
 
 
-def _rank(fwd, call, servers, now):
+def _rank(fwd, call, servers, now, withholds=server_limits.withholds):
     """Return the choices among `servers` for a call, best first, and the excluded.
 
     Returns
@@ -511,7 +535,8 @@
         By server id.
     """
     location = _location(fwd)
-    found = eligibility.sort_out(servers, _conditions(fwd, call, location), now)
+    conditions = _conditions(fwd, call, location, withholds)
+    found = eligibility.sort_out(servers, conditions, now)
     choices = placement.rank(
         found,
         service_of(fwd, call),
--- a/src/carobstand/entry/server_limits.py
+++ b/src/carobstand/entry/server_limits.py
@@ -126,11 +126,25 @@
         return None
     if permits.withhold(holder, now):
         wake(limits)
-    if announcements.is_limited_by_cold(announced, server_id, now):
+    return _limit_reason(limits, server_id, now)
+
+
+def _limit_reason(limits, server_id, now):
+    if announcements.is_limited_by_cold(limits.fleet.announced, server_id, now):
         return eligibility.Reason.COLD
     return eligibility.Reason.LIMITED
 
 
+def would_withhold(limits, server_id):
+    """Return what `withholds` would return, without a request for a permit."""
+    if not is_limited(limits, server_id):
+        return None
+    now, holder = anyio.current_time(), limits.holders.get(server_id)
+    if holder is not None and any(expiry > now for expiry in holder.expiries):
+        return None
+    return _limit_reason(limits, server_id, now)
+
+
 def take(limits, server_id):
     """Use a permit for a request to a server, if its requests are limited."""
     if is_limited(limits, server_id):
--- a/src/carobstand/entry/weight_cache.py
+++ b/src/carobstand/entry/weight_cache.py
@@ -96,12 +96,15 @@
         By model and version.
     tasks : task group
         Runs the fetches.
+    explain : callable or None
+        Returns the reply to an `ExplainRequest`, which comes over the same port.
     """
 
     fleet: object
     loads: object = attrs.field(factory=engine_load.EngineLoads)
     held: dict = attrs.field(factory=dict)
     tasks: object = None
+    explain: object = None
 
 
 async def run(cache):
@@ -281,7 +284,9 @@
 
 
 async def _serve(cache, frames, request):
-    """Serve one connection: a version, or changes of the store."""
+    """Serve one connection: a version, changes of the store, or an explanation."""
+    if isinstance(request, ttypes.ExplainRequest) and cache.explain is not None:
+        return await piece_stream.send(frames, cache.explain(request))
     if isinstance(request, ttypes.NewsRequest):
         return await change_relay.serve(cache.fleet, frames, request)
     piece_server.require_manifest_request(request)
--- a/src/carobstand/settings.py
+++ b/src/carobstand/settings.py
@@ -188,6 +188,37 @@
     html: str = _setting(setting_types.path, "")
 
 
+@attrs.frozen(kw_only=True)
+class ExplainSettings:
+    """Show where a request would go now, without sending it.
+
+    Attributes
+    ----------
+    entry
+        IP address and first internal port of an entry.
+    host
+        Host of the request.
+    path
+        Path of the request.
+    api_key
+        API key of the customer. As a flag it is visible in the list of processes.
+    prompt_tokens
+        Tokens of the prompt.
+    max_answer_tokens
+        Maximum tokens of the answer; 0 for none.
+    json
+        Print JSON instead of a table.
+    """
+
+    entry: str = _setting(setting_types.reachable_address)
+    host: str = _setting(setting_types.free_text)
+    path: str = _setting(setting_types.free_text)
+    api_key: str = _setting(setting_types.free_text, "")
+    prompt_tokens: int = _setting(setting_types.integer(0, 2**31 - 1), 0)
+    max_answer_tokens: int = _setting(setting_types.integer(0, 2**31 - 1), 0)
+    json: bool = _setting(setting_types.boolean, False)
+
+
 @attrs.frozen(kw_only=True)
 class LocalSettings:
     """Run stand-ins, two entries and several agents on this machine, and report.
@@ -273,6 +304,7 @@
     AgentSettings,
     TableSettings,
     TimelineSettings,
+    ExplainSettings,
     LocalSettings,
     StandinSettings,
 )
--- a/src/carobstand/wire/fleet.thrift
+++ b/src/carobstand/wire/fleet.thrift
@@ -198,6 +198,46 @@
   6: i64 era
 }
 
+// First frame of a connection to an entry: asks where a request would go now. Nothing is
+// sent to a backend server.
+struct ExplainRequest {
+  1: string host
+  2: string path
+  3: string key               // API key, empty for none
+  4: i32 prompt_tokens
+  5: i32 max_answer_tokens    // 0: none given
+}
+
+struct RankedServer {
+  1: string server_id
+  2: string failure_domain
+  3: double first_event_s     // predicted time to the first event
+  4: double margin_s          // by which it may come later
+  5: double occupancy         // estimated requests at the server
+  6: double slowness
+  7: double cost_s            // the lowest one is the best
+}
+
+struct ExcludedServer {
+  1: string server_id
+  2: string failure_domain
+  3: string reason
+}
+
+struct ExplainReply {
+  1: string vm                // entry that replies
+  2: string verdict           // send, hold or reject
+  3: string reason            // of the verdict
+  4: string route             // name; empty for none, as the fields below
+  5: string service_name
+  6: double service_share     // of the route's requests
+  7: string customer
+  8: optional list<string> allowed_regions  // absent: all regions
+  9: double admitted_part     // part of such requests that is within the fair share
+  10: list<RankedServer> ranked             // the best one first
+  11: list<ExcludedServer> excluded
+}
+
 union Message {
   1: EngineLoad engine_load
   2: FailedRun failed_run
@@ -215,4 +255,6 @@
   14: EntryJoined entry_joined
   15: DemandReport demand_report
   16: DemandSummary demand_summary
+  17: ExplainRequest explain_request
+  18: ExplainReply explain_reply
 }
--- a/src/carobstand/wire/gen_fleet/ttypes.py
+++ b/src/carobstand/wire/gen_fleet/ttypes.py
@@ -2250,6 +2250,502 @@
         return not (self == other)
 
 
+class ExplainRequest(object):
+    """
+    Attributes:
+     - host
+     - path
+     - key
+     - prompt_tokens
+     - max_answer_tokens
+
+    """
+
+
+    def __init__(self, host=None, path=None, key=None, prompt_tokens=None, max_answer_tokens=None,):
+        self.host = host
+        self.path = path
+        self.key = key
+        self.prompt_tokens = prompt_tokens
+        self.max_answer_tokens = max_answer_tokens
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.host = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.path = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.STRING:
+                    self.key = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I32:
+                    self.prompt_tokens = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.I32:
+                    self.max_answer_tokens = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('ExplainRequest')
+        if self.host is not None:
+            oprot.writeFieldBegin('host', TType.STRING, 1)
+            oprot.writeString(self.host.encode('utf-8') if sys.version_info[0] == 2 else self.host)
+            oprot.writeFieldEnd()
+        if self.path is not None:
+            oprot.writeFieldBegin('path', TType.STRING, 2)
+            oprot.writeString(self.path.encode('utf-8') if sys.version_info[0] == 2 else self.path)
+            oprot.writeFieldEnd()
+        if self.key is not None:
+            oprot.writeFieldBegin('key', TType.STRING, 3)
+            oprot.writeString(self.key.encode('utf-8') if sys.version_info[0] == 2 else self.key)
+            oprot.writeFieldEnd()
+        if self.prompt_tokens is not None:
+            oprot.writeFieldBegin('prompt_tokens', TType.I32, 4)
+            oprot.writeI32(self.prompt_tokens)
+            oprot.writeFieldEnd()
+        if self.max_answer_tokens is not None:
+            oprot.writeFieldBegin('max_answer_tokens', TType.I32, 5)
+            oprot.writeI32(self.max_answer_tokens)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class RankedServer(object):
+    """
+    Attributes:
+     - server_id
+     - failure_domain
+     - first_event_s
+     - margin_s
+     - occupancy
+     - slowness
+     - cost_s
+
+    """
+
+
+    def __init__(self, server_id=None, failure_domain=None, first_event_s=None, margin_s=None, occupancy=None, slowness=None, cost_s=None,):
+        self.server_id = server_id
+        self.failure_domain = failure_domain
+        self.first_event_s = first_event_s
+        self.margin_s = margin_s
+        self.occupancy = occupancy
+        self.slowness = slowness
+        self.cost_s = cost_s
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.server_id = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.failure_domain = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.DOUBLE:
+                    self.first_event_s = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.DOUBLE:
+                    self.margin_s = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.DOUBLE:
+                    self.occupancy = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.DOUBLE:
+                    self.slowness = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.DOUBLE:
+                    self.cost_s = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('RankedServer')
+        if self.server_id is not None:
+            oprot.writeFieldBegin('server_id', TType.STRING, 1)
+            oprot.writeString(self.server_id.encode('utf-8') if sys.version_info[0] == 2 else self.server_id)
+            oprot.writeFieldEnd()
+        if self.failure_domain is not None:
+            oprot.writeFieldBegin('failure_domain', TType.STRING, 2)
+            oprot.writeString(self.failure_domain.encode('utf-8') if sys.version_info[0] == 2 else self.failure_domain)
+            oprot.writeFieldEnd()
+        if self.first_event_s is not None:
+            oprot.writeFieldBegin('first_event_s', TType.DOUBLE, 3)
+            oprot.writeDouble(self.first_event_s)
+            oprot.writeFieldEnd()
+        if self.margin_s is not None:
+            oprot.writeFieldBegin('margin_s', TType.DOUBLE, 4)
+            oprot.writeDouble(self.margin_s)
+            oprot.writeFieldEnd()
+        if self.occupancy is not None:
+            oprot.writeFieldBegin('occupancy', TType.DOUBLE, 5)
+            oprot.writeDouble(self.occupancy)
+            oprot.writeFieldEnd()
+        if self.slowness is not None:
+            oprot.writeFieldBegin('slowness', TType.DOUBLE, 6)
+            oprot.writeDouble(self.slowness)
+            oprot.writeFieldEnd()
+        if self.cost_s is not None:
+            oprot.writeFieldBegin('cost_s', TType.DOUBLE, 7)
+            oprot.writeDouble(self.cost_s)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class ExcludedServer(object):
+    """
+    Attributes:
+     - server_id
+     - failure_domain
+     - reason
+
+    """
+
+
+    def __init__(self, server_id=None, failure_domain=None, reason=None,):
+        self.server_id = server_id
+        self.failure_domain = failure_domain
+        self.reason = reason
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.server_id = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.failure_domain = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.STRING:
+                    self.reason = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('ExcludedServer')
+        if self.server_id is not None:
+            oprot.writeFieldBegin('server_id', TType.STRING, 1)
+            oprot.writeString(self.server_id.encode('utf-8') if sys.version_info[0] == 2 else self.server_id)
+            oprot.writeFieldEnd()
+        if self.failure_domain is not None:
+            oprot.writeFieldBegin('failure_domain', TType.STRING, 2)
+            oprot.writeString(self.failure_domain.encode('utf-8') if sys.version_info[0] == 2 else self.failure_domain)
+            oprot.writeFieldEnd()
+        if self.reason is not None:
+            oprot.writeFieldBegin('reason', TType.STRING, 3)
+            oprot.writeString(self.reason.encode('utf-8') if sys.version_info[0] == 2 else self.reason)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class ExplainReply(object):
+    """
+    Attributes:
+     - vm
+     - verdict
+     - reason
+     - route
+     - service_name
+     - service_share
+     - customer
+     - allowed_regions
+     - admitted_part
+     - ranked
+     - excluded
+
+    """
+
+
+    def __init__(self, vm=None, verdict=None, reason=None, route=None, service_name=None, service_share=None, customer=None, allowed_regions=None, admitted_part=None, ranked=None, excluded=None,):
+        self.vm = vm
+        self.verdict = verdict
+        self.reason = reason
+        self.route = route
+        self.service_name = service_name
+        self.service_share = service_share
+        self.customer = customer
+        self.allowed_regions = allowed_regions
+        self.admitted_part = admitted_part
+        self.ranked = ranked
+        self.excluded = excluded
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.vm = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.verdict = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.STRING:
+                    self.reason = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.STRING:
+                    self.route = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.STRING:
+                    self.service_name = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.DOUBLE:
+                    self.service_share = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.STRING:
+                    self.customer = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 8:
+                if ftype == TType.LIST:
+                    self.allowed_regions = []
+                    (_etype61, _size58) = iprot.readListBegin()
+                    for _i62 in range(_size58):
+                        _elem63 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.allowed_regions.append(_elem63)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 9:
+                if ftype == TType.DOUBLE:
+                    self.admitted_part = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 10:
+                if ftype == TType.LIST:
+                    self.ranked = []
+                    (_etype67, _size64) = iprot.readListBegin()
+                    for _i68 in range(_size64):
+                        _elem69 = RankedServer()
+                        _elem69.read(iprot)
+                        self.ranked.append(_elem69)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 11:
+                if ftype == TType.LIST:
+                    self.excluded = []
+                    (_etype73, _size70) = iprot.readListBegin()
+                    for _i74 in range(_size70):
+                        _elem75 = ExcludedServer()
+                        _elem75.read(iprot)
+                        self.excluded.append(_elem75)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('ExplainReply')
+        if self.vm is not None:
+            oprot.writeFieldBegin('vm', TType.STRING, 1)
+            oprot.writeString(self.vm.encode('utf-8') if sys.version_info[0] == 2 else self.vm)
+            oprot.writeFieldEnd()
+        if self.verdict is not None:
+            oprot.writeFieldBegin('verdict', TType.STRING, 2)
+            oprot.writeString(self.verdict.encode('utf-8') if sys.version_info[0] == 2 else self.verdict)
+            oprot.writeFieldEnd()
+        if self.reason is not None:
+            oprot.writeFieldBegin('reason', TType.STRING, 3)
+            oprot.writeString(self.reason.encode('utf-8') if sys.version_info[0] == 2 else self.reason)
+            oprot.writeFieldEnd()
+        if self.route is not None:
+            oprot.writeFieldBegin('route', TType.STRING, 4)
+            oprot.writeString(self.route.encode('utf-8') if sys.version_info[0] == 2 else self.route)
+            oprot.writeFieldEnd()
+        if self.service_name is not None:
+            oprot.writeFieldBegin('service_name', TType.STRING, 5)
+            oprot.writeString(self.service_name.encode('utf-8') if sys.version_info[0] == 2 else self.service_name)
+            oprot.writeFieldEnd()
+        if self.service_share is not None:
+            oprot.writeFieldBegin('service_share', TType.DOUBLE, 6)
+            oprot.writeDouble(self.service_share)
+            oprot.writeFieldEnd()
+        if self.customer is not None:
+            oprot.writeFieldBegin('customer', TType.STRING, 7)
+            oprot.writeString(self.customer.encode('utf-8') if sys.version_info[0] == 2 else self.customer)
+            oprot.writeFieldEnd()
+        if self.allowed_regions is not None:
+            oprot.writeFieldBegin('allowed_regions', TType.LIST, 8)
+            oprot.writeListBegin(TType.STRING, len(self.allowed_regions))
+            for iter76 in self.allowed_regions:
+                oprot.writeString(iter76.encode('utf-8') if sys.version_info[0] == 2 else iter76)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.admitted_part is not None:
+            oprot.writeFieldBegin('admitted_part', TType.DOUBLE, 9)
+            oprot.writeDouble(self.admitted_part)
+            oprot.writeFieldEnd()
+        if self.ranked is not None:
+            oprot.writeFieldBegin('ranked', TType.LIST, 10)
+            oprot.writeListBegin(TType.STRUCT, len(self.ranked))
+            for iter77 in self.ranked:
+                iter77.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.excluded is not None:
+            oprot.writeFieldBegin('excluded', TType.LIST, 11)
+            oprot.writeListBegin(TType.STRUCT, len(self.excluded))
+            for iter78 in self.excluded:
+                iter78.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class Message(object):
     """
     Attributes:
@@ -2269,11 +2765,13 @@
      - entry_joined
      - demand_report
      - demand_summary
+     - explain_request
+     - explain_reply
 
     """
 
 
-    def __init__(self, engine_load=None, failed_run=None, manifest_request=None, manifest_reply=None, block_request=None, block_reply=None, news_request=None, news_reply=None, permit_request=None, permit_reply=None, entry_leaving=None, part_report=None, part_query=None, entry_joined=None, demand_report=None, demand_summary=None,):
+    def __init__(self, engine_load=None, failed_run=None, manifest_request=None, manifest_reply=None, block_request=None, block_reply=None, news_request=None, news_reply=None, permit_request=None, permit_reply=None, entry_leaving=None, part_report=None, part_query=None, entry_joined=None, demand_report=None, demand_summary=None, explain_request=None, explain_reply=None,):
         self.engine_load = engine_load
         self.failed_run = failed_run
         self.manifest_request = manifest_request
@@ -2290,6 +2788,8 @@
         self.entry_joined = entry_joined
         self.demand_report = demand_report
         self.demand_summary = demand_summary
+        self.explain_request = explain_request
+        self.explain_reply = explain_reply
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2396,6 +2896,18 @@
                     self.demand_summary.read(iprot)
                 else:
                     iprot.skip(ftype)
+            elif fid == 17:
+                if ftype == TType.STRUCT:
+                    self.explain_request = ExplainRequest()
+                    self.explain_request.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            elif fid == 18:
+                if ftype == TType.STRUCT:
+                    self.explain_reply = ExplainReply()
+                    self.explain_reply.read(iprot)
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -2470,6 +2982,14 @@
             oprot.writeFieldBegin('demand_summary', TType.STRUCT, 16)
             self.demand_summary.write(oprot)
             oprot.writeFieldEnd()
+        if self.explain_request is not None:
+            oprot.writeFieldBegin('explain_request', TType.STRUCT, 17)
+            self.explain_request.write(oprot)
+            oprot.writeFieldEnd()
+        if self.explain_reply is not None:
+            oprot.writeFieldBegin('explain_reply', TType.STRUCT, 18)
+            self.explain_reply.write(oprot)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2679,6 +3199,48 @@
     (5, TType.BOOL, 'is_complete', None, None, ),  # 5
     (6, TType.I64, 'era', None, None, ),  # 6
 )
+all_structs.append(ExplainRequest)
+ExplainRequest.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'host', 'UTF8', None, ),  # 1
+    (2, TType.STRING, 'path', 'UTF8', None, ),  # 2
+    (3, TType.STRING, 'key', 'UTF8', None, ),  # 3
+    (4, TType.I32, 'prompt_tokens', None, None, ),  # 4
+    (5, TType.I32, 'max_answer_tokens', None, None, ),  # 5
+)
+all_structs.append(RankedServer)
+RankedServer.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'server_id', 'UTF8', None, ),  # 1
+    (2, TType.STRING, 'failure_domain', 'UTF8', None, ),  # 2
+    (3, TType.DOUBLE, 'first_event_s', None, None, ),  # 3
+    (4, TType.DOUBLE, 'margin_s', None, None, ),  # 4
+    (5, TType.DOUBLE, 'occupancy', None, None, ),  # 5
+    (6, TType.DOUBLE, 'slowness', None, None, ),  # 6
+    (7, TType.DOUBLE, 'cost_s', None, None, ),  # 7
+)
+all_structs.append(ExcludedServer)
+ExcludedServer.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'server_id', 'UTF8', None, ),  # 1
+    (2, TType.STRING, 'failure_domain', 'UTF8', None, ),  # 2
+    (3, TType.STRING, 'reason', 'UTF8', None, ),  # 3
+)
+all_structs.append(ExplainReply)
+ExplainReply.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'vm', 'UTF8', None, ),  # 1
+    (2, TType.STRING, 'verdict', 'UTF8', None, ),  # 2
+    (3, TType.STRING, 'reason', 'UTF8', None, ),  # 3
+    (4, TType.STRING, 'route', 'UTF8', None, ),  # 4
+    (5, TType.STRING, 'service_name', 'UTF8', None, ),  # 5
+    (6, TType.DOUBLE, 'service_share', None, None, ),  # 6
+    (7, TType.STRING, 'customer', 'UTF8', None, ),  # 7
+    (8, TType.LIST, 'allowed_regions', (TType.STRING, 'UTF8', False), None, ),  # 8
+    (9, TType.DOUBLE, 'admitted_part', None, None, ),  # 9
+    (10, TType.LIST, 'ranked', (TType.STRUCT, [RankedServer, None], False), None, ),  # 10
+    (11, TType.LIST, 'excluded', (TType.STRUCT, [ExcludedServer, None], False), None, ),  # 11
+)
 all_structs.append(Message)
 Message.thrift_spec = (
     None,  # 0
@@ -2698,6 +3260,8 @@
     (14, TType.STRUCT, 'entry_joined', [EntryJoined, None], None, ),  # 14
     (15, TType.STRUCT, 'demand_report', [DemandReport, None], None, ),  # 15
     (16, TType.STRUCT, 'demand_summary', [DemandSummary, None], None, ),  # 16
+    (17, TType.STRUCT, 'explain_request', [ExplainRequest, None], None, ),  # 17
+    (18, TType.STRUCT, 'explain_reply', [ExplainReply, None], None, ),  # 18
 )
 fix_spec(all_structs)
 del all_structs
