--- a/testing/test_engine_memory.py
+++ b/testing/test_engine_memory.py
@@ -113,6 +113,10 @@
 CALLERS = 20
 """Callers of each entry. All of them together need 1.8 times the memory."""
 
+STEP_S = 0.15
+"""Time for each of ten events: a request takes 1.6 s, and 1 to 2.6 s at kydai's engines
+(docs/hard-load.md)."""
+
 
 def limit_memory(fleet):
     """Configure a service whose engines run out of memory before they have no slots."""
@@ -150,7 +154,7 @@
         async with platform_fleet.deployed(entries=3) as fleet:
             limit_memory(fleet)
             engine = await platform_fleet.add_engine(
-                fleet, "i-1", slots=100, step_s=0.08, memory_tokens=MEMORY_TOKENS
+                fleet, "i-1", slots=100, step_s=STEP_S, memory_tokens=MEMORY_TOKENS
             )
             await platform_fleet.add_agent(fleet, engine)
             for entry in fleet.entries.values():
@@ -159,9 +163,9 @@
             async with anyio.create_task_group() as tg:
                 for entry in fleet.entries:
                     for _ in range(CALLERS):
-                        tg.start_soon(keep_sending, fleet, entry, 4.0)
-                await anyio.sleep(1.0)
-                for _ in range(60):
+                        tg.start_soon(keep_sending, fleet, entry, 6.0)
+                await anyio.sleep(2.0)
+                for _ in range(80):
                     held.append(engine.held_tokens)
                     await anyio.sleep(0.05)
             assert not engine.crashes
