--- a/src/carobstand/entry/queueing.py
+++ b/src/carobstand/entry/queueing.py
@@ -64,7 +64,7 @@
     The call occupies a slot of the server until `end`.
     """
     waiter = Waiter(call)
-    if not call.is_counted and _can_be_on_time(fwd, call):
+    if not call.is_counted and can_be_on_time(fwd, call):
         call.is_counted = True
         if not demand_exchange.admit(fwd, call):
             call.terms = attrs.evolve(call.terms, is_admitted=False)
@@ -168,18 +168,25 @@
 
     Parameters
     ----------
-    rankings : dict of tuple to (core.placement.Choice or None, dict)
-        Best choice and excluded servers by kind of call, since a call was sent.
+    rankings : dict of tuple to (core.placement.Choice or None, dict, int)
+        Best choice and excluded servers by kind of call, since a call was sent, and the
+        size in tokens below which a call may still fit into the memory of a server.
     """
     kind = _kind(fwd, call)
     if kind in rankings:
-        best, excluded = rankings[kind]
+        best, excluded, fitting_tokens = rankings[kind]
         verdict = _verdict(fwd, call, best, excluded, now, ahead)
         is_held = verdict is queue_policy.Verdict.HOLD
         # Without a choice, a smaller call may fit into the memory of a server.
-        if is_held or (best and verdict is queue_policy.Verdict.REFUSE):
+        is_usable = is_held or (best and verdict is queue_policy.Verdict.REFUSE)
+        if is_usable and server_choice.needed_tokens(call) >= fitting_tokens:
             return best, excluded, verdict
-    best, excluded = rankings[kind] = server_choice.best(fwd, call, now)
+    best, excluded = server_choice.best(fwd, call, now)
+    lacks_memory = eligibility.Reason.NO_MEMORY in excluded.values()
+    fitting_tokens = (
+        server_choice.needed_tokens(call) if not best and lacks_memory else 0
+    )
+    rankings[kind] = best, excluded, fitting_tokens
     return best, excluded, _verdict(fwd, call, best, excluded, now, ahead)
 
 
@@ -192,7 +199,6 @@
         None if allowed is None else frozenset(allowed),
         frozenset(call.tried),
         int(math.log(max(1, call.size.prompt_tokens), SIZE_CLASS_FACTOR)),
-        int(math.log(max(1, server_choice.needed_tokens(call)), SIZE_CLASS_FACTOR)),
     )
 
 
@@ -207,7 +213,7 @@
     return missed_targets.pressure(fwd.outcomes.get(service), now)
 
 
-def _can_be_on_time(fwd, call):
+def can_be_on_time(fwd, call):
     """Whether a call has a target that it could meet when it arrived."""
     terms, shortest_s = call.terms, server_choice.idle_first_byte_s(fwd, call)
     if terms.is_started or not math.isfinite(terms.target):
@@ -217,7 +223,7 @@
 
 def _record_outcome(fwd, call, is_met, is_answered=True):
     """Record whether a call met its target, if it could do so when it arrived."""
-    if not _can_be_on_time(fwd, call):
+    if not can_be_on_time(fwd, call):
         return
     demand_exchange.record_outcome(fwd, call, is_met, is_answered)
     state = fwd.outcomes.setdefault(call.service, missed_targets.Outcomes())
@@ -297,6 +303,30 @@
     return best is not None and best.first_event_s <= gap_s
 
 
+def assess(fwd, call):
+    """Return what would happen to a call that arrives now, without any effect.
+
+    All servers are ranked; a call that is placed may be sent to the best one of a
+    sample or of a shortlist.
+
+    Returns
+    -------
+    choices : list of core.placement.Choice
+        The best one first.
+    excluded : dict of str to core.eligibility.Reason
+        By server id.
+    verdict : core.queue_policy.Verdict
+    is_behind : bool
+        Whether requests with precedence wait for the same servers.
+    """
+    now, servers = anyio.current_time(), fwd.fleet.servers.servers
+    withholds = server_limits.would_withhold
+    choices, excluded = server_choice.rank(fwd, call, servers, now, withholds)
+    best = choices[0] if choices else None
+    verdict = _verdict(fwd, call, best, excluded, now, 0)
+    return choices, excluded, verdict, _is_behind(fwd, call)
+
+
 def _evaluate(fwd, call, now, ahead):
     """Return the best choice for a call, the excluded servers, and the verdict.
 
--- a/src/carobstand/entry/server_choice.py
+++ b/src/carobstand/entry/server_choice.py
@@ -68,10 +68,10 @@
     shortlisted_ids = shortlist.ids_to_rank(state, len(known), now)
     if shortlisted_ids is not None:
         shortlisted = {key: known[key] for key in shortlisted_ids if key in known}
-        choices, _ = _rank(fwd, call, shortlisted, now)
+        choices, _ = rank(fwd, call, shortlisted, now)
         if choices:
             return choices[0], {}
-    choices, excluded = _rank(fwd, call, known, now)
+    choices, excluded = rank(fwd, call, known, now)
     ranked = [choice.candidate.server.server_id for choice in choices]
     shortlist.record_full_ranking(state, ranked, now)
     return (choices[0] if choices else None), excluded
@@ -111,7 +111,7 @@
     if count >= len(near):
         return None
     picked = {key: known[key] for key in random.sample(near, count)}
-    choices, _ = _rank(fwd, call, picked, now)
+    choices, _ = rank(fwd, call, picked, now)
     left_s = call.terms.target - queue_policy.NETWORK_TIME_S - now
     shortest_s = idle_first_byte_s(fwd, call)
     if choices and sampling.is_good_enough(
@@ -134,7 +134,7 @@
     return near, sum(item.region == dep.region for item in entries)
 
 
-def conditions_of(fwd, call, location=None):
+def conditions_of(fwd, call, location=None, withholds=server_limits.withholds):
     """Return the `Conditions` that decide which servers may run a call.
 
     The memory that servers have left is only considered given the `EntryLocation`.
@@ -150,7 +150,7 @@
         regions=fwd.fleet.deployment.regions,
         allowed_regions=allowed_regions.of_call(fwd.fleet, call),
         evacuated=fwd.fleet.evacuation_marks.in_force,
-        withholds=lambda server_id: server_limits.withholds(fwd.limits, server_id),
+        withholds=lambda server_id: withholds(fwd.limits, server_id),
         lacks_memory=_memory_condition(fwd, call, model, location),
         is_too_large=needed_tokens(call) > engine_memory.limit_tokens(model),
     )
@@ -181,7 +181,7 @@
     return lacks_memory
 
 
-def _rank(fwd, call, servers, now):
+def rank(fwd, call, servers, now, withholds=server_limits.withholds):
     """Return the choices among `servers` for a call, best first, and the excluded.
 
     Returns
@@ -191,7 +191,8 @@
         By server id.
     """
     location = _location(fwd)
-    found = eligibility.sort_out(servers, conditions_of(fwd, call, location), now)
+    conditions = conditions_of(fwd, call, location, withholds)
+    found = eligibility.sort_out(servers, conditions, now)
     choices = placement.rank(
         found,
         service_of(fwd, call),
--- a/testing/test_store_following.py
+++ b/testing/test_store_following.py
@@ -79,7 +79,10 @@
         fleet = fleets.Fleet(dep, store=None)
         async with anyio.create_task_group() as tg:
             tg.start_soon(fleets.observe, fleet)
-            await anyio.sleep(0.2)
+            # An entry that is not the first in its region's order waits for others.
+            with anyio.fail_after(7.0):
+                while fleet.first_read_at is None:
+                    await fleet.changed.wait(1.0)
             while anyio.current_time() < duration_s:
                 observe(fleet)
                 await anyio.sleep(0.05)
