Read the entries' records again after waiting for a configuration

An entry that waited for another one to have the configuration counted its state as confirmed up to the read before, seconds ago: others would not accept its changes until its first watch, and that watch repeated all changes since.

--- a/src/carobstand/entry/fleet.py
+++ b/src/carobstand/entry/fleet.py
@@ -29,6 +29,10 @@
 SYSTEM_PREFIX = "carobstand/"
 """Prefix of the store keys that entries write."""
 
+MAX_READ_S = 0.5
+"""Time after which the first of several reads is repeated: the state of this entry
+counts as confirmed only up to the earliest one, and others do not accept it later."""
+
 WATCH_WAIT_S = 2.5
 """Maximum wait of a watch. A watch that ends without changes confirms that nothing
 changed until then; a connection that went silent is detected after this time."""
@@ -190,6 +194,10 @@
     else:
         entries = startup.registered_entries(own.items)
         operator = await startup.read_operator_items(fleet, entries)
+        if anyio.current_time() - sent_at > MAX_READ_S:
+            # It waited for another entry to have the configuration.
+            sent_at = anyio.current_time()
+            own = await kv.list_prefix(fleet.store, SYSTEM_PREFIX)
     servers = await kv.list_prefix(fleet.store, records.SERVER_PREFIX)
     found = [operator.changes, servers, own]
     if len({changes.era for changes in found}) > 1:
