Judge waiting requests by predictions for prompts of about their size

One ranking served prompts of up to four times the size in a pass, so that small requests were held or, beyond their customer's share, rejected by the predicted time of a large one (found by review). Classes are now a factor of two apart, and a request beyond its share is judged by its own prediction.

A server that registered in another failure domain while a connection to its old address opened is checked at both; caches of permit rates are bounded.

--- a/src/carobstand/core/permits.py
+++ b/src/carobstand/core/permits.py
@@ -164,7 +164,7 @@
     allowed: float
 
 
-@functools.cache
+@functools.lru_cache(maxsize=4096)
 def cold_limit(warmup):
     """Return the limit of a cold server in requests per second.
 
@@ -176,7 +176,7 @@
     return max(PROBE_RATE, min(warmup.sustained_per_s, most))
 
 
-@functools.cache
+@functools.lru_cache(maxsize=4096)
 def cold_permit_s(limit, warmup):
     """Return the lifetime of a permit for a cold server with an effective limit.
 
--- a/src/carobstand/entry/queueing.py
+++ b/src/carobstand/entry/queueing.py
@@ -33,9 +33,10 @@
 MIN_CHECK_INTERVAL_S = 0.005
 """Minimum interval between evaluations; under load, slots are freed continually."""
 
-SIZE_CLASS_FACTOR = 4.0
+SIZE_CLASS_FACTOR = 2.0
 """Ratio between the limits of classes of prompt sizes, for each of which a pass ranks
-the servers once. It bounds the rankings of a pass to three or four."""
+the servers once. A prediction for a prompt of another size would reject or hold calls
+wrongly; with this ratio a pass has about six rankings."""
 
 
 @attrs.define(eq=False)
@@ -178,7 +179,9 @@
         verdict = _verdict(fwd, call, best, excluded, now, ahead)
         is_held = verdict is queue_policy.Verdict.HOLD
         # Without a choice, a smaller call may fit into the memory of a server.
-        is_usable = is_held or (best and verdict is queue_policy.Verdict.REFUSE)
+        is_refused = best and verdict is queue_policy.Verdict.REFUSE
+        # Beyond its customer's share, a call is rejected by its own prediction only.
+        is_usable = is_held or (is_refused and call.terms.is_admitted)
         if is_usable and server_choice.needed_tokens(call) >= fitting_tokens:
             return best, excluded, verdict
     best, excluded = server_choice.best(fwd, call, now)
--- a/src/carobstand/entry/server_choice.py
+++ b/src/carobstand/entry/server_choice.py
@@ -45,7 +45,11 @@
     example while a connection was opened.
     """
     known = fwd.fleet.servers.servers.get(server.server_id, server)
-    return eligibility.location_reason(known, conditions_of(fwd, call))
+    conditions = conditions_of(fwd, call)
+    # The server may have registered elsewhere; the connection is to its old address.
+    return eligibility.location_reason(
+        server, conditions
+    ) or eligibility.location_reason(known, conditions)
 
 
 def best(fwd, call, now):
