--- a/src/carobstand/entry/queueing.py
+++ b/src/carobstand/entry/queueing.py
@@ -237,8 +237,10 @@
     """Log why a call is rejected; `best` is None if no server was available."""
     now = anyio.current_time()
     regions = allowed_regions.of_call(fwd.fleet, call)
-    if not eligibility.is_hopeless(excluded, regions):
-        # Otherwise the rejection has another cause than the load.
+    lacks_memory = eligibility.Reason.NO_MEMORY in excluded.values()
+    if not lacks_memory and not eligibility.is_hopeless(excluded, regions):
+        # Otherwise the rejection has another cause than the time that servers need, and
+        # shares of that time would leave memory unused (55% instead of 65% used).
         _record_outcome(fwd, call, False, is_answered=False)
     permit_wait = None if best else permit_wait_s(fwd, call, 0)
     eventlog.event(
