--- a/src/carobstand/core/queue_policy.py
+++ b/src/carobstand/core/queue_policy.py
@@ -33,7 +33,7 @@
 """Slots of an engine that are expected to be taken by requests of other entries that no
 report shows yet, if the service is overloaded. A request that finds a slot beyond these
 is not delayed by others, so that the margin of its prediction does not count: with it,
-trials on kydai rejected requests while engines had half of their slots free."""
+recorded runs had requests rejected while engines had half of their slots free."""
 
 MAX_SPARE_OCCUPANCY = 0.75
 """Share of an engine's slots up to which it serves requests beyond their share. Replays
