--- a/testing/test_reported_slowness.py
+++ b/testing/test_reported_slowness.py
@@ -13,6 +13,7 @@
     exchange,
     placement,
 )
+from carobstand.entry import fleet as fleets
 from carobstand.entry import forwarding
 from testing import platform_builders as build
 
@@ -136,7 +137,8 @@
 
 
 def test_an_entry_keeps_the_slowness_that_a_plain_server_tells():
-    fwd = forwarding.Forwarder(None)
+    fleet = fleets.Fleet(build.deployment_of("e1", "10.0.0.1"), store=None, started=0.0)
+    fwd = forwarding.Forwarder(fleet)
     server = build.registration(runs_model=False)
     load = exchange.Load(running=1, waiting=0, slots=8, slowness=2.5)
 
