--- a/src/carobstand/entry/startup.py
+++ b/src/carobstand/entry/startup.py
@@ -18,6 +18,10 @@
 RETRY_S = 0.2
 """Pause before other entries are asked again."""
 
+FIRST_ROUND_S = 0.5
+"""Shortest limit of the time for questions. An entry that restarts alone finds the
+configuration at others even if it is the first to read it from the store."""
+
 ASKED_AT_ONCE = 2
 """Entries that are asked at a time."""
 
@@ -80,24 +84,22 @@
 
 
 async def _ask_others(plan, max_age_s):
-    """Return the `Relayed` configuration of another entry, or None in time.
+    """Return the `Relayed` configuration of another entry, or None in time."""
+    with anyio.move_on_after(max(plan.wait_s, FIRST_ROUND_S)):
+        return await _ask_in_turn(plan, max_age_s)
+    return None
 
-    The entries that read it first and others, which may have it from before, are asked
-    in turn. A reply that has begun within the time is awaited.
-    """
+
+async def _ask_in_turn(plan, max_age_s):
+    """Ask the entries that read it first, and others that may have it from before."""
     until = anyio.current_time() + plan.wait_s
     first, others = plan.others[:ASKED_AT_ONCE], plan.others[ASKED_AT_ONCE:]
-    asks_first = True
     while plan.others:
-        asked = first
-        if not asks_first:
-            asked = random.sample(others, min(len(others), ASKED_AT_ONCE))
-        relayed = await _first_reply(asked, max_age_s)
-        if relayed is not None:
-            return relayed
-        asks_first = not asks_first or not others
-        if not asks_first:
-            continue
+        sample = random.sample(others, min(len(others), ASKED_AT_ONCE))
+        for asked in (first, sample):
+            relayed = await _first_reply(asked, max_age_s)
+            if relayed is not None:
+                return relayed
         if anyio.current_time() >= until:
             break
         await anyio.sleep(RETRY_S)
