Load an older version near its end if the engine's queue is empty

The rule exists because an engine keeps waiting requests during a load and would begin them late. An engine that has none 0.3 s after the end of its served version, when entries send nothing more, has nothing to begin.

Ruled out: a shorter bound on the load (running requests last up to 2.6 s).

--- a/src/carobstand/agent/loading.py
+++ b/src/carobstand/agent/loading.py
@@ -201,7 +201,14 @@
 async def _order_load(view, copy):
     """Order the engine to load the staged pieces; wait until its report shows it."""
     report = await engine_client.fetch_report(view.engine)
-    if report.is_busy:
+    service = views.service(view)
+    if report.is_busy or service is None:
+        return
+    # The polled report may be older than the last requests that reached the queue.
+    outlook = attrs.evolve(views.outlook(view, service), waiting=report.waiting)
+    now = anyio.current_time()
+    if load_schedule.share_to_load(outlook, copy.version, now) == 0:
+        await anyio.sleep(RETRY_S)
         return
     status = await engine_client.load_staged(
         view.engine, copy.model, copy.version, report.orders
--- a/src/carobstand/agent/view.py
+++ b/src/carobstand/agent/view.py
@@ -143,6 +143,7 @@
         copy_s=max(load_schedule.receive_s(size, rate) for rate in rates),
         allowed_s=view.deployment.bounds.version_s,
         slowness=report.slowness,
+        waiting=report.waiting if view.report else None,
     )
 
 
--- a/src/carobstand/core/load_schedule.py
+++ b/src/carobstand/core/load_schedule.py
@@ -32,6 +32,11 @@
 weights, at usual speed: the longest running request of 2.6 s, the load, and a margin.
 An engine keeps the requests of its queue during a load and begins them afterwards."""
 
+ORDER_DELAY_S = 0.3
+"""Time after the end of the served version from which an engine with an empty queue
+gets no further requests: entries learn of a named version up to 60 ms later than
+agents, and requests that they sent before may still be under way."""
+
 SPREAD_S = 3.0
 """Shortest time over which loads are spread: the longest running request of 2.6 s and
 the load of 0.3 s, so that some engines are back before the last ones begin."""
@@ -57,6 +62,8 @@
         Time after a version is named during which requests may begin on older ones.
     slowness : float
         Ratio of the engine's present to its usual time for a unit of work.
+    waiting : int or None
+        Number of requests in the engine's queue, None if not known.
     """
 
     named: list
@@ -66,6 +73,7 @@
     copy_s: float
     allowed_s: float
     slowness: float = 1.0
+    waiting: int | None = None
 
     @property
     def newest(self):
@@ -101,7 +109,8 @@
     """Return the share of the engines that load a complete copy of a version.
 
     All load the newest one. An older one must serve for longer than its load takes,
-    after the end of the served version, and its load must be over before its own end.
+    after the end of the served version, and its load must be over before its own end
+    unless no request can begin late after it, see `_has_no_requests_to_begin`.
     If the newest one arrives around that end, half
     of the engines load the older one and serve while the others load the newest: all
     loads at that moment would leave no engine in service. If the newest one arrives
@@ -109,7 +118,10 @@
     """
     if not outlook.named or version >= outlook.newest:
         return 1.0
-    if now + MAX_LOAD_S * max(1.0, outlook.slowness) > _ends_at(outlook, version):
+    loaded_by = now + MAX_LOAD_S * max(1.0, outlook.slowness)
+    if loaded_by > _ends_at(outlook, version) and not _has_no_requests_to_begin(
+        outlook, now
+    ):
         return 0.0
     newest_at = _received_at(outlook, (outlook.newest,), now)
     serving_end = serving_ends_at(outlook)
@@ -121,6 +133,11 @@
     return 0.5 if newest_at > serving_end - SPREAD_S else 0.0
 
 
+def _has_no_requests_to_begin(outlook, now):
+    """Tell whether the engine's queue stays empty until a load has ended."""
+    return outlook.waiting == 0 and now >= serving_ends_at(outlook) + ORDER_DELAY_S
+
+
 def serving_ends_at(outlook):
     """Return the latest time at which requests may begin on the served weights."""
     return _ends_at(outlook, outlook.serving)
--- a/testing/test_load_schedule.py
+++ b/testing/test_load_schedule.py
@@ -1,5 +1,7 @@
 import math
 
+import attrs
+
 from carobstand.core import load_schedule, named_versions
 from testing import weight_builders as build
 
@@ -125,3 +127,30 @@
     assert load_schedule.share_to_load(outlook, 2, in_time + 0.1) == 0.0
     slow = load_schedule.Outlook(**fields, slowness=2.5)
     assert load_schedule.share_to_load(slow, 2, in_time) == 0.0
+
+
+def test_an_engine_with_an_empty_queue_loads_an_older_version_also_near_its_end():
+    """Such an engine has no request that could begin late, however long its load takes.
+
+    Without this rule no engine had usable weights for 4.7 s of a replayed day.
+    """
+    named = [
+        named_versions.SeenVersion(2, 0.0),
+        named_versions.SeenVersion(3, 2.0),
+    ]
+    outlook = load_schedule.Outlook(
+        named=named,
+        serving=1,
+        complete=[2],
+        missing={3: 1.0},
+        copy_s=8.0,
+        allowed_s=10.0,
+        waiting=0,
+    )
+    quiet_at = 10.0 + load_schedule.ORDER_DELAY_S
+    assert load_schedule.share_to_load(outlook, 2, quiet_at) == 1.0
+    assert load_schedule.share_to_load(outlook, 2, quiet_at - 0.1) == 0.0
+    for waiting in (1, None):
+        state = attrs.evolve(outlook, waiting=waiting)
+        assert load_schedule.share_to_load(state, 2, quiet_at) == 0.0
+    assert load_schedule.share_to_load(outlook, 2, 12.0 - load_schedule.LOAD_S) == 0.0
--- a/testing/test_rapid_versions.py
+++ b/testing/test_rapid_versions.py
@@ -1,6 +1,13 @@
 """Versions named in quick succession, while the origin or entries are unavailable."""
 
+from unittest import mock
+
+import anyio
+import attrs
+
 from carobstand.agent import loading
+from carobstand.core import load_schedule, named_versions
+from carobstand.platform import engine_client
 from carobstand.standin.platform import kv, origin
 from carobstand.transfer import piece_stream
 from testing import platform_fleet as fleets
@@ -89,3 +96,29 @@
         assert loading._next_copy(state, stage) is copy
 
     virtual_time.run(check)
+
+
+def test_no_older_version_is_ordered_if_a_request_was_queued_since_the_poll():
+    # The request would begin on version 2 after the load, possibly after its end.
+    async def ordered(waiting):
+        state = weight_builders.agent_view(serving=1, named=(2, 3))
+        copy = weight_builders.add_copy(state, 2)
+        bounds = state.deployment.bounds
+        await anyio.sleep(bounds.version_s + load_schedule.ORDER_DELAY_S)
+        later = named_versions.SeenVersion(3, anyio.current_time() - 5.0)
+        state.named["m"][1] = later
+        fresh = attrs.evolve(state.report, waiting=waiting)
+        load = mock.AsyncMock(return_value=409)
+        with mock.patch.multiple(
+            engine_client,
+            fetch_report=mock.AsyncMock(return_value=fresh),
+            load_staged=load,
+        ):
+            await loading._order_load(state, copy)
+        return load.await_count
+
+    async def check():
+        assert await ordered(waiting=0) == 1
+        assert await ordered(waiting=1) == 0
+
+    virtual_time.run(check)
