Keep the platform's name of allowed regions in its adapter

platform/records.py decodes allowed_regions; elsewhere in the code the field, the module and the message of carobstand-explain are permitted_regions. No behaviour changes; the tests of regions, eligibility, explanations and records pass.

--- a/src/carobstand/cli/explain.py
+++ b/src/carobstand/cli/explain.py
@@ -56,7 +56,7 @@
 
 def print_text(reply, console):
     """Print a reply as a summary and a table of servers."""
-    regions = reply.allowed_regions
+    regions = reply.permitted_regions
     rows = [
         ("entry", reply.vm),
         ("verdict", f"{reply.verdict}: {reply.reason}"),
--- a/src/carobstand/core/eligibility.py
+++ b/src/carobstand/core/eligibility.py
@@ -67,7 +67,7 @@
         Ids of servers that are not tried again.
     regions : dict of str to str
         Region of each failure domain.
-    allowed_regions : frozenset of str or None
+    permitted_regions : frozenset of str or None
         Regions whose servers may run the request; None for all.
     evacuated : set of str
         Failure domains whose servers get no requests.
@@ -87,7 +87,7 @@
     announced: announcements.Announcements
     tried: set = attrs.field(factory=set)
     regions: dict = attrs.field(factory=dict)
-    allowed_regions: frozenset | None = None
+    permitted_regions: frozenset | None = None
     evacuated: set = attrs.field(factory=set)
     withholds: object = never
     lacks_memory: object = never
@@ -179,7 +179,7 @@
 
 def location_reason(server, conditions):
     """Return the `Reason` why no request may go to a server's location, or None."""
-    allowed = conditions.allowed_regions
+    allowed = conditions.permitted_regions
     if allowed is not None:
         if conditions.regions.get(server.failure_domain) not in allowed:
             return Reason.OUTSIDE_REGIONS
@@ -190,7 +190,7 @@
 
 def open_domains(conditions):
     """Return the known failure domains whose servers may run a request."""
-    allowed, evacuated = conditions.allowed_regions, conditions.evacuated
+    allowed, evacuated = conditions.permitted_regions, conditions.evacuated
     return {
         domain
         for domain, region in conditions.regions.items()
@@ -239,7 +239,7 @@
     return conditions.withholds(server.server_id)
 
 
-def is_hopeless(excluded, allowed_regions=None):
+def is_hopeless(excluded, permitted_regions=None):
     """Whether no server of a service will take a request that waits.
 
     Parameters
@@ -247,11 +247,11 @@
     excluded : dict of str to Reason
         Reason of each server of the service. If the service has no servers, a request
         is hopeless only if its regions are limited; others wait for registrations.
-    allowed_regions : frozenset of str or None
+    permitted_regions : frozenset of str or None
         Regions whose servers may run the request; None for all.
     """
     if not excluded:
-        return allowed_regions is not None
+        return permitted_regions is not None
     return all(map(is_final, excluded.values()))
 
 
--- a/src/carobstand/core/routes.py
+++ b/src/carobstand/core/routes.py
@@ -34,7 +34,7 @@
         Whether a stream may be resumed on another backend server.
     max_gap_s : float
         Maximum time between two events of a stream that counts as on time.
-    allowed_regions : frozenset of str
+    permitted_regions : frozenset of str
         Regions whose servers may run the requests; empty for all.
     """
 
@@ -50,7 +50,7 @@
     is_public: bool = False
     is_resumable: bool = False
     max_gap_s: float = 0.0
-    allowed_regions: frozenset = frozenset()
+    permitted_regions: frozenset = frozenset()
 
 
 @attrs.frozen(kw_only=True)
@@ -135,13 +135,13 @@
     name : str
     priority : int or None
         None: the priority of the route applies.
-    allowed_regions : frozenset of str
+    permitted_regions : frozenset of str
         Regions whose servers may run the requests; empty for all.
     """
 
     name: str
     priority: int | None = None
-    allowed_regions: frozenset = frozenset()
+    permitted_regions: frozenset = frozenset()
 
 
 @attrs.frozen(kw_only=True)
@@ -197,7 +197,7 @@
     ]
 
 
-def allowed_regions(route, customer):
+def permitted_regions(route, customer):
     """Return the regions whose servers may run a request.
 
     Parameters
@@ -210,7 +210,7 @@
     regions : frozenset of str or None
         None for all; empty if the route and the customer have no region in common.
     """
-    limited = [item.allowed_regions for item in (route, customer) if item is not None]
+    limited = [item.permitted_regions for item in (route, customer) if item is not None]
     limited = [regions for regions in limited if regions]
     return frozenset.intersection(*limited) if limited else None
 
--- a/src/carobstand/entry/explaining.py
+++ b/src/carobstand/entry/explaining.py
@@ -10,11 +10,11 @@
 
 from carobstand.core import eligibility, exchange, queue_policy
 from carobstand.entry import (
-    allowed_regions,
     demand_exchange,
     fleet,
     forwarding,
     ingress,
+    permitted_regions,
     queueing,
 )
 from carobstand.wire.gen_fleet import ttypes
@@ -53,7 +53,7 @@
     if config is None:
         reply.reason = "no configuration"
         return reply
-    route = allowed_regions.find_route(config, req)
+    route = permitted_regions.find_route(config, req)
     if route is None:
         reply.reason = "no route"
         return reply
@@ -118,8 +118,8 @@
     total = sum(weight for _, weight in shares)
     own = sum(weight for name, weight in shares if name == call.service)
     reply.service_share = own / total if total else 0.0
-    regions = allowed_regions.of_call(fwd.fleet, call)
-    reply.allowed_regions = None if regions is None else sorted(regions)
+    regions = permitted_regions.of_call(fwd.fleet, call)
+    reply.permitted_regions = None if regions is None else sorted(regions)
     if queueing.can_be_on_time(fwd, call):
         reply.admitted_part = demand_exchange.admitted_part(fwd, call)
         if reply.admitted_part <= 0.0:
--- a/src/carobstand/entry/forwarding.py
+++ b/src/carobstand/entry/forwarding.py
@@ -131,8 +131,8 @@
     customer : str
     customer_record : core.routes.Customer or None
         The customer as configured when the request arrived.
-    allowed_regions : tuple or None
-        The configuration in which `entry.allowed_regions` looked the regions up last,
+    permitted_regions : tuple or None
+        The configuration in which `entry.permitted_regions` looked the regions up last,
         and what it found.
     reply : http1_server.Reply
     parts : tuple of bytes
@@ -177,7 +177,7 @@
     size: placement.Size
     terms: queue_policy.Terms
     customer_record: routes.Customer | None = None
-    allowed_regions: tuple | None = None
+    permitted_regions: tuple | None = None
     parts: tuple = ()
     idle_first_byte_s: float | None = None
     tried: set = attrs.field(factory=set)
--- a/src/carobstand/entry/ingress.py
+++ b/src/carobstand/entry/ingress.py
@@ -17,9 +17,9 @@
     value_density,
 )
 from carobstand.entry import (
-    allowed_regions,
     fleet,
     forwarding,
+    permitted_regions,
     queueing,
     rejections,
 )
@@ -66,7 +66,7 @@
         return await rejections.refuse(
             reply, req, 503, "no configuration", CONFIGURATION_RETRY_AFTER_S
         )
-    route = allowed_regions.find_route(config, req)
+    route = permitted_regions.find_route(config, req)
     if route is None:
         return await rejections.refuse(reply, req, 404, "no route")
     customer = config.customers.get(req.key)
--- a/src/carobstand/entry/allowed_regions.py
+++ b/src/carobstand/entry/permitted_regions.py
@@ -27,11 +27,11 @@
     call : entry.forwarding.Call
     """
     config = fleet.configuration
-    if call.allowed_regions is None or call.allowed_regions[0] is not config:
+    if call.permitted_regions is None or call.permitted_regions[0] is not config:
         route = config and find_route(config, call.req)
         customer = config and config.customers.get(call.req.key)
-        regions = routes.allowed_regions(
+        regions = routes.permitted_regions(
             route or call.route, customer or call.customer_record
         )
-        call.allowed_regions = (config, regions)
-    return call.allowed_regions[1]
+        call.permitted_regions = (config, regions)
+    return call.permitted_regions[1]
--- a/src/carobstand/entry/queueing.py
+++ b/src/carobstand/entry/queueing.py
@@ -21,8 +21,8 @@
     value_density,
 )
 from carobstand.entry import (
-    allowed_regions,
     demand_exchange,
+    permitted_regions,
     server_choice,
     server_limits,
 )
@@ -105,8 +105,8 @@
 def competes(fwd, call, other):
     """Return whether two calls may wait for the same servers."""
     return call.service == other.service and routes.share_regions(
-        allowed_regions.of_call(fwd.fleet, call),
-        allowed_regions.of_call(fwd.fleet, other),
+        permitted_regions.of_call(fwd.fleet, call),
+        permitted_regions.of_call(fwd.fleet, other),
     )
 
 
@@ -136,7 +136,7 @@
     rankings, ahead = {}, collections.Counter()
     for waiter in ready:
         call = waiter.call
-        regions = allowed_regions.of_call(fwd.fleet, call)
+        regions = permitted_regions.of_call(fwd.fleet, call)
         before = _count_ahead(ahead, call.service, regions)
         best, excluded, verdict = _evaluate_in_pass(fwd, call, now, before, rankings)
         if verdict is queue_policy.Verdict.HOLD:
@@ -196,7 +196,7 @@
 def _kind(fwd, call):
     """Return what is equal for calls to which the same server is the best one."""
     conditions = server_choice.conditions_of(fwd, call)
-    allowed = conditions.allowed_regions
+    allowed = conditions.permitted_regions
     return (
         call.service,
         None if allowed is None else frozenset(allowed),
@@ -236,7 +236,7 @@
 def _reject(fwd, call, best, excluded):
     """Log why a call is rejected; `best` is None if no server was available."""
     now = anyio.current_time()
-    regions = allowed_regions.of_call(fwd.fleet, call)
+    regions = permitted_regions.of_call(fwd.fleet, call)
     lacks_memory = eligibility.Reason.NO_MEMORY in excluded.values()
     if not lacks_memory and not eligibility.is_hopeless(excluded, regions):
         # Otherwise the rejection has another cause than the time that servers need, and
@@ -343,7 +343,7 @@
 
 def _verdict(fwd, call, best, excluded, now, ahead):
     """Return the `Verdict` on a call, given its best choice or None."""
-    regions = allowed_regions.of_call(fwd.fleet, call)
+    regions = permitted_regions.of_call(fwd.fleet, call)
     if best is None and eligibility.is_hopeless(excluded, regions):
         if not call.terms.is_started:
             return queue_policy.Verdict.REFUSE
--- a/src/carobstand/entry/server_choice.py
+++ b/src/carobstand/entry/server_choice.py
@@ -17,7 +17,7 @@
     sampling,
     shortlist,
 )
-from carobstand.entry import allowed_regions, fleet, server_limits, versions
+from carobstand.entry import fleet, permitted_regions, server_limits, versions
 
 MAX_SHORTLISTS = 64
 """Maximum number of shortlists of a service, one for each set of allowed regions; all
@@ -88,7 +88,7 @@
     may run only there.
     """
     by_regions = fwd.shortlists.setdefault(call.service, {})
-    regions = allowed_regions.of_call(fwd.fleet, call)
+    regions = permitted_regions.of_call(fwd.fleet, call)
     if regions not in by_regions and len(by_regions) >= MAX_SHORTLISTS:
         by_regions.clear()
     return by_regions.setdefault(regions, shortlist.Shortlist())
@@ -152,7 +152,7 @@
         announced=fwd.fleet.announced,
         tried=call.tried,
         regions=fwd.fleet.deployment.regions,
-        allowed_regions=allowed_regions.of_call(fwd.fleet, call),
+        permitted_regions=permitted_regions.of_call(fwd.fleet, call),
         evacuated=fwd.fleet.evacuation_marks.in_force,
         withholds=lambda server_id: withholds(fwd.limits, server_id),
         lacks_memory=_memory_condition(fwd, call, model, location),
--- a/src/carobstand/platform/records.py
+++ b/src/carobstand/platform/records.py
@@ -87,11 +87,11 @@
         is_public=record.flag("public"),
         is_resumable=record.flag("stream_resumption"),
         max_gap_s=record.seconds("target_gap_ms", 0),
-        allowed_regions=_allowed_regions(record),
+        permitted_regions=_permitted_regions(record),
     )
 
 
-def _allowed_regions(record):
+def _permitted_regions(record):
     names = record.items("allowed_regions")
     if not all(isinstance(name, str) for name in names):
         raise errors.RecordError(
@@ -182,7 +182,7 @@
     customer = routes.Customer(
         name=record.text("name"),
         priority=priority,
-        allowed_regions=_allowed_regions(record),
+        permitted_regions=_permitted_regions(record),
     )
     for key in record.items("api_keys"):
         if not isinstance(key, str):
--- a/src/carobstand/wire/fleet.thrift
+++ b/src/carobstand/wire/fleet.thrift
@@ -232,7 +232,7 @@
   5: string service_name
   6: double service_share     // of the route's requests
   7: string customer
-  8: optional list<string> allowed_regions  // absent: all regions
+  8: optional list<string> permitted_regions  // absent: all regions
   9: double admitted_part     // part of such requests that is within the fair share
   10: list<RankedServer> ranked             // the best one first
   11: list<ExcludedServer> excluded
--- a/src/carobstand/wire/gen_fleet/ttypes.py
+++ b/src/carobstand/wire/gen_fleet/ttypes.py
@@ -2563,7 +2563,7 @@
      - service_name
      - service_share
      - customer
-     - allowed_regions
+     - permitted_regions
      - admitted_part
      - ranked
      - excluded
@@ -2571,7 +2571,7 @@
     """
 
 
-    def __init__(self, vm=None, verdict=None, reason=None, route=None, service_name=None, service_share=None, customer=None, allowed_regions=None, admitted_part=None, ranked=None, excluded=None,):
+    def __init__(self, vm=None, verdict=None, reason=None, route=None, service_name=None, service_share=None, customer=None, permitted_regions=None, admitted_part=None, ranked=None, excluded=None,):
         self.vm = vm
         self.verdict = verdict
         self.reason = reason
@@ -2579,7 +2579,7 @@
         self.service_name = service_name
         self.service_share = service_share
         self.customer = customer
-        self.allowed_regions = allowed_regions
+        self.permitted_regions = permitted_regions
         self.admitted_part = admitted_part
         self.ranked = ranked
         self.excluded = excluded
@@ -2630,11 +2630,11 @@
                     iprot.skip(ftype)
             elif fid == 8:
                 if ftype == TType.LIST:
-                    self.allowed_regions = []
+                    self.permitted_regions = []
                     (_etype61, _size58) = iprot.readListBegin()
                     for _i62 in range(_size58):
                         _elem63 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.allowed_regions.append(_elem63)
+                        self.permitted_regions.append(_elem63)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2703,10 +2703,10 @@
             oprot.writeFieldBegin('customer', TType.STRING, 7)
             oprot.writeString(self.customer.encode('utf-8') if sys.version_info[0] == 2 else self.customer)
             oprot.writeFieldEnd()
-        if self.allowed_regions is not None:
-            oprot.writeFieldBegin('allowed_regions', TType.LIST, 8)
-            oprot.writeListBegin(TType.STRING, len(self.allowed_regions))
-            for iter76 in self.allowed_regions:
+        if self.permitted_regions is not None:
+            oprot.writeFieldBegin('permitted_regions', TType.LIST, 8)
+            oprot.writeListBegin(TType.STRING, len(self.permitted_regions))
+            for iter76 in self.permitted_regions:
                 oprot.writeString(iter76.encode('utf-8') if sys.version_info[0] == 2 else iter76)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
@@ -3236,7 +3236,7 @@
     (5, TType.STRING, 'service_name', 'UTF8', None, ),  # 5
     (6, TType.DOUBLE, 'service_share', None, None, ),  # 6
     (7, TType.STRING, 'customer', 'UTF8', None, ),  # 7
-    (8, TType.LIST, 'allowed_regions', (TType.STRING, 'UTF8', False), None, ),  # 8
+    (8, TType.LIST, 'permitted_regions', (TType.STRING, 'UTF8', False), None, ),  # 8
     (9, TType.DOUBLE, 'admitted_part', None, None, ),  # 9
     (10, TType.LIST, 'ranked', (TType.STRUCT, [RankedServer, None], False), None, ),  # 10
     (11, TType.LIST, 'excluded', (TType.STRUCT, [ExcludedServer, None], False), None, ),  # 11
--- a/testing/domain_fleet.py
+++ b/testing/domain_fleet.py
@@ -54,10 +54,10 @@
     """Replace the configuration by one with these allowed regions."""
     fwd.fleet.configuration = routes.Configuration(
         version=1,
-        routes={"h": {"/a/": build.route(allowed_regions=frozenset(route))}},
+        routes={"h": {"/a/": build.route(permitted_regions=frozenset(route))}},
         services={"drafter": build.service()},
         customers={
-            "k1": routes.Customer(name="x", allowed_regions=frozenset(customer))
+            "k1": routes.Customer(name="x", permitted_regions=frozenset(customer))
         },
     )
 
--- a/testing/test_eligibility.py
+++ b/testing/test_eligibility.py
@@ -48,8 +48,8 @@
     [
         (Reason.DRAINING, build.registration("i-1", is_ready=False), {}),
         (Reason.ALREADY_TRIED, SERVER, {"tried": {"i-1"}}),
-        (Reason.OUTSIDE_REGIONS, SERVER, {"allowed_regions": frozenset({"south"})}),
-        (Reason.OUTSIDE_REGIONS, SERVER, {"allowed_regions": frozenset()}),
+        (Reason.OUTSIDE_REGIONS, SERVER, {"permitted_regions": frozenset({"south"})}),
+        (Reason.OUTSIDE_REGIONS, SERVER, {"permitted_regions": frozenset()}),
         (Reason.EVACUATED, SERVER, {"evacuated": {"a"}}),
         (Reason.LEAVING, SERVER, {"announced": announced(is_leaving=True)}),
         (Reason.PAUSED, SERVER, {"announced": announced(paused_until=2.0)}),
--- a/testing/test_explain.py
+++ b/testing/test_explain.py
@@ -99,7 +99,7 @@
                 "d-3": "draining",
             }
             assert (reply.route, reply.service_name) == ("q", "desk")
-            assert (reply.customer, reply.allowed_regions) == ("acme", ["north"])
+            assert (reply.customer, reply.permitted_regions) == ("acme", ["north"])
             answer = await platform_fleet.send_request(fleet, "/q/")
             assert answer.status == 200
             assert [len(e.runs) for e in fleet.engines.values()] == [1, 0, 0]
--- a/testing/test_allowed_regions.py
+++ b/testing/test_permitted_regions.py
@@ -31,11 +31,11 @@
     ],
 )
 def test_the_regions_of_both_the_route_and_the_customer_bind(route, customer, expected):
-    found = routes.allowed_regions(
-        build.route(allowed_regions=frozenset(route)),
+    found = routes.permitted_regions(
+        build.route(permitted_regions=frozenset(route)),
         None
         if customer is None
-        else routes.Customer(name="x", allowed_regions=frozenset(customer)),
+        else routes.Customer(name="x", permitted_regions=frozenset(customer)),
     )
     assert found == expected
 
@@ -109,7 +109,7 @@
         fwd.loads.by_address[full.address] = busy
         held = [queueing.Waiter(domains.call()) for _ in range(20)]
         fwd.queue.waiters.extend(held)
-        other = build.route(allowed_regions=frozenset(["south"]))
+        other = build.route(permitted_regions=frozenset(["south"]))
         req = exchange.Inbound(method=b"POST", target=b"/z/", host="h")
         waiter = queueing.Waiter(domains.call(req=req, route=other))
         fwd.queue.waiters.append(waiter)
@@ -139,7 +139,7 @@
 def test_a_removed_route_and_key_keep_the_regions_that_the_request_came_with():
     async def check():
         fwd = domains.forwarder({"i-1": "a", "i-2": "b"})
-        customer = routes.Customer(name="x", allowed_regions=frozenset(["south"]))
+        customer = routes.Customer(name="x", permitted_regions=frozenset(["south"]))
         call = domains.call(customer_record=customer)
         fwd.fleet.configuration = routes.Configuration(
             version=2, routes={}, services={"drafter": build.service()}
@@ -161,7 +161,7 @@
     anyio.run(check)
 
 
-def test_only_servers_of_allowed_regions_count_for_the_wait_for_permits():
+def test_only_servers_of_permitted_regions_count_for_the_wait_for_permits():
     async def check():
         fwd = domains.forwarder({"i-1": "a", "i-2": "b"})
         domains.configure(fwd, route=["south"])
@@ -176,7 +176,7 @@
 @pytest.mark.parametrize(
     "limits", [{"route": ["south"]}, {"customer": ["south"]}, {"route": ["east"]}]
 )
-def test_first_sends_reach_allowed_regions_only(limits):
+def test_first_sends_reach_permitted_regions_only(limits):
     async def check(fleet):
         await domains.limit_regions(fleet, **limits)
         status = 503 if "east" in limits.get("route", ()) else 200
@@ -193,7 +193,7 @@
     domains.run_running(check)
 
 
-def test_retries_stay_in_allowed_regions():
+def test_retries_stay_in_permitted_regions():
     async def check(fleet):
         await domains.limit_regions(fleet, route=["south"])
         for server_id in ("d-b-1", "d-b-2"):
