--- a/src/carobstand/core/announcements.py
+++ b/src/carobstand/core/announcements.py
@@ -9,7 +9,7 @@
 
 import attrs
 
-from carobstand.core import permits
+from carobstand.core import permit_rates
 
 MAX_SERVERS = 16384
 """Maximum number of servers kept; the least recently updated one is evicted first. All
@@ -52,7 +52,7 @@
     limit_named_at: float = -math.inf
     cold_until: float = -math.inf
     cold_named_at: float = -math.inf
-    warmup: permits.Warmup | None = None
+    warmup: permit_rates.Warmup | None = None
 
 
 @attrs.define(eq=False)
@@ -177,7 +177,7 @@
         return None
     if now >= found.cold_until:
         return found.limit
-    cold_limit = permits.cold_limit(found.warmup)
+    cold_limit = permit_rates.cold_limit(found.warmup)
     return cold_limit if found.limit is None else min(found.limit, cold_limit)
 
 
@@ -186,15 +186,15 @@
     found = state.by_server.get(server_id)
     if found is None or now >= found.cold_until:
         return False
-    return found.limit is None or permits.cold_limit(found.warmup) <= found.limit
+    return found.limit is None or permit_rates.cold_limit(found.warmup) <= found.limit
 
 
 def permit_s(state, server_id, now):
     """Return the lifetime of a permit for a server that has a limit."""
     limit = limit_of(state, server_id, now)
     if not is_cold(state, server_id, now):
-        return permits.permit_s(limit)
-    return permits.cold_permit_s(limit, state.by_server[server_id].warmup)
+        return permit_rates.permit_s(limit)
+    return permit_rates.cold_permit_s(limit, state.by_server[server_id].warmup)
 
 
 def record_start(state, server_id, started_ms, now, lag_s):
--- a/src/carobstand/entry/cold_servers.py
+++ b/src/carobstand/entry/cold_servers.py
@@ -5,7 +5,7 @@
 import anyio
 
 from carobstand import eventlog
-from carobstand.core import announcements, permits
+from carobstand.core import announcements, permit_rates
 
 START_LAG_HEARTBEATS = 2
 """Heartbeat intervals within which a server's start is reported to this entry."""
@@ -147,7 +147,7 @@
         return False
     bounds, now = fleet.deployment.bounds, anyio.current_time()
     allowed = per_s * bounds.warmup_overshoot + bounds.warmup_slack
-    warmup = permits.Warmup(per_s, allowed)
+    warmup = permit_rates.Warmup(per_s, allowed)
     if not announcements.record_cold(
         fleet.announced, server_id, started_ms, now + cold_s, named_at, warmup, now
     ):
@@ -156,7 +156,7 @@
         "server.cold",
         server=server_id,
         cold_s=round(cold_s, 3),
-        limit=round(permits.cold_limit(warmup), 2),
+        limit=round(permit_rates.cold_limit(warmup), 2),
         source=source,
     )
     return True
--- a/src/carobstand/entry/permit_exchange.py
+++ b/src/carobstand/entry/permit_exchange.py
@@ -9,6 +9,8 @@
     announcements,
     deployment,
     entry_roster,
+    permit_grants,
+    permit_rates,
     permits,
     weight_sources,
 )
@@ -52,9 +54,9 @@
     if not message.wanted or message.wanted < 0:
         return
     is_deputy = bool(message.is_deputy)
-    rank = permits.Rank.DEPUTY if is_deputy else permits.Rank.FIRST
+    rank = permit_rates.Rank.DEPUTY if is_deputy else permit_rates.Rank.FIRST
     fields = {"number": message.number or 0, "is_deputy": is_deputy}
-    if rank is permits.Rank.FIRST and granting[0] != own_vm:
+    if rank is permit_rates.Rank.FIRST and granting[0] != own_vm:
         reply = server_limits.permit_reply(
             limits, message.server_id, is_granting=False, **fields
         )
@@ -71,8 +73,8 @@
         )
         return _send_to(limits, vm, request.address, reply)
     now = anyio.current_time()
-    granter = limits.granters.setdefault((server_id, rank), permits.Granter())
-    permits.claim(granter, vm, request.address, number, request.wanted, now)
+    granter = limits.granters.setdefault((server_id, rank), permit_grants.Granter())
+    permit_grants.claim(granter, vm, request.address, number, request.wanted, now)
     granted = _grant(limits, server_id, rank, granter)
     if vm not in granted:
         _send_grant(limits, server_id, rank, vm, request, 0)
@@ -83,20 +85,20 @@
     """Return the rate at which this entry grants permits of a server in a rank."""
     announced, now = limits.fleet.announced, anyio.current_time()
     limit = announcements.limit_of(announced, server_id, now) or 0.0
-    if rank is permits.Rank.DEPUTY:
-        return permits.rate(limit, permits.DEPUTY_SHARE)
+    if rank is permit_rates.Rank.DEPUTY:
+        return permit_rates.rate(limit, permit_rates.DEPUTY_SHARE)
     confirmed_at = limits.fleet.confirmed_at
     is_stale = confirmed_at is None or now - confirmed_at > STALE_S
     if not announcements.is_cold(announced, server_id, now):
-        return permits.rate(limit, permits.STALE_SHARE if is_stale else 1.0)
+        return permit_rates.rate(limit, permit_rates.STALE_SHARE if is_stale else 1.0)
     is_sole = not is_stale and server_limits.is_confirmed(limits, server_id, STALE_S)
-    return permits.rate(limit, 1.0 if is_sole else permits.COLD_STALE_SHARE)
+    return permit_rates.rate(limit, 1.0 if is_sole else permit_rates.COLD_STALE_SHARE)
 
 
 def _grant(limits, server_id, rank, granter):
     """Grant the permits that are due; return the VMs that got one."""
     permits_per_s = _permits_per_s(limits, server_id, rank)
-    granted = permits.grant(granter, permits_per_s, anyio.current_time())
+    granted = permit_grants.grant(granter, permits_per_s, anyio.current_time())
     for vm, claim in granted:
         _send_grant(limits, server_id, rank, vm, claim, 1)
     return {vm for vm, _ in granted}
@@ -112,10 +114,10 @@
         server_id,
         number=claim.number,
         granted=granted,
-        interval_ms=int(1000 * permits.interval_s(granter, permits_per_s)),
-        refresh_ms=int(1000 * permits.refresh_s(granter)),
+        interval_ms=int(1000 * permit_grants.interval_s(granter, permits_per_s)),
+        refresh_ms=int(1000 * permit_grants.refresh_s(granter)),
         waited_ms=int(1000 * waited_s),
-        is_deputy=rank is permits.Rank.DEPUTY,
+        is_deputy=rank is permit_rates.Rank.DEPUTY,
     )
     _send_to(limits, vm, claim.address, reply)
 
@@ -142,7 +144,7 @@
     holder = limits.holders.get(reply.server_id)
     if holder is None or not reply.number:
         return
-    rank = permits.Rank.DEPUTY if reply.is_deputy else permits.Rank.FIRST
+    rank = permit_rates.Rank.DEPUTY if reply.is_deputy else permit_rates.Rank.FIRST
     if not reply.is_granting or _knows_no_cold_limit(limits, reply):
         permits.refused(holder, rank)
         return server_limits.wake(limits)
@@ -290,7 +292,7 @@
             continue
         _grant(limits, server_id, rank, granter)
         permits_per_s = _permits_per_s(limits, server_id, rank)
-        next_at = min(next_at, permits.next_grant_at(granter, permits_per_s))
+        next_at = min(next_at, permit_grants.next_grant_at(granter, permits_per_s))
     return next_at
 
 
@@ -298,7 +300,7 @@
     """Whether this entry goes on granting permits to those that wait for them."""
     if not server_limits.is_limited(limits, server_id):
         return False
-    if rank is permits.Rank.DEPUTY:
+    if rank is permit_rates.Rank.DEPUTY:
         return True
     is_cold = announcements.is_cold(limits.fleet.announced, server_id, now)
     return not is_cold or server_limits.is_first(limits, server_id)
@@ -314,7 +316,7 @@
     vms = server_limits.granting(limits, server_id)
     if announcements.is_cold(announced, server_id, now):
         permits.follow_order(holder, vms)
-    for rank in permits.Rank:
+    for rank in permit_rates.Rank:
         was_unreachable = permits.is_unreachable(holder, rank)
         number = permits.due(holder, rank, now)
         if number is None:
--- a/src/carobstand/entry/server_limits.py
+++ b/src/carobstand/entry/server_limits.py
@@ -18,6 +18,7 @@
     eligibility,
     entry_roster,
     exchange,
+    permit_rates,
     permits,
 )
 from carobstand.entry import cold_servers
@@ -295,10 +296,10 @@
     if vms != limits.order_vms:
         limits.order_vms, limits.orders = vms, {}
     if server_id not in limits.orders:
-        limits.orders[server_id] = permits.granting_entries(
+        limits.orders[server_id] = permit_rates.granting_entries(
             server_id,
             vms or [limits.fleet.deployment.vm],
-            1 + permits.CONFIRMING_ENTRIES,
+            1 + permit_rates.CONFIRMING_ENTRIES,
         )
     return limits.orders[server_id]
 
@@ -376,7 +377,7 @@
     return fields
 
 
-def permit_request(limits, server_id, wanted=0, number=0, rank=permits.Rank.FIRST):
+def permit_request(limits, server_id, wanted=0, number=0, rank=permit_rates.Rank.FIRST):
     """Return a request for permits; if 0 are wanted, it only passes on the limit."""
     dep = limits.fleet.deployment
     return ttypes.PermitRequest(
@@ -385,7 +386,7 @@
         address=f"{dep.ip}:{dep.internal_ports[0]}",
         wanted=wanted,
         number=number,
-        is_deputy=rank is permits.Rank.DEPUTY,
+        is_deputy=rank is permit_rates.Rank.DEPUTY,
     )
 
 
--- a/testing/domain_fleet.py
+++ b/testing/domain_fleet.py
@@ -12,6 +12,7 @@
     announcements,
     engine_load,
     exchange,
+    permit_rates,
     permits,
     placement,
     registry,
@@ -84,7 +85,7 @@
         1000, limit=limit
     )
     holder = fwd.limits.holders.setdefault(server_id, permits.Holder())
-    holder.inquiries[permits.Rank.FIRST].interval_s = interval_s
+    holder.inquiries[permit_rates.Rank.FIRST].interval_s = interval_s
 
 
 async def add_servers(fleet, count=1, **options):
--- a/testing/test_cold_servers.py
+++ b/testing/test_cold_servers.py
@@ -9,7 +9,13 @@
 import anyio
 import pytest
 
-from carobstand.core import announcements, eligibility, exchange, permits
+from carobstand.core import (
+    announcements,
+    eligibility,
+    exchange,
+    permit_rates,
+    permits,
+)
 from carobstand.entry import cold_servers, forwarding, permit_exchange, server_limits
 from carobstand.wire.gen_fleet import ttypes
 from testing import cold_builders as build
@@ -29,19 +35,21 @@
 
 @pytest.mark.parametrize("per_s", [0.5, 3.0, 10.0, 26.0, 100.0, 1000.0])
 def test_all_who_grant_permits_together_stay_within_the_allowed_number(per_s):
-    warmup = permits.Warmup(per_s, per_s * 1.5 + 5)
-    limit = permits.cold_limit(warmup)
+    warmup = permit_rates.Warmup(per_s, per_s * 1.5 + 5)
+    limit = permit_rates.cold_limit(warmup)
     assert 0.75 * per_s <= limit <= per_s
     for effective in (limit, limit / 2, limit / 10, 0.0):
-        granted = permits.rate(effective)
-        life_s = permits.cold_permit_s(effective, warmup)
-        span_s = permits.COLD_WINDOW_S + life_s + permits.COLD_TRANSIT_S
+        granted = permit_rates.rate(effective)
+        life_s = permit_rates.cold_permit_s(effective, warmup)
+        span_s = permit_rates.COLD_WINDOW_S + life_s + permit_rates.COLD_TRANSIT_S
         total = 1.0
-        for share in (1.0, permits.DEPUTY_SHARE):
-            burst = permits.BURST_REQUESTS + permits.BURST_S * share * granted
+        for share in (1.0, permit_rates.DEPUTY_SHARE):
+            burst = permit_rates.BURST_REQUESTS + permit_rates.BURST_S * share * granted
             total += share * granted * span_s + burst
-        total += permits.ALONE_SHARE * granted * span_s
-        assert life_s >= permits.COLD_PERMIT_MIN_S and total <= warmup.allowed + 1e-6
+        total += permit_rates.ALONE_SHARE * granted * span_s
+        assert (
+            life_s >= permit_rates.COLD_PERMIT_MIN_S and total <= warmup.allowed + 1e-6
+        )
 
 
 def come_back(cold_s=COLD_S):
@@ -144,7 +152,7 @@
     """As one of an earlier version: it ignores the fields for cold servers."""
 
     async def script(sim):
-        first = permits.granting_entries(simulation.SERVER_ID, sim.nodes)[0]
+        first = permit_rates.granting_entries(simulation.SERVER_ID, sim.nodes)[0]
         node = sim.nodes[first]
         node.limits.fleet.configuration = None
         node.callers_per_s = 0.0
@@ -158,7 +166,7 @@
             server_limits._learn_cold_from_message = real
 
     vms = [str(number + 1) for number in range(5)]
-    first = permits.granting_entries(simulation.SERVER_ID, vms)[0]
+    first = permit_rates.granting_entries(simulation.SERVER_ID, vms)[0]
     shares = [0.0 if vm == first else 0.25 for vm in vms]
     sim = build.simulate(script, 6, 5, shares=shares)
     assert limit_checks.most_in_a_second(sim.server, 0, 1e9) <= ALLOWED
@@ -265,16 +273,16 @@
 
 def test_a_permit_for_a_cold_server_does_not_outlive_a_suspension():
     holder = permits.Holder(wanted_at=0.0)
-    number = permits.due(holder, permits.Rank.FIRST, 0.0)
+    number = permits.due(holder, permit_rates.Rank.FIRST, 0.0)
 
     def expiry(waited_s, now):
-        rank = permits.Rank.FIRST
+        rank = permit_rates.Rank.FIRST
         return permits.cold_expiry(holder, rank, number, waited_s, 0.25, now)
 
     assert expiry(0.0, 0.05) == pytest.approx(0.3)
     assert expiry(1.0, 1.05) == pytest.approx(1.3)
     assert expiry(0.0, 0.6) < 0.6
-    assert permits.cold_expiry(holder, permits.Rank.FIRST, 9, 0.0, 0.25, 0.1) < 0
+    assert permits.cold_expiry(holder, permit_rates.Rank.FIRST, 9, 0.0, 0.25, 0.1) < 0
 
 
 def test_permits_from_before_are_not_used_when_a_server_becomes_cold():
@@ -304,7 +312,7 @@
     """Two that grant the full limit at once would exceed the allowed number."""
 
     async def scenario():
-        first, *others = permits.granting_entries("i-1", "12345", count=3)
+        first, *others = permit_rates.granting_entries("i-1", "12345", count=3)
         nodes = {vm: build.joined(vm, "12345") for vm in (first, *others)}
         new, old = nodes[first], nodes[others[0]]
         old.fleet.roster.entries.pop(first)
@@ -313,7 +321,7 @@
         )
         permit_exchange.on_request(old, asking, "peer")
         permit_exchange.step(new)
-        rate = permit_exchange._permits_per_s(new, "i-1", permits.Rank.FIRST)
+        rate = permit_exchange._permits_per_s(new, "i-1", permit_rates.Rank.FIRST)
         joined = [
             item for _, item in new.outbox if isinstance(item, ttypes.EntryJoined)
         ]
@@ -327,15 +335,15 @@
             assert not server_limits.is_confirmed(new, "i-1", 5.0)
             reply = ttypes.EntryJoined(vm, "10.0.0.1:1", is_reply=True)
             permit_exchange.on_joined(new, reply, "peer")
-        full = permit_exchange._permits_per_s(new, "i-1", permits.Rank.FIRST)
-        assert rate == pytest.approx(permits.COLD_STALE_SHARE * full)
+        full = permit_exchange._permits_per_s(new, "i-1", permit_rates.Rank.FIRST)
+        assert rate == pytest.approx(permit_rates.COLD_STALE_SHARE * full)
 
     virtual_time.run(scenario)
 
 
 def test_what_a_response_tells_goes_to_the_entry_that_grants():
     async def scenario():
-        first, other = permits.granting_entries("i-1", "12345")
+        first, other = permit_rates.granting_entries("i-1", "12345")
         limits = build.joined(other, "12345", cold_ms=0)
         head = exchange.AnswerHead(status=200, cold_s=2.0)
         server_limits.record_answer(limits, "i-1", 1000, head, 0.0)
--- a/testing/test_permits.py
+++ b/testing/test_permits.py
@@ -6,7 +6,7 @@
 import pytest
 
 from carobstand import errors
-from carobstand.core import announcements, permits
+from carobstand.core import announcements, permit_grants, permit_rates, permits
 from carobstand.entry import fleet as fleets
 from carobstand.entry import forwarding, permit_exchange
 from carobstand.platform import http_headers
@@ -14,58 +14,58 @@
 from testing import platform_builders as build
 from testing import virtual_time
 
-FIRST, DEPUTY = permits.Rank
+FIRST, DEPUTY = permit_rates.Rank
 
 
 def test_permits_are_granted_at_the_rate_of_the_limit_in_turn():
-    granter = permits.Granter()
+    granter = permit_grants.Granter()
     granted = []
     for step in range(400):
         now = step * 0.025
         for vm in "abc":
-            permits.claim(granter, vm, "10.0.0.1:1", step, 1, now)
-        granted += [vm for vm, _ in permits.grant(granter, 3.0, now)]
+            permit_grants.claim(granter, vm, "10.0.0.1:1", step, 1, now)
+        granted += [vm for vm, _ in permit_grants.grant(granter, 3.0, now)]
     assert 27 <= len(granted) <= 30
     assert granted[:6] == ["a", "b", "c"] * 2
 
 
 def test_permits_do_not_accumulate_while_no_entry_wants_them():
-    granter = permits.Granter()
-    permits.grant(granter, 2.0, 0.0)
-    permits.claim(granter, "a", "10.0.0.1:1", 1, 50, 100.0)
-    assert len(permits.grant(granter, 2.0, 100.0)) == 1
+    granter = permit_grants.Granter()
+    permit_grants.grant(granter, 2.0, 0.0)
+    permit_grants.claim(granter, "a", "10.0.0.1:1", 1, 50, 100.0)
+    assert len(permit_grants.grant(granter, 2.0, 100.0)) == 1
 
 
 def test_a_granter_begins_without_permits():
-    granter = permits.Granter()
-    permits.claim(granter, "a", "10.0.0.1:1", 1, 1, 5.0)
-    assert permits.grant(granter, 10.0, 5.0) == []
+    granter = permit_grants.Granter()
+    permit_grants.claim(granter, "a", "10.0.0.1:1", 1, 1, 5.0)
+    assert permit_grants.grant(granter, 10.0, 5.0) == []
 
 
 def test_a_request_that_is_not_repeated_gets_nothing():
-    granter = permits.Granter()
-    permits.claim(granter, "a", "10.0.0.1:1", 1, 1, 0.0)
-    permits.grant(granter, 0.2, 0.0)
-    assert permits.grant(granter, 0.2, 20.0) == []
+    granter = permit_grants.Granter()
+    permit_grants.claim(granter, "a", "10.0.0.1:1", 1, 1, 0.0)
+    permit_grants.grant(granter, 0.2, 0.0)
+    assert permit_grants.grant(granter, 0.2, 20.0) == []
 
 
 def test_an_entry_that_asked_just_now_goes_before_one_that_asked_long_ago():
-    granter = permits.Granter()
-    permits.grant(granter, 1.0, 0.0)
-    permits.claim(granter, "old", "10.0.0.1:1", 1, 1, 0.1)
-    permits.claim(granter, "new", "10.0.0.2:1", 1, 1, 0.8)
-    assert [vm for vm, _ in permits.grant(granter, 1.0, 1.0)] == ["new"]
+    granter = permit_grants.Granter()
+    permit_grants.grant(granter, 1.0, 0.0)
+    permit_grants.claim(granter, "old", "10.0.0.1:1", 1, 1, 0.1)
+    permit_grants.claim(granter, "new", "10.0.0.2:1", 1, 1, 0.8)
+    assert [vm for vm, _ in permit_grants.grant(granter, 1.0, 1.0)] == ["new"]
 
 
 def test_an_entry_that_asks_again_at_once_waits_for_its_turn():
-    granter = permits.Granter()
-    permits.grant(granter, 1.0, 0.0)
+    granter = permit_grants.Granter()
+    permit_grants.grant(granter, 1.0, 0.0)
     turns = []
     for second in range(1, 7):
         for number, vm in enumerate(["eager", "calm", "late"]):
             asked_at = second - 0.4 + 0.1 * number
-            permits.claim(granter, vm, "10.0.0.1:1", second, 1, asked_at)
-        turns += [vm for vm, _ in permits.grant(granter, 1.0, second)]
+            permit_grants.claim(granter, vm, "10.0.0.1:1", second, 1, asked_at)
+        turns += [vm for vm, _ in permit_grants.grant(granter, 1.0, second)]
     assert turns == ["eager", "calm", "late"] * 2
 
 
@@ -124,22 +124,22 @@
     granted = 0
     for _ in range(entries):
         holder = permits.Holder()
-        for rank in permits.Rank:
+        for rank in permit_rates.Rank:
             permits.refused(holder, rank)
         for step in range(600):
             now = step * 0.1
             permits.accrue_alone(holder, limit, 0.5, entries, now, lambda: next(draws))
         granted += len(holder.expiries)
-    assert granted <= permits.ALONE_SHARE * limit * 60 + entries
-    assert granted >= permits.ALONE_SHARE * limit * 60 - entries
+    assert granted <= permit_rates.ALONE_SHARE * limit * 60 + entries
+    assert granted >= permit_rates.ALONE_SHARE * limit * 60 - entries
 
 
 def test_the_shares_of_all_ranks_fit_into_what_a_server_tolerates():
-    total = 1.0 + permits.DEPUTY_SHARE + permits.ALONE_SHARE
+    total = 1.0 + permit_rates.DEPUTY_SHARE + permit_rates.ALONE_SHARE
     assert total <= 1.5
     for limit in (0.5, 1.0, 2.2, 10.0, 100.0):
-        burst = permits.BURST_REQUESTS + permits.BURST_S * limit
-        in_use = permits.permit_s(limit) * limit
+        burst = permit_rates.BURST_REQUESTS + permit_rates.BURST_S * limit
+        in_use = permit_rates.permit_s(limit) * limit
         assert 4 * limit * total + burst + in_use <= 1.5 * 4 * limit + 5
 
 
--- a/testing/test_server_limits.py
+++ b/testing/test_server_limits.py
@@ -7,7 +7,7 @@
 import pytest
 
 from carobstand import entry_records
-from carobstand.core import permits
+from carobstand.core import permit_rates
 from carobstand.entry import permit_exchange
 from carobstand.standin.platform import engine, kv
 from testing import entry_processes, limit_checks, platform_fleet
@@ -55,7 +55,7 @@
 
 def granting_vm(fleet):
     """Return the VM of the entry that grants the permits of the limited server."""
-    return permits.granting_entries("e-1", fleet.entries)[0]
+    return permit_rates.granting_entries("e-1", fleet.entries)[0]
 
 
 @pytest.mark.parametrize("entries", [1, 2, 5, 12])
@@ -99,7 +99,7 @@
             await limit_checks.send(fleet, traffic, 3.0)
             assert limit_checks.requests_between(limited, start + 1.0, start + 3) <= 1
             limited.limit = None
-            await limit_checks.send(fleet, traffic, 1.5 / permits.PROBE_RATE)
+            await limit_checks.send(fleet, traffic, 1.5 / permit_rates.PROBE_RATE)
             now = anyio.current_time()
             assert limit_checks.requests_between(limited, now - 1.0, now) >= 20
 
@@ -191,7 +191,7 @@
     async def freeze(processes, traffic):
         for _ in range(2):
             await anyio.sleep(2.0)
-            vm = permits.granting_entries("e-1", vms)[0]
+            vm = permit_rates.granting_entries("e-1", vms)[0]
             start = anyio.current_time()
             processes[vm].send_signal(signal.SIGSTOP)
             await anyio.sleep(1.5)
@@ -381,7 +381,7 @@
                     cold.cold_until = start + 6.0
                     engine.register(cold, fleet.store)
                     await anyio.sleep(0.5)
-                    for vm in permits.granting_entries("e-1", vms):
+                    for vm in permit_rates.granting_entries("e-1", vms):
                         processes[vm].send_signal(signal.SIGSTOP)
                         await anyio.sleep(1.5)
                         processes[vm].send_signal(signal.SIGCONT)
