Count rejections for want of time while other servers are excluded for good

Cause: a rejection was taken for one that time does not explain if all excluded servers were excluded for final reasons, also when others were usable but too full. Only without a usable server is a rejection hopeless now, as in the verdict.

Result: both cases of the new test fail without the change and pass with it; the tests of queueing and shares pass.

--- a/src/carobstand/entry/queueing.py
+++ b/src/carobstand/entry/queueing.py
@@ -238,7 +238,8 @@
     now = anyio.current_time()
     regions = permitted_regions.of_call(fwd.fleet, call)
     lacks_memory = eligibility.Reason.NO_MEMORY in excluded.values()
-    if not lacks_memory and not eligibility.is_hopeless(excluded, regions):
+    is_hopeless = best is None and eligibility.is_hopeless(excluded, regions)
+    if not lacks_memory and not is_hopeless:
         # Otherwise the rejection has another cause than the time that servers need, and
         # shares of that time would leave memory unused (55% instead of 65% used).
         _record_outcome(fwd, call, False, is_answered=False)
--- a/testing/test_queueing.py
+++ b/testing/test_queueing.py
@@ -1,6 +1,7 @@
 """Guards against queues whose processing cost grows with their length."""
 
 import anyio
+import attrs
 import pytest
 
 from carobstand import http1_server
@@ -9,6 +10,7 @@
     engine_load,
     exchange,
     placement,
+    queue_policy,
     registry,
     routes,
 )
@@ -121,3 +123,32 @@
         assert all(waiter.choice for waiter in fwd.queue.waiters)
 
     anyio.run(test)
+
+
+@pytest.mark.parametrize("is_limited", [False, True])
+def test_rejections_for_want_of_time_count_also_if_other_servers_are_excluded(
+    is_limited,
+):
+    """Guards against an overload after an evacuation that is not taken for one."""
+
+    async def rejected():
+        fwd = forwarder(engines=10, running=30)
+        fwd.fleet.evacuation_marks.in_force.add("b")
+        away = build.registration("i-11", failure_domain="b")
+        fwd.fleet.servers.servers["i-11"] = away
+        call = call_at(anyio.current_time())
+        if is_limited:
+            regions = frozenset(["north"])
+            call.route = attrs.evolve(call.route, permitted_regions=regions)
+        call.terms = build.terms(
+            arrived=call.terms.arrived - 1.0,
+            target=call.terms.arrived - 0.6,
+            deadline=call.terms.deadline,
+        )
+        now = anyio.current_time()
+        best, excluded, verdict = queueing._evaluate(fwd, call, now, 0)
+        assert best and verdict is queue_policy.Verdict.REFUSE
+        queueing._reject(fwd, call, best, excluded)
+        return fwd.demand.own["drafter"].rejected
+
+    assert anyio.run(rejected) == 1
