Wait for entries that register during the pause after a watch before a download

Cause: an entry learns changes of the store after a pause of 0.12 of the time in which they must be in force, 0.24 to 0.36 s, but waited 0.3 s for other entries to register.

Ruled out: stalled sources (a copy takes 0.6 s there, the timeout is 3 s) and the questions about the configuration at a start: a trace of the test shows that the entry before the last one learns of it 0.05 s before it would download.

Result: the replay in virtual time fails with the pause left out of the sum and passes with it. A first download after a common start begins 0.24 to 0.36 s later.

--- a/src/carobstand/entry/weight_fetching.py
+++ b/src/carobstand/entry/weight_fetching.py
@@ -12,6 +12,7 @@
 
 from carobstand import errors, eventlog
 from carobstand.core import weight_sources
+from carobstand.entry import fleet as fleets
 from carobstand.entry import piece_gathering
 from carobstand.transfer import origin_download, piece_stream
 
@@ -35,8 +36,8 @@
 """Covers a delay of 15 ms between regions at the rate of the origin."""
 
 REGISTRATION_WAIT_S = 0.3
-"""Wait after the first read of the store until all entries are registered, which takes
-0.1 s. Without it, each entry would download from the origin after all were down."""
+"""Time after the first read of the store within which all entries register, which takes
+0.1 s. Without a wait, each entry would download from the origin after all were down."""
 
 ASKED_ENTRIES = 3
 """Entries that a seeder, or the first one of a region, asks for their pieces if agents
@@ -173,7 +174,17 @@
 async def _until_entries_known(fleet):
     while fleet.first_read_at is None:
         await fleet.changed.wait(REGISTRATION_WAIT_S)
-    await anyio.sleep_until(fleet.first_read_at + REGISTRATION_WAIT_S)
+    await anyio.sleep_until(entries_known_at(fleet))
+
+
+def entries_known_at(fleet):
+    """Return when this entry knows all entries that started together with it.
+
+    A registration during the pause after a watch is read after that pause. Without it
+    in the sum, two entries have downloaded the same copy.
+    """
+    pause_s = fleets.batch_delay_s(fleet.deployment.bounds)
+    return fleet.first_read_at + REGISTRATION_WAIT_S + pause_s
 
 
 async def _until_in_turn(cached):
--- a/testing/test_store_following.py
+++ b/testing/test_store_following.py
@@ -8,6 +8,7 @@
 from carobstand import entry_records, errors
 from carobstand.core import change_feed, weight_sources
 from carobstand.entry import fleet as fleets
+from carobstand.entry import weight_fetching
 from carobstand.platform import kv
 from testing import platform_builders as build
 from testing import virtual_time
@@ -23,9 +24,11 @@
     return (found or me).vm
 
 
-def follow(monkeypatch, change_times, duration_s, observe, entries=1):
+def follow(monkeypatch, change_times, duration_s, observe, entries=1, joining=None):
     """Call ``observe(fleet)`` all the time while a store changes at given times.
 
+    The last change is the record of the entry `joining`, if one is given.
+
     Returns
     -------
     calls : int
@@ -37,6 +40,12 @@
         for number in range(1, entries + 1)
     ]
 
+    def change(number):
+        if joining is None or number + 1 < len(change_times):
+            return kv.Item(f"other/{number}", b"{}", number + 1)
+        record = entry_records.encode(joining)
+        return kv.Item(entry_records.key(joining.vm), record, number + 1)
+
     async def watch(store, prefix, revision, wait_s):
         calls.append(wait_s)
         end = anyio.current_time() + wait_s
@@ -47,10 +56,7 @@
         await anyio.sleep_until(upcoming[0])
         now = anyio.current_time()
         made = sum(at <= now for at in change_times)
-        items = tuple(
-            kv.Item(f"other/{number}", b"{}", number + 1)
-            for number in range(revision, made)
-        )
+        items = tuple(change(number) for number in range(revision, made))
         await anyio.sleep(CALL_S)
         return kv.Changes(made, items, anyio.current_time())
 
@@ -123,3 +129,16 @@
     draw = random.Random(seed)
     times = sorted(draw.uniform(0.5, 300.0) for _ in range(150))
     follow(monkeypatch, times, 300.0, check_news, entries=5)
+
+
+def test_an_entry_that_registers_during_a_pause_is_known_before_a_download(monkeypatch):
+    """Guards against two downloads of a copy by entries that start together."""
+    joining = weight_sources.Entry("e9", "10.0.0.9:1", "a", "north")
+    known = []
+
+    def observe(fleet):
+        if anyio.current_time() >= weight_fetching.entries_known_at(fleet):
+            known.append("e9" in fleet.roster.entries)
+
+    follow(monkeypatch, [0.15, 0.30], 1.0, observe, joining=joining)
+    assert known and all(known)
