Count late arrivals at an engine near the end of its weights

An entry sent a request for version 2 just before that version ended, gave it up in time at 30.08 s, but the request reached its engine at 30.37 s over a full link and began there 0.16 s too late.

Change: a server near the end of its weights is excluded earlier, by the correction and the margin of its predictions, at most 0.4 s. Predictions without errors change nothing.

Result: the test fails before.

--- a/src/carobstand/core/placement.py
+++ b/src/carobstand/core/placement.py
@@ -26,6 +26,11 @@
 """Requests that an entry sends to another region, relative to those to its own region.
 Entries in other regions are counted with this weight."""
 
+MAX_BEGIN_DELAY_S = 0.4
+"""Longest time by which a request is expected to begin later than predicted. Late first
+events also come from slow engines; more would leave engines idle at the end of their
+weights, as the newer ones may not have arrived."""
+
 PLAIN_REQUEST_S = 0.05
 """Assumed duration of a request at a server without a latency model."""
 
@@ -147,13 +152,16 @@
                 candidate, times, (occupied, pending, ratio), size, now
             )
             cost_s += draw() * noise_s
-        if now + wait_s >= begin_by(candidate.holding):
-            reason = eligibility.Reason.OUTDATED_WEIGHTS
-            candidates.excluded[server.server_id] = reason
-            continue
         correction_s = calibration.server_correction_s(
             prediction_errors, service_s, server.server_id, now
         )
+        # A request on its way over a full link begins later than the engine's work
+        # tells; one that reached its engine 0.3 s late began on outdated weights.
+        begin_s = wait_s + min(MAX_BEGIN_DELAY_S, correction_s + margin_s)
+        if now + begin_s >= begin_by(candidate.holding):
+            reason = eligibility.Reason.OUTDATED_WEIGHTS
+            candidates.excluded[server.server_id] = reason
+            continue
         server_health = healths.get(server.server_id)
         cost_s += correction_s + distance_s
         if server_health is not None:
--- a/testing/test_placement.py
+++ b/testing/test_placement.py
@@ -230,3 +230,23 @@
     short = value_density.advance(means, build.LATENCY_MODEL, 964, 20)
     long = value_density.advance(means, build.LATENCY_MODEL, 964, 600)
     assert -value_density.MAX_ADVANCE <= long < 0 < short <= value_density.MAX_ADVANCE
+
+
+def test_requests_that_arrive_late_at_an_engine_stop_earlier_before_its_version_ends():
+    """Guards against a request that begins on outdated weights after a full link."""
+    servers, errors_seen = engines(2), calibration.Calibration()
+    loads = [build.load_report(server, running=2) for server in servers]
+    for _ in range(20):
+        calibration.observe(errors_seen, "drafter", "i-1", 0.1, 0.4, 10.0)
+
+    def allowed(now):
+        return ranked(
+            servers[:1],
+            loads[:1],
+            start_deadline=lambda holding: 10.5,
+            prediction_errors=errors_seen,
+            now=now,
+        )
+
+    assert allowed(10.05) == ["i-1"]
+    assert allowed(10.3) == []
