Receive weights before an added engine has started

Each agent started at 5.3 to 5.7 s, but began to receive 0.9 s later, when its engine first reported; the engine itself starts 0.8 s after the agent. The copy needs 4.7 s over the VM's link.

Change: without a report 0.2 s after its start, an agent receives the newest weights and stages them once the engine runs. If the engine then reports that it holds weights, the transfer stops. Engines that run report within 0.02 s, so nothing changes for them.

Ruled out: the polling of reports (0.25 s at most).

Result: the test fails before.

--- a/src/carobstand/agent/receiving.py
+++ b/src/carobstand/agent/receiving.py
@@ -40,6 +40,14 @@
 """Time without a piece after which the link is used for another version. A piece takes
 0.05 s, and entries notice a source that failed within 0.5 s."""
 
+REPORT_WAIT_S = 0.2
+"""Time after the start of this process without a report of the engine after which the
+engine is taken to start too. An engine that runs reports within 0.02 s; one that was
+added starts 0.8 s after its agent, and a copy needs 4 to 5 s over the VM's link."""
+
+START_CHECK_S = 0.1
+"""Interval of checks until the engine has reported once."""
+
 SAMPLED_PIECES = 3
 """Staged pieces read to find out whether the version is staged at all."""
 
@@ -56,11 +64,12 @@
 async def run(view):
     """Receive weights that the engine lacks until cancelled."""
     failures = 0
+    view.started_at = anyio.current_time()
     while True:
         service = views.service(view)
         version = _version_to_receive(view, service) if service else None
         if version is None:
-            await view.changed.wait(IDLE_S)
+            await view.changed.wait(IDLE_S if view.last_report else START_CHECK_S)
             continue
         try:
             await _receive(view, service, version, failures)
@@ -77,7 +86,7 @@
     """Return the version to receive now, or None; `NEWEST` if none has been named."""
     outlook = views.outlook(view, service)
     if outlook is None:
-        return None
+        return _version_before_report(view, service)
     if not outlook.named:
         return None if load_schedule.held(outlook) else piece_stream.NEWEST
     if load_schedule.held(outlook) >= outlook.newest:
@@ -85,6 +94,21 @@
     return load_schedule.version_to_receive(outlook, anyio.current_time())
 
 
+def _version_before_report(view, service):
+    """Return the version to receive for an engine that starts, or None.
+
+    The copy waits in memory until the engine can stage it.
+    """
+    is_early = anyio.current_time() < view.started_at + REPORT_WAIT_S
+    if is_early or not view.versions_read:
+        return None
+    named = view.named.get(service.weights.models[0])
+    complete = [v for v, copy in view.copies.items() if weight_copy.is_complete(copy)]
+    if named:
+        return None if named[-1].version in complete else named[-1].version
+    return None if complete else piece_stream.NEWEST
+
+
 async def _receive(view, service, version, failures):
     """Receive one version; stop early if another version supersedes it."""
     model = service.weights.models[0]
@@ -100,7 +124,8 @@
             version=copy.version,
             source=source.vm if source else "origin",
         )
-        await _reuse_staged(view, copy)
+        if view.report is not None:
+            await _reuse_staged(view, copy)
         view.changed.notify()
     view.target = copy.version
     try:
@@ -129,7 +154,7 @@
 
 
 async def _stop_if_superseded(view, service, copy, scope):
-    while _version_to_receive(view, service) == copy.version or not view.named:
+    while _version_to_receive(view, service) in (copy.version, piece_stream.NEWEST):
         await view.changed.wait(IDLE_S)
     if not weight_copy.is_complete(copy):
         eventlog.event(
--- a/src/carobstand/agent/view.py
+++ b/src/carobstand/agent/view.py
@@ -85,6 +85,8 @@
         Version that is being received.
     load_at : float or None
         Scheduled time of the next order to load; None if none is expected soon.
+    started_at : float
+        Time at which this process began to receive weights.
     changed : signals.Signal
         Notified at each change of the above.
     """
@@ -103,6 +105,7 @@
     copies: dict = attrs.field(factory=dict)
     target: int | None = None
     load_at: float | None = None
+    started_at: float = 0.0
     changed: signals.Signal = attrs.field(factory=signals.Signal)
 
 
--- a/testing/platform_fleet.py
+++ b/testing/platform_fleet.py
@@ -193,6 +193,13 @@
 
 async def add_engine(fleet, server_id, service="drafter", **options):
     """Start and register a backend server; return its `Engine`."""
+    backend_server = build_engine(fleet, server_id, service, **options)
+    await start_engine(fleet, backend_server)
+    return backend_server
+
+
+def build_engine(fleet, server_id, service="drafter", **options):
+    """Return the `Engine` of a backend server that is not started."""
     options.setdefault("model", MODEL if service == "drafter" else "")
     host = new_host()
     address = f"{host}:{fleet.port + 20}"
@@ -200,12 +207,21 @@
     backend_server.expected_digests = lambda version: origin.digests(
         fleet.origin, version
     )
-    fleet.engines[server_id] = backend_server
-    await start_server(fleet, engine.server(backend_server), address, server_id)
-    engine.register(backend_server, fleet.store)
     return backend_server
 
 
+async def start_engine(fleet, backend_server):
+    """Start a backend server and register it."""
+    fleet.engines[backend_server.server_id] = backend_server
+    await start_server(
+        fleet,
+        engine.server(backend_server),
+        backend_server.address,
+        backend_server.server_id,
+    )
+    engine.register(backend_server, fleet.store)
+
+
 def restart_crashed(fleet, backend_server, down_s):
     """End the process of a backend server at each crash, and start it `down_s` later.
 
@@ -224,13 +240,7 @@
         kv.remove(fleet.store, f"servers/{backend_server.server_id}")
         await anyio.sleep(down_s)
         backend_server.version = version
-        await start_server(
-            fleet,
-            engine.server(backend_server),
-            backend_server.address,
-            backend_server.server_id,
-        )
-        engine.register(backend_server, fleet.store)
+        await start_engine(fleet, backend_server)
 
     backend_server.on_crash = lambda: fleet.tasks.start_soon(restart)
 
--- a/testing/test_platform_weights.py
+++ b/testing/test_platform_weights.py
@@ -55,6 +55,22 @@
     run_with_agents(check, engines=1)
 
 
+def test_an_agent_receives_weights_before_its_engine_has_started():
+    """Guards against an engine that waits for a copy though its agent ran before it."""
+
+    async def check(fleet):
+        backend_server = fleets.build_engine(fleet, "i-9", version=None)
+        await fleets.add_agent(fleet, backend_server, "side-9")
+        await anyio.sleep(2.0)
+        fleet.origin.is_down = True
+        for entry in list(fleet.entries):
+            await fleets.stop(fleet, entry)
+        await fleets.start_engine(fleet, backend_server)
+        await fleets.until(lambda: backend_server.version == 1, 3)
+
+    run_with_agents(check, engines=1)
+
+
 def test_a_crashed_engine_reloads_its_staged_pieces():
     async def check(fleet):
         backend_server = fleet.engines["i-1"]
