Let rejections not use up the attempts of a request that may have run

Cause: an engine broke off a stream, and the engine that was asked next rejected it as not run. Both sends counted toward the route's max_attempts (2), so the caller's connection was closed in the middle of the response.

Change: core/send_limits.py counts runs and sends apart. Once a request may have run, a send that its server reports as not run costs no attempt; at most two such sends go beyond max_attempts, each from the retry budget.

Ruled out: the same for requests that have not run anywhere. They can be refused with Retry-After, and under overload their further sends would take the retry budget from the streams that cannot. For them each send counts as before.

--- a/src/carobstand/core/eligibility.py
+++ b/src/carobstand/core/eligibility.py
@@ -255,6 +255,13 @@
     return all(map(is_final, excluded.values()))
 
 
+def is_exhausted(excluded):
+    """Whether all servers are excluded for final reasons or hold no weights."""
+    return all(
+        is_final(reason) or reason is Reason.NO_WEIGHTS for reason in excluded.values()
+    )
+
+
 def count_reasons(excluded):
     """Return the number of servers excluded for each reason, by its text."""
     return dict(collections.Counter(reason.value for reason in excluded.values()))
--- a/src/carobstand/core/routes.py
+++ b/src/carobstand/core/routes.py
@@ -27,7 +27,7 @@
         Time to the first byte within which an answer earns its full credit; 0 for no
         target.
     max_servers : int
-        Maximum number of backend servers to which one request is sent.
+        Maximum number of attempts; `core.send_limits` tells which sends count.
     is_public : bool
         Whether requests need no API key.
     is_resumable : bool
--- a/src/carobstand/entry/forwarding.py
+++ b/src/carobstand/entry/forwarding.py
@@ -18,6 +18,7 @@
     queue_policy,
     retry_budget,
     routes,
+    send_limits,
 )
 from carobstand.entry import (
     backend_pool,
@@ -144,16 +145,18 @@
         Predicted time to the first byte at an idle server, once computed.
     tried : set of str
         Ids of servers that are not tried again.
+    rejected_by : set of str
+        Those servers among `tried` that rejected the request as not run.
     attempts_sent : int
         Number of attempts sent.
+    runs : int
+        Number of attempts that were not confirmed as not run.
     sent_at : float
         Time of the last attempt.
     progress_at : float
         Time of the last complete event, or of the last stall check.
     has_reserved_retry : bool
         Whether the next attempt was already withdrawn from the retry budget.
-    may_have_run : bool
-        Whether the request may have run: some attempt was not confirmed as not run.
     has_begun : bool
         Whether the last attempt has begun its answer: an event of a stream arrived.
     lost : entry.poison_parts.LostRequest or None
@@ -181,11 +184,12 @@
     parts: tuple = ()
     idle_first_byte_s: float | None = None
     tried: set = attrs.field(factory=set)
+    rejected_by: set = attrs.field(factory=set)
     attempts_sent: int = 0
+    runs: int = 0
     sent_at: float = 0.0
     progress_at: float = 0.0
     has_reserved_retry: bool = False
-    may_have_run: bool = False
     has_begun: bool = False
     lost: object = None
     is_probe: bool = False
@@ -193,6 +197,11 @@
     is_counted: bool = False
     events: event_stream.EventStream = attrs.field(factory=event_stream.EventStream)
 
+    @property
+    def may_have_run(self):
+        """Whether the request may have run: an attempt is not confirmed as not run."""
+        return self.runs > 0
+
 
 async def serve(fwd, call):
     """Serve one request until its final response, at the latest at its deadline."""
@@ -247,6 +256,8 @@
             )
         if call.attempts_sent and not retries.reserve_retry(fwd, call):
             return await rejections.give_up(fwd, call, 502, "retry budget is spent")
+        if retries.readmit_rejecting(fwd, call):
+            await anyio.sleep(send_limits.READMIT_PAUSE_S)
 
 
 async def _send(fwd, call, chosen):
@@ -278,9 +289,8 @@
         )
         return retries.Outcome.NOT_SENT
     kept = False
-    may_have_run_before = call.may_have_run
-    call.may_have_run = True
     call.attempts_sent += 1
+    call.runs += 1
     call.sent_at = anyio.current_time()
     call.has_reserved_retry = False
     call.has_begun, call.lost = False, None
@@ -295,7 +305,8 @@
         if head.status == 421:
             health.refused(state, anyio.current_time(), server.started_ms)
         if outcome is retries.Outcome.NOT_RUN:
-            call.may_have_run = may_have_run_before
+            call.runs -= 1
+            call.rejected_by.add(server.server_id)
         else:
             health.answered(state)
         if outcome in (retries.Outcome.DONE, retries.Outcome.NOT_RUN):
--- a/src/carobstand/entry/retries.py
+++ b/src/carobstand/entry/retries.py
@@ -4,7 +4,15 @@
 
 import anyio
 
-from carobstand.core import entry_roster, retry_budget, routes
+from carobstand import eventlog
+from carobstand.core import (
+    eligibility,
+    entry_roster,
+    retry_budget,
+    routes,
+    send_limits,
+)
+from carobstand.entry import server_choice, server_limits
 
 
 class Outcome(enum.Enum):
@@ -21,7 +29,9 @@
     """Whether a request may be sent once more after an attempt with this result."""
     if outcome is Outcome.NOT_SENT:
         return True
-    if call.attempts_sent >= call.route.max_servers:
+    if not send_limits.may_send_again(
+        call.attempts_sent, call.runs, call.route.max_servers
+    ):
         return False
     if call.reply.started and (
         call.is_passed_through or call.route.kind is not routes.Kind.STREAM
@@ -43,3 +53,33 @@
         share,
     )
     return call.has_reserved_retry
+
+
+def readmit_rejecting(fwd, call):
+    """Let a call be sent again to the servers that rejected it, if no other is left.
+
+    Only for a call that may have run: any other can be refused.
+
+    Returns
+    -------
+    is_readmitted : bool
+    """
+    if not (call.may_have_run and call.rejected_by):
+        return False
+    choices, excluded = server_choice.rank(
+        fwd,
+        call,
+        fwd.fleet.servers.servers,
+        anyio.current_time(),
+        server_limits.would_withhold,
+    )
+    if choices or not eligibility.is_exhausted(excluded):
+        return False
+    eventlog.event(
+        "request.readmitted",
+        request=call.req.request_id,
+        servers=sorted(call.rejected_by),
+    )
+    call.tried -= call.rejected_by
+    call.rejected_by.clear()
+    return True
--- a/testing/test_forwarding.py
+++ b/testing/test_forwarding.py
@@ -177,6 +177,35 @@
     run_with_fleet(check)
 
 
+def test_rejections_do_not_use_up_the_attempts_of_a_stream_that_was_broken_off():
+    """Guards against a response that is closed in the middle after one full engine."""
+
+    async def check(fleet):
+        for server_id in ("i-2", "i-3"):
+            await fleets.add_engine(fleet, server_id)
+        await anyio.sleep(2 * fleets.CHANGE_DELAY_S)
+        models = [fleet.engines[key] for key in ("i-1", "i-2", "i-3")]
+        for model in models:
+            model.fault, model.faults_left, model.step_s = "cut", 1, 0.1
+        found = []
+
+        async def send():
+            found.append(await fleets.send_request(fleet, "/s/x"))
+
+        async with anyio.create_task_group() as tg:
+            tg.start_soon(send)
+            await fleets.until(lambda: any(model.runs for model in models))
+            for model in models:
+                if not model.runs:
+                    model.fault = "shed"
+        assert found[0].complete
+        assert [number for number, _ in fleets.events_of(found[0])] == [1, 2, 3, 4, 5]
+        assert [sum(len(item.runs) for item in models)] == [2]
+        assert sum(len(item.arrivals) for item in models) == 4
+
+    run_with_fleet(check)
+
+
 def test_a_stream_that_cannot_resume_does_not_look_complete():
     async def check(fleet):
         backend_server = fleet.engines["i-1"]
