Spread loads although the store is down when the first piece is staged

Cause: an agent read the engines of its service once, before it staged the first piece of a version. If the store was down then and the agent had just started, it knew no other engine, its position in the load order was 0, and all engines loaded at the same moment. A store that does not respond also delayed the first piece by the timeout of the read (12 s).

Change: the engines are read beside staging, and again after 1 to 2 s if that fails. Until then the position is the share of all hashes that precede the agent's own, which gives the same order as the list of engines, about evenly spread.

--- a/src/carobstand/agent/loading.py
+++ b/src/carobstand/agent/loading.py
@@ -1,6 +1,7 @@
 """Stages received weights on the engine's VM, verifies them and orders the load."""
 
 import hashlib
+import random
 
 import anyio
 import attrs
@@ -22,6 +23,10 @@
 DRAIN_S = 2.6
 """Longest time in which an engine finishes its running requests before a load."""
 
+PEERS_RETRY_S = 1.0
+"""Shortest pause, at most doubled, before the engines of the service are read again
+after the store failed. Their order matters for the 3 s or more of a load schedule."""
+
 LOAD_START_TIMEOUT_S = 2.0
 """Longest wait until the engine's report shows that an accepted load has started."""
 
@@ -36,8 +41,9 @@
         Version of the staged pieces.
     numbers : set of int
         Staged piece numbers.
-    peers : list of str
-        Addresses of the service's engines, for the load schedule.
+    peers : list of str or None
+        Addresses of the service's engines, for the load schedule; None until they have
+        been read.
     complete_at : float or None
         Time at which all pieces were staged.
     held : int
@@ -48,7 +54,7 @@
 
     version: int | None = None
     numbers: set = attrs.field(factory=set)
-    peers: list = attrs.field(factory=list)
+    peers: list | None = None
     complete_at: float | None = None
     held: int = 0
     progressed_at: float = 0.0
@@ -57,6 +63,12 @@
 async def run(view):
     """Stage and load received weights until cancelled."""
     stage = Stage()
+    async with anyio.create_task_group() as tg:
+        tg.start_soon(_read_peers_once_per_version, view, stage)
+        await _stage_and_load(view, stage)
+
+
+async def _stage_and_load(view, stage):
     while True:
         try:
             copy = _next_copy(view, stage)
@@ -100,7 +112,6 @@
     if stage.version != copy.version:
         stage.version, stage.numbers = copy.version, set()
         stage.complete_at = None
-        await _read_peers(view, stage)
     for number in [n for n in copy.pieces if n not in stage.numbers]:
         await engine_client.stage_piece(
             view.engine, copy.model, number, copy.pieces[number]
@@ -131,16 +142,30 @@
     await _order_load(view, copy)
 
 
+async def _read_peers_once_per_version(view, stage):
+    """Read the engines of the service for each version that is staged.
+
+    Staging does not wait for it: a store that does not respond would delay it by the
+    timeout of the read, 12 s. Until a read succeeds, the engines read last are kept.
+    """
+    version = None
+    while True:
+        if stage.version in (None, version):
+            await view.changed.wait(IDLE_S)
+            continue
+        staged = stage.version
+        try:
+            await _read_peers(view, stage)
+            version = staged
+        except errors.StoreError as exc:
+            eventlog.event("peers.unknown", error=str(exc))
+            await anyio.sleep(PEERS_RETRY_S * (1 + random.random()))
+
+
 async def _read_peers(view, stage):
-    """Read the engines of the service; if the store fails, the known ones are kept."""
-    try:
-        changes = await kv.list_prefix(
-            view.store, records.SERVER_PREFIX, allow_stale=True
-        )
-    except errors.StoreError as exc:
-        eventlog.event("peers.unknown", error=str(exc))
-        return
-    stage.peers = []
+    """Read the engines of the service; raise StoreError if the store fails."""
+    changes = await kv.list_prefix(view.store, records.SERVER_PREFIX, allow_stale=True)
+    peers = []
     for item in changes.items:
         try:
             found = records.decode_registration(item.key, item.value)
@@ -148,7 +173,8 @@
             eventlog.debug("record.unreadable", key=item.key, error=exc.message)
             continue
         if found.service == view.deployment.service:
-            stage.peers.append(found.address)
+            peers.append(found.address)
+    stage.peers = peers
 
 
 def _load_at(view, stage, copy):
--- a/src/carobstand/core/load_schedule.py
+++ b/src/carobstand/core/load_schedule.py
@@ -183,15 +183,21 @@
 def position(server, servers, version):
     """Return the share of a service's engines that load a version before one of them.
 
-    All agents compute the same order by rendezvous hashing.
+    All agents compute the same order by rendezvous hashing. An agent that knows no
+    engines of the service uses the share of all hashes that precede its own, which is
+    about the same position.
 
     Parameters
     ----------
     server : str
-    servers : iterable of str
-        All engines of the service, by a name that is the same at all agents.
+    servers : iterable of str or None
+        All engines of the service, by a name that is the same at all agents; None if
+        they are not known.
     version : int
     """
+    if servers is None:
+        score = rendezvous.score(str(version), server)
+        return int.from_bytes(score, "big") / (1 << 8 * len(score))
     load_order = sorted(
         set(servers) | {server}, key=lambda s: rendezvous.score(str(version), s)
     )
--- a/testing/test_load_schedule.py
+++ b/testing/test_load_schedule.py
@@ -154,3 +154,12 @@
         state = attrs.evolve(outlook, waiting=waiting)
         assert load_schedule.share_to_load(state, 2, quiet_at) == 0.0
     assert load_schedule.share_to_load(outlook, 2, 12.0 - load_schedule.LOAD_S) == 0.0
+
+
+def test_engines_that_know_no_others_load_in_the_same_order_spread_over_the_window():
+    # All had position 0, and none was in service while they loaded at the same time.
+    servers = [f"10.0.0.{n}:80" for n in range(50)]
+    alone = {s: load_schedule.position(s, None, 2) for s in servers}
+    ranks = {s: load_schedule.position(s, servers, 2) for s in servers}
+    assert sorted(servers, key=alone.get) == sorted(servers, key=ranks.get)
+    assert max(abs(alone[s] - ranks[s]) for s in servers) < 0.25
--- a/testing/test_rapid_versions.py
+++ b/testing/test_rapid_versions.py
@@ -5,9 +5,11 @@
 import anyio
 import attrs
 
+from carobstand import errors
 from carobstand.agent import loading
 from carobstand.core import load_schedule, named_versions
 from carobstand.platform import engine_client
+from carobstand.platform import kv as kv_client
 from carobstand.standin.platform import kv, origin
 from carobstand.transfer import piece_stream
 from testing import platform_fleet as fleets
@@ -122,3 +124,38 @@
         assert await ordered(waiting=1) == 0
 
     virtual_time.run(check)
+
+
+def test_loads_are_spread_though_the_store_fails_when_the_first_piece_is_staged():
+    # No agent knew another engine, so that all loaded at the same moment.
+    async def check(fleet):
+        fleet.origin.bytes_per_s = 20_000.0
+        fleets.name_version(fleet, 2)
+        await fleets.until(lambda: fleet.origin.sent)
+        fleet.store.mode = "reset"
+        loaded = {}
+
+        def all_loaded():
+            for server_id, backend_server in fleet.engines.items():
+                if backend_server.version == 2:
+                    loaded.setdefault(server_id, anyio.current_time())
+            return len(loaded) == len(fleet.engines)
+
+        await fleets.until(all_loaded, 12)
+        assert max(loaded.values()) - min(loaded.values()) > 0.3
+
+    run_with_agents(check, engines=4)
+
+
+def test_engines_of_the_service_are_read_again_once_the_store_is_back():
+    async def check():
+        state = weight_builders.agent_view(serving=1, named=(2,))
+        stage = loading.Stage(version=2)
+        answers = [errors.StoreError("down")] * 3 + [kv_client.Changes(1, (), 0.0, 1)]
+        read = mock.AsyncMock(side_effect=answers)
+        with mock.patch.object(kv_client, "list_prefix", read):
+            with anyio.move_on_after(10.0):
+                await loading._read_peers_once_per_version(state, stage)
+        assert stage.peers == [] and read.await_count == 4
+
+    virtual_time.run(check)
