Check permits again after a connection was opened

Cause: permits were used when a server was chosen. If the server became cold or named a limit while the connection was opened (up to 0.4 s), the request went out without a permit; a permit for a cold server (0.25 s) could also expire meanwhile.

Change: withheld_reason also asks server_limits.withholds_chosen, which accepts a permit that is valid now (core/permits.is_valid), uses another one, or withholds the request. A connection on which nothing was sent returns to the pool, so that a request does not open another one for each permit.

Ruled out: taking the permit only after the connection is open. The queue would choose the same server for several requests with one permit.

--- a/src/carobstand/core/permits.py
+++ b/src/carobstand/core/permits.py
@@ -122,6 +122,36 @@
     is_cold: bool = False
 
 
+@attrs.frozen
+class Permit:
+    """A permit that was taken for one request.
+
+    Attributes
+    ----------
+    expires_at : float
+    is_cold : bool
+        Whether it was granted for a cold server.
+    """
+
+    expires_at: float
+    is_cold: bool
+
+
+def is_valid(permit, is_cold, now):
+    """Whether a request may still be sent with a `Permit`, or None for no permit.
+
+    Parameters
+    ----------
+    permit : Permit or None
+    is_cold : bool
+        Whether the server is cold now; permits from before live too long for it.
+    now : float
+    """
+    if permit is None or (is_cold and not permit.is_cold):
+        return False
+    return now < permit.expires_at
+
+
 def set_cold(holder, is_cold):
     """Record whether the server is cold; permits from before live too long for it."""
     if is_cold and not holder.is_cold:
@@ -137,7 +167,7 @@
 
 
 def take(holder, now):
-    """Use the permit that `held` counted, even if it has expired since.
+    """Return the `Permit` that `held` counted, even if it has expired since.
 
     Raises
     ------
@@ -146,9 +176,10 @@
     """
     if not holder.expiries:
         raise errors.InvariantError("no permit is held", step="permits.take")
-    del holder.expiries[0]
+    permit = Permit(holder.expiries.pop(0), holder.is_cold)
     holder.used_per_s = use_rate(holder, now) + 1 / USE_WINDOW_S
     holder.used_at, holder.is_wanted = now, False
+    return permit
 
 
 def withhold(holder, now):
--- a/src/carobstand/entry/backend_pool.py
+++ b/src/carobstand/entry/backend_pool.py
@@ -62,6 +62,13 @@
     return True
 
 
+def put_back(pool, conn):
+    """Keep a connection on which nothing was sent since `acquire` returned it."""
+    conn.request_ids.pop()
+    expires_at = anyio.current_time() + MAX_IDLE_S
+    pool.idle.setdefault(conn.peer, []).append((conn, expires_at))
+
+
 async def discard(pool, conn):
     """Close a connection."""
     remaining = pool.open_counts.get(conn.peer, 1) - 1
--- a/src/carobstand/entry/forwarding.py
+++ b/src/carobstand/entry/forwarding.py
@@ -5,7 +5,6 @@
 
 from carobstand import errors, eventlog, http1, http1_server, signals
 from carobstand.core import (
-    announcements,
     byte_budget,
     calibration,
     crashes,
@@ -29,6 +28,7 @@
     queueing,
     rejections,
     response_bodies,
+    response_heads,
     retries,
     server_choice,
     server_limits,
@@ -145,6 +145,8 @@
         Predicted time to the first byte at an idle server, once computed.
     tried : set of str
         Ids of servers that are not tried again.
+    permit : core.permits.Permit or None
+        Permit with which its chosen server was chosen.
     rejected_by : set of str
         Those servers among `tried` that rejected the request as not run.
     attempts_sent : int
@@ -184,6 +186,7 @@
     parts: tuple = ()
     idle_first_byte_s: float | None = None
     tried: set = attrs.field(factory=set)
+    permit: object = None
     rejected_by: set = attrs.field(factory=set)
     attempts_sent: int = 0
     runs: int = 0
@@ -280,7 +283,7 @@
     if reason is not None:
         # The server may be tried once it is allowed again: it received nothing.
         call.tried.discard(server.server_id)
-        await backend_pool.discard(fwd.pool, conn)
+        backend_pool.put_back(fwd.pool, conn)
         eventlog.event(
             "attempt.withheld",
             request=call.req.request_id,
@@ -298,9 +301,7 @@
     try:
         head, data = await _receive_unless_convicted(fwd, call, chosen, conn)
         queueing.record_response_started(fwd, call, chosen, not _says_not_run(head))
-        _record_load(fwd, server, head)
-        _record_announcements(fwd, call, server, head)
-        _log_start(call, chosen, head)
+        response_heads.record(fwd, call, chosen, head)
         outcome = await _forward_response(fwd, call, chosen, conn, head, data)
         if head.status == 421:
             health.refused(state, anyio.current_time(), server.started_ms)
@@ -317,7 +318,7 @@
         poison_requests.record_lost_run(fwd, call, server)
         if conn.is_ended and not call.has_begun:
             call.lost = poison_parts.record_lost(
-                fwd, call, server, _newest_start(fwd, server)
+                fwd, call, server, response_heads.newest_start(fwd, server)
             )
         eventlog.event(
             "attempt.failed",
@@ -389,65 +390,6 @@
     )
 
 
-def _record_load(fwd, server, head):
-    """Record the load that a server tells; ignore a response from another one there."""
-    if head.load is None or head.server_id not in ("", server.server_id):
-        return
-    now, load = anyio.current_time(), head.load
-    engine_load.update_from_answer(fwd.loads, server, load.running, load.waiting, now)
-    if load.slowness is not None:
-        engine_load.note_slowness(fwd.loads, server.address, load.slowness, now)
-
-
-def _record_announcements(fwd, call, server, head):
-    """Record what a server announces; ignore a response from another server there."""
-    if head.server_id and head.server_id != server.server_id:
-        return
-    now, announced = anyio.current_time(), fwd.fleet.announced
-    server_id, started_ms = server.server_id, _newest_start(fwd, server)
-    if head.is_leaving and announcements.record_leaving(
-        announced, server_id, started_ms, now
-    ):
-        eventlog.event("server.said_leaving", server=server_id, start=started_ms)
-    if head.backoff_s is not None:
-        announcements.record_pause(
-            announced, server_id, started_ms, head.backoff_s, now
-        )
-        eventlog.event("server.wants_quiet", server=server_id, pause_s=head.backoff_s)
-    if head.status != 421 or head.server_id:
-        server_limits.record_answer(
-            fwd.limits, server_id, started_ms, head, call.sent_at
-        )
-
-
-def _newest_start(fwd, server):
-    """Return the latest known start of a server, in Unix ms."""
-    load = fwd.loads.by_address.get(server.address)
-    return max(server.started_ms, load.started_ms if load else 0)
-
-
-def _log_start(call, chosen, head):
-    now = anyio.current_time()
-    eventlog.event(
-        "attempt.began",
-        request=call.req.request_id,
-        server=chosen.candidate.server.server_id,
-        status=head.status,
-        occupancy=round(chosen.occupancy, 1),
-        predicted_s=round(chosen.first_event_s, 3),
-        margin_s=round(chosen.margin_s, 3),
-        slowness=round(chosen.candidate.slowness, 2),
-        told_slowness=head.load and head.load.slowness,
-        took_s=round(now - call.sent_at, 3),
-        held_s=round(call.sent_at - call.terms.arrived, 3),
-        report_age_s=chosen.candidate.load
-        and round(call.sent_at - chosen.candidate.load.received_at, 3),
-        prompt=call.size.prompt_tokens,
-        answer=round(call.size.answer_tokens),
-        hint=call.req.answer_hint,
-    )
-
-
 def _is_stream(call, head):
     return call.route.kind is routes.Kind.STREAM and head.status == 200
 
--- a/src/carobstand/entry/queueing.py
+++ b/src/carobstand/entry/queueing.py
@@ -383,7 +383,7 @@
 def begin(fwd, call, choice):
     """Count a request as in progress at its chosen server, and use a permit for it."""
     server_id = choice.candidate.server.server_id
-    server_limits.take(fwd.limits, server_id)
+    call.permit = server_limits.take(fwd.limits, server_id)
     state = fwd.in_progress.setdefault(server_id, outstanding.Outstanding())
     now = anyio.current_time()
     expected = call.size.answer_tokens
--- a/src/carobstand/entry/server_choice.py
+++ b/src/carobstand/entry/server_choice.py
@@ -41,15 +41,18 @@
 def withheld_reason(fwd, call, server):
     """Return the `Reason` why a call may no longer go to its chosen server, or None.
 
-    The configuration and the evacuation marks may have changed since the choice, for
-    example while a connection was opened.
+    The configuration, the evacuation marks and the limits of the server may have
+    changed since the choice, for example while a connection was opened. The limits are
+    checked last, as that may use a permit.
     """
     known = fwd.fleet.servers.servers.get(server.server_id, server)
     conditions = conditions_of(fwd, call)
     # The server may have registered elsewhere; the connection is to its old address.
-    return eligibility.location_reason(
-        server, conditions
-    ) or eligibility.location_reason(known, conditions)
+    return (
+        eligibility.location_reason(server, conditions)
+        or eligibility.location_reason(known, conditions)
+        or server_limits.withholds_chosen(fwd.limits, server.server_id, call.permit)
+    )
 
 
 def best(fwd, call, now):
--- a/src/carobstand/entry/server_limits.py
+++ b/src/carobstand/entry/server_limits.py
@@ -148,10 +148,47 @@
 
 
 def take(limits, server_id):
-    """Use a permit for a request to a server, if its requests are limited."""
-    if is_limited(limits, server_id):
-        permits.take(limits.holders[server_id], anyio.current_time())
-        wake(limits)
+    """Use a permit for a request to a server, if its requests are limited.
+
+    Returns
+    -------
+    permit : core.permits.Permit or None
+        None if the requests of the server are not limited.
+    """
+    if not is_limited(limits, server_id):
+        return None
+    permit = permits.take(limits.holders[server_id], anyio.current_time())
+    wake(limits)
+    return permit
+
+
+def withholds_chosen(limits, server_id, permit):
+    """Return why a request has to wait though its server was chosen, or None.
+
+    While its connection was opened, the server may have become cold or named a limit,
+    and the permit may have expired. Another permit is used if one is at hand.
+
+    Parameters
+    ----------
+    limits : ServerLimits
+    server_id : str
+    permit : core.permits.Permit or None
+        What `take` returned when the server was chosen.
+
+    Returns
+    -------
+    reason : core.eligibility.Reason or None
+    """
+    if not is_limited(limits, server_id):
+        return None
+    now = anyio.current_time()
+    is_cold = announcements.is_cold(limits.fleet.announced, server_id, now)
+    if permits.is_valid(permit, is_cold, now):
+        return None
+    reason = withholds(limits, server_id)
+    if reason is None:
+        take(limits, server_id)
+    return reason
 
 
 def expected_wait_s(limits, server_ids, ahead):
--- a/testing/test_cold_servers.py
+++ b/testing/test_cold_servers.py
@@ -293,6 +293,35 @@
     assert permits.held(holder, 0.0) == 0
 
 
+def test_a_request_needs_a_valid_permit_when_its_connection_is_open():
+    """Guards against requests beyond the limit while connections are opened."""
+
+    async def scenario():
+        limits = forwarding.Forwarder(build.fleet()).limits
+        build.list_server(limits.fleet, warmup_remaining_ms=0)
+        unlimited = server_limits.take(limits, "i-1")
+        assert server_limits.withholds_chosen(limits, "i-1", unlimited) is None
+        server_limits.learn(limits, "i-1", 1000, 100.0, 0.0, "test")
+        limited = eligibility.Reason.LIMITED
+        assert server_limits.withholds_chosen(limits, "i-1", unlimited) is limited
+        holder = limits.holders["i-1"]
+        holder.expiries = [1.0, 1.5]
+        permit = server_limits.take(limits, "i-1")
+        assert server_limits.withholds_chosen(limits, "i-1", permit) is None
+        assert holder.expiries == [1.5]
+        await anyio.sleep(1.2)
+        assert server_limits.withholds_chosen(limits, "i-1", permit) is None
+        assert holder.expiries == []
+        assert server_limits.withholds_chosen(limits, "i-1", permit) is limited
+        holder.expiries = [9.0]
+        permit = server_limits.take(limits, "i-1")
+        build.list_server(limits.fleet, warmup_remaining_ms=2000)
+        cold = eligibility.Reason.COLD
+        assert server_limits.withholds_chosen(limits, "i-1", permit) is cold
+
+    virtual_time.run(scenario)
+
+
 def test_two_entries_do_not_prolong_a_cold_time_by_telling_each_other():
     async def scenario():
         pair = [forwarding.Forwarder(build.fleet()).limits for _ in range(2)]
--- a/testing/test_reported_slowness.py
+++ b/testing/test_reported_slowness.py
@@ -14,7 +14,7 @@
     placement,
 )
 from carobstand.entry import fleet as fleets
-from carobstand.entry import forwarding
+from carobstand.entry import forwarding, response_heads
 from testing import platform_builders as build
 
 SIZE = placement.Size(prompt_tokens=964, answer_tokens=119)
@@ -144,7 +144,7 @@
 
     async def record(server_id):
         head = exchange.AnswerHead(status=200, server_id=server_id, load=load)
-        forwarding._record_load(fwd, server, head)
+        response_heads._record_load(fwd, server, head)
         now = anyio.current_time()
         return engine_load.slowness(fwd.loads, server.address, None, now)
 
--- a/testing/test_server_limits.py
+++ b/testing/test_server_limits.py
@@ -8,7 +8,12 @@
 
 from carobstand import entry_records
 from carobstand.core import permit_rates
-from carobstand.entry import permit_exchange
+from carobstand.entry import (
+    backend_pool,
+    forwarding,
+    permit_exchange,
+    server_limits,
+)
 from carobstand.standin.platform import engine, kv
 from testing import entry_processes, limit_checks, platform_fleet
 
@@ -76,6 +81,46 @@
     platform_fleet.run(scenario)
 
 
+def test_a_limit_named_while_connections_are_opened_counts_for_their_requests(
+    monkeypatch,
+):
+    """Guards against a burst that is sent without permits to a server in need."""
+    acquire, create = backend_pool.acquire, forwarding.Forwarder
+    has_waited, forwarders, statuses = anyio.Event(), [], []
+
+    async def acquire_slowly(pool, address, request_id):
+        conn = await acquire(pool, address, request_id)
+        await has_waited.wait()
+        return conn
+
+    def create_forwarder(*args, **options):
+        forwarders.append(create(*args, **options))
+        return forwarders[0]
+
+    async def send(fleet):
+        statuses.append((await platform_fleet.send_request(fleet, "/q/x")).status)
+
+    async def scenario():
+        monkeypatch.setattr(forwarding, "Forwarder", create_forwarder)
+        monkeypatch.setattr(backend_pool, "acquire", acquire_slowly)
+        async with limited_fleet(1, limit=8.0, others=0) as (fleet, limited):
+            async with anyio.create_task_group() as tg:
+                for _ in range(20):
+                    tg.start_soon(send, fleet)
+                await anyio.sleep(0.2)
+                now, start = anyio.current_time(), limited.started_ms
+                server_limits.learn(
+                    forwarders[0].limits, "e-1", start, 8.0, now, "test"
+                )
+                has_waited.set()
+            now = anyio.current_time()
+            assert limit_checks.requests_between(limited, now - 9.0, now) <= 10
+            assert set(statuses) <= {200, 503}
+            assert (await platform_fleet.send_request(fleet, "/q/x")).status == 200
+
+    platform_fleet.run(scenario)
+
+
 @pytest.mark.parametrize("others", [0, 1])
 def test_a_limit_that_is_raised_lowered_and_withdrawn_is_kept(others):
     used = {}
