Do not count a response against its server that its caller left unread

Cause: an engine cuts off a response that stays unread for some seconds.

Change: a reply sums up the sends to its caller that took 0.1 s or more. If they took 1 s or more in this attempt and the server then closed or reset the connection, health.lost does not count it. attempt.failed tells the time (unread_s).

Ruled out: only the longest send. A caller that reads a little at a time keeps each send short, while the engine's window stays closed.

The test uses the cut of the stand-in engine while sends of the entry wait; real socket buffers were not filled.

--- a/src/carobstand/core/health.py
+++ b/src/carobstand/core/health.py
@@ -21,6 +21,12 @@
 """Time added to the predictions of a server whose requests all failed."""
 
 
+UNREAD_S = 1.0
+"""Time for which a caller did not read its response, after which the end of the
+connection says nothing of the server. Servers cut off a response that stays unread for
+some seconds, of which a part passes while buffers on the way fill up."""
+
+
 @attrs.define(eq=False)
 class ServerHealth:
     """Recent request results of one server.
@@ -69,8 +75,21 @@
     state.started_ms = started_ms
 
 
-def lost(state, now, started_ms=0):
-    """Record a request that was sent but got no complete answer."""
+def lost(state, now, started_ms=0, unread_s=0.0):
+    """Record a request that was sent but got no complete answer.
+
+    Parameters
+    ----------
+    state : ServerHealth
+    now : float
+    started_ms : int
+        Start time of the server, 0 if it is not known.
+    unread_s : float
+        Time for which the caller did not read the answer; from `UNREAD_S` on the loss
+        does not count.
+    """
+    if unread_s >= UNREAD_S:
+        return
     state.failed_share = 1 - FAILED_SHARE_DECAY * (1 - state.failed_share)
     state.consecutive_losses += 1
     if state.consecutive_losses >= LOSSES_BEFORE_PAUSE:
--- a/src/carobstand/entry/forwarding.py
+++ b/src/carobstand/entry/forwarding.py
@@ -296,7 +296,7 @@
     call.runs += 1
     call.sent_at = anyio.current_time()
     call.has_reserved_retry = False
-    call.has_begun, call.lost = False, None
+    call.has_begun, call.lost, call.reply.unread_s = False, None, 0.0
     poison_parts.record_sent(fwd, call)
     try:
         head, data = await _receive_unless_convicted(fwd, call, chosen, conn)
@@ -314,7 +314,8 @@
             kept = backend_pool.release(fwd.pool, conn)
         return outcome
     except errors.HttpError as exc:
-        health.lost(state, anyio.current_time(), server.started_ms)
+        unread_s = call.reply.unread_s if conn.is_ended else 0.0
+        health.lost(state, anyio.current_time(), server.started_ms, unread_s)
         poison_requests.record_lost_run(fwd, call, server)
         if conn.is_ended and not call.has_begun:
             call.lost = poison_parts.record_lost(
@@ -326,6 +327,7 @@
             server=server.server_id,
             began=call.has_begun,
             ended=conn.is_ended,
+            unread_s=round(call.reply.unread_s, 3),
             parts=call.req.prompt_parts[:-1],
             error=str(exc),
         )
--- a/src/carobstand/http1_server.py
+++ b/src/carobstand/http1_server.py
@@ -35,6 +35,10 @@
 MEMORY_CHECK_S = 0.1
 """Interval of checks for memory for bytes that a caller sends ahead."""
 
+SLOW_SEND_S = 0.1
+"""Shortest time of a send that counts as one for which the caller has to read. Shorter
+ones add up to seconds in a long response of a busy process."""
+
 ACCEPT_RETRY_DELAY_S = 0.1
 """Pause after a failed accept, for example when no file descriptor is free."""
 
@@ -142,11 +146,14 @@
     """Response to one request.
 
     `started` is set when sending its head begins, `finished` when sending its end does.
+    `unread_s` sums up the sends that took at least `SLOW_SEND_S`, as the caller did not
+    read.
     """
 
     conn: Connection
     started: bool = False
     finished: bool = False
+    unread_s: float = 0.0
 
 
 async def start_response(reply, status, headers, length=None):
@@ -157,14 +164,14 @@
 
 async def send_data(reply, data):
     """Send part of the response body."""
-    await _send(reply.conn, reply.conn.parser.send(h11.Data(data=data)))
+    await _send_timed(reply, reply.conn.parser.send(h11.Data(data=data)))
 
 
 async def start_response_with(reply, status, headers, data):
     """Send the head of a chunked response together with the first bytes of its body."""
     reply.started = True
     head = _head(reply, status, headers, None)
-    await _send(reply.conn, head + reply.conn.parser.send(h11.Data(data=data)))
+    await _send_timed(reply, head + reply.conn.parser.send(h11.Data(data=data)))
 
 
 async def finish_response(reply):
@@ -197,6 +204,14 @@
     return reply.conn.parser.send(h11.Response(status_code=status, headers=headers))
 
 
+async def _send_timed(reply, raw):
+    began_at = anyio.current_time()
+    await _send(reply.conn, raw)
+    took_s = anyio.current_time() - began_at
+    if took_s >= SLOW_SEND_S:
+        reply.unread_s += took_s
+
+
 async def _send(conn, raw):
     try:
         await conn.stream.send(raw)
--- a/testing/test_body_memory.py
+++ b/testing/test_body_memory.py
@@ -11,7 +11,7 @@
 import pytest
 
 from carobstand import http1_server
-from carobstand.core import byte_budget, deployment
+from carobstand.core import byte_budget, deployment, health
 from carobstand.entry import forwarding
 from testing import platform_fleet
 
@@ -144,6 +144,34 @@
     platform_fleet.run(test, timeout_s=40.0)
 
 
+@pytest.mark.parametrize("is_slow", [True, False])
+def test_a_response_cut_off_while_its_caller_does_not_read_counts_for_no_failure(
+    monkeypatch, reading, is_slow
+):
+    """Guards against avoiding a healthy engine that cuts off an unread response."""
+    states, lost = [], health.lost
+
+    def record_lost(state, *args):
+        lost(state, *args)
+        states.append(state)
+
+    monkeypatch.setattr(health, "lost", record_lost)
+
+    async def test():
+        async with platform_fleet.deployed(entries=0) as fleet:
+            await platform_fleet.add_engine(fleet, "i-1", fault="cut", faults_left=1)
+            await platform_fleet.add_entry(fleet, memory_bytes=MEMORY_BYTES)
+            async with anyio.create_task_group() as tg:
+                tg.start_soon(platform_fleet.send_request, fleet, "/s/")
+                await anyio.sleep(1.3 if is_slow else 0.3)
+                reading.set()
+                await platform_fleet.until(lambda: states)
+                tg.cancel_scope.cancel()
+            assert (states[0].failed_share == 0) is is_slow
+
+    platform_fleet.run(test)
+
+
 def test_bodies_without_memory_are_refused_and_taken_later(budgets):
     async def test():
         async with platform_fleet.deployed(entries=0) as fleet:
