Let the share of failed requests of a server fade

Cause: the share of failed requests of a server changed with results only. One request that was lost at a restart left it at 0.2, a penalty of 0.08 s. While another server is idle, the restarted one is never chosen, so that no result could lower the share.

Change: the share fades with a time constant of 2 s, the longest pause after losses, and does not count for a new start of the server. The check of the decay by responses in test_retry_budget now passes the time of the losses; its bound is the same.

Ruled out: only a reset at a new start. A plain server that was cut off by a fault of the network has no new start.

--- a/src/carobstand/core/health.py
+++ b/src/carobstand/core/health.py
@@ -4,6 +4,8 @@
 entry's requests count here.
 """
 
+import math
+
 import attrs
 
 PAUSE_MIN_S = 0.5
@@ -17,6 +19,11 @@
 FAILED_SHARE_DECAY = 0.8
 """Decay per request of the earlier results in the share of failed requests."""
 
+FAILED_SHARE_FADE_S = PAUSE_MAX_S
+"""Time constant with which the share of failed requests fades without any results. A
+server that another one beats by its penalty gets no requests that could lower it; after
+the longest pause a server that lost requests is tried again, too."""
+
 FAILURE_PENALTY_S = 0.4
 """Time added to the predictions of a server whose requests all failed."""
 
@@ -40,7 +47,11 @@
     consecutive_losses : int
         Consecutive lost requests.
     failed_share : float
-        Exponentially weighted share of requests that failed.
+        Exponentially weighted share of requests that failed, at the time `failed_at`.
+    failed_at : float
+        Time of the last lost request.
+    failed_start_ms : int
+        Start time of the server at that time, 0 if it is not known.
     is_refusing : bool
         Whether the last pause was for a refusal rather than for lost requests.
     started_ms : int
@@ -51,6 +62,8 @@
     pause_s: float = 0.0
     consecutive_losses: int = 0
     failed_share: float = 0.0
+    failed_at: float = 0.0
+    failed_start_ms: int = 0
     is_refusing: bool = False
     started_ms: int = 0
 
@@ -90,7 +103,9 @@
     """
     if unread_s >= UNREAD_S:
         return
-    state.failed_share = 1 - FAILED_SHARE_DECAY * (1 - state.failed_share)
+    earlier_share = _failed_share(state, now, started_ms)
+    state.failed_share = 1 - FAILED_SHARE_DECAY * (1 - earlier_share)
+    state.failed_at, state.failed_start_ms = now, started_ms
     state.consecutive_losses += 1
     if state.consecutive_losses >= LOSSES_BEFORE_PAUSE:
         _pause(state, now, started_ms)
@@ -104,6 +119,14 @@
     return now < state.avoid_until
 
 
-def penalty_s(state):
+def penalty_s(state, now, started_ms=0):
     """Return the time to add to the server's predictions for its recent failures."""
-    return FAILURE_PENALTY_S * state.failed_share
+    return FAILURE_PENALTY_S * _failed_share(state, now, started_ms)
+
+
+def _failed_share(state, now, started_ms):
+    """Return the share of failed requests now; a restart of the server resets it."""
+    if started_ms and state.failed_start_ms and started_ms != state.failed_start_ms:
+        return 0.0
+    elapsed_s = max(0.0, now - state.failed_at)
+    return state.failed_share * math.exp(-elapsed_s / FAILED_SHARE_FADE_S)
--- a/src/carobstand/core/placement.py
+++ b/src/carobstand/core/placement.py
@@ -165,7 +165,7 @@
         server_health = healths.get(server.server_id)
         cost_s += correction_s + distance_s
         if server_health is not None:
-            cost_s += health.penalty_s(server_health)
+            cost_s += health.penalty_s(server_health, now, server.started_ms)
         first_s += correction_s
         corrections_s = (service_s, correction_s)
         choices.append(
--- a/testing/test_placement.py
+++ b/testing/test_placement.py
@@ -138,6 +138,24 @@
     assert ranked(servers[:1], healths={"i-1": failing}) == ["i-1"]
 
 
+@pytest.mark.parametrize(("now", "started_ms"), [(0.0, 2000), (8.0, 1000)])
+def test_a_server_that_lost_a_request_is_preferred_again_with_time_or_a_restart(
+    now, started_ms
+):
+    """Guards against a restarted server that idles for as long as another one does."""
+    servers = [
+        build.registration("i-1", started_ms=started_ms),
+        build.registration("i-2"),
+    ]
+    state, busy = health.ServerHealth(), outstanding.Outstanding()
+    health.lost(state, 0.0, 1000)
+    outstanding.begin(busy, "call", 964, now)
+    healths, in_progress = {"i-1": state}, {"i-2": busy}
+    assert ranked(servers, (), in_progress, healths, now=now)[0] == "i-1"
+    before = [build.registration("i-1"), servers[1]]
+    assert ranked(before, (), in_progress, healths, now=0.1)[0] == "i-2"
+
+
 def test_an_engine_about_to_load_gets_only_requests_that_end_before():
     servers = engines(2)
     loads = [
--- a/testing/test_retry_budget.py
+++ b/testing/test_retry_budget.py
@@ -1,3 +1,5 @@
+import pytest
+
 from carobstand.core import health, retry_budget
 from testing import platform_builders as build
 
@@ -82,7 +84,7 @@
     state = health.ServerHealth()
     health.lost(state, 0.0)
     assert not health.is_avoided(state, 0.0)
-    assert health.penalty_s(state) > 0
+    assert health.penalty_s(state, 0.0) > 0
     health.lost(state, 0.0)
     assert health.is_avoided(state, 0.0)
 
@@ -91,7 +93,18 @@
     state = health.ServerHealth()
     for _ in range(10):
         health.lost(state, 0.0)
-    worst = health.penalty_s(state)
+    worst = health.penalty_s(state, 0.0)
     for _ in range(10):
         health.answered(state)
-    assert health.penalty_s(state) < worst / 5
+    assert health.penalty_s(state, 0.0) < worst / 5
+
+
+def test_the_share_of_failed_requests_fades_and_ends_with_a_restart():
+    """Guards against a restarted server that stays idle beside an idle other one."""
+    state = health.ServerHealth()
+    health.lost(state, 10.0, started_ms=1000)
+    first = health.penalty_s(state, 10.0, 1000)
+    assert health.penalty_s(state, 16.0, 1000) < 0.01 < first
+    assert health.penalty_s(state, 10.1, 2000) == 0
+    health.lost(state, 10.2, started_ms=2000)
+    assert health.penalty_s(state, 10.2, 2000) == pytest.approx(first)
