Collect what arrived during a slow write to the caller

Cause: a request of the product's own interface waits on an event that is created anew for each wait. Bytes of the response that arrive while a write to the caller waits set the event of the wait before, and nothing looks at them until the next change. If less than 32 KiB were passed on since the last acknowledgement, the agent gets none; once its window of 256 KiB is full, it sends nothing more, and both wait until the deadline of the request. The end of a response that arrives during a write is missed likewise.

Change: the loop of a request collects what arrived before it waits.

Ruled out: hypercorn, whose "socket.send() raised exception" follows the caller's time-out; the executor of the agent, which sends on with each acknowledgement.

--- a/src/carobstand/entry/dispatch.py
+++ b/src/carobstand/entry/dispatch.py
@@ -219,7 +219,15 @@
 
 
 async def _wait(run):
-    """Wait for the next event of a request, or for its next timer."""
+    """Wait for the next event of a request, or for its next timer.
+
+    What arrived while effects were applied, for example during a slow write to the
+    caller, is collected first: it has set the previous `wake`, and nothing more may
+    arrive, as the agent waits for acknowledgements once its window is full.
+    """
+    effects.collect_events(run)
+    if run.events:
+        return
     now = anyio.current_time()
     due, event = _next_timer(run, now)
     if due > now:
--- a/testing/test_request_faults.py
+++ b/testing/test_request_faults.py
@@ -2,7 +2,7 @@
 
 import anyio
 
-from carobstand.entry import dispatch
+from carobstand.entry import caller_api, dispatch
 from carobstand.standin import web
 from testing import request_builders as build
 
@@ -177,6 +177,34 @@
     build.run(test)
 
 
+def test_bytes_that_arrive_during_a_slow_write_are_passed_on(monkeypatch):
+    # Guards against a lost wake-up: the write is too small to be acknowledged. While it
+    # waits for the caller, the agent fills its window and then sends nothing more.
+    write = caller_api.Sink.data
+
+    async def write_slowly(sink, data):
+        if not sink.bytes_sent:
+            await anyio.sleep(0.5)
+        await write(sink, data)
+
+    async def handler(scope, body, send):
+        await send({"type": "http.response.start", "status": 200, "headers": []})
+        part = {"type": "http.response.body", "body": b"x" * 1000, "more_body": True}
+        await send(part)
+        await anyio.sleep(0.1)
+        await send({**part, "body": b"x" * 1_000_000})
+        await send({"type": "http.response.body", "body": b""})
+
+    async def test():
+        async with build.running_system(handler) as net:
+            with anyio.fail_after(5.0):
+                response = await net.call(net.urls[0])
+            assert len(response.content) == 1_001_000
+
+    monkeypatch.setattr(caller_api.Sink, "data", write_slowly)
+    build.run(test)
+
+
 def test_the_concurrency_limit_of_a_backend_server_spans_all_entries():
     peak, running = 0, 0
 
