Bound the attempts to stage a piece that never reads back right

Cause: before a load the agent read back each staged piece and staged a corrupt one again until it read back right. With a staging area that always corrupts a piece it did so without end (some 400 times a second in the test), beside the engine's requests and without a log line, also after a newer version was named.

Change: after 5 further attempts for one piece nothing is staged on this engine for 5 s, or until the engine starts again, and `weights.unstageable` is logged. The stand-in engine can spoil pieces and counts how often each one was staged.

Found beside it: pieces that arrive while others are staged are staged only when they are read back, so `weights.repaired` counts them as corrupt.

--- a/src/carobstand/agent/loading.py
+++ b/src/carobstand/agent/loading.py
@@ -8,7 +8,7 @@
 
 from carobstand import errors, eventlog
 from carobstand.agent import view as views
-from carobstand.core import load_schedule, weight_copy
+from carobstand.core import load_schedule, staging_limit, weight_copy
 from carobstand.platform import engine_client, kv, records
 
 IDLE_S = 0.25
@@ -50,6 +50,8 @@
         Number of pieces at `progressed_at`.
     progressed_at : float
         Time at which a piece was last staged.
+    limit : core.staging_limit.StagingLimit
+        Attempts to stage pieces that did not read back right.
     """
 
     version: int | None = None
@@ -58,6 +60,7 @@
     complete_at: float | None = None
     held: int = 0
     progressed_at: float = 0.0
+    limit: staging_limit.StagingLimit = attrs.field(factory=staging_limit.StagingLimit)
 
 
 async def run(view):
@@ -88,10 +91,12 @@
     report = view.report
     if report is None or report.is_busy or views.service(view) is None:
         return None
+    now = anyio.current_time()
+    if staging_limit.is_paused(stage.limit, report.started_ms, now):
+        return None
     held = report.holding.version if report.holding else 0
     newer = [copy for version, copy in view.copies.items() if version > held]
     outlook = views.outlook(view, views.service(view))
-    now = anyio.current_time()
     complete = [
         copy
         for copy in newer
@@ -138,8 +143,8 @@
         view.load_at = _load_at(view, stage, copy)
     if _next_copy(view, stage) is not copy:
         return
-    await _repair_staged(view, copy)
-    await _order_load(view, copy)
+    if await _repair_staged(view, stage, copy):
+        await _order_load(view, copy)
 
 
 async def _read_peers_once_per_version(view, stage):
@@ -206,22 +211,44 @@
     return load_schedule.position(server, stage.peers, copy.version)
 
 
-async def _repair_staged(view, copy):
-    """Read back all staged pieces and stage corrupt ones again."""
+async def _repair_staged(view, stage, copy):
+    """Read back all staged pieces and stage corrupt ones again.
+
+    Returns whether all pieces read back right. If one never does, nothing is staged on
+    this engine for a pause.
+    """
     corrupt = 0
     for number, digest in enumerate(copy.digests):
-        while True:
-            data = await engine_client.fetch_staged_piece(
-                view.engine, copy.model, number
-            )
-            if data is not None and hashlib.sha256(data).digest() == digest:
-                break
-            corrupt += 1
+        attempts = 0
+        while not await _reads_back(view, copy, number, digest):
+            if staging_limit.is_exhausted(attempts):
+                _pause_staging(view, stage, copy, number, attempts)
+                return False
+            attempts += 1
             await engine_client.stage_piece(
                 view.engine, copy.model, number, copy.pieces[number]
             )
+        corrupt += attempts
     if corrupt:
         eventlog.event("weights.repaired", version=copy.version, pieces=corrupt)
+    return True
+
+
+async def _reads_back(view, copy, number, digest):
+    data = await engine_client.fetch_staged_piece(view.engine, copy.model, number)
+    return data is not None and hashlib.sha256(data).digest() == digest
+
+
+def _pause_staging(view, stage, copy, number, attempts):
+    started_ms = view.last_report.started_ms
+    staging_limit.pause(stage.limit, started_ms, anyio.current_time())
+    eventlog.event(
+        "weights.unstageable",
+        version=copy.version,
+        piece=number,
+        attempts=attempts,
+        pause_s=staging_limit.PAUSE_S,
+    )
 
 
 async def _order_load(view, copy):
--- a/src/carobstand/standin/platform/engine.py
+++ b/src/carobstand/standin/platform/engine.py
@@ -1,5 +1,6 @@
 """Stand-in for the platform's model engine or plain service, with faults."""
 
+import collections
 import hashlib
 import json
 import socket
@@ -81,6 +82,10 @@
         Version of the weights that it serves.
     staged : dict of int to bytes
         Staged pieces of weights by number.
+    spoilt_pieces : set of int
+        Numbers of pieces that always read back corrupt.
+    staged_counts : collections.Counter
+        How often each piece was staged.
     loading : bool
         Staged weights are being loaded.
     load_s : float
@@ -166,6 +171,8 @@
     step_s: float = 0.01
     version: int | None = 1
     staged: dict = attrs.field(factory=dict)
+    spoilt_pieces: set = attrs.field(factory=set)
+    staged_counts: collections.Counter = attrs.field(factory=collections.Counter)
     loading: bool = False
     load_s: float = 0.05
     started_ms: int = 1000
@@ -316,7 +323,9 @@
 async def _handle_staging(engine, request, reply, path, query):
     number = int(query.get("number", -1))
     if request.method == b"PUT":
-        engine.staged[number] = request.body
+        spoilt = number in engine.spoilt_pieces
+        engine.staged[number] = b"rotten" if spoilt else request.body
+        engine.staged_counts[number] += 1
         return await http1_server.respond(reply, 200, [])
     if number < 0:
         return await answers.send_json(reply, {"held": sorted(engine.staged)})
--- a/testing/test_rapid_versions.py
+++ b/testing/test_rapid_versions.py
@@ -7,7 +7,7 @@
 
 from carobstand import errors
 from carobstand.agent import loading
-from carobstand.core import load_schedule, named_versions
+from carobstand.core import load_schedule, named_versions, staging_limit
 from carobstand.platform import engine_client
 from carobstand.platform import kv as kv_client
 from carobstand.standin.platform import kv, origin
@@ -159,3 +159,29 @@
         assert stage.peers == [] and read.await_count == 4
 
     virtual_time.run(check)
+
+
+def test_a_piece_that_never_reads_back_right_is_not_staged_without_end():
+    # The agent staged it 400 times a second beside the requests.
+    async def check(fleet):
+        backend_server = fleet.engines["i-1"]
+        backend_server.spoilt_pieces = {3}
+        fleets.name_version(fleet, 2)
+        # The first one may be staged only when it is read back.
+        most, counts = staging_limit.MAX_ATTEMPTS + 1, backend_server.staged_counts
+        await fleets.until(lambda: counts[3] >= staging_limit.MAX_ATTEMPTS, 12)
+        await anyio.sleep(staging_limit.PAUSE_S / 2)
+        assert counts[3] <= most and backend_server.version == 1
+        backend_server.spoilt_pieces = set()
+        await fleets.until(lambda: backend_server.version == 2, 12)
+
+    run_with_agents(check, engines=1)
+
+
+def test_a_new_start_of_the_engine_ends_the_pause_after_failed_attempts():
+    limit = staging_limit.StagingLimit()
+    assert not staging_limit.is_paused(limit, 1, 0.0)
+    staging_limit.pause(limit, 1, 10.0)
+    assert staging_limit.is_paused(limit, 1, 10.0 + staging_limit.PAUSE_S - 0.1)
+    assert not staging_limit.is_paused(limit, 1, 10.0 + staging_limit.PAUSE_S)
+    assert not staging_limit.is_paused(limit, 2, 10.1)
