Wait for other entries to register before the configuration is read

Cause: if the records of all entries have expired, as the store was down for longer than their leases, the first list of entries is empty: it takes one round trip, a registration two. Each entry then took itself for the only one of its region and read the large configuration, all over the same slow link.

Change: an entry that knows no other one of its region waits 0.3 s, lists the entries again and follows the order of core/read_order.py. If the store failed in the last 10 s it waits 0.8 s, also if others are listed, as entries try to register every 0.5 s then. The wait also delays the first start of a deployment and a single entry by 0.3 s.

Ruled out: a wait until the own record is listed. Others may register later, and an entry that cannot register would never read.

--- a/src/carobstand/core/read_order.py
+++ b/src/carobstand/core/read_order.py
@@ -21,6 +21,29 @@
 MAX_WAIT_S = 6.0
 """Longest such wait: recovery may take 12 to 15 s in all."""
 
+SETTLE_S = 0.3
+"""Time for which an entry that knows no other one of its region waits for others to
+register before it makes its plan. Processes that start together register within some
+round trips to the store."""
+
+
+def settle_s(entries, me, retry_s):
+    """Return the time to wait before `plan`, as other entries may yet register.
+
+    Parameters
+    ----------
+    entries : iterable of core.weight_sources.Entry
+        All registered entries. Their records have expired if the store or the region
+        was down for longer than their leases.
+    me : core.weight_sources.Entry
+    retry_s : float
+        Interval at which entries try to register after the store was down; 0 if it was
+        not. Some of them may have registered already, so others that are known do not
+        end the wait.
+    """
+    is_alone = all(item.vm == me.vm or item.region != me.region for item in entries)
+    return SETTLE_S + retry_s if is_alone or retry_s else 0.0
+
 
 @attrs.frozen
 class Plan:
--- a/src/carobstand/entry/fleet.py
+++ b/src/carobstand/entry/fleet.py
@@ -193,7 +193,8 @@
         operator = startup.OperatorItems(changes, sent_at)
     else:
         entries = startup.registered_entries(own.items)
-        operator = await startup.read_operator_items(fleet, entries)
+        may_have_lapsed = _may_have_lapsed(fleet, sent_at)
+        operator = await startup.read_operator_items(fleet, entries, may_have_lapsed)
         if anyio.current_time() - sent_at > MAX_READ_S:
             # It waited for another entry to have the configuration.
             sent_at = anyio.current_time()
--- a/src/carobstand/entry/startup.py
+++ b/src/carobstand/entry/startup.py
@@ -12,6 +12,7 @@
 
 from carobstand import entry_records, errors, eventlog
 from carobstand.core import read_order, weight_sources
+from carobstand.entry import registration
 from carobstand.platform import kv, records
 from carobstand.transfer import relayed_configuration
 
@@ -46,7 +47,7 @@
     confirmed_at: float
 
 
-async def read_operator_items(fleet, entries):
+async def read_operator_items(fleet, entries, may_have_lapsed=False):
     """Return the `OperatorItems` for an entry that knows none yet.
 
     Parameters
@@ -54,8 +55,12 @@
     fleet : entry.fleet.Fleet
     entries : dict of str to core.weight_sources.Entry
         Registered entries by VM.
+    may_have_lapsed : bool
+        Whether the store was down until shortly before, so that records of entries may
+        have lapsed that are written again now.
     """
     me = weight_sources.entry_from_deployment(fleet.deployment)
+    entries = await _settled(fleet, entries, me, may_have_lapsed)
     plan = read_order.plan(entries.values(), me)
     bounds = fleet.deployment.bounds
     max_age_s = MAX_AGE_SHARE * min(bounds.apply_s, bounds.drain_s)
@@ -74,6 +79,19 @@
     return OperatorItems(found, sent_at)
 
 
+async def _settled(fleet, entries, me, may_have_lapsed):
+    """Return the registered entries after those that start now had time to register."""
+    retry_s = registration.RETRY_S if may_have_lapsed else 0.0
+    wait_s = read_order.settle_s(entries.values(), me, retry_s)
+    if not wait_s:
+        return entries
+    await anyio.sleep(wait_s)
+    listed = await kv.list_prefix(fleet.store, entry_records.PREFIX)
+    found = registered_entries(listed.items)
+    eventlog.event("entries.settled", waited_s=wait_s, entries=len(found))
+    return found
+
+
 def _joined(rest, relayed, sent_at):
     changes = attrs.evolve(
         rest,
--- a/testing/test_startup.py
+++ b/testing/test_startup.py
@@ -4,12 +4,15 @@
 link after a loss of power, which kept them without one for many seconds.
 """
 
+from contextlib import nullcontext
+
 import anyio
 import pytest
 
 from carobstand.core import read_order, weight_sources
 from carobstand.platform import kv, records
-from testing import platform_fleet
+from carobstand.standin.platform import kv as kv_standin
+from testing import platform_fleet, test_evacuation
 
 RECORD = "carobstand/entries/"
 
@@ -50,13 +53,16 @@
     return sum(prefix in prefixes and whole for prefix, whole in reads)
 
 
-async def lose_entries(fleet):
-    """End all entries; their records outlive them in the store."""
+async def lose_entries(fleet, have_expired=False):
+    """End all entries; their records outlive them in the store, or have expired."""
     kept = {key: i for key, i in fleet.store.items.items() if key.startswith(RECORD)}
     deployments = [item.deployment for item in fleet.entries.values()]
     for vm in list(fleet.entries):
         await platform_fleet.stop(fleet, vm)
     fleet.store.items.update(kept)
+    if have_expired:
+        for key in kept:
+            kv_standin.remove(fleet.store, key)
     return deployments
 
 
@@ -98,6 +104,36 @@
     run_with_entries(test, 5)
 
 
+@pytest.mark.parametrize("is_store_down", [False, True])
+def test_a_configuration_crosses_the_link_once_if_all_records_have_expired(
+    monkeypatch, reads, is_store_down
+):
+    """Guards against a common read after an outage longer than the leases.
+
+    The first list of entries precedes their registration, which takes more round trips.
+    """
+    grant_lease = kv.grant_lease
+
+    async def grant_slowly(store, ttl_s):
+        await anyio.sleep(0.15)
+        return await grant_lease(store, ttl_s)
+
+    async def test(fleet):
+        deployments = await lose_entries(fleet, have_expired=True)
+        monkeypatch.setattr(kv, "grant_lease", grant_slowly)
+        outage = test_evacuation.away(fleet) if is_store_down else nullcontext()
+        async with outage, anyio.create_task_group() as tg:
+            reads.clear()
+            for dep in deployments:
+                tg.start_soon(start_again, fleet, dep)
+            tg.start_soon(anyio.sleep, 1.0 if is_store_down else 0.0)
+        for item in fleet.entries.values():
+            await platform_fleet.until_ready(item)
+        assert configuration_reads(reads) == 1
+
+    run_with_entries(test, 5)
+
+
 def test_a_change_after_the_relayed_configuration_is_not_missed(reads):
     async def test(fleet):
         engine = fleet.engines["i-1"]
