--- a/bench/weight_replay.py
+++ b/bench/weight_replay.py
@@ -295,12 +295,12 @@
 
 async def _origin_call(replay, size):
     if replay.is_origin_down:
-        raise errors.OriginUnavailableError("down")
+        raise errors.OriginError("down")
     at = replay.origin_link.pass_through(size, anyio.current_time())
     while anyio.current_time() < at:
         await anyio.sleep(min(0.05, at - anyio.current_time()))
         if replay.is_origin_down:
-            raise errors.OriginUnavailableError("down")
+            raise errors.OriginError("down")
 
 
 async def _fetch_manifest(replay, version):
--- a/src/carobstand/entry/weight_cache.py
+++ b/src/carobstand/entry/weight_cache.py
@@ -28,8 +28,7 @@
 
 PRECEDENCE_S = 1.5
 """Time after its last piece in which an older version precedes newer ones. A download
-piece takes 0.1 s; without progress the source may lack the older version. At the origin
-the precedence ends only if the origin has responded without such a piece."""
+piece takes 0.1 s; without progress the origin may lack the older version."""
 
 
 @attrs.define(eq=False)
@@ -50,9 +49,6 @@
         receives the version; at first that of the start of the fetch.
     progressed_at : float
         Time at which the last piece arrived, at first that of the first request.
-    is_lacking : bool
-        Whether the origin has responded without a valid piece or manifest since the
-        last piece arrived.
     wanted : collections.Counter
         Number of readers that wait for each piece.
     scope : anyio.CancelScope or None
@@ -61,9 +57,8 @@
         Whether the version was removed from the cache.
     fetched_since : float
         Time at which the fetch was started.
-    has_to_wait : callable of (at_origin)
-        Whether an older version is to be fetched before this one now, from the origin
-        or, by default, from another entry.
+    has_to_wait : callable without arguments
+        Whether an older version is to be fetched before this one now.
     agents : callable without arguments
         Returns the number of its pieces that agents of the region hold, by the IP
         address of the agent.
@@ -78,12 +73,11 @@
     is_complete: bool = False
     demanded_at: float = 0.0
     progressed_at: float = attrs.field(factory=anyio.current_time)
-    is_lacking: bool = False
     wanted: collections.Counter = attrs.field(factory=collections.Counter)
     scope: anyio.CancelScope | None = None
     is_dropped: bool = False
     fetched_since: float = 0.0
-    has_to_wait: object = lambda at_origin=False: False
+    has_to_wait: object = lambda: False
     agents: object = dict
     changed: signals.Signal = attrs.field(factory=signals.Signal)
 
@@ -223,7 +217,7 @@
         for other in others[: max(0, len(others) + 1 - COPIES_KEPT)]:
             _drop(cache, (model, other))
         cached = cache.held[key] = CachedVersion(model, version)
-        cached.has_to_wait = functools.partial(_has_to_wait, cache, cached)
+        cached.has_to_wait = lambda: _has_to_wait(cache, cached)
         cached.agents = lambda: _agents_that_hold(cache, cached)
     cached = cache.held[key]
     is_stopped = cached.scope is None and not cached.is_complete
@@ -237,7 +231,7 @@
     return cached
 
 
-def _has_to_wait(cache, cached, at_origin=False):
+def _has_to_wait(cache, cached):
     """Whether an older version that is being received precedes this one.
 
     Both would halve the origin's link, so that neither might be complete in time.
@@ -248,24 +242,11 @@
         and other.version < cached.version
         and _is_in_demand(other)
         and not other.is_complete
-        and (
-            now - other.progressed_at < PRECEDENCE_S
-            or (at_origin and _outlasts_outage(other))
-        )
+        and now - other.progressed_at < PRECEDENCE_S
         for other in cache.held.values()
     )
 
 
-def _outlasts_outage(cached):
-    """Whether a version is still asked for at the origin and may be held there.
-
-    An origin that does not respond ends no precedence: when it is back, the rest of the
-    older version would get only half of its link.
-    """
-    is_fetched = cached.scope is not None and cached.needs_pieces
-    return is_fetched and not cached.is_lacking
-
-
 def _agents_that_hold(cache, cached):
     """Return the number of pieces of a version that agents of the region hold."""
     fleet, now, found = cache.fleet, anyio.current_time(), {}
--- a/src/carobstand/entry/weight_fetching.py
+++ b/src/carobstand/entry/weight_fetching.py
@@ -166,20 +166,11 @@
             eventlog.event(
                 "weights.source_failed", version=cached.version, error=str(exc)
             )
-            if _shows_lack(exc):
-                cached.is_lacking = True
             if isinstance(exc, errors.WeightsError):
                 cached.copy = None
             await anyio.sleep(RETRY_S)
 
 
-def _shows_lack(exc):
-    """Whether a failure shows that the origin responded without what was asked for."""
-    if isinstance(exc, errors.OriginUnavailableError):
-        return False
-    return isinstance(exc, errors.OriginError | errors.WeightsError)
-
-
 async def _until_entries_known(fleet):
     while fleet.first_read_at is None:
         await fleet.changed.wait(REGISTRATION_WAIT_S)
@@ -196,9 +187,9 @@
     return fleet.first_read_at + REGISTRATION_WAIT_S + pause_s
 
 
-async def _until_in_turn(cached, at_origin=False):
+async def _until_in_turn(cached):
     """Wait while an older version that is being received is to be fetched first."""
-    while cached.has_to_wait(at_origin):
+    while cached.has_to_wait():
         await anyio.sleep(TURN_CHECK_S)
 
 
@@ -208,7 +199,7 @@
         cached.copy,
         _notifier(cached),
         wanted=cached.wanted,
-        until_clear=functools.partial(_until_in_turn, cached, at_origin=True),
+        until_clear=functools.partial(_until_in_turn, cached),
     )
 
 
@@ -296,7 +287,7 @@
 
 async def _download_instead(fleet, cached):
     """Download from the origin if it responds and the source makes no progress."""
-    await _until_in_turn(cached, at_origin=True)
+    await _until_in_turn(cached)
     origin = _known_origin(fleet)
     await origin_download.fetch_manifest(origin, cached.model, cached.copy.version)
     held = len(cached.copy.pieces)
@@ -310,7 +301,6 @@
 def _notifier(cached):
     def on_piece(number):
         cached.progressed_at = anyio.current_time()
-        cached.is_lacking = False
         cached.changed.notify()
 
     return on_piece
--- a/src/carobstand/errors.py
+++ b/src/carobstand/errors.py
@@ -68,10 +68,6 @@
     """The origin of weights returned no valid response."""
 
 
-class OriginUnavailableError(OriginError):
-    """The origin of weights did not respond, so that it is unknown what it holds."""
-
-
 class BackendError(CarobstandError):
     """A backend server rejected a call or returned no valid response."""
 
--- a/src/carobstand/platform/weights_origin.py
+++ b/src/carobstand/platform/weights_origin.py
@@ -65,7 +65,7 @@
             caller, "GET", target, timeout_s=timeout_s, max_bytes=max_bytes
         )
     except errors.HttpError as exc:
-        raise errors.OriginUnavailableError(
+        raise errors.OriginError(
             exc.message, step=f"origin.{step}", peer=caller.address
         ) from exc
     if resp.status != 200:
