Wait for registrations only if no other entry is known at all

Cause: the wait of 0.3 s before an entry reads the configuration also applied to the only entry of a region, at each of its restarts. The records of all entries lapse together.

--- a/src/carobstand/core/read_order.py
+++ b/src/carobstand/core/read_order.py
@@ -22,8 +22,8 @@
 """Longest such wait: recovery may take 12 to 15 s in all."""
 
 SETTLE_S = 0.3
-"""Time for which an entry that knows no other one of its region waits for others to
-register before it makes its plan. Processes that start together register within some
+"""Time for which an entry that knows no other one waits for others to register before
+it makes its plan. Processes that start together register within some
 round trips to the store."""
 
 
@@ -41,7 +41,7 @@
         not. Some of them may have registered already, so others that are known do not
         end the wait.
     """
-    is_alone = all(item.vm == me.vm or item.region != me.region for item in entries)
+    is_alone = all(item.vm == me.vm for item in entries)
     return SETTLE_S + retry_s if is_alone or retry_s else 0.0
 
 
