Send nothing over a full link between regions just before a version ends

The link was full of weights for a second only, so that predictions had not learned of it.

Change: an engine in another region is excluded 0.4 s before its weights end.

Ruled out: a larger slack for all engines, which costs service where no link is full.

--- a/src/carobstand/core/placement.py
+++ b/src/carobstand/core/placement.py
@@ -31,6 +31,11 @@
 events also come from slow engines; more would leave engines idle at the end of their
 weights, as the newer ones may not have arrived."""
 
+REGION_DELAY_S = 0.4
+"""Time by which a request to another region may be late near the end of a server's
+weights. The link between two regions carries weights, too: requests that had been sent
+0.26 to 0.35 s before began on outdated weights."""
+
 PLAIN_REQUEST_S = 0.05
 """Assumed duration of a request at a server without a latency model."""
 
@@ -155,9 +160,10 @@
         correction_s = calibration.server_correction_s(
             prediction_errors, service_s, server.server_id, now
         )
-        # A request on its way over a full link begins later than the engine's work
-        # tells; one that reached its engine 0.3 s late began on outdated weights.
-        begin_s = wait_s + min(MAX_BEGIN_DELAY_S, correction_s + margin_s)
+        delay_s = min(MAX_BEGIN_DELAY_S, correction_s + margin_s)
+        if distance_s >= REGION_PENALTY_S:
+            delay_s = max(delay_s, REGION_DELAY_S)
+        begin_s = wait_s + delay_s
         if now + begin_s >= begin_by(candidate.holding):
             reason = eligibility.Reason.OUTDATED_WEIGHTS
             candidates.excluded[server.server_id] = reason
--- a/testing/test_placement.py
+++ b/testing/test_placement.py
@@ -268,3 +268,15 @@
 
     assert allowed(10.05) == ["i-1"]
     assert allowed(10.3) == []
+
+
+def test_no_request_crosses_a_full_link_just_before_the_version_of_its_engine_ends():
+    """Guards against a request that begins on outdated weights in another region."""
+    near = build.registration("i-1")
+    far = build.registration("i-2", failure_domain="b")
+
+    def allowed(now):
+        return set(ranked([near, far], start_deadline=lambda holding: 10.5, now=now))
+
+    assert allowed(10.0) == {"i-1", "i-2"}
+    assert allowed(10.2) == {"i-1"}
