Take over from a seeder that is frozen or gone

Cause: entries that got nothing from the seeder asked the same one again for as long as its record lived, 15 s; only empty replies counted as a stall.

Change: a source that is silent for 1.5 s or refuses a connection does not count for 3 s. The next entry in the order takes its place, and downloads if it is the first one left. A connection that a source ends is no such sign: it may have stopped an older version.

Ruled out: a shorter life of the entries' records (more calls of the store).

--- a/src/carobstand/entry/weight_cache.py
+++ b/src/carobstand/entry/weight_cache.py
@@ -49,6 +49,8 @@
         receives the version; at first that of the start of the fetch.
     progressed_at : float
         Time at which the last piece arrived, at first that of the first request.
+    unreachable : dict of str to float
+        Time at which a source last did not respond, by its VM.
     wanted : collections.Counter
         Number of readers that wait for each piece.
     scope : anyio.CancelScope or None
@@ -73,6 +75,7 @@
     is_complete: bool = False
     demanded_at: float = 0.0
     progressed_at: float = attrs.field(factory=anyio.current_time)
+    unreachable: dict = attrs.field(factory=dict)
     wanted: collections.Counter = attrs.field(factory=collections.Counter)
     scope: anyio.CancelScope | None = None
     is_dropped: bool = False
--- a/src/carobstand/entry/weight_fetching.py
+++ b/src/carobstand/entry/weight_fetching.py
@@ -49,6 +49,11 @@
 RETRY_S = 0.2
 """Pause after a failure of a source."""
 
+UNREACHABLE_S = 3.0
+"""Time for which a source that was silent or refused a connection counts as gone. Its
+record stays for 15 s, and without this nobody took over from a seeder that was frozen
+for 7 s."""
+
 FAILURES = (
     errors.OriginError,
     errors.StalledError,
@@ -104,13 +109,21 @@
     return is_seeder(fleet, model) or own[0].vm == me.vm
 
 
-def sources_of(fleet, model):
+def sources_of(fleet, model, unreachable=frozenset()):
     """Return the entries to receive versions of a model from, best first.
 
     These are the entries ranked before this one in its region, then the seeder. The
     list is empty for the seeder.
+
+    Parameters
+    ----------
+    fleet : entry.fleet.Fleet
+    model : str
+    unreachable : set of str
+        VMs of entries that do not count: the next ones take their places.
     """
     me, order = _seeders(fleet, model)
+    order = [entry for entry in order if entry.vm not in unreachable or entry == me]
     if order[0].vm == me.vm:
         return []
     key = weight_sources.copy_key(model)
@@ -230,7 +243,7 @@
     """Fetch the missing pieces from one source."""
     me, order = _seeders(fleet, cached.model)
     rank = next(n for n, entry in enumerate(order) if entry.vm == me.vm)
-    sources = sources_of(fleet, cached.model)
+    sources = sources_of(fleet, cached.model, _unreachable(cached))
     if not failures and cached.agents():
         sources = await _entries_ahead(cached, me, order) or sources
     if not sources:
@@ -249,6 +262,15 @@
         )
     except errors.StalledError:
         await _download_instead(fleet, cached)
+    except errors.UnresponsiveError:
+        cached.unreachable[source.vm] = anyio.current_time()
+        raise
+
+
+def _unreachable(cached):
+    """Return the VMs of sources that failed a moment ago."""
+    now = anyio.current_time()
+    return {vm for vm, at in cached.unreachable.items() if now - at < UNREACHABLE_S}
 
 
 async def _entries_ahead(cached, me, order):
--- a/src/carobstand/errors.py
+++ b/src/carobstand/errors.py
@@ -99,6 +99,10 @@
     """The connection to another process was closed."""
 
 
+class UnresponsiveError(ConnectionClosedError):
+    """Another process accepted no connection or was silent for too long."""
+
+
 class HandshakeError(CarobstandError):
     """The handshake with another process was rejected."""
 
--- a/src/carobstand/transfer/piece_stream.py
+++ b/src/carobstand/transfer/piece_stream.py
@@ -65,13 +65,13 @@
 
 
 async def connect(address):
-    """Open a connection to ``host:port``; raise ConnectionClosedError."""
+    """Open a connection to ``host:port``; raise UnresponsiveError."""
     host, port = deployment.split_address(address)
     try:
         with anyio.fail_after(CONNECT_TIMEOUT_S):
             stream = await anyio.connect_tcp(host, port)
     except (OSError, TimeoutError) as exc:
-        raise errors.ConnectionClosedError(
+        raise errors.UnresponsiveError(
             f"no connection: {exc or 'timeout'}", step="pieces.connect", peer=address
         ) from exc
     http1.set_tcp_timeouts(stream)
@@ -93,8 +93,10 @@
 
     Raises
     ------
+    UnresponsiveError
+        If none arrives in time.
     ConnectionClosedError
-        If none arrives in time or the connection ends.
+        If the connection ends.
     WireError
         If it is malformed.
     """
@@ -109,7 +111,7 @@
                 )
             await _fill(frames, size + length)
     except TimeoutError as exc:
-        raise errors.ConnectionClosedError(
+        raise errors.UnresponsiveError(
             f"no message within {timeout_s} s", step="pieces.receive", peer=frames.peer
         ) from exc
     body = bytes(frames.buffer[size : size + length])
--- a/testing/test_rapid_versions.py
+++ b/testing/test_rapid_versions.py
@@ -14,7 +14,11 @@
 from carobstand.transfer import piece_stream
 from testing import platform_fleet as fleets
 from testing import virtual_time, weight_builders
-from testing.test_platform_weights import run_with_agents, versions
+from testing.test_platform_weights import (
+    by_seeder_rank,
+    run_with_agents,
+    versions,
+)
 
 
 def test_the_rest_of_a_copy_is_received_after_the_origin_was_lost():
@@ -185,3 +189,16 @@
     assert staging_limit.is_paused(limit, 1, 10.0 + staging_limit.PAUSE_S - 0.1)
     assert not staging_limit.is_paused(limit, 1, 10.0 + staging_limit.PAUSE_S)
     assert not staging_limit.is_paused(limit, 2, 10.1)
+
+
+def test_another_entry_downloads_while_a_lost_seeder_is_still_registered():
+    # Entries waited for a frozen or killed seeder for as long as its record lived, 15 s.
+    async def check(fleet):
+        fleet.origin.bytes_per_s = 10_000.0
+        seeder, *_ = by_seeder_rank(list(fleet.entries))
+        fleets.name_version(fleet, 2)
+        await fleets.until(lambda: len(fleet.origin.sent) >= 3)
+        await fleets.stop(fleet, seeder)
+        await fleets.until(lambda: versions(fleet) == {2}, 8)
+
+    run_with_agents(check, engines=2, entries=3)
