Load new weights first on engines of evacuated failure domains and on cold ones

Cause: agents knew neither condition, so that idle engines waited for their turn in the load schedule while engines that served requests loaded before them.

Change: with the list of engines an agent reads the evacuation marks, once for each version, and takes the cold time from the engines' records. Engines of evacuated failure domains load without delay, and the loads of the others are spread over the whole time, cold engines first. An agent without this information keeps its position. `peers.idle` is logged.

Left out: engines that announced a limit, as only entries see that header, and what changes after the first piece of a version was staged.

Test changed: the engines are read again once the store is back. A round has two reads now, so that the test answers and counts five of them instead of four.

--- a/src/carobstand/agent/loading.py
+++ b/src/carobstand/agent/loading.py
@@ -44,6 +44,8 @@
     peers : list of str or None
         Addresses of the service's engines, for the load schedule; None until they have
         been read.
+    evacuated, cold : frozenset of str
+        Addresses of those in evacuated failure domains, and of those that are cold.
     complete_at : float or None
         Time at which all pieces were staged.
     held : int
@@ -57,6 +59,8 @@
     version: int | None = None
     numbers: set = attrs.field(factory=set)
     peers: list | None = None
+    evacuated: frozenset = frozenset()
+    cold: frozenset = frozenset()
     complete_at: float | None = None
     held: int = 0
     progressed_at: float = 0.0
@@ -170,6 +174,7 @@
 async def _read_peers(view, stage):
     """Read the engines of the service; raise StoreError if the store fails."""
     changes = await kv.list_prefix(view.store, records.SERVER_PREFIX, allow_stale=True)
+    marked = await _read_evacuated_domains(view)
     peers = []
     for item in changes.items:
         try:
@@ -178,8 +183,29 @@
             eventlog.debug("record.unreadable", key=item.key, error=exc.message)
             continue
         if found.service == view.deployment.service:
-            peers.append(found.address)
-    stage.peers = peers
+            peers.append(found)
+    stage.peers = [peer.address for peer in peers]
+    stage.evacuated = frozenset(
+        peer.address for peer in peers if peer.failure_domain in marked
+    )
+    stage.cold = frozenset(peer.address for peer in peers if peer.cold_s)
+    if stage.evacuated or stage.cold:
+        eventlog.event(
+            "peers.idle", evacuated=len(stage.evacuated), cold=len(stage.cold)
+        )
+
+
+async def _read_evacuated_domains(view):
+    marks = await kv.list_prefix(
+        view.store, records.EVACUATION_PREFIX, allow_stale=True
+    )
+    found = set()
+    for item in marks.items:
+        try:
+            found.add(records.decode_evacuation_key(item.key))
+        except errors.RecordError as exc:
+            eventlog.debug("record.unreadable", key=item.key, error=exc.message)
+    return found
 
 
 def _load_at(view, stage, copy):
@@ -208,7 +234,13 @@
 
 def _position(view, stage, copy):
     server = view.deployment.backend_address
-    return load_schedule.position(server, stage.peers, copy.version)
+    return load_schedule.position(
+        server,
+        stage.peers,
+        copy.version,
+        evacuated=stage.evacuated,
+        cold=stage.cold,
+    )
 
 
 async def _repair_staged(view, stage, copy):
--- a/src/carobstand/core/load_schedule.py
+++ b/src/carobstand/core/load_schedule.py
@@ -180,13 +180,16 @@
     return copy_bytes / (link_bytes_per_s * LINK_SHARE)
 
 
-def position(server, servers, version):
+def position(server, servers, version, *, evacuated=frozenset(), cold=frozenset()):
     """Return the share of a service's engines that load a version before one of them.
 
     All agents compute the same order by rendezvous hashing. An agent that knows no
     engines of the service uses the share of all hashes that precede its own, which is
     about the same position.
 
+    Engines of evacuated failure domains serve nothing and load without delay; the loads
+    of the others are spread over the whole time. Cold engines come first among these.
+
     Parameters
     ----------
     server : str
@@ -194,12 +197,18 @@
         All engines of the service, by a name that is the same at all agents; None if
         they are not known.
     version : int
+    evacuated, cold : set of str
+        Those in evacuated failure domains, and those that were cold when their records
+        were read.
     """
+    if server in evacuated:
+        return 0.0
     if servers is None:
         score = rendezvous.score(str(version), server)
         return int.from_bytes(score, "big") / (1 << 8 * len(score))
     load_order = sorted(
-        set(servers) | {server}, key=lambda s: rendezvous.score(str(version), s)
+        set(servers) - evacuated | {server},
+        key=lambda s: (s not in cold, rendezvous.score(str(version), s)),
     )
     return load_order.index(server) / len(load_order)
 
--- a/testing/test_load_schedule.py
+++ b/testing/test_load_schedule.py
@@ -163,3 +163,17 @@
     ranks = {s: load_schedule.position(s, servers, 2) for s in servers}
     assert sorted(servers, key=alone.get) == sorted(servers, key=ranks.get)
     assert max(abs(alone[s] - ranks[s]) for s in servers) < 0.25
+
+
+def test_engines_that_serve_little_or_nothing_load_first():
+    # Others left service in their place, while evacuated engines waited idle.
+    servers = [f"10.0.0.{n}:80" for n in range(10)]
+    evacuated, cold = set(servers[:3]), set(servers[3:5])
+    found = {
+        s: load_schedule.position(s, servers, 2, evacuated=evacuated, cold=cold)
+        for s in servers
+    }
+    assert {found[s] for s in evacuated} == {0.0}
+    order = sorted(set(servers) - evacuated, key=found.get)
+    assert set(order[:2]) == cold
+    assert [found[s] for s in order] == [n / 7 for n in range(7)]
--- a/testing/test_rapid_versions.py
+++ b/testing/test_rapid_versions.py
@@ -151,12 +151,14 @@
     async def check():
         state = weight_builders.agent_view(serving=1, named=(2,))
         stage = loading.Stage(version=2)
-        answers = [errors.StoreError("down")] * 3 + [kv_client.Changes(1, (), 0.0, 1)]
+        empty = kv_client.Changes(1, (), 0.0, 1)
+        # The engines and the evacuation marks are read one after the other.
+        answers = [errors.StoreError("down")] * 3 + [empty] * 2
         read = mock.AsyncMock(side_effect=answers)
         with mock.patch.object(kv_client, "list_prefix", read):
             with anyio.move_on_after(10.0):
                 await loading._read_peers_once_per_version(state, stage)
-        assert stage.peers == [] and read.await_count == 4
+        assert stage.peers == [] and read.await_count == 5
 
     virtual_time.run(check)
 
@@ -185,3 +187,19 @@
     assert staging_limit.is_paused(limit, 1, 10.0 + staging_limit.PAUSE_S - 0.1)
     assert not staging_limit.is_paused(limit, 1, 10.0 + staging_limit.PAUSE_S)
     assert not staging_limit.is_paused(limit, 2, 10.1)
+
+
+def test_an_evacuated_engine_loads_without_delay():
+    # It waited for its turn, while engines that served requests loaded before it.
+    async def check(fleet):
+        idle = await fleets.add_engine(fleet, "i-9", failure_domain="b")
+        idle.staged = dict(fleet.engines["i-1"].staged)
+        await fleets.add_agent(fleet, idle, "side-9", failure_domain="b")
+        kv.write_json(fleet.store, "op/evacuate/b", {})
+        await anyio.sleep(0.4)
+        fleets.name_version(fleet, 2)
+        await fleets.until(lambda: 2 in versions(fleet), 12)
+        await anyio.sleep(0.5)
+        assert idle.version == 2
+
+    run_with_agents(check, engines=3)
