--- a/testing/overload_replay.py
+++ b/testing/overload_replay.py
@@ -53,6 +53,9 @@
 
 LINK_S = 0.01
 CALLER_LINK_S = 0.02
+LONG_HOLD_S = 0.05
+"""Wait from which a rejection counts as one of a request that was held."""
+
 MARGIN_QUANTILE = 0.8
 MARGIN_SAMPLES = 60
 
@@ -139,6 +142,7 @@
     outcome: str = "rejected"
     attempts: int = 0
     took_s: float = 0.0
+    held_rejections: int = 0
 
 
 @attrs.define(eq=False)
@@ -278,6 +282,8 @@
             if choice is not None:
                 await _run_attempt(replay, fwd, call, choice, request)
                 return
+            held_s = anyio.current_time() - now
+            request.held_rejections += held_s > LONG_HOLD_S
             retry_s = rejections._retry_after_s(fwd, call)
             await anyio.sleep(CALLER_LINK_S + retry_s)
             continue
