Withdraw requests in other regions earlier before their version ends

Two requests that waited in the queue of an engine in another region were withdrawn in time, at 30.05 and 30.07 s, but began there at 30.39 s: the end of their connection was 0.31 s late on the full link.

Change: the time by which a request has begun or is withdrawn is 0.4 s earlier at a server in another region, as it already was for the choice of one.

--- a/src/carobstand/core/placement.py
+++ b/src/carobstand/core/placement.py
@@ -32,9 +32,9 @@
 weights, as the newer ones may not have arrived."""
 
 REGION_DELAY_S = 0.4
-"""Time by which a request to another region may be late near the end of a server's
-weights. The link between two regions carries weights, too: requests that had been sent
-0.26 to 0.35 s before began on outdated weights."""
+"""Time by which a request to another region, or its withdrawal, may be late near the
+end of a server's weights. The link between two regions carries weights, too: requests
+began on outdated weights 0.26 to 0.35 s after they were sent or withdrawn."""
 
 PLAIN_REQUEST_S = 0.05
 """Assumed duration of a request at a server without a latency model."""
@@ -161,9 +161,7 @@
             prediction_errors, service_s, server.server_id, now
         )
         delay_s = min(MAX_BEGIN_DELAY_S, correction_s + margin_s)
-        if distance_s >= REGION_PENALTY_S:
-            delay_s = max(delay_s, REGION_DELAY_S)
-        begin_s = wait_s + delay_s
+        begin_s = wait_s + max(delay_s, region_delay_s(server, location))
         if now + begin_s >= begin_by(candidate.holding):
             reason = eligibility.Reason.OUTDATED_WEIGHTS
             candidates.excluded[server.server_id] = reason
@@ -233,6 +231,14 @@
     return found.first_event_s, found.wait_s, cost_s
 
 
+def region_delay_s(server, location):
+    """Return the time by which what is sent to a server may arrive late."""
+    regions = location.regions
+    domains = location.failure_domain, server.failure_domain
+    is_near = len({regions.get(domain) for domain in domains}) == 1
+    return 0.0 if is_near else REGION_DELAY_S
+
+
 def _distance_penalty_s(server, location):
     if server.failure_domain == location.failure_domain:
         return 0.0
--- a/src/carobstand/entry/forwarding.py
+++ b/src/carobstand/entry/forwarding.py
@@ -33,7 +33,6 @@
     server_choice,
     server_limits,
     streams,
-    versions,
 )
 from carobstand.platform import http_headers
 
@@ -341,7 +340,7 @@
     """Send a request and return what `_receive_start` returns."""
     with poison_parts.unanswered(fwd, call):
         await _send_request(fwd, call, chosen, conn)
-        begin_by = versions.begin_by(fwd.fleet, chosen.candidate.holding)
+        begin_by = server_choice.begin_by(fwd, chosen.candidate)
         return await _receive_start(fwd, call, conn, begin_by)
     raise errors.HttpError(
         "a part of its prompt was convicted", step="forward.receive", peer=conn.peer
--- a/src/carobstand/entry/server_choice.py
+++ b/src/carobstand/entry/server_choice.py
@@ -55,6 +55,12 @@
     )
 
 
+def begin_by(fwd, candidate):
+    """Return the time by which a request has begun at a server, or is withdrawn."""
+    delay_s = placement.region_delay_s(candidate.server, _location(fwd))
+    return versions.begin_by(fwd.fleet, candidate.holding) - delay_s
+
+
 def best(fwd, call, now):
     """Return the best choice for a call and the excluded servers.
 
--- a/testing/test_named_versions.py
+++ b/testing/test_named_versions.py
@@ -5,9 +5,9 @@
 import anyio
 
 from carobstand.agent import view as views
-from carobstand.core import named_versions, registry
+from carobstand.core import eligibility, named_versions, placement, registry
 from carobstand.entry import fleet as fleets
-from carobstand.entry import versions
+from carobstand.entry import forwarding, server_choice, versions
 from carobstand.platform import kv, records
 from testing import platform_builders as build
 from testing import virtual_time, weight_builders
@@ -76,3 +76,27 @@
         assert views._written_at(late, now - 1.0) is None
 
     virtual_time.run(check)
+
+
+def test_requests_in_another_region_are_withdrawn_earlier_before_their_version_ends():
+    """Guards against a withdrawal that reaches the engine after the version's end."""
+    fleet = weight_builders.fleet()
+    fleet.revision, fleet.changes_since = 7, 17.1
+    item = kv.Item(f"{records.VERSION_PREFIX}m", b'{"model":"m","version":2}', 8)
+    fleets.apply_item(fleet, item)
+    regions = fleet.deployment.regions
+    here = regions[fleet.deployment.failure_domain]
+    found = {}
+
+    async def read():
+        fwd = forwarding.Forwarder(fleet)
+        for domain, region in regions.items():
+            server = build.registration("i-1", failure_domain=domain)
+            candidate = eligibility.Candidate(server, server.holding, None, 1.0)
+            begin_by = server_choice.begin_by(fwd, candidate)
+            found.setdefault(region == here, set()).add(begin_by)
+
+    virtual_time.run(read)
+    holding = registry.Holding(model="m", version=1)
+    assert found[True] == {versions.begin_by(fleet, holding)}
+    assert max(found[False]) == min(found[True]) - placement.REGION_DELAY_S
