--- a/src/carobstand/core/engine_memory.py
+++ b/src/carobstand/core/engine_memory.py
@@ -10,7 +10,7 @@
 
 import math
 
-from carobstand.core import eligibility, engine_load, outstanding
+from carobstand.core import engine_load, outstanding
 
 MEMORY_SHARE = 0.9
 """Share of an engine's memory that requests may use by this estimate. The rest is for
@@ -18,41 +18,6 @@
 same moment or by older reports: trials with three entries exceeded the share by up to
 8% of the memory."""
 
-SHORTAGE_S = 1.0
-"""Time for which memory is taken for the limit of a service after a request found none.
-Answers that are late for want of memory come within that time; a request is held for
-50 ms, and a full engine is found full again many times a second."""
-
-SHORTAGE_SHARE = 0.5
-"""Share of a service's excluded servers without memory from which memory limits it; the
-others may be draining or loading weights, which leaves the rest short of time."""
-
-
-def is_shortage(excluded):
-    """Whether a request that no server can take waits for memory mostly.
-
-    Parameters
-    ----------
-    excluded : dict of str to core.eligibility.Reason
-        Reason of each server of the service.
-    """
-    reasons = list(excluded.values())
-    lacking = reasons.count(eligibility.Reason.NO_MEMORY)
-    return lacking > 0 and lacking >= SHORTAGE_SHARE * len(reasons)
-
-
-def limits_service(shortages, service, now):
-    """Whether memory limits a service, and not the time that its servers need.
-
-    Parameters
-    ----------
-    shortages : dict of str to float
-        Time of the latest shortage by service.
-    service : str
-    now : float
-    """
-    return now - shortages.get(service, -math.inf) <= SHORTAGE_S
-
 
 def needed_tokens(size, max_answer_tokens):
     """Return the tokens for which a request needs memory at most.
--- a/src/carobstand/entry/forwarding.py
+++ b/src/carobstand/entry/forwarding.py
@@ -73,8 +73,6 @@
         By service and allowed regions.
     outcomes : dict of str to core.missed_targets.Outcomes
         By service.
-    memory_shortages : dict of str to float
-        Time at which the servers of a service lacked memory last, by service.
     capacity_freed : signals.Signal
         Notified when a backend server may have a free slot.
     limits : entry.server_limits.ServerLimits
@@ -103,7 +101,6 @@
     scopes: set = attrs.field(factory=set)
     shortlists: dict = attrs.field(factory=dict)
     outcomes: dict = attrs.field(factory=dict)
-    memory_shortages: dict = attrs.field(factory=dict)
     capacity_freed: signals.Signal = attrs.field(factory=signals.Signal)
     limits: server_limits.ServerLimits = attrs.field(
         default=attrs.Factory(
--- a/src/carobstand/entry/queueing.py
+++ b/src/carobstand/entry/queueing.py
@@ -11,7 +11,6 @@
     announcements,
     calibration,
     eligibility,
-    engine_memory,
     expected_work,
     missed_targets,
     outstanding,
@@ -229,13 +228,9 @@
     """Record whether a call met its target, if it could do so when it arrived."""
     if not can_be_on_time(fwd, call):
         return
-    now, shortages = anyio.current_time(), fwd.memory_shortages
-    if not is_met and engine_memory.limits_service(shortages, call.service, now):
-        # Shares of the servers' time would leave memory unused.
-        return
     demand_exchange.record_outcome(fwd, call, is_met, is_answered)
     state = fwd.outcomes.setdefault(call.service, missed_targets.Outcomes())
-    missed_targets.record(state, is_met, now)
+    missed_targets.record(state, is_met, anyio.current_time())
 
 
 def _reject(fwd, call, best, excluded):
@@ -245,7 +240,8 @@
     lacks_memory = eligibility.Reason.NO_MEMORY in excluded.values()
     is_hopeless = best is None and eligibility.is_hopeless(excluded, regions)
     if not lacks_memory and not is_hopeless:
-        # Otherwise the rejection has another cause than the time that servers need.
+        # Otherwise the rejection has another cause than the time that servers need, and
+        # shares of that time would leave memory unused (55% instead of 65% used).
         _record_outcome(fwd, call, False, is_answered=False)
     permit_wait = None if best else permit_wait_s(fwd, call, 0)
     eventlog.event(
--- a/src/carobstand/entry/server_choice.py
+++ b/src/carobstand/entry/server_choice.py
@@ -78,8 +78,6 @@
     choices, excluded = rank(fwd, call, known, now)
     ranked = [choice.candidate.server.server_id for choice in choices]
     shortlist.record_full_ranking(state, ranked, now)
-    if not choices and engine_memory.is_shortage(excluded):
-        fwd.memory_shortages[call.service] = now
     return (choices[0] if choices else None), excluded
 
 
