Reject late requests of an overloaded service at once if held in vain

Cause: a request that can no longer be on time was held for 0.2 s under overload and then rejected, as others take the freed slots.

Change: under pressure, such a request is held only if the late requests that the entry sent in the last 2 s let it expect an engine in that time (core/recent_sends.py). Without pressure nothing changes.

The stand-in `decide` of the policy's tests takes the new parameter; no bound is changed.

--- a/src/carobstand/core/queue_policy.py
+++ b/src/carobstand/core/queue_policy.py
@@ -146,7 +146,9 @@
     return pressure * min(best.margin_s, MAX_MARGIN_SHARE * max(0.0, spare_s))
 
 
-def decide(terms, best, shortest_s, now, permit_wait_s=None, pressure=0.0):
+def decide(
+    terms, best, shortest_s, now, permit_wait_s=None, pressure=0.0, late_wait_s=0.0
+):
     """Return the `Verdict` for one request.
 
     Parameters
@@ -161,6 +163,8 @@
         Expected wait for a permit if all servers limit their requests, else None.
     pressure : float
         How overloaded the service is, from `core.missed_targets.pressure`.
+    late_wait_s : float
+        Expected wait for an engine if the request is late, from `core.recent_sends`.
     """
     if terms.is_started:
         return Verdict.HOLD if best is None else Verdict.SEND
@@ -184,7 +188,11 @@
             return Verdict.SEND
     if best is None and now >= terms.arrived + MAX_NO_SERVER_HOLD_S:
         return Verdict.REFUSE
-    is_held = may_hold(terms, shortest_s, now, pressure)
+    # A late request that is expected to be rejected after its wait is rejected at once.
+    # The same for one that can still be on time cost 3% of the answers on time in a
+    # replay of halved capacity.
+    sent_at = now + pressure * late_wait_s if late else now
+    is_held = may_hold(terms, shortest_s, sent_at, pressure)
     return Verdict.HOLD if is_held else Verdict.REFUSE
 
 
--- a/src/carobstand/entry/forwarding.py
+++ b/src/carobstand/entry/forwarding.py
@@ -73,6 +73,8 @@
         By service and allowed regions.
     outcomes : dict of str to core.missed_targets.Outcomes
         By service.
+    sends : dict of str to core.recent_sends.Sends
+        By service.
     capacity_freed : signals.Signal
         Notified when a backend server may have a free slot.
     limits : entry.server_limits.ServerLimits
@@ -101,6 +103,7 @@
     scopes: set = attrs.field(factory=set)
     shortlists: dict = attrs.field(factory=dict)
     outcomes: dict = attrs.field(factory=dict)
+    sends: dict = attrs.field(factory=dict)
     capacity_freed: signals.Signal = attrs.field(factory=signals.Signal)
     limits: server_limits.ServerLimits = attrs.field(
         default=attrs.Factory(
--- a/src/carobstand/entry/queueing.py
+++ b/src/carobstand/entry/queueing.py
@@ -15,6 +15,7 @@
     missed_targets,
     outstanding,
     queue_policy,
+    recent_sends,
     routes,
     server_work,
     shortlist,
@@ -349,13 +350,16 @@
         if not call.terms.is_started:
             return queue_policy.Verdict.REFUSE
     wait_s = permit_wait_s(fwd, call, ahead) if best is None else None
+    overload = pressure(fwd, call.service, now)
+    late_wait_s = recent_sends.late_wait_s(fwd.sends.get(call.service), ahead, now)
     return queue_policy.decide(
         call.terms,
         best,
         server_choice.idle_first_byte_s(fwd, call),
         now,
         wait_s,
-        pressure(fwd, call.service, now),
+        overload,
+        late_wait_s,
     )
 
 
@@ -386,6 +390,11 @@
     server_limits.take(fwd.limits, server_id)
     state = fwd.in_progress.setdefault(server_id, outstanding.Outstanding())
     now = anyio.current_time()
+    if queue_policy.is_late(
+        call.terms, server_choice.idle_first_byte_s(fwd, call), now
+    ):
+        sends = fwd.sends.setdefault(call.service, recent_sends.Sends())
+        recent_sends.record_late(sends, now)
     expected = call.size.answer_tokens
     if call.reply.started:
         written = call.events.events * _tokens_per_event(fwd, call)
--- a/testing/test_overload_replay.py
+++ b/testing/test_overload_replay.py
@@ -39,6 +39,14 @@
     assert on_time[0] >= 0.9 * on_time[1]
 
 
+@pytest.mark.parametrize("name", ["capacity", "priority", "customer"])
+def test_few_requests_are_held_and_then_rejected(name):
+    """Guards against holds in vain, of which there were 0.35 to 0.6 per request."""
+    requests = requests_of(name)
+    held = sum(item.held_rejections for item in requests)
+    assert held <= 0.2 * len(requests)
+
+
 @pytest.mark.parametrize("name", ["capacity", "priority"])
 def test_no_priority_is_served_worse_than_a_lower_one(name):
     shares = shares_on_time(requests_of(name), lambda item: item.source.priority)
--- a/testing/test_queue_policy.py
+++ b/testing/test_queue_policy.py
@@ -7,7 +7,13 @@
 import attrs
 import pytest
 
-from carobstand.core import eligibility, missed_targets, placement, queue_policy
+from carobstand.core import (
+    eligibility,
+    missed_targets,
+    placement,
+    queue_policy,
+    recent_sends,
+)
 from testing import platform_builders as build
 
 SHORTEST_S = 0.06
@@ -21,11 +27,22 @@
 
 
 def decide(
-    now=0.0, first_event_s=None, occupancy=10.0, margin_s=0.0, pressure=0.0, **changes
+    now=0.0,
+    first_event_s=None,
+    occupancy=10.0,
+    margin_s=0.0,
+    pressure=0.0,
+    late_wait_s=0.0,
+    **changes,
 ):
     choice = first_event_s and best(first_event_s, occupancy, margin_s)
     return queue_policy.decide(
-        build.terms(**changes), choice, SHORTEST_S, now, pressure=pressure
+        build.terms(**changes),
+        choice,
+        SHORTEST_S,
+        now,
+        pressure=pressure,
+        late_wait_s=late_wait_s,
     ).value
 
 
@@ -66,6 +83,26 @@
     assert decide(occupancy=8, pressure=1.0, **late) == "send"
 
 
+def test_a_late_request_of_an_overloaded_service_is_not_held_in_vain():
+    """Guards against requests that are held for 0.2 s and then rejected."""
+    late = {"now": 0.45, "first_event_s": 0.1, "occupancy": 15}
+    assert decide(late_wait_s=0.5, pressure=1.0, **late) == "refuse"
+    assert decide(late_wait_s=0.1, pressure=1.0, **late) == "hold"
+    assert decide(late_wait_s=9.0, **late) == "hold"
+    in_time = {"first_event_s": 0.35, "occupancy": 15}
+    assert decide(late_wait_s=9.0, pressure=1.0, **in_time) == "hold"
+
+
+def test_the_wait_of_a_late_request_follows_the_late_sends():
+    """Guards against a rate that one send or a quiet second makes unusable."""
+    sends = recent_sends.Sends()
+    assert recent_sends.late_wait_s(None, 0, 0.0) == 2.0
+    for _ in range(20):
+        recent_sends.record_late(sends, 5.0)
+    assert recent_sends.late_wait_s(sends, 1, 5.0) == pytest.approx(0.2)
+    assert recent_sends.late_wait_s(sends, 0, 60.0) == 2.0
+
+
 def test_late_requests_of_any_priority_come_after_those_that_can_be_on_time():
     late, started = build.terms(priority=0), build.terms(is_started=True)
     in_time = [build.terms(priority=rank, target=2.0) for rank in (0, 1, 30)]
