Reject at once while no server has weights on which a request may begin

Cause: such requests were held for 50 ms in case a server could take them.

Change: a request is rejected at once, with Retry-After, if each server is excluded for a final reason or lacks weights on which it may begin. Started streams still wait, and servers that are loading still count as ones that may be back.

Result: the test fails before.

--- a/src/carobstand/core/eligibility.py
+++ b/src/carobstand/core/eligibility.py
@@ -256,9 +256,14 @@
 
 
 def is_exhausted(excluded):
-    """Whether all servers are excluded for final reasons or hold no weights."""
+    """Whether no server may run a request without a change of servers or of weights.
+
+    Loads of weights take 0.3 s or more, so a short wait is in vain if all servers are
+    excluded for final reasons or hold no weights on which the request may begin.
+    """
     return all(
-        is_final(reason) or reason is Reason.NO_WEIGHTS for reason in excluded.values()
+        is_final(reason) or reason in (Reason.NO_WEIGHTS, Reason.OUTDATED_WEIGHTS)
+        for reason in excluded.values()
     )
 
 
--- a/src/carobstand/entry/queueing.py
+++ b/src/carobstand/entry/queueing.py
@@ -346,8 +346,9 @@
 def _verdict(fwd, call, best, excluded, now, ahead):
     """Return the `Verdict` on a call, given its best choice or None."""
     regions = permitted_regions.of_call(fwd.fleet, call)
-    if best is None and eligibility.is_hopeless(excluded, regions):
-        if not call.terms.is_started:
+    if best is None and not call.terms.is_started:
+        is_exhausted = bool(excluded) and eligibility.is_exhausted(excluded)
+        if is_exhausted or eligibility.is_hopeless(excluded, regions):
             return queue_policy.Verdict.REFUSE
     wait_s = permit_wait_s(fwd, call, ahead) if best is None else None
     overload = pressure(fwd, call.service, now)
--- a/testing/test_eligibility.py
+++ b/testing/test_eligibility.py
@@ -84,4 +84,7 @@
     assert eligibility.is_hopeless({"i-1": final, "i-2": Reason.EVACUATED})
     assert not eligibility.is_hopeless({"i-1": final, "i-2": passing})
     assert not eligibility.is_hopeless({})
+    outdated = {"i-1": final, "i-2": Reason.OUTDATED_WEIGHTS}
+    assert eligibility.is_exhausted(outdated) and not eligibility.is_hopeless(outdated)
+    assert not eligibility.is_exhausted({**outdated, "i-3": passing})
     assert eligibility.count_reasons({"i-1": final, "i-2": final}) == {final.value: 2}
--- a/testing/test_queueing.py
+++ b/testing/test_queueing.py
@@ -7,8 +7,10 @@
 from carobstand import http1_server
 from carobstand.core import (
     deployment,
+    eligibility,
     engine_load,
     exchange,
+    named_versions,
     placement,
     queue_policy,
     registry,
@@ -17,6 +19,7 @@
 from carobstand.entry import fleet as fleets
 from carobstand.entry import forwarding, queueing, server_choice
 from testing import platform_builders as build
+from testing import virtual_time
 
 DEPLOYMENT = deployment.Deployment(
     vm="e1",
@@ -152,3 +155,23 @@
         return fwd.demand.own["drafter"].rejected
 
     assert anyio.run(rejected) == 1
+
+
+@pytest.mark.parametrize("is_started", [False, True])
+def test_requests_are_not_held_while_no_server_has_usable_weights(is_started):
+    """Guards against rejections after a wait in which no weights can be loaded."""
+
+    async def check():
+        fwd = forwarder(2, running=1)
+        fwd.fleet.named["m"] = [named_versions.SeenVersion(2, -100.0)]
+        now = anyio.current_time()
+        call = call_at(now)
+        call.terms = attrs.evolve(call.terms, is_started=is_started)
+        _, excluded, verdict = queueing._evaluate(fwd, call, now, 0)
+        assert set(excluded.values()) == {eligibility.Reason.OUTDATED_WEIGHTS}
+        expected = (
+            queue_policy.Verdict.HOLD if is_started else queue_policy.Verdict.REFUSE
+        )
+        assert verdict is expected
+
+    virtual_time.run(check)
