Log pauses of the event loop, and how a named version was dated

No line says how long an event loop stood still, nor by how much a version was dated back.

Change: loop.paused gives pauses from 0.25 s with the processor time used meanwhile; version.named gives the age of the version, of the last confirmation and of the last failed call. Two tests apply an item inside a loop now, as the program does.

--- a/src/carobstand/agent/view.py
+++ b/src/carobstand/agent/view.py
@@ -304,7 +304,13 @@
     if named_versions.add(known, named.version, seen_at):
         if view.written_at is not None:
             view.witnessed[named.model, named.version] = view.written_at
-        eventlog.event("version.named", model=named.model, version=named.version)
+        written_at = view.written_at
+        eventlog.event(
+            "version.named",
+            model=named.model,
+            version=named.version,
+            ago_s=written_at and round(anyio.current_time() - written_at, 3),
+        )
 
 
 def _apply_entry(view, item):
--- a/src/carobstand/entry/versions.py
+++ b/src/carobstand/entry/versions.py
@@ -32,7 +32,15 @@
     if named_versions.add(known, named.version, seen_at):
         fleet.operator_items[item.key] = item
         fleet.own_dates.setdefault(named.model, {})[named.version] = seen_at
-        eventlog.event("version.named", model=named.model, version=named.version)
+        now = anyio.current_time()
+        eventlog.event(
+            "version.named",
+            model=named.model,
+            version=named.version,
+            ago_s=round(now - seen_at, 3),
+            unconfirmed_s=round(now - (fleet.confirmed_at or fleet.started), 3),
+            store_failed_ago_s=round(now - fleet.store_failed_at, 3),
+        )
         _redate(fleet, named.model)
 
 
--- a/src/carobstand/loops.py
+++ b/src/carobstand/loops.py
@@ -11,6 +11,13 @@
 RESTART_DELAY_S = 0.5
 """Delay before a failed loop is restarted."""
 
+PAUSE_CHECK_S = 0.2
+"""Interval of the timer that detects pauses of the event loop."""
+
+MIN_PAUSE_S = 0.25
+"""Shortest pause that is logged. Callers allow half a second between their leaving and
+the end of the work for them."""
+
 
 class BoottimeLoop(asyncio.SelectorEventLoop):
     """Event loop on ``CLOCK_BOOTTIME``, so that deadlines expire during a suspend.
@@ -43,6 +50,24 @@
         await anyio.sleep(RESTART_DELAY_S)
 
 
+async def report_pauses():
+    """Log pauses of the event loop until cancelled.
+
+    A pause that used the processor is work of this process, any other one is time in
+    which the process did not run.
+    """
+    while True:
+        due_at, used_s = anyio.current_time() + PAUSE_CHECK_S, time.process_time()
+        await anyio.sleep(PAUSE_CHECK_S)
+        paused_s = anyio.current_time() - due_at
+        if paused_s >= MIN_PAUSE_S:
+            eventlog.event(
+                "loop.paused",
+                paused_s=round(paused_s, 3),
+                processor_s=round(time.process_time() - used_s, 3),
+            )
+
+
 async def run_until_terminated(serve, dep):
     """Run ``serve(dep, leaving, hangups)`` until it returns.
 
@@ -51,6 +76,7 @@
     leaving, hangups = anyio.Event(), signals.Signal()
     async with anyio.create_task_group() as tg:
         tg.start_soon(_watch_signals, leaving, hangups)
+        tg.start_soon(report_pauses)
         await serve(dep, leaving, hangups)
         tg.cancel_scope.cancel()
 
--- a/testing/test_named_versions.py
+++ b/testing/test_named_versions.py
@@ -53,8 +53,12 @@
     fleet = weight_builders.fleet()
     fleet.revision, fleet.changes_since = 7, 17.1
     item = kv.Item(f"{records.VERSION_PREFIX}m", b'{"model":"m","version":2}', 8)
-    fleets.apply_item(fleet, item)
     holding = registry.Holding(model="m", version=1)
+
+    async def read():
+        fleets.apply_item(fleet, item)
+
+    virtual_time.run(read)
     early = versions.begin_by(fleet, holding)
 
     async def report():
@@ -84,12 +88,12 @@
     fleet = weight_builders.fleet()
     fleet.revision, fleet.changes_since = 7, 17.1
     item = kv.Item(f"{records.VERSION_PREFIX}m", b'{"model":"m","version":2}', 8)
-    fleets.apply_item(fleet, item)
     regions = {fleet.deployment.failure_domain: "north", "z": "elsewhere"}
     fleet.deployment = attrs.evolve(fleet.deployment, regions=regions)
     found = {}
 
     async def read():
+        fleets.apply_item(fleet, item)
         fwd = forwarding.Forwarder(fleet)
         for domain, region in regions.items():
             server = build.registration("i-1", failure_domain=domain)
