Send no request whose caller left during a pause of the event loop

Cause: after a pause the kernel holds a request together with the end of its connection. The request is read first and its handler runs until it waits; the end is read some passes of the event loop later. With an idle connection to a server, nothing waits before the request is written. Without one, opening a connection takes some passes, in which the end is read and the request is withdrawn.

Change: the kernel is asked whether the end or a reset of the caller's connection has arrived, before a request is handed to its handler and before each attempt, once the connection to the server is there. If so, nothing is sent, the connection to the server is kept, the request ends as for any caller that leaves, and the line request.withdrawn is written.

Why it works: the request is written in the same pass as the check, as sending waits only after the write. The end of a caller's sending counted as leaving before, so pipelined requests are treated as they were.

--- a/src/carobstand/entry/forwarding.py
+++ b/src/carobstand/entry/forwarding.py
@@ -281,6 +281,14 @@
         health.refused(state, anyio.current_time(), server.started_ms)
         eventlog.event("backend.unreachable", server=server.server_id, error=str(exc))
         return retries.Outcome.NOT_SENT
+    if http1_server.has_caller_left(call.reply):
+        backend_pool.put_back(fwd.pool, conn)
+        http1_server.log_withdrawn(
+            call.req.request_id, server.server_id, call.terms.arrived
+        )
+        raise http1_server.CallerGoneError(
+            "the caller left before the request was sent", step="forward.send"
+        )
     reason = server_choice.withheld_reason(fwd, call, server)
     if reason is not None:
         # The server may be tried once it is allowed again: it received nothing.
--- a/src/carobstand/http1.py
+++ b/src/carobstand/http1.py
@@ -292,6 +292,21 @@
     return not poll.poll(0)
 
 
+def has_peer_ended(stream):
+    """Whether the end of what a peer sends, or a reset, has arrived, read or not.
+
+    The kernel knows it before the event loop reads it, which matters after a pause of
+    this process. Makes one system call.
+    """
+    raw = stream.extra(anyio.abc.SocketAttribute.raw_socket)
+    if raw.fileno() < 0:
+        return True
+    poll = select.poll()
+    # Resets and errors are always reported.
+    poll.register(raw.fileno(), select.POLLRDHUP)
+    return bool(poll.poll(0))
+
+
 async def close(conn):
     """Close without waiting; works during cancellation too."""
     await anyio.aclose_forcefully(conn.stream)
--- a/src/carobstand/http1_server.py
+++ b/src/carobstand/http1_server.py
@@ -156,6 +156,32 @@
     unread_s: float = 0.0
 
 
+def has_caller_left(reply):
+    """Whether the end or a reset of the caller's connection has arrived, read or not.
+
+    After a pause of the event loop a request may be read before the end that arrived
+    with it. Handlers check this right before they have another process do work.
+    """
+    return http1.has_peer_ended(reply.conn.stream)
+
+
+def log_withdrawn(request_id, server_id, received_at):
+    """Log that a request is not passed on, as its caller has left.
+
+    Parameters
+    ----------
+    request_id : str or None
+    server_id : str or None
+        None before a server was chosen.
+    received_at : float
+        Time of the event loop at which the head was received.
+    """
+    held_s = round(anyio.current_time() - received_at, 3)
+    eventlog.event(
+        "request.withdrawn", request=request_id, server=server_id, held_s=held_s
+    )
+
+
 async def start_response(reply, status, headers, length=None):
     """Send the head of a response; without `length` the body uses chunked encoding."""
     reply.started = True
@@ -295,6 +321,9 @@
     if body is None:
         await _reject(conn, 413, "the body is too large")
         return False
+    if http1.has_peer_ended(conn.stream):
+        log_withdrawn(http1.header(event.headers, b"request-id"), None, received_at)
+        return False
     req = Request(event.method, event.target, event.headers, body, received_at)
     reply = Reply(conn)
     async with anyio.create_task_group() as tg:
