Withhold requests whose server may not get them any more when they are sent

What callers saw: nothing. Servers got requests after they had asked for a pause, said that they leave, begun to drain or lost their registration.

Cause: a server is chosen before the connection to it is opened. Right before the send only its location, its evacuation mark and its limit were checked once more. A connection takes up to 0.4 s to open, and longer if the process pauses meanwhile; what became known of the server in between was ignored.

Change: right before the send, everything is checked that the choice checked of the server itself: its registration, what it said in answers, its location. If it may not get the request, nothing is sent and a server is chosen anew.

Why it works: the choice that follows excludes the server for the same reason, so it is not chosen again and again.

--- a/src/carobstand/core/eligibility.py
+++ b/src/carobstand/core/eligibility.py
@@ -16,6 +16,7 @@
 class Reason(enum.Enum):
     """Why a server is no candidate for a request."""
 
+    REMOVED = "no longer registered"
     DRAINING = "draining"
     LEAVING = "leaving"
     ALREADY_TRIED = "already tried"
@@ -33,6 +34,7 @@
 
 
 _FINAL = {
+    Reason.REMOVED,
     Reason.DRAINING,
     Reason.LEAVING,
     Reason.ALREADY_TRIED,
@@ -157,7 +159,7 @@
         state = conditions.healths.get(server.server_id)
         is_avoided = bool(state) and health.is_avoided(state, now, server.started_ms)
         reason = (
-            _lasting_reason(server, conditions, now)
+            lasting_reason(server, conditions, now)
             or _weights_reason(server, holding, load)
             or _current_reason(server, conditions, is_avoided and state.is_refusing)
         )
@@ -214,7 +216,11 @@
     return None
 
 
-def _lasting_reason(server, conditions, now):
+def lasting_reason(server, conditions, now):
+    """Return the `Reason` why a server accepts no requests now, or None.
+
+    Its weights, its memory and its limits are not considered.
+    """
     reason = final_reason(server, conditions)
     if reason is not None:
         return reason
--- a/src/carobstand/entry/forwarding.py
+++ b/src/carobstand/entry/forwarding.py
@@ -274,10 +274,10 @@
     """
     server = chosen.candidate.server
     state = fwd.healths.setdefault(server.server_id, health.ServerHealth())
-    call.tried.add(server.server_id)
     try:
         conn = await backend_pool.acquire(fwd.pool, server.address, call.req.request_id)
     except errors.HttpError as exc:
+        call.tried.add(server.server_id)
         health.refused(state, anyio.current_time(), server.started_ms)
         eventlog.event("backend.unreachable", server=server.server_id, error=str(exc))
         return retries.Outcome.NOT_SENT
@@ -289,10 +289,9 @@
         raise http1_server.CallerGoneError(
             "the caller left before the request was sent", step="forward.send"
         )
-    reason = server_choice.withheld_reason(fwd, call, server)
+    reason = server_choice.withheld_reason(fwd, call, chosen.candidate)
     if reason is not None:
         # The server may be tried once it is allowed again: it received nothing.
-        call.tried.discard(server.server_id)
         backend_pool.put_back(fwd.pool, conn)
         eventlog.event(
             "attempt.withheld",
@@ -302,6 +301,7 @@
         )
         return retries.Outcome.NOT_SENT
     kept = False
+    call.tried.add(server.server_id)
     call.attempts_sent += 1
     call.runs += 1
     call.sent_at = anyio.current_time()
--- a/src/carobstand/entry/server_choice.py
+++ b/src/carobstand/entry/server_choice.py
@@ -38,19 +38,22 @@
     ]
 
 
-def withheld_reason(fwd, call, server):
+def withheld_reason(fwd, call, candidate):
     """Return the `Reason` why a call may no longer go to its chosen server, or None.
 
-    The configuration, the evacuation marks and the limits of the server may have
-    changed since the choice, for example while a connection was opened. The limits are
-    checked last, as that may use a permit.
+    The configuration, the evacuation marks and what is known of the server may have
+    changed since the choice, for example while a connection was opened, above all if
+    this process paused. The limits are checked last, as that may use a permit.
     """
-    known = fwd.fleet.servers.servers.get(server.server_id, server)
+    server, now = candidate.server, anyio.current_time()
     conditions = conditions_of(fwd, call)
+    known = fwd.fleet.servers.servers.get(server.server_id)
+    if known is None:
+        return eligibility.Reason.REMOVED
     # The server may have registered elsewhere; the connection is to its old address.
     return (
         eligibility.location_reason(server, conditions)
-        or eligibility.location_reason(known, conditions)
+        or eligibility.lasting_reason(known, conditions, now)
         or server_limits.withholds_chosen(fwd.limits, server.server_id, call.permit)
     )
 
