Send no request on weights that became outdated after the choice of its server

What callers saw: a 502 for requests that could have been answered or refused. Engines got requests after the time by which requests on their weights had to begin (rule VERSION).

Cause: that time was compared at the choice of the server, before its connection was opened. After the send it was only the deadline of the wait for the answer: a request sent later was withdrawn at once, but had been sent, and an idle engine began it all the same.

Change: the time is compared once more right before the send; if it has passed, nothing is sent and a server is chosen anew.

Why it works: nothing waits between the check and the write.

Result: the new case of testing/test_withheld_requests.py failed before (502, and the engine began the request after its weights had ended) and passes now.

--- a/src/carobstand/entry/server_choice.py
+++ b/src/carobstand/entry/server_choice.py
@@ -42,8 +42,9 @@
     """Return the `Reason` why a call may no longer go to its chosen server, or None.
 
     The configuration, the evacuation marks and what is known of the server may have
-    changed since the choice, for example while a connection was opened, above all if
-    this process paused. The limits are checked last, as that may use a permit.
+    changed since the choice, for example while a connection was opened, and its weights
+    may have become outdated, above all if this process paused. The limits are checked
+    last, as that may use a permit.
     """
     server, now = candidate.server, anyio.current_time()
     conditions = conditions_of(fwd, call)
@@ -51,11 +52,14 @@
     if known is None:
         return eligibility.Reason.REMOVED
     # The server may have registered elsewhere; the connection is to its old address.
-    return (
-        eligibility.location_reason(server, conditions)
-        or eligibility.lasting_reason(known, conditions, now)
-        or server_limits.withholds_chosen(fwd.limits, server.server_id, call.permit)
-    )
+    reason = eligibility.location_reason(
+        server, conditions
+    ) or eligibility.lasting_reason(known, conditions, now)
+    if reason is not None:
+        return reason
+    if begin_by(fwd, candidate) <= now:
+        return eligibility.Reason.OUTDATED_WEIGHTS
+    return server_limits.withholds_chosen(fwd.limits, server.server_id, call.permit)
 
 
 def begin_by(fwd, candidate):
--- a/testing/test_withheld_requests.py
+++ b/testing/test_withheld_requests.py
@@ -1,12 +1,16 @@
 """Tests of requests whose chosen server may no longer get them when they are sent."""
 
 import anyio
+import attrs
 import pytest
 
+from carobstand.core import deployment
 from carobstand.entry import backend_pool
 from carobstand.standin.platform import kv
 from testing import platform_fleet
 
+VERSION_S = 1.0
+
 
 async def let_it_ask_for_a_pause(fleet, server):
     server.fault, server.faults_left, server.retry_delay_s = "shed", 1, 5.0
@@ -31,20 +35,34 @@
     await anyio.sleep(2 * platform_fleet.CHANGE_DELAY_S)
 
 
+async def let_its_weights_end(fleet, server):
+    await platform_fleet.send_request(fleet, "/s/x")
+    platform_fleet.name_version(fleet, 2)
+    await anyio.sleep(VERSION_S + platform_fleet.CHANGE_DELAY_S)
+
+
 @pytest.mark.parametrize(
-    "change",
-    [let_it_ask_for_a_pause, let_it_say_that_it_leaves, let_it_drain, let_it_vanish],
+    "change, path",
+    [
+        (let_it_ask_for_a_pause, "/o/x"),
+        (let_it_say_that_it_leaves, "/o/x"),
+        (let_it_drain, "/o/x"),
+        (let_it_vanish, "/o/x"),
+        (let_its_weights_end, "/s/x"),
+    ],
 )
 def test_a_request_is_withheld_if_its_server_may_not_get_it_after_it_connected(
-    monkeypatch, change
+    monkeypatch, change, path
 ):
     """Guards against sends by a choice that was right before a pause of the process."""
     acquire = backend_pool.acquire
 
     async def check(fleet):
-        server = await platform_fleet.add_engine(fleet, "e-1", "desk")
-        await platform_fleet.add_entry(fleet)
-        await platform_fleet.until_usable(fleet, "e-1", "/o/x")
+        bounds = attrs.evolve(deployment.Bounds(), version_s=VERSION_S)
+        service = "drafter" if path == "/s/x" else "desk"
+        server = await platform_fleet.add_engine(fleet, "e-1", service)
+        await platform_fleet.add_entry(fleet, bounds=bounds)
+        await platform_fleet.until_usable(fleet, "e-1", path)
 
         async def acquire_slowly(pool, address, request_id):
             conn = await acquire(pool, address, request_id)
@@ -53,7 +71,7 @@
             return conn
 
         monkeypatch.setattr(backend_pool, "acquire", acquire_slowly)
-        answer = await platform_fleet.send_request(fleet, "/o/x", deadline_s=5.0)
+        answer = await platform_fleet.send_request(fleet, path, deadline_s=5.0)
         assert answer.status == 503
         assert len(server.arrivals) == 1
 
