Ignore old permits also if another request was sent before they are read

What callers saw: nothing.

Cause: replies to a request for permits that was sent long ago are ignored, as the process may have been suspended since. That age was measured from the latest request. After a pause the timer of the next request may be served before all replies have been read; the old permits then counted as new ones and lived for another 0.5 to 2 s.

Change: the age is measured from the request that a reply answers; those of the last 16 requests are known, and an older reply counts as old as the oldest of them.

Why it works: with many requests in flight the latest 16 are recent, so that no permit in time is dropped; after a pause there is only one new request.

--- a/src/carobstand/core/permits.py
+++ b/src/carobstand/core/permits.py
@@ -57,8 +57,6 @@
         VM to which the last request was sent.
     number : int
         Number of the last request.
-    sent_at : float
-        Time of the last request.
     sent : dict of int to float
         Time of each of the last requests, by number.
     is_answered : bool
@@ -75,7 +73,6 @@
 
     vm: str = ""
     number: int = 0
-    sent_at: float = -math.inf
     sent: dict = attrs.field(factory=dict)
     is_answered: bool = True
     unanswered: int = 0
@@ -222,7 +219,7 @@
     if not inquiry.is_answered:
         inquiry.unanswered += 1
     inquiry.number += 1
-    inquiry.sent_at, inquiry.is_answered = now, False
+    inquiry.is_answered = False
     inquiry.sent[inquiry.number] = now
     inquiry.sent.pop(inquiry.number - SENT_KEPT, None)
     is_down = inquiry.unanswered >= MAX_UNANSWERED
@@ -265,7 +262,8 @@
     """Process the reply to a request for permits.
 
     Replies to a request that was sent long ago are ignored: this process or the other
-    one was suspended meanwhile, and the permits may have expired.
+    one was suspended meanwhile, and the permits may have expired. That holds also if
+    another request has been sent since, before the reply was read.
 
     Parameters
     ----------
@@ -283,7 +281,10 @@
     """
     inquiry = holder.inquiries[rank]
     max_age_s = permit_grants.CLAIM_REFRESHES * inquiry.refresh_s
-    if number > inquiry.number or now - inquiry.sent_at > max_age_s:
+    # Requests that are no longer kept are older than those that are.
+    oldest_at = next(iter(inquiry.sent.values()), -math.inf)
+    sent_at = inquiry.sent.get(number, oldest_at)
+    if number > inquiry.number or now - sent_at > max_age_s:
         return
     inquiry.refresh_s = min(
         permit_grants.REFRESH_MAX_S, max(permit_grants.REFRESH_MIN_S, refresh_after_s)
--- a/testing/test_permits.py
+++ b/testing/test_permits.py
@@ -105,6 +105,15 @@
     assert permits.held(holder, 60.0) == 0
 
 
+def test_permits_granted_before_a_pause_are_not_used_after_another_request():
+    """Guards against a reply that is read after the next request was sent."""
+    holder = permits.Holder(wanted_at=0.0)
+    number = permits.due(holder, FIRST, 0.0)
+    permits.due(holder, FIRST, 60.0)
+    permits.receive(holder, FIRST, number, [60.5], 1.0, 0.2, 60.0)
+    assert permits.held(holder, 60.0) == 0
+
+
 def test_the_deputy_is_asked_only_while_the_first_entry_is_silent():
     holder = permits.Holder(wanted_at=0.0)
     times = [step * 0.05 for step in range(40)]
