Send no request whose deadline passed during a pause of the event loop

What callers saw: 504 for a request that cannot be repeated, instead of 503 with the promise that it has not run.

Cause: the deadline is a timer of the event loop. After a pause a request whose connection is ready is sent before the timer is served, with one millisecond as its deadline, and withdrawn in the next passes.

Change: the deadline is compared with the clock right before the send. If it has passed, nothing is sent and the request waits for its timer.

Why it works: the timer is due, so it ends the request as one that waited too long, and as nothing was sent the answer is 503.

Result: the new test failed before (504) and passes now (503, nothing arrived).

--- a/src/carobstand/entry/forwarding.py
+++ b/src/carobstand/entry/forwarding.py
@@ -289,6 +289,10 @@
         raise http1_server.CallerGoneError(
             "the caller left before the request was sent", step="forward.send"
         )
+    if call.terms.deadline <= anyio.current_time():
+        backend_pool.put_back(fwd.pool, conn)
+        # The event loop paused; the scope of `serve` is cancelled in its next passes.
+        await anyio.sleep_forever()
     reason = server_choice.withheld_reason(fwd, call, chosen.candidate)
     if reason is not None:
         # The server may be tried once it is allowed again: it received nothing.
--- a/testing/test_withheld_requests.py
+++ b/testing/test_withheld_requests.py
@@ -1,5 +1,7 @@
 """Tests of requests whose chosen server may no longer get them when they are sent."""
 
+import time
+
 import anyio
 import attrs
 import pytest
@@ -9,6 +11,7 @@
 from carobstand.standin.platform import kv
 from testing import platform_fleet
 
+DEADLINE_S = 0.5
 VERSION_S = 1.0
 
 
@@ -80,3 +83,30 @@
             await check(fleet)
 
     platform_fleet.run(scenario)
+
+
+def test_a_request_is_not_sent_after_its_deadline_passed_while_the_loop_paused(
+    monkeypatch,
+):
+    """Guards against runs that are broken off at once, as the timer is served later."""
+    acquire = backend_pool.acquire
+
+    async def check(fleet):
+        server = await platform_fleet.add_engine(fleet, "e-1", "desk")
+        await platform_fleet.until_usable(fleet, "e-1", "/o/x")
+
+        async def acquire_slowly(pool, address, request_id):
+            conn = await acquire(pool, address, request_id)
+            time.sleep(DEADLINE_S)
+            return conn
+
+        monkeypatch.setattr(backend_pool, "acquire", acquire_slowly)
+        answer = await platform_fleet.send_request(fleet, "/o/x", deadline_s=DEADLINE_S)
+        assert answer.status == 503
+        assert not server.arrivals
+
+    async def scenario():
+        async with platform_fleet.deployed() as fleet:
+            await check(fleet)
+
+    platform_fleet.run(scenario)
