Serve requests received before a planned stop closes their connection

Callers: a request that was sent on a kept connection during the previous response, or just as it ended, got no answer in a planned stop, although the entry had read it (3 of 3 pipelined requests, unsafe and safe).

Cause: once the server was closing, the connection ended after the response in progress, whatever had been read ahead; and the check for unread input asked the socket only, not what the event loop had already taken from it.

Change: the connection is read for 50 ms more before it is closed, and "Connection: close" is not sent ahead of a request that is already here.

Why it works: a receive returns both buffered and new bytes, and its time-out never drops bytes; the caller of the last response is told of the close.

--- a/src/carobstand/http1_server.py
+++ b/src/carobstand/http1_server.py
@@ -4,10 +4,7 @@
 that the handler is cancelled as soon as the caller disconnects.
 """
 
-import select
-
 import anyio
-import anyio.abc
 import anyio.lowlevel
 import attrs
 import h11
@@ -39,6 +36,10 @@
 """Shortest time of a send that counts as one for which the caller has to read. Shorter
 ones add up to seconds in a long response of a busy process."""
 
+CLOSING_WAIT_S = 0.05
+"""Time for which a used connection is still read before a shutdown closes it: a request
+that was sent before its caller could know may be in the buffers of this process."""
+
 ACCEPT_RETRY_DELAY_S = 0.1
 """Pause after a failed accept, for example when no file descriptor is free."""
 
@@ -94,7 +95,7 @@
     stream : anyio.abc.ByteStream
     parser : h11.Connection
     idle_scope : anyio.CancelScope or None
-        Set while waiting for another request; cancelling it closes the connection.
+        Set while waiting for another request; its deadline closes the connection.
     responses_sent : int
     message_counters : core.message_bounds.MessageCounters
         Of the request being received.
@@ -199,7 +200,8 @@
         headers.append((b"Content-Length", b"%d" % length))
     elif reply.conn.parser.their_http_version == b"1.1":
         headers.append((b"Transfer-Encoding", b"chunked"))
-    if reply.conn.server.is_closing:
+    # A request that was received ahead is served before the connection is closed.
+    if reply.conn.server.is_closing and not reply.conn.parser.trailing_data[0]:
         headers.append((b"Connection", b"close"))
     return reply.conn.parser.send(h11.Response(status_code=status, headers=headers))
 
@@ -304,7 +306,7 @@
         except CallerGoneError as exc:
             eventlog.debug("caller.gone", error=exc.message)
         tg.cancel_scope.cancel()
-    if not reply.finished or conn.server.is_closing:
+    if not reply.finished:
         return False
     return conn.parser.our_state is h11.DONE and conn.parser.their_state is h11.DONE
 
@@ -371,13 +373,9 @@
     message_bounds.reset(conn.message_counters)
     event = conn.parser.next_event()
     if event is h11.NEED_DATA and not conn.parser.trailing_data[0]:
-        if (
-            conn.server.is_closing
-            and conn.responses_sent
-            and not _has_unread_input(conn)
-        ):
-            return None
-        with anyio.move_on_after(limits.idle_timeout_s) as conn.idle_scope:
+        is_last_wait = conn.server.is_closing and conn.responses_sent
+        wait_s = CLOSING_WAIT_S if is_last_wait else limits.idle_timeout_s
+        with anyio.move_on_after(wait_s) as conn.idle_scope:
             await _receive(conn)
         timed_out = conn.idle_scope.cancelled_caught
         conn.idle_scope = None
@@ -458,27 +456,14 @@
 
 
 def begin_shutdown(server):
-    """Stop accepting connections and close idle ones.
+    """Stop accepting connections and close idle ones after `CLOSING_WAIT_S`.
 
     Others are closed after the response in progress, and connections without a request
-    so far after their first response. A request with unread bytes is still served.
+    so far after their first response. A request that arrives before is still served.
     """
     server.is_closing = True
     server.accept_scope.cancel()
-    for conn in list(server.connections):
-        if (
-            conn.idle_scope is not None
-            and conn.responses_sent
-            and not _has_unread_input(conn)
-        ):
-            conn.idle_scope.cancel()
-
-
-def _has_unread_input(conn):
-    """Whether the socket has unread bytes or was closed by the caller."""
-    raw = conn.stream.extra(anyio.abc.SocketAttribute.raw_socket)
-    if raw.fileno() < 0:
-        return False
-    poll = select.poll()
-    poll.register(raw.fileno(), select.POLLIN)
-    return bool(poll.poll(0))
+    closes_at = anyio.current_time() + CLOSING_WAIT_S
+    for conn in server.connections:
+        if conn.idle_scope is not None and conn.responses_sent:
+            conn.idle_scope.deadline = min(conn.idle_scope.deadline, closes_at)
--- /dev/null
+++ b/testing/test_planned_stops.py
@@ -0,0 +1,59 @@
+"""Guards against requests that a planned stop cuts off, or answers untruthfully."""
+
+import anyio
+import pytest
+
+from carobstand import http1_server
+from carobstand.core import deployment
+from testing import platform_fleet as fleets
+
+
+def request_head(path, request_id, deadline_s=6.0, key="k1"):
+    """Return the bytes of a request without a body."""
+    return (
+        f"POST {path} HTTP/1.1\r\nHost: one.example\r\nApi-Key: {key}\r\n"
+        f"Request-Id: {request_id}\r\nDeadline-Ms: {int(1000 * deadline_s)}\r\n"
+        "Content-Length: 0\r\n\r\n"
+    ).encode()
+
+
+@pytest.mark.parametrize("is_read", [True, False])
+def test_a_request_received_during_a_response_is_served_before_the_close(is_read):
+    """Guards against the loss of a pipelined request that the process had read.
+
+    Without `is_read`, it arrives as the previous response ends and the stop begins.
+    """
+
+    async def test():
+        address = f"{fleets.new_host()}:{fleets.free_port()}"
+        targets = []
+
+        async def handle(request, reply):
+            targets.append(request.target)
+            if request.target == b"/2":
+                return await http1_server.respond(reply, 200, [])
+            if is_read:
+                await client.send(request_head("/2", "r2"))
+                await anyio.sleep(0.05)
+                http1_server.begin_shutdown(server)
+            await http1_server.respond(reply, 200, [])
+            if not is_read:
+                await client.send(request_head("/2", "r2"))
+                http1_server.begin_shutdown(server)
+
+        server = http1_server.Server(http1_server.Limits, handle)
+        async with anyio.create_task_group() as tg:
+            tg.start_soon(http1_server.listen, server, address)
+            await fleets.wait_bound(address)
+            host, port = deployment.split_address(address)
+            got = b""
+            async with await anyio.connect_tcp(host, port) as client:
+                await client.send(request_head("/1", "r1"))
+                with pytest.raises(anyio.EndOfStream):
+                    while True:
+                        got += await client.receive()
+        assert targets == [b"/1", b"/2"]
+        assert got.count(b"HTTP/1.1 200") == 2
+        assert got.count(b"Connection: close") == 1
+
+    fleets.run(test, timeout_s=5)
