Deliver a response that is ready as its deadline passes

Callers: a request whose answer was ready in the loop iteration in which its deadline passed got no answer at all, on a connection that stayed open. In a planned stop all deadlines fall on one moment, and on a busy or paused loop one iteration is long.

Cause: the stream checks for a cancellation before it writes. The response was marked as sent by then, so no final response took its place.

Change: the end of a response is sent shielded, for 0.3 s at most, if a cancellation is pending. A response that was sent is not logged as cut.

Why it works: without a pending cancellation the bytes are written before the task can be cancelled; with one, the shield lets the check pass.

Measured: the new test failed before for a plain response and for the end of a stream, with no bytes received in 0.3 s.

--- a/src/carobstand/entry/forwarding.py
+++ b/src/carobstand/entry/forwarding.py
@@ -219,7 +219,7 @@
             await _try_servers(fwd, call)
         finally:
             fwd.scopes.discard(scope)
-    if scope.cancelled_caught:
+    if scope.cancelled_caught and not call.reply.finished:
         await rejections.give_up(fwd, call, 504, "deadline")
 
 
--- a/src/carobstand/http1_server.py
+++ b/src/carobstand/http1_server.py
@@ -32,6 +32,9 @@
 MEMORY_CHECK_S = 0.1
 """Interval of checks for memory for bytes that a caller sends ahead."""
 
+LATE_SEND_S = 0.3
+"""Maximum time for sending the end of a response after its deadline."""
+
 SLOW_SEND_S = 0.1
 """Shortest time of a send that counts as one for which the caller has to read. Shorter
 ones add up to seconds in a long response of a busy process."""
@@ -180,7 +183,7 @@
     tail = reply.conn.parser.send(h11.EndOfMessage())
     reply.finished = True
     if tail:
-        await _send(reply.conn, tail)
+        await _send_end(reply.conn, tail)
 
 
 async def respond(reply, status, headers, body=b""):
@@ -191,7 +194,7 @@
     if body:
         raw += parser.send(h11.Data(data=body))
     raw += parser.send(h11.EndOfMessage())
-    await _send(reply.conn, raw)
+    await _send_end(reply.conn, raw)
 
 
 def _head(reply, status, headers, length):
@@ -214,6 +217,20 @@
         reply.unread_s += took_s
 
 
+async def _send_end(conn, raw):
+    """Send the end of a response, also if its deadline has just passed.
+
+    The stream checks for a cancellation before it writes, and the caller would get
+    neither this response nor another one.
+    """
+    now = anyio.current_time()
+    is_late = anyio.current_effective_deadline() <= now
+    with anyio.CancelScope(shield=is_late) as scope:
+        if is_late:
+            scope.deadline = now + LATE_SEND_S
+        await _send(conn, raw)
+
+
 async def _send(conn, raw):
     try:
         await conn.stream.send(raw)
--- a/testing/test_planned_stops.py
+++ b/testing/test_planned_stops.py
@@ -57,3 +57,33 @@
         assert got.count(b"Connection: close") == 1
 
     fleets.run(test, timeout_s=5)
+
+
+@pytest.mark.parametrize("is_stream", [True, False])
+def test_a_response_that_is_ready_as_its_deadline_passes_is_delivered(is_stream):
+    """Guards against a caller that gets no answer, on a connection left open."""
+
+    async def test():
+        address = f"{fleets.new_host()}:{fleets.free_port()}"
+
+        async def handle(request, reply):
+            with anyio.CancelScope() as scope:
+                if is_stream:
+                    await http1_server.start_response_with(reply, 200, [], b"a")
+                # The timer and the answer of the server fall into one loop iteration.
+                scope.cancel()
+                if is_stream:
+                    await http1_server.finish_response(reply)
+                else:
+                    await http1_server.respond(reply, 200, [])
+
+        server = http1_server.Server(http1_server.Limits, handle)
+        async with anyio.create_task_group() as tg:
+            tg.start_soon(http1_server.listen, server, address)
+            await fleets.wait_bound(address)
+            got = await fleets.raw_exchange(address, request_head("/1", "r1"), 0.3)
+            tg.cancel_scope.cancel()
+        assert fleets.statuses(got) == [200]
+        assert got.endswith(b"0\r\n\r\n" if is_stream else b"\r\n\r\n")
+
+    fleets.run(test, timeout_s=5)
