--- a/src/carobstand/http1_server.py
+++ b/src/carobstand/http1_server.py
@@ -35,10 +35,20 @@
 MEMORY_CHECK_S = 0.1
 """Interval of checks for memory for bytes that a caller sends ahead."""
 
+LATE_SEND_S = 0.3
+"""Maximum time for sending the end of a response after its deadline."""
+
 SLOW_SEND_S = 0.1
 """Shortest time of a send that counts as one for which the caller has to read. Shorter
 ones add up to seconds in a long response of a busy process."""
 
+ACCEPT_PENDING_S = 0.5
+"""Maximum time in which a shutdown accepts connections that are established already."""
+
+CLOSING_WAIT_S = 0.05
+"""Time for which a used connection is still read before a shutdown closes it: a request
+that was sent before its caller could know may be in the buffers of this process."""
+
 ACCEPT_RETRY_DELAY_S = 0.1
 """Pause after a failed accept, for example when no file descriptor is free."""
 
@@ -94,7 +104,7 @@
     stream : anyio.abc.ByteStream
     parser : h11.Connection
     idle_scope : anyio.CancelScope or None
-        Set while waiting for another request; cancelling it closes the connection.
+        Set while waiting for another request; its deadline closes the connection.
     responses_sent : int
     message_counters : core.message_bounds.MessageCounters
         Of the request being received.
@@ -205,7 +215,7 @@
     tail = reply.conn.parser.send(h11.EndOfMessage())
     reply.finished = True
     if tail:
-        await _send(reply.conn, tail)
+        await _send_end(reply.conn, tail)
 
 
 async def respond(reply, status, headers, body=b""):
@@ -216,7 +226,7 @@
     if body:
         raw += parser.send(h11.Data(data=body))
     raw += parser.send(h11.EndOfMessage())
-    await _send(reply.conn, raw)
+    await _send_end(reply.conn, raw)
 
 
 def _head(reply, status, headers, length):
@@ -225,7 +235,8 @@
         headers.append((b"Content-Length", b"%d" % length))
     elif reply.conn.parser.their_http_version == b"1.1":
         headers.append((b"Transfer-Encoding", b"chunked"))
-    if reply.conn.server.is_closing:
+    # A request that was received ahead is served before the connection is closed.
+    if reply.conn.server.is_closing and not reply.conn.parser.trailing_data[0]:
         headers.append((b"Connection", b"close"))
     return reply.conn.parser.send(h11.Response(status_code=status, headers=headers))
 
@@ -238,6 +249,20 @@
         reply.unread_s += took_s
 
 
+async def _send_end(conn, raw):
+    """Send the end of a response, also if its deadline has just passed.
+
+    The stream checks for a cancellation before it writes, and the caller would get
+    neither this response nor another one.
+    """
+    now = anyio.current_time()
+    is_late = anyio.current_effective_deadline() <= now
+    with anyio.CancelScope(shield=is_late) as scope:
+        if is_late:
+            scope.deadline = now + LATE_SEND_S
+        await _send(conn, raw)
+
+
 async def _send(conn, raw):
     try:
         await conn.stream.send(raw)
@@ -252,10 +277,12 @@
     host, port = deployment.split_address(address)
     multi = await anyio.create_tcp_listener(local_host=host, local_port=port)
     async with anyio.create_task_group() as connections:
-        with server.accept_scope:
-            async with multi:
-                # A single IP address yields a single listener.
-                await _accept(server, multi.listeners[0], connections)
+        async with multi:
+            # A single IP address yields a single listener.
+            listener = multi.listeners[0]
+            with server.accept_scope:
+                await _accept(server, listener, connections)
+            await _accept_pending(server, listener, connections)
 
 
 async def _accept(server, listener, connections):
@@ -270,6 +297,25 @@
         connections.start_soon(serve_connection, server, stream)
 
 
+async def _accept_pending(server, listener, connections):
+    """Serve connections that were established before the listener is closed.
+
+    Closing it resets them, also those on which a request was already sent. A busy
+    process accepts one of them in each iteration of its event loop.
+    """
+    raw = listener.extra(anyio.abc.SocketAttribute.raw_socket)
+    poll = select.poll()
+    poll.register(raw.fileno(), select.POLLIN)
+    closes_at = anyio.current_time() + ACCEPT_PENDING_S
+    while poll.poll(0) and anyio.current_time() < closes_at:
+        try:
+            stream = await listener.accept()
+        except OSError as exc:
+            eventlog.event("accept.failed", error=repr(exc))
+            return
+        connections.start_soon(serve_connection, server, stream)
+
+
 async def serve_connection(server, stream):
     """Serve the requests of one connection until it is closed."""
     parser = h11.Connection(
@@ -333,7 +379,7 @@
         except CallerGoneError as exc:
             eventlog.debug("caller.gone", error=exc.message)
         tg.cancel_scope.cancel()
-    if not reply.finished or conn.server.is_closing:
+    if not reply.finished:
         return False
     return conn.parser.our_state is h11.DONE and conn.parser.their_state is h11.DONE
 
@@ -400,13 +446,9 @@
     message_bounds.reset(conn.message_counters)
     event = conn.parser.next_event()
     if event is h11.NEED_DATA and not conn.parser.trailing_data[0]:
-        if (
-            conn.server.is_closing
-            and conn.responses_sent
-            and not _has_unread_input(conn)
-        ):
-            return None
-        with anyio.move_on_after(limits.idle_timeout_s) as conn.idle_scope:
+        is_last_wait = conn.server.is_closing and conn.responses_sent
+        wait_s = CLOSING_WAIT_S if is_last_wait else limits.idle_timeout_s
+        with anyio.move_on_after(wait_s) as conn.idle_scope:
             await _receive(conn)
         timed_out = conn.idle_scope.cancelled_caught
         conn.idle_scope = None
@@ -487,27 +529,14 @@
 
 
 def begin_shutdown(server):
-    """Stop accepting connections and close idle ones.
+    """Stop accepting connections and close idle ones after `CLOSING_WAIT_S`.
 
     Others are closed after the response in progress, and connections without a request
-    so far after their first response. A request with unread bytes is still served.
+    so far after their first response. A request that arrives before is still served.
     """
     server.is_closing = True
     server.accept_scope.cancel()
-    for conn in list(server.connections):
-        if (
-            conn.idle_scope is not None
-            and conn.responses_sent
-            and not _has_unread_input(conn)
-        ):
-            conn.idle_scope.cancel()
-
-
-def _has_unread_input(conn):
-    """Whether the socket has unread bytes or was closed by the caller."""
-    raw = conn.stream.extra(anyio.abc.SocketAttribute.raw_socket)
-    if raw.fileno() < 0:
-        return False
-    poll = select.poll()
-    poll.register(raw.fileno(), select.POLLIN)
-    return bool(poll.poll(0))
+    closes_at = anyio.current_time() + CLOSING_WAIT_S
+    for conn in server.connections:
+        if conn.idle_scope is not None and conn.responses_sent:
+            conn.idle_scope.deadline = min(conn.idle_scope.deadline, closes_at)
--- /dev/null
+++ b/testing/test_planned_stops.py
@@ -0,0 +1,120 @@
+"""Guards against requests that a planned stop cuts off, or answers untruthfully."""
+
+import socket
+
+import anyio
+import pytest
+
+from carobstand import http1_server
+from carobstand.core import deployment
+from testing import platform_fleet as fleets
+
+
+def request_head(path, request_id, deadline_s=6.0, key="k1"):
+    """Return the bytes of a request without a body."""
+    return (
+        f"POST {path} HTTP/1.1\r\nHost: one.example\r\nApi-Key: {key}\r\n"
+        f"Request-Id: {request_id}\r\nDeadline-Ms: {int(1000 * deadline_s)}\r\n"
+        "Content-Length: 0\r\n\r\n"
+    ).encode()
+
+
+@pytest.mark.parametrize("is_read", [True, False])
+def test_a_request_received_during_a_response_is_served_before_the_close(is_read):
+    """Guards against the loss of a pipelined request that the process had read.
+
+    Without `is_read`, it arrives as the previous response ends and the stop begins.
+    """
+
+    async def test():
+        address = f"{fleets.new_host()}:{fleets.free_port()}"
+        targets = []
+
+        async def handle(request, reply):
+            targets.append(request.target)
+            if request.target == b"/2":
+                return await http1_server.respond(reply, 200, [])
+            if is_read:
+                await client.send(request_head("/2", "r2"))
+                await anyio.sleep(0.05)
+                http1_server.begin_shutdown(server)
+            await http1_server.respond(reply, 200, [])
+            if not is_read:
+                await client.send(request_head("/2", "r2"))
+                http1_server.begin_shutdown(server)
+
+        server = http1_server.Server(http1_server.Limits, handle)
+        async with anyio.create_task_group() as tg:
+            tg.start_soon(http1_server.listen, server, address)
+            await fleets.wait_bound(address)
+            host, port = deployment.split_address(address)
+            got = b""
+            async with await anyio.connect_tcp(host, port) as client:
+                await client.send(request_head("/1", "r1"))
+                with pytest.raises(anyio.EndOfStream):
+                    while True:
+                        got += await client.receive()
+        assert targets == [b"/1", b"/2"]
+        assert got.count(b"HTTP/1.1 200") == 2
+        assert got.count(b"Connection: close") == 1
+
+    fleets.run(test, timeout_s=5)
+
+
+@pytest.mark.parametrize("is_stream", [True, False])
+def test_a_response_that_is_ready_as_its_deadline_passes_is_delivered(is_stream):
+    """Guards against a caller that gets no answer, on a connection left open."""
+
+    async def test():
+        address = f"{fleets.new_host()}:{fleets.free_port()}"
+
+        async def handle(request, reply):
+            with anyio.CancelScope() as scope:
+                if is_stream:
+                    await http1_server.start_response_with(reply, 200, [], b"a")
+                # The timer and the answer of the server fall into one loop iteration.
+                scope.cancel()
+                if is_stream:
+                    await http1_server.finish_response(reply)
+                else:
+                    await http1_server.respond(reply, 200, [])
+
+        server = http1_server.Server(http1_server.Limits, handle)
+        async with anyio.create_task_group() as tg:
+            tg.start_soon(http1_server.listen, server, address)
+            await fleets.wait_bound(address)
+            got = await fleets.raw_exchange(address, request_head("/1", "r1"), 0.3)
+            tg.cancel_scope.cancel()
+        assert fleets.statuses(got) == [200]
+        assert got.endswith(b"0\r\n\r\n" if is_stream else b"\r\n\r\n")
+
+    fleets.run(test, timeout_s=5)
+
+
+def test_connections_established_before_a_shutdown_are_served():
+    """Guards against the reset of connections that a busy process had not accepted."""
+
+    async def test():
+        address = f"{fleets.new_host()}:{fleets.free_port()}"
+
+        async def handle(request, reply):
+            await http1_server.respond(reply, 200, [])
+
+        server = http1_server.Server(http1_server.Limits, handle)
+        async with anyio.create_task_group() as tg:
+            tg.start_soon(http1_server.listen, server, address)
+            await fleets.wait_bound(address)
+            # The event loop does not run between the connects and the shutdown.
+            socks = [
+                socket.create_connection(deployment.split_address(address))
+                for _ in range(20)
+            ]
+            for sock in socks:
+                sock.sendall(request_head("/1", "r1"))
+            http1_server.begin_shutdown(server)
+        # The task group ends when all connections are closed.
+        for sock in socks:
+            with sock:
+                assert fleets.statuses(sock.recv(4096)) == [200]
+
+    fleets.run(test, timeout_s=5)
