Count the grace after an outage from the start of the last failed call

Callers saw: an entry that had lost the store used old weights for up to 1.5 s longer than `contact_s` after the end of the outage.

Cause: the grace counted from the time at which a call was found to have failed: 0.8 s (watch) or 1.5 s after it was sent. The outage may have ended meanwhile.

Change: the start of the last failed call, the last moment at which the store is known not to have been reached, is kept in a field of its own. `store_failed_at` keeps its meaning for its other users, for which a later time is the cautious one. A reader tells both to the entries of its region, the new one in an optional field (`unreachable_ms`).

Why it works: a call that was sent after the end of the outage succeeds, so the start of a failed one is never later than the end.

Tests: the outage test sets the new field, and the test of marks behind a reader builds the new reply type; what they assert is unchanged.

--- a/src/carobstand/entry/change_relay.py
+++ b/src/carobstand/entry/change_relay.py
@@ -1,5 +1,7 @@
 """Relays changes of the platform's store between the entries of a region."""
 
+import math
+
 import anyio
 import attrs
 
@@ -44,6 +46,30 @@
     since: float | None
 
 
+@attrs.frozen
+class Reply:
+    """What the reader tells; its times are lower bounds.
+
+    Attributes
+    ----------
+    changes : list of core.change_feed.Change
+        With lower bounds of the times at which they were made.
+    revision : int
+    confirmed_at : float
+        Time up to which the changes are complete.
+    store_failed_at : float
+        Time at which the reader's last failed store call was found to have failed.
+    store_unreachable_at : float
+        Time at which that call was sent, -inf if the reader does not tell it.
+    """
+
+    changes: list
+    revision: int
+    confirmed_at: float
+    store_failed_at: float
+    store_unreachable_at: float
+
+
 async def serve(fleet, frames, request):
     """Answer the polls of another entry until its connection ends.
 
@@ -93,6 +119,7 @@
         troubled_ms=_ms(now - fleet.store_failed_at),
         is_complete=changes is not None,
         era=fleet.era,
+        unreachable_ms=_ms(now - fleet.store_unreachable_at),
     )
 
 
@@ -169,13 +196,7 @@
 
     Returns
     -------
-    changes : list of core.change_feed.Change
-        With lower bounds of the times at which they were made.
-    revision : int
-    confirmed_at : float
-        Time up to which the changes are complete.
-    store_failed_at : float
-        Time of the reader's last failed store call.
+    reply : Reply
 
     Raises
     ------
@@ -205,8 +226,20 @@
             f"news are {reply.age_ms} ms old", step="news.ask", peer=frames.peer
         )
     changes = [_decode(item, sent_at) for item in reply.items or ()]
-    confirmed_at = sent_at - reply.age_ms / 1000
-    return changes, reply.revision, confirmed_at, sent_at - reply.troubled_ms / 1000
+    return _decode_reply(reply, changes, sent_at)
+
+
+def _decode_reply(reply, changes, sent_at):
+    unreachable_ms = reply.unreachable_ms
+    return Reply(
+        changes,
+        reply.revision,
+        confirmed_at=sent_at - reply.age_ms / 1000,
+        store_failed_at=sent_at - reply.troubled_ms / 1000,
+        store_unreachable_at=(
+            -math.inf if unreachable_ms is None else sent_at - unreachable_ms / 1000
+        ),
+    )
 
 
 async def ask_for_newer(entry, version):
--- a/src/carobstand/entry/fleet.py
+++ b/src/carobstand/entry/fleet.py
@@ -95,7 +95,10 @@
     confirmed_at : float or None
         Time up to which all changes of the store are known to be applied.
     store_failed_at : float
-        Time of the last failed call of the store.
+        Time at which the last failed call of the store was found to have failed.
+    store_unreachable_at : float
+        Time at which that call was sent. The disruption that made it fail may have
+        ended any time later.
     revision : int
         Store revision up to which changes are applied.
     era : int
@@ -136,6 +139,7 @@
     part_records: set = attrs.field(factory=set)
     confirmed_at: float | None = None
     store_failed_at: float = -1e9
+    store_unreachable_at: float = -math.inf
     revision: int = 0
     era: int = 0
     was_restored: bool = False
@@ -153,6 +157,7 @@
     pause_s = RETRY_MIN_S
     complete = False
     while True:
+        called_at = anyio.current_time()
         try:
             if not complete:
                 await read_all(fleet)
@@ -170,6 +175,7 @@
         except errors.StoreError as exc:
             eventlog.event("store.failed", error=str(exc), revision=fleet.revision)
             fleet.store_failed_at = anyio.current_time()
+            fleet.store_unreachable_at = called_at
             await anyio.sleep(pause_s)
             pause_s = min(RETRY_MAX_S, pause_s * 2)
 
@@ -306,18 +312,20 @@
 
 
 async def _apply_reader_reply(fleet, reply):
-    changes, revision, confirmed_at, store_failed_at = reply
-    for change in changes:
+    for change in reply.changes:
         fleet.changes_since = change.since
         change_feed.add(fleet.history, change.item, change.since)
         apply_item(fleet, change.item)
-    fleet.revision = max(fleet.revision, revision)
-    fleet.confirmed_at = max(fleet.confirmed_at, confirmed_at)
-    fleet.store_failed_at = max(fleet.store_failed_at, store_failed_at)
-    fleet.changes_since = max(fleet.changes_since, confirmed_at)
+    fleet.revision = max(fleet.revision, reply.revision)
+    fleet.confirmed_at = max(fleet.confirmed_at, reply.confirmed_at)
+    fleet.store_failed_at = max(fleet.store_failed_at, reply.store_failed_at)
+    fleet.store_unreachable_at = max(
+        fleet.store_unreachable_at, reply.store_unreachable_at
+    )
+    fleet.changes_since = max(fleet.changes_since, reply.confirmed_at)
     expire_missing(fleet)
     evacuations.settle_marks(fleet)
-    if changes:
+    if reply.changes:
         fleet.changed.notify()
 
 
--- a/src/carobstand/entry/versions.py
+++ b/src/carobstand/entry/versions.py
@@ -103,10 +103,11 @@
     """Return the time to record for a named version that was just read.
 
     After a store outage the version may have been named long ago; the time limits do
-    not apply to a process that has just reconnected to the store.
+    not apply to a process that has just reconnected to the store. The outage is known
+    to have lasted until the last failed call was sent, not until it timed out.
     """
     bounds = fleet.deployment.bounds
-    regained = fleet.store_failed_at + bounds.contact_s - bounds.version_s
+    regained = fleet.store_unreachable_at + bounds.contact_s - bounds.version_s
     return max(fleet.changes_since, regained)
 
 
--- a/src/carobstand/wire/fleet.thrift
+++ b/src/carobstand/wire/fleet.thrift
@@ -196,6 +196,7 @@
   4: i32 troubled_ms          // time since the store last failed to answer
   5: bool is_complete         // false: changes after the revision are not held
   6: i64 era
+  7: optional i32 unreachable_ms // time since the start of the store's last failed call
 }
 
 // First frame of a connection to an entry: asks where a request would go now. Nothing is
--- a/src/carobstand/wire/gen_fleet/ttypes.py
+++ b/src/carobstand/wire/gen_fleet/ttypes.py
@@ -2138,17 +2138,19 @@
      - troubled_ms
      - is_complete
      - era
+     - unreachable_ms
 
     """
 
 
-    def __init__(self, revision=None, items=None, age_ms=None, troubled_ms=None, is_complete=None, era=None,):
+    def __init__(self, revision=None, items=None, age_ms=None, troubled_ms=None, is_complete=None, era=None, unreachable_ms=None,):
         self.revision = revision
         self.items = items
         self.age_ms = age_ms
         self.troubled_ms = troubled_ms
         self.is_complete = is_complete
         self.era = era
+        self.unreachable_ms = unreachable_ms
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2195,6 +2197,11 @@
                     self.era = iprot.readI64()
                 else:
                     iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.I32:
+                    self.unreachable_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -2232,6 +2239,10 @@
             oprot.writeFieldBegin('era', TType.I64, 6)
             oprot.writeI64(self.era)
             oprot.writeFieldEnd()
+        if self.unreachable_ms is not None:
+            oprot.writeFieldBegin('unreachable_ms', TType.I32, 7)
+            oprot.writeI32(self.unreachable_ms)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -3198,6 +3209,7 @@
     (4, TType.I32, 'troubled_ms', None, None, ),  # 4
     (5, TType.BOOL, 'is_complete', None, None, ),  # 5
     (6, TType.I64, 'era', None, None, ),  # 6
+    (7, TType.I32, 'unreachable_ms', None, None, ),  # 7
 )
 all_structs.append(ExplainRequest)
 ExplainRequest.thrift_spec = (
--- a/testing/test_evacuation.py
+++ b/testing/test_evacuation.py
@@ -115,7 +115,7 @@
         fleet.evacuation_marks, fleet.confirmed_at = marked(a=5), 10.0
         evacuation.replace(fleet.evacuation_marks, {}, True, 10.0)
         for confirmed_at, domain in ((11.0, {"a"}), (10.0 + REPEAT_S, set())):
-            reply = ([], 1, confirmed_at, 0.0)
+            reply = change_relay.Reply([], 1, confirmed_at, 0.0, 0.0)
             await fleets.entry_fleet._apply_reader_reply(fleet, reply)
             assert fleet.evacuation_marks.in_force == domain
 
--- a/testing/test_news_of_versions.py
+++ b/testing/test_news_of_versions.py
@@ -6,9 +6,10 @@
 from carobstand import errors
 from carobstand.agent import view as views
 from carobstand.core import deployment, registry
+from carobstand.entry import change_relay, versions
 from carobstand.entry import fleet as fleets
-from carobstand.entry import versions
 from carobstand.platform import kv
+from carobstand.wire.gen_fleet import ttypes
 from testing import platform_builders as build
 from testing import version_store
 
@@ -119,7 +120,7 @@
     async def test():
         state = fleets.Fleet(DEPLOYMENT, None, revision=1)
         now = anyio.current_time()
-        state.changes_since, state.store_failed_at = now - 60.0, now - 0.1
+        state.changes_since, state.store_unreachable_at = now - 60.0, now - 0.1
         answers.append((0.0, 0.0, [version_item(2)]))
         await fleets._follow(state)
         bounds = DEPLOYMENT.bounds
@@ -131,6 +132,46 @@
     anyio.run(test)
 
 
+@pytest.mark.parametrize("repeats", [True, False])
+@pytest.mark.parametrize("offset_s", [0.0, 0.2, 0.4, 0.6, 0.8, 1.0])
+def test_the_grace_after_an_outage_counts_from_its_end(monkeypatch, offset_s, repeats):
+    """Guards against a grace from the time-out of a call that waited past the outage.
+
+    Old weights were in use for up to 1.5 s, the time-out of a call, too long.
+    """
+    bounds, end = DEPLOYMENT.bounds, 14.0 + offset_s
+    store = version_store.Store([5.5], cuts=[(5.0, end)], repeats=repeats)
+    state = version_store.observe(monkeypatch, store, 20.0)
+    assert date(state) + bounds.version_s <= end + bounds.contact_s
+    # The grace is used, less the time of a call and of the pause between two.
+    spent_s = kv.CALL_TIMEOUT_S + fleets.RETRY_MAX_S
+    assert date(state) + bounds.version_s >= end + bounds.contact_s - spent_s
+
+
+def test_a_relayed_outage_counts_from_the_start_of_the_failed_call():
+    """Guards against a grace of a region from the time-out of its reader."""
+
+    async def test():
+        now = anyio.current_time()
+        reader = fleets.Fleet(DEPLOYMENT, None, revision=7, confirmed_at=now)
+        reader.store_failed_at, reader.store_unreachable_at = now - 1.0, now - 2.5
+        reply = change_relay._reply(reader, ttypes.NewsRequest(7, 0, 0))
+        assert reply.unreachable_ms == pytest.approx(2500, abs=50)
+        found = change_relay._decode_reply(reply, [], now)
+        state = fleets.Fleet(DEPLOYMENT, None, revision=7, confirmed_at=now)
+        await fleets._apply_reader_reply(state, found)
+        assert state.store_unreachable_at == pytest.approx(now - 2.5, abs=0.05)
+        assert state.store_failed_at == pytest.approx(now - 1.0, abs=0.05)
+        # A reader of an earlier version does not tell it.
+        reply.unreachable_ms = None
+        await fleets._apply_reader_reply(
+            state, change_relay._decode_reply(reply, [], now + 9.0)
+        )
+        assert state.store_unreachable_at == pytest.approx(now - 2.5, abs=0.05)
+
+    anyio.run(test)
+
+
 def test_an_agent_soon_learns_of_a_version_named_during_an_outage(monkeypatch):
     async def test():
         recovered_at = anyio.current_time() + 3.2
--- a/testing/version_store.py
+++ b/testing/version_store.py
@@ -1,6 +1,7 @@
 """Stand-in for the store's client in virtual time; responses are late or lost."""
 
 import asyncio
+import math
 
 import anyio
 import attrs
@@ -34,6 +35,9 @@
         Times at which versions 2, 3, .. are acknowledged, ascending.
     cuts : list of (float, float)
         Times at which messages of this client are lost.
+    repeats : bool
+        Whether lost messages are sent again. A connection on which the store lost a
+        response returns nothing further.
     late : list of (float, float, float)
         Responses generated between the first two times arrive later by the third.
     """
@@ -41,6 +45,7 @@
     named_at: list
     cuts: list = attrs.field(factory=list)
     late: list = attrs.field(factory=list)
+    repeats: bool = True
 
 
 def item(version):
@@ -53,6 +58,8 @@
     """Return when a message arrives that is sent again until no cut loses it."""
     at, pause_s = sent_at, RETRANSMIT_S
     while any(start <= at < end for start, end in store.cuts):
+        if not store.repeats:
+            return math.inf
         at += pause_s
         pause_s *= 2
     return at + WAY_S
@@ -77,9 +84,11 @@
     async def watch(_, prefix, after, wait_s):
         sent_at = anyio.current_time()
         reached_at = arrival(store, sent_at)
+        timeout_at = sent_at + wait_s + kv.WATCH_SLACK_S
+        if reached_at > timeout_at:
+            await respond(reached_at, timeout_at)
         made_at = [at for at in store.named_at[after - 1 :] if at < reached_at + wait_s]
         ready_at = max(reached_at, made_at[0]) if made_at else reached_at + wait_s
-        timeout_at = sent_at + wait_s + kv.WATCH_SLACK_S
         await respond(ready_at, timeout_at)
         revision, items = changes_after(store, after, ready_at)
         return kv.Changes(revision, items, anyio.current_time())
