Validate each field of a server's registration where it is decoded

What callers saw: with one registration of another writer beside that of a sound server, requests got 502 on all entries, also on one that joined later, until the record was removed. Reproduced in one deployment each, 30 requests to each of two entries: ports 70000 and 99999 and `slots` of 400 digits cost requests; half of a surrogate pair in `zone` ended the connections of `explain`, and the others of 23 records cost nothing.

Cause: the address was checked for digits only, so connecting raised OverflowError; integers had no bounds, and the ranking of servers converts `slots` to a floating-point number, which raises OverflowError for all servers of the service.

Change: the accessors of platform/fields.py have bounds, each of which is the largest value that any use bears: messages between processes carry counts and versions as an i32, headers and log lines carry names, connections need an IP address and a port from 1 to 65535. A host name is rejected, as the event loop would wait for its resolution. Keys and values of items have no such limits in the client of the store, so that an odd one does not hide the others of the same response.

--- a/src/carobstand/core/deployment.py
+++ b/src/carobstand/core/deployment.py
@@ -1,7 +1,15 @@
 """The deployment of a process as its settings describe it: location and limits."""
 
+import functools
+import ipaddress
+
 import attrs
 
+MAX_PORT = 65535
+
+MAX_KNOWN_ADDRESSES = 32768
+"""Addresses whose check is remembered, as each load report of an engine names one."""
+
 
 @attrs.frozen(kw_only=True)
 class Bounds:
@@ -109,3 +117,22 @@
     """Return the host and the port of ``host:port``."""
     host, _, port = address.rpartition(":")
     return host, int(port)
+
+
+@functools.lru_cache(maxsize=MAX_KNOWN_ADDRESSES)
+def is_address(address):
+    """Whether a text is ``ip:port`` of a process to connect to.
+
+    A host name is none: the event loop would wait for its resolution. A port that is
+    out of range raises OverflowError where it is used.
+    """
+    host, _, port = address.rpartition(":")
+    if not (port.isascii() and port.isdigit() and len(port) <= len(str(MAX_PORT))):
+        return False
+    try:
+        ip = ipaddress.ip_address(host)
+    except ValueError:
+        return False
+    if ip.is_unspecified or ip.is_multicast or "%" in host:
+        return False
+    return 0 < int(port) <= MAX_PORT
--- a/src/carobstand/platform/kv.py
+++ b/src/carobstand/platform/kv.py
@@ -1,7 +1,6 @@
 """Client of the platform's metadata store."""
 
 import base64
-import binascii
 import json
 import urllib.parse
 
@@ -25,6 +24,9 @@
 """Timeout of a read whose response keeps arriving: many VMs may read a large
 configuration at once over a narrow link."""
 
+MAX_ERA_DIGITS = 18
+"""Longest era; messages between processes carry it as an i64."""
+
 WATCH_SLACK_S = 0.8
 """Time without data after the end of its wait at which a watch counts as failed."""
 
@@ -114,7 +116,7 @@
         page = [_item(entry) for entry in record.records("items")]
         items += page
         if revision is None:
-            revision = record.integer("store_revision")
+            revision = record.integer("store_revision", most=fields.MAX_REVISION)
         if not record.flag("has_more") or not page:
             return Changes(revision, tuple(items), resp.head_received_at, era)
         after = page[-1].key
@@ -147,7 +149,7 @@
     items = [_item(entry) for entry in record.records("events")]
     items.sort(key=lambda item: item.revision)
     return Changes(
-        record.integer("store_revision"),
+        record.integer("store_revision", most=fields.MAX_REVISION),
         tuple(items),
         resp.head_received_at,
         _era(resp),
@@ -189,14 +191,14 @@
         raise errors.ConflictError(
             reason, step=f"store.{kind}", peer=store.caller.address
         )
-    return _record(resp, f"store.{kind}").integer("revision")
+    return _record(resp, f"store.{kind}").integer("revision", most=fields.MAX_REVISION)
 
 
 async def grant_lease(store, ttl_s):
     """Return the id of a new lease."""
     raw = json.dumps({"ttl_ms": int(ttl_s * 1000)}).encode()
     resp = await _call(store, "grant", "POST", "/v1/kv-lease", body=raw)
-    return _record(resp, "store.grant").integer("lease")
+    return _record(resp, "store.grant").integer("lease", most=fields.MAX_REVISION)
 
 
 async def renew_lease(store, lease):
@@ -257,7 +259,8 @@
     text = http1.header(resp.headers, b"store-era")
     if text is None:
         return 0
-    if not (text.isascii() and text.isdigit()):
+    is_number = text.isascii() and text.isdigit() and len(text) <= MAX_ERA_DIGITS
+    if not is_number:
         raise errors.StoreUnavailableError(
             f"malformed era {text!r:.40}", step="store.era"
         )
@@ -288,12 +291,14 @@
 
 def _item(record):
     try:
+        key = record.any_text("key")
+        revision = record.integer("revision", most=fields.MAX_REVISION)
         if record.flag("deleted"):
-            return Item(record.text("key"), None, record.integer("revision"))
-        value = base64.b64decode(record.text("value"), validate=True)
-        lease = record.integer("lease", 0)
-        return Item(record.text("key"), value, record.integer("revision"), lease)
-    except (errors.RecordError, binascii.Error) as exc:
+            return Item(key, None, revision)
+        value = base64.b64decode(record.any_text("value"), validate=True)
+        lease = record.integer("lease", 0, most=fields.MAX_REVISION)
+        return Item(key, value, revision, lease)
+    except (errors.RecordError, ValueError) as exc:
         raise errors.StoreUnavailableError(
             f"malformed item: {exc}", step="store.parse"
         ) from exc
--- a/src/carobstand/platform/records.py
+++ b/src/carobstand/platform/records.py
@@ -2,7 +2,7 @@
 
 import json
 import math
-import re
+import reprlib
 
 import attrs
 
@@ -24,8 +24,6 @@
 
 _STATES = {"ready": True, "draining": False}
 
-_ADDRESS = re.compile(r"[0-9a-fA-F.:\[\]]+:[0-9]{1,5}")
-
 
 @attrs.frozen
 class NamedVersion:
@@ -209,25 +207,25 @@
         If the value is not a usable registration, for example because another program
         wrote it.
     """
-    record = fields.parse(raw, key)
+    record = fields.parse(raw, "server")
     state = record.text("state")
     if state not in _STATES:
-        raise errors.RecordError(f"state: {state!r} is not known", step=key)
-    address = record.text("address")
-    if not _ADDRESS.fullmatch(address):
-        raise errors.RecordError(f"address: {address!r} is not HOST:PORT", step=key)
+        raise record.error("state", "known")
+    server_id = key.removeprefix(SERVER_PREFIX)
+    if not fields.is_name(server_id):
+        raise errors.RecordError("the key names no server", step="server")
     cold_s, malformed_cold = _cold(record.data.get("warmup_remaining_ms"))
     return registry.Registration(
-        server_id=key.removeprefix(SERVER_PREFIX),
-        service=record.text("service"),
-        address=address,
-        failure_domain=record.text("zone", ""),
+        server_id=server_id,
+        service=record.name("service"),
+        address=record.address("address"),
+        failure_domain=record.name("zone", ""),
         slots=record.integer("slots", 0),
         is_ready=_STATES[state],
         holding=decode_holding(record),
         runs_model="models" in record.data,
-        started_ms=record.integer("born", 0),
-        heartbeats=record.integer("sequence", 0),
+        started_ms=record.integer("born", 0, most=fields.MAX_INTEGER),
+        heartbeats=record.integer("sequence", 0, most=fields.MAX_INTEGER),
         cold_s=cold_s,
         malformed_cold=malformed_cold,
     )
@@ -240,7 +238,7 @@
     is_number = isinstance(value_ms, (int, float)) and not isinstance(value_ms, bool)
     if is_number and 0 <= value_ms < math.inf:
         return min(value_ms, exchange.MAX_COLD_MS) / 1000, ""
-    return None, f"{value_ms!r:.80}"
+    return None, f"{reprlib.repr(value_ms):.80}"
 
 
 def decode_holding(record):
@@ -253,9 +251,9 @@
         return None
     version = models[0].integer("version")
     if not layers.data:
-        return registry.Holding(model=models[0].text("name"), version=version)
+        return registry.Holding(model=models[0].name("name"), version=version)
     return registry.Holding(
-        model=models[0].text("name"),
+        model=models[0].name("name"),
         version=layers.integer("version", version),
         start=layers.integer("from", 0),
         end=layers.integer("to", 0),
--- /dev/null
+++ b/testing/test_odd_records.py
@@ -0,0 +1,94 @@
+"""Guards against a record of another writer that costs more than itself.
+
+An odd record beside that of a sound server once made entries answer 502 to all requests
+of the service, until the record was removed.
+"""
+
+import json
+
+import pytest
+
+from carobstand import errors
+from carobstand.platform import records
+from carobstand.standin.platform import kv
+from testing import platform_builders as build
+from testing import platform_fleet
+
+HUGE = 10**400
+"""An integer that no floating-point number can hold."""
+
+REQUESTS = 30
+
+ODD_FIELDS = {
+    "port above the largest": {"address": "127.0.0.1:70000"},
+    "port 0": {"address": "127.0.0.1:0"},
+    "no IP address": {"address": "1:2:3:9001"},
+    "only dots": {"address": "...:9001"},
+    "huge slots": {"slots": HUGE},
+    "negative slots": {"slots": -4},
+    "huge start": {"born": HUGE},
+    "fractional start": {"born": 1.5},
+    "huge sequence": {"sequence": HUGE},
+    "huge version": {"models": [{"name": "m", "version": HUGE}]},
+    "version above 32 bits": {"models": [{"name": "m", "version": 2**31}]},
+    "huge layers": {"layers": {"from": 0, "to": HUGE, "version": 1}},
+    "layers of another type": {"layers": [[[]]]},
+    "no service": {"service": ""},
+    "zone with line breaks": {"zone": "a\r\nX: 1"},
+    "zone with half of a character": {"zone": "\ud800"},
+    "long zone": {"zone": "a" * 100_000},
+}
+
+ODD_BYTES = {
+    "nested objects": b'{"a":' * 100_000,
+    "nested lists": b"[" * 100_000 + b"]" * 100_000,
+    "no UTF-8": b"\xff\xfe{",
+    "5000 digits": b'{"slots":' + b"9" * 5000 + b"}",
+}
+
+
+def odd_records(service):
+    """Return odd registrations of a service, as bytes by name."""
+    sound = build.server_record(service=service)
+    changed = {name: {**sound, **change} for name, change in ODD_FIELDS.items()}
+    return ODD_BYTES | {
+        name: json.dumps(item).encode() for name, item in changed.items()
+    }
+
+
+@pytest.mark.parametrize("name", odd_records("desk"))
+def test_an_odd_registration_is_rejected(name):
+    with pytest.raises(errors.RecordError) as caught:
+        records.decode_registration("servers/i-1", odd_records("desk")[name])
+    assert len(caught.value.message) < 300
+
+
+@pytest.mark.parametrize("server_id", ["", " ", "i\r\nX: 1", "\ud800", "a" * 201])
+def test_a_registration_needs_an_id_that_a_header_can_carry(server_id):
+    raw = build.encode_record(build.server_record())
+    with pytest.raises(errors.RecordError):
+        records.decode_registration(f"servers/{server_id}", raw)
+
+
+async def _statuses(fleet, path, entry):
+    found = []
+    for _ in range(REQUESTS):
+        answer = await platform_fleet.send_request(fleet, path, entry=entry)
+        found.append(answer.status)
+    return found
+
+
+def test_odd_records_beside_a_sound_server_cost_no_request():
+    async def test():
+        async with platform_fleet.deployed(1) as fleet:
+            await platform_fleet.add_engine(fleet, "i-1", service="desk")
+            await platform_fleet.until_usable(fleet, "i-1", "/q/")
+            for number, raw in enumerate(odd_records("desk").values()):
+                kv.write(fleet.store, f"servers/odd-{number}", raw)
+            kv.write(fleet.store, "servers/", odd_records("desk")["huge slots"])
+            await platform_fleet.add_entry(fleet, "entry-2")
+            await platform_fleet.until_usable(fleet, "i-1", "/q/", "entry-2")
+            for vm in fleet.entries:
+                assert await _statuses(fleet, "/q/x", vm) == [200] * REQUESTS
+
+    platform_fleet.run(test)
