--- a/src/carobstand/entry_records.py
+++ b/src/carobstand/entry_records.py
@@ -6,6 +6,7 @@
 
 from carobstand import errors
 from carobstand.core import weight_sources
+from carobstand.platform import fields
 
 PREFIX = "carobstand/entries/"
 """Prefix of the store keys of entries; the name of the VM follows."""
@@ -23,18 +24,13 @@
 
 def decode(vm, raw):
     """Return the `Entry` in a store value; raise RecordError if it is malformed."""
-    try:
-        data = json.loads(raw)
-        entry = weight_sources.Entry(
-            vm=vm,
-            address=data["address"],
-            failure_domain=data["failure_domain"],
-            region=data["region"],
-            link_bytes_per_s=float(data.get("link_bytes_per_s", 0.0)),
-        )
-        host, _, port = entry.address.rpartition(":")
-        if not host or not port.isdigit():
-            raise ValueError(f"address {entry.address!r}")
-    except (ValueError, KeyError, TypeError, AttributeError) as exc:
-        raise errors.RecordError(f"malformed entry: {exc}", step="entries") from exc
-    return entry
+    if not fields.is_name(vm):
+        raise errors.RecordError("the key names no VM", step="entries")
+    record = fields.parse(raw, "entries")
+    return weight_sources.Entry(
+        vm=vm,
+        address=record.address("address"),
+        failure_domain=record.name("failure_domain", ""),
+        region=record.name("region", ""),
+        link_bytes_per_s=float(record.number("link_bytes_per_s", 0)),
+    )
--- a/testing/test_odd_records.py
+++ b/testing/test_odd_records.py
@@ -8,7 +8,8 @@
 
 import pytest
 
-from carobstand import errors
+from carobstand import entry_records, errors, eventlog, part_records
+from carobstand.core import poison_parts
 from carobstand.platform import records
 from carobstand.standin.platform import kv
 from testing import platform_builders as build
@@ -92,3 +93,67 @@
                 assert await _statuses(fleet, "/q/x", vm) == [200] * REQUESTS
 
     platform_fleet.run(test)
+
+
+ODD_ENTRIES = {
+    "port above the largest": {"address": "127.0.0.1:70000"},
+    "host name": {"address": "entry.example:7700"},
+    "half of a character": {"address": "\ud800:7700"},
+    "null character": {"address": "a\0b:7700"},
+    "huge link": {"link_bytes_per_s": HUGE},
+    "link that is no number": {"link_bytes_per_s": float("nan")},
+    "region with half of a character": {"region": "\ud800"},
+    "region of another type": {"region": {}},
+    "zone of another type": {"failure_domain": [[]]},
+}
+
+
+def odd_entries():
+    """Return odd registrations of entries, as bytes by name."""
+    sound = {"address": "127.0.0.1:7700", "failure_domain": "a", "region": "north"}
+    changed = {name: {**sound, **change} for name, change in ODD_ENTRIES.items()}
+    return ODD_BYTES | {
+        name: json.dumps(item).encode() for name, item in changed.items()
+    }
+
+
+@pytest.mark.parametrize("name", odd_entries())
+def test_an_odd_registration_of_an_entry_is_rejected(name):
+    with pytest.raises(errors.RecordError):
+        entry_records.decode("entry-1", odd_entries()[name])
+
+
+def test_the_key_of_a_part_has_one_form():
+    digits = bytes(range(0xA0, 0xA0 + poison_parts.ID_BYTES)).hex()
+    assert part_records.part_of(part_records.PREFIX + digits).hex() == digits
+    for odd in (digits.upper(), digits + "00", digits + " ", "", "x"):
+        with pytest.raises(errors.RecordError):
+            part_records.part_of(part_records.PREFIX + odd)
+
+
+def test_entries_and_agents_go_on_beside_odd_records(monkeypatch):
+    failed = []
+    monkeypatch.setattr(
+        eventlog, "failure", lambda name, exc, **_: failed.append((name, exc))
+    )
+
+    async def test():
+        async with platform_fleet.deployed(1) as fleet:
+            engine = await platform_fleet.add_engine(fleet, "i-1")
+            await platform_fleet.add_agent(fleet, engine)
+            for number, raw in enumerate(odd_entries().values()):
+                kv.write(fleet.store, f"carobstand/entries/odd-{number}", raw)
+            for number, raw in enumerate(odd_records("drafter").values()):
+                kv.write(fleet.store, f"servers/odd-{number}", raw)
+                kv.write(fleet.store, f"op/version/odd-{number}", raw)
+            await platform_fleet.add_entry(fleet, "entry-2")
+            for version in (2, 3):
+                platform_fleet.name_version(fleet, version)
+                await platform_fleet.until(
+                    lambda version=version: engine.version == version, 12
+                )
+            for vm in fleet.entries:
+                await platform_fleet.until_usable(fleet, "i-1", "/s/", vm)
+
+    platform_fleet.run(test, 40)
+    assert failed == []
