Accept starts of engines above 32 bits in their reports

Cause: an integer of a record has at most 31 bits unless its reader names another bound. The registration did for the start of an engine, its report did not. No test failed, as the stand-in engine started at 1,000 ms after 1970.

Change: the report names the bound, and the stand-in starts at a time of today.

--- a/src/carobstand/platform/engine_client.py
+++ b/src/carobstand/platform/engine_client.py
@@ -48,10 +48,10 @@
     return engine_report.EngineReport(
         holding=records.decode_holding(record),
         is_busy=record.flag("busy"),
-        orders=record.integer("sequence", 0),
+        orders=record.integer("sequence", 0, most=fields.MAX_INTEGER),
         running=record.integer("running", 0),
         waiting=record.integer("waiting", 0),
-        started_ms=record.integer("born", 0),
+        started_ms=record.integer("born", 0, most=fields.MAX_INTEGER),
         slowness=record.number("pace", 1.0),
         held_tokens=_cached_tokens(record, "kv_cache_used"),
         memory_tokens=_cached_tokens(record, "kv_cache_total"),
--- a/src/carobstand/standin/platform/engine.py
+++ b/src/carobstand/standin/platform/engine.py
@@ -20,6 +20,9 @@
 DEFAULT_EVENTS = 5
 """Events of a stream if the request has no ``X-Events`` header."""
 
+FIRST_START_MS = 1_764_892_800_000
+"""First start in Unix milliseconds; such values do not fit into 32 bits."""
+
 _CHUNKED = b"Server-Signature: s.1\r\nTransfer-Encoding: chunked\r\n\r\n"
 
 UNBOUNDED_RESPONSES = {
@@ -175,7 +178,7 @@
     staged_counts: collections.Counter = attrs.field(factory=collections.Counter)
     loading: bool = False
     load_s: float = 0.05
-    started_ms: int = 1000
+    started_ms: int = FIRST_START_MS
     orders: int = 0
     heartbeats: int = 1
     is_draining: bool = False
