Check staged weights once more if the order to load them is late

What callers saw: nothing yet. An engine could load a piece that had been spoilt for over 3 s (rule WHOLE, which holds also after a freeze).

Cause: an agent reads back all staged pieces and then orders the load. If it pauses in between, or during the check, pieces may spoil meanwhile, and the engine loads them as they are when it accepts the order.

Change: if more than 2.5 s have passed since the check began, nothing is ordered and the pieces are checked and repaired once more. After four checks the load is ordered all the same, as on a machine that needs longer for each check no weights would ever be loaded; weights.check_late tells of it.

Why it works: the age is compared in the same pass in which the order is sent, and 0.5 s are left for the order to arrive.

Result: the new test failed before (one load with a spoilt piece) and passes now; the other tests of loads pass.

--- a/src/carobstand/agent/loading.py
+++ b/src/carobstand/agent/loading.py
@@ -1,6 +1,7 @@
 """Stages received weights on the engine's VM, verifies them and orders the load."""
 
 import hashlib
+import math
 import random
 
 import anyio
@@ -30,6 +31,14 @@
 LOAD_START_TIMEOUT_S = 2.0
 """Longest wait until the engine's report shows that an accepted load has started."""
 
+MAX_CHECK_AGE_S = 2.5
+"""Longest time between the check of the first staged piece and the order to load. The
+platform allows pieces that were spoilt in the last 3 s; the rest is for the order."""
+
+MAX_CHECKS = 4
+"""Checks after which the load is ordered all the same: on a VM that needs longer for
+each check, no weights would be loaded otherwise."""
+
 
 @attrs.define(eq=False)
 class Stage:
@@ -147,8 +156,7 @@
         view.load_at = _load_at(view, stage, copy)
     if _next_copy(view, stage) is not copy:
         return
-    if await _repair_staged(view, stage, copy):
-        await _order_load(view, copy)
+    await _check_and_load(view, stage, copy)
 
 
 async def _read_peers_once_per_version(view, stage):
@@ -243,6 +251,23 @@
     )
 
 
+async def _check_and_load(view, stage, copy):
+    """Check all staged pieces and order the load soon after.
+
+    Pieces may spoil at any time, so after a pause of this process the check is
+    repeated.
+    """
+    for _ in range(MAX_CHECKS):
+        began_at = anyio.current_time()
+        if not await _repair_staged(view, stage, copy):
+            return
+        if await _order_load(view, copy, began_at + MAX_CHECK_AGE_S):
+            return
+        took_s = round(anyio.current_time() - began_at, 3)
+        eventlog.event("weights.check_late", version=copy.version, took_s=took_s)
+    await _order_load(view, copy)
+
+
 async def _repair_staged(view, stage, copy):
     """Read back all staged pieces and stage corrupt ones again.
 
@@ -283,18 +308,26 @@
     )
 
 
-async def _order_load(view, copy):
-    """Order the engine to load the staged pieces; wait until its report shows it."""
+async def _order_load(view, copy, order_by=math.inf):
+    """Order the engine to load the staged pieces; wait until its report shows it.
+
+    Returns
+    -------
+    is_in_time : bool
+        False if `order_by` had passed, so that nothing was ordered.
+    """
     report = await engine_client.fetch_report(view.engine)
     service = views.service(view)
     if report.is_busy or service is None:
-        return
+        return True
     # The polled report may be older than the last requests that reached the queue.
     outlook = attrs.evolve(views.outlook(view, service), waiting=report.waiting)
     now = anyio.current_time()
     if load_schedule.share_to_load(outlook, copy.version, now) == 0:
         await anyio.sleep(RETRY_S)
-        return
+        return True
+    if now > order_by:
+        return False
     status = await engine_client.load_staged(
         view.engine, copy.model, copy.version, report.orders
     )
@@ -302,10 +335,11 @@
     view.load_at = None
     if status == 409:
         await anyio.sleep(RETRY_S)
-        return
+        return True
     with anyio.move_on_after(LOAD_START_TIMEOUT_S):
         while not _is_started(view, copy):
             await view.changed.wait(IDLE_S)
+    return True
 
 
 def _is_started(view, copy):
--- a/testing/test_platform_weights.py
+++ b/testing/test_platform_weights.py
@@ -1,9 +1,13 @@
 import anyio
 
+from carobstand.agent import loading
 from carobstand.core import weight_sources
 from carobstand.standin.platform import engine, kv, origin
 from testing import platform_fleet as fleets
 
+PAUSE_S = 3.2
+"""Longer than the 3 s for which pieces may have been spoilt when they are loaded."""
+
 
 def run_with_agents(check, engines=2, entries=2, timeout_s=30.0):
     """Run ``check(fleet)`` with backend servers that hold version 1, and their agents.
@@ -244,3 +248,23 @@
         assert sum(fleet.origin.sent.values()) == fleet.origin.pieces
 
     run_with_agents(check, engines=3, entries=3)
+
+
+def test_pieces_that_spoil_during_a_pause_before_the_order_are_replaced(monkeypatch):
+    """Guards against loads of pieces that were checked long before a pause."""
+    repair, servers = loading._repair_staged, []
+
+    async def repair_and_pause(view, stage, copy):
+        monkeypatch.setattr(loading, "_repair_staged", repair)
+        is_right = await repair(view, stage, copy)
+        servers[0].staged[5] = b"rotten"
+        await anyio.sleep(PAUSE_S)
+        return is_right
+
+    async def check(fleet):
+        servers.append(fleet.engines["i-1"])
+        monkeypatch.setattr(loading, "_repair_staged", repair_and_pause)
+        fleets.name_version(fleet, 2)
+        await fleets.until(lambda: servers[0].version == 2, 12)
+
+    run_with_agents(check, engines=1)
