Count and keep connections that a shutdown is accepting

Callers: a connection that was established as a planned stop closed the listener was reset, though the entry had taken it from the backlog; where it was the only one, the process could exit before it was counted.

Cause: cancelling an accept drops the connection that it has taken; the stop waited for `connections`, which lacks those whose task has not started.

Change: an accept is shielded and begins only when a connection is there; the stop also waits for the end of accepting, for which there are 2 s.

Why it works: nothing that was taken from the backlog is dropped, and the tasks of the last connections have started before accepting counts as over.

--- a/src/carobstand/entry/platform_main.py
+++ b/src/carobstand/entry/platform_main.py
@@ -85,7 +85,7 @@
     with anyio.move_on_after(dep.bounds.stop_s - STOP_MARGIN_S):
         await anyio.sleep(DEREGISTRATION_DELAY_S)
         http1_server.begin_shutdown(ingress_server)
-        while ingress_server.connections:
+        while ingress_server.is_accepting or ingress_server.connections:
             await anyio.sleep(0.05)
 
 
--- a/src/carobstand/http1_server.py
+++ b/src/carobstand/http1_server.py
@@ -42,8 +42,12 @@
 """Shortest time of a send that counts as one for which the caller has to read. Shorter
 ones add up to seconds in a long response of a busy process."""
 
-ACCEPT_PENDING_S = 0.5
-"""Maximum time in which a shutdown accepts connections that are established already."""
+ACCEPT_PENDING_S = 2.0
+"""Maximum time in which a shutdown accepts connections that are established already.
+With 0.5 s, 200 callers of a busy process had some of them reset."""
+
+MAX_ACCEPT_S = 1.0
+"""Maximum time for accepting a connection that was there just before."""
 
 CLOSING_WAIT_S = 0.05
 """Time for which a used connection is still read before a shutdown closes it: a request
@@ -79,6 +83,8 @@
     handle : async callable of (Request, Reply)
     is_closing : bool
         Connections are closed after the response in progress, idle ones immediately.
+    is_accepting : bool
+        Whether connections may still be accepted that `connections` does not have yet.
     connections : set of Connection
     accepting : anyio.CancelScope
         Stops accepting connections; a refused connection loses no request.
@@ -90,6 +96,7 @@
     handle: object
     bodies: byte_budget.ByteBudget = attrs.field(factory=byte_budget.ByteBudget)
     is_closing: bool = False
+    is_accepting: bool = False
     connections: set = attrs.field(factory=set)
     accept_scope: anyio.CancelScope = attrs.field(factory=anyio.CancelScope)
 
@@ -250,44 +257,46 @@
     """Serve connections at ``host:port`` until cancelled or `begin_shutdown`."""
     host, port = deployment.split_address(address)
     multi = await anyio.create_tcp_listener(local_host=host, local_port=port)
+    server.is_accepting = True
     async with anyio.create_task_group() as connections:
         async with multi:
             # A single IP address yields a single listener.
             listener = multi.listeners[0]
+            raw = listener.extra(anyio.abc.SocketAttribute.raw_socket)
             with server.accept_scope:
-                await _accept(server, listener, connections)
-            await _accept_pending(server, listener, connections)
-
-
-async def _accept(server, listener, connections):
-    """Serve each connection; a failed accept is logged and retried."""
-    while True:
+                while True:
+                    if not _is_readable(raw):
+                        await anyio.wait_readable(raw)
+                    await _accept(listener, server, connections)
+            closes_at = anyio.current_time() + ACCEPT_PENDING_S
+            while _is_readable(raw) and anyio.current_time() < closes_at:
+                await _accept(listener, server, connections)
+        # The tasks of the last connections start in this iteration of the event loop.
+        await anyio.lowlevel.checkpoint()
+        server.is_accepting = False
+
+
+async def _accept(listener, server, connections):
+    """Serve the next connection; a failed accept is logged, and followed by a pause.
+
+    Cancelling an accept drops the connection, so it is shielded. It waits only if the
+    caller of the connection has left meanwhile.
+    """
+    with anyio.move_on_after(MAX_ACCEPT_S, shield=True):
         try:
             stream = await listener.accept()
         except OSError as exc:
             eventlog.event("accept.failed", error=repr(exc))
             await anyio.sleep(ACCEPT_RETRY_DELAY_S)
-            continue
+            return
         connections.start_soon(serve_connection, server, stream)
 
 
-async def _accept_pending(server, listener, connections):
-    """Serve connections that were established before the listener is closed.
-
-    Closing it resets them, also those on which a request was already sent. A busy
-    process accepts one of them in each iteration of its event loop.
-    """
-    raw = listener.extra(anyio.abc.SocketAttribute.raw_socket)
+def _is_readable(raw):
+    """Whether a socket has bytes, or a listening one connections, to be read."""
     poll = select.poll()
     poll.register(raw.fileno(), select.POLLIN)
-    closes_at = anyio.current_time() + ACCEPT_PENDING_S
-    while poll.poll(0) and anyio.current_time() < closes_at:
-        try:
-            stream = await listener.accept()
-        except OSError as exc:
-            eventlog.event("accept.failed", error=repr(exc))
-            return
-        connections.start_soon(serve_connection, server, stream)
+    return bool(poll.poll(0))
 
 
 async def serve_connection(server, stream):
--- a/testing/test_planned_stops.py
+++ b/testing/test_planned_stops.py
@@ -1,12 +1,17 @@
 """Guards against requests that a planned stop cuts off, or answers untruthfully."""
 
+import contextlib
+import functools
 import socket
+import time
 
 import anyio
 import pytest
 
 from carobstand import http1_server
 from carobstand.core import deployment
+from carobstand.entry import platform_main as entry_main
+from testing import platform_builders as build
 from testing import platform_fleet as fleets
 
 
@@ -118,3 +123,49 @@
                 assert fleets.statuses(sock.recv(4096)) == [200]
 
     fleets.run(test, timeout_s=5)
+
+
+@contextlib.asynccontextmanager
+async def stoppable(desk, drafter, **bounds):
+    """Run one entry and a server of each service, with routes of long timeouts."""
+    async with fleets.deployed(entries=0) as fleet:
+        await fleets.add_engine(fleet, "d-1", "desk", **desk)
+        await fleets.add_engine(fleet, "i-1", **drafter)
+        record = functools.partial(build.route_record, timeout_ms=30000)
+        routes = [
+            record(prefix="/stream/"),
+            record(prefix="/once/", stream_resumption=False),
+            record(prefix="/unsafe/", type="unsafe", service="desk"),
+            record(prefix="/safe/", type="safe", service="desk"),
+            record(prefix="/any/", type="unsafe", service="desk", target_latency_ms=0),
+            record(
+                prefix="/slow/", type="unsafe", service="desk", target_latency_ms=9000
+            ),
+        ]
+        for number, route in enumerate(routes):
+            route["name"] = f"r{number}"
+        fleets.configure(fleet, routes=routes)
+        entry = await fleets.add_entry(fleet, bounds=deployment.Bounds(**bounds))
+        await anyio.sleep(fleets.CHANGE_DELAY_S)
+        yield fleet, entry
+        fleet.tasks.cancel_scope.cancel()
+
+
+def test_an_entry_held_up_as_it_closes_serves_the_established_connections():
+    """Guards against an exit before accepted connections are counted."""
+
+    async def test():
+        async with stoppable({"slots": 10}, {}) as (fleet, entry):
+            address = deployment.split_address(entry.deployment.ingress_address)
+            entry.leaving.set()
+            await anyio.sleep(entry_main.DEREGISTRATION_DELAY_S - 0.2)
+            socks = [socket.create_connection(address) for _ in range(10)]
+            for number, sock in enumerate(socks):
+                sock.sendall(request_head("/unsafe/", f"p{number}", 1.0))
+            time.sleep(0.4)
+            await fleets.until(lambda: not fleet.running)
+        for sock in socks:
+            with sock:
+                assert fleets.statuses(sock.recv(4096)) == [200]
+
+    fleets.run(test)
