Leave requests that a planned stop would cut off to other entries

Callers: in a planned stop, a request sent late in the grace, on a connection that was opened before, was passed on and cut off 7.0 s after SIGTERM. Trial with work of 3 s, sent 5.0 and 6.5 s after SIGTERM: streams, resumable or not, ended without their last events; unsafe and safe requests had run and got 504. One that arrived after 7.0 s got 504 though it had not run, and one that waited for a permit was held until 7.0 s.

Cause: a new request was begun however little was left of the grace.

Change: once no callers are routed here, a request whose own deadline is after the stop is rejected at once, 503 with Retry-After 0.1 s; waiting ones too. Requests that have run or started go on.

Why it works: a request that is begun late reaches its own deadline before the stop, so the stop cuts off none of them; the rejected ones have not run and are served by another entry.

--- a/src/carobstand/entry/forwarding.py
+++ b/src/carobstand/entry/forwarding.py
@@ -23,6 +23,7 @@
     backend_pool,
     demand_exchange,
     fleet,
+    planned_stop,
     poison_parts,
     poison_requests,
     queueing,
@@ -81,6 +82,8 @@
     bodies : core.byte_budget.ByteBudget
         Memory for the bodies of requests and responses.
     demand : entry.demand_exchange.Demand
+    is_closing : bool
+        Whether a planned stop has reached the time at which no callers are routed here.
     """
 
     fleet: fleet.Fleet
@@ -119,6 +122,7 @@
         )
     )
     demand: demand_exchange.Demand = attrs.field(factory=demand_exchange.Demand)
+    is_closing: bool = False
 
 
 @attrs.define(eq=False)
@@ -236,11 +240,12 @@
             return await rejections.give_up(fwd, call, 502, "it crashes servers")
         if poison_parts.is_rejected(fwd, call):
             return await rejections.reject_for_part(call)
-        chosen = await queueing.place(fwd, call)
+        is_cut = planned_stop.is_cut(fwd, call)
+        chosen = None if is_cut else await queueing.place(fwd, call)
         if chosen is None:
-            return await rejections.give_up(
-                fwd, call, 502, "no server has room in time"
-            )
+            is_cut = planned_stop.is_cut(fwd, call)
+            reason = planned_stop.REASON if is_cut else "no server has room in time"
+            return await rejections.give_up(fwd, call, 502, reason)
         try:
             # A part may have been convicted while the request waited.
             if poison_parts.is_rejected(fwd, call):
--- a/src/carobstand/entry/platform_main.py
+++ b/src/carobstand/entry/platform_main.py
@@ -15,6 +15,7 @@
     forwarding,
     ingress,
     permit_exchange,
+    planned_stop,
     poison_parts,
     poison_requests,
     queueing,
@@ -85,6 +86,7 @@
     with anyio.move_on_after(dep.bounds.stop_s - STOP_MARGIN_S):
         await anyio.sleep(DEREGISTRATION_DELAY_S)
         http1_server.begin_shutdown(ingress_server)
+        planned_stop.begin_closing(fwd)
         while ingress_server.is_accepting or ingress_server.connections:
             await anyio.sleep(0.05)
 
--- a/src/carobstand/entry/rejections.py
+++ b/src/carobstand/entry/rejections.py
@@ -7,7 +7,7 @@
 
 from carobstand import eventlog, http1_server
 from carobstand.core import announcements, expected_return
-from carobstand.entry import queueing, server_choice, versions
+from carobstand.entry import planned_stop, queueing, server_choice, versions
 from carobstand.platform import http_headers
 
 RETRY_AFTER_MIN_S = 1.0
@@ -50,6 +50,8 @@
 
 def _retry_after_s(fwd, call):
     """Return the time after which a call that did not run may find a free slot."""
+    if planned_stop.is_cut(fwd, call):
+        return planned_stop.RETRY_AFTER_S
     now = anyio.current_time()
     ids = server_choice.located_ids(fwd, call)
     quiet_s = announcements.remaining_pause_s(fwd.fleet.announced, ids, now)
--- a/testing/test_planned_stops.py
+++ b/testing/test_planned_stops.py
@@ -2,18 +2,23 @@
 
 import contextlib
 import functools
+import random
 import socket
 import time
 
 import anyio
 import pytest
 
-from carobstand import http1_server
+from carobstand import http1, http1_server
 from carobstand.core import deployment
 from carobstand.entry import platform_main as entry_main
+from testing import entry_processes, stop_traffic
 from testing import platform_builders as build
 from testing import platform_fleet as fleets
 
+LONG_S = 20.0
+"""Work and deadline of requests that do not end before the stop."""
+
 
 def request_head(path, request_id, deadline_s=6.0, key="k1"):
     """Return the bytes of a request without a body."""
@@ -151,6 +156,78 @@
         fleet.tasks.cancel_scope.cancel()
 
 
+def ran(fleet, answer):
+    """Whether the request of an answer has begun to run."""
+    runs = [run for item in fleet.engines.values() for run in item.runs]
+    return answer.headers["request-id"] in {run.request_id for run in runs}
+
+
+def test_a_late_request_that_may_be_cut_off_is_rejected_at_once_and_not_run():
+    """Guards against passing on what the end of the grace period would cut off."""
+    paths = ["/stream/", "/once/", "/unsafe/", "/safe/"]
+
+    async def test():
+        async with stoppable({"step_s": 0.1}, {}) as (fleet, entry):
+            address = entry.deployment.ingress_address
+            conns = [await http1.connect(address, 1.0) for _ in [*paths, "short"]]
+            entry.leaving.set()
+            slow = await fleets.send_request(fleet, "/slow/", deadline_s=LONG_S)
+            early = await fleets.send_request(fleet, "/unsafe/", deadline_s=LONG_S)
+            await anyio.sleep(entry_main.DEREGISTRATION_DELAY_S + 0.2)
+            began = anyio.current_time()
+            late = [
+                await fleets.send_request_on(conn, fleet, path, deadline_s=LONG_S)
+                for conn, path in zip(conns, paths, strict=False)
+            ]
+            took_s = anyio.current_time() - began
+            short = await fleets.send_request_on(
+                conns[-1], fleet, "/unsafe/", deadline_s=1.0
+            )
+            assert (slow.status, early.status, short.status) == (503, 200, 200)
+            assert [answer.status for answer in late] == [503] * len(paths)
+            assert not any(ran(fleet, answer) for answer in [slow, *late])
+            assert all("retry-after" in answer.headers for answer in [slow, *late])
+            assert all(answer.headers["connection"] == "close" for answer in late)
+            assert took_s < 0.5
+
+    fleets.run(test)
+
+
+def test_a_waiting_request_is_rejected_when_the_entry_closes():
+    """Guards against holding a request that cannot run until the end of the grace."""
+
+    async def test():
+        async with stoppable({"limit": 0.1}, {}) as (fleet, entry):
+            answers, ended_at = [], []
+
+            async def ask():
+                answers.append(
+                    await fleets.send_request(fleet, "/any/", deadline_s=LONG_S)
+                )
+                ended_at.append(anyio.current_time())
+
+            # The first response names the limit.
+            await ask()
+            async with anyio.create_task_group() as tg:
+                for _ in range(3):
+                    tg.start_soon(ask)
+                await anyio.sleep(0.1)
+                stopped_at = anyio.current_time()
+                entry.leaving.set()
+            waited = [
+                answer
+                for answer, at in zip(answers, ended_at, strict=True)
+                if at > stopped_at + 1.0
+            ]
+            assert waited
+            assert {answer.status for answer in waited} == {503}
+            assert not any(ran(fleet, answer) for answer in waited)
+            latest_s = entry_main.DEREGISTRATION_DELAY_S + 0.5
+            assert max(ended_at) < stopped_at + latest_s
+
+    fleets.run(test)
+
+
 def test_an_entry_held_up_as_it_closes_serves_the_established_connections():
     """Guards against an exit before accepted connections are counted."""
 
@@ -169,3 +246,43 @@
                 assert fleets.statuses(sock.recv(4096)) == [200]
 
     fleets.run(test)
+
+
+def overlapping_stops(seed, directory, callers=40):
+    """Stop three entry processes while callers use them; return the `Traffic`."""
+    traffics = []
+
+    async def test():
+        async with fleets.deployed(entries=0) as fleet:
+            for number in range(2):
+                desk = {"step_s": 0.045, "slots": 30, "queue": 30}
+                await fleets.add_engine(fleet, f"d-{number}", "desk", **desk)
+                drafter = {"step_s": 0.06, "slots": 120}
+                await fleets.add_engine(fleet, f"i-{number}", **drafter)
+            fleets.configure(fleet, routes=stop_traffic.routes())
+            vms = ["entry-1", "entry-2", "entry-3"]
+            async with entry_processes.started(fleet, vms, directory) as processes:
+                traffic = stop_traffic.Traffic(fleet, random.Random(seed))
+                traffics.append(traffic)
+                async with anyio.create_task_group() as tg:
+                    for _ in range(callers):
+                        tg.start_soon(stop_traffic.call_until_all_stop, traffic)
+                    await anyio.sleep(0.5)
+                    await stop_traffic.stop_all(traffic, processes)
+                assert [process.poll() for process in processes.values()] == [0] * 3
+            fleet.tasks.cancel_scope.cancel()
+
+    fleets.run(test, timeout_s=40)
+    return traffics[0]
+
+
+@pytest.mark.parametrize("seed", [1])
+def test_overlapping_stops_of_entry_processes_lose_no_request(seed, tmp_path):
+    """Guards against lost and falsely rejected requests, and errors at the exit."""
+    traffic = overlapping_stops(seed, tmp_path)
+    assert stop_traffic.lost(traffic) == []
+    assert stop_traffic.untrue(traffic) == []
+    statuses = [item.status for item in traffic.sent]
+    assert statuses.count(200) > 0.5 * len(statuses)
+    logs = "".join(path.read_text() for path in tmp_path.glob("*.log"))
+    assert "request.failed" not in logs and "loop.failed" not in logs
