Stop within the grace period of reloaded settings

Callers: after a reload of the settings (SIGHUP) that shortened the grace period, a planned stop used the one of the start: the platform would kill the process with requests still in progress. With less than 3.2 s the entry did not close its idle connections before it cut the requests off.

Cause: the stop read the deployment with which the process had started.

Change: it reads the current one, and closes connections when the deadlines of the requests end, at the latest.

Why it works: `bounds` is one of the settings that a reload applies.

Measured: the new test failed before (no answer within the 4 s of the reloaded settings) and passes now.

--- a/src/carobstand/entry/platform_main.py
+++ b/src/carobstand/entry/platform_main.py
@@ -73,18 +73,21 @@
         eventlog.event("process.started", address=dep.ingress_address)
         await leaving.wait()
         tg.start_soon(registration.withdraw, state)
-        await _drain(dep, fwd, ingress_server)
+        await _drain(fwd, ingress_server)
         eventlog.event("process.stopped")
         tg.cancel_scope.cancel()
 
 
-async def _drain(dep, fwd, ingress_server):
+async def _drain(fwd, ingress_server):
     """Finish requests in progress; new ones arrive until the platform stops routing."""
-    forwarding.limit_deadlines(
-        fwd, anyio.current_time() + dep.bounds.stop_s - STOP_MARGIN_S
-    )
-    with anyio.move_on_after(dep.bounds.stop_s - STOP_MARGIN_S):
-        await anyio.sleep(DEREGISTRATION_DELAY_S)
+    # A reload of the settings may have changed the grace period since the start.
+    stop_s = fwd.fleet.deployment.bounds.stop_s - STOP_MARGIN_S
+    forwarding.limit_deadlines(fwd, anyio.current_time() + stop_s)
+    with anyio.move_on_after(stop_s):
+        # A short grace period ends before; its connections are closed in time, too.
+        await anyio.sleep(
+            min(DEREGISTRATION_DELAY_S, stop_s - forwarding.FINAL_RESPONSE_S)
+        )
         http1_server.begin_shutdown(ingress_server)
         planned_stop.begin_closing(fwd)
         while ingress_server.is_accepting or ingress_server.connections:
--- a/testing/test_planned_stops.py
+++ b/testing/test_planned_stops.py
@@ -2,6 +2,7 @@
 
 import contextlib
 import functools
+import json
 import random
 import socket
 import time
@@ -12,6 +13,7 @@
 from carobstand import http1, http1_server
 from carobstand.core import deployment
 from carobstand.entry import platform_main as entry_main
+from carobstand.platform import settings_file
 from testing import entry_processes, stop_traffic
 from testing import platform_builders as build
 from testing import platform_fleet as fleets
@@ -228,6 +230,25 @@
     fleets.run(test)
 
 
+def test_a_stop_uses_the_grace_period_of_reloaded_settings(tmp_path, monkeypatch):
+    """Guards against a kill before the end of a grace that a reload shortened."""
+    path = tmp_path / "settings.json"
+    path.write_text(json.dumps(build.settings_record(bounds={"grace_s": 4})))
+    monkeypatch.setenv(settings_file.PATH_VARIABLE, str(path))
+
+    async def test():
+        async with stoppable({"step_s": LONG_S}, {}) as (fleet, entry):
+            entry.hangups.notify()
+            await anyio.sleep(0.1)
+            stopped_at = anyio.current_time()
+            entry.leaving.set()
+            answer = await fleets.send_request(fleet, "/unsafe/", deadline_s=LONG_S)
+            assert answer.status == 504
+            assert anyio.current_time() < stopped_at + 4.0
+
+    fleets.run(test)
+
+
 def test_an_entry_held_up_as_it_closes_serves_the_established_connections():
     """Guards against an exit before accepted connections are counted."""
 
