--- a/src/carobstand/platform/records.py
+++ b/src/carobstand/platform/records.py
@@ -2,6 +2,7 @@
 
 import json
 import math
+import re
 import reprlib
 
 import attrs
@@ -16,12 +17,19 @@
 OPERATOR_PREFIX = "op/"
 SERVER_PREFIX = "servers/"
 
+MAX_PIECES = 65_536
+"""Most pieces of a version: a manifest has 32 bytes of digest for each, and a frame
+between processes 2 MB."""
+
 _KINDS = {
     "safe": routes.Kind.IDEMPOTENT,
     "unsafe": routes.Kind.NON_IDEMPOTENT,
     "streaming": routes.Kind.STREAM,
 }
 
+_TARGET = re.compile("/[!-~]*")
+"""Target of a request: visible ASCII characters without blanks."""
+
 _STATES = {"ready": True, "draining": False}
 
 
@@ -67,9 +75,9 @@
 def _route(record):
     kind = record.text("type")
     if kind not in _KINDS:
-        raise errors.RecordError(f"type: {kind!r} is not known", step=record.step)
+        raise record.error("type", "known")
     shares = tuple(
-        (item.text("service"), float(item.number("weight", 1)))
+        (item.name("service"), float(item.number("weight", 1)))
         for item in record.records("traffic_split")
     )
     return routes.Route(
@@ -77,7 +85,7 @@
         host=record.text("host").lower(),
         prefix=record.text("prefix"),
         kind=_KINDS[kind],
-        shares=shares or ((record.text("service"), 1.0),),
+        shares=shares or ((record.name("service"), 1.0),),
         timeout_s=record.seconds("timeout_ms"),
         target_s=record.seconds("target_latency_ms", 0),
         max_servers=record.integer("max_attempts", 1),
@@ -91,49 +99,47 @@
 
 def _permitted_regions(record):
     names = record.items("allowed_regions")
-    if not all(isinstance(name, str) for name in names):
-        raise errors.RecordError(
-            "allowed_regions: not names of regions", step=record.step
-        )
+    if not all(isinstance(name, str) and fields.is_printable(name) for name in names):
+        raise record.error("allowed_regions", "a list of regions")
     return frozenset(names)
 
 
 def _service(record):
     engine = record.record("engine")
-    name = record.text("name")
+    name = record.name("name")
     origin = None
     if "origin" in record.data:
         origin = routes.Origin(
-            address=record.text("origin"),
-            failure_domain=record.text("zone", ""),
+            address=record.address("origin"),
+            failure_domain=record.name("zone", ""),
             bytes_per_s=record.number("link_mbps", 0) * 1e6 / 8,
             max_connections=record.integer("max_connections", 1),
         )
     return routes.Service(
         name=name,
-        health_path=record.text("health_check_path", ""),
+        health_path=_health_path(record),
         max_connections=record.integer("max_connections", 0),
         latency_model=_latency_model(engine) if "slots" in engine.data else None,
         weights=_weights(engine) if "chunks" in engine.data else None,
         origin=origin,
-        warmup_s=_at_least_zero(record, "warmup_s"),
-        warmup_per_s=_at_least_zero(record, "warmup_per_s"),
+        warmup_s=float(record.number("warmup_s", 0)),
+        warmup_per_s=float(record.number("warmup_per_s", 0)),
     )
 
 
-def _at_least_zero(record, name):
-    value = record.number(name, 0)
-    if not math.isfinite(value) or value < 0:
-        message = f"{name}: {value!r} is not a finite number of at least 0"
-        raise errors.RecordError(message, step=record.step)
-    return float(value)
+def _health_path(record):
+    """Return the target of health checks, which a request line must be able to hold."""
+    path = record.text("health_check_path", "")
+    if path and not _TARGET.fullmatch(path):
+        raise record.error("health_check_path", "a path")
+    return path
 
 
 def _latency_model(record):
     usual = record.record("usual")
     models = record.records("models")
     return routes.LatencyModel(
-        slots=record.integer("slots"),
+        slots=record.integer("slots", least=1),
         step_s=record.seconds("step_ms", 0),
         per_sequence_s=record.seconds("per_seq_ms", 0),
         # The platform states this per 1,000 tokens of context.
@@ -142,30 +148,36 @@
         # The platform states this per million pairs of tokens.
         attention_pair_s=record.seconds("pairs_per_m", 0) / 1e6,
         prompt_tokens_per_step=record.integer("chunk", 0),
-        steps_per_pass=record.integer("stride", 1),
+        steps_per_pass=record.integer("stride", 1, least=1),
         usual_prompt_tokens=usual.integer("prompt", 0),
         usual_answer_tokens=usual.integer("answer", 0),
-        cache_tokens=record.integer("kv_cache_tokens", 0),
+        cache_tokens=record.integer("kv_cache_tokens", 0, most=fields.MAX_INTEGER),
         report_lag_s=record.seconds("report_lag_ms", 0),
         load_s=max((item.number("warm_s", 0) for item in models), default=0.0),
     )
 
 
 def _weights(record):
-    models = tuple(item.text("name") for item in record.records("models"))
+    models = tuple(item.name("name") for item in record.records("models"))
+    if not models:
+        raise record.error("models", "a list with a model")
     return routes.Weights(
         models=models,
-        layers=record.integer("layers", 1),
-        pieces=record.integer("chunks"),
-        piece_bytes=record.integer("chunk_bytes"),
+        layers=record.integer("layers", 1, least=1),
+        pieces=record.integer("chunks", least=1, most=MAX_PIECES),
+        piece_bytes=record.integer("chunk_bytes", least=1),
     )
 
 
 def _limits(record):
     defaults = routes.CallerLimits()
     return routes.CallerLimits(
-        max_header_bytes=record.integer("max_header_bytes", defaults.max_header_bytes),
-        max_body_bytes=record.integer("max_body_bytes", defaults.max_body_bytes),
+        max_header_bytes=record.integer(
+            "max_header_bytes", defaults.max_header_bytes, most=fields.MAX_INTEGER
+        ),
+        max_body_bytes=record.integer(
+            "max_body_bytes", defaults.max_body_bytes, most=fields.MAX_INTEGER
+        ),
         header_timeout_s=record.seconds(
             "header_timeout_ms", defaults.header_timeout_s * 1000
         ),
@@ -178,13 +190,13 @@
 def _customers(record):
     priority = record.integer("priority") if "priority" in record.data else None
     customer = routes.Customer(
-        name=record.text("name"),
+        name=record.name("name"),
         priority=priority,
         permitted_regions=_permitted_regions(record),
     )
     for key in record.items("api_keys"):
         if not isinstance(key, str):
-            raise errors.RecordError("api_keys: not strings", step=record.step)
+            raise record.error("api_keys", "a list of strings")
         yield key, customer
 
 
@@ -279,4 +291,4 @@
 def decode_named_version(raw):
     """Decode the announcement of a weights version; raise RecordError if malformed."""
     record = fields.parse(raw, "version")
-    return NamedVersion(record.text("model"), record.integer("version"))
+    return NamedVersion(record.name("model"), record.integer("version"))
