Bound the fields of engines' reports, of manifests and of the settings file

What was wrong: a manifest with a `chunk_bytes` of 0 was accepted, ports of the settings file could be 0 or above 65535, and their error message repeated a value of any length. A model's name went into request targets unquoted.

Change: the fields have bounds, and names of models are quoted in targets.

Before the change, test_odd_manifests and test_odd_settings failed; test_odd_reports_of_engines passes as of the bounds of platform/fields.py.

--- a/src/carobstand/platform/engine_client.py
+++ b/src/carobstand/platform/engine_client.py
@@ -2,6 +2,7 @@
 
 import json
 import math
+import urllib.parse
 
 import attrs
 
@@ -48,10 +49,10 @@
     return engine_report.EngineReport(
         holding=records.decode_holding(record),
         is_busy=record.flag("busy"),
-        orders=record.integer("sequence", 0),
+        orders=record.integer("sequence", 0, most=fields.MAX_INTEGER),
         running=record.integer("running", 0),
         waiting=record.integer("waiting", 0),
-        started_ms=record.integer("born", 0),
+        started_ms=record.integer("born", 0, most=fields.MAX_INTEGER),
         slowness=record.number("pace", 1.0),
         held_tokens=_cached_tokens(record, "kv_cache_used"),
         memory_tokens=_cached_tokens(record, "kv_cache_total"),
@@ -67,10 +68,10 @@
     try:
         layers = record.record("layers")
         count = layers.integer("to", 0) - layers.integer("from", 0)
-        value = record.number(name, -1)
+        value = record.number(name, -1, least=-1, most=MAX_CACHED_TOKENS)
     except errors.RecordError:
         return None
-    if count <= 0 or not 0 <= value <= MAX_CACHED_TOKENS:
+    if count <= 0 or value < 0:
         return None
     return math.ceil(value / count)
 
@@ -100,13 +101,13 @@
 
 async def stage_piece(caller, model, number, data):
     """Upload one piece to the staging area of the engine."""
-    target = f"/v1/stage-put/{model}?number={number}"
+    target = f"/v1/stage-put/{_quote(model)}?number={number}"
     await _call(caller, "stage", "PUT", target, data, allowed=(200, 201, 202, 204))
 
 
 async def fetch_staged_piece(caller, model, number):
     """Return the bytes of a staged piece, or None if it is not staged."""
-    target = f"/v1/stage-get/{model}?number={number}"
+    target = f"/v1/stage-get/{_quote(model)}?number={number}"
     resp = await _call(caller, "staged", "GET", target, allowed=(200, 404))
     return resp.body if resp.status == 200 else None
 
@@ -114,7 +115,7 @@
 async def list_staged_pieces(caller, model):
     """Return the numbers of the staged pieces."""
     resp = await _call(
-        caller, "held", "GET", f"/v1/stage-get/{model}", allowed=(200, 404)
+        caller, "held", "GET", f"/v1/stage-get/{_quote(model)}", allowed=(200, 404)
     )
     if resp.status == 404:
         return frozenset()
@@ -127,6 +128,10 @@
     return frozenset(number for number in held if type(number) is int)
 
 
+def _quote(model):
+    return urllib.parse.quote(model, safe="")
+
+
 async def _call(caller, step, method, target, body=b"", allowed=(200,)):
     try:
         resp = await http1.call(
--- a/src/carobstand/platform/settings_file.py
+++ b/src/carobstand/platform/settings_file.py
@@ -1,7 +1,5 @@
 """Settings file that the platform gives to each process."""
 
-import json
-
 from carobstand import errors
 from carobstand.core import deployment
 from carobstand.platform import fields
@@ -73,9 +71,7 @@
 def _regions(record):
     zones = record.record("zones").data
     if not all(isinstance(value, str) for value in zones.values()):
-        raise errors.RecordError(
-            "zones: values are not names of regions", step=record.step
-        )
+        raise record.error("zones", "regions by failure domain")
     return zones
 
 
@@ -84,17 +80,20 @@
     if not address:
         return ""
     host, _, port = address.rpartition(":")
-    if not host or not port.isascii() or not port.isdigit():
-        message = f"{name}: {address!r} is not HOST:PORT"
-        raise errors.RecordError(message, step=record.step)
+    digits = port.isascii() and port.isdigit() and len(port) <= 5
+    if not host or not digits or int(port) > deployment.MAX_PORT:
+        raise record.error(name, "HOST:PORT")
     return address
 
 
 def _ports(record):
     ports = record.items("internal_port_range")
-    if len(ports) != 2 or not all(type(port) is int for port in ports):
-        message = f"internal_port_range: {json.dumps(ports)} is not [FIRST, LAST]"
-        raise errors.RecordError(message, step=record.step)
+    if (
+        len(ports) != 2
+        or not all(type(port) is int for port in ports)
+        or not 0 < ports[0] <= ports[1] <= deployment.MAX_PORT
+    ):
+        raise record.error("internal_port_range", "[FIRST, LAST]")
     return tuple(ports)
 
 
--- a/src/carobstand/platform/weights_origin.py
+++ b/src/carobstand/platform/weights_origin.py
@@ -24,7 +24,8 @@
 async def fetch_manifest(caller, model, version, timeout_s):
     """Return the `Manifest` of `version`, or of the newest one if it is None."""
     query = {} if version is None else {"version": version}
-    target = f"/v1/manifest/{model}?{urllib.parse.urlencode(query)}".rstrip("?")
+    path = f"/v1/manifest/{urllib.parse.quote(model, safe='')}"
+    target = f"{path}?{urllib.parse.urlencode(query)}".rstrip("?")
     resp = await _call(caller, "manifest", target, timeout_s, MAX_MANIFEST_BYTES)
     try:
         return decode_manifest(resp.body)
@@ -44,17 +45,17 @@
     if not digests or any(len(digest) != 32 for digest in digests):
         raise errors.RecordError("digests: not SHA-256 values", step="manifest")
     return Manifest(
-        record.text("model"),
+        record.name("model"),
         record.integer("version"),
         digests,
-        record.integer("chunk_bytes"),
+        record.integer("chunk_bytes", least=1),
     )
 
 
 async def fetch_piece(caller, model, version, number, timeout_s, max_bytes):
     """Return the bytes of a piece; the digest is not verified."""
     query = urllib.parse.urlencode({"number": number, "version": version})
-    target = f"/v1/piece/{model}?{query}"
+    target = f"/v1/piece/{urllib.parse.quote(model, safe='')}?{query}"
     resp = await _call(caller, "piece", target, timeout_s, max_bytes)
     return resp.body
 
--- a/testing/test_odd_fields.py
+++ b/testing/test_odd_fields.py
@@ -31,8 +31,12 @@
     weight_sources,
 )
 from carobstand.platform import (
+    engine_client,
+    fields,
     http_headers,
     records,
+    settings_file,
+    weights_origin,
 )
 from carobstand.wire import fleet_codec
 from carobstand.wire.gen_fleet import ttypes
@@ -255,3 +259,65 @@
         )
     )
     check(record, lambda raw: entry_records.decode("entry-1", raw), use)
+
+
+def test_odd_reports_of_engines():
+    def use(report):
+        holding = report.holding
+        message = ttypes.EngineLoad(
+            address="127.0.0.1:9001",
+            started_ms=report.started_ms,
+            number=1,
+            running=report.running,
+            waiting=report.waiting,
+            slowness=report.slowness,
+            model=holding and holding.model,
+            version=holding and holding.version,
+            first_layer=holding and holding.start,
+            end_layer=holding and holding.end,
+            held_tokens=report.held_tokens,
+        )
+        assert fleet_codec.decode(fleet_codec.encode(message)) == message
+        server = build.registration("i-1", started_ms=report.started_ms)
+        load = build.load_report(
+            server,
+            running=report.running,
+            waiting=report.waiting,
+            slowness=engine_load.usable_slowness(report.slowness),
+            holding=holding,
+            held_tokens=report.held_tokens,
+        )
+        rank([server], build.service(), [load])
+
+    record = {
+        **build.server_record(),
+        **{"busy": False, "running": 3, "waiting": 1, "pace": 1.0},
+        **{"kv_cache_used": 41000, "kv_cache_total": 90000},
+    }
+    check(
+        record,
+        lambda raw: engine_client.decode_report(fields.parse(raw, "report")),
+        use,
+    )
+
+
+def test_odd_manifests():
+    record = {"model": "m", "version": 2, "chunk_bytes": 64, "digests": ["00" * 32]}
+
+    def use(found):
+        fleet_codec.encode(
+            ttypes.ManifestReply(
+                found.model, found.version, b"".join(found.digests), found.piece_bytes
+            )
+        )
+        assert found.piece_bytes > 0
+
+    check(record, weights_origin.decode_manifest, use)
+
+
+def test_odd_settings():
+    check(
+        build.settings_record(app="127.0.0.1:9001"),
+        lambda raw: settings_file.decode(fields.parse(raw, "settings")),
+        lambda dep: range(*dep.internal_ports),
+    )
