Read numbers in responses of servers without failing on any digits

What was wrong: `Weight-Versions`, `Keep-Alive` or an event's id of thousands of digits raised ValueError while a response was received, `Keep-Alive` of 400 digits OverflowError, and one with a superscript digit, which `str.isdigit` accepts, ValueError. `Retry-After: 1e300` excluded a server until its next start, and gave callers a `Retry-After` of 300 digits.

Change: integers have at most 18 digits, versions fit into 32 bits, an idle time has at most 9 ASCII digits. A `Retry-After` counts as at most 600 s and a `Server-Limit` as at most a million requests per second. What is out of bounds is ignored, as other malformed values are.

--- a/src/carobstand/core/event_stream.py
+++ b/src/carobstand/core/event_stream.py
@@ -9,6 +9,9 @@
 MAX_EVENT_BYTES = 262_144
 """Maximum size of an incomplete event; beyond it the stream is unusable."""
 
+MAX_ID_DIGITS = 18
+"""Most digits of an event's id; the conversion of thousands of digits fails."""
+
 EVENT_END = b"\n\n"
 
 
@@ -67,7 +70,7 @@
     for line in lines:
         name, _, value = line.partition(b":")
         value = value.strip()
-        if name != b"id" or not value.isdigit():
+        if name != b"id" or not value.isdigit() or len(value) > MAX_ID_DIGITS:
             continue
         event_id = int(value)
         _check_order(state, event_id)
--- a/src/carobstand/http1.py
+++ b/src/carobstand/http1.py
@@ -33,6 +33,10 @@
 """Margin before the end of the announced idle time within which a connection is not
 reused."""
 
+MAX_IDLE_DIGITS = 9
+"""Most digits of an announced idle time in s. Hundreds of digits cannot be converted to
+a floating-point number."""
+
 MAX_RECENT_REQUEST_IDS = 32
 """Number of the most recent request ids kept per connection."""
 
@@ -266,7 +270,8 @@
     conn.idle_until = None
     for part in (header(event.headers, b"keep-alive") or "").split(","):
         name, _, value = part.strip().partition("=")
-        if name.lower() == "timeout" and value.isdigit():
+        is_number = value.isascii() and value.isdigit()
+        if name.lower() == "timeout" and is_number and len(value) <= MAX_IDLE_DIGITS:
             idle_s = max(0.0, int(value) - KEEP_ALIVE_SLACK_S)
             conn.idle_until = anyio.current_time() + idle_s
 
--- a/src/carobstand/platform/http_headers.py
+++ b/src/carobstand/platform/http_headers.py
@@ -3,6 +3,7 @@
 import math
 
 from carobstand.core import exchange
+from carobstand.platform import fields
 
 _HOP_BY_HOP = {
     b"connection",
@@ -33,6 +34,18 @@
 """Most characters of a figure of `Server-Load`; longer ones could not be converted to
 a floating-point number."""
 
+MAX_INTEGER_DIGITS = 18
+"""Most digits of an integer in a header, so that it fits into an i64. The conversion of
+thousands of digits fails."""
+
+MAX_LIMIT_PER_S = 1e6
+"""Largest number of requests per second in `Server-Limit`; a higher one counts as this.
+No server takes as many."""
+
+MAX_BACKOFF_S = 600.0
+"""Longest `Retry-After` of a server; a longer one counts as this. It would not be used
+again until its next start otherwise."""
+
 MAX_TOKENS = 10_000_000
 """Largest number of tokens of a prompt or an answer that is taken as told. Sums of work
 would lose the other requests by rounding with larger ones."""
@@ -113,7 +126,14 @@
     if text is None:
         return None
     text = text.strip()
-    return int(text) if text.isascii() and text.isdigit() else None
+    is_integer = text.isascii() and text.isdigit() and len(text) <= MAX_INTEGER_DIGITS
+    return int(text) if is_integer else None
+
+
+def _parse_version(text):
+    """Return a version of weights, or None if `text` is not one."""
+    version = _parse_integer(text)
+    return version if version is None or version <= fields.MAX_COUNT else None
 
 
 def _parse_tokens(text):
@@ -180,7 +200,7 @@
         not_run=b"not-executed" in values,
         is_signed=b"server-signature" in values,
         server_id=values.get(b"instance-id", ""),
-        version=_parse_integer(values.get(b"weight-versions")),
+        version=_parse_version(values.get(b"weight-versions")),
         load=_parse_load(values.get(b"server-load", "")),
         headers=tuple(
             (raw, value)
@@ -191,7 +211,7 @@
         is_framed=b"content-length" in values or b"transfer-encoding" in values,
         is_leaving=values.get(b"server-leaving", "").strip() == "1",
         backoff_s=_parse_backoff(values.get(b"retry-after")) if status == 503 else None,
-        limit=limit,
+        limit=None if limit is None else min(limit, MAX_LIMIT_PER_S),
         malformed_limit=values.get(b"server-limit", "") if limit is None else "",
         cold_s=None if cold_ms is None else min(cold_ms, exchange.MAX_COLD_MS) / 1000,
         malformed_cold=values.get(b"warmup-ms", "") if cold_ms is None else "",
@@ -213,7 +233,9 @@
         backoff_s = float(text or "")
     except ValueError:
         return None
-    return backoff_s if math.isfinite(backoff_s) and backoff_s > 0 else None
+    if not (math.isfinite(backoff_s) and backoff_s > 0):
+        return None
+    return min(backoff_s, MAX_BACKOFF_S)
 
 
 def _parse_load(text):
--- a/testing/test_odd_fields.py
+++ b/testing/test_odd_fields.py
@@ -10,13 +10,15 @@
 import random
 
 import h11
+import pytest
 
-from carobstand import entry_records, errors
+from carobstand import entry_records, errors, http1
 from carobstand.core import (
     announcements,
     calibration,
     eligibility,
     engine_load,
+    event_stream,
     exchange,
     health,
     latency_model,
@@ -321,3 +323,40 @@
         lambda raw: settings_file.decode(fields.parse(raw, "settings")),
         lambda dep: range(*dep.internal_ports),
     )
+
+
+@pytest.mark.parametrize(
+    "value", ["9" * 5000, "1e999", "-1", "nan", "1e300", "5e-324", "0", "x", "1.5.5"]
+)
+def test_odd_headers_of_responses(value):
+    names = ("server-limit", "warmup-ms", "retry-after", "weight-versions")
+    for name in (*names, "server-load", "instance-id"):
+        text = ",".join([value] * 3) if name == "server-load" else value
+        headers = h11.Response(status_code=503, headers=[(name, text)]).headers
+        head = http_headers.decode_response_head(503, headers)
+        if head.limit is not None:
+            per_s = permit_rates.rate(head.limit)
+            granter = permit_grants.Granter()
+            fleet_codec.encode(
+                ttypes.PermitReply(
+                    limit=head.limit,
+                    interval_ms=int(1000 * permit_grants.interval_s(granter, per_s)),
+                )
+            )
+        if head.version is not None:
+            fleet_codec.encode(ttypes.EngineLoad(version=head.version))
+        assert (head.backoff_s or 0) <= 3600
+
+
+@pytest.mark.parametrize("value", ["9" * 5000, "9" * 400, "\xb2", "-1", "1.5", ""])
+def test_an_odd_keep_alive_sets_no_idle_time(value):
+    headers = [("Keep-Alive", f"timeout={value}".encode("latin-1"))]
+    conn = http1.Connection(None, "127.0.0.1:80")
+    http1._record_keep_alive(conn, h11.Response(status_code=200, headers=headers))
+    assert conn.idle_until is None
+
+
+def test_an_event_with_an_odd_id_is_passed_on():
+    state = event_stream.EventStream()
+    event = b"id: " + b"9" * 5000 + b"\ndata: x\n\n"
+    assert event_stream.feed(state, event) == event
