Weigh arrivals of a version at agents and here; none alone dates it

Callers saw: requests began on old weights after their end (rule VERSION).

Cause: the earliest arrival at three agents replaced the entry's own date if it was later. Agents date by arrival too, so responses that all came late (a link that was cut or full, packets sent again) gave a date up to 3 s too late, though the entry itself had the version in time.

Change: an arrival is an upper bound of the naming, wherever it was. The earliest of three processes, the entry's own included, counts, and in two regions where there are several, as responses of a region share its link. In calm this dates exactly, as before; the own arrival alone never dates a version. Where arrivals are known, they replace the grace after an outage: a paused process takes its own calls for failed. The log tells by what a version was dated (`dated_by`), and null instead of a huge number if no call of the store failed.

Tests: `earliest_seen` became `earliest_arrival`, its cases are kept.

--- a/src/carobstand/agent/view.py
+++ b/src/carobstand/agent/view.py
@@ -33,10 +33,6 @@
 """Shortest time, at most doubled, for which an agent whose engine serves delays its
 read of the configuration, to leave the link to entries."""
 
-IMMEDIATE_S = 0.05
-"""A watch that returns changes within this time did not wait for them; a response that
-arrives within it was not delayed."""
-
 STEADY_S = 5.0
 """Time after a failed call of the store in which no change is dated by its arrival."""
 
@@ -67,12 +63,11 @@
         were named before this process started and have a time of ``-inf``.
     versions_read : bool
         Whether the named versions have been listed at least once.
-    written_at : float or None
-        Time at which the changes that are being applied were written; None if that is
-        not known.
+    arrived_at : float or None
+        Time at which the changes that are being applied arrived; None if no watch had
+        waited for them.
     witnessed : dict of (str, int) to float
-        When versions were named, by model and version, of those that a watch showed as
-        they were written.
+        When versions arrived, by model and version, of those for which a watch waited.
     entries : dict of str to core.weight_sources.Entry
         Registered entries by VM.
     report : core.engine_report.EngineReport or None
@@ -97,7 +92,7 @@
     configuration: object = None
     named: dict = attrs.field(factory=dict)
     versions_read: bool = False
-    written_at: float | None = None
+    arrived_at: float | None = None
     witnessed: dict = attrs.field(factory=dict)
     entries: dict = attrs.field(factory=dict)
     report: object = None
@@ -250,7 +245,7 @@
                     revision = None
                     continue
             is_steady = is_watch and sent_at - failed_at > STEADY_S
-            view.written_at = _written_at(changes, sent_at) if is_steady else None
+            view.arrived_at = kv.prompt_arrival(changes, sent_at) if is_steady else None
             for item in changes.items:
                 _apply_readable(apply, item)
             revision, era = changes.revision, changes.era
@@ -268,18 +263,6 @@
             pause_s = min(RETRY_MAX_S, pause_s * 2)
 
 
-def _written_at(changes, sent_at):
-    """Return when changes were written that a watch returned, or None if unknown.
-
-    If the watch had waited for them and they arrived without delay, it is the time at
-    which the response began.
-    """
-    now = anyio.current_time()
-    if changes.began_at - sent_at < IMMEDIATE_S or now - changes.began_at > IMMEDIATE_S:
-        return None
-    return changes.began_at
-
-
 def _apply_readable(apply, item):
     try:
         apply(item)
@@ -302,14 +285,14 @@
     known = view.named.setdefault(named.model, [])
     seen_at = anyio.current_time() if view.versions_read else -math.inf
     if named_versions.add(known, named.version, seen_at):
-        if view.written_at is not None:
-            view.witnessed[named.model, named.version] = view.written_at
-        written_at = view.written_at
+        if view.arrived_at is not None:
+            view.witnessed[named.model, named.version] = view.arrived_at
+        arrived_at = view.arrived_at
         eventlog.event(
             "version.named",
             model=named.model,
             version=named.version,
-            ago_s=written_at and round(anyio.current_time() - written_at, 3),
+            ago_s=arrived_at and round(anyio.current_time() - arrived_at, 3),
         )
 
 
--- a/src/carobstand/core/named_versions.py
+++ b/src/carobstand/core/named_versions.py
@@ -6,12 +6,14 @@
 
 MIN_WITNESSES = 3
 MIN_DOMAINS = 2
-"""Fewest agents, and fewest failure domains of theirs, whose reports date a named
-version. A frozen VM or link delays those behind it, so the earliest report counts."""
+MIN_REGIONS = 2
+"""Fewest processes, failure domains and regions (of several) from which arrivals of a
+named version date it. A frozen VM or a slow or cut link, also that of a region, delays
+those behind it, so the earliest arrival counts."""
 
 REPORT_DELAY_S = 0.1
-"""Time by which even the earliest report may be late: 10 to 60 ms until an agent reads
-the change, and the datagram's way."""
+"""Time by which even the earliest arrival may be late: 10 to 60 ms until a process
+reads the change, and the datagram's way."""
 
 VERSIONS_KEPT = 4
 """Versions of which reports are kept."""
@@ -21,12 +23,49 @@
 class SeenVersion:
     """A version that an operator named as the one to serve.
 
-    `seen_at` is the time at which this process learned of it, ``-inf`` if it was named
-    before the process started.
+    `seen_at` is the time from which it counts as named, ``-inf`` if that was before the
+    process started; `dated_by` says how an entry knows it, as one of the constants.
     """
 
     version: int
     seen_at: float
+    dated_by: str | None = None
+
+
+CONFIRMATION = "confirmation"
+"""By the last state of the store that did not have the version."""
+
+ARRIVALS = "arrivals"
+"""By the earliest arrival at several processes."""
+
+GRACE = "grace"
+"""By the end of an outage of the store or by the start of this process."""
+
+
+@attrs.frozen
+class OwnDate:
+    """What an entry knows itself of the time at which a version was named.
+
+    Attributes
+    ----------
+    since : float
+        Time before which it was not named, -inf if not known.
+    grace_from : float
+        Later time from which the time limits may count, as the entry was out of touch;
+        -inf if it was not.
+    arrived_at : float
+        Time by which it was named, as it arrived then.
+    is_witness : bool
+        Whether a watch had waited for it, so that the arrival may be prompt.
+    failure_domain : str
+        Of this entry.
+    """
+
+    since: float
+    grace_from: float = -math.inf
+    arrived_at: float = math.inf
+    is_witness: bool = False
+    failure_domain: str = ""
 
 
 def add(named, version, seen_at):
@@ -72,39 +111,64 @@
     return True
 
 
-def earliest_seen(witnesses, version):
-    """Return the time before which a version was not named, -inf if not known."""
-    found = witnesses.seen.get(version, {}).values()
-    if len(found) < MIN_WITNESSES:
-        return -math.inf
-    if len({failure_domain for failure_domain, _ in found}) < MIN_DOMAINS:
-        return -math.inf
-    return min(at for _, at in found) - REPORT_DELAY_S
+def earliest_arrival(witnesses, version, own, regions):
+    """Return the time before which a version was not named, None if not known.
 
+    Each arrival is an upper bound of that time. The earliest of enough processes that
+    share no link is taken to be at most `REPORT_DELAY_S` late.
 
-def redate(named, own_dates, witnesses):
-    """Replace the dates of named versions by the later of two lower bounds.
+    Parameters
+    ----------
+    witnesses : Witnesses
+    version : int
+    own : OwnDate
+    regions : dict of str to str
+        Region by failure domain, of the whole deployment.
+    """
+    found = list(witnesses.seen.get(version, {}).values())
+    if own.is_witness:
+        found.append((own.failure_domain, own.arrived_at))
+    domains = {domain for domain, _ in found}
+    spanned = {regions.get(domain, domain) for domain in domains}
+    if (
+        len(found) < MIN_WITNESSES
+        or len(domains) < MIN_DOMAINS
+        or len(spanned) < min(MIN_REGIONS, len(set(regions.values())))
+    ):
+        return None
+    return min(own.arrived_at, *(at for _, at in found)) - REPORT_DELAY_S
+
+
+def redate(named, own_dates, witnesses, regions):
+    """Date named versions by what is known now.
 
     Parameters
     ----------
     named : list of SeenVersion
         Changed in place.
-    own_dates : dict of int to float
-        What this process knows itself, by version.
+    own_dates : dict of int to OwnDate
+        By version.
     witnesses : Witnesses
+    regions : dict of str to str
     """
     named[:] = [
-        SeenVersion(
-            item.version,
-            max(
-                own_dates.get(item.version, item.seen_at),
-                earliest_seen(witnesses, item.version),
-            ),
-        )
+        _dated(item.version, own_dates[item.version], witnesses, regions)
         for item in named
     ]
 
 
+def _dated(version, own, witnesses, regions):
+    arrival = earliest_arrival(witnesses, version, own, regions)
+    # Agents load and end weights by their arrivals, also while the entry was out of
+    # touch, so its grace is of use only where no arrivals are known.
+    other, dated_by = (
+        (own.grace_from, GRACE) if arrival is None else (arrival, ARRIVALS)
+    )
+    if own.since >= other:
+        return SeenVersion(version, own.since, CONFIRMATION)
+    return SeenVersion(version, other, dated_by)
+
+
 def begin_by(named, version, allowed_s):
     """Return the latest time at which requests may begin on weights of `version`.
 
--- a/src/carobstand/entry/fleet.py
+++ b/src/carobstand/entry/fleet.py
@@ -78,9 +78,9 @@
         Signals that backend servers sent about themselves in responses.
     named : dict of str to list of core.named_versions.SeenVersion
         By model.
-    own_dates : dict of str to dict of int to float
-        Lower bounds of the times at which versions were named, by model and version,
-        as this entry knows them from the store.
+    own_dates : dict of str to dict of int to core.named_versions.OwnDate
+        What this entry knows from the store of the times at which versions were named,
+        by model and version.
     witnesses : dict of str to core.named_versions.Witnesses
         When agents saw versions being named, by model.
     roster : core.entry_roster.Roster
@@ -108,6 +108,9 @@
     history : core.change_feed.ChangeFeed
     changes_since : float
         Lower bound of the time at which the changes now applied were made.
+    arrived_at : float or None
+        Time at which the changes now applied arrived, if a watch had waited for them
+        and they arrived at once; None otherwise.
     started : float
         Start time of this process.
     first_read_at : float or None
@@ -145,6 +148,7 @@
     was_restored: bool = False
     history: change_feed.ChangeFeed = attrs.field(factory=change_feed.ChangeFeed)
     changes_since: float = -1e9
+    arrived_at: float | None = None
     started: float = attrs.field(factory=anyio.current_time)
     first_read_at: float | None = None
     stops_at: float = math.inf
@@ -245,9 +249,11 @@
     # the revision before them.
     if fleet.confirmed_at is not None:
         fleet.changes_since = fleet.confirmed_at
+    fleet.arrived_at = kv.prompt_arrival(changes, sent_at)
     for item in changes.items:
         change_feed.add(fleet.history, item, fleet.changes_since)
         apply_item(fleet, item)
+    fleet.arrived_at = None
     fleet.revision = max(fleet.revision, changes.revision)
     # A watch without changes lasted for its full wait.
     waited_s = 0.0 if changes.items else wait_s
--- a/src/carobstand/entry/versions.py
+++ b/src/carobstand/entry/versions.py
@@ -6,6 +6,7 @@
 
 from carobstand import eventlog
 from carobstand.core import named_versions
+from carobstand.entry import change_relay
 from carobstand.platform import records
 
 VERSION_SLACK_S = 0.3
@@ -27,21 +28,27 @@
         return
     named = records.decode_named_version(item.value)
     known = fleet.named.setdefault(named.model, [])
-    # A process that has just started cannot know when the version was named.
-    seen_at = _seen_at(fleet) if fleet.revision else _seen_at_before_start(fleet)
-    if named_versions.add(known, named.version, seen_at):
-        fleet.operator_items[item.key] = item
-        fleet.own_dates.setdefault(named.model, {})[named.version] = seen_at
-        now = anyio.current_time()
-        eventlog.event(
-            "version.named",
-            model=named.model,
-            version=named.version,
-            ago_s=round(now - seen_at, 3),
-            unconfirmed_s=round(now - (fleet.confirmed_at or fleet.started), 3),
-            store_failed_ago_s=round(now - fleet.store_failed_at, 3),
-        )
-        _redate(fleet, named.model)
+    if not named_versions.add(known, named.version, -math.inf):
+        return
+    fleet.operator_items[item.key] = item
+    own = _own_date(fleet)
+    fleet.own_dates.setdefault(named.model, {})[named.version] = own
+    _redate(fleet, named.model, is_new=True)
+    now = anyio.current_time()
+    failed_ago_s = now - fleet.store_failed_at
+    eventlog.event(
+        "version.named",
+        model=named.model,
+        version=named.version,
+        ago_s=round(now - known[-1].seen_at, 3),
+        dated_by=known[-1].dated_by,
+        unconfirmed_s=round(now - (fleet.confirmed_at or fleet.started), 3),
+        store_failed_ago_s=(
+            round(failed_ago_s, 3)
+            if failed_ago_s < change_relay.UNKNOWN_AGE_S
+            else None
+        ),
+    )
 
 
 def note_named(fleet, server, ago_ms):
@@ -78,46 +85,54 @@
         _redate(fleet, model)
 
 
-def _redate(fleet, model):
-    """Date the named versions of a model by what is known now."""
+def _redate(fleet, model, is_new=False):
+    """Date the named versions of a model by what is known now.
+
+    With `is_new` the last one has no date yet.
+    """
     named = fleet.named.get(model)
     if not named:
         return
     before = list(named)
     named_versions.redate(
         named,
-        fleet.own_dates.get(model, {}),
+        fleet.own_dates[model],
         fleet.witnesses.get(model, named_versions.Witnesses()),
+        fleet.deployment.regions,
     )
-    for item, old in zip(named, before, strict=True):
+    known = before[:-1] if is_new else before
+    for item, old in zip(named, known, strict=False):
         if abs(item.seen_at - old.seen_at) > REDATED_S:
             eventlog.event(
                 "version.redated",
                 model=model,
                 version=item.version,
                 later_s=round(item.seen_at - old.seen_at, 3),
+                dated_by=item.dated_by,
             )
 
 
-def _seen_at(fleet):
-    """Return the time to record for a named version that was just read.
+def _own_date(fleet):
+    """Return the `OwnDate` of a named version that was just read.
 
     After a store outage the version may have been named long ago; the time limits do
-    not apply to a process that has just reconnected to the store. The outage is known
-    to have lasted until the last failed call was sent, not until it timed out.
+    not apply to a process that has just reconnected to the store, or has just started.
+    The outage is known to have lasted until the last failed call was sent, not until it
+    timed out.
     """
     bounds = fleet.deployment.bounds
-    regained = fleet.store_unreachable_at + bounds.contact_s - bounds.version_s
-    return max(fleet.changes_since, regained)
-
-
-def _seen_at_before_start(fleet):
-    """Return the time to record for versions that were named before this process.
-
-    The time limits do not apply to a process that has just started.
-    """
-    bounds = fleet.deployment.bounds
-    return fleet.started - PROCESS_START_S + bounds.contact_s - bounds.version_s
+    if fleet.revision:
+        since, regained_at = fleet.changes_since, fleet.store_unreachable_at
+    else:
+        since, regained_at = -math.inf, fleet.started - PROCESS_START_S
+    arrived_at = fleet.arrived_at
+    return named_versions.OwnDate(
+        since=since,
+        grace_from=regained_at + bounds.contact_s - bounds.version_s,
+        arrived_at=anyio.current_time() if arrived_at is None else arrived_at,
+        is_witness=arrived_at is not None,
+        failure_domain=fleet.deployment.failure_domain,
+    )
 
 
 def begin_by(fleet, holding):
--- a/src/carobstand/platform/kv.py
+++ b/src/carobstand/platform/kv.py
@@ -5,6 +5,7 @@
 import json
 import urllib.parse
 
+import anyio
 import attrs
 
 from carobstand import errors, eventlog, http1, signals
@@ -29,6 +30,11 @@
 """Time without data after the end of its wait at which a watch counts as failed."""
 
 
+IMMEDIATE_S = 0.05
+"""A watch that returns changes within this time did not wait for them; a response that
+arrives within it was not delayed on the last part of its way."""
+
+
 @attrs.frozen
 class Item:
     """A key and its value, which is None if a watch reports the key as deleted.
@@ -154,6 +160,17 @@
     )
 
 
+def prompt_arrival(changes, sent_at):
+    """Return when changes arrived that a watch had waited for, or None.
+
+    None also if the response took long to arrive; then it may have begun late as well.
+    """
+    now = anyio.current_time()
+    if changes.began_at - sent_at < IMMEDIATE_S or now - changes.began_at > IMMEDIATE_S:
+        return None
+    return changes.began_at
+
+
 async def put(store, key, value, *, expect=None, lease=0):
     """Write a key; raise ConflictError if its revision is not `expect`.
 
--- a/testing/test_named_versions.py
+++ b/testing/test_named_versions.py
@@ -5,7 +5,6 @@
 import anyio
 import attrs
 
-from carobstand.agent import view as views
 from carobstand.core import eligibility, named_versions, placement, registry
 from carobstand.entry import fleet as fleets
 from carobstand.entry import forwarding, server_choice, versions
@@ -13,6 +12,7 @@
 from testing import platform_builders as build
 from testing import virtual_time, weight_builders
 
+REGIONS = {"a": "north", "b": "south"}
 DELAY_S = named_versions.REPORT_DELAY_S
 
 
@@ -24,13 +24,60 @@
     return found
 
 
+def own(since=-math.inf, **changes):
+    """Return an `OwnDate` of an entry in failure domain ``a``."""
+    return named_versions.OwnDate(since, failure_domain="a", **changes)
+
+
+def earliest(reports, own_date=None, regions=REGIONS):
+    return named_versions.earliest_arrival(
+        witnesses(*reports), 2, own_date or own(), regions
+    )
+
+
 def test_a_version_is_dated_by_the_earliest_of_several_agents():
     # One agent, or all behind one frozen link, may have learned of it late.
     reports = [("i1", "a", 18.4), ("i2", "a", 18.0), ("i3", "b", 18.1)]
-    assert named_versions.earliest_seen(witnesses(*reports), 2) == 18.0 - DELAY_S
-    assert named_versions.earliest_seen(witnesses(*reports[:2]), 2) == -math.inf
+    assert earliest(reports) == 18.0 - DELAY_S
+    assert earliest(reports[:2]) is None
     same = [(server_id, "a", at) for server_id, _, at in reports]
-    assert named_versions.earliest_seen(witnesses(*same), 2) == -math.inf
+    assert earliest(same) is None
+
+
+def test_agents_of_one_region_do_not_date_a_version_where_there_are_several():
+    """Guards against a common delay of all responses on the link of a region."""
+    reports = [("i1", "a", 18.4), ("i2", "a", 18.0), ("i3", "b", 18.1)]
+    assert earliest(reports, regions={"a": "north", "b": "north"}) == 18.0 - DELAY_S
+    regions = {"a": "north", "b": "north", "c": "south"}
+    assert earliest(reports, regions=regions) is None
+
+
+def test_an_entry_whose_watch_waited_counts_as_one_of_the_witnesses():
+    """Guards against a refusal of weights that are still allowed in small fleets."""
+    reports = [("i1", "b", 18.1), ("i2", "b", 18.2)]
+    assert earliest(reports) is None
+    assert earliest(reports, own(arrived_at=18.0, is_witness=True)) == 18.0 - DELAY_S
+
+
+def test_agents_that_all_learned_late_do_not_date_a_version_after_its_arrival():
+    """Guards against a date 3 s too late: the responses to all agents were delayed."""
+    reports = [("i1", "a", 21.0), ("i2", "b", 21.0), ("i3", "b", 21.1)]
+    # Also a late arrival, as after a listing, is an upper bound.
+    for is_witness in (True, False):
+        found = earliest(reports, own(arrived_at=18.0, is_witness=is_witness))
+        assert found == 18.0 - DELAY_S
+
+
+def test_an_entry_that_was_out_of_touch_follows_the_arrivals_of_others():
+    """Guards against a grace for an entry that was in touch but paused."""
+    named = [named_versions.SeenVersion(2, 0.0)]
+    late = own(17.1, grace_from=21.0, arrived_at=26.0)
+    named_versions.redate(named, {2: late}, witnesses(), REGIONS)
+    assert (named[0].seen_at, named[0].dated_by) == (21.0, named_versions.GRACE)
+    reports = [("i1", "a", 18.4), ("i2", "a", 18.0), ("i3", "b", 18.1)]
+    named_versions.redate(named, {2: late}, witnesses(*reports), REGIONS)
+    found = named[0]
+    assert (found.seen_at, found.dated_by) == (18.0 - DELAY_S, named_versions.ARRIVALS)
 
 
 def test_of_repeated_reports_the_earliest_counts():
@@ -42,10 +89,11 @@
 def test_reports_never_date_a_version_before_what_the_store_confirmed():
     named = [named_versions.SeenVersion(2, 17.1), named_versions.SeenVersion(3, 20.0)]
     found = witnesses(("i1", "a", 18.4), ("i2", "a", 18.0), ("i3", "b", 18.1))
-    named_versions.redate(named, {2: 17.1, 3: 20.0}, found)
+    named_versions.redate(named, {2: own(17.1), 3: own(20.0)}, found, REGIONS)
     assert [item.seen_at for item in named] == [18.0 - DELAY_S, 20.0]
-    named_versions.redate(named, {2: 18.2, 3: 20.0}, found)
+    named_versions.redate(named, {2: own(18.2), 3: own(20.0)}, found, REGIONS)
     assert [item.seen_at for item in named] == [18.2, 20.0]
+    assert named[0].dated_by == named_versions.CONFIRMATION
 
 
 def test_an_entry_out_of_touch_uses_the_old_weights_until_they_end():
@@ -56,6 +104,7 @@
     holding = registry.Holding(model="m", version=1)
 
     async def read():
+        await anyio.sleep(18.9)
         fleets.apply_item(fleet, item)
 
     virtual_time.run(read)
@@ -71,14 +120,14 @@
     assert math.isclose(versions.begin_by(fleet, holding), early + 0.9 - DELAY_S)
 
 
-def test_an_agent_dates_only_changes_for_which_its_watch_had_waited():
+def test_only_changes_for_which_a_watch_had_waited_arrived_promptly():
     async def check():
         now = anyio.current_time()
         changes = kv.Changes(8, (), began_at=now)
-        assert views._written_at(changes, now - 1.0) == now
-        assert views._written_at(changes, now - 0.01) is None
+        assert kv.prompt_arrival(changes, now - 1.0) == now
+        assert kv.prompt_arrival(changes, now - 0.01) is None
         late = kv.Changes(8, (), began_at=now - 0.4)
-        assert views._written_at(late, now - 1.0) is None
+        assert kv.prompt_arrival(late, now - 1.0) is None
 
     virtual_time.run(check)
 
--- a/testing/test_news_of_versions.py
+++ b/testing/test_news_of_versions.py
@@ -86,6 +86,41 @@
     assert 2.4 < date(state) <= 2.6
 
 
+def reports(arrivals):
+    """Return a task by which agents in domains b and c report arrivals of version 2."""
+
+    async def report(fleet):
+        for number, at in enumerate(sorted(arrivals)):
+            await anyio.sleep_until(at + 0.02)
+            domain = "bc"[number % 2]
+            server = build.registration(f"i-{number}", failure_domain=domain)
+            versions.note_named(fleet, server, {2: 20})
+
+    return report
+
+
+@pytest.mark.parametrize("late_s", [0.4, 1.4, 3.0])
+def test_late_agents_do_not_date_a_version_after_its_arrival_here(monkeypatch, late_s):
+    """Guards against a date by agents whose responses were all delayed."""
+    named_at = 7.5
+    store = version_store.Store([named_at])
+    arrivals = [named_at + late_s + extra_s for extra_s in (0.0, 0.1, 0.1, 0.3)]
+    tasks = [reports(arrivals)]
+    state = version_store.observe(monkeypatch, store, named_at + 7.0, tasks=tasks)
+    assert date(state) <= named_at
+
+
+@pytest.mark.parametrize("late_s", [0.0, 3.0])
+def test_prompt_agents_date_a_version_exactly(monkeypatch, late_s):
+    """Guards against a refusal of weights that are still allowed for 2.5 s."""
+    named_at = 9.7
+    late = [(named_at, named_at + 0.1, late_s)]
+    store = version_store.Store([named_at], late=late)
+    tasks = [reports([named_at + extra_s for extra_s in (0.02, 0.05, 1.0)])]
+    state = version_store.observe(monkeypatch, store, named_at + 7.0, tasks=tasks)
+    assert named_at - 0.1 <= date(state) <= named_at
+
+
 def test_a_version_is_dated_by_the_last_state_that_the_store_confirmed(answers):
     """Guards against a date that is earlier than needed: callers would be refused."""
 
