Withdraw attempts at the end of their weights, whenever they were sent

Callers saw: a request could begin on old weights after their end, although the entry dated them rightly.

Cause: the end was computed once, when the request was sent. A request sent before newer weights were named had no end, however long it waited at the engine; one sent before an earlier date became known kept the later one. And a request for which an engine had been chosen before the end was sent after it, if its connection took until then to open or the process paused in between.

Change: the forwarder keeps the scopes of the attempts that have not begun, and sets their deadlines anew when a version is named or redated. Right before sending, an attempt on ended weights is withheld and another server chosen.

What it does not cover: an entry that pauses while an attempt waits at the engine closes the connection as late as the pause ends. Placement keeps waits short near the end; the engine has no header by which it could refuse to begin after a time.

--- a/src/carobstand/entry/fleet.py
+++ b/src/carobstand/entry/fleet.py
@@ -119,6 +119,8 @@
         Time at which a planned stop ends the requests still in progress.
     cold_changed : callable of (str)
         Called with the id of a known server that became cold or warm.
+    versions_changed : callable without arguments
+        Called when the times change by which requests must have begun.
     changed : signals.Signal
         Notified at each change of the above.
     """
@@ -153,6 +155,7 @@
     first_read_at: float | None = None
     stops_at: float = math.inf
     cold_changed: object = lambda server_id: None
+    versions_changed: object = lambda: None
     changed: signals.Signal = attrs.field(factory=signals.Signal)
 
 
--- a/src/carobstand/entry/forwarding.py
+++ b/src/carobstand/entry/forwarding.py
@@ -1,5 +1,7 @@
 """Forwards decoded requests: server selection, attempts, retries, final response."""
 
+import contextlib
+
 import anyio
 import attrs
 
@@ -69,6 +71,8 @@
     part_tracker : entry.poison_parts.Tracker
     scopes : set of anyio.CancelScope
         Cancel scopes of the requests in progress, with their deadlines.
+    unbegun : dict of anyio.CancelScope to core.eligibility.Candidate
+        Attempts that have not begun; the deadline is the end of the weights.
     shortlists : dict of str to dict of frozenset or None to core.shortlist.Shortlist
         By service and allowed regions.
     outcomes : dict of str to core.missed_targets.Outcomes
@@ -101,6 +105,7 @@
     crashes_seen: crashes.Crashes = attrs.field(factory=crashes.Crashes)
     part_tracker: poison_parts.Tracker = attrs.field(factory=poison_parts.Tracker)
     scopes: set = attrs.field(factory=set)
+    unbegun: dict = attrs.field(factory=dict)
     shortlists: dict = attrs.field(factory=dict)
     outcomes: dict = attrs.field(factory=dict)
     sends: dict = attrs.field(factory=dict)
@@ -120,6 +125,9 @@
     )
     demand: demand_exchange.Demand = attrs.field(factory=demand_exchange.Demand)
 
+    def __attrs_post_init__(self):
+        self.fleet.versions_changed = lambda: _update_ends(self)
+
 
 @attrs.define(eq=False)
 class Call:
@@ -281,7 +289,7 @@
         health.refused(state, anyio.current_time(), server.started_ms)
         eventlog.event("backend.unreachable", server=server.server_id, error=str(exc))
         return retries.Outcome.NOT_SENT
-    reason = server_choice.withheld_reason(fwd, call, server)
+    reason = server_choice.withheld_reason(fwd, call, chosen.candidate)
     if reason is not None:
         # The server may be tried once it is allowed again: it received nothing.
         call.tried.discard(server.server_id)
@@ -343,8 +351,7 @@
     """Send a request and return what `_receive_start` returns."""
     with poison_parts.unanswered(fwd, call):
         await _send_request(fwd, call, chosen, conn)
-        begin_by = server_choice.begin_by(fwd, chosen.candidate)
-        return await _receive_start(fwd, call, conn, begin_by)
+        return await _receive_start(fwd, call, conn, chosen.candidate)
     raise errors.HttpError(
         "a part of its prompt was convicted", step="forward.receive", peer=conn.peer
     )
@@ -368,12 +375,13 @@
     await http1.send(conn, call.req.method, call.req.target, headers, call.body)
 
 
-async def _receive_start(fwd, call, conn, begin_by):
+async def _receive_start(fwd, call, conn, candidate):
     """Return the `AnswerHead` and, for a stream, the first bytes of its body.
 
-    An attempt on outdated weights that has not begun by `begin_by` is abandoned.
+    An attempt on outdated weights that has not begun by their end is abandoned, also if
+    newer weights are named while it waits at the server.
     """
-    with anyio.CancelScope(deadline=begin_by):
+    with _until_outdated(fwd, candidate):
         raw = await streams.receive_unless_stalled(fwd, call, conn, http1.receive_head)
         head = http_headers.decode_response_head(raw.status_code, raw.headers)
         if head.request_id != call.req.request_id:
@@ -394,6 +402,23 @@
     )
 
 
+@contextlib.contextmanager
+def _until_outdated(fwd, candidate):
+    """Return a context that is left at the end of a candidate's weights."""
+    with anyio.CancelScope(deadline=server_choice.begin_by(fwd, candidate)) as scope:
+        fwd.unbegun[scope] = candidate
+        try:
+            yield
+        finally:
+            del fwd.unbegun[scope]
+
+
+def _update_ends(fwd):
+    """Apply changed ends of weights to the attempts that have not begun."""
+    for scope, candidate in fwd.unbegun.items():
+        scope.deadline = server_choice.begin_by(fwd, candidate)
+
+
 def _is_stream(call, head):
     return call.route.kind is routes.Kind.STREAM and head.status == 200
 
--- a/src/carobstand/entry/server_choice.py
+++ b/src/carobstand/entry/server_choice.py
@@ -38,13 +38,16 @@
     ]
 
 
-def withheld_reason(fwd, call, server):
+def withheld_reason(fwd, call, candidate):
     """Return the `Reason` why a call may no longer go to its chosen server, or None.
 
     The configuration, the evacuation marks and the limits of the server may have
-    changed since the choice, for example while a connection was opened. The limits are
-    checked last, as that may use a permit.
+    changed since the choice, for example while a connection was opened, and its weights
+    may have ended. The limits are checked last, as that may use a permit.
     """
+    server = candidate.server
+    if anyio.current_time() >= begin_by(fwd, candidate):
+        return eligibility.Reason.OUTDATED_WEIGHTS
     known = fwd.fleet.servers.servers.get(server.server_id, server)
     conditions = conditions_of(fwd, call)
     # The server may have registered elsewhere; the connection is to its old address.
--- a/src/carobstand/entry/versions.py
+++ b/src/carobstand/entry/versions.py
@@ -100,6 +100,7 @@
         fleet.witnesses.get(model, named_versions.Witnesses()),
         fleet.deployment.regions,
     )
+    fleet.versions_changed()
     known = before[:-1] if is_new else before
     for item, old in zip(named, known, strict=False):
         if abs(item.seen_at - old.seen_at) > REDATED_S:
