End old weights by versions that were named but not read

Callers saw: not seen in a record; found by reading.

Cause: a listing, and a reader that passes changes on, tell only the newest value of a key. Weights older than a version that was named in between end with that one, but the entry knew only the date of the newest. An entry that starts dates the newest by agents' arrivals, and so used older weights long after their end.

Change: versions between the last known one (or the served one; at a start, the one before the newest) and the one read are dated too: by the last confirmed state, or by their own arrivals at agents, or by the grace of a start.

Why it works: a version that this entry does not know was named after the time up to which it had missed nothing.

--- a/src/carobstand/entry/versions.py
+++ b/src/carobstand/entry/versions.py
@@ -3,6 +3,7 @@
 import math
 
 import anyio
+import attrs
 
 from carobstand import eventlog
 from carobstand.core import named_versions
@@ -32,12 +33,20 @@
         return
     named = records.decode_named_version(item.value)
     known = fleet.named.setdefault(named.model, [])
-    if not named_versions.add(known, named.version, -math.inf):
+    if known and known[-1].version >= named.version:
         return
     fleet.operator_items[item.key] = item
     own = _own_date(fleet)
-    fleet.own_dates.setdefault(named.model, {})[named.version] = own
-    _redate(fleet, named.model, is_new=True)
+    dates = fleet.own_dates.setdefault(named.model, {})
+    for version in _skipped(fleet, named.model, named.version):
+        # Older ones end with the first version after them, of which only the time is
+        # known up to which this entry had missed nothing.
+        since = min(own.since, fleet.confirmed_at or own.since)
+        dates[version] = attrs.evolve(own, since=since, is_witness=False)
+        named_versions.add(known, version, -math.inf)
+    dates[named.version] = own
+    named_versions.add(known, named.version, -math.inf)
+    _redate(fleet, named.model)
     now = anyio.current_time()
     failed_ago_s = now - fleet.store_failed_at
     eventlog.event(
@@ -55,6 +64,21 @@
     )
 
 
+def _skipped(fleet, model, version):
+    """Return the versions that may have been named before a version that was read.
+
+    Listings and entries that pass changes on tell only the newest version.
+    """
+    if fleet.named[model]:
+        before = fleet.named[model][-1].version
+    elif fleet.revision:
+        before = served_version(fleet, model) or version - 1
+    else:
+        before = version - 2
+    first = max(before + 1, version - named_versions.VERSIONS_KEPT)
+    return range(max(1, first), version)
+
+
 def note_named(fleet, server, ago_ms):
     """Note when the agent of a server saw versions being named.
 
@@ -89,11 +113,8 @@
         _redate(fleet, model)
 
 
-def _redate(fleet, model, is_new=False):
-    """Date the named versions of a model by what is known now.
-
-    With `is_new` the last one has no date yet.
-    """
+def _redate(fleet, model):
+    """Date the named versions of a model by what is known now."""
     named = fleet.named.get(model)
     if not named:
         return
@@ -105,9 +126,8 @@
         fleet.deployment.regions,
     )
     fleet.versions_changed()
-    known = before[:-1] if is_new else before
-    for item, old in zip(named, known, strict=False):
-        if abs(item.seen_at - old.seen_at) > REDATED_S:
+    for item, old in zip(named, before, strict=True):
+        if old.dated_by and abs(item.seen_at - old.seen_at) > REDATED_S:
             eventlog.event(
                 "version.redated",
                 model=model,
--- a/testing/test_named_versions.py
+++ b/testing/test_named_versions.py
@@ -10,7 +10,7 @@
 from carobstand.entry import forwarding, server_choice, versions
 from carobstand.platform import kv, records
 from testing import platform_builders as build
-from testing import virtual_time, weight_builders
+from testing import version_store, virtual_time, weight_builders
 
 REGIONS = {"a": "north", "b": "south"}
 DELAY_S = named_versions.REPORT_DELAY_S
@@ -120,6 +120,47 @@
     assert math.isclose(versions.begin_by(fleet, holding), early + 0.9 - DELAY_S)
 
 
+def read_newest(fleet, reports):
+    """Apply version 3 at 20 s, without version 2; return the end of version 1."""
+
+    async def read():
+        await anyio.sleep(20.0)
+        fleets.apply_item(fleet, version_store.item(3))
+        for version, at in reports:
+            for server_id, domain in (("i1", "a"), ("i2", "a"), ("i3", "b")):
+                server = build.registration(server_id, failure_domain=domain)
+                versions.note_named(fleet, server, {version: int((20.0 - at) * 1000)})
+
+    virtual_time.run(read)
+    return versions.begin_by(fleet, registry.Holding(model="m", version=1))
+
+
+def test_a_version_that_was_not_read_ends_older_ones_too():
+    """Guards against an end by the newest version alone, as after a listing.
+
+    A listing, and a reader of the region, tell only the newest version.
+    """
+    allowed_s = 8.0 - versions.VERSION_SLACK_S
+    for reports, end in (
+        ([], 11.0),
+        ([(3, 19.9)], 11.0),
+        ([(3, 19.9), (2, 15.0)], 15.0 - DELAY_S),
+    ):
+        fleet = weight_builders.fleet()
+        fleet.revision, fleet.changes_since, fleet.confirmed_at = 7, 19.0, 11.0
+        fleet.named["m"] = [named_versions.SeenVersion(1, -math.inf)]
+        fleet.own_dates["m"] = {1: own()}
+        assert math.isclose(read_newest(fleet, reports), end + allowed_s)
+
+
+def test_a_new_process_ends_versions_before_the_last_two_by_its_start():
+    """Guards against an end by agents that report only the newest version."""
+    fleet = weight_builders.fleet()
+    fleet.started = 19.0
+    end = read_newest(fleet, [(3, 19.9)])
+    assert end <= fleet.started + fleet.deployment.bounds.contact_s
+
+
 def test_only_changes_for_which_a_watch_had_waited_arrived_promptly():
     async def check():
         now = anyio.current_time()
