--- a/src/carobstand/entry/fleet.py
+++ b/src/carobstand/entry/fleet.py
@@ -78,9 +78,9 @@
         Signals that backend servers sent about themselves in responses.
     named : dict of str to list of core.named_versions.SeenVersion
         By model.
-    own_dates : dict of str to dict of int to float
-        Lower bounds of the times at which versions were named, by model and version,
-        as this entry knows them from the store.
+    own_dates : dict of str to dict of int to core.named_versions.OwnDate
+        What this entry knows from the store of the times at which versions were named,
+        by model and version.
     witnesses : dict of str to core.named_versions.Witnesses
         When agents saw versions being named, by model.
     roster : core.entry_roster.Roster
@@ -108,14 +108,21 @@
     history : core.change_feed.ChangeFeed
     changes_since : float
         Lower bound of the time at which the changes now applied were made.
+    arrived_at : float or None
+        Time at which the changes now applied arrived, if a watch had waited for them
+        and they arrived at once; None otherwise.
     started : float
         Start time of this process.
+    startup_s : float
+        Processor time used by this process before `started`, 0 if not measured.
     first_read_at : float or None
         Time of the first full read of the store.
     stops_at : float
         Time at which a planned stop ends the requests still in progress.
     cold_changed : callable of (str)
         Called with the id of a known server that became cold or warm.
+    versions_changed : callable without arguments
+        Called when the times change by which requests must have begun.
     changed : signals.Signal
         Notified at each change of the above.
     """
@@ -145,10 +152,13 @@
     was_restored: bool = False
     history: change_feed.ChangeFeed = attrs.field(factory=change_feed.ChangeFeed)
     changes_since: float = -1e9
+    arrived_at: float | None = None
     started: float = attrs.field(factory=anyio.current_time)
+    startup_s: float = 0.0
     first_read_at: float | None = None
     stops_at: float = math.inf
     cold_changed: object = lambda server_id: None
+    versions_changed: object = lambda: None
     changed: signals.Signal = attrs.field(factory=signals.Signal)
 
 
@@ -245,9 +255,11 @@
     # the revision before them.
     if fleet.confirmed_at is not None:
         fleet.changes_since = fleet.confirmed_at
+    fleet.arrived_at = kv.prompt_arrival(changes, sent_at)
     for item in changes.items:
         change_feed.add(fleet.history, item, fleet.changes_since)
         apply_item(fleet, item)
+    fleet.arrived_at = None
     fleet.revision = max(fleet.revision, changes.revision)
     # A watch without changes lasted for its full wait.
     waited_s = 0.0 if changes.items else wait_s
--- a/src/carobstand/entry/forwarding.py
+++ b/src/carobstand/entry/forwarding.py
@@ -1,5 +1,7 @@
 """Forwards decoded requests: server selection, attempts, retries, final response."""
 
+import contextlib
+
 import anyio
 import attrs
 
@@ -70,6 +72,8 @@
     part_tracker : entry.poison_parts.Tracker
     scopes : set of anyio.CancelScope
         Cancel scopes of the requests in progress, with their deadlines.
+    unbegun : dict of anyio.CancelScope to core.eligibility.Candidate
+        Attempts that have not begun; the deadline is the end of the weights.
     shortlists : dict of str to dict of frozenset or None to core.shortlist.Shortlist
         By service and allowed regions.
     outcomes : dict of str to core.missed_targets.Outcomes
@@ -104,6 +108,7 @@
     crashes_seen: crashes.Crashes = attrs.field(factory=crashes.Crashes)
     part_tracker: poison_parts.Tracker = attrs.field(factory=poison_parts.Tracker)
     scopes: set = attrs.field(factory=set)
+    unbegun: dict = attrs.field(factory=dict)
     shortlists: dict = attrs.field(factory=dict)
     outcomes: dict = attrs.field(factory=dict)
     sends: dict = attrs.field(factory=dict)
@@ -124,6 +129,9 @@
     demand: demand_exchange.Demand = attrs.field(factory=demand_exchange.Demand)
     is_closing: bool = False
 
+    def __attrs_post_init__(self):
+        self.fleet.versions_changed = lambda: _update_ends(self)
+
 
 @attrs.define(eq=False)
 class Call:
@@ -360,8 +368,7 @@
     """Send a request and return what `_receive_start` returns."""
     with poison_parts.unanswered(fwd, call):
         await _send_request(fwd, call, chosen, conn)
-        begin_by = server_choice.begin_by(fwd, chosen.candidate)
-        return await _receive_start(fwd, call, conn, begin_by)
+        return await _receive_start(fwd, call, conn, chosen.candidate)
     raise errors.HttpError(
         "a part of its prompt was convicted", step="forward.receive", peer=conn.peer
     )
@@ -385,12 +392,13 @@
     await http1.send(conn, call.req.method, call.req.target, headers, call.body)
 
 
-async def _receive_start(fwd, call, conn, begin_by):
+async def _receive_start(fwd, call, conn, candidate):
     """Return the `AnswerHead` and, for a stream, the first bytes of its body.
 
-    An attempt on outdated weights that has not begun by `begin_by` is abandoned.
+    An attempt on outdated weights that has not begun by their end is abandoned, also if
+    newer weights are named while it waits at the server.
     """
-    with anyio.CancelScope(deadline=begin_by):
+    with _until_outdated(fwd, candidate):
         raw = await streams.receive_unless_stalled(fwd, call, conn, http1.receive_head)
         head = http_headers.decode_response_head(raw.status_code, raw.headers)
         if head.request_id != call.req.request_id:
@@ -411,6 +419,23 @@
     )
 
 
+@contextlib.contextmanager
+def _until_outdated(fwd, candidate):
+    """Return a context that is left at the end of a candidate's weights."""
+    with anyio.CancelScope(deadline=server_choice.begin_by(fwd, candidate)) as scope:
+        fwd.unbegun[scope] = candidate
+        try:
+            yield
+        finally:
+            del fwd.unbegun[scope]
+
+
+def _update_ends(fwd):
+    """Apply changed ends of weights to the attempts that have not begun."""
+    for scope, candidate in fwd.unbegun.items():
+        scope.deadline = server_choice.begin_by(fwd, candidate)
+
+
 def _is_stream(call, head):
     return call.route.kind is routes.Kind.STREAM and head.status == 200
 
--- a/src/carobstand/entry/versions.py
+++ b/src/carobstand/entry/versions.py
@@ -3,9 +3,11 @@
 import math
 
 import anyio
+import attrs
 
 from carobstand import eventlog
 from carobstand.core import named_versions
+from carobstand.entry import change_relay
 from carobstand.platform import records
 
 VERSION_SLACK_S = 0.3
@@ -17,8 +19,12 @@
 """Smallest change of the date of a named version that is logged."""
 
 PROCESS_START_S = 0.7
-"""Time between the platform's start of the process and `Fleet.started`: imports take
-0.3 s on an idle VM, and twice that while all VMs start."""
+"""Shortest time assumed between the platform's start of the process and
+`Fleet.started`: imports take 0.3 s on an idle VM, twice that while all VMs start."""
+
+START_FACTOR = 2.0
+"""The same time at least, as a multiple of the processor time used until then: the
+process waits for the processor and for its files as long again."""
 
 
 def apply_version(fleet, item):
@@ -27,21 +33,50 @@
         return
     named = records.decode_named_version(item.value)
     known = fleet.named.setdefault(named.model, [])
-    # A process that has just started cannot know when the version was named.
-    seen_at = _seen_at(fleet) if fleet.revision else _seen_at_before_start(fleet)
-    if named_versions.add(known, named.version, seen_at):
-        fleet.operator_items[item.key] = item
-        fleet.own_dates.setdefault(named.model, {})[named.version] = seen_at
-        now = anyio.current_time()
-        eventlog.event(
-            "version.named",
-            model=named.model,
-            version=named.version,
-            ago_s=round(now - seen_at, 3),
-            unconfirmed_s=round(now - (fleet.confirmed_at or fleet.started), 3),
-            store_failed_ago_s=round(now - fleet.store_failed_at, 3),
-        )
-        _redate(fleet, named.model)
+    if known and known[-1].version >= named.version:
+        return
+    fleet.operator_items[item.key] = item
+    own = _own_date(fleet)
+    dates = fleet.own_dates.setdefault(named.model, {})
+    for version in _skipped(fleet, named.model, named.version):
+        # Older ones end with the first version after them, of which only the time is
+        # known up to which this entry had missed nothing.
+        since = min(own.since, fleet.confirmed_at or own.since)
+        dates[version] = attrs.evolve(own, since=since, is_witness=False)
+        named_versions.add(known, version, -math.inf)
+    dates[named.version] = own
+    named_versions.add(known, named.version, -math.inf)
+    _redate(fleet, named.model)
+    now = anyio.current_time()
+    failed_ago_s = now - fleet.store_failed_at
+    eventlog.event(
+        "version.named",
+        model=named.model,
+        version=named.version,
+        ago_s=round(now - known[-1].seen_at, 3),
+        dated_by=known[-1].dated_by,
+        unconfirmed_s=round(now - (fleet.confirmed_at or fleet.started), 3),
+        store_failed_ago_s=(
+            round(failed_ago_s, 3)
+            if failed_ago_s < change_relay.UNKNOWN_AGE_S
+            else None
+        ),
+    )
+
+
+def _skipped(fleet, model, version):
+    """Return the versions that may have been named before a version that was read.
+
+    Listings and entries that pass changes on tell only the newest version.
+    """
+    if fleet.named[model]:
+        before = fleet.named[model][-1].version
+    elif fleet.revision:
+        before = served_version(fleet, model) or version - 1
+    else:
+        before = version - 2
+    first = max(before + 1, version - named_versions.VERSIONS_KEPT)
+    return range(max(1, first), version)
 
 
 def note_named(fleet, server, ago_ms):
@@ -86,38 +121,44 @@
     before = list(named)
     named_versions.redate(
         named,
-        fleet.own_dates.get(model, {}),
+        fleet.own_dates[model],
         fleet.witnesses.get(model, named_versions.Witnesses()),
+        fleet.deployment.regions,
     )
+    fleet.versions_changed()
     for item, old in zip(named, before, strict=True):
-        if abs(item.seen_at - old.seen_at) > REDATED_S:
+        if old.dated_by and abs(item.seen_at - old.seen_at) > REDATED_S:
             eventlog.event(
                 "version.redated",
                 model=model,
                 version=item.version,
                 later_s=round(item.seen_at - old.seen_at, 3),
+                dated_by=item.dated_by,
             )
 
 
-def _seen_at(fleet):
-    """Return the time to record for a named version that was just read.
+def _own_date(fleet):
+    """Return the `OwnDate` of a named version that was just read.
 
     After a store outage the version may have been named long ago; the time limits do
-    not apply to a process that has just reconnected to the store. The outage is known
-    to have lasted until the last failed call was sent, not until it timed out.
+    not apply to a process that has just reconnected to the store, or has just started.
+    The outage is known to have lasted until the last failed call was sent, not until it
+    timed out.
     """
     bounds = fleet.deployment.bounds
-    regained = fleet.store_unreachable_at + bounds.contact_s - bounds.version_s
-    return max(fleet.changes_since, regained)
-
-
-def _seen_at_before_start(fleet):
-    """Return the time to record for versions that were named before this process.
-
-    The time limits do not apply to a process that has just started.
-    """
-    bounds = fleet.deployment.bounds
-    return fleet.started - PROCESS_START_S + bounds.contact_s - bounds.version_s
+    if fleet.revision:
+        since, regained_at = fleet.changes_since, fleet.store_unreachable_at
+    else:
+        since, start_s = -math.inf, START_FACTOR * fleet.startup_s
+        regained_at = fleet.started - max(PROCESS_START_S, start_s)
+    arrived_at = fleet.arrived_at
+    return named_versions.OwnDate(
+        since=since,
+        grace_from=regained_at + bounds.contact_s - bounds.version_s,
+        arrived_at=anyio.current_time() if arrived_at is None else arrived_at,
+        is_witness=arrived_at is not None,
+        failure_domain=fleet.deployment.failure_domain,
+    )
 
 
 def begin_by(fleet, holding):
--- a/testing/platform_fleet.py
+++ b/testing/platform_fleet.py
@@ -6,6 +6,7 @@
 
 import contextlib
 import itertools
+import os
 import socket
 
 import anyio
@@ -24,7 +25,10 @@
 CHANGE_DELAY_S = 0.05 + entry_fleet.batch_delay_s(deployment.Bounds())
 """Time within which an entry applies a change of the store, batching included."""
 
-_HOSTS = itertools.count(1)
+HOSTS_PER_PROCESS = 60_000
+_HOSTS = itertools.count(1 + os.getpid() % 250 * HOSTS_PER_PROCESS)
+"""Numbers of loopback addresses. Test runs beside each other that use the same ones
+reach each other's servers when their ports meet."""
 
 
 def free_port():
@@ -97,7 +101,7 @@
 def new_host():
     """Return a loopback address that no other part uses."""
     number = next(_HOSTS)
-    return f"127.{1 + number // 60000}.{number // 250 % 240 + 1}.{number % 250 + 1}"
+    return f"127.{1 + number // HOSTS_PER_PROCESS}.{number // 250 % 240 + 1}.{number % 250 + 1}"
 
 
 async def start_server(fleet, server, address, name):
