--- a/testing/platform_fleet.py
+++ b/testing/platform_fleet.py
@@ -101,7 +101,8 @@
 def new_host():
     """Return a loopback address that no other part uses."""
     number = next(_HOSTS)
-    return f"127.{1 + number // HOSTS_PER_PROCESS}.{number // 250 % 240 + 1}.{number % 250 + 1}"
+    first = 1 + number // HOSTS_PER_PROCESS
+    return f"127.{first}.{number // 250 % 240 + 1}.{number % 250 + 1}"
 
 
 async def start_server(fleet, server, address, name):
