Log an unreadable record once, and apply the others whatever one of them does

What operators saw: an odd record was logged at each of its writes, which an engine repeats with every heartbeat, and at each full read. An error of another type while a record was applied ended the loop that follows the store; it began again, read the same record and failed again, so that no later change was applied.

Before the change, the new test of testing/test_odd_records.py failed with the error of the record.

--- a/src/carobstand/agent/view.py
+++ b/src/carobstand/agent/view.py
@@ -6,7 +6,14 @@
 import anyio
 import attrs
 
-from carobstand import entry_records, errors, eventlog, http1, signals
+from carobstand import (
+    entry_records,
+    errors,
+    eventlog,
+    http1,
+    signals,
+    unreadable_records,
+)
 from carobstand.core import load_schedule, named_versions, routes, weight_copy
 from carobstand.platform import kv, records
 from carobstand.transfer import relayed_configuration
@@ -79,6 +86,8 @@
         Latest report of the engine; None while it does not respond.
     last_report : core.engine_report.EngineReport or None
         Latest report, kept while the engine does not respond.
+    unreadable : unreadable_records.Unreadable
+        Records that cannot be decoded and were logged.
     copies : dict of int to core.weight_copy.WeightCopy
         Weights being received or complete, by version.
     target : int or None
@@ -102,6 +111,9 @@
     entries: dict = attrs.field(factory=dict)
     report: object = None
     last_report: object = None
+    unreadable: unreadable_records.Unreadable = attrs.field(
+        factory=unreadable_records.Unreadable
+    )
     copies: dict = attrs.field(factory=dict)
     target: int | None = None
     load_at: float | None = None
@@ -184,7 +196,7 @@
             continue
         if relayed is not None:
             return _apply_readable(
-                lambda item: _apply_configuration(view, item), relayed.item
+                view, lambda item: _apply_configuration(view, item), relayed.item
             )
 
 
@@ -252,7 +264,7 @@
             is_steady = is_watch and sent_at - failed_at > STEADY_S
             view.written_at = _written_at(changes, sent_at) if is_steady else None
             for item in changes.items:
-                _apply_readable(apply, item)
+                _apply_readable(view, apply, item)
             revision, era = changes.revision, changes.era
             view.versions_read |= prefix == records.VERSION_PREFIX
             pause_s = RETRY_MIN_S
@@ -280,11 +292,15 @@
     return changes.began_at
 
 
-def _apply_readable(apply, item):
+def _apply_readable(view, apply, item):
     try:
         apply(item)
+        unreadable_records.forget(view.unreadable, item.key)
     except errors.RecordError as exc:
-        eventlog.event("record.unreadable", key=item.key, error=exc.message)
+        unreadable_records.log(view.unreadable, item.key, exc.message)
+    except Exception as exc:
+        # The loop would fail again at the next reading, and apply no later change.
+        eventlog.failure("record.failed", exc, key=item.key)
 
 
 def _apply_configuration(view, item):
--- a/src/carobstand/entry/evacuations.py
+++ b/src/carobstand/entry/evacuations.py
@@ -2,7 +2,7 @@
 
 import anyio
 
-from carobstand import errors, eventlog
+from carobstand import errors, eventlog, unreadable_records
 from carobstand.core import evacuation
 from carobstand.entry import cold_servers
 from carobstand.platform import records
@@ -34,7 +34,7 @@
     now = anyio.current_time()
     found = {}
     for item in read.items:
-        failure_domain = _marked_domain(item)
+        failure_domain = _marked_domain(fleet.unreadable, item)
         if failure_domain is not None:
             found[failure_domain] = item.revision
     known = [mark for answer in told for mark in _marks_told(answer, read.era)]
@@ -44,14 +44,14 @@
         _note_mark(fleet, change, failure_domain)
 
 
-def _marked_domain(item):
+def _marked_domain(unreadable, item):
     """Return the failure domain that an item marks, or None."""
     if not records.is_evacuation_key(item.key):
         return None
     try:
         return records.decode_evacuation_key(item.key)
     except errors.RecordError as exc:
-        eventlog.event("record.unreadable", key=item.key, error=exc.message)
+        unreadable_records.log(unreadable, item.key, exc.message)
         return None
 
 
@@ -61,7 +61,8 @@
     A mark that it has from the same era of the store would be in the store if it were
     still in force: this process reads the store itself.
     """
-    failure_domain = _marked_domain(answer.item)
+    # Others are asked only once the store was restored, so this is logged each time.
+    failure_domain = _marked_domain(unreadable_records.Unreadable(), answer.item)
     is_removed = answer.item.value is None
     is_outdated = not is_removed and answer.since is None and answer.era == era
     if failure_domain is None or is_outdated:
--- a/src/carobstand/entry/fleet.py
+++ b/src/carobstand/entry/fleet.py
@@ -5,7 +5,14 @@
 import anyio
 import attrs
 
-from carobstand import entry_records, errors, eventlog, part_records, signals
+from carobstand import (
+    entry_records,
+    errors,
+    eventlog,
+    part_records,
+    signals,
+    unreadable_records,
+)
 from carobstand.core import (
     announcements,
     change_feed,
@@ -97,6 +104,8 @@
         Failure domains whose servers get no requests.
     operator_items : dict of str to platform.kv.Item
         Newest configuration and named versions as read, by key.
+    unreadable : unreadable_records.Unreadable
+        Records that cannot be decoded and were logged.
     part_records : set of bytes
         Parts of prompts whose conviction is recorded in the store.
     confirmed_at : float or None
@@ -142,6 +151,9 @@
     )
     evacuation_marks: evacuation.Marks = attrs.field(factory=evacuation.Marks)
     operator_items: dict = attrs.field(factory=dict)
+    unreadable: unreadable_records.Unreadable = attrs.field(
+        factory=unreadable_records.Unreadable
+    )
     part_records: set = attrs.field(factory=set)
     confirmed_at: float | None = None
     store_failed_at: float = -1e9
@@ -192,7 +204,7 @@
         changes = await kv.list_prefix(fleet.store, records.OPERATOR_PREFIX)
         operator = startup.OperatorItems(changes, sent_at)
     else:
-        entries = startup.registered_entries(own.items)
+        entries = startup.registered_entries(fleet, own.items)
         may_have_lapsed = _may_have_lapsed(fleet, sent_at)
         operator = await startup.read_operator_items(fleet, entries, may_have_lapsed)
         if anyio.current_time() - sent_at > MAX_READ_S:
@@ -361,8 +373,12 @@
             _apply_entry(fleet, item)
         elif item.key.startswith(part_records.PREFIX):
             _apply_part(fleet, item)
+        unreadable_records.forget(fleet.unreadable, item.key)
     except errors.RecordError as exc:
-        eventlog.event("record.unreadable", key=item.key, error=exc.message)
+        unreadable_records.log(fleet.unreadable, item.key, exc.message)
+    except Exception as exc:
+        # The loop would fail again at the next reading, and apply no later change.
+        eventlog.failure("record.failed", exc, key=item.key)
 
 
 def _apply_configuration(fleet, item):
@@ -412,8 +428,9 @@
     for item in items:
         try:
             listed.append(records.decode_registration(item.key, item.value))
+            unreadable_records.forget(fleet.unreadable, item.key)
         except errors.RecordError as exc:
-            eventlog.event("record.unreadable", key=item.key, error=exc.message)
+            unreadable_records.log(fleet.unreadable, item.key, exc.message)
     if fleet.was_restored:
         listed = registry.without_outdated(fleet.servers, listed)
     now = anyio.current_time()
@@ -462,7 +479,7 @@
         if item.key.startswith(part_records.PREFIX):
             apply_item(fleet, item)
     now = anyio.current_time()
-    listed = startup.registered_entries(items)
+    listed = startup.registered_entries(fleet, items)
     entry_roster.replace_all(fleet.roster, listed, now, _may_have_lapsed(fleet, now))
 
 
--- a/src/carobstand/entry/restored_items.py
+++ b/src/carobstand/entry/restored_items.py
@@ -4,7 +4,7 @@
 
 import anyio
 
-from carobstand import errors, eventlog
+from carobstand import errors, eventlog, unreadable_records
 from carobstand.entry import change_relay, startup
 from carobstand.platform import records
 
@@ -32,7 +32,7 @@
     told : list of entry.change_relay.Told
     """
     own = fleet.deployment
-    others = startup.registered_entries(found[2].items)
+    others = startup.registered_entries(fleet, found[2].items)
     others.pop(own.vm, None)
     near = sorted(
         others.values(), key=lambda item: (item.region != own.region, random.random())
@@ -63,5 +63,5 @@
             try:
                 versions.append(records.decode_configuration(item.value).version)
             except errors.RecordError as exc:
-                eventlog.event("record.unreadable", key=item.key, error=exc.message)
+                unreadable_records.log(fleet.unreadable, item.key, exc.message)
     return max(versions)
--- a/src/carobstand/entry/startup.py
+++ b/src/carobstand/entry/startup.py
@@ -10,7 +10,7 @@
 import anyio
 import attrs
 
-from carobstand import entry_records, errors, eventlog
+from carobstand import entry_records, errors, eventlog, unreadable_records
 from carobstand.core import read_order, weight_sources
 from carobstand.entry import registration
 from carobstand.platform import kv, records
@@ -87,7 +87,7 @@
         return entries
     await anyio.sleep(wait_s)
     listed = await kv.list_prefix(fleet.store, entry_records.PREFIX)
-    found = registered_entries(listed.items)
+    found = registered_entries(fleet, listed.items)
     eventlog.event("entries.settled", waited_s=wait_s, entries=len(found))
     return found
 
@@ -152,7 +152,7 @@
         return None
 
 
-def registered_entries(items):
+def registered_entries(fleet, items):
     """Return the readable records of entries among some items, by VM."""
     listed = {}
     for item in items:
@@ -161,6 +161,7 @@
         vm = item.key.removeprefix(entry_records.PREFIX)
         try:
             listed[vm] = entry_records.decode(vm, item.value)
+            unreadable_records.forget(fleet.unreadable, item.key)
         except errors.RecordError as exc:
-            eventlog.event("record.unreadable", key=item.key, error=exc.message)
+            unreadable_records.log(fleet.unreadable, item.key, exc.message)
     return listed
--- a/src/carobstand/platform/fields.py
+++ b/src/carobstand/platform/fields.py
@@ -165,7 +165,7 @@
     """Return the `Record` of JSON bytes; raise RecordError if they are malformed."""
     try:
         data = json.loads(raw)
-    except (ValueError, RecursionError) as exc:
+    except (TypeError, ValueError, RecursionError) as exc:
         raise errors.RecordError(f"malformed JSON: {exc}", step=step) from exc
     if raw.count(b"[") + raw.count(b"{") > MAX_DEPTH:
         _check_depth(data, step)
--- a/testing/test_odd_records.py
+++ b/testing/test_odd_records.py
@@ -6,10 +6,13 @@
 
 import json
 
+import anyio
 import pytest
 
 from carobstand import entry_records, errors, eventlog, part_records
 from carobstand.core import poison_parts
+from carobstand.entry import fleet
+from carobstand.platform import kv as platform_kv
 from carobstand.platform import records
 from carobstand.standin.platform import kv
 from testing import platform_builders as build
@@ -71,26 +74,26 @@
         records.decode_registration(f"servers/{server_id}", raw)
 
 
-async def _statuses(fleet, path, entry):
+async def _statuses(running, path, entry):
     found = []
     for _ in range(REQUESTS):
-        answer = await platform_fleet.send_request(fleet, path, entry=entry)
+        answer = await platform_fleet.send_request(running, path, entry=entry)
         found.append(answer.status)
     return found
 
 
 def test_odd_records_beside_a_sound_server_cost_no_request():
     async def test():
-        async with platform_fleet.deployed(1) as fleet:
-            await platform_fleet.add_engine(fleet, "i-1", service="desk")
-            await platform_fleet.until_usable(fleet, "i-1", "/q/")
+        async with platform_fleet.deployed(1) as running:
+            await platform_fleet.add_engine(running, "i-1", service="desk")
+            await platform_fleet.until_usable(running, "i-1", "/q/")
             for number, raw in enumerate(odd_records("desk").values()):
-                kv.write(fleet.store, f"servers/odd-{number}", raw)
-            kv.write(fleet.store, "servers/", odd_records("desk")["huge slots"])
-            await platform_fleet.add_entry(fleet, "entry-2")
-            await platform_fleet.until_usable(fleet, "i-1", "/q/", "entry-2")
-            for vm in fleet.entries:
-                assert await _statuses(fleet, "/q/x", vm) == [200] * REQUESTS
+                kv.write(running.store, f"servers/odd-{number}", raw)
+            kv.write(running.store, "servers/", odd_records("desk")["huge slots"])
+            await platform_fleet.add_entry(running, "entry-2")
+            await platform_fleet.until_usable(running, "i-1", "/q/", "entry-2")
+            for vm in running.entries:
+                assert await _statuses(running, "/q/x", vm) == [200] * REQUESTS
 
     platform_fleet.run(test)
 
@@ -138,22 +141,50 @@
     )
 
     async def test():
-        async with platform_fleet.deployed(1) as fleet:
-            engine = await platform_fleet.add_engine(fleet, "i-1")
-            await platform_fleet.add_agent(fleet, engine)
+        async with platform_fleet.deployed(1) as running:
+            engine = await platform_fleet.add_engine(running, "i-1")
+            await platform_fleet.add_agent(running, engine)
             for number, raw in enumerate(odd_entries().values()):
-                kv.write(fleet.store, f"carobstand/entries/odd-{number}", raw)
+                kv.write(running.store, f"carobstand/entries/odd-{number}", raw)
             for number, raw in enumerate(odd_records("drafter").values()):
-                kv.write(fleet.store, f"servers/odd-{number}", raw)
-                kv.write(fleet.store, f"op/version/odd-{number}", raw)
-            await platform_fleet.add_entry(fleet, "entry-2")
+                kv.write(running.store, f"servers/odd-{number}", raw)
+                kv.write(running.store, f"op/version/odd-{number}", raw)
+            await platform_fleet.add_entry(running, "entry-2")
             for version in (2, 3):
-                platform_fleet.name_version(fleet, version)
+                platform_fleet.name_version(running, version)
                 await platform_fleet.until(
                     lambda version=version: engine.version == version, 12
                 )
-            for vm in fleet.entries:
-                await platform_fleet.until_usable(fleet, "i-1", "/s/", vm)
+            for vm in running.entries:
+                await platform_fleet.until_usable(running, "i-1", "/s/", vm)
 
     platform_fleet.run(test, 40)
     assert failed == []
+
+
+def test_an_odd_record_is_logged_once_and_does_not_stop_others(monkeypatch):
+    logged, failed = [], []
+    monkeypatch.setattr(
+        eventlog, "event", lambda name, **values: logged.append((name, values))
+    )
+    monkeypatch.setattr(
+        eventlog, "failure", lambda name, exc, **values: failed.append((name, values))
+    )
+    monkeypatch.setattr(
+        fleet.versions, "apply_version", lambda *_: {}["a fault of the program"]
+    )
+
+    async def test():
+        dep = build.deployment_of("entry-1", "10.0.0.1")
+        state = fleet.Fleet(dep, None)
+        odd = odd_records("desk")["huge slots"]
+        sound = build.encode_record(build.server_record())
+        for revision, raw in enumerate([odd, odd, sound, odd], 1):
+            fleet.apply_item(state, platform_kv.Item("servers/i-1", raw, revision))
+        fleet._replace_servers(state, [platform_kv.Item("servers/i-1", odd, 4)])
+        fleet.apply_item(state, platform_kv.Item("op/version/m", b"{}", 5))
+
+    anyio.run(test)
+    names = [name for name, _ in logged if name.startswith("record.")]
+    assert names == ["record.unreadable"] * 2
+    assert failed == [("record.failed", {"key": "op/version/m"})]
