--- a/src/carobstand/agent/view.py
+++ b/src/carobstand/agent/view.py
@@ -6,7 +6,14 @@
 import anyio
 import attrs
 
-from carobstand import entry_records, errors, eventlog, http1, signals
+from carobstand import (
+    entry_records,
+    errors,
+    eventlog,
+    http1,
+    signals,
+    unreadable_records,
+)
 from carobstand.core import load_schedule, named_versions, routes, weight_copy
 from carobstand.platform import kv, records
 from carobstand.transfer import relayed_configuration
@@ -74,6 +81,8 @@
         Latest report of the engine; None while it does not respond.
     last_report : core.engine_report.EngineReport or None
         Latest report, kept while the engine does not respond.
+    unreadable : unreadable_records.Unreadable
+        Records that cannot be decoded and were logged.
     copies : dict of int to core.weight_copy.WeightCopy
         Weights being received or complete, by version.
     target : int or None
@@ -97,6 +106,9 @@
     entries: dict = attrs.field(factory=dict)
     report: object = None
     last_report: object = None
+    unreadable: unreadable_records.Unreadable = attrs.field(
+        factory=unreadable_records.Unreadable
+    )
     copies: dict = attrs.field(factory=dict)
     target: int | None = None
     load_at: float | None = None
@@ -179,7 +191,7 @@
             continue
         if relayed is not None:
             return _apply_readable(
-                lambda item: _apply_configuration(view, item), relayed.item
+                view, lambda item: _apply_configuration(view, item), relayed.item
             )
 
 
@@ -247,7 +259,7 @@
             is_steady = is_watch and sent_at - failed_at > STEADY_S
             view.arrived_at = kv.prompt_arrival(changes, sent_at) if is_steady else None
             for item in changes.items:
-                _apply_readable(apply, item)
+                _apply_readable(view, apply, item)
             revision, era = changes.revision, changes.era
             view.versions_read |= prefix == records.VERSION_PREFIX
             pause_s = RETRY_MIN_S
@@ -263,11 +275,15 @@
             pause_s = min(RETRY_MAX_S, pause_s * 2)
 
 
-def _apply_readable(apply, item):
+def _apply_readable(view, apply, item):
     try:
         apply(item)
+        unreadable_records.forget(view.unreadable, item.key)
     except errors.RecordError as exc:
-        eventlog.event("record.unreadable", key=item.key, error=exc.message)
+        unreadable_records.log(view.unreadable, item.key, exc.message)
+    except Exception as exc:
+        # The loop would fail again at the next reading, and apply no later change.
+        eventlog.failure("record.failed", exc, key=item.key)
 
 
 def _apply_configuration(view, item):
