Bound the fields of messages between processes where they are decoded

What was wrong: with each field of each datagram set to odd values, 488 datagrams to a running entry, loops failed 4 times: a destination with a null character or a port that is out of range ended the transport of a socket, and the loop began again with a new one. A loop failed in the same way when it encoded a value that does not fit into its field. Negative ages of evidence on a prompt part counted as times in the future, up to 24 days.

Change: a message is checked field by field where it is decoded, and rejected as datagram.malformed: required fields, ranges, names of at most 256 bytes, an IP address and a port to send to. What cannot be encoded is a WireError, with which the other messages of the outbox are sent. Any other error while one datagram is handled is logged as datagram.failed, and the socket stays open.

--- a/src/carobstand/entry/datagrams.py
+++ b/src/carobstand/entry/datagrams.py
@@ -29,26 +29,34 @@
             except errors.WireError as exc:
                 eventlog.event("datagram.malformed", peer=peer[0], error=exc.message)
                 continue
-            if isinstance(message, ttypes.EngineLoad):
-                _on_engine_load(fwd, message, peer[0])
-            elif isinstance(message, ttypes.FailedRun):
-                poison_requests.on_crash_report(fwd, message, peer[0])
-            elif isinstance(message, ttypes.PermitRequest):
-                permit_exchange.on_request(fwd.limits, message, peer[0])
-            elif isinstance(message, ttypes.PermitReply):
-                permit_exchange.on_reply(fwd.limits, message, peer[0])
-            elif isinstance(message, ttypes.PartReport):
-                poison_parts.on_report(fwd, message, peer[0])
-            elif isinstance(message, ttypes.PartQuery):
-                poison_parts.on_query(fwd, message, peer[0])
-            elif isinstance(message, ttypes.EntryJoined):
-                permit_exchange.on_joined(fwd.limits, message, peer[0])
-            elif isinstance(message, ttypes.DemandReport):
-                demand_exchange.on_report(fwd, message, peer[0])
-            elif isinstance(message, ttypes.DemandSummary):
-                demand_exchange.on_summary(fwd, message, peer[0])
-            elif isinstance(message, ttypes.EntryLeaving):
-                permit_exchange.on_leaving(fwd.limits, message)
+            try:
+                _process(fwd, message, peer[0])
+            except Exception as exc:
+                # The socket would be closed, and datagrams lost until it is back.
+                eventlog.failure("datagram.failed", exc, peer=peer[0])
+
+
+def _process(fwd, message, peer):
+    if isinstance(message, ttypes.EngineLoad):
+        _on_engine_load(fwd, message, peer)
+    elif isinstance(message, ttypes.FailedRun):
+        poison_requests.on_crash_report(fwd, message, peer)
+    elif isinstance(message, ttypes.PermitRequest):
+        permit_exchange.on_request(fwd.limits, message, peer)
+    elif isinstance(message, ttypes.PermitReply):
+        permit_exchange.on_reply(fwd.limits, message, peer)
+    elif isinstance(message, ttypes.PartReport):
+        poison_parts.on_report(fwd, message, peer)
+    elif isinstance(message, ttypes.PartQuery):
+        poison_parts.on_query(fwd, message, peer)
+    elif isinstance(message, ttypes.EntryJoined):
+        permit_exchange.on_joined(fwd.limits, message, peer)
+    elif isinstance(message, ttypes.DemandReport):
+        demand_exchange.on_report(fwd, message, peer)
+    elif isinstance(message, ttypes.DemandSummary):
+        demand_exchange.on_summary(fwd, message, peer)
+    elif isinstance(message, ttypes.EntryLeaving):
+        permit_exchange.on_leaving(fwd.limits, message)
 
 
 def _on_engine_load(fwd, message, peer):
--- a/src/carobstand/entry/permit_exchange.py
+++ b/src/carobstand/entry/permit_exchange.py
@@ -4,7 +4,7 @@
 
 import anyio
 
-from carobstand import eventlog
+from carobstand import errors, eventlog
 from carobstand.core import (
     announcements,
     deployment,
@@ -382,3 +382,6 @@
         )
     except OSError as exc:
         eventlog.debug("permits.unsent", peer=address, error=str(exc))
+    except errors.WireError as exc:
+        # The other messages of the outbox are sent.
+        eventlog.failure("datagram.failed", exc, peer=address)
--- a/src/carobstand/entry/poison_parts.py
+++ b/src/carobstand/entry/poison_parts.py
@@ -428,7 +428,7 @@
 
 
 def _check(item):
-    """Raise ValueError if evidence on a part has malformed identifiers."""
+    """Raise ValueError if evidence on a part has malformed identifiers or ages."""
     size = poison_parts.ID_BYTES
     crashes = [sighting.crash for sighting in item.sightings or ()]
     requests = [name for found in item.sightings or () for name in found.requests or ()]
@@ -436,6 +436,11 @@
         raise ValueError("malformed part or request")
     if any(len(crash or b"") != 2 * size for crash in crashes):
         raise ValueError("malformed crash")
+    ages = [sighting.age_ms for sighting in item.sightings or ()]
+    if any(age is None or age < 0 for age in ages):
+        raise ValueError("malformed age of a sighting")
+    if min(item.sound_ms or 0, item.convicted_ms or 0) < 0:
+        raise ValueError("malformed age of an answer or a conviction")
 
 
 def _merge(fwd, item, peer):
--- a/src/carobstand/wire/fleet_codec.py
+++ b/src/carobstand/wire/fleet_codec.py
@@ -11,6 +11,7 @@
 from thrift.transport import TTransport
 
 from carobstand import errors
+from carobstand.wire import fleet_bounds
 from carobstand.wire.gen_fleet import ttypes
 
 LENGTH = struct.Struct(">I")
@@ -28,11 +29,22 @@
 
 
 def encode(message):
-    """Return the bytes of a struct of the union ``Message``."""
+    """Return the bytes of a struct of the union ``Message``.
+
+    Raises
+    ------
+    WireError
+        If a value has another type or does not fit into its field.
+    """
     buffer = TTransport.TMemoryBuffer()
     field = _FIELD_OF_TYPE[type(message)]
     union = ttypes.Message(**{field: message})
-    union.write(TCompactProtocol.TCompactProtocolAccelerated(buffer))
+    try:
+        union.write(TCompactProtocol.TCompactProtocolAccelerated(buffer))
+    except (TypeError, ValueError, OverflowError, struct.error) as exc:
+        raise errors.WireError(
+            f"{type(message).__name__} cannot be encoded: {exc}", step="fleet.encode"
+        ) from exc
     return buffer.getvalue()
 
 
@@ -48,7 +60,7 @@
     Raises
     ------
     WireError
-        If `body` is not one well-formed message.
+        If `body` is not one well-formed message, or a field is out of bounds.
     """
     union = ttypes.Message()
     protocol = TCompactProtocol.TCompactProtocolAccelerated(
@@ -76,5 +88,6 @@
     for field in _FIELD_OF_TYPE.values():
         message = getattr(union, field)
         if message is not None:
+            fleet_bounds.check(message)
             return message
     raise errors.WireError("unknown message type", step="fleet.decode")
