--- a/src/carobstand/platform/fields.py
+++ b/src/carobstand/platform/fields.py
@@ -98,7 +98,8 @@
 
         It may be empty if the default is.
         """
-        value = self.text(name, default, MAX_NAME_CHARS)
+        required = _REQUIRED if default is None else default
+        value = self._get(name, (str,), "a string", required)
         if value != default and not is_name(value):
             raise self.error(name, "a name without blanks around it")
         return value
@@ -153,7 +154,8 @@
 
 def is_printable(text, most=MAX_TEXT_CHARS):
     """Whether a header or a line of a log can hold a text."""
-    return len(text) <= most and not _UNPRINTABLE.search(text)
+    # Most texts are printable, which is faster to tell than by the expression.
+    return len(text) <= most and (text.isprintable() or not _UNPRINTABLE.search(text))
 
 
 def is_name(text):
