End the accept loop while connections are pending that cannot be accepted

An accept is shielded since established connections are accepted before a shutdown. While callers were pending all the time, as without a free file descriptor, the loop never waited outside the shield: neither a planned stop nor the cancellation of the process ended it, and it had to be killed.

The loop now checks for a cancellation before each accept. The new test failed before for a cancellation after 2 s of waiting.

--- a/src/carobstand/http1_server.py
+++ b/src/carobstand/http1_server.py
@@ -291,11 +291,14 @@
             raw = listener.extra(anyio.abc.SocketAttribute.raw_socket)
             with server.accept_scope:
                 while True:
+                    # Nothing else notices a cancellation while callers are pending.
+                    await anyio.lowlevel.checkpoint_if_cancelled()
                     if not _is_readable(raw):
                         await anyio.wait_readable(raw)
                     await _accept(listener, server, connections)
             closes_at = anyio.current_time() + ACCEPT_PENDING_S
             while _is_readable(raw) and anyio.current_time() < closes_at:
+                await anyio.lowlevel.checkpoint_if_cancelled()
                 await _accept(listener, server, connections)
         # The tasks of the last connections start in this iteration of the event loop.
         await anyio.lowlevel.checkpoint()
