--- a/testing/test_ends_of_weights.py
+++ b/testing/test_ends_of_weights.py
@@ -4,6 +4,7 @@
 import attrs
 import pytest
 
+from carobstand import http1_server
 from carobstand.core import eligibility, named_versions, placement, registry
 from carobstand.entry import backend_pool, forwarding, versions
 from carobstand.entry import fleet as fleets
@@ -48,6 +49,8 @@
     async def discard(*args):
         seen.closed_at = anyio.current_time()
 
+    # The call has no connection of a caller; its caller stays.
+    monkeypatch.setattr(http1_server, "has_caller_left", lambda reply: False)
     monkeypatch.setattr(backend_pool, "acquire", acquire)
     monkeypatch.setattr(backend_pool, "put_back", lambda *args: None)
     monkeypatch.setattr(backend_pool, "discard", discard)
