Update the ends of attempts only when a date changed

Each report of an agent about a named version computed the end of each attempt that had not begun anew, with a count of all entries for each.

--- a/src/carobstand/entry/versions.py
+++ b/src/carobstand/entry/versions.py
@@ -125,6 +125,8 @@
         fleet.witnesses.get(model, named_versions.Witnesses()),
         fleet.deployment.regions,
     )
+    if named == before:
+        return
     fleet.versions_changed()
     for item, old in zip(named, before, strict=True):
         if old.dated_by and abs(item.seen_at - old.seen_at) > REDATED_S:
--- a/testing/test_named_versions.py
+++ b/testing/test_named_versions.py
@@ -195,3 +195,22 @@
     holding = registry.Holding(model="m", version=1)
     assert found["north"] == versions.begin_by(fleet, holding)
     assert found["elsewhere"] == found["north"] - placement.REGION_DELAY_S
+
+
+def test_reports_that_change_no_date_cost_nothing_per_attempt():
+    """Guards against a pass over all attempts at each report of each agent."""
+    fleet, calls = weight_builders.fleet(), []
+    fleet.revision, fleet.changes_since = 7, 17.1
+    fleet.versions_changed = lambda: calls.append(fleet.named["m"][-1].seen_at)
+
+    async def report():
+        fleets.apply_item(fleet, version_store.item(2))
+        await anyio.sleep(20.0)
+        for number in range(100):
+            domain = "ab"[number % 2]
+            server = build.registration(f"i{number}", failure_domain=domain)
+            versions.note_named(fleet, server, {2: 1000 + number % 3})
+
+    virtual_time.run(report)
+    assert len(calls) < 5
+    assert calls[-1] == fleet.named["m"][-1].seen_at
