Confirm only the start of a watch that the store ended early

A watch without changes counted as complete up to its full wait, or up to the arrival of its response if that was earlier: a date by arrival, too late by the time for which the response was on its way. Not seen in a record; the new test failed before.

--- a/src/carobstand/entry/fleet.py
+++ b/src/carobstand/entry/fleet.py
@@ -273,9 +273,11 @@
         apply_item(fleet, item)
     fleet.arrived_at = None
     fleet.revision = max(fleet.revision, changes.revision)
-    # A watch without changes lasted for its full wait.
-    waited_s = 0.0 if changes.items else wait_s
-    fleet.confirmed_at = min(sent_at + waited_s, anyio.current_time())
+    # A watch without changes lasted for its full wait, which has whole milliseconds,
+    # unless the store ended it early: it may have done so long before this arrived.
+    waited_s = 0.0 if changes.items else int(wait_s * 1000) / 1000
+    is_whole = anyio.current_time() >= sent_at + waited_s
+    fleet.confirmed_at = sent_at + waited_s if is_whole else sent_at
     expire_missing(fleet)
     evacuations.settle_marks(fleet)
     if changes.items:
--- a/testing/test_news_of_versions.py
+++ b/testing/test_news_of_versions.py
@@ -137,6 +137,20 @@
     anyio.run(test)
 
 
+def test_a_watch_that_ends_early_confirms_only_the_state_at_its_start(answers):
+    """Guards against a date by the arrival of a response without changes."""
+
+    async def test():
+        began = anyio.current_time()
+        state = fleets.Fleet(DEPLOYMENT, None, revision=1, confirmed_at=began)
+        answers.extend([(0.5, 0.0, []), (0.0, 0.0, [version_item(2)])])
+        await fleets._follow(state)
+        await fleets._follow(state)
+        assert date(state) == pytest.approx(began, abs=0.04)
+
+    anyio.run(test)
+
+
 def test_a_version_batched_in_a_pause_is_dated_at_the_previous_watch(answers):
     """Guards against a date after a change that the last response was too early for."""
 
