Send the rest of a response before the next request is served

A response that waited for its slow reader past its deadline left the connection open with full buffers. The stream accepts no bytes then, so the response to a pipelined request was dropped at its own deadline while the connection counted it as sent, and the caller took the next one for it.

--- a/src/carobstand/http1_server.py
+++ b/src/carobstand/http1_server.py
@@ -117,6 +117,8 @@
         Of the request being received.
     reserved : int
         Bytes of its request, and of those sent ahead, reserved in `Server.bodies`.
+    has_unsent : bool
+        Whether the end of the last response may still wait for its caller to read.
     """
 
     server: Server
@@ -128,6 +130,7 @@
         factory=message_bounds.MessageCounters
     )
     reserved: int = 0
+    has_unsent: bool = False
 
 
 @attrs.frozen
@@ -267,7 +270,9 @@
     with anyio.CancelScope(shield=is_late) as scope:
         if is_late:
             scope.deadline = now + LATE_SEND_S
+        conn.has_unsent = True
         await _send(conn, raw)
+        conn.has_unsent = False
 
 
 async def _send(conn, raw):
@@ -393,7 +398,21 @@
         tg.cancel_scope.cancel()
     if not reply.finished:
         return False
-    return conn.parser.our_state is h11.DONE and conn.parser.their_state is h11.DONE
+    if not (conn.parser.our_state is h11.DONE and conn.parser.their_state is h11.DONE):
+        return False
+    return not conn.has_unsent or await _send_rest(conn)
+
+
+async def _send_rest(conn):
+    """Wait until the caller has read most of a response; return False if it does not.
+
+    The stream does not accept further bytes before. The response to a pipelined request
+    would be dropped at its deadline, and its caller would take the next one for it.
+    """
+    with anyio.move_on_after(conn.server.limits().idle_timeout_s):
+        await conn.stream.send(b"")
+        conn.has_unsent = False
+    return not conn.has_unsent
 
 
 async def _handle(conn, req, reply):
