--- a/src/carobstand/core/named_versions.py
+++ b/src/carobstand/core/named_versions.py
@@ -100,7 +100,7 @@
     Returns
     -------
     changed : bool
-        Whether `earliest_seen` of the version may have changed.
+        Whether `earliest_arrival` of the version may have changed.
     """
     found = witnesses.seen.setdefault(version, {})
     while len(witnesses.seen) > VERSIONS_KEPT:
--- a/src/carobstand/entry/backend_pool.py
+++ b/src/carobstand/entry/backend_pool.py
@@ -77,7 +77,8 @@
     else:
         pool.open_counts.pop(conn.peer, None)
     dropped = await http1.close(conn)
-    if dropped:
+    # What remains after the server ended the connection was dropped by that.
+    if dropped and not conn.is_ended:
         eventlog.event("backend.reset", peer=conn.peer, unacknowledged=dropped)
 
 
--- a/src/carobstand/entry/forwarding.py
+++ b/src/carobstand/entry/forwarding.py
@@ -72,8 +72,9 @@
     part_tracker : entry.poison_parts.Tracker
     scopes : set of anyio.CancelScope
         Cancel scopes of the requests in progress, with their deadlines.
-    unbegun : dict of anyio.CancelScope to core.eligibility.Candidate
-        Attempts that have not begun; the deadline is the end of the weights.
+    waiting_attempts : dict of anyio.CancelScope to core.eligibility.Candidate
+        Attempts whose server has not begun to answer; the deadline is the end of the
+        weights that they are to run on.
     shortlists : dict of str to dict of frozenset or None to core.shortlist.Shortlist
         By service and allowed regions.
     outcomes : dict of str to core.missed_targets.Outcomes
@@ -108,7 +109,7 @@
     crashes_seen: crashes.Crashes = attrs.field(factory=crashes.Crashes)
     part_tracker: poison_parts.Tracker = attrs.field(factory=poison_parts.Tracker)
     scopes: set = attrs.field(factory=set)
-    unbegun: dict = attrs.field(factory=dict)
+    waiting_attempts: dict = attrs.field(factory=dict)
     shortlists: dict = attrs.field(factory=dict)
     outcomes: dict = attrs.field(factory=dict)
     sends: dict = attrs.field(factory=dict)
@@ -248,11 +249,13 @@
             return await rejections.give_up(fwd, call, 502, "it crashes servers")
         if poison_parts.is_rejected(fwd, call):
             return await rejections.reject_for_part(call)
-        is_cut = planned_stop.is_cut(fwd, call)
-        chosen = None if is_cut else await queueing.place(fwd, call)
+        would_be_cut = planned_stop.would_be_cut(fwd, call)
+        chosen = None if would_be_cut else await queueing.place(fwd, call)
         if chosen is None:
-            is_cut = planned_stop.is_cut(fwd, call)
-            reason = planned_stop.REASON if is_cut else "no server has room in time"
+            would_be_cut = planned_stop.would_be_cut(fwd, call)
+            reason = (
+                planned_stop.REASON if would_be_cut else "no server has room in time"
+            )
             return await rejections.give_up(fwd, call, 502, reason)
         try:
             # A part may have been convicted while the request waited.
@@ -423,16 +426,16 @@
 def _until_outdated(fwd, candidate):
     """Return a context that is left at the end of a candidate's weights."""
     with anyio.CancelScope(deadline=server_choice.begin_by(fwd, candidate)) as scope:
-        fwd.unbegun[scope] = candidate
+        fwd.waiting_attempts[scope] = candidate
         try:
             yield
         finally:
-            del fwd.unbegun[scope]
+            del fwd.waiting_attempts[scope]
 
 
 def _update_ends(fwd):
     """Apply changed ends of weights to the attempts that have not begun."""
-    for scope, candidate in fwd.unbegun.items():
+    for scope, candidate in fwd.waiting_attempts.items():
         scope.deadline = server_choice.begin_by(fwd, candidate)
 
 
--- a/src/carobstand/entry/planned_stop.py
+++ b/src/carobstand/entry/planned_stop.py
@@ -11,7 +11,7 @@
 REASON = "the entry stops before it could answer"
 
 
-def is_cut(fwd, call):
+def would_be_cut(fwd, call):
     """Whether a request that has not run is not to be begun before the stop.
 
     While the platform routes callers here, its expected duration counts. Later, only
@@ -40,5 +40,5 @@
     """Reject waiting requests that would be cut off, and from now on new ones."""
     fwd.is_closing = True
     for waiter in fwd.queue.waiters:
-        if not waiter.done.is_set() and is_cut(fwd, waiter.call):
+        if not waiter.done.is_set() and would_be_cut(fwd, waiter.call):
             waiter.done.set()
--- a/src/carobstand/entry/rejections.py
+++ b/src/carobstand/entry/rejections.py
@@ -50,7 +50,7 @@
 
 def _retry_after_s(fwd, call):
     """Return the time after which a call that did not run may find a free slot."""
-    if planned_stop.is_cut(fwd, call):
+    if planned_stop.would_be_cut(fwd, call):
         return planned_stop.RETRY_AFTER_S
     now = anyio.current_time()
     ids = server_choice.located_ids(fwd, call)
--- a/src/carobstand/wire/fleet_bounds.py
+++ b/src/carobstand/wire/fleet_bounds.py
@@ -91,7 +91,8 @@
     },
     ttypes.DemandRow: {"rank": _AT_LEAST_0, "amount": _AT_LEAST_0},
     ttypes.NewsReply: {
-        name: _AT_LEAST_0 for name in ("revision", "age_ms", "troubled_ms", "era")
+        name: _AT_LEAST_0
+        for name in ("revision", "age_ms", "troubled_ms", "unreachable_ms", "era")
     },
     ttypes.NewsItem: {"revision": _AT_LEAST_0, "age_ms": _AT_LEAST_0},
 }
