--- a/src/carobstand/core/crashes.py
+++ b/src/carobstand/core/crashes.py
@@ -28,13 +28,15 @@
 class LostRun:
     """A run without an answer, at a server whose start time is known.
 
-    `expires_at` is the time at which the run is dropped if no restart was reported.
+    `expires_at` is the time at which the run is dropped if no restart was reported,
+    `lost_at` the time at which the connection to the server ended.
     """
 
     fingerprint: bytes
     address: str
     started_ms: int
     expires_at: float
+    lost_at: float
 
 
 @attrs.define(eq=False)
@@ -61,7 +63,8 @@
         return
     if len(crashes.lost) >= MAX_LOST:
         del crashes.lost[0]
-    crashes.lost.append(LostRun(fingerprint, address, started_ms, now + MAX_RESTART_S))
+    expires_at = now + MAX_RESTART_S
+    crashes.lost.append(LostRun(fingerprint, address, started_ms, expires_at, now))
 
 
 def count_confirmed(crashes, start_of, now):
@@ -76,15 +79,15 @@
 
     Returns
     -------
-    confirmed : list of (bytes, str)
-        Fingerprint of the request and id of the failure.
+    confirmed : list of (bytes, str, float)
+        Fingerprint of the request, id of the failure and time since the loss, in s.
     """
     confirmed, unresolved = [], []
     for run in crashes.lost:
         if start_of(run.address) > run.started_ms:
             failure = f"{run.address}/{run.started_ms}"
             if add(crashes, run.fingerprint, failure, now):
-                confirmed.append((run.fingerprint, failure))
+                confirmed.append((run.fingerprint, failure, now - run.lost_at))
         elif now < run.expires_at:
             unresolved.append(run)
     crashes.lost = unresolved
@@ -99,12 +102,18 @@
 
 
 def clear_answered(crashes, fingerprint):
-    """Clear a suspected request that was answered: it does not crash servers."""
+    """Clear a suspected request that was answered: it does not crash servers.
+
+    Returns
+    -------
+    was_suspected : bool
+    """
     if crashes.suspected.held.pop(fingerprint, None) is None:
-        return
+        return False
     if len(crashes.cleared) >= MAX_CLEARED:
         del crashes.cleared[next(iter(crashes.cleared))]
     crashes.cleared[fingerprint] = None
+    return True
 
 
 def is_poison(crashes, fingerprint, now):
--- a/src/carobstand/entry/poison_requests.py
+++ b/src/carobstand/entry/poison_requests.py
@@ -47,8 +47,13 @@
 
 def record_answered(fwd, call):
     """Record that a request got a response."""
-    if fwd.crashes_seen.suspected.held:
-        crashes.clear_answered(fwd.crashes_seen, fingerprint(call))
+    if not fwd.crashes_seen.suspected.held:
+        return
+    key = fingerprint(call)
+    if crashes.clear_answered(fwd.crashes_seen, key):
+        eventlog.event(
+            "request.cleared", fingerprint=key.hex(), request=call.req.request_id
+        )
 
 
 async def share(fwd):
@@ -72,9 +77,15 @@
     confirmed = crashes.count_confirmed(
         fwd.crashes_seen, lambda address: starts.get(address, 0), now
     )
-    for key, failure in confirmed:
-        eventlog.event("request.crashed_server", request=key.hex(), failure=failure)
-    return confirmed
+    for key, failure, after_s in confirmed:
+        eventlog.event(
+            "request.crashed_server",
+            request=key.hex(),
+            failure=failure,
+            after_s=round(after_s, 3),
+            source="own",
+        )
+    return [(key, failure) for key, failure, _ in confirmed]
 
 
 def _server_starts(fwd):
@@ -105,4 +116,11 @@
         eventlog.event("datagram.malformed", peer=peer, error="empty field")
         return
     now = anyio.current_time()
-    crashes.add(fwd.crashes_seen, message.fingerprint, message.server_start, now)
+    if crashes.add(fwd.crashes_seen, message.fingerprint, message.server_start, now):
+        eventlog.event(
+            "request.crashed_server",
+            request=message.fingerprint.hex(),
+            failure=message.server_start,
+            after_s=None,
+            source=peer,
+        )
