--- /dev/null
+++ b/testing/test_poison_requests.py
@@ -0,0 +1,85 @@
+"""Guards against requests that crash the backend servers that run them, and come again.
+
+All copies of such a request have the same path, caller and body.
+"""
+
+import itertools
+
+import anyio
+import pytest
+
+from carobstand import errors
+from carobstand.entry import rejections
+from testing import part_traffic, platform_fleet
+
+REJECTED = rejections.POISON_STATUS
+CONTACT_S = 3.0
+FREE_CRASHES = 3
+MAX_LATER_REQUESTS = 3
+DOWN_S = 6.0
+"""Time until a crashed server is back, longer than `CONTACT_S`."""
+
+
+async def add_desks(fleet, count, down_s=DOWN_S):
+    """Add backend servers that the body ``deadly`` crashes; return them."""
+    desks = []
+    for number in range(count):
+        desk = await platform_fleet.add_engine(fleet, f"d-{number + 1}", "desk")
+        platform_fleet.restart_crashed(fleet, desk, down_s)
+        desks.append(desk)
+    await anyio.sleep(platform_fleet.CHANGE_DELAY_S)
+    return desks
+
+
+async def send_repeatedly(fleet, sent, body, gap_s, duration_s, path="/o/x"):
+    """Send a request to the entries in turn, and again every `gap_s`.
+
+    `body` returns the body of a request, given its number. Adds each result to `sent`.
+    """
+    async with anyio.create_task_group() as tg:
+        start = anyio.current_time()
+        for number in itertools.count():
+            if anyio.current_time() >= start + duration_s:
+                return
+            entry = list(fleet.entries)[number % len(fleet.entries)]
+            tg.start_soon(send_one, fleet, sent, entry, body(number), path)
+            await anyio.sleep(gap_s)
+
+
+async def send_one(fleet, sent, entry, body, path="/o/x"):
+    """Send one request; add how it ended to `sent` and return that."""
+    at, status, headers = anyio.current_time(), 0, {}
+    try:
+        answer = await platform_fleet.send_request(fleet, path, entry=entry, body=body)
+        status, headers = answer.status, answer.headers
+    except (errors.HttpError, TimeoutError):
+        status = 0
+    took_s = anyio.current_time() - at
+    result = part_traffic.Sent(at, entry, (), status, took_s, headers, body)
+    sent.append(result)
+    return result
+
+
+@pytest.mark.parametrize("entries", [1, 5])
+def test_a_request_that_crashed_three_servers_reaches_three_more_at_most(entries):
+    async def scenario():
+        async with platform_fleet.deployed(entries) as fleet:
+            await add_desks(fleet, 20)
+            sent = []
+            async with anyio.create_task_group() as tg:
+                tg.start_soon(
+                    send_repeatedly, fleet, sent, lambda n: b"deadly", 0.3, 6.0
+                )
+                tg.start_soon(
+                    send_repeatedly, fleet, sent, lambda n: b"%d" % n, 0.05, 6.0
+                )
+            crashes = part_traffic.crash_times(fleet)
+            after = crashes[FREE_CRASHES - 1] + CONTACT_S
+            assert sum(at > after for at in crashes) <= MAX_LATER_REQUESTS
+            sound = [item for item in sent if item.body != b"deadly"]
+            assert not [item for item in sound if item.status == REJECTED]
+            late = [item for item in sent if item.body == b"deadly" and item.at > after]
+            assert {item.status for item in late} == {REJECTED}
+            assert not any("retry-after" in item.headers for item in late)
+
+    platform_fleet.run(scenario, timeout_s=30.0)
