Count a crash when its server refuses connections, and share it as evidence

Besides, any final response, also an engine's 500, cleared a suspect for good; counts were sent twice and never asked for, so an entry that had started or heard nothing did not learn of them.

Change: a request as a whole is one more part of itself in core/poison_parts, which counts what the entry sees (connection ended, the next one refused), shares it, is asked for it, and keeps convictions in the store. Three crashes before the answer began, or five of any kind, at two moments convict; crashes that it explains no longer count for requests beside it. Servers that leave are no evidence. Only a success clears, and later crashes count again.

One UDP socket was used by several tasks at once, which ended the loop (BusyResourceError): they take turns now.

--- a/src/carobstand/core/poison_parts.py
+++ b/src/carobstand/core/poison_parts.py
@@ -1,14 +1,17 @@
-"""Detection of prompt parts that crash the servers that begin to answer on them.
+"""Detection of requests, and of parts of prompts, that crash the servers that run them.
 
-Load pattern: requests that have one part of their prompt in common and are otherwise
-different reach all entries, and each crashes the server that begins its answer.
+Load patterns: requests that have one part of their prompt in common and are otherwise
+different, and requests that come again unchanged, reach all entries, and each crashes
+the server that begins its answer. A request as a whole is one more part of itself.
 
 - Suspects: the parts, except the last, of each request whose answer had not begun when
-  its server ended. A sighting is one such request at one crash.
-- Cleared: the parts of a request whose answer begins, at any entry. A part is judged
-  only by sightings after its last answer.
+  its server ended, and each request that ran there. A sighting is one such request at
+  one crash.
+- Cleared: the parts of a request whose answer begins, at any entry, and a request that
+  is answered with success. A part is judged only by sightings after its last answer.
 - Convicted: a part without a recent answer, by different requests at crashes that have
-  no cause in common; a part with one, only by a longer series.
+  no cause in common; a part with one, only by a longer series; a request, by crashes
+  at several moments.
 - A convicted part explains its crashes: they no longer count for other parts.
 """
 
@@ -33,6 +36,14 @@
 MIN_CRASHES = 4
 """Crashes, each with a request of its own, that convict it otherwise."""
 
+REQUEST_MIN_CRASHES = 3
+"""Crashes before its answer began that convict a request. Requests that run beside one
+that crashes servers are often in two crashes, because they are retried."""
+
+REQUEST_MIN_RUNS = 5
+"""Crashes that convict a request whose answers had begun. Most requests that a crash
+interrupts have begun, and are resumed elsewhere."""
+
 SOUND_MIN_CRASHES = 4
 SOUND_MIN_REQUESTS = 3
 SOUND_MIN_SPAN_S = 2.0
@@ -93,6 +104,26 @@
     return tuple(digest(part) for part in prompt_parts[:-1])
 
 
+def whole(target, customer, body):
+    """Return the identifier of a request as a whole, equal for callers' retries.
+
+    Parameters
+    ----------
+    target, customer, body : bytes
+    """
+    fields = (target, customer, body)
+    sizes = b"".join(len(field).to_bytes(8, "big") for field in fields)
+    return hashlib.sha256(b"request" + sizes + b"".join(fields)).digest()[:ID_BYTES]
+
+
+def run_begun(request):
+    """Return the identifier of a run of a whole request whose answer had begun.
+
+    It stands among the requests of a sighting instead of the request itself.
+    """
+    return hashlib.sha256(b"begun" + request).digest()[:ID_BYTES]
+
+
 @attrs.define(eq=False)
 class Sightings:
     """Requests with one part that were lost at one crash.
@@ -250,44 +281,75 @@
     requests = set().union(*(item.requests for item in seen.values()))
     if not times:
         return False
+    is_request = _is_whole(part, requests)
     if is_known_sound(state, part, now):
         return (
             len(times) >= SOUND_MIN_CRASHES
-            and len(requests) >= SOUND_MIN_REQUESTS
+            and (is_request or len(requests) >= SOUND_MIN_REQUESTS)
             and times[-1] - times[0] >= SOUND_MIN_SPAN_S
         )
-    moments = 1
-    start = times[0]
-    for at in times:
-        if at - start >= MOMENT_S:
-            moments, start = moments + 1, at
+    has_moments = _count_moments(times) >= MIN_MOMENTS
+    if is_request:
+        is_often = len(_unbegun(state, part)) >= REQUEST_MIN_CRASHES
+        return has_moments and (is_often or len(times) >= REQUEST_MIN_RUNS)
     servers = {crash[:ID_BYTES] for crash in seen}
-    if (
-        moments >= MIN_MOMENTS
-        and len(servers) >= MIN_SERVERS
-        and len(requests) >= MIN_REQUESTS
-    ):
+    if has_moments and len(servers) >= MIN_SERVERS and len(requests) >= MIN_REQUESTS:
         return True
     return min(len(times), len(requests)) >= MIN_CRASHES
 
 
+def _count_moments(times):
+    """Return the number of moments in a sorted list of times of crashes."""
+    moments, start = 1, times[0]
+    for at in times:
+        if at - start >= MOMENT_S:
+            moments, start = moments + 1, at
+    return moments
+
+
+def _is_whole(part, requests):
+    """Whether a part with these requests is a request as a whole."""
+    return requests <= {part, run_begun(part)}
+
+
+def _unbegun(state, part):
+    """Return the crashes of a suspected request at which no answer had begun."""
+    found = state.suspects[part]
+    return {crash for crash, item in found.items() if part in item.requests}
+
+
 def convict(state, now):
     """Convict the suspects against which the evidence suffices; return them.
 
-    Of several, the one that explains most crashes comes first.
+    Of several, the one that explains most crashes comes first. Requests that were lost
+    at the same crashes cannot be told apart and are convicted together.
     """
     convicted = []
     while True:
         deadly = [part for part in state.suspects if _is_deadly(state, part, now)]
         if not deadly:
             return convicted
-        worst = max(
-            deadly,
-            key=lambda part: (len(state.suspects[part]), -sound_at(state, part)),
-        )
+        worst = max(deadly, key=lambda part: _rank(state, part))
         crashes = set(state.suspects[worst])
-        add_conviction(state, worst, now, crashes)
-        convicted.append(worst)
+        alike = [worst]
+        if _unbegun(state, worst):
+            alike = [
+                part
+                for part in deadly
+                if _unbegun(state, part) == _unbegun(state, worst)
+            ]
+        for part in alike:
+            add_conviction(state, part, now, crashes)
+        convicted += alike
+
+
+def _rank(state, part):
+    """Return the order in which suspects are convicted, the greatest one first."""
+    found = state.suspects[part]
+    unbegun = _unbegun(state, part)
+    requests = set().union(*(item.requests for item in found.values()))
+    count = len(unbegun) if _is_whole(part, requests) else len(found)
+    return count, len(found), -sound_at(state, part), bool(unbegun)
 
 
 def add_conviction(state, part, at, crashes=()):
@@ -377,6 +439,11 @@
     return dropped
 
 
+def is_suspected(state, part):
+    """Whether a part is suspected or convicted."""
+    return part in state.suspects or part in state.convicted
+
+
 def summary(state):
     """Return a digest that is equal at entries with the same evidence."""
     known = hashlib.sha256()
--- a/src/carobstand/entry/datagrams.py
+++ b/src/carobstand/entry/datagrams.py
@@ -1,4 +1,4 @@
-"""Receives UDP datagrams: engine loads, and crash reports of other entries."""
+"""Receives UDP datagrams: engine loads, and evidence and permits of other entries."""
 
 import anyio
 
@@ -9,7 +9,6 @@
     demand_exchange,
     permit_exchange,
     poison_parts,
-    poison_requests,
     queueing,
     versions,
 )
@@ -39,8 +38,6 @@
 def _process(fwd, message, peer):
     if isinstance(message, ttypes.EngineLoad):
         _on_engine_load(fwd, message, peer)
-    elif isinstance(message, ttypes.FailedRun):
-        poison_requests.on_crash_report(fwd, message, peer)
     elif isinstance(message, ttypes.PermitRequest):
         permit_exchange.on_request(fwd.limits, message, peer)
     elif isinstance(message, ttypes.PermitReply):
--- a/src/carobstand/entry/forwarding.py
+++ b/src/carobstand/entry/forwarding.py
@@ -9,7 +9,6 @@
 from carobstand.core import (
     byte_budget,
     calibration,
-    crashes,
     engine_load,
     event_stream,
     exchange,
@@ -27,7 +26,6 @@
     fleet,
     planned_stop,
     poison_parts,
-    poison_requests,
     queueing,
     rejections,
     response_bodies,
@@ -68,7 +66,6 @@
         By service.
     queue : entry.queueing.Queue
     loads : core.engine_load.EngineLoads
-    crashes_seen : core.crashes.Crashes
     part_tracker : entry.poison_parts.Tracker
     scopes : set of anyio.CancelScope
         Cancel scopes of the requests in progress, with their deadlines.
@@ -106,7 +103,6 @@
     budgets: dict = attrs.field(factory=dict)
     queue: queueing.Queue = attrs.field(factory=queueing.Queue)
     loads: engine_load.EngineLoads = attrs.field(factory=engine_load.EngineLoads)
-    crashes_seen: crashes.Crashes = attrs.field(factory=crashes.Crashes)
     part_tracker: poison_parts.Tracker = attrs.field(factory=poison_parts.Tracker)
     scopes: set = attrs.field(factory=set)
     waiting_attempts: dict = attrs.field(factory=dict)
@@ -153,6 +149,8 @@
     reply : http1_server.Reply
     parts : tuple of bytes
         Parts of its prompt that it may share, from `core.poison_parts.shareable`.
+    whole : bytes
+        Identifies the request as a whole, from `core.poison_parts.whole`.
     size : core.placement.Size
     terms : core.queue_policy.Terms
         Times that bound its response, on the loop's clock.
@@ -199,6 +197,7 @@
     customer_record: routes.Customer | None = None
     permitted_regions: tuple | None = None
     parts: tuple = ()
+    whole: bytes = b""
     idle_first_byte_s: float | None = None
     tried: set = attrs.field(factory=set)
     permit: object = None
@@ -245,10 +244,8 @@
 
 async def _try_servers(fwd, call):
     while True:
-        if poison_requests.is_poison(fwd, call):
-            return await rejections.give_up(fwd, call, 502, "it crashes servers")
-        if poison_parts.is_rejected(fwd, call):
-            return await rejections.reject_for_part(call)
+        if reason := poison_parts.rejection_reason(fwd, call):
+            return await rejections.reject_poison(call, reason)
         would_be_cut = planned_stop.would_be_cut(fwd, call)
         chosen = None if would_be_cut else await queueing.place(fwd, call)
         if chosen is None:
@@ -258,14 +255,13 @@
             )
             return await rejections.give_up(fwd, call, 502, reason)
         try:
-            # A part may have been convicted while the request waited.
-            if poison_parts.is_rejected(fwd, call):
-                return await rejections.reject_for_part(call)
+            # It may have been convicted while it waited.
+            if reason := poison_parts.rejection_reason(fwd, call):
+                return await rejections.reject_poison(call, reason)
             outcome = await _send(fwd, call, chosen)
         finally:
             queueing.end(fwd, call, chosen)
         if outcome is retries.Outcome.DONE:
-            poison_requests.record_answered(fwd, call)
             return None
         if call.reply.started:
             call.terms = attrs.evolve(call.terms, is_started=True)
@@ -340,14 +336,15 @@
             call.rejected_by.add(server.server_id)
         else:
             health.answered(state)
+        if outcome is retries.Outcome.DONE and head.status < 300:
+            poison_parts.record_success(fwd, call)
         if outcome in (retries.Outcome.DONE, retries.Outcome.NOT_RUN):
             kept = backend_pool.release(fwd.pool, conn)
         return outcome
     except errors.HttpError as exc:
         unread_s = call.reply.unread_s if conn.is_ended else 0.0
         health.lost(state, anyio.current_time(), server.started_ms, unread_s)
-        poison_requests.record_lost_run(fwd, call, server)
-        if conn.is_ended and not call.has_begun:
+        if conn.is_ended:
             call.lost = poison_parts.record_lost(
                 fwd, call, server, response_heads.newest_start(fwd, server)
             )
@@ -373,7 +370,7 @@
         await _send_request(fwd, call, chosen, conn)
         return await _receive_start(fwd, call, conn, chosen.candidate)
     raise errors.HttpError(
-        "a part of its prompt was convicted", step="forward.receive", peer=conn.peer
+        "it or a part of it was convicted", step="forward.receive", peer=conn.peer
     )
 
 
--- a/src/carobstand/entry/ingress.py
+++ b/src/carobstand/entry/ingress.py
@@ -92,6 +92,7 @@
         customer_record=customer,
         reply=reply,
         parts=parts,
+        whole=poison_parts.whole(req.target, customer_name.encode(), request.body),
         size=size,
         terms=queue_policy.Terms(
             arrived=request.received_at,
--- a/src/carobstand/entry/platform_main.py
+++ b/src/carobstand/entry/platform_main.py
@@ -18,7 +18,6 @@
     permit_exchange,
     planned_stop,
     poison_parts,
-    poison_requests,
     queueing,
     readiness,
     registration,
@@ -64,7 +63,6 @@
         tg.start_soon(http1_server.listen, readiness_server, dep.readiness_address)
         tg.start_soon(http1_server.listen, ingress_server, dep.ingress_address)
         tg.start_soon(loops.supervise, datagrams.listen, fwd)
-        tg.start_soon(loops.supervise, poison_requests.share, fwd)
         tg.start_soon(loops.supervise, poison_parts.run, fwd)
         tg.start_soon(loops.supervise, queueing.process_waiters, fwd)
         tg.start_soon(loops.supervise, permit_exchange.run, fwd.limits)
--- a/src/carobstand/entry/poison_parts.py
+++ b/src/carobstand/entry/poison_parts.py
@@ -1,4 +1,4 @@
-"""Evidence against prompt parts that crash servers, shared between the entries.
+"""Evidence against requests and prompt parts that crash servers, shared by the entries.
 
 Sightings and convictions go to all entries by UDP, and an entry with other evidence is
 asked for it once a second, so that one that has started, frozen or been cut off learns
@@ -14,7 +14,14 @@
 import attrs
 
 from carobstand import errors, eventlog, http1, part_records, signals
-from carobstand.core import deployment, entry_roster, poison_parts, rendezvous
+from carobstand.core import (
+    announcements,
+    deployment,
+    entry_roster,
+    poison_parts,
+    rendezvous,
+)
+from carobstand.entry import datagram_sender
 from carobstand.platform import kv
 from carobstand.wire import fleet_codec
 from carobstand.wire.gen_fleet import ttypes
@@ -25,7 +32,10 @@
 CONNECT_TIMEOUT_S = 0.3
 """A server that has ended refuses connections at once; one that is cut off does not."""
 
-RESTART_S = 5.0
+MAX_LOST = 2_000
+"""Lost requests of which the servers are checked; the oldest one is dropped first."""
+
+RESTART_S = 15.0
 """Time within which a new start of a server shows that it had ended."""
 
 SETTLE_S = 0.1
@@ -47,6 +57,10 @@
 MAX_REPORTED = 60
 """Parts in one reply; those that crash servers come first."""
 
+REQUEST_REASON = "it crashes servers"
+PART_REASON = "a part of its prompt crashes servers"
+"""Reasons of rejections."""
+
 NO_AGE_MS = -1
 MAX_AGE_MS = 2_000_000_000
 """Bounds of ages on the wire."""
@@ -54,7 +68,7 @@
 
 @attrs.define(eq=False)
 class LostRequest:
-    """A request whose server closed the connection before its answer began.
+    """A request whose server closed the connection before its answer was complete.
 
     Attributes
     ----------
@@ -63,8 +77,12 @@
         Start of the server in Unix milliseconds, 0 if not known.
     parts : tuple of bytes
         Parts of its prompt that it may share with others.
+    whole : bytes
+        Identifies the request as a whole.
     request : bytes
         Identifies it among requests with the same parts.
+    has_begun : bool
+        Whether its answer had begun.
     at : float
     checked : anyio.Event
         Set once it is known whether the server refuses connections.
@@ -75,7 +93,9 @@
     server: object
     started_ms: int
     parts: tuple
+    whole: bytes
     request: bytes
+    has_begun: bool
     at: float
     checked: anyio.Event = attrs.field(factory=anyio.Event)
     is_crash: bool = False
@@ -93,15 +113,15 @@
     wake : signals.Signal
         Notified when a request was lost.
     tasks : anyio.abc.TaskGroup or None
-    udp : anyio.abc.UDPSocket or None
-        Both None until `run` has started.
+    sender : entry.datagram_sender.DatagramSender or None
+        Both None while `run` does not run.
     """
 
     lost: list = attrs.field(factory=list)
     unanswered: dict = attrs.field(factory=dict)
     wake: signals.Signal = attrs.field(factory=signals.Signal)
     tasks: object = None
-    udp: object = None
+    sender: object = None
 
 
 async def run(fwd):
@@ -111,54 +131,63 @@
         await anyio.create_udp_socket(local_host=fwd.fleet.deployment.ip) as udp,
         anyio.create_task_group() as tg,
     ):
-        tracker.udp, tracker.tasks = udp, tg
-        tg.start_soon(_query_others, fwd)
-        tg.start_soon(_sync_records, fwd)
-        while True:
-            if not tracker.lost:
-                await tracker.wake.wait(QUERY_INTERVAL_S)
-                continue
-            await _check_lost(fwd)
-            await anyio.sleep(CHECK_INTERVAL_S)
+        tracker.sender, tracker.tasks = datagram_sender.DatagramSender(udp), tg
+        try:
+            tg.start_soon(_query_others, fwd)
+            tg.start_soon(_sync_records, fwd)
+            while True:
+                if not tracker.lost:
+                    await tracker.wake.wait(QUERY_INTERVAL_S)
+                    continue
+                await _check_lost(fwd)
+                await anyio.sleep(CHECK_INTERVAL_S)
+        finally:
+            # Requests must not start tasks in a group that has ended.
+            tracker.sender = tracker.tasks = None
 
 
-def is_rejected(fwd, call):
-    """Return whether a part of the prompt is convicted, so that it must not be sent.
+def rejection_reason(fwd, call):
+    """Return why a request must not be sent, as it or a part is convicted, or None.
 
     One entry sends a single request in a long while, to find wrong convictions.
     """
     state = fwd.fleet.prompt_parts
-    now = anyio.current_time()
-    part = poison_parts.convicted_part(state, call.parts, now)
+    now, parts = anyio.current_time(), _all_parts(call)
+    part = poison_parts.convicted_part(state, parts, now)
     call.is_probe = False
     if part is None:
-        return False
-    if _ranks_first(fwd, part) and poison_parts.may_probe(state, call.parts, now):
+        return None
+    if _ranks_first(fwd, part) and poison_parts.may_probe(state, parts, now):
         call.is_probe = True
-        return False
-    return True
+        return None
+    return REQUEST_REASON if part == call.whole else PART_REASON
+
+
+def _all_parts(call):
+    return (*call.parts, call.whole)
 
 
 def record_sent(fwd, call):
     """Record that a request is sent; one with a convicted part is a probe."""
     if not call.is_probe:
         return
-    poison_parts.record_probe(fwd.fleet.prompt_parts, call.parts, anyio.current_time())
+    parts = _all_parts(call)
+    poison_parts.record_probe(fwd.fleet.prompt_parts, parts, anyio.current_time())
     eventlog.event("part.probed", request=call.req.request_id)
-    _spread(fwd, call.parts)
+    _spread(fwd, parts)
 
 
 @contextlib.contextmanager
 def unanswered(fwd, call):
-    """Yield a scope that is cancelled if a part of the request is convicted."""
-    held = fwd.part_tracker.unanswered
+    """Yield a scope that is cancelled if the request or a part of it is convicted."""
+    held, parts = fwd.part_tracker.unanswered, _all_parts(call)
     with anyio.CancelScope() as scope:
-        for part in call.parts if not call.is_probe else ():
+        for part in parts if not call.is_probe else ():
             held.setdefault(part, set()).add(scope)
         try:
             yield scope
         finally:
-            for part in call.parts:
+            for part in parts:
                 scopes = held.get(part, set())
                 scopes.discard(scope)
                 if not scopes:
@@ -176,26 +205,51 @@
         _spread(fwd, cleared)
 
 
+def record_success(fwd, call):
+    """Record that a request was answered with success, which clears it."""
+    state = fwd.fleet.prompt_parts
+    if not poison_parts.is_suspected(state, call.whole):
+        return
+    now = anyio.current_time()
+    cleared = poison_parts.record_answer(state, (call.whole,), now)
+    if cleared:
+        _on_cleared(fwd, cleared, call.req.request_id)
+        _spread(fwd, cleared)
+
+
 def record_lost(fwd, call, server, started_ms):
-    """Record that a server closed the connection before the answer began.
+    """Record that a server closed the connection before the answer was complete.
 
     Returns
     -------
     lost : LostRequest or None
-        None if the prompt has no parts that it shares with others.
+        None if the answer had begun, or if the server was leaving: it ends anyway.
     """
-    if not call.parts:
+    if _is_leaving(fwd, server):
         return None
+    last_part = call.req.prompt_parts[-1:]
     lost = LostRequest(
         server,
         started_ms,
         call.parts[: poison_parts.MAX_PARTS],
-        poison_parts.digest(call.req.prompt_parts[-1]),
+        call.whole,
+        poison_parts.digest(last_part[0]) if last_part else call.whole,
+        call.has_begun,
         anyio.current_time(),
     )
-    fwd.part_tracker.lost.append(lost)
-    fwd.part_tracker.wake.notify()
-    return lost
+    tracker = fwd.part_tracker
+    if len(tracker.lost) >= MAX_LOST:
+        tracker.lost.pop(0).checked.set()
+    tracker.lost.append(lost)
+    tracker.wake.notify()
+    return None if call.has_begun else lost
+
+
+def _is_leaving(fwd, server):
+    listed = fwd.fleet.servers.servers.get(server.server_id)
+    if listed is None or not listed.is_ready:
+        return True
+    return announcements.is_leaving(fwd.fleet.announced, server.server_id)
 
 
 async def may_resend(fwd, lost):
@@ -226,10 +280,10 @@
     async with anyio.create_task_group() as tg:
         for address in {item.server.address for item in unchecked}:
             tg.start_soon(_check_server, address, refusing)
-    now = anyio.current_time()
+    now, starts = anyio.current_time(), _newest_starts(fwd)
     crashed = []
     for item in list(tracker.lost):
-        has_restarted = 0 < item.started_ms < _newest_start(fwd, item.server)
+        has_restarted = 0 < item.started_ms < starts.get(item.server.address, 0)
         is_refusing = item in unchecked and item.server.address in refusing
         if is_refusing or has_restarted:
             item.is_crash = True
@@ -242,11 +296,17 @@
         _record_crashes(fwd, crashed)
 
 
-def _newest_start(fwd, server):
-    """Return the latest known start of a server in Unix ms, 0 if there is none."""
-    listed = fwd.fleet.servers.servers.get(server.server_id, server)
-    load = fwd.loads.by_address.get(server.address)
-    return max(listed.started_ms, load.started_ms if load else 0)
+def _newest_starts(fwd):
+    """Return the latest known start of each server in Unix ms, by address.
+
+    A server mostly starts anew under another id.
+    """
+    starts = {}
+    for item in fwd.fleet.servers.servers.values():
+        starts[item.address] = max(starts.get(item.address, 0), item.started_ms)
+    for address, load in fwd.loads.by_address.items():
+        starts[address] = max(starts.get(address, 0), load.started_ms)
+    return starts
 
 
 async def _check_server(address, refusing):
@@ -255,23 +315,48 @@
 
 
 def _record_crashes(fwd, crashed):
-    state, now = fwd.fleet.prompt_parts, anyio.current_time()
-    news = {}
+    """Record the sightings of requests that were lost at crashes."""
+    now, news = anyio.current_time(), {}
     for item in crashed:
         name = f"{item.server.server_id}/{item.started_ms}"
         crash = poison_parts.crash_id(item.server.address, name)
-        for part in item.parts:
+        for part, request in _sighted(item):
             if poison_parts.add_sighting(
-                state, part, crash, item.request, item.at, now
+                fwd.fleet.prompt_parts, part, crash, request, item.at, now
             ):
-                news[part] = name
-    for part, name in news.items():
-        if part in state.suspects and not poison_parts.is_known_sound(state, part, now):
-            eventlog.event("part.suspected", part=part.hex(), crash=name)
+                news[part] = item, name
+    for part, (item, name) in news.items():
+        _log_suspected(fwd, part, item, name)
     if news:
         fwd.part_tracker.tasks.start_soon(_report_and_judge, fwd, list(news))
 
 
+def _sighted(lost):
+    """Yield the parts that a lost request is evidence against, and who was lost."""
+    if lost.has_begun:
+        yield lost.whole, poison_parts.run_begun(lost.whole)
+        return
+    yield lost.whole, lost.whole
+    for part in lost.parts:
+        yield part, lost.request
+
+
+def _log_suspected(fwd, part, lost, name):
+    state, now = fwd.fleet.prompt_parts, anyio.current_time()
+    if part not in state.suspects:
+        return
+    if part == lost.whole:
+        eventlog.event(
+            "request.crashed_server",
+            request=part.hex(),
+            failure=name,
+            began=lost.has_begun,
+            after_s=round(now - lost.at, 3),
+        )
+    elif not poison_parts.is_known_sound(state, part, now):
+        eventlog.event("part.suspected", part=part.hex(), crash=name)
+
+
 async def _report_and_judge(fwd, parts):
     """Report sightings, wait for what others know, and convict parts."""
     await _send_to_all(fwd, parts)
@@ -316,11 +401,8 @@
 
 
 async def _send(fwd, address, raw):
-    host, port = deployment.split_address(address)
-    try:
-        await fwd.part_tracker.udp.sendto(raw, host, port)
-    except OSError as exc:
-        eventlog.debug("part.unsent", peer=address, error=str(exc))
+    if fwd.part_tracker.sender is not None:
+        await datagram_sender.send(fwd.part_tracker.sender, address, raw)
 
 
 def _own_address(fwd):
--- a/src/carobstand/entry/rejections.py
+++ b/src/carobstand/entry/rejections.py
@@ -27,9 +27,11 @@
 """Status of a request that no server can answer, so that callers do not repeat it."""
 
 
-async def reject_for_part(call):
-    """Reject a request that would crash the server that answers it."""
-    reason = "a part of its prompt crashes servers"
+async def reject_poison(call, reason):
+    """Reject a request that would crash the server that answers it.
+
+    The status is true whether it has run or not, and invites no repetition.
+    """
     if call.reply.started:
         eventlog.event("request.cut", request=call.req.request_id, reason=reason)
         return
--- a/src/carobstand/wire/fleet.thrift
+++ b/src/carobstand/wire/fleet.thrift
@@ -24,7 +24,8 @@
                               // agent's watch of the store showed it as it was written
 }
 
-// Datagram between entries: a request whose server failed while running it.
+// Datagram between entries: a request whose server failed while running it. Entries of
+// earlier versions send it; it is ignored.
 struct FailedRun {
   1: binary fingerprint       // start of SHA-256 of path, customer and body
   2: string server_start      // server and its start time, equal at every entry
--- a/testing/test_poison_requests.py
+++ b/testing/test_poison_requests.py
@@ -9,7 +9,7 @@
 import pytest
 
 from carobstand import errors
-from carobstand.entry import rejections
+from carobstand.entry import datagram_sender, poison_parts, rejections
 from testing import part_traffic, platform_fleet
 
 REJECTED = rejections.POISON_STATUS
@@ -83,3 +83,66 @@
             assert not any("retry-after" in item.headers for item in late)
 
     platform_fleet.run(scenario, timeout_s=30.0)
+
+
+def test_an_error_of_a_server_does_not_clear_a_request_that_crashes_servers():
+    async def scenario():
+        async with platform_fleet.deployed(1) as fleet:
+            desks = await add_desks(fleet, 8, down_s=0.3)
+            for number in range(8):
+                is_error = number % 2 == 1
+                for desk in desks:
+                    desk.poison_body = b"none" if is_error else b"deadly"
+                    desk.fault, desk.faults_left = "error", 1000 * is_error
+                result = await send_one(fleet, [], "entry-1", b"deadly")
+                await anyio.sleep(0.5)
+            assert result.status == REJECTED
+            assert len(part_traffic.crash_times(fleet)) == FREE_CRASHES
+
+    platform_fleet.run(scenario, timeout_s=30.0)
+
+
+def test_entries_that_start_or_heard_nothing_reject_a_convicted_request(monkeypatch):
+    send = poison_parts._send
+
+    async def scenario():
+        async with platform_fleet.deployed(3) as fleet:
+            await add_desks(fleet, 8)
+            lost = fleet.entries["entry-3"].deployment
+
+            async def drop(fwd, address, raw):
+                if fwd.fleet.deployment.vm != lost.vm and lost.ip not in address:
+                    await send(fwd, address, raw)
+
+            monkeypatch.setattr(poison_parts, "_send", drop)
+            monkeypatch.setattr(poison_parts.kv, "put", no_write)
+            for number in range(5):
+                entry = f"entry-{1 + number % 2}"
+                await send_one(fleet, [], entry, b"deadly")
+                await anyio.sleep(0.3)
+            monkeypatch.setattr(poison_parts, "_send", send)
+            await platform_fleet.add_entry(fleet, "entry-4")
+            await anyio.sleep(2 * poison_parts.QUERY_INTERVAL_S)
+            crashes = len(part_traffic.crash_times(fleet))
+            for entry in fleet.entries:
+                result = await send_one(fleet, [], entry, b"deadly")
+                assert result.status == REJECTED, entry
+            assert len(part_traffic.crash_times(fleet)) == crashes == FREE_CRASHES
+
+    async def no_write(*args, **options):
+        """Write nothing."""
+
+    platform_fleet.run(scenario, timeout_s=30.0)
+
+
+def test_evidence_is_sent_by_several_tasks_at_once():
+    async def scenario():
+        async with (
+            await anyio.create_udp_socket(local_host="127.0.0.1") as udp,
+            anyio.create_task_group() as tg,
+        ):
+            sender = datagram_sender.DatagramSender(udp)
+            for _ in range(5):
+                tg.start_soon(datagram_sender.send, sender, "127.0.0.1:9", b"x")
+
+    anyio.run(scenario)
