--- a/src/carobstand/standin/platform/engine.py
+++ b/src/carobstand/standin/platform/engine.py
@@ -142,6 +142,8 @@
     poisoned_at : list of float
         Times at which such a part crashed it.
     crash_times : list of float
+    health_checks : int
+        Number of health checks that it answered.
     on_crash : callable or None
         Called without arguments at each crash.
     runs : list of Run
@@ -204,6 +206,7 @@
     runs: list = attrs.field(factory=list)
     refused: int = 0
     crashes: int = 0
+    health_checks: int = 0
     copies: dict = attrs.field(factory=dict)
     expected_digests: object = None
     corrupt_loads: int = 0
@@ -275,6 +278,8 @@
         query = dict(urllib.parse.parse_qsl(query_text, keep_blank_values=True))
         if path == "/v1/report":
             return await answers.send_json(reply, _report(engine))
+        if path == "/health":
+            return await _handle_health_check(engine, reply)
         if path == "/v1/order":
             return await _handle_load_order(engine, reply, json.loads(request.body))
         if path.startswith("/v1/stage-"):
@@ -286,6 +291,17 @@
     )
 
 
+async def _handle_health_check(engine, reply):
+    engine.health_checks += 1
+    headers = [(b"Instance-Id", engine.server_id.encode())]
+    is_leaving = engine.announces_leaving or engine.is_draining
+    if is_leaving:
+        headers.append((b"Server-Leaving", b"1"))
+    if engine.limit is not None:
+        headers.append((b"Server-Limit", b"%g" % engine.limit))
+    await answers.send_json(reply, {}, 503 if is_leaving else 200, headers)
+
+
 def _report(engine):
     return {
         **_weights_record(engine),
--- a/testing/test_announcements.py
+++ b/testing/test_announcements.py
@@ -126,6 +126,22 @@
     run_with_two_servers(check)
 
 
+def test_a_leaving_server_whose_start_becomes_known_late_gets_no_requests():
+    async def check(fleet, first, second):
+        first.started_ms += 5000
+        first.announces_leaving = True
+        await _send_requests_until(fleet, lambda: first.runs)
+        await anyio.sleep(LAG_S + 0.2)
+        engine.register(first, fleet.store)
+        await anyio.sleep(fleets.CHANGE_DELAY_S)
+        runs, until = len(first.runs), anyio.current_time() + 2.0
+        while anyio.current_time() < until:
+            assert (await fleets.send_request(fleet, "/q/x")).status == 200
+        assert len(first.runs) == runs
+
+    run_with_two_servers(check)
+
+
 def test_a_leaving_server_affects_only_its_own_service():
     async def check(fleet, first, second):
         first.announces_leaving = second.announces_leaving = True
