Ask a server whether it still leaves when a newer start of it is heard of

Cause: an announcement was discarded when a newer start became known 2.4 s or more after it. A start is heard of late while the store is silent or reports are lost, so it may be the start of the process that said that it leaves. No time tells the two apart: clocks jump, and an answer does not name its start.

Change: what a server announced holds over a newer start, and the entry asks the server with one health check, which says whether it leaves and names its limit; it is repeated while it is not answered, and not sent during a pause. What the server announces after the check was sent takes precedence. Services without a health check keep the rule by date.

Two unit tests and one in test_permits.py asserted the rule by date; they assert now that the announcement holds until the server itself has answered, which is stricter.

--- a/src/carobstand/core/announcements.py
+++ b/src/carobstand/core/announcements.py
@@ -26,8 +26,11 @@
         Start of the server in Unix milliseconds, 0 if it is not known.
     is_leaving : bool
         Whether it accepts no new requests until it restarts.
-    leaving_since : float
-        Time at which it first announced that it leaves.
+    leaving_named_at : float
+        Time of the latest response that said so.
+    doubted_at : float or None
+        Time at which a newer start became known, which may be the one that announced
+        all this or a later one; None if there is no doubt.
     paused_until : float
         Time until which it asked this entry to send no requests.
     limit : float or None
@@ -46,7 +49,8 @@
 
     started_ms: int = 0
     is_leaving: bool = False
-    leaving_since: float = 0.0
+    leaving_named_at: float = -math.inf
+    doubted_at: float | None = None
     paused_until: float = -math.inf
     limit: float | None = None
     limit_named_at: float = -math.inf
@@ -57,9 +61,13 @@
 
 @attrs.define(eq=False)
 class Announcements:
-    """Announcements by server id, the most recently updated one last."""
+    """Announcements by server id, the most recently updated one last.
+
+    `doubted` holds the ids of servers that have to be asked what still holds.
+    """
 
     by_server: dict = attrs.field(factory=dict)
+    doubted: set = attrs.field(factory=set)
 
 
 def _touch(state, server_id, started_ms):
@@ -67,17 +75,18 @@
     found = state.by_server.pop(server_id, None) or Announcement(started_ms)
     state.by_server[server_id] = found
     while len(state.by_server) > MAX_SERVERS:
-        del state.by_server[next(iter(state.by_server))]
+        oldest = next(iter(state.by_server))
+        del state.by_server[oldest]
+        state.doubted.discard(oldest)
     return found
 
 
 def record_leaving(state, server_id, started_ms, now):
     """Record that a server is leaving; return whether that is new."""
     found = _touch(state, server_id, started_ms)
-    if found.is_leaving:
-        return False
-    found.is_leaving, found.leaving_since = True, now
-    return True
+    is_new = not found.is_leaving
+    found.is_leaving, found.leaving_named_at = True, now
+    return is_new
 
 
 def record_pause(state, server_id, started_ms, pause_s, now):
@@ -197,8 +206,12 @@
     return permit_rates.cold_permit_s(limit, state.by_server[server_id].warmup)
 
 
-def record_start(state, server_id, started_ms, now, lag_s):
-    """Record a server's start, which discards what it announced before.
+def record_start(state, server_id, started_ms, now):
+    """Record a server's start, after which its earlier announcements are in doubt.
+
+    A start may become known late, for instance while the store is down, so it may be
+    the start of the process that made the announcements. They hold until the server
+    answers a health check, except that it is not cold any more. Pauses end anyway.
 
     Parameters
     ----------
@@ -207,33 +220,60 @@
     started_ms : int
         Start time from its registration or a report; 0 if neither contains one.
     now : float
-    lag_s : float
-        Maximum delay until a start becomes known. A start that becomes known within
-        this time of an announcement may be that of the process that announced it.
 
     Returns
     -------
-    is_new : bool
-        Whether an announcement was discarded.
+    is_changed : bool
+        Whether an announcement was discarded or is in doubt.
     """
     found = state.by_server.get(server_id)
     if found is None or not started_ms or started_ms <= found.started_ms:
         return False
-    if not found.started_ms:
-        found.started_ms = started_ms
+    is_first, found.started_ms = not found.started_ms, started_ms
+    if is_first:
         return False
-    kept = Announcement(started_ms)
-    if found.is_leaving and now - found.leaving_since < lag_s:
-        kept = attrs.evolve(
-            found, started_ms=started_ms, cold_until=-math.inf, cold_named_at=-math.inf
-        )
-    elif found.limit is not None and now - found.limit_named_at < lag_s:
-        kept.limit, kept.limit_named_at = found.limit, found.limit_named_at
-    if kept == Announcement(started_ms):
-        del state.by_server[server_id]
+    found.cold_until = found.cold_named_at = -math.inf
+    if found.is_leaving or found.limit is not None:
+        found.doubted_at = now
+        state.doubted.add(server_id)
         return True
-    state.by_server[server_id] = kept
-    return attrs.evolve(found, started_ms=started_ms) != kept
+    if found.paused_until <= now:
+        del state.by_server[server_id]
+    return True
+
+
+def resolve_doubt(state, server_id, is_leaving, limit, asked_at):
+    """Record what a server said of itself after its start was in doubt.
+
+    Parameters
+    ----------
+    state : Announcements
+    server_id : str
+    is_leaving : bool
+    limit : float or None
+        Requests per second, None for no limit.
+    asked_at : float
+        Time at which it was asked. What it announced later takes precedence. Infinite
+        if it cannot be asked.
+
+    Returns
+    -------
+    is_changed : bool
+        Whether an announcement ended or changed.
+    """
+    state.doubted.discard(server_id)
+    found = state.by_server.get(server_id)
+    if found is None:
+        return False
+    found.doubted_at = None
+    before = found.is_leaving, found.limit
+    if not is_leaving and found.leaving_named_at < asked_at:
+        found.is_leaving = False
+    if found.limit_named_at < asked_at:
+        found.limit = limit
+        if math.isfinite(asked_at):
+            found.limit_named_at = asked_at
+    return (found.is_leaving, found.limit) != before
 
 
 def is_leaving(state, server_id):
--- a/src/carobstand/entry/cold_servers.py
+++ b/src/carobstand/entry/cold_servers.py
@@ -7,15 +7,11 @@
 from carobstand import eventlog
 from carobstand.core import announcements, permit_rates
 
-START_LAG_HEARTBEATS = 2
-"""Heartbeat intervals within which a server's start is reported to this entry."""
-
 
 def note_start(fleet, server_id, started_ms):
-    """Record a server start, which invalidates its earlier announcements."""
-    lag_s = START_LAG_HEARTBEATS * fleet.deployment.heartbeat_s
+    """Record a server start, after which its earlier announcements are in doubt."""
     now = anyio.current_time()
-    if announcements.record_start(fleet.announced, server_id, started_ms, now, lag_s):
+    if announcements.record_start(fleet.announced, server_id, started_ms, now):
         eventlog.event("server.started_anew", server=server_id, start=started_ms)
 
 
--- a/src/carobstand/entry/platform_main.py
+++ b/src/carobstand/entry/platform_main.py
@@ -14,6 +14,7 @@
     explaining,
     fleet,
     forwarding,
+    health_checks,
     ingress,
     permit_exchange,
     planned_stop,
@@ -65,6 +66,7 @@
         tg.start_soon(loops.supervise, datagrams.listen, fwd)
         tg.start_soon(loops.supervise, poison_parts.run, fwd)
         tg.start_soon(loops.supervise, queueing.process_waiters, fwd)
+        tg.start_soon(loops.supervise, health_checks.run, fwd)
         tg.start_soon(loops.supervise, permit_exchange.run, fwd.limits)
         tg.start_soon(loops.supervise, demand_exchange.run, fwd)
         tg.start_soon(loops.supervise, _close_idle_connections, fwd)
--- a/src/carobstand/entry/server_limits.py
+++ b/src/carobstand/entry/server_limits.py
@@ -282,9 +282,14 @@
     ):
         return False
     eventlog.event("server.limit", server=server_id, limit=limit, source=source)
+    on_limit_changed(limits, server_id)
+    return True
+
+
+def on_limit_changed(limits, server_id):
+    """Act on a limit that was recorded or withdrawn."""
     _drop_if_unlimited(limits, server_id)
     wake(limits)
-    return True
 
 
 def learn_cold(limits, server_id, started_ms, cold_s, named_at, source, told_per_s=0.0):
@@ -293,8 +298,7 @@
         limits.fleet, server_id, started_ms, cold_s, named_at, source, told_per_s
     ):
         return False
-    _drop_if_unlimited(limits, server_id)
-    wake(limits)
+    on_limit_changed(limits, server_id)
     return True
 
 
--- a/src/carobstand/platform/engine_client.py
+++ b/src/carobstand/platform/engine_client.py
@@ -8,11 +8,14 @@
 
 from carobstand import errors, http1
 from carobstand.core import engine_report
-from carobstand.platform import fields, records
+from carobstand.platform import fields, http_headers, records
 
 CALL_TIMEOUT_S = 2.0
 """Timeout of a call to the engine on the same VM."""
 
+HEALTH_STATUSES = (200, 421, 429, 503)
+"""Statuses of health checks that an engine answers or rejects."""
+
 MAX_RESPONSE_BYTES = 1_048_576
 """Largest response accepted; a piece of weights has some ten kilobytes."""
 
@@ -44,6 +47,18 @@
         ) from exc
 
 
+async def check_health(caller, path):
+    """Return what an engine says of itself; raise BackendError if it says nothing.
+
+    Returns
+    -------
+    head : core.exchange.AnswerHead
+        Its status is 200 if the engine is healthy and not leaving.
+    """
+    resp = await _call(caller, "health", "GET", path, allowed=HEALTH_STATUSES)
+    return http_headers.decode_health(resp.status, resp.headers)
+
+
 def decode_report(record):
     """Return the `EngineReport` of a record; raise RecordError."""
     return engine_report.EngineReport(
--- a/src/carobstand/platform/http_headers.py
+++ b/src/carobstand/platform/http_headers.py
@@ -209,7 +209,7 @@
         ),
         length=_parse_integer(values.get(b"content-length")),
         is_framed=b"content-length" in values or b"transfer-encoding" in values,
-        is_leaving=values.get(b"server-leaving", "").strip() == "1",
+        is_leaving=_is_leaving(values),
         backoff_s=_parse_backoff(values.get(b"retry-after")) if status == 503 else None,
         limit=None if limit is None else min(limit, MAX_LIMIT_PER_S),
         malformed_limit=values.get(b"server-limit", "") if limit is None else "",
@@ -218,6 +218,36 @@
     )
 
 
+def decode_health(status, headers):
+    """Decode a backend server's response to a health check.
+
+    Parameters
+    ----------
+    status : int
+    headers : iterable of (bytes, bytes)
+        Names in lower case.
+
+    Returns
+    -------
+    head : core.exchange.AnswerHead
+        What the server says of itself.
+    """
+    values = {}
+    for name, value in headers:
+        values.setdefault(name, value.decode("latin-1"))
+    limit = _parse_at_least_zero(values.get(b"server-limit"))
+    return exchange.AnswerHead(
+        status=status,
+        server_id=values.get(b"instance-id", ""),
+        is_leaving=_is_leaving(values),
+        limit=None if limit is None else min(limit, MAX_LIMIT_PER_S),
+    )
+
+
+def _is_leaving(values):
+    return values.get(b"server-leaving", "").strip() == "1"
+
+
 def _parse_at_least_zero(text):
     """Return a finite number of at least 0, or None if `text` is not one."""
     try:
--- a/testing/test_announcements.py
+++ b/testing/test_announcements.py
@@ -11,36 +11,53 @@
 from testing import platform_fleet as fleets
 
 LAG_S = 2.4
+"""Two heartbeats: the time within which a start is usually reported."""
 
 
-def test_a_leaving_server_gets_no_requests_until_it_restarts():
+def test_a_leaving_server_gets_no_requests_until_it_says_that_it_stays():
     state = announcements.Announcements()
     assert announcements.record_leaving(state, "i-1", 1000, now=5.0)
     assert not announcements.record_leaving(state, "i-1", 1000, now=6.0)
     assert not announcements.accepts_requests(state, "i-1", 1e9)
     assert announcements.accepts_requests(state, "i-2", 6.0)
-    assert not announcements.record_start(state, "i-1", 1000, 20.0, LAG_S)
-    assert not announcements.accepts_requests(state, "i-1", 20.0)
-    assert announcements.record_start(state, "i-1", 9000, 21.0, LAG_S)
-    assert announcements.accepts_requests(state, "i-1", 21.0)
-
-
-def test_a_start_reported_soon_after_an_announcement_does_not_discard_it():
+    assert not announcements.record_start(state, "i-1", 1000, 20.0)
+    assert not state.doubted
+    assert announcements.record_start(state, "i-1", 9000, 21.0)
+    assert state.doubted == {"i-1"}
+    assert not announcements.accepts_requests(state, "i-1", 21.0)
+    assert not announcements.resolve_doubt(state, "i-1", True, None, 22.0)
+    assert not announcements.accepts_requests(state, "i-1", 22.0)
+    announcements.record_start(state, "i-1", 10_000, 23.0)
+    assert announcements.resolve_doubt(state, "i-1", False, None, 24.0)
+    assert announcements.accepts_requests(state, "i-1", 24.0)
+    assert not state.doubted
+
+
+def test_an_announcement_after_a_health_check_holds_though_its_answer_comes_later():
     state = announcements.Announcements()
     announcements.record_leaving(state, "i-1", 1000, now=5.0)
-    assert not announcements.record_start(state, "i-1", 4000, 6.0, LAG_S)
-    assert not announcements.accepts_requests(state, "i-1", 6.0)
-    assert announcements.record_start(state, "i-1", 9000, 9.0, LAG_S)
+    announcements.record_start(state, "i-1", 4000, 6.0)
+    announcements.record_leaving(state, "i-1", 4000, now=6.2)
+    assert not announcements.resolve_doubt(state, "i-1", False, None, asked_at=6.1)
+    assert not announcements.accepts_requests(state, "i-1", 7.0)
 
 
 def test_the_first_known_start_does_not_discard_an_announcement_without_a_start():
     state = announcements.Announcements()
     announcements.record_leaving(state, "i-1", 0, now=5.0)
-    assert not announcements.record_start(state, "i-1", 0, 20.0, LAG_S)
-    assert not announcements.record_start(state, "i-1", 4000, 20.0, LAG_S)
+    assert not announcements.record_start(state, "i-1", 0, 20.0)
+    assert not announcements.record_start(state, "i-1", 4000, 20.0)
     assert not announcements.accepts_requests(state, "i-1", 20.0)
 
 
+def test_a_pause_that_a_server_asked_for_outlasts_the_news_of_its_start():
+    state = announcements.Announcements()
+    announcements.record_pause(state, "i-1", 1000, 3.0, now=1.0)
+    announcements.record_start(state, "i-1", 2000, 1.5)
+    assert not announcements.accepts_requests(state, "i-1", 3.9)
+    assert announcements.accepts_requests(state, "i-1", 4.0)
+
+
 def test_a_shorter_pause_does_not_end_a_longer_one():
     state = announcements.Announcements()
     announcements.record_pause(state, "i-1", 1000, 3.0, now=1.0)
@@ -99,13 +116,7 @@
     run_with_two_servers(check)
 
 
-def test_a_leaving_server_gets_requests_again_after_a_restart_only(
-    monkeypatch,
-):
-    from carobstand.entry import cold_servers
-
-    monkeypatch.setattr(cold_servers, "START_LAG_HEARTBEATS", 0)
-
+def test_a_leaving_server_gets_requests_again_after_a_restart_only():
     async def check(fleet, first, second):
         first.announces_leaving = True
         await _send_requests_until(fleet, lambda: first.runs)
@@ -126,18 +137,26 @@
     run_with_two_servers(check)
 
 
-def test_a_leaving_server_whose_start_becomes_known_late_gets_no_requests():
+@pytest.mark.parametrize(("has_check", "late_s"), [(True, LAG_S + 0.2), (False, 0.1)])
+def test_a_leaving_server_whose_start_becomes_known_late_gets_no_requests(
+    has_check, late_s
+):
     async def check(fleet, first, second):
+        if not has_check:
+            services = fleet.configuration["services"]
+            del services[0]["health_check_path"]
+            fleets.configure(fleet, services=services)
         first.started_ms += 5000
         first.announces_leaving = True
         await _send_requests_until(fleet, lambda: first.runs)
-        await anyio.sleep(LAG_S + 0.2)
+        await anyio.sleep(late_s)
         engine.register(first, fleet.store)
         await anyio.sleep(fleets.CHANGE_DELAY_S)
         runs, until = len(first.runs), anyio.current_time() + 2.0
         while anyio.current_time() < until:
             assert (await fleets.send_request(fleet, "/q/x")).status == 200
         assert len(first.runs) == runs
+        assert first.health_checks == has_check
 
     run_with_two_servers(check)
 
--- a/testing/test_permits.py
+++ b/testing/test_permits.py
@@ -156,8 +156,10 @@
     state = announcements.Announcements()
     assert announcements.record_limit(state, "i-1", 1000, 2.0, 5.0)
     assert not announcements.record_limit(state, "i-1", 1000, 2.0, 6.0)
-    assert announcements.record_start(state, "i-1", 9000, 60.0, 2.4)
-    assert announcements.limit_of(state, "i-1", 60.0) is None
+    assert announcements.record_start(state, "i-1", 9000, 60.0)
+    assert announcements.limit_of(state, "i-1", 60.0) == 2.0
+    assert announcements.resolve_doubt(state, "i-1", False, None, 60.5)
+    assert announcements.limit_of(state, "i-1", 60.5) is None
 
 
 def test_an_older_response_does_not_change_a_limit():
