Record what a server announces when its response head arrives

Announcements (leaving, pause, limit) of a stream were recorded only after its first bytes. A stream that broke off or was withdrawn before them lost what its head had said, so the entry sent the next request to a server that had said that it leaves.

Evidence: test_announcements.py -k breaks_off fails before (200 instead of 503, the leaving server ran it) and passes now.

--- a/src/carobstand/entry/forwarding.py
+++ b/src/carobstand/entry/forwarding.py
@@ -407,6 +407,7 @@
                 step="forward.receive",
                 peer=conn.peer,
             )
+        response_heads.record_announcements(fwd, call, candidate.server, head)
         if not _is_stream(call, head):
             return head, None
         return head, await streams.receive_unless_stalled(
--- a/src/carobstand/entry/response_heads.py
+++ b/src/carobstand/entry/response_heads.py
@@ -8,7 +8,7 @@
 
 
 def record(fwd, call, chosen, head):
-    """Record what the head of a response tells of its server, and log it.
+    """Record the load that the head of a response tells, and log the response.
 
     Parameters
     ----------
@@ -17,9 +17,7 @@
     chosen : core.placement.Choice
     head : core.exchange.AnswerHead
     """
-    server = chosen.candidate.server
-    _record_load(fwd, server, head)
-    _record_announcements(fwd, call, server, head)
+    _record_load(fwd, chosen.candidate.server, head)
     _log_start(call, chosen, head)
 
 
@@ -33,8 +31,11 @@
         engine_load.note_slowness(fwd.loads, server.address, load.slowness, now)
 
 
-def _record_announcements(fwd, call, server, head):
-    """Record what a server announces; ignore a response from another server there."""
+def record_announcements(fwd, call, server, head):
+    """Record what a server announces; ignore a response from another server there.
+
+    To be called when a head is received: the rest of the response may never arrive.
+    """
     if head.server_id and head.server_id != server.server_id:
         return
     now, announced = anyio.current_time(), fwd.fleet.announced
--- a/testing/test_announcements.py
+++ b/testing/test_announcements.py
@@ -161,6 +161,25 @@
     run_with_two_servers(check)
 
 
+def test_an_announcement_holds_though_its_stream_breaks_off_before_the_first_event():
+    async def check(fleet, first, second):
+        headers = [("Prompt-Prefix", "dead:40,a1:40"), ("Token-Usage", "80,8")]
+        leaving = await fleets.add_engine(fleet, "i-1", poison_part="dead")
+        leaving.announces_leaving = True
+        fleets.restart_crashed(fleet, leaving, 0.1)
+        await anyio.sleep(fleets.CHANGE_DELAY_S)
+        answer = await fleets.send_request(fleet, "/s/x", headers=headers)
+        assert answer.status != 200 and leaving.crashes == 1
+        leaving.started_ms -= 1000
+        await anyio.sleep(0.5)
+        for _ in range(5):
+            assert (await fleets.send_request(fleet, "/s/x")).status == 503
+            await anyio.sleep(0.5)
+        assert len(leaving.arrivals) == 1
+
+    run_with_two_servers(check)
+
+
 def test_a_leaving_server_affects_only_its_own_service():
     async def check(fleet, first, second):
         first.announces_leaving = second.announces_leaving = True
