--- a/src/carobstand/core/announcements.py
+++ b/src/carobstand/core/announcements.py
@@ -75,12 +75,15 @@
     found = state.by_server.pop(server_id, None) or Announcement(started_ms)
     state.by_server[server_id] = found
     while len(state.by_server) > MAX_SERVERS:
-        oldest = next(iter(state.by_server))
-        del state.by_server[oldest]
-        state.doubted.discard(oldest)
+        _forget(state, next(iter(state.by_server)))
     return found
 
 
+def _forget(state, server_id):
+    del state.by_server[server_id]
+    state.doubted.discard(server_id)
+
+
 def record_leaving(state, server_id, started_ms, now):
     """Record that a server is leaving; return whether that is new."""
     found = _touch(state, server_id, started_ms)
@@ -238,7 +241,7 @@
         state.doubted.add(server_id)
         return True
     if found.paused_until <= now:
-        del state.by_server[server_id]
+        _forget(state, server_id)
     return True
 
 
--- a/src/carobstand/entry/datagrams.py
+++ b/src/carobstand/entry/datagrams.py
@@ -7,8 +7,8 @@
 from carobstand.entry import (
     cold_servers,
     demand_exchange,
+    part_evidence,
     permit_exchange,
-    poison_parts,
     queueing,
     versions,
 )
@@ -43,9 +43,9 @@
     elif isinstance(message, ttypes.PermitReply):
         permit_exchange.on_reply(fwd.limits, message, peer)
     elif isinstance(message, ttypes.PartReport):
-        poison_parts.on_report(fwd, message, peer)
+        part_evidence.on_report(fwd, message, peer)
     elif isinstance(message, ttypes.PartQuery):
-        poison_parts.on_query(fwd, message, peer)
+        part_evidence.on_query(fwd, message, peer)
     elif isinstance(message, ttypes.EntryJoined):
         permit_exchange.on_joined(fwd.limits, message, peer)
     elif isinstance(message, ttypes.DemandReport):
--- a/src/carobstand/entry/health_checks.py
+++ b/src/carobstand/entry/health_checks.py
@@ -47,7 +47,7 @@
 
 
 def _is_paused(fwd, server_id, now):
-    """Whether a server wants no requests, not even health checks."""
+    """Whether a server wants no requests, which includes health checks."""
     return now < fwd.fleet.announced.by_server[server_id].paused_until
 
 
--- a/testing/test_announcements.py
+++ b/testing/test_announcements.py
@@ -50,6 +50,16 @@
     assert not announcements.accepts_requests(state, "i-1", 20.0)
 
 
+def test_a_server_that_nothing_is_known_of_is_not_in_doubt():
+    state = announcements.Announcements()
+    announcements.record_limit(state, "i-1", 1000, 2.0, 5.0)
+    announcements.record_start(state, "i-1", 2000, 6.0)
+    assert state.doubted == {"i-1"}
+    announcements.record_limit(state, "i-1", 2000, None, 6.5)
+    announcements.record_start(state, "i-1", 3000, 7.0)
+    assert not state.doubted and not state.by_server
+
+
 def test_a_pause_that_a_server_asked_for_outlasts_the_news_of_its_start():
     state = announcements.Announcements()
     announcements.record_pause(state, "i-1", 1000, 3.0, now=1.0)
--- a/testing/test_poison_parts.py
+++ b/testing/test_poison_parts.py
@@ -9,7 +9,7 @@
 import pytest
 
 from carobstand.core import poison_parts as core_parts
-from carobstand.entry import poison_parts, rejections
+from carobstand.entry import part_evidence, rejections
 from carobstand.standin.platform import engine, kv
 from carobstand.wire import fleet_codec
 from carobstand.wire.gen_fleet import ttypes
@@ -165,7 +165,7 @@
 
 
 def test_an_entry_that_heard_nothing_learns_of_a_convicted_part(monkeypatch):
-    send = poison_parts._send
+    send = part_evidence._send
 
     async def scenario():
         async with fleet_with_deadly_part(3) as fleet:
@@ -176,13 +176,13 @@
                     return
                 await send(fwd, address, raw)
 
-            monkeypatch.setattr(poison_parts, "_send", drop)
-            monkeypatch.setattr(poison_parts.kv, "put", no_write)
+            monkeypatch.setattr(part_evidence, "_send", drop)
+            monkeypatch.setattr(part_evidence.kv, "put", no_write)
             traffic = part_traffic.Traffic(["entry-1", "entry-2"])
             await part_traffic.send(fleet, traffic, 3.0)
             assert await rejecting_entries(fleet, traffic) == ["entry-1", "entry-2"]
-            monkeypatch.setattr(poison_parts, "_send", send)
-            await anyio.sleep(2 * poison_parts.QUERY_INTERVAL_S)
+            monkeypatch.setattr(part_evidence, "_send", send)
+            await anyio.sleep(2 * part_evidence.QUERY_INTERVAL_S)
             await check_entry_rejects(fleet, traffic, "entry-3")
 
     async def no_write(*args, **options):
@@ -270,7 +270,7 @@
         parts = (part_traffic.SHARED[0], "e1")
         result = await part_traffic.send_one(fleet, traffic, "entry-1", parts)
         assert result.status == 200
-        await anyio.sleep(1.5 * poison_parts.SYNC_INTERVAL_S)
+        await anyio.sleep(1.5 * part_evidence.SYNC_INTERVAL_S)
         assert not any((b"y" * 8).hex() in key for key in fleet.store.items)
 
     run_convicted(check)
--- a/testing/test_poison_requests.py
+++ b/testing/test_poison_requests.py
@@ -9,7 +9,7 @@
 import pytest
 
 from carobstand import errors
-from carobstand.entry import datagram_sender, poison_parts, rejections
+from carobstand.entry import datagram_sender, part_evidence, rejections
 from testing import part_traffic, platform_fleet
 
 REJECTED = rejections.POISON_STATUS
@@ -103,7 +103,7 @@
 
 
 def test_entries_that_start_or_heard_nothing_reject_a_convicted_request(monkeypatch):
-    send = poison_parts._send
+    send = part_evidence._send
 
     async def scenario():
         async with platform_fleet.deployed(3) as fleet:
@@ -114,15 +114,15 @@
                 if fwd.fleet.deployment.vm != lost.vm and lost.ip not in address:
                     await send(fwd, address, raw)
 
-            monkeypatch.setattr(poison_parts, "_send", drop)
-            monkeypatch.setattr(poison_parts.kv, "put", no_write)
+            monkeypatch.setattr(part_evidence, "_send", drop)
+            monkeypatch.setattr(part_evidence.kv, "put", no_write)
             for number in range(5):
                 entry = f"entry-{1 + number % 2}"
                 await send_one(fleet, [], entry, b"deadly")
                 await anyio.sleep(0.3)
-            monkeypatch.setattr(poison_parts, "_send", send)
+            monkeypatch.setattr(part_evidence, "_send", send)
             await platform_fleet.add_entry(fleet, "entry-4")
-            await anyio.sleep(2 * poison_parts.QUERY_INTERVAL_S)
+            await anyio.sleep(2 * part_evidence.QUERY_INTERVAL_S)
             crashes = len(part_traffic.crash_times(fleet))
             for entry in fleet.entries:
                 result = await send_one(fleet, [], entry, b"deadly")
