Check convictions again right before a request is sent

Cause: a convicted request was looked for before its place was used, but not after the connection was opened, and the scopes that a conviction cancels are entered with the send. A request convicted in between was sent. The check is now the last one before the send, after the caller, the deadline and the server are checked. An attempt that is withdrawn by a conviction ends with 422 like all others, not with 502.

Evidence: test_poison_requests.py -k connection fails before (502, one crash more) and passes now.

--- a/src/carobstand/core/poison_parts.py
+++ b/src/carobstand/core/poison_parts.py
@@ -309,7 +309,7 @@
 
 def _is_whole(part, requests):
     """Whether a part with these requests is a request as a whole."""
-    return requests <= {part, run_begun(part)}
+    return len(requests) <= 2 and requests <= {part, run_begun(part)}
 
 
 def _unbegun(state, part):
--- a/src/carobstand/entry/forwarding.py
+++ b/src/carobstand/entry/forwarding.py
@@ -255,14 +255,13 @@
             )
             return await rejections.give_up(fwd, call, 502, reason)
         try:
-            # It may have been convicted while it waited.
-            if reason := poison_parts.rejection_reason(fwd, call):
-                return await rejections.reject_poison(call, reason)
             outcome = await _send(fwd, call, chosen)
         finally:
             queueing.end(fwd, call, chosen)
         if outcome is retries.Outcome.DONE:
             return None
+        if poison_parts.rejection_reason(fwd, call):
+            continue
         if call.reply.started:
             call.terms = attrs.evolve(call.terms, is_started=True)
         if not retries.may_retry(call, outcome):
@@ -316,6 +315,10 @@
             reason=reason.value,
         )
         return retries.Outcome.NOT_SENT
+    if poison_parts.rejection_reason(fwd, call):
+        # It was convicted while it waited for a place or a connection.
+        backend_pool.put_back(fwd.pool, conn)
+        return retries.Outcome.NOT_SENT
     kept = False
     call.tried.add(server.server_id)
     call.attempts_sent += 1
--- a/testing/test_poison_requests.py
+++ b/testing/test_poison_requests.py
@@ -3,13 +3,19 @@
 All copies of such a request have the same path, caller and body.
 """
 
+import functools
 import itertools
 
 import anyio
 import pytest
 
 from carobstand import errors
-from carobstand.entry import datagram_sender, part_evidence, rejections
+from carobstand.entry import (
+    datagram_sender,
+    forwarding,
+    part_evidence,
+    rejections,
+)
 from testing import part_traffic, platform_fleet
 
 REJECTED = rejections.POISON_STATUS
@@ -46,11 +52,13 @@
             await anyio.sleep(gap_s)
 
 
-async def send_one(fleet, sent, entry, body, path="/o/x"):
+async def send_one(fleet, sent, entry, body, path="/o/x", **options):
     """Send one request; add how it ended to `sent` and return that."""
     at, status, headers = anyio.current_time(), 0, {}
     try:
-        answer = await platform_fleet.send_request(fleet, path, entry=entry, body=body)
+        answer = await platform_fleet.send_request(
+            fleet, path, entry=entry, body=body, **options
+        )
         status, headers = answer.status, answer.headers
     except (errors.HttpError, TimeoutError):
         status = 0
@@ -135,6 +143,36 @@
     platform_fleet.run(scenario, timeout_s=30.0)
 
 
+def test_a_request_convicted_while_it_waits_for_a_connection_is_not_sent(monkeypatch):
+    acquire, released = forwarding.backend_pool.acquire, anyio.Event()
+
+    async def acquire_late(pool, address, request_id):
+        if request_id == "late":
+            await released.wait()
+        return await acquire(pool, address, request_id)
+
+    monkeypatch.setattr(forwarding.backend_pool, "acquire", acquire_late)
+
+    async def scenario():
+        async with platform_fleet.deployed(1) as fleet:
+            await add_desks(fleet, 8)
+            sent = []
+            async with anyio.create_task_group() as tg:
+                tg.start_soon(
+                    functools.partial(
+                        send_one, fleet, sent, "entry-1", b"deadly", request_id="late"
+                    )
+                )
+                for _ in range(FREE_CRASHES):
+                    await send_one(fleet, [], "entry-1", b"deadly")
+                    await anyio.sleep(0.3)
+                released.set()
+            assert sent[0].status == REJECTED
+            assert len(part_traffic.crash_times(fleet)) == FREE_CRASHES
+
+    platform_fleet.run(scenario, timeout_s=30.0)
+
+
 def test_evidence_is_sent_by_several_tasks_at_once():
     async def scenario():
         async with (
