--- a/testing/test_poison_requests.py
+++ b/testing/test_poison_requests.py
@@ -15,9 +15,10 @@
     datagram_sender,
     forwarding,
     part_evidence,
+    poison_parts,
     rejections,
 )
-from testing import part_traffic, platform_fleet
+from testing import domain_fleet, part_traffic, platform_fleet
 
 REJECTED = rejections.POISON_STATUS
 CONTACT_S = 3.0
@@ -178,6 +179,21 @@
     platform_fleet.run(scenario, timeout_s=30.0)
 
 
+def test_the_number_of_lost_requests_is_bounded_and_none_waits_for_a_dropped_one():
+    async def scenario():
+        fwd = domain_fleet.forwarder({"i-1": "a"})
+        server = fwd.fleet.servers.servers["i-1"]
+        call = domain_fleet.call(whole=bytes(8))
+        lost = [
+            poison_parts.record_lost(fwd, call, server, 1000)
+            for _ in range(poison_parts.MAX_LOST + 10)
+        ]
+        assert len(fwd.part_tracker.lost) == poison_parts.MAX_LOST
+        assert [item.checked.is_set() for item in lost[9:11]] == [True, False]
+
+    anyio.run(scenario)
+
+
 def test_evidence_is_sent_by_several_tasks_at_once():
     async def scenario():
         async with (
