--- a/review/lib/engine.py
+++ b/review/lib/engine.py
@@ -8,6 +8,7 @@
 import argparse
 import asyncio
 import json
+import os
 import time
 
 
@@ -26,6 +27,7 @@
     parser.add_argument("--events", type=int, default=8)
     parser.add_argument("--limit", default="")
     parser.add_argument("--limit-file", default="")
+    parser.add_argument("--leaving-file", default="")
     return parser.parse_args()
 
 
@@ -119,6 +121,8 @@
         common = [f"Request-Id: {request_id}"]
         if limit := self.limit():
             common.append(f"Server-Limit: {limit}")
+        if self.args.leaving_file and os.path.exists(self.args.leaving_file):
+            common.append("Server-Leaving: 1")
         expected = headers.get("expected-instance", self.args.id)
         version = headers.get("expected-version", "1")
         sender = headers.get("x-sender", "")
