--- a/review/lib/engine.py
+++ b/review/lib/engine.py
@@ -55,6 +55,15 @@
                 return ""
         return self.args.limit
 
+    def is_leaving(self):
+        """Return whether the engine is leaving."""
+        return bool(self.args.leaving_file) and os.path.exists(self.args.leaving_file)
+
+    def announcements(self):
+        """Return the headers in which the engine says its limit and its leaving."""
+        found = [f"Server-Limit: {limit}"] if (limit := self.limit()) else []
+        return [*found, "Server-Leaving: 1"] if self.is_leaving() else found
+
     async def serve(self, reader, writer):
         """Serve one connection."""
         try:
@@ -78,7 +87,8 @@
         body = await reader.readexactly(int(headers.get("content-length", 0)))
         path = target.partition("?")[0]
         if path == "/health":
-            self.respond(writer, 200, [], b"{}")
+            status = 503 if self.is_leaving() else 200
+            self.respond(writer, status, self.announcements(), b"{}")
         elif path == "/v1/report":
             self.respond(writer, 200, [], json.dumps(self.report()).encode())
         else:
@@ -119,10 +129,8 @@
         """Run a request or reject it."""
         request_id = headers.get("request-id", "")
         common = [f"Request-Id: {request_id}"]
-        if limit := self.limit():
-            common.append(f"Server-Limit: {limit}")
-        if self.args.leaving_file and os.path.exists(self.args.leaving_file):
-            common.append("Server-Leaving: 1")
+        common += self.announcements()
+        limit = self.limit()
         expected = headers.get("expected-instance", self.args.id)
         version = headers.get("expected-version", "1")
         sender = headers.get("x-sender", "")
