Split histograms from the metrics module

The programs on the users' platform ship without hdrhistogram, so they could not import metrics at all. Counters and gauges need no library; histograms move to a module that is imported with the first one.

Verified: testing/test_metrics.py passes unchanged.

--- a/src/carobstand/metrics.py
+++ b/src/carobstand/metrics.py
@@ -4,24 +4,15 @@
 name of a histogram includes its unit, for example ``first_token_s``.
 """
 
+import importlib
 import os
 import resource
 
 import attrs
-from hdrh import histogram
 
 PREFIX = "carobstand_"
 """Prefix of all metric names."""
 
-UNITS_PER_VALUE = 1_000_000
-"""Histograms store integers, in millionths: seconds have microsecond resolution."""
-
-LARGEST_VALUE = 3600.0
-"""Larger values are clipped to this."""
-
-SIGNIFICANT_DIGITS = 2
-"""Precision of 1%: a histogram uses about 27 KB, with 3 digits about 200 KB."""
-
 MAX_SERIES = 1500
 """Maximum number of series per process; 1500 histograms use about 40 MB of 256 MB."""
 
@@ -29,18 +20,6 @@
 """Exported quantiles; the maximum is exported as quantile 1."""
 
 
-@attrs.define
-class Histogram:
-    """Histogram of one series; `total` is the sum of its values."""
-
-    counts: histogram.HdrHistogram = attrs.field(
-        factory=lambda: histogram.HdrHistogram(
-            1, int(LARGEST_VALUE * UNITS_PER_VALUE), SIGNIFICANT_DIGITS
-        )
-    )
-    total: float = 0.0
-
-
 @attrs.define(eq=False)
 class Registry:
     """Metrics of one process.
@@ -68,16 +47,20 @@
     name : str
         Name with its unit, for example ``"first_token_s"``.
     value : float
-        Clipped to 0..`LARGEST_VALUE`.
+        Clipped to 0..`metric_histograms.LARGEST_VALUE`.
     **labels : str
         For example ``outcome="done"``. Values must come from the table or the code,
         never from a caller, so that the number of series stays bounded.
     """
-    series = _series(registry, registry.histograms, name, labels, Histogram)
+    histograms = _histograms()
+    series = _series(registry, registry.histograms, name, labels, histograms.Histogram)
     if series is not None:
-        value = min(max(value, 0.0), LARGEST_VALUE)
-        series.counts.record_value(int(value * UNITS_PER_VALUE))
-        series.total += value
+        histograms.add(series, value)
+
+
+def _histograms():
+    """Import `metric_histograms`, whose library the programs on the platform lack."""
+    return importlib.import_module("carobstand.metric_histograms")
 
 
 def count(registry, name, n=1, **labels):
@@ -111,7 +94,7 @@
     series = registry.histograms.get((name, tuple(sorted(labels.items()))))
     if series is None:
         return None
-    return series.counts.get_value_at_percentile(fraction * 100) / UNITS_PER_VALUE
+    return _histograms().quantile(series, fraction)
 
 
 def render(registry):
@@ -129,20 +112,27 @@
     for (name, labels), series in sorted(
         registry.histograms.items(), key=lambda item: item[0]
     ):
-        for fraction in QUANTILES:
-            value = series.counts.get_value_at_percentile(fraction * 100)
-            quantile_labels = (*labels, ("quantile", f"{fraction:g}"))
-            lines.append(_line(name, quantile_labels, value / UNITS_PER_VALUE))
-        largest = series.counts.get_max_value() / UNITS_PER_VALUE
-        lines.append(_line(name, (*labels, ("quantile", "1")), largest))
-        lines.append(_line(f"{name}_count", labels, series.counts.get_total_count()))
-        lines.append(_line(f"{name}_sum", labels, series.total))
+        lines += _histogram_lines(name, labels, series)
     lines.append(_line("metrics_dropped_total", (), registry.dropped))
     lines.append(_line("process_cpu_seconds_total", (), cpu_seconds()))
     lines.append(_line("process_resident_bytes", (), resident_bytes()))
     return "".join(lines)
 
 
+def _histogram_lines(name, labels, series):
+    histograms = _histograms()
+    lines = []
+    for fraction in QUANTILES:
+        quantile_labels = (*labels, ("quantile", f"{fraction:g}"))
+        value = histograms.quantile(series, fraction)
+        lines.append(_line(name, quantile_labels, value))
+    largest_labels = (*labels, ("quantile", "1"))
+    lines.append(_line(name, largest_labels, histograms.largest(series)))
+    lines.append(_line(f"{name}_count", labels, histograms.count(series)))
+    lines.append(_line(f"{name}_sum", labels, series.total))
+    return lines
+
+
 def _line(name, labels, value):
     escaped = ",".join(f'{label}="{_escape(text)}"' for label, text in labels)
     return f"{PREFIX}{name}{{{escaped}}} {value:.10g}\n"
