Write the entry's record again whenever the store lacks it

Cause: a write that the store had acknowledged was believed to stand for as long as its lease did. The removal of the earlier process was executed late and took the record of the new one; the new one renewed its lease and never looked. A first write that failed left the entry without a record as well.

Ruled out by the logs: the new process did write (entry.registered precedes the late removal), and the other entry did read (the store's listing is empty).

Change: the entry compares its record with what the store holds at each change from the watch or a relay, at each full read and at each conflict, and writes it again. Writes and removals are made on the condition of the revision last seen, so that a late one of an earlier process fails; a lease is ended where a write is still unanswered at a stop. A process that stops does not register again. entry.unregistered and the metric entry_registered tell operators.

--- a/src/carobstand/entry/fleet.py
+++ b/src/carobstand/entry/fleet.py
@@ -9,6 +9,7 @@
     entry_records,
     errors,
     eventlog,
+    metrics,
     part_records,
     signals,
     unreadable_records,
@@ -27,6 +28,7 @@
     change_relay,
     cold_servers,
     evacuations,
+    registration,
     restored_items,
     startup,
     versions,
@@ -92,6 +94,11 @@
         When agents saw versions being named, by model.
     roster : core.entry_roster.Roster
         Entries that run.
+    own_record : core.own_record.OwnRecord
+        Record of this entry in the store.
+    own_record_changed : signals.Signal
+        Notified when it is to be written or removed.
+    metrics : metrics.Registry
     prompt_parts : core.poison_parts.PoisonParts
     evacuation_marks : core.evacuation.Marks
         Failure domains whose servers get no requests.
@@ -147,6 +154,13 @@
     own_dates: dict = attrs.field(factory=dict)
     witnesses: dict = attrs.field(factory=dict)
     roster: entry_roster.Roster = attrs.field(factory=entry_roster.Roster)
+    own_record: object = attrs.field(
+        default=attrs.Factory(
+            lambda self: entry_records.own_record_of(self.deployment), takes_self=True
+        )
+    )
+    own_record_changed: signals.Signal = attrs.field(factory=signals.Signal)
+    metrics: object = attrs.field(factory=metrics.Registry)
     prompt_parts: poison_parts.PoisonParts = attrs.field(
         factory=poison_parts.PoisonParts
     )
@@ -231,7 +245,7 @@
     for item in [*found[0].items, *(answer.item for answer in told)]:
         if not records.is_evacuation_key(item.key):
             apply_item(fleet, item)
-    _replace_own_records(fleet, found[2].items)
+    _replace_own_records(fleet, found[2])
     _replace_servers(fleet, found[1].items)
     evacuations.replace_marks(fleet, found[0], told, is_restored)
     # The next watch reads what changed since the earliest of the reads.
@@ -459,6 +473,8 @@
 
 def _apply_entry(fleet, item):
     vm = item.key.removeprefix(entry_records.PREFIX)
+    if vm == fleet.deployment.vm:
+        registration.observe(fleet, item, fleet.era)
     if item.value is None:
         now = anyio.current_time()
         entry_roster.remove(fleet.roster, vm, now, _may_have_lapsed(fleet, now))
@@ -480,14 +496,15 @@
         eventlog.event("part.convicted", part=part.hex(), crashes=None, source="store")
 
 
-def _replace_own_records(fleet, items):
+def _replace_own_records(fleet, changes):
     """Replace what the entries wrote by the items of a full read."""
+    registration.observe_all(fleet, changes.items, changes.revision, changes.era)
     fleet.part_records.clear()
-    for item in items:
+    for item in changes.items:
         if item.key.startswith(part_records.PREFIX):
             apply_item(fleet, item)
     now = anyio.current_time()
-    listed = startup.registered_entries(fleet, items)
+    listed = startup.registered_entries(fleet, changes.items)
     entry_roster.replace_all(fleet.roster, listed, now, _may_have_lapsed(fleet, now))
 
 
--- a/src/carobstand/entry/platform_main.py
+++ b/src/carobstand/entry/platform_main.py
@@ -75,7 +75,7 @@
         )
         eventlog.event("process.started", address=dep.ingress_address)
         await leaving.wait()
-        tg.start_soon(registration.withdraw, state)
+        registration.withdraw(state)
         await _drain(fwd, ingress_server)
         eventlog.event("process.stopped")
         tg.cancel_scope.cancel()
--- a/src/carobstand/entry/readiness.py
+++ b/src/carobstand/entry/readiness.py
@@ -1,6 +1,14 @@
-"""Readiness check, by which the platform decides to send connections here."""
+"""Readiness check, by which the platform decides to send connections here.
 
-from carobstand import http1_server
+The same address serves the metrics of the process.
+"""
+
+from carobstand import http1_server, metrics
+
+METRICS_TARGET = b"/metrics"
+"""Target at which the metrics of the process are read, as text."""
+
+TEXT_HEADERS = [(b"Content-Type", b"text/plain; version=0.0.4")]
 
 
 def is_ready(state):
@@ -19,6 +27,9 @@
     """
 
     async def handle(request, reply):
+        if request.target == METRICS_TARGET:
+            text = metrics.render(state.metrics).encode()
+            return await http1_server.respond(reply, 200, TEXT_HEADERS, text)
         good = is_ready(state) and not is_leaving()
         status = 200 if good else 503
         await http1_server.respond(reply, status, [])
--- a/src/carobstand/entry_records.py
+++ b/src/carobstand/entry_records.py
@@ -1,11 +1,12 @@
 """Registration records of entries in the store, read by other entries and agents."""
 
 import json
+import uuid
 
 import attrs
 
 from carobstand import errors
-from carobstand.core import weight_sources
+from carobstand.core import own_record, weight_sources
 from carobstand.platform import fields
 
 PREFIX = "carobstand/entries/"
@@ -17,9 +18,20 @@
     return PREFIX + vm
 
 
-def encode(entry):
-    """Return the store value of a `core.weight_sources.Entry`."""
-    return json.dumps(attrs.asdict(entry)).encode()
+def encode(entry, process=""):
+    """Return the store value of a `core.weight_sources.Entry`.
+
+    `process` identifies the process of its VM that writes it, so that it can tell its
+    record from one of an earlier process with the same address.
+    """
+    record = attrs.asdict(entry)
+    return json.dumps({**record, "process": process} if process else record).encode()
+
+
+def own_record_of(dep):
+    """Return the `core.own_record.OwnRecord` of a new process of a deployment."""
+    me = weight_sources.entry_from_deployment(dep)
+    return own_record.OwnRecord(key(dep.vm), encode(me, process=uuid.uuid4().hex))
 
 
 def decode(vm, raw):
--- a/src/carobstand/errors.py
+++ b/src/carobstand/errors.py
@@ -52,6 +52,21 @@
     """Another writer changed the same value concurrently."""
 
 
+class RevisionError(ConflictError):
+    """A key has not the revision on whose condition a call was to be executed.
+
+    `items` are the keys of the condition as they are, without those that are absent.
+    """
+
+    def __init__(self, message, *, step="", peer="", items=()):
+        super().__init__(message, step=step, peer=peer)
+        self.items = items
+
+
+class LeaseEndedError(ConflictError):
+    """A lease of the configuration store has ended."""
+
+
 class StoreError(CarobstandError):
     """The configuration store returned no valid response."""
 
--- a/src/carobstand/platform/kv.py
+++ b/src/carobstand/platform/kv.py
@@ -174,24 +174,34 @@
 
 
 async def put(store, key, value, *, expect=None, lease=0):
-    """Write a key; raise ConflictError if its revision is not `expect`.
+    """Write a key.
+
+    A call without an answer may be executed later, if its condition still holds then.
 
     Returns
     -------
     revision : int
+
+    Raises
+    ------
+    RevisionError
+        If the revision of the key is not `expect`.
+    LeaseEndedError
     """
     encoded = base64.b64encode(value).decode()
-    body = {
-        "expected": [] if expect is None else [{"key": key, "revision": expect}],
-        "writes": [{"key": key, "value": encoded, "lease": lease}],
-        "remove": [],
-    }
+    writes = [{"key": key, "value": encoded, "lease": lease}]
+    body = {"expected": _expected(key, expect), "writes": writes, "remove": []}
     return await _transact(store, "put", body)
 
 
-async def delete(store, key):
-    """Remove a key."""
-    await _transact(store, "delete", {"expected": [], "writes": [], "remove": [key]})
+async def delete(store, key, *, expect=None):
+    """Remove a key; raise RevisionError if its revision is not `expect`."""
+    body = {"expected": _expected(key, expect), "writes": [], "remove": [key]}
+    await _transact(store, "delete", body)
+
+
+def _expected(key, revision):
+    return [] if revision is None else [{"key": key, "revision": revision}]
 
 
 async def _transact(store, kind, body):
@@ -199,16 +209,18 @@
     resp = await _call(
         store, kind, "POST", "/v1/kv-txn", body=raw, allowed=(200, 404, 412)
     )
-    if resp.status != 200:
-        reason = (
-            "the lease has ended"
-            if resp.status == 404
-            else "a key was changed by another writer"
-        )
-        raise errors.ConflictError(
-            reason, step=f"store.{kind}", peer=store.caller.address
+    step, peer = f"store.{kind}", store.caller.address
+    if resp.status == 404:
+        raise errors.LeaseEndedError("the lease has ended", step=step, peer=peer)
+    record = _record(resp, step)
+    if resp.status == 412:
+        raise errors.RevisionError(
+            "a key was changed by another writer",
+            step=step,
+            peer=peer,
+            items=tuple(_item(entry) for entry in record.records("items")),
         )
-    return _record(resp, f"store.{kind}").integer("revision", most=fields.MAX_REVISION)
+    return record.integer("revision", most=fields.MAX_REVISION)
 
 
 async def grant_lease(store, ttl_s):
@@ -219,11 +231,11 @@
 
 
 async def renew_lease(store, lease):
-    """Renew a lease; raise ConflictError if it has ended."""
+    """Renew a lease; raise LeaseEndedError if it has ended."""
     target = f"/v1/kv-keep/{lease}"
     resp = await _call(store, "keep", "POST", target, allowed=(200, 404))
     if resp.status == 404:
-        raise errors.ConflictError(
+        raise errors.LeaseEndedError(
             f"lease {lease} has ended", step="store.keep", peer=store.caller.address
         )
 
--- a/src/carobstand/signals.py
+++ b/src/carobstand/signals.py
@@ -26,3 +26,15 @@
         with anyio.move_on_after(timeout_s):
             await event.wait()
         return event.is_set()
+
+
+async def wait_any(group, timeout_s):
+    """Wait for the next notification of one of several signals, at most `timeout_s`."""
+
+    async def wait(signal):
+        await signal.wait(timeout_s)
+        tg.cancel_scope.cancel()
+
+    async with anyio.create_task_group() as tg:
+        for signal in group:
+            tg.start_soon(wait, signal)
--- a/src/carobstand/standin/platform/kv.py
+++ b/src/carobstand/standin/platform/kv.py
@@ -3,6 +3,7 @@
 import base64
 import copy
 import json
+import math
 import random
 import urllib.parse
 
@@ -31,6 +32,24 @@
     lease: int = 0
 
 
+@attrs.frozen
+class Reject:
+    """Fault of a transaction that has no effect and gets `status` as its response."""
+
+    status: int
+
+
+@attrs.frozen
+class Delay:
+    """Fault of a transaction that gets no response.
+
+    It is executed `delay_s` later if its condition still holds then, or never if
+    `delay_s` is infinite.
+    """
+
+    delay_s: float
+
+
 @attrs.define(eq=False)
 class Store:
     """Contents of the store and its injected faults.
@@ -55,6 +74,8 @@
         Delay of every request.
     lose_share : float
         Share of transactions that take effect but get no response.
+    txn_faults : list of Reject or Delay
+        Faults of the next transactions, in order.
     calls : dict of str to int
         Number of calls by kind.
     """
@@ -70,6 +91,7 @@
     mode: str = "up"
     delay_s: float = 0.0
     lose_share: float = 0.0
+    txn_faults: list = attrs.field(factory=list)
     calls: dict = attrs.field(factory=dict)
     rng: random.Random = attrs.field(factory=lambda: random.Random(1))
     changed: signals.Signal = attrs.field(factory=signals.Signal)
@@ -183,7 +205,7 @@
         return await _watch(store, query)
     body = json.loads(request.body) if request.body else {}
     if kind == "kv-txn":
-        return _transact(store, body)
+        return await _transact_or_fail(store, body)
     return _handle_lease(store, kind, path.rpartition("/")[2], body)
 
 
@@ -234,6 +256,19 @@
     return {"key": key, "revision": revision, "deleted": True}
 
 
+async def _transact_or_fail(store, body):
+    fault = store.txn_faults.pop(0) if store.txn_faults else None
+    if isinstance(fault, Reject):
+        return fault.status, {}
+    if isinstance(fault, Delay):
+        # The caller may close its connection meanwhile, which cancels nothing here.
+        with anyio.CancelScope(shield=not math.isinf(fault.delay_s)):
+            await anyio.sleep(fault.delay_s)
+            _transact(store, body)
+        return -1, {}
+    return _transact(store, body)
+
+
 def _transact(store, body):
     entries = body["expected"] + body["writes"] + body["remove"]
     if len(entries) > MAX_TXN_ENTRIES:
