Do not take an entry without a record for the only one

Cause: the permits of a limited server were granted in full by an entry that knew no registered entry, and the slack of the retry budget was divided by the entries that it knew. Both take the absence of others in a copy of the store for their absence.

Change: without its own record and without others, an entry grants a tenth of a limit, and it divides budgets by ten at least. An isolated entry counts itself among those that share the part for isolated ones.

The simulated callers now wait for the first read of the store instead of the first record, as entries without any record are the case here.

--- a/src/carobstand/core/entry_roster.py
+++ b/src/carobstand/core/entry_roster.py
@@ -11,6 +11,9 @@
 """Time for which an entry counts as running after its record lapsed around an outage of
 the store. It finds out when it next renews its lease, and registers again."""
 
+ASSUMED_ENTRIES = 10
+"""Entries among which an entry divides a budget while its own record is missing."""
+
 
 @attrs.define(eq=False)
 class Roster:
@@ -96,11 +99,16 @@
     }
 
 
-def count_within(roster, now, window_s):
-    """Return how many entries ran in the last `window_s` seconds, at least 1.
+def count_within(roster, own_vm, now, window_s):
+    """Return among how many entries a budget is divided.
 
-    Budgets that hold for all entries in a sliding window are divided among these.
+    Budgets that hold for all entries in a sliding window are divided among those that
+    ran in the last `window_s` seconds. If this one is not among them, others may be
+    missing too, and at least `ASSUMED_ENTRIES` are assumed.
     """
     oldest = now - window_s
     roster.removed_at = {vm: at for vm, at in roster.removed_at.items() if at > oldest}
-    return max(1, len(roster.entries) + len(roster.removed_at))
+    known = {*roster.entries, *roster.removed_at}
+    if own_vm in known:
+        return len(known)
+    return max(len(known) + 1, ASSUMED_ENTRIES)
--- a/src/carobstand/core/permit_rates.py
+++ b/src/carobstand/core/permit_rates.py
@@ -52,6 +52,11 @@
 unnoticed grant together must fit into a single second. Also the share that an entry
 grants that has just joined, while earlier ones may not know of it."""
 
+UNLISTED_SHARE = 0.1
+"""Share of the limit that an entry grants that neither finds its own record in the
+store nor knows another entry. Others may be in the same state: together, fifteen of
+them stay within one and a half times the limit."""
+
 CONFIRMING_ENTRIES = 2
 """Entries next in the order that must know of one that joined before it grants the full
 limit of a cold server. One of them granted before, unless more joined together."""
--- a/src/carobstand/entry/permit_exchange.py
+++ b/src/carobstand/entry/permit_exchange.py
@@ -87,6 +87,8 @@
     limit = announcements.limit_of(announced, server_id, now) or 0.0
     if rank is permit_rates.Rank.DEPUTY:
         return permit_rates.rate(limit, permit_rates.DEPUTY_SHARE)
+    if not server_limits.is_running(limits):
+        return permit_rates.rate(limit, permit_rates.UNLISTED_SHARE)
     confirmed_at = limits.fleet.confirmed_at
     is_stale = confirmed_at is None or now - confirmed_at > STALE_S
     if not announcements.is_cold(announced, server_id, now):
@@ -331,7 +333,7 @@
                 "permits.lost", server=server_id, entry=entry, rank=rank.name
             )
     before = len(holder.expiries)
-    entries = len(entry_roster.running(limits.fleet.roster, now))
+    entries = 1 + len(server_limits.others(limits))
     lifetime_s = announcements.permit_s(announced, server_id, now)
     permits.accrue_alone(holder, limit, lifetime_s, entries, now, limits.draw)
     if len(holder.expiries) > before:
--- a/src/carobstand/entry/retries.py
+++ b/src/carobstand/entry/retries.py
@@ -44,11 +44,12 @@
     """Reserve a retry from the service's budget, of which `share` may be used."""
     if call.has_reserved_retry:
         return True
-    now, bounds = anyio.current_time(), fwd.fleet.deployment.bounds
+    now, dep = anyio.current_time(), fwd.fleet.deployment
+    window_s = dep.bounds.retry_window_s
     call.has_reserved_retry = retry_budget.withdraw(
         fwd.budgets[call.service],
-        bounds,
-        entry_roster.count_within(fwd.fleet.roster, now, bounds.retry_window_s),
+        dep.bounds,
+        entry_roster.count_within(fwd.fleet.roster, dep.vm, now, window_s),
         now,
         share,
     )
--- a/src/carobstand/entry/server_limits.py
+++ b/src/carobstand/entry/server_limits.py
@@ -350,6 +350,12 @@
     return _order(limits, server_id)[0] == limits.fleet.deployment.vm
 
 
+def is_running(limits):
+    """Whether others that read the store count this entry as running."""
+    running = entry_roster.running(limits.fleet.roster, anyio.current_time())
+    return limits.fleet.deployment.vm in running
+
+
 def is_confirmed(limits, server_id, settled_s):
     """Whether no other entry can grant the permits of a server instead of this one.
 
--- a/testing/limit_simulation.py
+++ b/testing/limit_simulation.py
@@ -223,7 +223,7 @@
     while True:
         await anyio.sleep(sim.draw.expovariate(max(0.01, node.callers_per_s)))
         await _thaw(node)
-        if node.limits.fleet.roster.entries:
+        if node.limits.fleet.confirmed_at is not None:
             sim.tasks.start_soon(_serve_caller, sim, node)
 
 
--- a/testing/test_entry_roster.py
+++ b/testing/test_entry_roster.py
@@ -86,6 +86,17 @@
     virtual_time.run(scenario)
 
 
+def test_an_entry_without_a_record_does_not_take_the_whole_retry_budget():
+    """Entries whose records were lost each used the slack of all."""
+
+    async def scenario():
+        fwd = forwarder(registered(0))
+        slack = fwd.fleet.deployment.bounds.retry_slack
+        assert 0 < allowed_retries(fwd) <= slack / 5
+
+    virtual_time.run(scenario)
+
+
 def test_an_entry_that_is_removed_while_the_store_answers_no_longer_counts():
     async def scenario():
         fleet = registered(3)
--- a/testing/test_limit_simulation.py
+++ b/testing/test_limit_simulation.py
@@ -90,6 +90,22 @@
     check(simulate(random_faults, seed, entries))
 
 
+@pytest.mark.parametrize("entries", [2, 5, 12])
+def test_a_limit_is_kept_while_no_entry_is_registered(entries):
+    """Each entry took itself for the only one and granted the permits in full."""
+
+    async def script(sim):
+        sim.server.limit = 40.0
+        await anyio.sleep(4.0)
+        sim.records.clear()
+        await anyio.sleep(20.0)
+        for vm in sim.nodes:
+            simulation.register(sim, vm)
+        await anyio.sleep(8.0)
+
+    check(simulate(script, 1, entries), 4.0)
+
+
 async def random_faults(sim, duration_s=40.0):
     """Disturb entries at random times; several disturbances may overlap."""
     draw = random.Random(sim.draw.random())
