Grant part of a limit until earlier entries know of a new one

What callers saw: an entry was added while the store turned the granting one away; a server that named 40 requests/s got 273 to 280 in 4 s (245 allowed).

An entry that joins is first in the order at once; the one before it cannot know of it until its copy of the store is 5 s old, and grants in full meanwhile. For cold servers this was solved by introductions, for others not.

Change: an entry that has just joined grants a quarter of a limit until those that may have granted before confirm that they know of it, or its record is 5 s old. It introduces itself to them as soon as it knows of a limit. An entry that is no longer first grants nothing more, and holders ask the new one at once.

--- a/src/carobstand/core/permit_rates.py
+++ b/src/carobstand/core/permit_rates.py
@@ -49,8 +49,11 @@
 
 COLD_STALE_SHARE = 0.25
 """Like `STALE_SHARE`, for a cold server: what the first entry and one that joined
-unnoticed grant together must fit into a single second. Also the share that an entry
-grants that has just joined, while earlier ones may not know of it."""
+unnoticed grant together must fit into a single second."""
+
+JOINED_SHARE = 0.25
+"""Share of the limit that an entry grants that has just joined, while the one that
+granted before may not know of it and grants the whole limit."""
 
 UNLISTED_SHARE = 0.1
 """Share of the limit that an entry grants that neither finds its own record in the
@@ -59,7 +62,7 @@
 
 CONFIRMING_ENTRIES = 2
 """Entries next in the order that must know of one that joined before it grants the full
-limit of a cold server. One of them granted before, unless more joined together."""
+limit of a server. One of them granted before, unless more joined together."""
 
 _SHARES = 1.0 + DEPUTY_SHARE + ALONE_SHARE
 _BURSTS = 2 * BURST_REQUESTS + 1
--- a/src/carobstand/entry/permit_exchange.py
+++ b/src/carobstand/entry/permit_exchange.py
@@ -87,14 +87,21 @@
     limit = announcements.limit_of(announced, server_id, now) or 0.0
     if rank is permit_rates.Rank.DEPUTY:
         return permit_rates.rate(limit, permit_rates.DEPUTY_SHARE)
+    is_cold = announcements.is_cold(announced, server_id, now)
+    return permit_rates.rate(limit, _first_share(limits, server_id, is_cold, now))
+
+
+def _first_share(limits, server_id, is_cold, now):
+    """Return the share of a limit that the first entry in the order grants."""
     if not server_limits.is_running(limits):
-        return permit_rates.rate(limit, permit_rates.UNLISTED_SHARE)
+        return permit_rates.UNLISTED_SHARE
     confirmed_at = limits.fleet.confirmed_at
-    is_stale = confirmed_at is None or now - confirmed_at > STALE_S
-    if not announcements.is_cold(announced, server_id, now):
-        return permit_rates.rate(limit, permit_rates.STALE_SHARE if is_stale else 1.0)
-    is_sole = not is_stale and server_limits.is_confirmed(limits, server_id, STALE_S)
-    return permit_rates.rate(limit, 1.0 if is_sole else permit_rates.COLD_STALE_SHARE)
+    if confirmed_at is None or now - confirmed_at > STALE_S:
+        return permit_rates.COLD_STALE_SHARE if is_cold else permit_rates.STALE_SHARE
+    is_alone = not is_cold and not server_limits.next_in_order(limits, server_id)
+    if is_alone or server_limits.is_confirmed(limits, server_id, STALE_S):
+        return 1.0
+    return permit_rates.JOINED_SHARE
 
 
 def _grant(limits, server_id, rank, granter):
@@ -233,24 +240,36 @@
 
 
 def _introduce(limits, now):
-    """Tell the others that this entry has joined, until they know or it was long ago.
-
-    Only deployments with limits for cold servers need to know it that soon.
-    """
+    """Tell others that this entry has joined, until they know or it was long ago."""
     if limits.fleet.deployment.vm not in limits.fleet.roster.entries:
         limits.listed_at, limits.introduce_at = None, -math.inf
         limits.aware.clear()
         return
     if limits.listed_at is None:
         limits.listed_at = now
-    config = limits.fleet.configuration
-    is_needed = config and any(item.warmup_per_s for item in config.services.values())
-    if not is_needed or now < limits.introduce_at or now > limits.listed_at + STALE_S:
+    if now < limits.introduce_at or now > limits.listed_at + STALE_S:
         return
     limits.introduce_at = now + INTRODUCE_INTERVAL_S
-    for vm, entry in server_limits.others(limits).items():
-        if vm not in limits.aware:
-            limits.outbox.append((entry.address, _joined(limits)))
+    others = server_limits.others(limits)
+    for vm in sorted(_to_introduce_to(limits, others) - limits.aware):
+        limits.outbox.append((others[vm].address, _joined(limits)))
+
+
+def _to_introduce_to(limits, others):
+    """Return the VMs of the entries that need to know soon that this one has joined.
+
+    They are those that granted the permits that it grants now. A server that was warm
+    may be cold any time: where that limits requests, all of the others are told.
+    """
+    config = limits.fleet.configuration
+    if config and any(item.warmup_per_s for item in config.services.values()):
+        return set(others)
+    found = set()
+    for server_id in limits.fleet.announced.by_server:
+        is_limited = server_limits.is_limited(limits, server_id)
+        if is_limited and server_limits.is_first(limits, server_id):
+            found.update(server_limits.next_in_order(limits, server_id))
+    return found & set(others)
 
 
 async def run(limits):
@@ -289,7 +308,7 @@
             next_at = min(next_at, cold_until)
         next_at = min(next_at, _ask(limits, server_id, holder, now))
     for (server_id, rank), granter in list(limits.granters.items()):
-        if not _is_to_grant(limits, server_id, rank, now):
+        if not _is_to_grant(limits, server_id, rank):
             del limits.granters[server_id, rank]
             continue
         _grant(limits, server_id, rank, granter)
@@ -298,14 +317,12 @@
     return next_at
 
 
-def _is_to_grant(limits, server_id, rank, now):
+def _is_to_grant(limits, server_id, rank):
     """Whether this entry goes on granting permits to those that wait for them."""
     if not server_limits.is_limited(limits, server_id):
         return False
-    if rank is permit_rates.Rank.DEPUTY:
-        return True
-    is_cold = announcements.is_cold(limits.fleet.announced, server_id, now)
-    return not is_cold or server_limits.is_first(limits, server_id)
+    is_deputy = rank is permit_rates.Rank.DEPUTY
+    return is_deputy or server_limits.is_first(limits, server_id)
 
 
 def _ask(limits, server_id, holder, now):
@@ -316,8 +333,7 @@
     if not wanted:
         return holder.expiries[0] if holder.expiries else math.inf
     vms = server_limits.granting(limits, server_id)
-    if announcements.is_cold(announced, server_id, now):
-        permits.follow_order(holder, vms)
+    permits.follow_order(holder, vms)
     for rank in permit_rates.Rank:
         was_unreachable = permits.is_unreachable(holder, rank)
         number = permits.due(holder, rank, now)
--- a/src/carobstand/entry/server_limits.py
+++ b/src/carobstand/entry/server_limits.py
@@ -350,6 +350,14 @@
     return _order(limits, server_id)[0] == limits.fleet.deployment.vm
 
 
+def next_in_order(limits, server_id):
+    """Return the VMs that follow in the order in which a server's permits are granted.
+
+    They are so many that one of them granted before the first one joined.
+    """
+    return _order(limits, server_id)[1:]
+
+
 def is_running(limits):
     """Whether others that read the store count this entry as running."""
     running = entry_roster.running(limits.fleet.roster, anyio.current_time())
@@ -367,7 +375,7 @@
         return False
     if anyio.current_time() - limits.listed_at > settled_s:
         return True
-    others = _order(limits, server_id)[1:]
+    others = next_in_order(limits, server_id)
     return bool(others) and limits.aware.issuperset(others)
 
 
--- a/testing/test_limit_simulation.py
+++ b/testing/test_limit_simulation.py
@@ -8,6 +8,7 @@
 import anyio
 import pytest
 
+from carobstand.core import permit_rates
 from carobstand.standin.platform import engine
 from testing import limit_checks, virtual_time
 from testing import limit_simulation as simulation
@@ -106,6 +107,25 @@
     check(simulate(script, 1, entries), 4.0)
 
 
+def test_a_limit_is_kept_while_the_store_turns_the_entry_away_that_grants():
+    """An entry that was added and precedes it granted the full rate beside it."""
+
+    async def script(sim):
+        sim.server.limit = 40.0
+        await anyio.sleep(4.0)
+        vms = [*sim.nodes, *map(str, range(100, 200))]
+        [new, *_] = permit_rates.granting_entries(simulation.SERVER_ID, vms)
+        old = permit_rates.granting_entries(simulation.SERVER_ID, sim.nodes)
+        for vm in old:
+            sim.nodes[vm].callers_per_s = CALLERS_PER_S
+        sim.tasks.start_soon(simulation.lose_store, sim, old, 9.0)
+        await anyio.sleep(0.5)
+        simulation.start_entry(sim, new, CALLERS_PER_S)
+        await anyio.sleep(10.0)
+
+    check(simulate(script, 1, 6), 20.0)
+
+
 async def random_faults(sim, duration_s=40.0):
     """Disturb entries at random times; several disturbances may overlap."""
     draw = random.Random(sim.draw.random())
