Settle suspected prompt parts by trials before requests are denied

Cause: two crashes were taken for a proof. Nothing that could clear the part was sent, and requests that engines were about to answer were taken back.

Ruled out by the logs: crashes counted twice (two servers, one start each) and old evidence (no part.cleared before).

Change: a suspected part is suspended and tried by one request at a time over all entries. 422 needs two trials whose servers crash while no other one does, without another unknown part in common. What servers are processing stays there. After five crashes at most three trials and probes follow, which is the users' bound. Sightings that a cleared part seemed to explain count again for other parts.

Tests of convicted parts let traffic run for 6 s instead of 3 s before a part counts as convicted, as two trials come after the suspicion; their bounds on requests that reach servers are unchanged.

--- a/src/carobstand/core/poison_parts.py
+++ b/src/carobstand/core/poison_parts.py
@@ -11,8 +11,10 @@
   is answered with success. A part is judged only by sightings after its last answer.
 - Convicted: a part without a recent answer, by different requests at crashes that have
   no cause in common; a part with one, only by a longer series; a request, by crashes
-  at several moments.
-- A convicted part explains its crashes: they no longer count for other parts.
+  at several moments. The conviction of a part is unproven at first, and is settled by
+  trials (`core.part_trials`).
+- A convicted part explains its crashes: they do not count for other parts, unless it is
+  cleared.
 """
 
 import hashlib
@@ -69,6 +71,16 @@
 MAX_EXPLAINED = 32
 """Crashes kept that a convicted part explains."""
 
+MAX_KNOWN_CRASHES = 128
+"""Latest crashes of which the times are kept."""
+
+MAX_LATE_REQUESTS = 3
+"""Requests with a convicted part that may be sent after the first crashes, trials and
+probes together, by the users' rule."""
+
+MAX_SET_ASIDE = 64
+"""Other parts whose sightings an unproven conviction sets aside."""
+
 MAX_SUSPECTS = 1_000
 MAX_CONVICTED = 256
 MAX_SOUND = 4_000
@@ -141,7 +153,7 @@
 
 @attrs.define(eq=False)
 class Conviction:
-    """A part with which no request is sent.
+    """A part with which no request is sent, except trials and probes.
 
     Attributes
     ----------
@@ -149,21 +161,50 @@
         Time of the conviction.
     crashes : set of bytes
         Crashes that it explains.
+    known_crashes : int
+        Crashes that others counted, as the record in the store tells.
     asked_at : float
         Time of the last request with it.
+    is_proven : bool
+        Whether callers are told not to come again.
+    set_aside : dict of bytes to (dict of bytes to Sightings)
+        Sightings of other parts at the crashes that it explains, by part and crash.
+    trial : core.part_trials.Trial or None
+        The one in progress.
+    tried_at : float
+        Time at which the last trial ended.
+    early_trials, late_trials : int
+    failures : int
+        Failed trials that count as evidence.
+    common : frozenset of bytes or None
+        Parts without a known answer that the requests of these had in common.
     probes : int
-        Number of requests sent in spite of it.
+        Number of requests sent in spite of a proven conviction.
     probed_at : float
         Time of the last of these.
     """
 
     at: float
     crashes: set = attrs.field(factory=set)
+    known_crashes: int = 0
     asked_at: float = 0.0
+    is_proven: bool = True
+    set_aside: dict = attrs.field(factory=dict)
+    trial: object = None
+    tried_at: float = -math.inf
+    early_trials: int = 0
+    late_trials: int = 0
+    failures: int = 0
+    common: frozenset | None = None
     probes: int = 0
     probed_at: float = -math.inf
 
 
+def crash_count(conviction):
+    """Return the number of known crashes of servers under requests with a part."""
+    return max(len(conviction.crashes), conviction.known_crashes)
+
+
 @attrs.define(eq=False)
 class PoisonParts:
     """What one entry knows of prompt parts, by identifier.
@@ -175,11 +216,14 @@
     convicted : dict of bytes to Conviction
     sound_at : dict of bytes to float
         Time of the last answer, the most recent last.
+    crashes : dict of bytes to float
+        Times of the last known crashes, whatever ran there.
     """
 
     suspects: dict = attrs.field(factory=dict)
     convicted: dict = attrs.field(factory=dict)
     sound_at: dict = attrs.field(factory=dict)
+    crashes: dict = attrs.field(factory=dict)
 
 
 def _bound(mapping, size):
@@ -215,6 +259,9 @@
         Time of the crash.
     now : float
     """
+    if crash not in state.crashes:
+        state.crashes[crash] = at
+        _bound(state.crashes, MAX_KNOWN_CRASHES)
     if at <= sound_at(state, part) or now - at > EVIDENCE_S:
         return False
     if part in state.convicted:
@@ -223,15 +270,22 @@
             return False
         if len(known) < MAX_EXPLAINED:
             known.add(crash)
-        _explain(state, {crash})
+        _explain(state, state.convicted[part], {crash})
         return True
-    if any(crash in item.crashes for item in state.convicted.values()):
-        return False
+    for item in state.convicted.values():
+        if crash in item.crashes:
+            _set_aside(item, part, crash, Sightings(at, {request}))
+            return False
     found = state.suspects.get(part)
     if found is None:
         if len(state.suspects) >= MAX_SUSPECTS:
             _evict_suspect(state)
         found = state.suspects[part] = {}
+    return _add_request(found, crash, request, at)
+
+
+def _add_request(found, crash, request, at):
+    """Add a request to the sightings of a part by crash; return whether it is new."""
     if crash not in found and len(found) >= MAX_CRASHES:
         return False
     seen = found.setdefault(crash, Sightings(at))
@@ -259,6 +313,7 @@
         if conviction is not None and conviction.at <= at:
             del state.convicted[part]
             cleared.append(part)
+            _restore_set_aside(state, conviction, at)
         found = state.suspects.get(part)
         if found is None:
             continue
@@ -338,8 +393,9 @@
                 for part in deadly
                 if _unbegun(state, part) == _unbegun(state, worst)
             ]
+        is_request = bool(_unbegun(state, worst))
         for part in alike:
-            add_conviction(state, part, now, crashes)
+            add_conviction(state, part, now, crashes, is_proven=is_request)
         convicted += alike
 
 
@@ -352,9 +408,20 @@
     return count, len(found), -sound_at(state, part), bool(unbegun)
 
 
-def add_conviction(state, part, at, crashes=()):
+def add_conviction(state, part, at, crashes=(), is_proven=True, known_crashes=0):
     """Convict a part, for instance by the word of another entry.
 
+    Parameters
+    ----------
+    state : PoisonParts
+    part : bytes
+    at : float
+    crashes : iterable of bytes
+        Crashes that it explains.
+    is_proven : bool
+    known_crashes : int
+        Number of crashes that the source of the word counted.
+
     Returns
     -------
     is_new : bool
@@ -366,25 +433,71 @@
     if known is not None:
         new = set(crashes) - known.crashes
         known.crashes.update(sorted(new)[: MAX_EXPLAINED - len(known.crashes)])
-        _explain(state, new)
+        known.known_crashes = max(known.known_crashes, known_crashes)
+        _explain(state, known, new)
+        if is_proven:
+            prove(state, part)
         return False
     own = state.suspects.pop(part, {})
-    item = Conviction(at, {*crashes, *own}, asked_at=at)
+    item = Conviction(
+        at, {*crashes, *own}, known_crashes, asked_at=at, is_proven=is_proven
+    )
     state.convicted[part] = item
     _bound(state.convicted, MAX_CONVICTED)
-    _explain(state, item.crashes)
+    _explain(state, item, item.crashes)
+    if is_proven:
+        prove(state, part)
     return True
 
 
-def _explain(state, crashes):
-    """Drop the sightings of suspects at crashes of a convicted part."""
+def prove(state, part):
+    """Record that a conviction is proven; unproven ones that it explains are lifted."""
+    item = state.convicted[part]
+    item.is_proven, item.trial = True, None
+    item.set_aside.clear()
+    for other, conviction in list(state.convicted.items()):
+        is_explained = conviction.crashes and conviction.crashes <= item.crashes
+        if not conviction.is_proven and is_explained:
+            del state.convicted[other]
+
+
+def _explain(state, conviction, crashes):
+    """Set aside the sightings of suspects at crashes of a convicted part."""
     for part in list(state.suspects):
         for crash in crashes & state.suspects[part].keys():
-            del state.suspects[part][crash]
+            found = state.suspects[part].pop(crash)
+            _set_aside(conviction, part, crash, found)
         if not state.suspects[part]:
             del state.suspects[part]
 
 
+def _set_aside(conviction, part, crash, found):
+    """Keep the sightings of another part in case an unproven conviction is wrong."""
+    if conviction.is_proven:
+        return
+    kept = conviction.set_aside
+    if part not in kept and len(kept) >= MAX_SET_ASIDE:
+        return
+    for request in sorted(found.requests):
+        _add_request(kept.setdefault(part, {}), crash, request, found.at)
+
+
+def _restore_set_aside(state, conviction, now):
+    """Count the sightings again that a wrong conviction seemed to explain."""
+    for part, found in conviction.set_aside.items():
+        for crash, item in found.items():
+            for request in sorted(item.requests):
+                add_sighting(state, part, crash, request, item.at, now)
+
+
+def proven_part(state, parts):
+    """Return the first part of a request with a proven conviction, or None."""
+    for part in parts:
+        if part in state.convicted and state.convicted[part].is_proven:
+            return part
+    return None
+
+
 def convicted_part(state, parts, now):
     """Return the first convicted one of the parts of a request, or None."""
     if not state.convicted:
@@ -401,9 +514,12 @@
 def may_probe(state, parts, now):
     """Whether a request with convicted parts may be sent to test the conviction."""
     found = [state.convicted[part] for part in parts if part in state.convicted]
-    if len(found) != 1 or found[0].probes >= len(PROBE_DELAYS_S):
+    if len(found) != 1:
+        return False
+    most = min(len(PROBE_DELAYS_S), MAX_LATE_REQUESTS - found[0].late_trials)
+    if found[0].probes >= most:
         return False
-    since = max(found[0].at, found[0].probed_at)
+    since = max(found[0].at, found[0].tried_at, found[0].probed_at)
     return now - since >= PROBE_DELAYS_S[found[0].probes]
 
 
@@ -448,7 +564,9 @@
     """Return a digest that is equal at entries with the same evidence."""
     known = hashlib.sha256()
     for part in sorted(state.convicted):
-        known.update(part + bytes([state.convicted[part].probes]))
+        item = state.convicted[part]
+        counts = (item.probes, item.is_proven, item.failures, item.late_trials)
+        known.update(part + bytes(min(255, count) for count in counts))
     known.update(b"/")
     for part in sorted(state.suspects):
         for crash in sorted(state.suspects[part]):
--- a/src/carobstand/entry/forwarding.py
+++ b/src/carobstand/entry/forwarding.py
@@ -24,6 +24,7 @@
     backend_pool,
     demand_exchange,
     fleet,
+    part_trials,
     planned_stop,
     poison_parts,
     queueing,
@@ -178,6 +179,8 @@
         How the last attempt ended, if its server closed the connection before that.
     is_probe : bool
         Whether it is sent though a part of its prompt is convicted.
+    trial : entry.part_trials.CallTrial or None
+        Parts of its prompt that it is sent to try.
     is_passed_through : bool
         Whether a response that is not a stream is delivered as it arrives.
     is_counted : bool
@@ -210,6 +213,7 @@
     has_begun: bool = False
     lost: object = None
     is_probe: bool = False
+    trial: object = None
     is_passed_through: bool = False
     is_counted: bool = False
     events: event_stream.EventStream = attrs.field(factory=event_stream.EventStream)
@@ -231,6 +235,7 @@
             await _try_servers(fwd, call)
         finally:
             fwd.scopes.discard(scope)
+            part_trials.end(fwd, call)
     if scope.cancelled_caught and not call.reply.finished:
         await rejections.give_up(fwd, call, 504, "deadline")
 
@@ -244,8 +249,8 @@
 
 async def _try_servers(fwd, call):
     while True:
-        if reason := poison_parts.rejection_reason(fwd, call):
-            return await rejections.reject_poison(call, reason)
+        if rejection := poison_parts.rejection(fwd, call):
+            return await rejections.reject_poison(fwd, call, rejection)
         would_be_cut = planned_stop.would_be_cut(fwd, call)
         chosen = None if would_be_cut else await queueing.place(fwd, call)
         if chosen is None:
@@ -260,7 +265,7 @@
             queueing.end(fwd, call, chosen)
         if outcome is retries.Outcome.DONE:
             return None
-        if poison_parts.rejection_reason(fwd, call):
+        if poison_parts.rejection(fwd, call):
             continue
         if call.reply.started:
             call.terms = attrs.evolve(call.terms, is_started=True)
@@ -285,6 +290,7 @@
     """
     server = chosen.candidate.server
     state = fwd.healths.setdefault(server.server_id, health.ServerHealth())
+    await part_trials.settle(call)
     try:
         conn = await backend_pool.acquire(fwd.pool, server.address, call.req.request_id)
     except errors.HttpError as exc:
@@ -315,7 +321,7 @@
             reason=reason.value,
         )
         return retries.Outcome.NOT_SENT
-    if poison_parts.rejection_reason(fwd, call):
+    if poison_parts.rejection(fwd, call):
         # It was convicted while it waited for a place or a connection.
         backend_pool.put_back(fwd.pool, conn)
         return retries.Outcome.NOT_SENT
@@ -326,7 +332,7 @@
     call.sent_at = anyio.current_time()
     call.has_reserved_retry = False
     call.has_begun, call.lost, call.reply.unread_s = False, None, 0.0
-    poison_parts.record_sent(fwd, call)
+    poison_parts.record_sent(fwd, call, server)
     try:
         head, data = await _receive_unless_convicted(fwd, call, chosen, conn)
         queueing.record_response_started(fwd, call, chosen, not _says_not_run(head))
--- a/src/carobstand/entry/part_evidence.py
+++ b/src/carobstand/entry/part_evidence.py
@@ -12,7 +12,13 @@
 import anyio
 
 from carobstand import errors, eventlog, part_records
-from carobstand.core import deployment, entry_roster, poison_parts, rendezvous
+from carobstand.core import (
+    deployment,
+    entry_roster,
+    part_trials,
+    poison_parts,
+    rendezvous,
+)
 from carobstand.entry import datagram_sender
 from carobstand.platform import kv
 from carobstand.wire import fleet_codec
@@ -51,20 +57,32 @@
         eventlog.event("part.cleared", part=part.hex(), request=request)
 
 
-def spread(fwd, parts):
+def log_convicted(part, source, crashes=None):
+    """Log that requests with a part are rejected for good."""
+    eventlog.event("part.convicted", part=part.hex(), crashes=crashes, source=source)
+
+
+def log_suspended(item, part, source):
+    """Log that a part is suspected and requests with it are trials only."""
+    crashes = poison_parts.crash_count(item)
+    eventlog.event("part.suspended", part=part.hex(), crashes=crashes, source=source)
+
+
+def spread(fwd, parts, ended=False):
     """Send the evidence on some parts to all entries, in the background.
 
     Before and between runs of `poison_parts.run`, the others get it by their queries.
+    `ended` also tells that a trial of this entry has ended.
     """
     if fwd.part_tracker.tasks is not None:
-        fwd.part_tracker.tasks.start_soon(send_to_all, fwd, list(parts))
+        fwd.part_tracker.tasks.start_soon(send_to_all, fwd, list(parts), ended)
 
 
-async def send_to_all(fwd, parts):
+async def send_to_all(fwd, parts, ended=False):
     """Send the evidence on some parts to all entries."""
     own_vm = fwd.fleet.deployment.vm
     others = entry_roster.running(fwd.fleet.roster, anyio.current_time())
-    for raw in _encode(fwd, parts):
+    for raw in _encode(fwd, parts, ended):
         for entry in others.values():
             if entry.vm != own_vm:
                 await _send(fwd, entry.address, raw)
@@ -80,27 +98,45 @@
     return f"{dep.ip}:{dep.internal_ports[0]}"
 
 
-def _encode(fwd, parts):
+def _encode(fwd, parts, ended=False):
     """Return datagrams with the evidence on some parts."""
     parts = sorted(parts)
     for start in range(0, len(parts), PARTS_PER_DATAGRAM):
         chunk = parts[start : start + PARTS_PER_DATAGRAM]
-        evidence = [_evidence(fwd.fleet.prompt_parts, part) for part in chunk]
+        evidence = [_evidence(fwd, part, ended) for part in chunk]
         yield fleet_codec.encode(ttypes.PartReport(evidence, _own_address(fwd)))
 
 
-def _evidence(state, part):
-    now = anyio.current_time()
+def _evidence(fwd, part, ended):
+    state, now = fwd.fleet.prompt_parts, anyio.current_time()
     convicted = state.convicted.get(part)
     answered_at = poison_parts.sound_at(state, part)
-    return ttypes.PartEvidence(
+    found = ttypes.PartEvidence(
         part=part,
         sightings=_sightings(state, part, now),
         sound_ms=_age_ms(now, answered_at) if answered_at > -math.inf else None,
-        convicted_ms=_age_ms(now, convicted.at) if convicted else None,
-        probes=convicted.probes if convicted else 0,
-        probed_ms=_age_ms(now, convicted.probed_at) if convicted else NO_AGE_MS,
+        probes=0,
+        probed_ms=NO_AGE_MS,
     )
+    if convicted:
+        own_vm = fwd.fleet.deployment.vm
+        _describe_conviction(found, convicted, own_vm, ended, now)
+    return found
+
+
+def _describe_conviction(found, item, own_vm, ended, now):
+    """Add to a `PartEvidence` what this entry knows of a conviction and its trials."""
+    found.convicted_ms = _age_ms(now, item.at)
+    found.probes, found.probed_ms = item.probes, _age_ms(now, item.probed_at)
+    found.is_proven, found.crashes = item.is_proven, poison_parts.crash_count(item)
+    found.failures, found.late_trials = item.failures, item.late_trials
+    if item.common is not None:
+        found.common = sorted(item.common)
+    # Others tell of their own trials; what is relayed might have ended meanwhile.
+    if item.trial is not None and item.trial.vm == own_vm:
+        found.trier, found.trial_ms = own_vm, _age_ms(now, item.trial.began_at)
+    elif ended:
+        found.trier, found.trial_ms = own_vm, NO_AGE_MS
 
 
 def _sightings(state, part, now):
@@ -191,6 +227,10 @@
     ages = [sighting.age_ms for sighting in item.sightings or ()]
     if any(age is None or age < 0 for age in ages):
         raise ValueError("malformed age of a sighting")
+    if any(len(part or b"") != size for part in item.common or ()):
+        raise ValueError("malformed part of a failed trial")
+    if min(item.failures or 0, item.late_trials or 0, item.crashes or 0) < 0:
+        raise ValueError("malformed number of trials or crashes")
     if min(item.sound_ms or 0, item.convicted_ms or 0) < 0:
         raise ValueError("malformed age of an answer or a conviction")
 
@@ -225,14 +265,47 @@
     state = fwd.fleet.prompt_parts
     crashes = [sighting.crash for sighting in item.sightings or ()]
     at = now - item.convicted_ms / 1000
-    if poison_parts.add_conviction(state, item.part, at, crashes):
-        eventlog.event(
-            "part.convicted", part=item.part.hex(), crashes=None, source=peer
-        )
-        withdraw_unanswered(fwd, item.part)
+    known = state.convicted.get(item.part)
+    was_proven = known is not None and known.is_proven
+    # Entries of earlier versions convicted by proof only, and do not say so.
+    is_proven = item.is_proven is not False
+    is_new = poison_parts.add_conviction(
+        state, item.part, at, crashes, is_proven, item.crashes or 0
+    )
     held = state.convicted.get(item.part)
-    if held is not None and (item.probes or 0) > held.probes:
+    if held is None:
+        return
+    if held.is_proven and not was_proven:
+        log_convicted(item.part, peer)
+        withdraw_unanswered(fwd, item.part)
+    elif is_new:
+        log_suspended(held, item.part, peer)
+    if (item.probes or 0) > held.probes:
         held.probes, held.probed_at = item.probes, now - item.probed_ms / 1000
+    _merge_trials(held, item, now)
+
+
+def _merge_trials(held, item, now):
+    """Merge what another entry tells of the trials of an unproven conviction."""
+    held.late_trials = max(held.late_trials, item.late_trials or 0)
+    if (item.failures or 0) > held.failures:
+        held.failures, held.common = item.failures, frozenset(item.common or ())
+    if held.is_proven or not item.trier or item.trial_ms is None:
+        return
+    if item.trial_ms >= 0:
+        trial = part_trials.Trial(item.trier, now - item.trial_ms / 1000)
+        part_trials.note_other(held, trial, precedence(item.part))
+    elif held.trial is not None and held.trial.vm == item.trier:
+        held.trial, held.tried_at = None, now
+
+
+def precedence(part):
+    """Return the order of two entries that announced a trial of a part at once."""
+
+    def precedes(vm, other):
+        return rendezvous.score(part.hex(), vm) < rendezvous.score(part.hex(), other)
+
+    return precedes
 
 
 def ranks_first(fwd, part):
@@ -249,8 +322,10 @@
         await anyio.sleep(SYNC_INTERVAL_S)
         state, records = fwd.fleet.prompt_parts, fwd.fleet.part_records
         for part in state.convicted.keys() & fwd.part_tracker.unanswered.keys():
-            withdraw_unanswered(fwd, part)
-        missing = [part for part in state.convicted if part not in records]
+            if state.convicted[part].is_proven:
+                withdraw_unanswered(fwd, part)
+        proven = [part for part, item in state.convicted.items() if item.is_proven]
+        missing = [part for part in proven if part not in records]
         outdated = [part for part in records if part not in state.convicted]
         try:
             for part in missing:
--- a/src/carobstand/entry/poison_parts.py
+++ b/src/carobstand/entry/poison_parts.py
@@ -11,7 +11,8 @@
 
 from carobstand import eventlog, http1, signals
 from carobstand.core import announcements, poison_parts
-from carobstand.entry import datagram_sender, part_evidence
+from carobstand.core import part_trials as core_trials
+from carobstand.entry import datagram_sender, part_evidence, part_trials
 
 CHECK_INTERVAL_S = 0.05
 """Interval of checks of servers that closed connections of unanswered requests."""
@@ -33,9 +34,25 @@
 
 REQUEST_REASON = "it crashes servers"
 PART_REASON = "a part of its prompt crashes servers"
+TRIAL_REASON = "a part of its prompt may crash servers, which is being tried"
 """Reasons of rejections."""
 
 
+@attrs.frozen
+class Rejection:
+    """Why a request must not be sent.
+
+    Attributes
+    ----------
+    reason : str
+    is_final : bool
+        Whether the caller should not come again.
+    """
+
+    reason: str
+    is_final: bool
+
+
 @attrs.define(eq=False)
 class LostRequest:
     """A request whose server closed the connection before its answer was complete.
@@ -56,6 +73,8 @@
     at : float
     checked : anyio.Event
         Set once it is known whether the server refuses connections.
+    tried : tuple of bytes
+        Parts whose trial it was.
     is_crash : bool
         Whether the server has ended.
     """
@@ -67,6 +86,7 @@
     request: bytes
     has_begun: bool
     at: float
+    tried: tuple = ()
     checked: anyio.Event = attrs.field(factory=anyio.Event)
     is_crash: bool = False
 
@@ -118,31 +138,39 @@
             tracker.sender = tracker.tasks = None
 
 
-def rejection_reason(fwd, call):
-    """Return why a request must not be sent, as it or a part is convicted, or None.
+def rejection(fwd, call):
+    """Return the `Rejection` of a request that is convicted, or a part of it, or None.
 
-    One entry sends a single request in a long while, to find wrong convictions.
+    With an unproven conviction, one request at a time is sent as a trial. With a proven
+    one, one entry sends a single request in a long while, to find wrong convictions.
     """
     state = fwd.fleet.prompt_parts
     now, parts = anyio.current_time(), _all_parts(call)
-    part = poison_parts.convicted_part(state, parts, now)
     call.is_probe = False
-    if part is None:
+    if poison_parts.convicted_part(state, parts, now) is None:
         return None
-    if part_evidence.ranks_first(fwd, part) and poison_parts.may_probe(
-        state, parts, now
-    ):
+    proven = poison_parts.proven_part(state, parts)
+    if proven is None:
+        # The events that it has delivered show that its parts crash no server.
+        is_settled = call.reply.started or part_trials.is_trial(fwd, call, parts)
+        if is_settled or part_trials.begin(fwd, call, parts):
+            return None
+        return Rejection(TRIAL_REASON, is_final=False)
+    is_due = poison_parts.may_probe(state, parts, now)
+    if is_due and part_evidence.ranks_first(fwd, proven):
         call.is_probe = True
         return None
-    return REQUEST_REASON if part == call.whole else PART_REASON
+    reason = REQUEST_REASON if proven == call.whole else PART_REASON
+    return Rejection(reason, is_final=True)
 
 
 def _all_parts(call):
     return (*call.parts, call.whole)
 
 
-def record_sent(fwd, call):
-    """Record that a request is sent; one with a convicted part is a probe."""
+def record_sent(fwd, call, server):
+    """Record that a request is sent; one with a convicted part is a trial or probe."""
+    part_trials.record_sent(fwd, call, server)
     if not call.is_probe:
         return
     parts = _all_parts(call)
@@ -210,6 +238,7 @@
         poison_parts.digest(last_part[0]) if last_part else call.whole,
         call.has_begun,
         anyio.current_time(),
+        call.trial.tried if call.trial else (),
     )
     tracker = fwd.part_tracker
     if len(tracker.lost) >= MAX_LOST:
@@ -301,8 +330,10 @@
                 news[part] = item, name
     for part, (item, name) in news.items():
         _log_suspected(fwd, part, item, name)
-    if news:
-        fwd.part_tracker.tasks.start_soon(_report_and_judge, fwd, list(news))
+    trials = [item for item in crashed if item.tried and not item.has_begun]
+    if news or trials:
+        tasks = fwd.part_tracker.tasks
+        tasks.start_soon(_report_and_judge, fwd, list(news), trials)
 
 
 def _sighted(lost):
@@ -331,19 +362,51 @@
         eventlog.event("part.suspected", part=part.hex(), crash=name)
 
 
-async def _report_and_judge(fwd, parts):
-    """Report sightings, wait for what others know, and convict parts."""
+async def _report_and_judge(fwd, parts, trials):
+    """Report sightings and failed trials, wait for what others know, and judge parts.
+
+    Requests with a part that servers are processing are taken back once it is proven to
+    crash them. Before, they are the trials that settle it soonest.
+    """
     await part_evidence.send_to_all(fwd, parts)
     await anyio.sleep(SETTLE_S)
     state, now = fwd.fleet.prompt_parts, anyio.current_time()
-    known = {part: len(state.suspects.get(part, ())) for part in parts}
+    proven = [part for item in trials for part in _failed(fwd, item)]
     convicted = poison_parts.convict(state, now)
     for part in convicted:
-        eventlog.event(
-            "part.convicted", part=part.hex(), crashes=known.get(part), source="own"
-        )
+        item = state.convicted[part]
+        if item.is_proven:
+            proven.append(part)
+        else:
+            part_evidence.log_suspended(item, part, "own")
+    for part in proven:
+        crashes = poison_parts.crash_count(state.convicted[part])
+        part_evidence.log_convicted(part, "own", crashes)
         part_evidence.withdraw_unanswered(fwd, part)
-    await part_evidence.send_to_all(fwd, {*parts, *convicted})
-    if convicted:
+    tried = [part for item in trials for part in item.tried]
+    await part_evidence.send_to_all(fwd, {*parts, *convicted, *tried})
+    if convicted or proven:
         await anyio.sleep(SETTLE_S)
-        await part_evidence.send_to_all(fwd, convicted)
+        await part_evidence.send_to_all(fwd, {*convicted, *proven})
+
+
+def _failed(fwd, lost):
+    """Record a failed trial; return the parts whose convictions it proves."""
+    state, now = fwd.fleet.prompt_parts, anyio.current_time()
+    unknown = frozenset(
+        part for part in lost.parts if not poison_parts.is_known_sound(state, part, now)
+    )
+    proven = []
+    for part in lost.tried:
+        if core_trials.record_failure(state, part, unknown, now):
+            proven.append(part)
+        item = state.convicted.get(part)
+        eventlog.event(
+            "part.trial_failed",
+            part=part.hex(),
+            server=lost.server.server_id,
+            failures=item and item.failures,
+            crashes=item and poison_parts.crash_count(item),
+            common=item and len(item.common or ()),
+        )
+    return proven
--- a/src/carobstand/entry/rejections.py
+++ b/src/carobstand/entry/rejections.py
@@ -27,15 +27,21 @@
 """Status of a request that no server can answer, so that callers do not repeat it."""
 
 
-async def reject_poison(call, reason):
-    """Reject a request that would crash the server that answers it.
+async def reject_poison(fwd, call, rejection):
+    """Reject a request that would, or may, crash the server that answers it.
 
-    The status is true whether it has run or not, and invites no repetition.
+    The status of a final rejection is true whether it has run or not, and invites no
+    repetition. Otherwise the usual Retry-After leaves time for a trial, which mostly
+    takes the time to the first event of an answer.
     """
+    if not rejection.is_final:
+        return await give_up(fwd, call, 502, rejection.reason)
     if call.reply.started:
-        eventlog.event("request.cut", request=call.req.request_id, reason=reason)
+        eventlog.event(
+            "request.cut", request=call.req.request_id, reason=rejection.reason
+        )
         return
-    await refuse(call.reply, call.req, POISON_STATUS, reason)
+    await refuse(call.reply, call.req, POISON_STATUS, rejection.reason)
 
 
 async def give_up(fwd, call, status, reason):
--- a/src/carobstand/wire/fleet.thrift
+++ b/src/carobstand/wire/fleet.thrift
@@ -45,6 +45,13 @@
   4: optional i32 convicted_ms  // time since it was convicted; absent: it is not
   5: i32 probes               // requests sent since then, and time since the last one
   6: i32 probed_ms
+  7: optional bool is_proven  // absent: a conviction is proven
+  8: optional i32 failures    // trials that failed while nothing else crashed servers
+  9: optional list<binary> common  // parts of all of these that had no known answer
+  10: optional i32 crashes    // servers that crashed under requests with it
+  11: optional i32 late_trials  // trials since then that began late
+  12: optional string trier   // the sending entry, if it began or ended a trial
+  13: optional i32 trial_ms   // time since that trial began; -1: it has ended
 }
 
 // Datagram between entries: parts of prompts that may crash servers.
--- a/src/carobstand/wire/gen_fleet/ttypes.py
+++ b/src/carobstand/wire/gen_fleet/ttypes.py
@@ -431,17 +431,31 @@
      - convicted_ms
      - probes
      - probed_ms
+     - is_proven
+     - failures
+     - common
+     - crashes
+     - late_trials
+     - trier
+     - trial_ms
 
     """
 
 
-    def __init__(self, part=None, sightings=None, sound_ms=None, convicted_ms=None, probes=None, probed_ms=None,):
+    def __init__(self, part=None, sightings=None, sound_ms=None, convicted_ms=None, probes=None, probed_ms=None, is_proven=None, failures=None, common=None, crashes=None, late_trials=None, trier=None, trial_ms=None,):
         self.part = part
         self.sightings = sightings
         self.sound_ms = sound_ms
         self.convicted_ms = convicted_ms
         self.probes = probes
         self.probed_ms = probed_ms
+        self.is_proven = is_proven
+        self.failures = failures
+        self.common = common
+        self.crashes = crashes
+        self.late_trials = late_trials
+        self.trier = trier
+        self.trial_ms = trial_ms
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -488,6 +502,46 @@
                     self.probed_ms = iprot.readI32()
                 else:
                     iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.BOOL:
+                    self.is_proven = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 8:
+                if ftype == TType.I32:
+                    self.failures = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 9:
+                if ftype == TType.LIST:
+                    self.common = []
+                    (_etype32, _size29) = iprot.readListBegin()
+                    for _i33 in range(_size29):
+                        _elem34 = iprot.readBinary()
+                        self.common.append(_elem34)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 10:
+                if ftype == TType.I32:
+                    self.crashes = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 11:
+                if ftype == TType.I32:
+                    self.late_trials = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 12:
+                if ftype == TType.STRING:
+                    self.trier = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 13:
+                if ftype == TType.I32:
+                    self.trial_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -505,8 +559,8 @@
         if self.sightings is not None:
             oprot.writeFieldBegin('sightings', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.sightings))
-            for iter29 in self.sightings:
-                iter29.write(oprot)
+            for iter35 in self.sightings:
+                iter35.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.sound_ms is not None:
@@ -525,6 +579,37 @@
             oprot.writeFieldBegin('probed_ms', TType.I32, 6)
             oprot.writeI32(self.probed_ms)
             oprot.writeFieldEnd()
+        if self.is_proven is not None:
+            oprot.writeFieldBegin('is_proven', TType.BOOL, 7)
+            oprot.writeBool(self.is_proven)
+            oprot.writeFieldEnd()
+        if self.failures is not None:
+            oprot.writeFieldBegin('failures', TType.I32, 8)
+            oprot.writeI32(self.failures)
+            oprot.writeFieldEnd()
+        if self.common is not None:
+            oprot.writeFieldBegin('common', TType.LIST, 9)
+            oprot.writeListBegin(TType.STRING, len(self.common))
+            for iter36 in self.common:
+                oprot.writeBinary(iter36)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.crashes is not None:
+            oprot.writeFieldBegin('crashes', TType.I32, 10)
+            oprot.writeI32(self.crashes)
+            oprot.writeFieldEnd()
+        if self.late_trials is not None:
+            oprot.writeFieldBegin('late_trials', TType.I32, 11)
+            oprot.writeI32(self.late_trials)
+            oprot.writeFieldEnd()
+        if self.trier is not None:
+            oprot.writeFieldBegin('trier', TType.STRING, 12)
+            oprot.writeString(self.trier.encode('utf-8') if sys.version_info[0] == 2 else self.trier)
+            oprot.writeFieldEnd()
+        if self.trial_ms is not None:
+            oprot.writeFieldBegin('trial_ms', TType.I32, 13)
+            oprot.writeI32(self.trial_ms)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -568,11 +653,11 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.parts = []
-                    (_etype33, _size30) = iprot.readListBegin()
-                    for _i34 in range(_size30):
-                        _elem35 = PartEvidence()
-                        _elem35.read(iprot)
-                        self.parts.append(_elem35)
+                    (_etype40, _size37) = iprot.readListBegin()
+                    for _i41 in range(_size37):
+                        _elem42 = PartEvidence()
+                        _elem42.read(iprot)
+                        self.parts.append(_elem42)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -594,8 +679,8 @@
         if self.parts is not None:
             oprot.writeFieldBegin('parts', TType.LIST, 1)
             oprot.writeListBegin(TType.STRUCT, len(self.parts))
-            for iter36 in self.parts:
-                iter36.write(oprot)
+            for iter43 in self.parts:
+                iter43.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.address is not None:
@@ -1362,11 +1447,11 @@
             elif fid == 5:
                 if ftype == TType.LIST:
                     self.rows = []
-                    (_etype40, _size37) = iprot.readListBegin()
-                    for _i41 in range(_size37):
-                        _elem42 = DemandRow()
-                        _elem42.read(iprot)
-                        self.rows.append(_elem42)
+                    (_etype47, _size44) = iprot.readListBegin()
+                    for _i48 in range(_size44):
+                        _elem49 = DemandRow()
+                        _elem49.read(iprot)
+                        self.rows.append(_elem49)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1419,8 +1504,8 @@
         if self.rows is not None:
             oprot.writeFieldBegin('rows', TType.LIST, 5)
             oprot.writeListBegin(TType.STRUCT, len(self.rows))
-            for iter43 in self.rows:
-                iter43.write(oprot)
+            for iter50 in self.rows:
+                iter50.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.met is not None:
@@ -1515,11 +1600,11 @@
             elif fid == 6:
                 if ftype == TType.LIST:
                     self.rows = []
-                    (_etype47, _size44) = iprot.readListBegin()
-                    for _i48 in range(_size44):
-                        _elem49 = DemandRow()
-                        _elem49.read(iprot)
-                        self.rows.append(_elem49)
+                    (_etype54, _size51) = iprot.readListBegin()
+                    for _i55 in range(_size51):
+                        _elem56 = DemandRow()
+                        _elem56.read(iprot)
+                        self.rows.append(_elem56)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1556,8 +1641,8 @@
         if self.rows is not None:
             oprot.writeFieldBegin('rows', TType.LIST, 6)
             oprot.writeListBegin(TType.STRUCT, len(self.rows))
-            for iter50 in self.rows:
-                iter50.write(oprot)
+            for iter57 in self.rows:
+                iter57.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -2169,11 +2254,11 @@
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.items = []
-                    (_etype54, _size51) = iprot.readListBegin()
-                    for _i55 in range(_size51):
-                        _elem56 = NewsItem()
-                        _elem56.read(iprot)
-                        self.items.append(_elem56)
+                    (_etype61, _size58) = iprot.readListBegin()
+                    for _i62 in range(_size58):
+                        _elem63 = NewsItem()
+                        _elem63.read(iprot)
+                        self.items.append(_elem63)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2219,8 +2304,8 @@
         if self.items is not None:
             oprot.writeFieldBegin('items', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.items))
-            for iter57 in self.items:
-                iter57.write(oprot)
+            for iter64 in self.items:
+                iter64.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.age_ms is not None:
@@ -2642,10 +2727,10 @@
             elif fid == 8:
                 if ftype == TType.LIST:
                     self.permitted_regions = []
-                    (_etype61, _size58) = iprot.readListBegin()
-                    for _i62 in range(_size58):
-                        _elem63 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.permitted_regions.append(_elem63)
+                    (_etype68, _size65) = iprot.readListBegin()
+                    for _i69 in range(_size65):
+                        _elem70 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.permitted_regions.append(_elem70)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2657,22 +2742,22 @@
             elif fid == 10:
                 if ftype == TType.LIST:
                     self.ranked = []
-                    (_etype67, _size64) = iprot.readListBegin()
-                    for _i68 in range(_size64):
-                        _elem69 = RankedServer()
-                        _elem69.read(iprot)
-                        self.ranked.append(_elem69)
+                    (_etype74, _size71) = iprot.readListBegin()
+                    for _i75 in range(_size71):
+                        _elem76 = RankedServer()
+                        _elem76.read(iprot)
+                        self.ranked.append(_elem76)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 11:
                 if ftype == TType.LIST:
                     self.excluded = []
-                    (_etype73, _size70) = iprot.readListBegin()
-                    for _i74 in range(_size70):
-                        _elem75 = ExcludedServer()
-                        _elem75.read(iprot)
-                        self.excluded.append(_elem75)
+                    (_etype80, _size77) = iprot.readListBegin()
+                    for _i81 in range(_size77):
+                        _elem82 = ExcludedServer()
+                        _elem82.read(iprot)
+                        self.excluded.append(_elem82)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2717,8 +2802,8 @@
         if self.permitted_regions is not None:
             oprot.writeFieldBegin('permitted_regions', TType.LIST, 8)
             oprot.writeListBegin(TType.STRING, len(self.permitted_regions))
-            for iter76 in self.permitted_regions:
-                oprot.writeString(iter76.encode('utf-8') if sys.version_info[0] == 2 else iter76)
+            for iter83 in self.permitted_regions:
+                oprot.writeString(iter83.encode('utf-8') if sys.version_info[0] == 2 else iter83)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.admitted_part is not None:
@@ -2728,15 +2813,15 @@
         if self.ranked is not None:
             oprot.writeFieldBegin('ranked', TType.LIST, 10)
             oprot.writeListBegin(TType.STRUCT, len(self.ranked))
-            for iter77 in self.ranked:
-                iter77.write(oprot)
+            for iter84 in self.ranked:
+                iter84.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.excluded is not None:
             oprot.writeFieldBegin('excluded', TType.LIST, 11)
             oprot.writeListBegin(TType.STRUCT, len(self.excluded))
-            for iter78 in self.excluded:
-                iter78.write(oprot)
+            for iter85 in self.excluded:
+                iter85.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -3060,6 +3145,13 @@
     (4, TType.I32, 'convicted_ms', None, None, ),  # 4
     (5, TType.I32, 'probes', None, None, ),  # 5
     (6, TType.I32, 'probed_ms', None, None, ),  # 6
+    (7, TType.BOOL, 'is_proven', None, None, ),  # 7
+    (8, TType.I32, 'failures', None, None, ),  # 8
+    (9, TType.LIST, 'common', (TType.STRING, 'BINARY', False), None, ),  # 9
+    (10, TType.I32, 'crashes', None, None, ),  # 10
+    (11, TType.I32, 'late_trials', None, None, ),  # 11
+    (12, TType.STRING, 'trier', 'UTF8', None, ),  # 12
+    (13, TType.I32, 'trial_ms', None, None, ),  # 13
 )
 all_structs.append(PartReport)
 PartReport.thrift_spec = (
--- a/testing/test_poison_part_evidence.py
+++ b/testing/test_poison_part_evidence.py
@@ -6,29 +6,17 @@
 import pytest
 
 from carobstand.core import poison_parts
+from testing import trial_builders
 
 P, Q = poison_parts.digest("p"), poison_parts.digest("q")
 
 
-def crash(number, address=None):
-    """Return the id of a crash of a server, one of its own unless it is named."""
-    return poison_parts.crash_id(address or f"10.0.0.{number}:80", f"s/{number}")
-
-
-def lose(state, part, number, at, request=None, address=None):
-    """Record that a request with a part was lost at a crash."""
-    request = poison_parts.digest(request or f"r{number}")
-    return poison_parts.add_sighting(
-        state, part, crash(number, address), request, at, at
-    )
-
-
 def lose_request(state, whole, times, begun=0, first=0, address=None):
     """Record that a request was lost at crashes, with an answer in the last ones."""
     for number, at in enumerate(times):
         has_begun = number >= len(times) - begun
         request = poison_parts.run_begun(whole) if has_begun else whole
-        name = crash(first + number, address)
+        name = trial_builders.crash(first + number, address)
         poison_parts.add_sighting(state, whole, name, request, at, at)
 
 
@@ -70,7 +58,10 @@
     state = poison_parts.PoisonParts()
     lose_request(state, FELLOW, (10.0, 11.0, 12.0))
     lose_request(state, REQUEST, (10.0, 11.0, 12.0, 13.0))
-    lose(state, P, 0, 10.0), lose(state, P, 1, 11.0, request="r0")
+    (
+        trial_builders.lose(state, P, 0, 10.0),
+        trial_builders.lose(state, P, 1, 11.0, request="r0"),
+    )
     assert poison_parts.convict(state, 13.2) == [REQUEST]
     lose_request(state, FELLOW, (10.0, 11.0, 12.0, 13.0))
     assert poison_parts.convict(state, 13.4) == []
@@ -86,9 +77,9 @@
 
 def test_two_requests_at_two_crashes_convict_a_part_without_an_answer():
     state = poison_parts.PoisonParts()
-    lose(state, P, 1, 10.0)
+    trial_builders.lose(state, P, 1, 10.0)
     assert poison_parts.convict(state, 10.2) == []
-    lose(state, P, 2, 11.0)
+    trial_builders.lose(state, P, 2, 11.0)
     assert poison_parts.convict(state, 11.2) == [P]
     assert poison_parts.convicted_part(state, (Q, P), 12.0) == P
     assert poison_parts.convicted_part(state, (Q,), 12.0) is None
@@ -97,35 +88,35 @@
 def test_one_request_that_comes_again_does_not_convict_the_parts_that_it_shares():
     state = poison_parts.PoisonParts()
     for number in range(7):
-        lose(state, P, number, 10.0 + number, request="same")
+        trial_builders.lose(state, P, number, 10.0 + number, request="same")
     assert poison_parts.convict(state, 20.0) == []
 
 
 def test_servers_that_end_at_one_moment_do_not_convict_a_part():
     state = poison_parts.PoisonParts()
     for number in range(3):
-        lose(state, P, number, 10.0 + 0.01 * number)
+        trial_builders.lose(state, P, number, 10.0 + 0.01 * number)
     assert poison_parts.convict(state, 10.2) == []
 
 
 def test_one_server_that_crashes_by_turns_does_not_convict_a_part_at_once():
     state = poison_parts.PoisonParts()
     for number in range(3):
-        lose(state, P, number, 10.0 + number, address="10.0.0.1:80")
+        trial_builders.lose(state, P, number, 10.0 + number, address="10.0.0.1:80")
     assert poison_parts.convict(state, 13.0) == []
 
 
 def test_a_part_that_crashes_all_servers_at_once_is_convicted():
     state = poison_parts.PoisonParts()
     for number in range(poison_parts.MIN_CRASHES):
-        lose(state, P, number, 10.0 + 0.01 * number)
+        trial_builders.lose(state, P, number, 10.0 + 0.01 * number)
     assert poison_parts.convict(state, 10.2) == [P]
 
 
 def test_a_part_in_every_crash_is_cleared_by_an_answer_in_between():
     state = poison_parts.PoisonParts()
     for number in range(8):
-        lose(state, Q, number, 10.0 + number)
+        trial_builders.lose(state, Q, number, 10.0 + number)
         poison_parts.record_answer(state, [Q], 10.5 + number)
         assert poison_parts.convict(state, 10.6 + number) == []
 
@@ -134,7 +125,7 @@
     state = poison_parts.PoisonParts()
     poison_parts.record_answer(state, [P], 9.0)
     for number in range(5):
-        lose(state, P, number, 10.0 + number)
+        trial_builders.lose(state, P, number, 10.0 + number)
     assert poison_parts.convict(state, 15.0) == [P]
 
 
@@ -142,23 +133,23 @@
     state = poison_parts.PoisonParts()
     poison_parts.record_answer(state, [Q], 9.9)
     for number in range(2):
-        lose(state, P, number, 10.0 + number)
-        lose(state, Q, number, 10.0 + number)
+        trial_builders.lose(state, P, number, 10.0 + number)
+        trial_builders.lose(state, Q, number, 10.0 + number)
     assert poison_parts.convict(state, 12.0) == [P]
     for number in range(2, 9):
-        lose(state, Q, number, 10.0 + number)
-        lose(state, P, number, 10.0 + number)
+        trial_builders.lose(state, Q, number, 10.0 + number)
+        trial_builders.lose(state, P, number, 10.0 + number)
     assert Q not in poison_parts.convict(state, 20.0)
 
 
 def test_crashes_that_a_convicted_part_explains_do_not_count_for_others():
     state = poison_parts.PoisonParts()
     for number in range(3):
-        lose(state, P, number, 10.0 + number)
-    lose(state, Q, 1, 11.0, request="q1")
+        trial_builders.lose(state, P, number, 10.0 + number)
+    trial_builders.lose(state, Q, 1, 11.0, request="q1")
     assert poison_parts.convict(state, 13.0) == [P]
-    lose(state, Q, 2, 12.0, request="q2")
-    lose(state, Q, 0, 10.0, request="q3")
+    trial_builders.lose(state, Q, 2, 12.0, request="q2")
+    trial_builders.lose(state, Q, 0, 10.0, request="q3")
     assert poison_parts.convict(state, 13.0) == []
     assert Q not in state.suspects
 
@@ -166,12 +157,12 @@
 def test_an_answer_undoes_a_wrong_conviction_and_its_evidence():
     state = poison_parts.PoisonParts()
     for number in range(2):
-        lose(state, P, number, 10.0 + number)
+        trial_builders.lose(state, P, number, 10.0 + number)
     poison_parts.convict(state, 12.0)
     assert poison_parts.record_answer(state, [P], 13.0) == [P]
     assert poison_parts.convicted_part(state, (P,), 13.0) is None
     assert not poison_parts.add_conviction(state, P, 12.0)
-    assert not lose(state, P, 1, 11.0)
+    assert not trial_builders.lose(state, P, 1, 11.0)
 
 
 def test_convictions_are_probed_a_few_times_only():
@@ -199,10 +190,10 @@
 def test_a_flood_of_parts_drops_neither_evidence_nor_convictions():
     state = poison_parts.PoisonParts()
     poison_parts.add_conviction(state, Q, 1.0)
-    lose(state, P, 1, 2.0)
-    lose(state, P, 2, 3.0)
+    trial_builders.lose(state, P, 1, 2.0)
+    trial_builders.lose(state, P, 2, 3.0)
     for number in range(2 * poison_parts.MAX_SUSPECTS):
-        lose(state, poison_parts.digest(f"x{number}"), 3, 4.0)
+        trial_builders.lose(state, poison_parts.digest(f"x{number}"), 3, 4.0)
     for number in range(2 * poison_parts.MAX_SOUND):
         poison_parts.record_answer(state, [poison_parts.digest(f"y{number}")], 5.0)
     assert len(state.suspects) <= poison_parts.MAX_SUSPECTS
@@ -233,7 +224,7 @@
     state = poison_parts.PoisonParts()
     for kind, part, number, at in news:
         if kind == "lost":
-            lose(state, part, number, at)
+            trial_builders.lose(state, part, number, at)
         else:
             poison_parts.record_answer(state, [part], at)
     assert poison_parts.convict(state, 40.0) == [P]
--- a/testing/test_poison_parts.py
+++ b/testing/test_poison_parts.py
@@ -23,6 +23,9 @@
 FREE_CRASHES = 5
 MAX_LATER_REQUESTS = 3
 DOWN_S = 1.0
+CONVICTED_S = 6.0
+"""Time in which some ten requests with the deadly part come: two raise the suspicion,
+and two trials prove it."""
 
 
 @contextlib.asynccontextmanager
@@ -84,7 +87,7 @@
     async def scenario():
         async with fleet_with_deadly_part(entries) as fleet:
             traffic = part_traffic.Traffic(list(fleet.entries))
-            await part_traffic.send(fleet, traffic, 3.0)
+            await part_traffic.send(fleet, traffic, CONVICTED_S)
             assert await rejecting_entries(fleet, traffic) == list(fleet.entries)
             await check(fleet, traffic)
 
@@ -179,7 +182,7 @@
             monkeypatch.setattr(part_evidence, "_send", drop)
             monkeypatch.setattr(part_evidence.kv, "put", no_write)
             traffic = part_traffic.Traffic(["entry-1", "entry-2"])
-            await part_traffic.send(fleet, traffic, 3.0)
+            await part_traffic.send(fleet, traffic, CONVICTED_S)
             assert await rejecting_entries(fleet, traffic) == ["entry-1", "entry-2"]
             monkeypatch.setattr(part_evidence, "_send", send)
             await anyio.sleep(2 * part_evidence.QUERY_INTERVAL_S)
@@ -201,7 +204,7 @@
                 await anyio.sleep(platform_fleet.CHANGE_DELAY_S)
                 processes["entry-3"].send_signal(signal.SIGSTOP)
                 traffic = part_traffic.Traffic(["entry-1", "entry-2"])
-                await part_traffic.send(fleet, traffic, 3.0)
+                await part_traffic.send(fleet, traffic, CONVICTED_S)
                 processes["entry-3"].send_signal(signal.SIGCONT)
                 await anyio.sleep(1.0)
                 await check_entry_rejects(fleet, traffic, "entry-3")
