Write records of convicted parts on the condition of what was seen

What callers could see: a conviction that an answer had ended came back, and requests with the part were denied again, as a write without an answer was executed late; or a late removal took away the record of a new conviction.

Cause: records of parts were put and removed without a condition, and the entry remembered that it had done so.

Change: records are written on the condition of the revision last seen, and removed likewise; what the watch shows replaces what is remembered. A record of a part that has been answered in the last minute convicts nobody here: the other entries tell of a new conviction with its evidence. Records tell whether a conviction is proven, and how many crashes and late trials are known, so that a suspicion is settled by trials after a restart of all entries, too.

--- a/src/carobstand/entry/fleet.py
+++ b/src/carobstand/entry/fleet.py
@@ -106,8 +106,8 @@
         Newest configuration and named versions as read, by key.
     unreadable : unreadable_records.Unreadable
         Records that cannot be decoded and were logged.
-    part_records : set of bytes
-        Parts of prompts whose conviction is recorded in the store.
+    part_records : dict of bytes to platform.kv.Item
+        Records of convicted parts of prompts in the store, as last seen, by part.
     confirmed_at : float or None
         Time up to which all changes of the store are known to be applied.
     store_failed_at : float
@@ -169,7 +169,7 @@
     unreadable: unreadable_records.Unreadable = attrs.field(
         factory=unreadable_records.Unreadable
     )
-    part_records: set = attrs.field(factory=set)
+    part_records: dict = attrs.field(factory=dict)
     confirmed_at: float | None = None
     store_failed_at: float = -1e9
     store_unreachable_at: float = -math.inf
@@ -486,14 +486,33 @@
     part = part_records.part_of(item.key)
     if item.value is None:
         # The entry that removed the record reports the reason, if there is one.
-        fleet.part_records.discard(part)
+        fleet.part_records.pop(part, None)
         return
-    fleet.part_records.add(part)
-    # A restored store may show a conviction that an answer has ended since.
-    if fleet.was_restored and part in fleet.prompt_parts.sound_at:
+    fleet.part_records[part] = item
+    record = part_records.decode(item.value)
+    state, now = fleet.prompt_parts, anyio.current_time()
+    if part not in state.convicted and _is_outdated(fleet, part, now):
         return
-    if poison_parts.add_conviction(fleet.prompt_parts, part, anyio.current_time()):
-        eventlog.event("part.convicted", part=part.hex(), crashes=None, source="store")
+    if poison_parts.add_conviction(
+        state, part, now, (), record.is_proven, record.crashes
+    ):
+        name = "part.convicted" if record.is_proven else "part.suspended"
+        eventlog.event(name, part=part.hex(), crashes=record.crashes, source="store")
+    known = state.convicted.get(part)
+    if known is not None:
+        known.late_trials = max(known.late_trials, record.late_trials)
+
+
+def _is_outdated(fleet, part, now):
+    """Whether the record of a part is about a conviction that an answer has ended.
+
+    A write that is executed late, or a restored store, may bring it back. Of a new
+    conviction of an answered part, the other entries also tell with its evidence.
+    """
+    state = fleet.prompt_parts
+    if fleet.was_restored and part in state.sound_at:
+        return True
+    return poison_parts.is_known_sound(state, part, now)
 
 
 def _replace_own_records(fleet, changes):
--- a/src/carobstand/entry/part_evidence.py
+++ b/src/carobstand/entry/part_evidence.py
@@ -320,21 +320,44 @@
     """Keep the records in the store equal to the convictions of this entry."""
     while True:
         await anyio.sleep(SYNC_INTERVAL_S)
-        state, records = fwd.fleet.prompt_parts, fwd.fleet.part_records
+        state, now = fwd.fleet.prompt_parts, anyio.current_time()
         for part in state.convicted.keys() & fwd.part_tracker.unanswered.keys():
             if state.convicted[part].is_proven:
                 withdraw_unanswered(fwd, part)
-        proven = [part for part, item in state.convicted.items() if item.is_proven]
-        missing = [part for part in proven if part not in records]
-        outdated = [part for part in records if part not in state.convicted]
+        wanted = {
+            part: part_records.encode(item)
+            for part, item in state.convicted.items()
+            if item.is_proven or now - item.at >= SYNC_INTERVAL_S
+        }
         try:
-            for part in missing:
-                if ranks_first(fwd, part):
-                    await kv.put(fwd.fleet.store, part_records.key(part), b"{}")
-                    records.add(part)
-            for part in outdated:
-                if ranks_first(fwd, part):
-                    await kv.delete(fwd.fleet.store, part_records.key(part))
-                    records.discard(part)
+            await _write_records(fwd, wanted)
+            await _remove_records(fwd)
         except (errors.StoreError, errors.ConflictError) as exc:
+            # After a conflict, the watch brings what another entry wrote.
             eventlog.event("part.record_failed", error=str(exc))
+
+
+async def _write_records(fwd, wanted):
+    """Write the records that are missing or differ, by part.
+
+    A write on the condition of what was last seen does not bring a record back that was
+    removed meanwhile, also if it is executed late.
+    """
+    store, records = fwd.fleet.store, fwd.fleet.part_records
+    for part, value in wanted.items():
+        known = records.get(part)
+        if (known is not None and known.value == value) or not ranks_first(fwd, part):
+            continue
+        key, expected = part_records.key(part), known.revision if known else kv.ABSENT
+        revision = await kv.put(store, key, value, expect=expected)
+        records[part] = kv.Item(key, value, revision)
+
+
+async def _remove_records(fwd):
+    """Remove the records of parts that are not convicted any more."""
+    state, records = fwd.fleet.prompt_parts, fwd.fleet.part_records
+    for part in [part for part in records if part not in state.convicted]:
+        if ranks_first(fwd, part):
+            known = records[part]
+            await kv.delete(fwd.fleet.store, known.key, expect=known.revision)
+            records.pop(part, None)
