Try rare suspected parts once crashed servers are back

Cause: a trial of a deadly part ends a server for some seconds, and trials followed at once, while servers were missing from the first crashes.

Change: a part in at most a fifth of the recent requests is more likely deadly, and few callers wait for it. It is tried after 10 s without any crash, one failed trial proves it, and what servers process with it is taken back. Common parts are tried at once, as before.

--- a/src/carobstand/core/part_trials.py
+++ b/src/carobstand/core/part_trials.py
@@ -36,7 +36,19 @@
 late one begins."""
 
 PROOF_FAILURES = 2
-"""Failed trials that prove a conviction."""
+RARE_PROOF_FAILURES = 1
+"""Failed trials that prove a conviction, and those for a rare part: crashes for other
+reasons seldom hit it, so the first ones are evidence already. Each trial of a deadly
+part costs a server for some seconds."""
+
+RARE_SHARE = 0.2
+MIN_SAMPLE = 32
+"""Share of the requests up to which a part is rare, and requests that tell it."""
+
+RARE_CALM_S = 10.0
+"""Time without any crash after which a rare part is tried. It is more likely deadly
+than a common one, and few callers wait; crashed servers are back and have loaded
+weights."""
 
 MAX_DURATION_S = 3.0
 """Time after which a trial of another entry counts as ended without news of it."""
@@ -72,12 +84,25 @@
     return [state.convicted[part] for part in parts if part in state.convicted]
 
 
-def is_due(state, parts, now):
-    """Whether a request with some unproven parts may be sent as a trial of them."""
+def is_due(state, parts, sample, now):
+    """Whether a request with some unproven parts may be sent as a trial of them.
+
+    Parameters
+    ----------
+    state : core.poison_parts.PoisonParts
+    parts : tuple of bytes
+    sample : collection of tuple of bytes
+        Parts of recent requests, which tell how common the unproven ones are.
+    now : float
+    """
     found = _unproven(state, parts)
     if len(found) > 1 and now - max(item.at for item in found) < JOINT_DELAY_S:
         return False
-    return all(now >= _due_at(state, item, now) for item in found)
+    if any(now < _due_at(state, item, now) for item in found):
+        return False
+    if now - max(state.crashes.values(), default=-math.inf) >= RARE_CALM_S:
+        return True
+    return not any(is_rare(part, sample) for part in parts if part in state.convicted)
 
 
 def _due_at(state, item, now):
@@ -173,7 +198,13 @@
         item.trial = trial
 
 
-def record_failure(state, part, unknown, now):
+def is_rare(part, sample):
+    """Whether few of some requests, given by their parts, have a part."""
+    count = sum(part in parts for parts in sample)
+    return len(sample) >= MIN_SAMPLE and count <= RARE_SHARE * len(sample)
+
+
+def record_failure(state, part, unknown, is_part_rare, now):
     """Record that the server of a trial crashed.
 
     Parameters
@@ -182,6 +213,7 @@
     part : bytes
     unknown : frozenset of bytes
         Parts of the request that had no known answer.
+    is_part_rare : bool
     now : float
 
     Returns
@@ -197,7 +229,8 @@
     item.failures += 1
     common = unknown if item.common is None else item.common & unknown
     item.common = frozenset(sorted(common)[:MAX_COMMON])
-    if item.failures < PROOF_FAILURES or item.common != {part}:
+    needed = RARE_PROOF_FAILURES if is_part_rare else PROOF_FAILURES
+    if item.failures < needed or item.common != {part}:
         return False
     poison_parts.prove(state, part)
     return True
--- a/src/carobstand/entry/fleet.py
+++ b/src/carobstand/entry/fleet.py
@@ -496,13 +496,22 @@
     if poison_parts.add_conviction(
         state, part, now, (), record.is_proven, record.crashes
     ):
-        name = "part.convicted" if record.is_proven else "part.suspended"
-        eventlog.event(name, part=part.hex(), crashes=record.crashes, source="store")
+        _log_part_record(part, record)
     known = state.convicted.get(part)
     if known is not None:
         known.late_trials = max(known.late_trials, record.late_trials)
 
 
+def _log_part_record(part, record):
+    name, crashes = part.hex(), record.crashes
+    if record.is_proven:
+        eventlog.event("part.convicted", part=name, crashes=crashes, source="store")
+        return
+    eventlog.event(
+        "part.suspended", part=name, crashes=crashes, source="store", rare=None
+    )
+
+
 def _is_outdated(fleet, part, now):
     """Whether the record of a part is about a conviction that an answer has ended.
 
--- a/src/carobstand/entry/part_evidence.py
+++ b/src/carobstand/entry/part_evidence.py
@@ -62,10 +62,23 @@
     eventlog.event("part.convicted", part=part.hex(), crashes=crashes, source=source)
 
 
-def log_suspended(item, part, source):
-    """Log that a part is suspected and requests with it are trials only."""
-    crashes = poison_parts.crash_count(item)
-    eventlog.event("part.suspended", part=part.hex(), crashes=crashes, source=source)
+def suspend(fwd, item, part, source):
+    """Act on an unproven conviction: requests with the part are trials only.
+
+    Requests with a common part that servers are processing are left there, as they are
+    the trials that settle it soonest. Few requests have a rare part, and each may end a
+    server that others need.
+    """
+    is_rare = part_trials.is_rare(part, fwd.part_tracker.recent)
+    eventlog.event(
+        "part.suspended",
+        part=part.hex(),
+        crashes=poison_parts.crash_count(item),
+        source=source,
+        rare=is_rare,
+    )
+    if is_rare:
+        withdraw_unanswered(fwd, part)
 
 
 def spread(fwd, parts, ended=False):
@@ -279,7 +292,7 @@
         log_convicted(item.part, peer)
         withdraw_unanswered(fwd, item.part)
     elif is_new:
-        log_suspended(held, item.part, peer)
+        suspend(fwd, held, item.part, peer)
     if (item.probes or 0) > held.probes:
         held.probes, held.probed_at = item.probes, now - item.probed_ms / 1000
     _merge_trials(held, item, now)
--- a/src/carobstand/entry/part_trials.py
+++ b/src/carobstand/entry/part_trials.py
@@ -52,7 +52,8 @@
     is_begun : bool
     """
     state, now = fwd.fleet.prompt_parts, anyio.current_time()
-    if call.lost is not None or not part_trials.is_due(state, parts, now):
+    sample = fwd.part_tracker.recent
+    if call.lost is not None or not part_trials.is_due(state, parts, sample, now):
         return False
     end(fwd, call)
     tried = part_trials.begin(state, parts, fwd.fleet.deployment.vm, now)
--- a/src/carobstand/entry/poison_parts.py
+++ b/src/carobstand/entry/poison_parts.py
@@ -4,6 +4,7 @@
 crash. Attempts whose request or part is convicted meanwhile are withdrawn.
 """
 
+import collections
 import contextlib
 
 import anyio
@@ -26,6 +27,9 @@
 MAX_LOST = 2_000
 """Lost requests of which the servers are checked; the oldest one is dropped first."""
 
+RECENT_REQUESTS = 64
+"""Requests that tell how common a part is."""
+
 RESTART_S = 15.0
 """Time within which a new start of a server shows that it had ended."""
 
@@ -102,6 +106,8 @@
         Scopes of the attempts whose answer has not begun, by part.
     wake : signals.Signal
         Notified when a request was lost.
+    recent : deque of tuple of bytes
+        Parts of the last requests that were sent.
     tasks : anyio.abc.TaskGroup or None
     sender : entry.datagram_sender.DatagramSender or None
         Both None while `run` does not run.
@@ -110,6 +116,9 @@
     lost: list = attrs.field(factory=list)
     unanswered: dict = attrs.field(factory=dict)
     wake: signals.Signal = attrs.field(factory=signals.Signal)
+    recent: object = attrs.field(
+        factory=lambda: collections.deque(maxlen=RECENT_REQUESTS)
+    )
     tasks: object = None
     sender: object = None
 
@@ -171,6 +180,8 @@
 def record_sent(fwd, call, server):
     """Record that a request is sent; one with a convicted part is a trial or probe."""
     part_trials.record_sent(fwd, call, server)
+    if call.parts:
+        fwd.part_tracker.recent.append(call.parts)
     if not call.is_probe:
         return
     parts = _all_parts(call)
@@ -363,11 +374,7 @@
 
 
 async def _report_and_judge(fwd, parts, trials):
-    """Report sightings and failed trials, wait for what others know, and judge parts.
-
-    Requests with a part that servers are processing are taken back once it is proven to
-    crash them. Before, they are the trials that settle it soonest.
-    """
+    """Report sightings and failed trials, hear the others, and judge parts."""
     await part_evidence.send_to_all(fwd, parts)
     await anyio.sleep(SETTLE_S)
     state, now = fwd.fleet.prompt_parts, anyio.current_time()
@@ -378,7 +385,7 @@
         if item.is_proven:
             proven.append(part)
         else:
-            part_evidence.log_suspended(item, part, "own")
+            part_evidence.suspend(fwd, item, part, "own")
     for part in proven:
         crashes = poison_parts.crash_count(state.convicted[part])
         part_evidence.log_convicted(part, "own", crashes)
@@ -398,7 +405,8 @@
     )
     proven = []
     for part in lost.tried:
-        if core_trials.record_failure(state, part, unknown, now):
+        is_rare = core_trials.is_rare(part, fwd.part_tracker.recent)
+        if core_trials.record_failure(state, part, unknown, is_rare, now):
             proven.append(part)
         item = state.convicted.get(part)
         eventlog.event(
--- a/testing/test_part_trials.py
+++ b/testing/test_part_trials.py
@@ -28,13 +28,14 @@
     return state
 
 
-def fail_trial(state, part, number, now, unknown=()):
+def fail_trial(state, part, number, now, unknown=(), is_rare=False):
     """Send a trial of a part whose server crashes; return whether that is proof."""
     tried = part_trials.begin(state, (part,), "entry-1", now)
     part_trials.record_sent(state, tried)
     trial_builders.lose(state, part, number, now)
     part_trials.end(state, tried, "entry-1", now)
-    return part_trials.record_failure(state, part, frozenset({part, *unknown}), now)
+    unknown = frozenset({part, *unknown})
+    return part_trials.record_failure(state, part, unknown, is_rare, now)
 
 
 def test_two_crashes_and_two_failed_trials_prove_a_conviction():
@@ -49,6 +50,30 @@
     assert poison_parts.proven_part(state, (Q, P)) == P
 
 
+def test_one_failed_trial_proves_the_conviction_of_a_rare_part():
+    """Each further trial of a deadly part ended a server that callers needed."""
+    state = suspended(P)
+    assert fail_trial(state, P, 3, 20.0, is_rare=True)
+
+
+@pytest.mark.parametrize(
+    ("count", "size", "is_rare"), [(1, 31, False), (6, 32, True), (7, 32, False)]
+)
+def test_a_part_is_rare_by_the_last_requests(count, size, is_rare):
+    sample = [(P, Q)] * count + [(Q,)] * (size - count)
+    assert part_trials.is_rare(P, sample) == is_rare
+
+
+def test_a_rare_part_is_tried_once_crashed_servers_are_back():
+    """Trials of a deadly part ended servers while others had not come back."""
+    state = suspended(P)
+    sample = [(P, Q)] + [(Q,)] * part_trials.MIN_SAMPLE
+    last = max(state.crashes.values())
+    assert part_trials.is_due(state, (P,), [], 10.1)
+    assert not part_trials.is_due(state, (P,), sample, 10.1)
+    assert part_trials.is_due(state, (P,), sample, last + part_trials.RARE_CALM_S)
+
+
 def test_a_trial_fails_only_while_no_other_server_crashes():
     """Servers that crash one after the other by themselves proved a sound part."""
     state = suspended(P)
@@ -70,13 +95,13 @@
 def test_one_request_at_a_time_is_a_trial():
     """A deadly part that all callers send would end several servers at once."""
     state = suspended(P)
-    assert part_trials.is_due(state, (P,), 10.1)
+    assert part_trials.is_due(state, (P,), (), 10.1)
     tried = part_trials.begin(state, (P, Q), "entry-1", 10.1)
     assert tried == (P,)
-    assert not part_trials.is_due(state, (P,), 10.2)
+    assert not part_trials.is_due(state, (P,), (), 10.2)
     part_trials.end(state, tried, "entry-1", 10.5)
-    assert not part_trials.is_due(state, (P,), 10.6)
-    assert part_trials.is_due(state, (P,), 10.5 + part_trials.TRIAL_GAP_S)
+    assert not part_trials.is_due(state, (P,), (), 10.6)
+    assert part_trials.is_due(state, (P,), (), 10.5 + part_trials.TRIAL_GAP_S)
 
 
 @pytest.mark.parametrize("is_calm", [True, False])
@@ -93,7 +118,7 @@
             if poison_parts.may_probe(state, (P,), now):
                 poison_parts.record_probe(state, (P,), now)
                 sent += 1
-        elif part_trials.is_due(state, (P,), now):
+        elif part_trials.is_due(state, (P,), (), now):
             fail_trial(state, P, next(numbers), now)
             sent += 1
     assert 2 <= sent <= poison_parts.MAX_LATE_REQUESTS
@@ -102,15 +127,15 @@
 def test_a_late_trial_waits_until_other_crashes_are_over():
     state = suspended(P, crashes=part_trials.FREE_CRASHES)
     trial_builders.lose(state, Q, 100, 12.0)
-    assert not part_trials.is_due(state, (P,), 12.0 + part_trials.CALM_S - 0.1)
-    assert part_trials.is_due(state, (P,), 12.0 + part_trials.CALM_S)
+    assert not part_trials.is_due(state, (P,), (), 12.0 + part_trials.CALM_S - 0.1)
+    assert part_trials.is_due(state, (P,), (), 12.0 + part_trials.CALM_S)
 
 
 def test_a_request_with_several_unproven_parts_is_a_trial_a_little_later():
     state = suspended(P, Q)
-    assert not part_trials.is_due(state, (P, Q), 10.5)
-    assert part_trials.is_due(state, (P,), 10.5)
-    assert part_trials.is_due(state, (P, Q), 10.0 + part_trials.JOINT_DELAY_S)
+    assert not part_trials.is_due(state, (P, Q), (), 10.5)
+    assert part_trials.is_due(state, (P,), (), 10.5)
+    assert part_trials.is_due(state, (P, Q), (), 10.0 + part_trials.JOINT_DELAY_S)
 
 
 def test_evidence_that_a_cleared_part_seemed_to_explain_counts_again():
@@ -151,8 +176,8 @@
     state = suspended(P)
     trial = part_trials.Trial("gone", 10.1)
     part_trials.note_other(state.convicted[P], trial, lambda vm, other: True)
-    assert not part_trials.is_due(state, (P,), 12.0)
-    assert part_trials.is_due(state, (P,), 10.1 + part_trials.MAX_DURATION_S)
+    assert not part_trials.is_due(state, (P,), (), 12.0)
+    assert part_trials.is_due(state, (P,), (), 10.1 + part_trials.MAX_DURATION_S)
 
 
 def test_a_part_that_others_convicted_is_settled_by_trials_here():
