Count the grace of a missing registration from its earliest removal

Cause: after a failed call of its own, an entry took a missing registration for one that had lapsed in an outage of the store, and used the server for 1.6 s from the reading of its removal, which came 1.7 s late here.

Change: the grace period counts from the earliest possible removal, or from the server's last answer that does not say that it leaves. A server in doubt gets nothing until a health check tells; the check right before each send includes this. server.removed logs what was decided.

--- a/src/carobstand/core/eligibility.py
+++ b/src/carobstand/core/eligibility.py
@@ -17,6 +17,7 @@
     """Why a server is no candidate for a request."""
 
     REMOVED = "no longer registered"
+    DOUBTFUL = "registration is missing"
     DRAINING = "draining"
     LEAVING = "leaving"
     ALREADY_TRIED = "already tried"
@@ -73,6 +74,9 @@
         Regions whose servers may run the request; None for all.
     evacuated : set of str
         Failure domains whose servers get no requests.
+    is_doubtful : callable of (str)
+        Whether a server, by its id, may have left some time ago, as its registration
+        is missing.
     withholds : callable of (str)
         Returns why requests to a server, by its id, have to wait for a permit:
         `Reason.LIMITED`, `Reason.COLD`, or None. It is called last, as it may ask for
@@ -91,6 +95,7 @@
     regions: dict = attrs.field(factory=dict)
     permitted_regions: frozenset | None = None
     evacuated: set = attrs.field(factory=set)
+    is_doubtful: object = never
     withholds: object = never
     lacks_memory: object = never
     is_too_large: bool = False
@@ -226,6 +231,8 @@
         return reason
     if not announcements.accepts_requests(conditions.announced, server.server_id, now):
         return Reason.PAUSED
+    if conditions.is_doubtful(server.server_id):
+        return Reason.DOUBTFUL
     return None
 
 
--- a/src/carobstand/core/registry.py
+++ b/src/carobstand/core/registry.py
@@ -53,6 +53,25 @@
     malformed_cold: str = ""
 
 
+@attrs.frozen
+class Lapse:
+    """A registration that is missing, though its server may still run.
+
+    Attributes
+    ----------
+    since : float
+        Time before which it was not removed.
+    until : float
+        Time at which the server is removed unless it registered again.
+    grace_s : float
+        Time after a leaving at which the server must receive no new requests.
+    """
+
+    since: float
+    until: float
+    grace_s: float
+
+
 @attrs.define(eq=False)
 class Registry:
     """Current registrations, and lapsed ones whose servers are still used.
@@ -60,15 +79,18 @@
     Attributes
     ----------
     servers : dict of str to Registration
-    lapsed : dict of str to float
-        Servers whose registration lapsed around an outage of the store, with the time
-        at which they are removed unless they registered again.
+    lapsed : dict of str to Lapse
+        Servers whose registration is missing after an outage of the store.
+    staying_at : dict of str to float
+        Latest time at which a server is known not to have been leaving, as it answered
+        a later request without saying so.
     removed : dict of str to Registration
         Last registrations of servers that are gone, the latest last.
     """
 
     servers: dict = attrs.field(factory=dict)
     lapsed: dict = attrs.field(factory=dict)
+    staying_at: dict = attrs.field(factory=dict)
     removed: dict = attrs.field(factory=dict)
 
 
@@ -106,7 +128,7 @@
     registry.removed.pop(registration.server_id, None)
 
 
-def remove(registry, server_id, now, grace_s):
+def remove(registry, server_id, now, grace_s, since=None):
     """Remove a registration that is no longer in the store.
 
     Parameters
@@ -114,19 +136,48 @@
     grace_s : float
         Grace period for which a server that was ready is still used: positive only
         around an outage of the store, when registrations of running servers lapse.
+    since : float or None
+        Lower bound of the time of the removal; `now` if None.
     """
     known = registry.servers.get(server_id)
     if known is None:
         return
     if grace_s > 0 and known.is_ready:
-        registry.lapsed.setdefault(server_id, now + grace_s)
+        lapse = Lapse(now if since is None else since, now + grace_s, grace_s)
+        registry.lapsed.setdefault(server_id, lapse)
         return
     _drop(registry, server_id)
 
 
+def record_staying(registry, server_id, at):
+    """Record that a server was not leaving at a time, by its own answer."""
+    if server_id in registry.servers:
+        known_at = registry.staying_at.get(server_id, at)
+        registry.staying_at[server_id] = max(known_at, at)
+
+
+def is_doubtful(registry, server_id, now):
+    """Whether a server may have left so long ago that it must get no requests.
+
+    Its registration is missing. It may have been removed any time since the last
+    confirmed state of the store, or since the server's last word that it stays, and the
+    grace period counts from there: what was read late was not made late.
+    """
+    lapse = registry.lapsed.get(server_id)
+    if lapse is None:
+        return False
+    since = max(lapse.since, registry.staying_at.get(server_id, lapse.since))
+    return now >= min(lapse.until, since + lapse.grace_s)
+
+
+def doubtful(registry, now):
+    """Return the ids of the servers of which `is_doubtful` holds."""
+    return [key for key in registry.lapsed if is_doubtful(registry, key, now)]
+
+
 def expire(registry, now):
     """Remove lapsed servers whose grace period has ended; return their ids."""
-    expired = [key for key, until in registry.lapsed.items() if until <= now]
+    expired = [key for key, lapse in registry.lapsed.items() if lapse.until <= now]
     for server_id in expired:
         _drop(registry, server_id)
     return expired
@@ -134,6 +185,7 @@
 
 def _drop(registry, server_id):
     registry.lapsed.pop(server_id, None)
+    registry.staying_at.pop(server_id, None)
     known = registry.servers.pop(server_id, None)
     if known is not None:
         registry.removed[server_id] = known
@@ -166,10 +218,13 @@
     return item.heartbeats < other.heartbeats
 
 
-def replace_all(registry, registrations, now, grace_s):
-    """Replace the contents of the registry by those of a full read of the store."""
+def replace_all(registry, registrations, now, grace_s, since=None):
+    """Replace the contents of the registry by those of a full read of the store.
+
+    Registrations that are missing were removed at `since` or later, `now` if None.
+    """
     listed = {item.server_id for item in registrations}
     for server_id in [key for key in registry.servers if key not in listed]:
-        remove(registry, server_id, now, grace_s)
+        remove(registry, server_id, now, grace_s, since)
     for item in registrations:
         put(registry, item)
--- a/src/carobstand/entry/fleet.py
+++ b/src/carobstand/entry/fleet.py
@@ -69,6 +69,9 @@
 LAPSE_WINDOW_S = 10.0
 """Time after the last failed store call in which a removed record may have lapsed."""
 
+MAX_AGE_S = 1e6
+"""Longest age in log lines; changes before the first read have none."""
+
 KEY_SLACK_S = 0.5
 """Time between the check of an API key and the start of its request at a server."""
 
@@ -83,6 +86,8 @@
     store : platform.kv.Store
     configuration : core.routes.Configuration or None
     servers : core.registry.Registry
+    registrations_missing : signals.Signal
+        Notified when servers may have left, or only their registrations have lapsed.
     announced : core.announcements.Announcements
         Signals that backend servers sent about themselves in responses.
     named : dict of str to list of core.named_versions.SeenVersion
@@ -147,6 +152,7 @@
     store: object
     configuration: object = None
     servers: registry.Registry = attrs.field(factory=registry.Registry)
+    registrations_missing: signals.Signal = attrs.field(factory=signals.Signal)
     announced: announcements.Announcements = attrs.field(
         factory=announcements.Announcements
     )
@@ -419,8 +425,9 @@
     server_id = item.key.removeprefix(records.SERVER_PREFIX)
     now = anyio.current_time()
     if item.value is None:
-        registry.remove(fleet.servers, server_id, now, _lapse_grace(fleet, now))
-        eventlog.event("server.removed", server=server_id)
+        grace_s, since = _lapse_grace(fleet, now), fleet.changes_since
+        registry.remove(fleet.servers, server_id, now, grace_s, since)
+        _note_missing(fleet, [server_id], since)
         return
     try:
         registration = records.decode_registration(item.key, item.value)
@@ -459,7 +466,11 @@
     before = {
         item.server_id: _last_registration(fleet, item.server_id) for item in listed
     }
-    registry.replace_all(fleet.servers, listed, now, _lapse_grace(fleet, now))
+    since = fleet.confirmed_at
+    missing = fleet.servers.servers.keys() - {item.server_id for item in listed}
+    grace_s = _lapse_grace(fleet, now)
+    registry.replace_all(fleet.servers, listed, now, grace_s, since)
+    _note_missing(fleet, sorted(missing), since)
     for item in listed:
         cold_servers.note_start(fleet, item.server_id, item.started_ms)
         # A record that was read before would make the server cold once more.
@@ -467,6 +478,21 @@
             cold_servers.note_cold_record(fleet, item, before[item.server_id])
 
 
+def _note_missing(fleet, server_ids, since):
+    """Log registrations that are gone, and have their servers asked if in doubt."""
+    now = anyio.current_time()
+    for server_id in server_ids:
+        eventlog.event(
+            "server.removed",
+            server=server_id,
+            ago_s=None if since is None else round(min(now - since, MAX_AGE_S), 3),
+            lapsed=server_id in fleet.servers.lapsed,
+            doubtful=registry.is_doubtful(fleet.servers, server_id, now),
+        )
+    if fleet.servers.lapsed:
+        fleet.registrations_missing.notify()
+
+
 def _lapse_grace(fleet, now):
     return registry.lapse_grace_s(fleet.deployment.bounds, now - fleet.store_failed_at)
 
--- a/src/carobstand/entry/response_heads.py
+++ b/src/carobstand/entry/response_heads.py
@@ -3,7 +3,7 @@
 import anyio
 
 from carobstand import eventlog
-from carobstand.core import announcements, engine_load
+from carobstand.core import announcements, engine_load, registry
 from carobstand.entry import server_limits
 
 
@@ -49,6 +49,8 @@
             announced, server_id, started_ms, head.backoff_s, now
         )
         eventlog.event("server.wants_quiet", server=server_id, pause_s=head.backoff_s)
+    if not head.is_leaving and head.status != 421 and (head.is_signed or head.not_run):
+        registry.record_staying(fwd.fleet.servers, server_id, call.sent_at)
     if head.status != 421 or head.server_id:
         server_limits.record_answer(
             fwd.limits, server_id, started_ms, head, call.sent_at
--- a/src/carobstand/entry/server_choice.py
+++ b/src/carobstand/entry/server_choice.py
@@ -14,6 +14,7 @@
     outstanding,
     placement,
     queue_policy,
+    registry,
     sampling,
     shortlist,
 )
@@ -170,12 +171,22 @@
         regions=fwd.fleet.deployment.regions,
         permitted_regions=permitted_regions.of_call(fwd.fleet, call),
         evacuated=fwd.fleet.evacuation_marks.in_force,
+        is_doubtful=_doubt_condition(fwd),
         withholds=lambda server_id: withholds(fwd.limits, server_id),
         lacks_memory=_memory_condition(fwd, call, model, location),
         is_too_large=needed_tokens(call) > engine_memory.limit_tokens(model),
     )
 
 
+def _doubt_condition(fwd):
+    """Return the condition that a server may have left some time ago."""
+    servers = fwd.fleet.servers
+    if not servers.lapsed:
+        return eligibility.never
+    now = anyio.current_time()
+    return lambda server_id: registry.is_doubtful(servers, server_id, now)
+
+
 def needed_tokens(call):
     """Return the tokens of a call that count in the memory of an engine."""
     return engine_memory.needed_tokens(call.size, call.req.max_answer_tokens)
