Bound the work that small parts of one server's responses cause

What callers saw: while engines sent chunks of one byte without end, 106 of 120 requests had no answer within 5.5 s at a deadline of 2.5 s, and 6 of 15 at another service failed (one process with stand-ins).

Cause: the parts of a message were bounded, but checked once for each read, and each part took a wait of its own; 40 messages at once use the bound 40 times.

Change: parts that arrived together are returned together, the bounds are checked after at most 32 of them, and small parts are charged to their server over all of its responses. Such a server is left alone at once.

One test compared each part that was read; it now compares all bytes in order, as parts are joined: none may be missing, twice or moved, as before.

--- a/src/carobstand/entry/backend_pool.py
+++ b/src/carobstand/entry/backend_pool.py
@@ -4,6 +4,7 @@
 import attrs
 
 from carobstand import eventlog, http1
+from carobstand.core import message_bounds
 
 CONNECT_TIMEOUT_S = 0.4
 """Connect timeout: several round trips between regions, but less than the repetition of
@@ -12,14 +13,21 @@
 MAX_IDLE_S = 10.0
 """Maximum idle time of a reused connection; a server may set a shorter one."""
 
+MAX_PEERS = 16_384
+"""Servers whose work is kept; addresses change as servers are replaced."""
+
 
 @attrs.define(eq=False)
 class BackendPool:
-    """Idle connections and number of open connections, by address."""
+    """Idle connections and number of open connections, by address.
+
+    `peer_works` holds what is charged to a server for small parts of its responses.
+    """
 
     idle: dict = attrs.field(factory=dict)
     open_counts: dict = attrs.field(factory=dict)
     used_at: dict = attrs.field(factory=dict)
+    peer_works: dict = attrs.field(factory=dict)
 
 
 async def acquire(pool, address, request_id):
@@ -48,11 +56,18 @@
     pool.idle.setdefault(address, []).extend(skipped)
     if found is None:
         found = await http1.connect(address, CONNECT_TIMEOUT_S)
+        found.peer_work = _peer_work(pool, address)
         pool.open_counts[address] = pool.open_counts.get(address, 0) + 1
     found.request_ids.append(request_id)
     return found
 
 
+def _peer_work(pool, address):
+    if address not in pool.peer_works and len(pool.peer_works) >= MAX_PEERS:
+        del pool.peer_works[next(iter(pool.peer_works))]
+    return pool.peer_works.setdefault(address, message_bounds.PeerWork())
+
+
 def release(pool, conn):
     """Keep a connection after its exchange; return False if it cannot be reused."""
     if not conn.request_ids[-1] or not http1.prepare_for_reuse(conn):
--- a/src/carobstand/entry/forwarding.py
+++ b/src/carobstand/entry/forwarding.py
@@ -352,7 +352,11 @@
         return outcome
     except errors.HttpError as exc:
         unread_s = call.reply.unread_s if conn.is_ended else 0.0
-        health.lost(state, anyio.current_time(), server.started_ms, unread_s)
+        now = anyio.current_time()
+        health.lost(state, now, server.started_ms, unread_s)
+        if isinstance(exc, errors.ExcessiveOverheadError):
+            # Each further response would cost as much processor time.
+            health.refused(state, now, server.started_ms)
         if conn.is_ended:
             call.lost = poison_parts.record_lost(
                 fwd, call, server, response_heads.newest_start(fwd, server)
--- a/src/carobstand/errors.py
+++ b/src/carobstand/errors.py
@@ -102,6 +102,10 @@
         self.sent = sent
 
 
+class ExcessiveOverheadError(HttpError):
+    """A response has far more protocol overhead than content."""
+
+
 class TooLargeError(HttpError):
     """A response exceeds the size limit."""
 
--- a/src/carobstand/http1.py
+++ b/src/carobstand/http1.py
@@ -80,6 +80,10 @@
         Of the response being received.
     request_ids : collections.deque of str
         Ids of the most recent requests.
+    peer_work : core.message_bounds.PeerWork
+        Shared by the connections to one server.
+    is_complete : bool
+        Whether the end of the response has been read.
     is_ended : bool
         Whether the server closed or reset the connection.
     """
@@ -99,6 +103,8 @@
     request_ids: collections.deque = attrs.field(
         factory=lambda: collections.deque(maxlen=MAX_RECENT_REQUEST_IDS)
     )
+    peer_work: message_bounds.PeerWork = attrs.field(factory=message_bounds.PeerWork)
+    is_complete: bool = False
     is_ended: bool = False
 
 
@@ -206,6 +212,7 @@
     HttpError
     """
     conn.uses += 1
+    conn.is_complete = False
     message_bounds.reset(conn.message_counters)
     head = h11.Request(method=method, target=target, headers=headers)
     parts = [conn.parser.send(head)]
@@ -239,23 +246,63 @@
 async def receive_data(conn):
     """Return the next bytes of the response body, or None at its end.
 
-    No bytes are lost if it is cancelled; the next call returns them.
+    Small parts that have arrived together are returned together. No bytes are lost if
+    it is cancelled; the next call returns them.
     """
-    while True:
+    while not conn.is_complete:
         event = await _next_event(conn)
         if type(event) is h11.Data:
-            if message_bounds.count_part(conn.message_counters, len(event.data)):
+            data, is_turn_over = _join_parts(conn, event)
+            _check_overhead(conn)
+            if is_turn_over:
                 await anyio.lowlevel.cancel_shielded_checkpoint()
-            if event.data:
-                return bytes(event.data)
+            if data:
+                return data
         elif type(event) is h11.EndOfMessage:
-            return None
+            conn.is_complete = True
         else:
             raise errors.HttpError(
                 "the response ended before its body was complete",
                 step="http.receive",
                 peer=conn.peer,
             )
+    return None
+
+
+def _join_parts(conn, event):
+    """Return the bytes of a part and of those that follow it in the parser's buffer.
+
+    Returns
+    -------
+    data : bytes
+    is_turn_over : bool
+        Whether control has to return to the event loop before the next part.
+    """
+    parts = [event.data]
+    while not message_bounds.count_part(conn.message_counters, len(event.data)):
+        try:
+            event = conn.parser.next_event()
+        except h11.RemoteProtocolError:
+            # The parser raises it again when the next part is asked for.
+            return b"".join(parts), False
+        if type(event) is not h11.Data:
+            conn.is_complete = type(event) is h11.EndOfMessage
+            return b"".join(parts), False
+        parts.append(event.data)
+    return b"".join(parts), True
+
+
+def _check_overhead(conn):
+    """Raise ExcessiveOverheadError if the response, or its server, exceeds a bound."""
+    counters, now = conn.message_counters, anyio.current_time()
+    if message_bounds.is_excessive(counters) or message_bounds.charge(
+        counters, conn.peer_work, now
+    ):
+        raise errors.ExcessiveOverheadError(
+            "the protocol overhead of the response exceeds its limit",
+            step="http.receive",
+            peer=conn.peer,
+        )
 
 
 async def _next_event(conn):
@@ -270,12 +317,7 @@
                 data = b""
                 conn.is_ended = True
             conn.message_counters.received += len(data)
-            if message_bounds.is_excessive(conn.message_counters):
-                raise errors.HttpError(
-                    "the protocol overhead of the response exceeds its limit",
-                    step="http.receive",
-                    peer=conn.peer,
-                )
+            _check_overhead(conn)
             conn.parser.receive_data(data)
     except h11.RemoteProtocolError as exc:
         raise errors.HttpError(
