Send no body in the response to a refused HEAD request

Cause: the refusal had a body, for which h11 raises in a response to HEAD, after the response counted as started.

Change: the body is left out where responses are written, for all of them.

--- a/src/carobstand/http1_server.py
+++ b/src/carobstand/http1_server.py
@@ -167,10 +167,12 @@
 
     `started` is set when sending its head begins, `finished` when sending its end does.
     `unread_s` sums up the sends that took at least `SLOW_SEND_S`, as the caller did not
-    read.
+    read. With `is_head`, the response has the head that another method would get, and
+    no body.
     """
 
     conn: Connection
+    is_head: bool = False
     started: bool = False
     finished: bool = False
     unread_s: float = 0.0
@@ -210,14 +212,19 @@
 
 async def send_data(reply, data):
     """Send part of the response body."""
-    await _send_timed(reply, reply.conn.parser.send(h11.Data(data=data)))
+    await _send_timed(reply, _body_part(reply, data))
+
+
+def _body_part(reply, data):
+    """Return a part of the body as sent; the response to a HEAD request has none."""
+    return b"" if reply.is_head else reply.conn.parser.send(h11.Data(data=data))
 
 
 async def start_response_with(reply, status, headers, data):
     """Send the head of a chunked response together with the first bytes of its body."""
     reply.started = True
     head = _head(reply, status, headers, None)
-    await _send_timed(reply, head + reply.conn.parser.send(h11.Data(data=data)))
+    await _send_timed(reply, head + _body_part(reply, data))
 
 
 async def finish_response(reply):
@@ -234,7 +241,7 @@
     parser = reply.conn.parser
     raw = _head(reply, status, headers, len(body))
     if body:
-        raw += parser.send(h11.Data(data=body))
+        raw += _body_part(reply, body)
     raw += parser.send(h11.EndOfMessage())
     await _send_end(reply.conn, raw)
 
@@ -388,7 +395,7 @@
         log_withdrawn(http1.header(event.headers, b"request-id"), None, received_at)
         return False
     req = Request(event.method, event.target, event.headers, body, received_at)
-    reply = Reply(conn)
+    reply = Reply(conn, is_head=event.method == b"HEAD")
     async with anyio.create_task_group() as tg:
         tg.start_soon(_read_ahead, conn, tg.cancel_scope)
         try:
--- a/testing/test_forwarding.py
+++ b/testing/test_forwarding.py
@@ -437,3 +437,30 @@
         ).status == 200
 
     run_with_fleet(check, entries=3)
+
+
+@pytest.mark.parametrize(
+    ("path", "key", "status"),
+    [("/nowhere/x", "k1", 404), ("/q/x", "unknown", 401), ("/q/x", "k1", 503)],
+)
+def test_a_refused_head_request_gets_an_answer_and_keeps_its_connection(
+    path, key, status
+):
+    """The body of the refusal raised an error, and the connection was closed."""
+
+    async def check(fleet):
+        if status == 503:
+            for backend_server in fleet.engines.values():
+                backend_server.fault, backend_server.faults_left = "shed", 100
+        address = fleet.entries["entry-1"].deployment.ingress_address
+        conn = await http1.connect(address, 1.0)
+        for number in range(2):
+            answer = await fleets.send_request_on(
+                conn, fleet, path, method="HEAD", key=key, request_id=f"h{number}"
+            )
+            assert (answer.status, answer.body, answer.complete) == (status, b"", True)
+            assert int(answer.headers["content-length"]) > 0
+            assert http1.prepare_for_reuse(conn)
+        await http1.close(conn)
+
+    run_with_fleet(check)
