Load no weights whose check is out of date

Cause: after four checks that took too long, the load was ordered without a limit on the age of the check.

Change: checks after a late one read more pieces at once; weights that cannot be checked in time are not loaded, and the check begins anew.

--- a/src/carobstand/agent/loading.py
+++ b/src/carobstand/agent/loading.py
@@ -1,7 +1,6 @@
 """Stages received weights on the engine's VM, verifies them and orders the load."""
 
 import hashlib
-import math
 import random
 
 import anyio
@@ -35,9 +34,9 @@
 """Longest time between the check of the first staged piece and the order to load. The
 platform allows pieces that were spoilt in the last 3 s; the rest is for the order."""
 
-MAX_CHECKS = 4
-"""Checks after which the load is ordered all the same: on a VM that needs longer for
-each check, no weights would be loaded otherwise."""
+READS_AT_ONCE = (1, 4, 16, 32)
+"""Staged pieces that are read back at once, for the first check and for each one after
+a check that took too long. Weights that cannot be checked in time are not loaded."""
 
 
 @attrs.define(eq=False)
@@ -254,41 +253,70 @@
 async def _check_and_load(view, stage, copy):
     """Check all staged pieces and order the load soon after.
 
-    Pieces may spoil at any time, so after a pause of this process the check is
-    repeated.
+    Pieces may spoil at any time, so a check that began too long ago is repeated, for
+    example after a pause of this process. On an engine that needs long for each piece,
+    several are read at once.
     """
-    for _ in range(MAX_CHECKS):
+    for reads in READS_AT_ONCE:
         began_at = anyio.current_time()
-        if not await _repair_staged(view, stage, copy):
+        if not await _repair_staged(view, stage, copy, reads):
             return
         if await _order_load(view, copy, began_at + MAX_CHECK_AGE_S):
             return
         took_s = round(anyio.current_time() - began_at, 3)
         eventlog.event("weights.check_late", version=copy.version, took_s=took_s)
-    await _order_load(view, copy)
+    # `_stage_and_load` begins anew; the engine may answer faster by then.
+    await anyio.sleep(RETRY_S)
 
 
-async def _repair_staged(view, stage, copy):
-    """Read back all staged pieces and stage corrupt ones again.
+async def _repair_staged(view, stage, copy, reads):
+    """Read back all staged pieces, `reads` at once, and stage corrupt ones again.
 
     Returns whether all pieces read back right. If one never does, nothing is staged on
     this engine for a pause.
     """
-    corrupt = 0
-    for number, digest in enumerate(copy.digests):
-        attempts = 0
-        while not await _reads_back(view, copy, number, digest):
-            if staging_limit.is_exhausted(attempts):
-                _pause_staging(view, stage, copy, number, attempts)
-                return False
-            attempts += 1
-            await engine_client.stage_piece(
-                view.engine, copy.model, number, copy.pieces[number]
-            )
-        corrupt += attempts
-    if corrupt:
-        eventlog.event("weights.repaired", version=copy.version, pieces=corrupt)
-    return True
+    left = iter(enumerate(copy.digests))
+    repaired, is_stageable = 0, True
+
+    async def check():
+        nonlocal repaired, is_stageable
+        for number, digest in left:
+            attempts = await _repair_piece(view, copy, number, digest)
+            if attempts is None:
+                _pause_staging(view, stage, copy, number, staging_limit.MAX_ATTEMPTS)
+                is_stageable = False
+                tg.cancel_scope.cancel()
+                return
+            repaired += attempts
+
+    try:
+        async with anyio.create_task_group() as tg:
+            for _ in range(reads):
+                tg.start_soon(check)
+    except BaseExceptionGroup as group:
+        raise errors.first_carobstand_error(group) from group
+    if repaired:
+        eventlog.event("weights.repaired", version=copy.version, pieces=repaired)
+    return is_stageable
+
+
+async def _repair_piece(view, copy, number, digest):
+    """Stage a piece until it reads back right.
+
+    Returns
+    -------
+    attempts : int or None
+        Times that it was staged; None if it never reads back right.
+    """
+    attempts = 0
+    while not await _reads_back(view, copy, number, digest):
+        if staging_limit.is_exhausted(attempts):
+            return None
+        attempts += 1
+        await engine_client.stage_piece(
+            view.engine, copy.model, number, copy.pieces[number]
+        )
+    return attempts
 
 
 async def _reads_back(view, copy, number, digest):
@@ -308,7 +336,7 @@
     )
 
 
-async def _order_load(view, copy, order_by=math.inf):
+async def _order_load(view, copy, order_by):
     """Order the engine to load the staged pieces; wait until its report shows it.
 
     Returns
--- a/testing/test_platform_weights.py
+++ b/testing/test_platform_weights.py
@@ -250,13 +250,57 @@
     run_with_agents(check, engines=3, entries=3)
 
 
+def slow_down_checks(monkeypatch, piece_s, max_age_s):
+    """Have each staged piece read back for `piece_s`; set the age of a late check."""
+    read = loading._reads_back
+
+    async def read_slowly(view, copy, number, digest):
+        is_right = await read(view, copy, number, digest)
+        await anyio.sleep(piece_s)
+        return is_right
+
+    monkeypatch.setattr(loading, "_reads_back", read_slowly)
+    monkeypatch.setattr(loading, "MAX_CHECK_AGE_S", max_age_s)
+
+
+def test_pieces_are_read_at_once_where_a_check_takes_long(monkeypatch):
+    async def check(fleet):
+        slow_down_checks(monkeypatch, 0.1, 0.06 * fleet.origin.pieces)
+        fleets.name_version(fleet, 2)
+        await fleets.until(lambda: fleet.engines["i-1"].version == 2, 15)
+
+    run_with_agents(check, engines=1)
+
+
+def test_weights_that_cannot_be_checked_in_time_are_not_loaded(monkeypatch):
+    """After four late checks a load was ordered of pieces that had turned bad since."""
+
+    async def check(fleet):
+        backend_server = fleet.engines["i-1"]
+
+        async def spoil():
+            while True:
+                await anyio.sleep(0.02)
+                if 0 in backend_server.staged:
+                    backend_server.staged[0] = b"rotten"
+
+        slow_down_checks(monkeypatch, 0.03, 0.02)
+        fleets.name_version(fleet, 2)
+        await fleets.until(lambda: 0 in backend_server.staged)
+        fleet.tasks.start_soon(spoil)
+        await anyio.sleep(6.0)
+        assert backend_server.corrupt_loads == 0
+
+    run_with_agents(check, engines=1)
+
+
 def test_pieces_that_spoil_during_a_pause_before_the_order_are_replaced(monkeypatch):
     """Guards against loads of pieces that were checked long before a pause."""
     repair, servers = loading._repair_staged, []
 
-    async def repair_and_pause(view, stage, copy):
+    async def repair_and_pause(view, stage, copy, reads):
         monkeypatch.setattr(loading, "_repair_staged", repair)
-        is_right = await repair(view, stage, copy)
+        is_right = await repair(view, stage, copy, reads)
         servers[0].staged[5] = b"rotten"
         await anyio.sleep(PAUSE_S)
         return is_right
