--- a/src/carobstand/core/part_trials.py
+++ b/src/carobstand/core/part_trials.py
@@ -80,7 +80,7 @@
     is_sent: bool = False
 
 
-def _unproven(state, parts):
+def _convictions(state, parts):
     return [state.convicted[part] for part in parts if part in state.convicted]
 
 
@@ -95,7 +95,7 @@
         Parts of recent requests, which tell how common the unproven ones are.
     now : float
     """
-    found = _unproven(state, parts)
+    found = _convictions(state, parts)
     if len(found) > 1 and now - max(item.at for item in found) < JOINT_DELAY_S:
         return False
     if any(now < _due_at(state, item, now) for item in found):
@@ -160,7 +160,7 @@
 
 def record_sent(state, tried):
     """Record that the request of an own trial is sent."""
-    for item in _unproven(state, tried):
+    for item in _convictions(state, tried):
         if item.trial is not None:
             item.trial.is_sent = True
         if _is_early(item):
--- a/src/carobstand/core/poison_parts.py
+++ b/src/carobstand/core/poison_parts.py
@@ -383,7 +383,8 @@
     while True:
         deadly = [part for part in state.suspects if _is_deadly(state, part, now)]
         if not deadly:
-            return convicted
+            # A proven conviction may have lifted an unproven one.
+            return [part for part in convicted if part in state.convicted]
         worst = max(deadly, key=lambda part: _rank(state, part))
         crashes = set(state.suspects[worst])
         alike = [worst]
--- a/src/carobstand/entry/fleet.py
+++ b/src/carobstand/entry/fleet.py
@@ -514,8 +514,8 @@
         # The entry that removed the record reports the reason, if there is one.
         fleet.part_records.pop(part, None)
         return
-    fleet.part_records[part] = item
     record = part_records.decode(item.value)
+    fleet.part_records[part] = item
     state, now = fleet.prompt_parts, anyio.current_time()
     if part not in state.convicted and _is_outdated(fleet, part, now):
         return
