Wait for late writes in two tests without a race

Seen at load 12: the test of a late removal timed out in 5 of 6 runs, as the entry had registered before the test noted the revision; the test of a late record in 2 of some 20, as the late write came in the same moment as the entry's next pass, which removed it between two looks. They now note the revision before the entry starts, and look into the store's log.

--- a/testing/test_part_records.py
+++ b/testing/test_part_records.py
@@ -51,13 +51,14 @@
     """A write without an answer was executed after an answer had cleared the part."""
 
     async def check(fleet):
-        fleet.store.txn_faults.append(kv.Delay(2.5))
+        fleet.store.txn_faults.append(kv.Delay(3.0))
         await tell(fleet, convicted_ms=0)
         assert await status(fleet) == rejections.POISON_STATUS
         await platform_fleet.until(lambda: not fleet.store.txn_faults)
         await tell(fleet, sound_ms=0)
         assert await status(fleet) == 200
-        await platform_fleet.until(lambda: KEY in fleet.store.items)
+        # The entry removes the record at once; its log shows that it was written.
+        await platform_fleet.until(lambda: was_written(fleet))
         await anyio.sleep(platform_fleet.CHANGE_DELAY_S)
         assert await status(fleet) == 200
         await platform_fleet.until(lambda: KEY not in fleet.store.items)
@@ -65,6 +66,11 @@
     run_running(check)
 
 
+def was_written(fleet):
+    """Whether the record of the part was ever written."""
+    return any(key == KEY and item for _, key, item in fleet.store.log)
+
+
 def test_a_removal_that_is_executed_late_spares_a_later_conviction():
     """A removal without an answer took away the record of a new conviction."""
 
--- a/testing/test_registration.py
+++ b/testing/test_registration.py
@@ -58,9 +58,9 @@
         fleet.entries["entry-1"].leaving.set()
         await platform_fleet.until(lambda: not fleet.store.txn_faults)
         await platform_fleet.stop(fleet, "entry-1")
-        await platform_fleet.add_entry(fleet, "entry-1", ready=False)
         key = registration_faults.key_of()
         first = fleet.store.items[key].revision
+        await platform_fleet.add_entry(fleet, "entry-1", ready=False)
         await platform_fleet.until(lambda: fleet.store.items[key].revision > first)
         revision = fleet.store.items[key].revision
         await anyio.sleep(2.0)
