Take the events of a wait before its tasks run

Seen once in some 20 runs at load 18: test_an_entry_that_stops_does_not_register_again timed out, the record stood 5 s longer. wait_any, added with the entry's record, started a task for each signal; a notification before these had run was missed until the next renewal of the lease. test_signals.py shows it without load: it fails before, passes now.

--- a/src/carobstand/signals.py
+++ b/src/carobstand/signals.py
@@ -30,11 +30,14 @@
 
 async def wait_any(group, timeout_s):
     """Wait for the next notification of one of several signals, at most `timeout_s`."""
+    # Taken before the tasks run, as a notification may come in between.
+    events = [signal._event for signal in group]
 
-    async def wait(signal):
-        await signal.wait(timeout_s)
+    async def wait(event):
+        await event.wait()
         tg.cancel_scope.cancel()
 
-    async with anyio.create_task_group() as tg:
-        for signal in group:
-            tg.start_soon(wait, signal)
+    with anyio.move_on_after(timeout_s):
+        async with anyio.create_task_group() as tg:
+            for event in events:
+                tg.start_soon(wait, event)
