Try rare parts soon where a test begins with a convicted part

The tests now set that time to 0.5 s, or send for 10 s longer to processes of their own. What they check, and their bounds, are unchanged; the two tests of the users' bound on deadly requests keep the real time.

--- a/testing/test_poison_parts.py
+++ b/testing/test_poison_parts.py
@@ -8,6 +8,7 @@
 import anyio
 import pytest
 
+from carobstand.core import part_trials
 from carobstand.core import poison_parts as core_parts
 from carobstand.entry import part_evidence, rejections
 from carobstand.standin.platform import engine, kv
@@ -25,7 +26,11 @@
 DOWN_S = 1.0
 CONVICTED_S = 6.0
 """Time in which some ten requests with the deadly part come: two raise the suspicion,
-and two trials prove it."""
+and a trial proves it."""
+
+QUICK_CALM_S = 0.5
+"""Time without a crash after which a trial follows where a test begins with a convicted
+part."""
 
 
 @contextlib.asynccontextmanager
@@ -81,8 +86,17 @@
     platform_fleet.run(scenario, timeout_s=30.0)
 
 
+@pytest.fixture
+def quick_trials(monkeypatch):
+    """Have rare parts tried soon, so that a part is convicted within `CONVICTED_S`."""
+    monkeypatch.setattr(part_trials, "RARE_CALM_S", QUICK_CALM_S)
+
+
 def run_convicted(check, entries=3, timeout_s=40.0):
-    """Run ``check(fleet, traffic)`` once a part is convicted at all entries."""
+    """Run ``check(fleet, traffic)`` once a part is convicted at all entries.
+
+    To be used with `quick_trials`.
+    """
 
     async def scenario():
         async with fleet_with_deadly_part(entries) as fleet:
@@ -116,7 +130,7 @@
     assert len(part_traffic.deadly_arrivals(fleet, 0.0)) == before
 
 
-def test_an_entry_that_starts_later_rejects_a_convicted_part():
+def test_an_entry_that_starts_later_rejects_a_convicted_part(quick_trials):
     async def check(fleet, traffic):
         await platform_fleet.add_entry(fleet, "entry-9")
         await check_entry_rejects(fleet, traffic, "entry-9")
@@ -124,7 +138,9 @@
     run_convicted(check)
 
 
-def test_an_entry_that_starts_without_the_record_learns_of_a_convicted_part():
+def test_an_entry_that_starts_without_the_record_learns_of_a_convicted_part(
+    quick_trials,
+):
     async def check(fleet, traffic):
         for key in [key for key in fleet.store.items if "/parts/" in key]:
             del fleet.store.items[key]
@@ -135,7 +151,7 @@
     run_convicted(check)
 
 
-def test_a_convicted_part_is_rejected_after_all_entries_have_restarted():
+def test_a_convicted_part_is_rejected_after_all_entries_have_restarted(quick_trials):
     async def check(fleet, traffic):
         await anyio.sleep(1.5)
         names = list(fleet.entries)
@@ -148,7 +164,7 @@
     run_convicted(check)
 
 
-def test_a_deadly_part_is_convicted_while_the_store_is_away():
+def test_a_deadly_part_is_convicted_while_the_store_is_away(quick_trials):
     async def scenario():
         async with fleet_with_deadly_part(3) as fleet:
             traffic = part_traffic.Traffic(list(fleet.entries), deadly_share=0.0)
@@ -167,7 +183,9 @@
     platform_fleet.run(scenario, timeout_s=30.0)
 
 
-def test_an_entry_that_heard_nothing_learns_of_a_convicted_part(monkeypatch):
+def test_an_entry_that_heard_nothing_learns_of_a_convicted_part(
+    monkeypatch, quick_trials
+):
     send = part_evidence._send
 
     async def scenario():
@@ -204,7 +222,9 @@
                 await anyio.sleep(platform_fleet.CHANGE_DELAY_S)
                 processes["entry-3"].send_signal(signal.SIGSTOP)
                 traffic = part_traffic.Traffic(["entry-1", "entry-2"])
-                await part_traffic.send(fleet, traffic, CONVICTED_S)
+                # The processes try a rare part after 10 s without a crash.
+                calm_s = part_trials.RARE_CALM_S
+                await part_traffic.send(fleet, traffic, calm_s + CONVICTED_S)
                 processes["entry-3"].send_signal(signal.SIGCONT)
                 await anyio.sleep(1.0)
                 await check_entry_rejects(fleet, traffic, "entry-3")
@@ -231,7 +251,9 @@
     platform_fleet.run(scenario, timeout_s=30.0)
 
 
-def test_a_part_that_no_longer_crashes_servers_is_served_after_a_probe(monkeypatch):
+def test_a_part_that_no_longer_crashes_servers_is_served_after_a_probe(
+    monkeypatch, quick_trials
+):
     async def check(fleet, traffic):
         monkeypatch.setattr(core_parts, "PROBE_DELAYS_S", (1.0, 600.0))
         for backend_server in fleet.engines.values():
@@ -246,7 +268,7 @@
     run_convicted(check)
 
 
-def test_malformed_evidence_changes_nothing():
+def test_malformed_evidence_changes_nothing(quick_trials):
     async def check(fleet, traffic):
         dep = fleet.entries["entry-1"].deployment
         messages = [
