--- a/src/carobstand/core/part_trials.py
+++ b/src/carobstand/core/part_trials.py
@@ -15,7 +15,7 @@
 
 import attrs
 
-from carobstand.core import poison_parts
+from carobstand.core import part_state, poison_parts
 
 FREE_CRASHES = 5
 """Crashes of servers up to which requests with a part are not limited in number."""
@@ -89,7 +89,7 @@
 
     Parameters
     ----------
-    state : core.poison_parts.PoisonParts
+    state : core.part_state.PoisonParts
     parts : tuple of bytes
     sample : collection of tuple of bytes
         Parts of recent requests, which tell how common the unproven ones are.
@@ -124,7 +124,7 @@
 
 
 def _is_early(item):
-    crashes = poison_parts.crash_count(item)
+    crashes = part_state.crash_count(item)
     return crashes < FREE_CRASHES and item.early_trials < MAX_EARLY_TRIALS
 
 
@@ -185,7 +185,7 @@
 
     Parameters
     ----------
-    item : core.poison_parts.Conviction
+    item : core.part_state.Conviction
     trial : Trial
     precedes : callable of (str, str)
         Whether the trial of the first entry takes place if both announced one at the
@@ -209,7 +209,7 @@
 
     Parameters
     ----------
-    state : core.poison_parts.PoisonParts
+    state : core.part_state.PoisonParts
     part : bytes
     unknown : frozenset of bytes
         Parts of the request that had no known answer.
--- a/src/carobstand/core/poison_parts.py
+++ b/src/carobstand/core/poison_parts.py
@@ -20,7 +20,7 @@
 import hashlib
 import math
 
-import attrs
+from carobstand.core import part_ids, part_state
 
 KNOWN_SOUND_S = 60.0
 """Time after an answer for which a part is convicted by a longer series only."""
@@ -86,145 +86,6 @@
 MAX_SOUND = 4_000
 """Parts kept; those without news for the longest time are dropped first."""
 
-ID_BYTES = 8
-"""Length of digests that identify parts, requests and crashes."""
-
-
-def digest(text):
-    """Return the identifier of a part, request or crash, `ID_BYTES` long."""
-    return hashlib.sha256(text.encode()).digest()[:ID_BYTES]
-
-
-def crash_id(address, start):
-    """Return the identifier of a crash, equal at every entry.
-
-    Parameters
-    ----------
-    address : str
-        ``host:port`` of the server; the first `ID_BYTES` identify it.
-    start : str
-        Identifies the start of the server that ended.
-    """
-    return digest(address) + digest(start)
-
-
-def shareable(prompt_parts):
-    """Return the identifiers of the parts of a prompt that may crash servers.
-
-    The last part belongs to its request or session alone, and is left out.
-    """
-    return tuple(digest(part) for part in prompt_parts[:-1])
-
-
-def whole(target, customer, body):
-    """Return the identifier of a request as a whole, equal for callers' retries.
-
-    Parameters
-    ----------
-    target, customer, body : bytes
-    """
-    fields = (target, customer, body)
-    sizes = b"".join(len(field).to_bytes(8, "big") for field in fields)
-    return hashlib.sha256(b"request" + sizes + b"".join(fields)).digest()[:ID_BYTES]
-
-
-def run_begun(request):
-    """Return the identifier of a run of a whole request whose answer had begun.
-
-    It stands among the requests of a sighting instead of the request itself.
-    """
-    return hashlib.sha256(b"begun" + request).digest()[:ID_BYTES]
-
-
-@attrs.define(eq=False)
-class Sightings:
-    """Requests with one part that were lost at one crash.
-
-    Attributes
-    ----------
-    at : float
-        Time of the crash.
-    requests : set of bytes
-    """
-
-    at: float
-    requests: set = attrs.field(factory=set)
-
-
-@attrs.define(eq=False)
-class Conviction:
-    """A part with which no request is sent, except trials and probes.
-
-    Attributes
-    ----------
-    at : float
-        Time of the conviction.
-    crashes : set of bytes
-        Crashes that it explains.
-    known_crashes : int
-        Crashes that others counted, as the record in the store tells.
-    asked_at : float
-        Time of the last request with it.
-    is_proven : bool
-        Whether callers are told not to come again.
-    set_aside : dict of bytes to (dict of bytes to Sightings)
-        Sightings of other parts at the crashes that it explains, by part and crash.
-    trial : core.part_trials.Trial or None
-        The one in progress.
-    tried_at : float
-        Time at which the last trial ended.
-    early_trials, late_trials : int
-    failures : int
-        Failed trials that count as evidence.
-    common : frozenset of bytes or None
-        Parts without a known answer that the requests of these had in common.
-    probes : int
-        Number of requests sent in spite of a proven conviction.
-    probed_at : float
-        Time of the last of these.
-    """
-
-    at: float
-    crashes: set = attrs.field(factory=set)
-    known_crashes: int = 0
-    asked_at: float = 0.0
-    is_proven: bool = True
-    set_aside: dict = attrs.field(factory=dict)
-    trial: object = None
-    tried_at: float = -math.inf
-    early_trials: int = 0
-    late_trials: int = 0
-    failures: int = 0
-    common: frozenset | None = None
-    probes: int = 0
-    probed_at: float = -math.inf
-
-
-def crash_count(conviction):
-    """Return the number of known crashes of servers under requests with a part."""
-    return max(len(conviction.crashes), conviction.known_crashes)
-
-
-@attrs.define(eq=False)
-class PoisonParts:
-    """What one entry knows of prompt parts, by identifier.
-
-    Attributes
-    ----------
-    suspects : dict of bytes to (dict of bytes to Sightings)
-        Sightings by crash.
-    convicted : dict of bytes to Conviction
-    sound_at : dict of bytes to float
-        Time of the last answer, the most recent last.
-    crashes : dict of bytes to float
-        Times of the last known crashes, whatever ran there.
-    """
-
-    suspects: dict = attrs.field(factory=dict)
-    convicted: dict = attrs.field(factory=dict)
-    sound_at: dict = attrs.field(factory=dict)
-    crashes: dict = attrs.field(factory=dict)
-
 
 def _bound(mapping, size):
     while len(mapping) > size:
@@ -274,7 +135,7 @@
         return True
     for item in state.convicted.values():
         if crash in item.crashes:
-            _set_aside(item, part, crash, Sightings(at, {request}))
+            _set_aside(item, part, crash, part_state.Sightings(at, {request}))
             return False
     found = state.suspects.get(part)
     if found is None:
@@ -288,7 +149,7 @@
     """Add a request to the sightings of a part by crash; return whether it is new."""
     if crash not in found and len(found) >= MAX_CRASHES:
         return False
-    seen = found.setdefault(crash, Sightings(at))
+    seen = found.setdefault(crash, part_state.Sightings(at))
     seen.at = min(seen.at, at)
     if request in seen.requests or len(seen.requests) >= MAX_REQUESTS:
         return False
@@ -347,7 +208,7 @@
     if is_request:
         is_often = len(_unbegun(state, part)) >= REQUEST_MIN_CRASHES
         return has_moments and (is_often or len(times) >= REQUEST_MIN_RUNS)
-    servers = {crash[:ID_BYTES] for crash in seen}
+    servers = {crash[: part_ids.ID_BYTES] for crash in seen}
     if has_moments and len(servers) >= MIN_SERVERS and len(requests) >= MIN_REQUESTS:
         return True
     return min(len(times), len(requests)) >= MIN_CRASHES
@@ -364,7 +225,7 @@
 
 def _is_whole(part, requests):
     """Whether a part with these requests is a request as a whole."""
-    return len(requests) <= 2 and requests <= {part, run_begun(part)}
+    return len(requests) <= 2 and requests <= {part, part_ids.run_begun(part)}
 
 
 def _unbegun(state, part):
@@ -440,7 +301,7 @@
             prove(state, part)
         return False
     own = state.suspects.pop(part, {})
-    item = Conviction(
+    item = part_state.Conviction(
         at, {*crashes, *own}, known_crashes, asked_at=at, is_proven=is_proven
     )
     state.convicted[part] = item
@@ -572,4 +433,4 @@
     for part in sorted(state.suspects):
         for crash in sorted(state.suspects[part]):
             known.update(part + crash)
-    return known.digest()[:ID_BYTES]
+    return known.digest()[: part_ids.ID_BYTES]
--- a/src/carobstand/entry/fleet.py
+++ b/src/carobstand/entry/fleet.py
@@ -19,6 +19,7 @@
     change_feed,
     entry_roster,
     evacuation,
+    part_state,
     poison_parts,
     registry,
     routes,
@@ -104,7 +105,7 @@
     own_record_changed : signals.Signal
         Notified when it is to be written or removed.
     metrics : metrics.Registry
-    prompt_parts : core.poison_parts.PoisonParts
+    prompt_parts : core.part_state.PoisonParts
     evacuation_marks : core.evacuation.Marks
         Failure domains whose servers get no requests.
     operator_items : dict of str to platform.kv.Item
@@ -167,9 +168,7 @@
     )
     own_record_changed: signals.Signal = attrs.field(factory=signals.Signal)
     metrics: object = attrs.field(factory=metrics.Registry)
-    prompt_parts: poison_parts.PoisonParts = attrs.field(
-        factory=poison_parts.PoisonParts
-    )
+    prompt_parts: part_state.PoisonParts = attrs.field(factory=part_state.PoisonParts)
     evacuation_marks: evacuation.Marks = attrs.field(factory=evacuation.Marks)
     operator_items: dict = attrs.field(factory=dict)
     unreadable: unreadable_records.Unreadable = attrs.field(
--- a/src/carobstand/entry/forwarding.py
+++ b/src/carobstand/entry/forwarding.py
@@ -149,9 +149,9 @@
         and what it found.
     reply : http1_server.Reply
     parts : tuple of bytes
-        Parts of its prompt that it may share, from `core.poison_parts.shareable`.
+        Parts of its prompt that it may share, from `core.part_ids.shareable`.
     whole : bytes
-        Identifies the request as a whole, from `core.poison_parts.whole`.
+        Identifies the request as a whole, from `core.part_ids.whole`.
     size : core.placement.Size
     terms : core.queue_policy.Terms
         Times that bound its response, on the loop's clock.
--- a/src/carobstand/entry/ingress.py
+++ b/src/carobstand/entry/ingress.py
@@ -10,8 +10,8 @@
     expected_work,
     first_attempts,
     latency_model,
+    part_ids,
     placement,
-    poison_parts,
     queue_policy,
     routes,
     value_density,
@@ -79,7 +79,7 @@
             return await rejections.refuse(reply, req, 401, "unknown key")
     eventlog.debug("request.accepted", request=req.request_id, route=route.name)
     service = routes.pick_service(route, random.random())
-    parts = poison_parts.shareable(req.prompt_parts)
+    parts = part_ids.shareable(req.prompt_parts)
     customer_name = customer.name if customer else ""
     group = queueing.length_group(route, customer_name, parts)
     size = expected_size(fwd, req, group, config.services.get(service))
@@ -92,7 +92,7 @@
         customer_record=customer,
         reply=reply,
         parts=parts,
-        whole=poison_parts.whole(req.target, customer_name.encode(), request.body),
+        whole=part_ids.whole(req.target, customer_name.encode(), request.body),
         size=size,
         terms=queue_policy.Terms(
             arrived=request.received_at,
--- a/src/carobstand/entry/part_evidence.py
+++ b/src/carobstand/entry/part_evidence.py
@@ -15,6 +15,8 @@
 from carobstand.core import (
     deployment,
     entry_roster,
+    part_ids,
+    part_state,
     part_trials,
     poison_parts,
     rendezvous,
@@ -73,7 +75,7 @@
     eventlog.event(
         "part.suspended",
         part=part.hex(),
-        crashes=poison_parts.crash_count(item),
+        crashes=part_state.crash_count(item),
         source=source,
         rare=is_rare,
     )
@@ -141,7 +143,7 @@
     """Add to a `PartEvidence` what this entry knows of a conviction and its trials."""
     found.convicted_ms = _age_ms(now, item.at)
     found.probes, found.probed_ms = item.probes, _age_ms(now, item.probed_at)
-    found.is_proven, found.crashes = item.is_proven, poison_parts.crash_count(item)
+    found.is_proven, found.crashes = item.is_proven, part_state.crash_count(item)
     found.failures, found.late_trials = item.failures, item.late_trials
     if item.common is not None:
         found.common = sorted(item.common)
@@ -230,7 +232,7 @@
 
 def _check(item):
     """Raise ValueError if evidence on a part has malformed identifiers or ages."""
-    size = poison_parts.ID_BYTES
+    size = part_ids.ID_BYTES
     crashes = [sighting.crash for sighting in item.sightings or ()]
     requests = [name for found in item.sightings or () for name in found.requests or ()]
     if len(item.part or b"") != size or any(len(name) != size for name in requests):
--- a/src/carobstand/entry/poison_parts.py
+++ b/src/carobstand/entry/poison_parts.py
@@ -11,7 +11,7 @@
 import attrs
 
 from carobstand import eventlog, http1, signals
-from carobstand.core import announcements, poison_parts
+from carobstand.core import announcements, part_ids, part_state, poison_parts
 from carobstand.core import part_trials as core_trials
 from carobstand.entry import datagram_sender, part_evidence, part_trials
 
@@ -246,7 +246,7 @@
         started_ms,
         call.parts[: poison_parts.MAX_PARTS],
         call.whole,
-        poison_parts.digest(last_part[0]) if last_part else call.whole,
+        part_ids.digest(last_part[0]) if last_part else call.whole,
         call.has_begun,
         anyio.current_time(),
         call.trial.tried if call.trial else (),
@@ -333,7 +333,7 @@
     now, news = anyio.current_time(), {}
     for item in crashed:
         name = f"{item.server.server_id}/{item.started_ms}"
-        crash = poison_parts.crash_id(item.server.address, name)
+        crash = part_ids.crash_id(item.server.address, name)
         for part, request in _sighted(item):
             if poison_parts.add_sighting(
                 fwd.fleet.prompt_parts, part, crash, request, item.at, now
@@ -350,7 +350,7 @@
 def _sighted(lost):
     """Yield the parts that a lost request is evidence against, and who was lost."""
     if lost.has_begun:
-        yield lost.whole, poison_parts.run_begun(lost.whole)
+        yield lost.whole, part_ids.run_begun(lost.whole)
         return
     yield lost.whole, lost.whole
     for part in lost.parts:
@@ -387,7 +387,7 @@
         else:
             part_evidence.suspend(fwd, item, part, "own")
     for part in proven:
-        crashes = poison_parts.crash_count(state.convicted[part])
+        crashes = part_state.crash_count(state.convicted[part])
         part_evidence.log_convicted(part, "own", crashes)
         part_evidence.withdraw_unanswered(fwd, part)
     tried = [part for item in trials for part in item.tried]
@@ -414,7 +414,7 @@
             part=part.hex(),
             server=lost.server.server_id,
             failures=item and item.failures,
-            crashes=item and poison_parts.crash_count(item),
+            crashes=item and part_state.crash_count(item),
             common=item and len(item.common or ()),
         )
     return proven
--- a/src/carobstand/part_records.py
+++ b/src/carobstand/part_records.py
@@ -5,7 +5,7 @@
 import attrs
 
 from carobstand import errors
-from carobstand.core import poison_parts
+from carobstand.core import part_ids, part_state
 from carobstand.platform import fields
 
 PREFIX = "carobstand/parts/"
@@ -35,10 +35,10 @@
 
 
 def encode(conviction):
-    """Return the store value of a `core.poison_parts.Conviction`."""
+    """Return the store value of a `core.part_state.Conviction`."""
     record = PartRecord(
         conviction.is_proven,
-        poison_parts.crash_count(conviction),
+        part_state.crash_count(conviction),
         conviction.late_trials,
     )
     return json.dumps(attrs.asdict(record)).encode()
@@ -64,6 +64,6 @@
     except ValueError as exc:
         raise errors.RecordError(f"malformed key: {exc}", step="parts") from exc
     # Blanks and capital letters are decoded too, but the record would not be found.
-    if len(part) != poison_parts.ID_BYTES or key(part) != store_key:
+    if len(part) != part_ids.ID_BYTES or key(part) != store_key:
         raise errors.RecordError("the key names no part", step="parts")
     return part
--- a/testing/test_odd_datagrams.py
+++ b/testing/test_odd_datagrams.py
@@ -8,14 +8,14 @@
 import pytest
 
 from carobstand import errors, eventlog
-from carobstand.core import deployment, poison_parts
+from carobstand.core import deployment, part_ids
 from carobstand.wire import fleet_codec
 from carobstand.wire.gen_fleet import ttypes
 from testing import platform_fleet
 
 SEED = 4
 
-OWN, PART = "127.0.0.1:7700", bytes(poison_parts.ID_BYTES)
+OWN, PART = "127.0.0.1:7700", bytes(part_ids.ID_BYTES)
 
 STATEMENT = {
     **{"server_id": "i-2", "started_ms": 1, "limit": 2.0, "named_ms": 5, "number": 1},
--- a/testing/test_odd_records.py
+++ b/testing/test_odd_records.py
@@ -10,7 +10,7 @@
 import pytest
 
 from carobstand import entry_records, errors, eventlog, part_records
-from carobstand.core import poison_parts
+from carobstand.core import part_ids
 from carobstand.entry import fleet
 from carobstand.platform import kv as platform_kv
 from carobstand.platform import records
@@ -127,7 +127,7 @@
 
 
 def test_the_key_of_a_part_has_one_form():
-    digits = bytes(range(0xA0, 0xA0 + poison_parts.ID_BYTES)).hex()
+    digits = bytes(range(0xA0, 0xA0 + part_ids.ID_BYTES)).hex()
     assert part_records.part_of(part_records.PREFIX + digits).hex() == digits
     for odd in (digits.upper(), digits + "00", digits + " ", "", "x"):
         with pytest.raises(errors.RecordError):
--- a/testing/test_part_records.py
+++ b/testing/test_part_records.py
@@ -5,14 +5,14 @@
 import anyio
 
 from carobstand import part_records
-from carobstand.core import poison_parts
+from carobstand.core import part_ids
 from carobstand.entry import rejections
 from carobstand.standin.platform import kv
 from carobstand.wire import fleet_codec
 from carobstand.wire.gen_fleet import ttypes
 from testing import platform_fleet, registration_faults
 
-PART = poison_parts.digest("c1")
+PART = part_ids.digest("c1")
 KEY = part_records.key(PART)
 HEADERS = [("Prompt-Prefix", "c1:40,d1:8")]
 
--- a/testing/test_part_trials.py
+++ b/testing/test_part_trials.py
@@ -6,19 +6,19 @@
 import anyio
 import pytest
 
-from carobstand.core import part_trials, poison_parts
+from carobstand.core import part_ids, part_state, part_trials, poison_parts
 from carobstand.entry import rejections
 from carobstand.standin.platform import engine
 from testing import part_traffic, platform_fleet, trial_builders
 
-P, Q = poison_parts.digest("p"), poison_parts.digest("q")
+P, Q = part_ids.digest("p"), part_ids.digest("q")
 ALLOWED_SHARE, ALLOWED = 1 / 500, 5
 """Proper requests that may be ended with a 4xx, by the rule DENIED."""
 
 
 def suspended(*parts, crashes=2):
     """Return a state with unproven convictions at time 10 for some crashes each."""
-    state = poison_parts.PoisonParts()
+    state = part_state.PoisonParts()
     for part in parts:
         for number in range(crashes):
             trial_builders.lose(state, part, number, 9.0 + 0.3 * number)
@@ -40,7 +40,7 @@
 
 def test_two_crashes_and_two_failed_trials_prove_a_conviction():
     """Two crashes alone were taken for a proof."""
-    state = poison_parts.PoisonParts()
+    state = part_state.PoisonParts()
     trial_builders.lose(state, P, 1, 10.0)
     trial_builders.lose(state, P, 2, 10.5)
     assert poison_parts.convict(state, 10.6) == [P]
@@ -140,7 +140,7 @@
 
 def test_evidence_that_a_cleared_part_seemed_to_explain_counts_again():
     """The deadly part had to crash two more servers once a sound one was cleared."""
-    state = poison_parts.PoisonParts()
+    state = part_state.PoisonParts()
     for number in range(3):
         trial_builders.lose(state, Q, number, 10.0 + number)
         trial_builders.lose(state, P, number, 10.0 + number)
@@ -181,9 +181,9 @@
 
 
 def test_a_part_that_others_convicted_is_settled_by_trials_here():
-    state = poison_parts.PoisonParts()
+    state = part_state.PoisonParts()
     poison_parts.add_conviction(state, P, 10.0, is_proven=False, known_crashes=7)
-    assert poison_parts.crash_count(state.convicted[P]) == 7
+    assert part_state.crash_count(state.convicted[P]) == 7
     poison_parts.add_conviction(state, P, 11.0, is_proven=True)
     assert poison_parts.proven_part(state, (P,)) == P
     assert poison_parts.sound_at(state, P) == -math.inf
--- a/testing/test_store_restored.py
+++ b/testing/test_store_restored.py
@@ -6,7 +6,7 @@
 import pytest
 
 from carobstand import entry_records, part_records
-from carobstand.core import poison_parts
+from carobstand.core import part_ids
 from carobstand.entry import rejections
 from carobstand.platform import kv as kv_client
 from carobstand.standin.platform import engine, kv
@@ -291,7 +291,7 @@
 def test_a_conviction_that_an_answer_ended_does_not_return_with_the_copy():
     async def check(fleet):
         await platform_fleet.add_engine(fleet, "i-1")
-        part = poison_parts.digest("c1")
+        part = part_ids.digest("c1")
         key = part_records.key(part)
         kv.write(fleet.store, key, b"{}")
         saved = kv.take_copy(fleet.store)
--- a/testing/trial_builders.py
+++ b/testing/trial_builders.py
@@ -4,7 +4,7 @@
 
 import anyio
 
-from carobstand.core import poison_parts
+from carobstand.core import part_ids, poison_parts
 from testing import platform_fleet
 
 DOWN_S = 0.5
@@ -13,12 +13,12 @@
 
 def crash(number, address=None):
     """Return the id of a crash of a server, one of its own unless it is named."""
-    return poison_parts.crash_id(address or f"10.0.0.{number}:80", f"s/{number}")
+    return part_ids.crash_id(address or f"10.0.0.{number}:80", f"s/{number}")
 
 
 def lose(state, part, number, at, request=None, address=None):
     """Record that a request with a part was lost at a crash."""
-    request = poison_parts.digest(request or f"r{number}")
+    request = part_ids.digest(request or f"r{number}")
     return poison_parts.add_sighting(
         state, part, crash(number, address), request, at, at
     )
