Move the application of store items out of the entry's fleet module

Behaviour is unchanged.

Tests of following the store, odd records, named versions, cold servers, the roster and weights pass; one that replaces a function looks it up in the module that has it now.

--- a/src/carobstand/entry/fleet.py
+++ b/src/carobstand/entry/fleet.py
@@ -10,7 +10,6 @@
     errors,
     eventlog,
     metrics,
-    part_records,
     signals,
     unreadable_records,
 )
@@ -20,19 +19,15 @@
     entry_roster,
     evacuation,
     part_state,
-    poison_parts,
     registry,
-    routes,
     weight_sources,
 )
 from carobstand.entry import (
     change_relay,
-    cold_servers,
     evacuations,
-    registration,
     restored_items,
     startup,
-    versions,
+    store_items,
 )
 from carobstand.platform import kv, records
 
@@ -67,11 +62,6 @@
 WATCH_GAP_S = 1.0
 """Longest time for which a watch may miss changes if the store drops its history."""
 
-LAPSE_WINDOW_S = 10.0
-"""Time after the last failed store call in which a removed record may have lapsed."""
-
-MAX_AGE_S = 1e6
-"""Longest age in log lines; changes before the first read have none."""
 
 KEY_SLACK_S = 0.5
 """Time between the check of an API key and the start of its request at a server."""
@@ -230,7 +220,7 @@
         operator = startup.OperatorItems(changes, sent_at)
     else:
         entries = startup.registered_entries(fleet, own.items)
-        may_have_lapsed = _may_have_lapsed(fleet, sent_at)
+        may_have_lapsed = store_items.may_have_lapsed(fleet, sent_at)
         operator = await startup.read_operator_items(fleet, entries, may_have_lapsed)
         if anyio.current_time() - sent_at > MAX_READ_S:
             # It waited for another entry to have the configuration.
@@ -249,9 +239,9 @@
         told = await restored_items.ask_others(fleet, found)
     for item in [*found[0].items, *(answer.item for answer in told)]:
         if not records.is_evacuation_key(item.key):
-            apply_item(fleet, item)
-    _replace_own_records(fleet, found[2])
-    _replace_servers(fleet, found[1].items)
+            store_items.apply_item(fleet, item)
+    store_items.replace_own_records(fleet, found[2])
+    store_items.replace_servers(fleet, found[1].items)
     evacuations.replace_marks(fleet, found[0], told, is_restored)
     # The next watch reads what changed since the earliest of the reads.
     fleet.revision = min(changes.revision for changes in found)
@@ -289,7 +279,7 @@
     fleet.arrived_at = kv.prompt_arrival(changes, sent_at)
     for item in changes.items:
         change_feed.add(fleet.history, item, fleet.changes_since)
-        apply_item(fleet, item)
+        store_items.apply_item(fleet, item)
     fleet.arrived_at = None
     fleet.revision = max(fleet.revision, changes.revision)
     # A watch without changes lasted for its full wait, which has whole milliseconds,
@@ -360,7 +350,7 @@
     for change in reply.changes:
         fleet.changes_since = change.since
         change_feed.add(fleet.history, change.item, change.since)
-        apply_item(fleet, change.item)
+        store_items.apply_item(fleet, change.item)
     fleet.revision = max(fleet.revision, reply.revision)
     fleet.confirmed_at = max(fleet.confirmed_at, reply.confirmed_at)
     fleet.store_failed_at = max(fleet.store_failed_at, reply.store_failed_at)
@@ -385,187 +375,6 @@
         eventlog.event("server.gone", server=server_id)
 
 
-def apply_item(fleet, item):
-    """Apply one item of the store, depending on its key."""
-    try:
-        if item.key == records.CONFIGURATION_KEY:
-            _apply_configuration(fleet, item)
-        elif item.key.startswith(records.VERSION_PREFIX):
-            versions.apply_version(fleet, item)
-        elif item.key.startswith(records.SERVER_PREFIX):
-            _apply_server(fleet, item)
-        elif records.is_evacuation_key(item.key):
-            evacuations.apply_mark(fleet, item)
-        elif item.key.startswith(entry_records.PREFIX):
-            _apply_entry(fleet, item)
-        elif item.key.startswith(part_records.PREFIX):
-            _apply_part(fleet, item)
-        unreadable_records.forget(fleet.unreadable, item.key)
-    except errors.RecordError as exc:
-        unreadable_records.log(fleet.unreadable, item.key, exc.message)
-    except Exception as exc:
-        # The loop would fail again at the next reading, and apply no later change.
-        eventlog.failure("record.failed", exc, key=item.key)
-
-
-def _apply_configuration(fleet, item):
-    if item.value is None:
-        return
-    candidate = records.decode_configuration(item.value)
-    if routes.is_newer(fleet.configuration, candidate):
-        fleet.configuration = candidate
-        fleet.operator_items[item.key] = item
-        eventlog.event(
-            "configuration.applied", version=candidate.version, revision=item.revision
-        )
-
-
-def _apply_server(fleet, item):
-    server_id = item.key.removeprefix(records.SERVER_PREFIX)
-    now = anyio.current_time()
-    if item.value is None:
-        grace_s, since = _lapse_grace(fleet, now), fleet.changes_since
-        registry.remove(fleet.servers, server_id, now, grace_s, since)
-        _note_missing(fleet, [server_id], since)
-        return
-    try:
-        registration = records.decode_registration(item.key, item.value)
-    except errors.RecordError:
-        registry.remove(fleet.servers, server_id, now, 0.0)
-        raise
-    known = _last_registration(fleet, server_id)
-    registry.put(fleet.servers, registration)
-    cold_servers.note_start(fleet, server_id, registration.started_ms)
-    cold_servers.note_cold_record(fleet, registration, known)
-    eventlog.event(
-        "server.listed",
-        server=server_id,
-        service=registration.service,
-        ready=registration.is_ready,
-        version=registration.holding and registration.holding.version,
-    )
-
-
-def _last_registration(fleet, server_id):
-    servers = fleet.servers
-    return servers.servers.get(server_id) or servers.removed.get(server_id)
-
-
-def _replace_servers(fleet, items):
-    listed = []
-    for item in items:
-        try:
-            listed.append(records.decode_registration(item.key, item.value))
-            unreadable_records.forget(fleet.unreadable, item.key)
-        except errors.RecordError as exc:
-            unreadable_records.log(fleet.unreadable, item.key, exc.message)
-    if fleet.was_restored:
-        listed = registry.without_outdated(fleet.servers, listed)
-    now = anyio.current_time()
-    before = {
-        item.server_id: _last_registration(fleet, item.server_id) for item in listed
-    }
-    since = fleet.confirmed_at
-    missing = fleet.servers.servers.keys() - {item.server_id for item in listed}
-    grace_s = _lapse_grace(fleet, now)
-    registry.replace_all(fleet.servers, listed, now, grace_s, since)
-    _note_missing(fleet, sorted(missing), since)
-    for item in listed:
-        cold_servers.note_start(fleet, item.server_id, item.started_ms)
-        # A record that was read before would make the server cold once more.
-        if item != before[item.server_id]:
-            cold_servers.note_cold_record(fleet, item, before[item.server_id])
-
-
-def _note_missing(fleet, server_ids, since):
-    """Log registrations that are gone, and have their servers asked if in doubt."""
-    now = anyio.current_time()
-    for server_id in server_ids:
-        eventlog.event(
-            "server.removed",
-            server=server_id,
-            ago_s=None if since is None else round(min(now - since, MAX_AGE_S), 3),
-            lapsed=server_id in fleet.servers.lapsed,
-            doubtful=registry.is_doubtful(fleet.servers, server_id, now),
-        )
-    if fleet.servers.lapsed:
-        fleet.registrations_missing.notify()
-
-
-def _lapse_grace(fleet, now):
-    return registry.lapse_grace_s(fleet.deployment.bounds, now - fleet.store_failed_at)
-
-
-def _apply_entry(fleet, item):
-    vm = item.key.removeprefix(entry_records.PREFIX)
-    if vm == fleet.deployment.vm:
-        registration.observe(fleet, item, fleet.era)
-    if item.value is None:
-        now = anyio.current_time()
-        entry_roster.remove(fleet.roster, vm, now, _may_have_lapsed(fleet, now))
-    else:
-        entry_roster.put(fleet.roster, vm, entry_records.decode(vm, item.value))
-
-
-def _apply_part(fleet, item):
-    part = part_records.part_of(item.key)
-    if item.value is None:
-        # The entry that removed the record reports the reason, if there is one.
-        fleet.part_records.pop(part, None)
-        return
-    record = part_records.decode(item.value)
-    fleet.part_records[part] = item
-    state, now = fleet.prompt_parts, anyio.current_time()
-    if part not in state.convicted and _is_outdated(fleet, part, now):
-        return
-    if poison_parts.add_conviction(
-        state, part, now, (), record.is_proven, record.crashes
-    ):
-        _log_part_record(part, record)
-    known = state.convicted.get(part)
-    if known is not None:
-        known.late_trials = max(known.late_trials, record.late_trials)
-
-
-def _log_part_record(part, record):
-    name, crashes = part.hex(), record.crashes
-    if record.is_proven:
-        eventlog.event("part.convicted", part=name, crashes=crashes, source="store")
-        return
-    eventlog.event(
-        "part.suspended", part=name, crashes=crashes, source="store", rare=None
-    )
-
-
-def _is_outdated(fleet, part, now):
-    """Whether the record of a part is about a conviction that an answer has ended.
-
-    A write that is executed late, or a restored store, may bring it back. Of a new
-    conviction of an answered part, the other entries also tell with its evidence.
-    """
-    state = fleet.prompt_parts
-    if fleet.was_restored and part in state.sound_at:
-        return True
-    return poison_parts.is_known_sound(state, part, now)
-
-
-def _replace_own_records(fleet, changes):
-    """Replace what the entries wrote by the items of a full read."""
-    registration.observe_all(fleet, changes.items, changes.revision, changes.era)
-    fleet.part_records.clear()
-    for item in changes.items:
-        if item.key.startswith(part_records.PREFIX):
-            apply_item(fleet, item)
-    now = anyio.current_time()
-    listed = startup.registered_entries(fleet, changes.items)
-    entry_roster.replace_all(fleet.roster, listed, now, _may_have_lapsed(fleet, now))
-
-
-def _may_have_lapsed(fleet, now):
-    """Whether a record that was removed may have lapsed around an outage."""
-    return now - fleet.store_failed_at < LAPSE_WINDOW_S
-
-
 def are_keys_current(fleet, now):
     """Whether the API keys are recent enough to rule out a missed revocation."""
     if fleet.confirmed_at is None:
--- a/testing/cold_builders.py
+++ b/testing/cold_builders.py
@@ -6,7 +6,7 @@
 
 from carobstand.core import routes, weight_sources
 from carobstand.entry import fleet as fleets
-from carobstand.entry import forwarding
+from carobstand.entry import forwarding, store_items
 from carobstand.platform import kv
 from carobstand.standin.platform import engine
 from testing import limit_simulation as simulation
@@ -75,7 +75,7 @@
     record = build.server_record(service="desk", born=born, **changes)
     value = build.encode_record(record)
     state.changes_since = anyio.current_time()
-    fleets.apply_item(state, kv.Item(f"servers/{server_id}", value, 1))
+    store_items.apply_item(state, kv.Item(f"servers/{server_id}", value, 1))
 
 
 def joined(vm, vms, cold_ms=3000):
--- a/testing/limit_simulation.py
+++ b/testing/limit_simulation.py
@@ -11,7 +11,7 @@
 
 from carobstand.core import entry_roster, exchange, routes, weight_sources
 from carobstand.entry import fleet as fleets
-from carobstand.entry import permit_exchange, server_limits
+from carobstand.entry import permit_exchange, server_limits, store_items
 from carobstand.platform import kv, records
 from carobstand.standin.platform import engine
 from carobstand.wire import fleet_codec
@@ -204,7 +204,7 @@
             fleet.store_failed_at = anyio.current_time()
             continue
         now = anyio.current_time()
-        may_have_lapsed = now - fleet.store_failed_at < fleets.LAPSE_WINDOW_S
+        may_have_lapsed = now - fleet.store_failed_at < store_items.LAPSE_WINDOW_S
         entry_roster.replace_all(fleet.roster, dict(sim.records), now, may_have_lapsed)
         fleet.confirmed_at = anyio.current_time()
         _apply_listings(sim, node)
@@ -215,7 +215,7 @@
     fleet.changes_since, node.polled_at = node.polled_at, now
     for key, value in sim.listings[node.revision :]:
         node.revision += 1
-        fleets.apply_item(fleet, kv.Item(key, value, node.revision))
+        store_items.apply_item(fleet, kv.Item(key, value, node.revision))
     fleet.first_read_at = fleet.first_read_at or now
 
 
--- a/testing/test_ends_of_weights.py
+++ b/testing/test_ends_of_weights.py
@@ -6,8 +6,7 @@
 
 from carobstand import http1_server
 from carobstand.core import eligibility, named_versions, placement, registry
-from carobstand.entry import backend_pool, forwarding, versions
-from carobstand.entry import fleet as fleets
+from carobstand.entry import backend_pool, forwarding, store_items, versions
 from testing import domain_fleet, version_store, virtual_time
 
 NAMED_AT = 2.0
@@ -60,7 +59,7 @@
     async def change(fleet):
         await anyio.sleep_until(NAMED_AT)
         fleet.changes_since = NAMED_AT
-        fleets.apply_item(fleet, version_store.item(2))
+        store_items.apply_item(fleet, version_store.item(2))
         if later is not None:
             await anyio.sleep_until(later[0])
             later[1](fleet)
--- a/testing/test_entry_roster.py
+++ b/testing/test_entry_roster.py
@@ -6,7 +6,7 @@
 from carobstand import entry_records
 from carobstand.core import entry_roster, retry_budget, weight_sources
 from carobstand.entry import fleet as fleets
-from carobstand.entry import forwarding, retries
+from carobstand.entry import forwarding, retries, store_items
 from carobstand.platform import kv as store_client
 from carobstand.standin.platform import kv
 from testing import platform_builders as build
@@ -25,7 +25,7 @@
 
 def _apply(fleet, vm, value):
     item = store_client.Item(entry_records.key(vm), value, 1)
-    fleets.apply_item(fleet, item)
+    store_items.apply_item(fleet, item)
 
 
 @attrs.define
--- a/testing/test_named_versions.py
+++ b/testing/test_named_versions.py
@@ -6,8 +6,7 @@
 import attrs
 
 from carobstand.core import eligibility, named_versions, placement, registry
-from carobstand.entry import fleet as fleets
-from carobstand.entry import forwarding, server_choice, versions
+from carobstand.entry import forwarding, server_choice, store_items, versions
 from carobstand.platform import kv, records
 from testing import platform_builders as build
 from testing import version_store, virtual_time, weight_builders
@@ -105,7 +104,7 @@
 
     async def read():
         await anyio.sleep(18.9)
-        fleets.apply_item(fleet, item)
+        store_items.apply_item(fleet, item)
 
     virtual_time.run(read)
     early = versions.begin_by(fleet, holding)
@@ -125,7 +124,7 @@
 
     async def read():
         await anyio.sleep(20.0)
-        fleets.apply_item(fleet, version_store.item(3))
+        store_items.apply_item(fleet, version_store.item(3))
         for version, at in reports:
             for server_id, domain in (("i1", "a"), ("i2", "a"), ("i3", "b")):
                 server = build.registration(server_id, failure_domain=domain)
@@ -183,7 +182,7 @@
     found = {}
 
     async def read():
-        fleets.apply_item(fleet, item)
+        store_items.apply_item(fleet, item)
         fwd = forwarding.Forwarder(fleet)
         for domain, region in regions.items():
             server = build.registration("i-1", failure_domain=domain)
@@ -204,7 +203,7 @@
     fleet.versions_changed = lambda: calls.append(fleet.named["m"][-1].seen_at)
 
     async def report():
-        fleets.apply_item(fleet, version_store.item(2))
+        store_items.apply_item(fleet, version_store.item(2))
         await anyio.sleep(20.0)
         for number in range(100):
             domain = "ab"[number % 2]
--- a/testing/test_odd_records.py
+++ b/testing/test_odd_records.py
@@ -11,7 +11,7 @@
 
 from carobstand import entry_records, errors, eventlog, part_records
 from carobstand.core import part_ids
-from carobstand.entry import fleet
+from carobstand.entry import fleet, store_items, versions
 from carobstand.platform import kv as platform_kv
 from carobstand.platform import records
 from carobstand.standin.platform import kv
@@ -171,7 +171,7 @@
         eventlog, "failure", lambda name, exc, **values: failed.append((name, values))
     )
     monkeypatch.setattr(
-        fleet.versions, "apply_version", lambda *_: {}["a fault of the program"]
+        versions, "apply_version", lambda *_: {}["a fault of the program"]
     )
 
     async def test():
@@ -180,9 +180,11 @@
         odd = odd_records("desk")["huge slots"]
         sound = build.encode_record(build.server_record())
         for revision, raw in enumerate([odd, odd, sound, odd], 1):
-            fleet.apply_item(state, platform_kv.Item("servers/i-1", raw, revision))
-        fleet._replace_servers(state, [platform_kv.Item("servers/i-1", odd, 4)])
-        fleet.apply_item(state, platform_kv.Item("op/version/m", b"{}", 5))
+            store_items.apply_item(
+                state, platform_kv.Item("servers/i-1", raw, revision)
+            )
+        store_items.replace_servers(state, [platform_kv.Item("servers/i-1", odd, 4)])
+        store_items.apply_item(state, platform_kv.Item("op/version/m", b"{}", 5))
 
     anyio.run(test)
     names = [name for name, _ in logged if name.startswith("record.")]
--- a/testing/test_weight_fetching.py
+++ b/testing/test_weight_fetching.py
@@ -15,7 +15,7 @@
     weight_sources,
 )
 from carobstand.entry import fleet as fleets
-from carobstand.entry import versions, weight_fetching
+from carobstand.entry import store_items, versions, weight_fetching
 from carobstand.platform import kv, records
 
 
@@ -182,7 +182,7 @@
     named = kv.Item(f"{records.VERSION_PREFIX}m", b'{"model":"m","version":2}', 1)
 
     async def read():
-        fleets.apply_item(fleet, named)
+        store_items.apply_item(fleet, named)
 
     anyio.run(read)
     return versions.begin_by(fleet, registry.Holding(model="m", version=1))
