Split single HTTP calls and limit messages off; keep wire names in platform/

Outside platform/, services and bounds still had the platform's names warmup_s, warmup_per_s, warmup_overshoot and warmup_slack; they are cold_time_s, sustained_per_s, cold_factor and cold_slack now, in messages too, whose field numbers are unchanged. A stand-in passed over each OSError of a shutdown; it now does so for a connection that the client has closed only.

Ruled out: other names imported in place of modules; `from thrift import Thrift` and the like import modules.

Tests of records, permits, settings, messages, the store's client and bytes without end pass; behaviour is unchanged.

--- a/src/carobstand/agent/platform_main.py
+++ b/src/carobstand/agent/platform_main.py
@@ -2,7 +2,7 @@
 
 import anyio
 
-from carobstand import command, errors, eventlog, http1, loops
+from carobstand import command, errors, eventlog, http1_calls, loops
 from carobstand.agent import loading, piece_sharing, receiving, reporting, view
 from carobstand.platform import kv
 
@@ -18,7 +18,7 @@
         Notified on SIGHUP, to reload the settings.
     """
     state = view.View(
-        dep, kv.connect(dep.store_address), http1.Client(dep.backend_address)
+        dep, kv.connect(dep.store_address), http1_calls.Client(dep.backend_address)
     )
     async with anyio.create_task_group() as tg:
         for loop in (
--- a/src/carobstand/agent/view.py
+++ b/src/carobstand/agent/view.py
@@ -10,7 +10,7 @@
     entry_records,
     errors,
     eventlog,
-    http1,
+    http1_calls,
     signals,
     unreadable_records,
 )
@@ -61,7 +61,7 @@
     ----------
     deployment : core.deployment.Deployment
     store : platform.kv.Store
-    engine : http1.Client
+    engine : http1_calls.Client
         The engine on this VM.
     configuration : core.routes.Configuration or None
         No longer updated once it contains the engine's service.
@@ -97,7 +97,7 @@
 
     deployment: object
     store: kv.Store
-    engine: http1.Client
+    engine: http1_calls.Client
     configuration: object = None
     named: dict = attrs.field(factory=dict)
     versions_read: bool = False
--- a/src/carobstand/core/deployment.py
+++ b/src/carobstand/core/deployment.py
@@ -39,7 +39,7 @@
         it as evacuated.
     contact_s : float
         Time after a disturbance in which the time limits do not apply.
-    warmup_overshoot, warmup_slack : float
+    cold_factor, cold_slack : float
         In any second, all entries together send a cold server at most this multiple of
         the rate that it sustains, plus the slack.
     """
@@ -55,8 +55,8 @@
     version_s: float = 8.0
     evacuation_s: float = 5.0
     contact_s: float = 3.0
-    warmup_overshoot: float = 1.5
-    warmup_slack: float = 5.0
+    cold_factor: float = 1.5
+    cold_slack: float = 5.0
 
 
 @attrs.frozen(kw_only=True)
--- a/src/carobstand/core/routes.py
+++ b/src/carobstand/core/routes.py
@@ -102,8 +102,8 @@
 class Service:
     """One service; `latency_model` and `weights` are None if it runs no model.
 
-    `warmup_s` is the time for which its servers are cold after they start, and
-    `warmup_per_s` the requests per second that a cold one sustains, 0 for no limit.
+    `cold_time_s` is the time for which its servers are cold after they start, and
+    `sustained_per_s` the requests per second that a cold one sustains, 0 for no limit.
     """
 
     name: str
@@ -112,8 +112,8 @@
     latency_model: LatencyModel | None = None
     weights: Weights | None = None
     origin: Origin | None = None
-    warmup_s: float = 0.0
-    warmup_per_s: float = 0.0
+    cold_time_s: float = 0.0
+    sustained_per_s: float = 0.0
 
 
 @attrs.frozen(kw_only=True)
--- a/src/carobstand/entry/cold_servers.py
+++ b/src/carobstand/entry/cold_servers.py
@@ -21,12 +21,12 @@
     What a statement told of the same start takes precedence.
     """
     if not announcements.tells_cold(fleet.announced, server_id, started_ms):
-        cold_s = _warmup_s(fleet, server_id)
+        cold_s = _cold_time_s(fleet, server_id)
         _set_cold(fleet, server_id, started_ms, cold_s, -math.inf, source, is_known)
 
 
 def mark_cold(fleet, server_ids, source):
-    """Record that servers are cold for the `warmup_s` of their service from now.
+    """Record that servers are cold for the `cold_time_s` of their service from now.
 
     A later statement of a server, or a later start, takes precedence.
 
@@ -45,7 +45,7 @@
             continue
         known = fleet.announced.by_server.get(server_id)
         started_ms = max(listed.started_ms, known.started_ms if known else 0)
-        cold_s = _warmup_s(fleet, server_id)
+        cold_s = _cold_time_s(fleet, server_id)
         if known is not None:
             cold_s = max(cold_s, known.cold_until - now)
         _set_cold(fleet, server_id, started_ms, cold_s, now, source)
@@ -95,9 +95,9 @@
     return not known.started_ms and registration.server_id in fleet.servers.removed
 
 
-def _warmup_s(fleet, server_id):
+def _cold_time_s(fleet, server_id):
     service = _service_of(fleet, server_id)
-    return service.warmup_s if service is not None else 0.0
+    return service.cold_time_s if service is not None else 0.0
 
 
 def _service_of(fleet, server_id):
@@ -138,11 +138,11 @@
         Whether it became cold or warm. False if its service has no such limit.
     """
     service = _service_of(fleet, server_id)
-    per_s = told_per_s if service is None else service.warmup_per_s
+    per_s = told_per_s if service is None else service.sustained_per_s
     if not per_s:
         return False
     bounds, now = fleet.deployment.bounds, anyio.current_time()
-    allowed = per_s * bounds.warmup_overshoot + bounds.warmup_slack
+    allowed = per_s * bounds.cold_factor + bounds.cold_slack
     warmup = permit_rates.Warmup(per_s, allowed)
     if not announcements.record_cold(
         fleet.announced, server_id, started_ms, now + cold_s, named_at, warmup, now
--- a/src/carobstand/entry/health_checks.py
+++ b/src/carobstand/entry/health_checks.py
@@ -10,7 +10,7 @@
 
 import anyio
 
-from carobstand import errors, eventlog, http1
+from carobstand import errors, eventlog, http1_calls
 from carobstand.core import announcements, registry
 from carobstand.entry import server_limits
 from carobstand.platform import engine_client
@@ -121,14 +121,14 @@
     server = fwd.fleet.servers.servers.get(server_id)
     if server is None or not (path := _health_path(fwd, server)):
         return None
-    caller = http1.Client(server.address)
+    caller = http1_calls.Client(server.address)
     try:
         head = await engine_client.check_health(caller, path)
     except errors.BackendError as exc:
         eventlog.event("server.unchecked", server=server_id, error=str(exc))
         return None
     finally:
-        await http1.close_idle(caller)
+        await http1_calls.close_idle(caller)
     is_other = head.server_id and head.server_id != server_id
     # A full server rejects health checks, too.
     is_rejected = head.status != 200 and not head.is_leaving
--- a/src/carobstand/entry/permit_exchange.py
+++ b/src/carobstand/entry/permit_exchange.py
@@ -14,7 +14,7 @@
     permits,
     weight_sources,
 )
-from carobstand.entry import server_limits
+from carobstand.entry import limit_messages, server_limits
 from carobstand.wire import fleet_codec
 from carobstand.wire.gen_fleet import ttypes
 
@@ -57,7 +57,7 @@
     rank = permit_rates.Rank.DEPUTY if is_deputy else permit_rates.Rank.FIRST
     fields = {"number": message.number or 0, "is_deputy": is_deputy}
     if rank is permit_rates.Rank.FIRST and granting[0] != own_vm:
-        reply = server_limits.permit_reply(
+        reply = limit_messages.permit_reply(
             limits, message.server_id, is_granting=False, **fields
         )
         return _send_to(limits, message.vm, message.address, reply)
@@ -68,7 +68,7 @@
     """Record an entry's request for permits, grant it if possible, and reply."""
     server_id, vm, number = request.server_id, request.vm, request.number or 0
     if not server_limits.is_limited(limits, server_id):
-        reply = server_limits.permit_reply(
+        reply = limit_messages.permit_reply(
             limits, server_id, number=number, is_deputy=bool(rank)
         )
         return _send_to(limits, vm, request.address, reply)
@@ -118,7 +118,7 @@
     granter = limits.granters[server_id, rank]
     permits_per_s = _permits_per_s(limits, server_id, rank)
     waited_s = anyio.current_time() - claim.received_at if granted else 0.0
-    reply = server_limits.permit_reply(
+    reply = limit_messages.permit_reply(
         limits,
         server_id,
         number=claim.number,
@@ -262,7 +262,7 @@
     may be cold any time: where that limits requests, all of the others are told.
     """
     config = limits.fleet.configuration
-    if config and any(item.warmup_per_s for item in config.services.values()):
+    if config and any(item.sustained_per_s for item in config.services.values()):
         return set(others)
     found = set()
     for server_id in limits.fleet.announced.by_server:
@@ -360,7 +360,7 @@
 
 
 def _ask_entry(limits, server_id, rank, vm, number, wanted):
-    request = server_limits.permit_request(limits, server_id, wanted, number, rank)
+    request = limit_messages.permit_request(limits, server_id, wanted, number, rank)
     if vm == limits.fleet.deployment.vm:
         return _claim(limits, request, rank)
     entry = server_limits.others(limits)[vm]
@@ -389,7 +389,7 @@
     for server_id, item in announced.items():
         is_limited = item.limit is not None or item.cold_until > now
         if is_limited and own_vm in server_limits.granting(limits, server_id):
-            message = server_limits.permit_reply(limits, server_id)
+            message = limit_messages.permit_reply(limits, server_id)
             limits.outbox += [(others[vm].address, message) for vm in new]
 
 
--- a/src/carobstand/entry/server_limits.py
+++ b/src/carobstand/entry/server_limits.py
@@ -17,20 +17,15 @@
     announcements,
     eligibility,
     entry_roster,
-    exchange,
     permit_rates,
     permits,
 )
-from carobstand.entry import cold_servers
+from carobstand.entry import cold_servers, limit_messages
 from carobstand.entry import fleet as fleets
-from carobstand.wire.gen_fleet import ttypes
 
 REPEAT_S = 0.2
 """Time after which a changed limit is sent once more, as datagrams may be lost."""
 
-WARM_NEWS_S = 10.0
-"""Time for which messages tell that a server is warm after a statement to that effect;
-no cold time that others may still assume is expected to last longer."""
 
 MAX_TRANSIT_S = 0.2
 """Maximum time that a datagram usually takes; what another entry heard from a server
@@ -385,10 +380,10 @@
     first = granting(limits, server_id)[0]
     if first == limits.fleet.deployment.vm:
         targets = list(known.values())
-        message = permit_reply(limits, server_id)
+        message = limit_messages.permit_reply(limits, server_id)
     else:
         targets = [known[first]]
-        message = permit_request(limits, server_id)
+        message = limit_messages.permit_request(limits, server_id)
     send_twice(limits, targets, message)
 
 
@@ -401,63 +396,6 @@
     wake(limits)
 
 
-def _statement(limits, server_id):
-    """Return the fields of a message that say what a server said of its limit."""
-    known = limits.fleet.announced.by_server.get(server_id)
-    fields = {"server_id": server_id, "started_ms": 0, "named_ms": -1}
-    if known is None:
-        return fields
-    now = anyio.current_time()
-    fields.update(_cold_statement(known, now))
-    if math.isfinite(known.limit_named_at):
-        age_s = now - known.limit_named_at
-        fields["limit"] = known.limit
-        fields["named_ms"] = max(0, int(age_s * 1000))
-    if len(fields) > 3:
-        fields["started_ms"] = known.started_ms
-    return fields
-
-
-def _cold_statement(known, now):
-    """Return the fields of a message that say whether a server is cold."""
-    left_s, age_s = max(0.0, known.cold_until - now), now - known.cold_named_at
-    if known.warmup is None or (not left_s and age_s > WARM_NEWS_S):
-        return {}
-    fields = {
-        "cold_ms": min(exchange.MAX_COLD_MS, int(left_s * 1000)),
-        "warmup_per_s": known.warmup.sustained_per_s,
-    }
-    if math.isfinite(age_s):
-        fields["cold_named_ms"] = min(exchange.MAX_COLD_MS, max(0, int(age_s * 1000)))
-    return fields
-
-
-def permit_request(limits, server_id, wanted=0, number=0, rank=permit_rates.Rank.FIRST):
-    """Return a request for permits; if 0 are wanted, it only passes on the limit."""
-    dep = limits.fleet.deployment
-    return ttypes.PermitRequest(
-        **_statement(limits, server_id),
-        vm=dep.vm,
-        address=f"{dep.ip}:{dep.internal_ports[0]}",
-        wanted=wanted,
-        number=number,
-        is_deputy=rank is permit_rates.Rank.DEPUTY,
-    )
-
-
-def permit_reply(limits, server_id, **fields):
-    """Return a reply that grants permits; without `number` it passes on the limit."""
-    defaults = {
-        "number": 0,
-        "granted": 0,
-        "is_granting": True,
-        "interval_ms": 0,
-        "refresh_ms": 0,
-        "is_deputy": False,
-    }
-    return ttypes.PermitReply(**_statement(limits, server_id), **{**defaults, **fields})
-
-
 def learn_from_message(limits, message, peer):
     """Record the limit in a message of another entry; return whether it changed.
 
@@ -486,7 +424,7 @@
 
 
 def _learn_cold_from_message(limits, message, peer):
-    cold_ms, per_s = message.cold_ms, message.warmup_per_s
+    cold_ms, per_s = message.cold_ms, message.sustained_per_s
     if cold_ms is None or per_s is None:
         return False
     if cold_ms < 0 or not 0 < per_s < math.inf:
--- a/src/carobstand/platform/engine_client.py
+++ b/src/carobstand/platform/engine_client.py
@@ -6,7 +6,7 @@
 
 import attrs
 
-from carobstand import errors, http1
+from carobstand import errors, http1_calls
 from carobstand.core import engine_report
 from carobstand.platform import fields, http_headers, records
 
@@ -149,7 +149,7 @@
 
 async def _call(caller, step, method, target, body=b"", allowed=(200,)):
     try:
-        resp = await http1.call(
+        resp = await http1_calls.call(
             caller,
             method,
             target,
--- a/src/carobstand/platform/kv.py
+++ b/src/carobstand/platform/kv.py
@@ -7,7 +7,7 @@
 import anyio
 import attrs
 
-from carobstand import errors, eventlog, http1, signals
+from carobstand import errors, eventlog, http1, http1_calls, signals
 from carobstand.platform import fields
 
 ABSENT = 0
@@ -70,7 +70,7 @@
 
     Attributes
     ----------
-    caller : http1.Client
+    caller : http1_calls.Client
     calls : dict of str to int
         Number of calls by kind.
     era : int
@@ -80,7 +80,7 @@
         Notified when it rises.
     """
 
-    caller: http1.Client
+    caller: http1_calls.Client
     calls: dict = attrs.field(factory=dict)
     era: int = 0
     era_changed: signals.Signal = attrs.field(factory=signals.Signal)
@@ -88,7 +88,7 @@
 
 def connect(address):
     """Return a `Store` at ``host:port``; nothing is sent yet."""
-    return Store(http1.Client(address))
+    return Store(http1_calls.Client(address))
 
 
 async def get(store, key):
@@ -260,7 +260,7 @@
     store.calls[kind] = store.calls.get(kind, 0) + 1
     step, peer = f"store.{kind}", store.caller.address
     try:
-        resp = await http1.call(
+        resp = await http1_calls.call(
             store.caller,
             method,
             target,
--- a/src/carobstand/platform/records.py
+++ b/src/carobstand/platform/records.py
@@ -122,8 +122,8 @@
         latency_model=_latency_model(engine) if "slots" in engine.data else None,
         weights=_weights(engine) if "chunks" in engine.data else None,
         origin=origin,
-        warmup_s=float(record.number("warmup_s", 0)),
-        warmup_per_s=float(record.number("warmup_per_s", 0)),
+        cold_time_s=float(record.number("warmup_s", 0)),
+        sustained_per_s=float(record.number("warmup_per_s", 0)),
     )
 
 
--- a/src/carobstand/platform/settings_file.py
+++ b/src/carobstand/platform/settings_file.py
@@ -110,6 +110,6 @@
         version_s=record.seconds("version_ms", defaults.version_s * 1000),
         evacuation_s=record.seconds("evacuation_ms", defaults.evacuation_s * 1000),
         contact_s=record.seconds("contact_ms", defaults.contact_s * 1000),
-        warmup_overshoot=record.number("warmup_overshoot", defaults.warmup_overshoot),
-        warmup_slack=record.number("warmup_slack", defaults.warmup_slack),
+        cold_factor=record.number("warmup_overshoot", defaults.cold_factor),
+        cold_slack=record.number("warmup_slack", defaults.cold_slack),
     )
--- a/src/carobstand/platform/weights_origin.py
+++ b/src/carobstand/platform/weights_origin.py
@@ -4,7 +4,7 @@
 
 import attrs
 
-from carobstand import errors, http1
+from carobstand import errors, http1_calls
 from carobstand.platform import fields
 
 MAX_MANIFEST_BYTES = 4 * 1024 * 1024
@@ -62,7 +62,7 @@
 
 async def _call(caller, step, target, timeout_s, max_bytes):
     try:
-        resp = await http1.call(
+        resp = await http1_calls.call(
             caller, "GET", target, timeout_s=timeout_s, max_bytes=max_bytes
         )
     except errors.HttpError as exc:
--- a/src/carobstand/standin/web.py
+++ b/src/carobstand/standin/web.py
@@ -159,8 +159,10 @@
         if client in (None, peer) and conn.fileno() != -1:
             try:
                 conn.shutdown(socket.SHUT_RDWR)
-            except OSError:
-                pass
+            except OSError as exc:
+                # The client may have closed it since.
+                if exc.errno != errno.ENOTCONN:
+                    raise
 
 
 def freeze(site):
--- a/src/carobstand/transfer/origin_download.py
+++ b/src/carobstand/transfer/origin_download.py
@@ -2,7 +2,7 @@
 
 import anyio
 
-from carobstand import errors, eventlog, http1
+from carobstand import errors, eventlog, http1_calls
 from carobstand.core import weight_copy
 from carobstand.platform import weights_origin
 from carobstand.wire import fleet_codec
@@ -37,13 +37,13 @@
     OriginError
         If the request fails or returns the manifest of another version.
     """
-    caller = http1.Client(origin.address)
+    caller = http1_calls.Client(origin.address)
     try:
         found = await weights_origin.fetch_manifest(
             caller, model, version or None, TIMEOUT_S
         )
     finally:
-        await http1.close_idle(caller)
+        await http1_calls.close_idle(caller)
     if found.model != model or version not in (0, found.version):
         raise errors.OriginError(
             f"origin returned the manifest of {found.model} {found.version}",
@@ -82,7 +82,7 @@
     WeightsError
         If a piece does not match its digest; the manifest may be corrupt.
     """
-    caller = http1.Client(origin.address)
+    caller = http1_calls.Client(origin.address)
     numbers = weight_copy.in_demand_order(copy, wanted)
     workers = min(
         PARALLEL_DOWNLOADS, max(1, origin.max_connections // CONNECTIONS_DIVISOR)
@@ -96,7 +96,7 @@
     except BaseExceptionGroup as group:
         raise errors.first_carobstand_error(group) from group
     finally:
-        await http1.close_idle(caller)
+        await http1_calls.close_idle(caller)
 
 
 async def _download_pieces(caller, copy, numbers, on_piece, until_clear):
--- a/src/carobstand/wire/fleet.thrift
+++ b/src/carobstand/wire/fleet.thrift
@@ -79,7 +79,7 @@
   8: i32 number               // increasing request number of the entry
   9: bool is_deputy           // asked because the first entry does not reply
   10: optional i32 cold_ms    // time for which the server stays cold, as far as known
-  11: optional double warmup_per_s  // requests/s that it sustains while cold
+  11: optional double sustained_per_s  // requests/s that it sustains while cold
   12: optional i32 cold_named_ms    // time since it told so; absent: assumed of a start
 }
 
@@ -96,7 +96,7 @@
   9: i32 refresh_ms           // time after which the request is to be repeated
   10: bool is_deputy
   11: optional i32 cold_ms
-  12: optional double warmup_per_s
+  12: optional double sustained_per_s
   13: optional i32 cold_named_ms
   14: optional i32 waited_ms  // time from the receipt of the request to this reply
 }
--- a/src/carobstand/wire/fleet_bounds.py
+++ b/src/carobstand/wire/fleet_bounds.py
@@ -54,7 +54,7 @@
     "limit": (0, MAX_RATE),
     "named_ms": (-1, math.inf),
     "cold_ms": _AT_LEAST_0,
-    "warmup_per_s": (0, MAX_RATE),
+    "sustained_per_s": (0, MAX_RATE),
     "cold_named_ms": _AT_LEAST_0,
     "number": _AT_LEAST_0,
 }
--- a/src/carobstand/wire/gen_fleet/ttypes.py
+++ b/src/carobstand/wire/gen_fleet/ttypes.py
@@ -786,13 +786,13 @@
      - number
      - is_deputy
      - cold_ms
-     - warmup_per_s
+     - sustained_per_s
      - cold_named_ms
 
     """
 
 
-    def __init__(self, server_id=None, started_ms=None, limit=None, named_ms=None, vm=None, address=None, wanted=None, number=None, is_deputy=None, cold_ms=None, warmup_per_s=None, cold_named_ms=None,):
+    def __init__(self, server_id=None, started_ms=None, limit=None, named_ms=None, vm=None, address=None, wanted=None, number=None, is_deputy=None, cold_ms=None, sustained_per_s=None, cold_named_ms=None,):
         self.server_id = server_id
         self.started_ms = started_ms
         self.limit = limit
@@ -803,7 +803,7 @@
         self.number = number
         self.is_deputy = is_deputy
         self.cold_ms = cold_ms
-        self.warmup_per_s = warmup_per_s
+        self.sustained_per_s = sustained_per_s
         self.cold_named_ms = cold_named_ms
 
     def read(self, iprot):
@@ -867,7 +867,7 @@
                     iprot.skip(ftype)
             elif fid == 11:
                 if ftype == TType.DOUBLE:
-                    self.warmup_per_s = iprot.readDouble()
+                    self.sustained_per_s = iprot.readDouble()
                 else:
                     iprot.skip(ftype)
             elif fid == 12:
@@ -925,9 +925,9 @@
             oprot.writeFieldBegin('cold_ms', TType.I32, 10)
             oprot.writeI32(self.cold_ms)
             oprot.writeFieldEnd()
-        if self.warmup_per_s is not None:
-            oprot.writeFieldBegin('warmup_per_s', TType.DOUBLE, 11)
-            oprot.writeDouble(self.warmup_per_s)
+        if self.sustained_per_s is not None:
+            oprot.writeFieldBegin('sustained_per_s', TType.DOUBLE, 11)
+            oprot.writeDouble(self.sustained_per_s)
             oprot.writeFieldEnd()
         if self.cold_named_ms is not None:
             oprot.writeFieldBegin('cold_named_ms', TType.I32, 12)
@@ -965,14 +965,14 @@
      - refresh_ms
      - is_deputy
      - cold_ms
-     - warmup_per_s
+     - sustained_per_s
      - cold_named_ms
      - waited_ms
 
     """
 
 
-    def __init__(self, server_id=None, started_ms=None, limit=None, named_ms=None, number=None, granted=None, is_granting=None, interval_ms=None, refresh_ms=None, is_deputy=None, cold_ms=None, warmup_per_s=None, cold_named_ms=None, waited_ms=None,):
+    def __init__(self, server_id=None, started_ms=None, limit=None, named_ms=None, number=None, granted=None, is_granting=None, interval_ms=None, refresh_ms=None, is_deputy=None, cold_ms=None, sustained_per_s=None, cold_named_ms=None, waited_ms=None,):
         self.server_id = server_id
         self.started_ms = started_ms
         self.limit = limit
@@ -984,7 +984,7 @@
         self.refresh_ms = refresh_ms
         self.is_deputy = is_deputy
         self.cold_ms = cold_ms
-        self.warmup_per_s = warmup_per_s
+        self.sustained_per_s = sustained_per_s
         self.cold_named_ms = cold_named_ms
         self.waited_ms = waited_ms
 
@@ -1054,7 +1054,7 @@
                     iprot.skip(ftype)
             elif fid == 12:
                 if ftype == TType.DOUBLE:
-                    self.warmup_per_s = iprot.readDouble()
+                    self.sustained_per_s = iprot.readDouble()
                 else:
                     iprot.skip(ftype)
             elif fid == 13:
@@ -1121,9 +1121,9 @@
             oprot.writeFieldBegin('cold_ms', TType.I32, 11)
             oprot.writeI32(self.cold_ms)
             oprot.writeFieldEnd()
-        if self.warmup_per_s is not None:
-            oprot.writeFieldBegin('warmup_per_s', TType.DOUBLE, 12)
-            oprot.writeDouble(self.warmup_per_s)
+        if self.sustained_per_s is not None:
+            oprot.writeFieldBegin('sustained_per_s', TType.DOUBLE, 12)
+            oprot.writeDouble(self.sustained_per_s)
             oprot.writeFieldEnd()
         if self.cold_named_ms is not None:
             oprot.writeFieldBegin('cold_named_ms', TType.I32, 13)
@@ -3178,7 +3178,7 @@
     (8, TType.I32, 'number', None, None, ),  # 8
     (9, TType.BOOL, 'is_deputy', None, None, ),  # 9
     (10, TType.I32, 'cold_ms', None, None, ),  # 10
-    (11, TType.DOUBLE, 'warmup_per_s', None, None, ),  # 11
+    (11, TType.DOUBLE, 'sustained_per_s', None, None, ),  # 11
     (12, TType.I32, 'cold_named_ms', None, None, ),  # 12
 )
 all_structs.append(PermitReply)
@@ -3195,7 +3195,7 @@
     (9, TType.I32, 'refresh_ms', None, None, ),  # 9
     (10, TType.BOOL, 'is_deputy', None, None, ),  # 10
     (11, TType.I32, 'cold_ms', None, None, ),  # 11
-    (12, TType.DOUBLE, 'warmup_per_s', None, None, ),  # 12
+    (12, TType.DOUBLE, 'sustained_per_s', None, None, ),  # 12
     (13, TType.I32, 'cold_named_ms', None, None, ),  # 13
     (14, TType.I32, 'waited_ms', None, None, ),  # 14
 )
--- a/testing/cold_builders.py
+++ b/testing/cold_builders.py
@@ -41,7 +41,9 @@
                 engine.Engine(f"i-{number}", "desk", "10.9.0.1:80", model="")
                 for number in range(1, servers + 1)
             ]
-            service = routes.Service(name="desk", warmup_s=3.0, warmup_per_s=per_s)
+            service = routes.Service(
+                name="desk", cold_time_s=3.0, sustained_per_s=per_s
+            )
             draw = random.Random(seed)
             sim = simulation.Simulation(
                 tg, draw, first, others=others, service=service, loss=0.01
@@ -58,10 +60,12 @@
     return virtual_time.run(run)
 
 
-def fleet(warmup_s=3.0, per_s=26.0, is_first_read=False, vm="1"):
+def fleet(cold_time_s=3.0, per_s=26.0, is_first_read=False, vm="1"):
     """Return a `Fleet` whose service ``desk`` limits requests to cold servers."""
     state = fleets.Fleet(build.deployment_of(vm, f"10.0.0.{vm}"), store=None)
-    service = routes.Service(name="desk", warmup_s=warmup_s, warmup_per_s=per_s)
+    service = routes.Service(
+        name="desk", cold_time_s=cold_time_s, sustained_per_s=per_s
+    )
     state.configuration = routes.Configuration(
         version=1, routes={}, services={"desk": service}
     )
--- a/testing/platform_fleet.py
+++ b/testing/platform_fleet.py
@@ -12,7 +12,7 @@
 import anyio
 import attrs
 
-from carobstand import http1, http1_server, settings, signals
+from carobstand import http1, http1_calls, http1_server, settings, signals
 from carobstand.agent import platform_main as agent_main
 from carobstand.cli import explain
 from carobstand.core import deployment
@@ -320,11 +320,11 @@
 
 async def readiness(entry):
     """Return the status of an entry's response to a readiness check."""
-    caller = http1.Client(entry.deployment.readiness_address)
-    resp = await http1.call(
+    caller = http1_calls.Client(entry.deployment.readiness_address)
+    resp = await http1_calls.call(
         caller, "GET", "/v1/readiness", timeout_s=2.0, max_bytes=1000
     )
-    await http1.close_idle(caller)
+    await http1_calls.close_idle(caller)
     return resp.status
 
 
--- a/testing/test_bytes_without_end.py
+++ b/testing/test_bytes_without_end.py
@@ -12,7 +12,7 @@
 import anyio
 import pytest
 
-from carobstand import errors, http1
+from carobstand import errors, http1, http1_calls
 from carobstand.core import event_stream, message_bounds
 from carobstand.standin.platform import engine
 from testing import platform_fleet as fleets
@@ -160,8 +160,8 @@
             tg.start_soon(listener.serve, endless)
             began = anyio.current_time()
             with pytest.raises(errors.HttpError):
-                await http1.call(
-                    http1.Client(f"127.0.0.1:{port}"),
+                await http1_calls.call(
+                    http1_calls.Client(f"127.0.0.1:{port}"),
                     "GET",
                     "/v1/kv-range",
                     timeout_s=5.0,
--- a/testing/test_cold_servers.py
+++ b/testing/test_cold_servers.py
@@ -16,7 +16,13 @@
     permit_rates,
     permits,
 )
-from carobstand.entry import cold_servers, forwarding, permit_exchange, server_limits
+from carobstand.entry import (
+    cold_servers,
+    forwarding,
+    limit_messages,
+    permit_exchange,
+    server_limits,
+)
 from carobstand.wire.gen_fleet import ttypes
 from testing import cold_builders as build
 from testing import limit_checks, virtual_time
@@ -328,7 +334,7 @@
         build.list_server(pair[0].fleet, warmup_remaining_ms=2000)
         for _ in range(100):
             for one, other in (pair, pair[::-1]):
-                message = server_limits.permit_reply(one, "i-1")
+                message = limit_messages.permit_reply(one, "i-1")
                 await anyio.sleep(0.015)
                 server_limits.learn_from_message(other, message, "peer")
         assert anyio.current_time() == pytest.approx(3.0)
--- a/testing/test_odd_datagrams.py
+++ b/testing/test_odd_datagrams.py
@@ -19,7 +19,7 @@
 
 STATEMENT = {
     **{"server_id": "i-2", "started_ms": 1, "limit": 2.0, "named_ms": 5, "number": 1},
-    **{"cold_ms": 50, "warmup_per_s": 2.0, "cold_named_ms": 5},
+    **{"cold_ms": 50, "sustained_per_s": 2.0, "cold_named_ms": 5},
 }
 
 SOUND = [
--- a/testing/test_odd_fields.py
+++ b/testing/test_odd_fields.py
@@ -211,8 +211,8 @@
     if service.latency_model is not None:
         value_density.cost_s(service.latency_model, SIZE.prompt_tokens, 119)
         latency_model.answer_s(service.latency_model, 119, 7)
-    allowed = service.warmup_per_s * 1.5 + 5
-    warmup = permit_rates.Warmup(service.warmup_per_s, allowed)
+    allowed = service.sustained_per_s * 1.5 + 5
+    warmup = permit_rates.Warmup(service.sustained_per_s, allowed)
     limit = permit_rates.cold_limit(warmup)
     permit_rates.cold_permit_s(limit, warmup)
     int(1000 * permit_grants.interval_s(permit_grants.Granter(), limit))
--- a/testing/test_permits.py
+++ b/testing/test_permits.py
@@ -196,9 +196,9 @@
         {"vm": ""},
         {"wanted": -5},
         {"named_ms": -1, "limit": 5.0, "wanted": 0},
-        {"cold_ms": -1, "warmup_per_s": 2.0},
-        {"cold_ms": 5, "warmup_per_s": float("nan")},
-        {"cold_ms": 5, "warmup_per_s": 0.0},
+        {"cold_ms": -1, "sustained_per_s": 2.0},
+        {"cold_ms": 5, "sustained_per_s": float("nan")},
+        {"cold_ms": 5, "sustained_per_s": 0.0},
     ],
 )
 def test_a_malformed_request_for_permits_changes_nothing(changes):
--- a/testing/test_records.py
+++ b/testing/test_records.py
@@ -25,7 +25,7 @@
     assert dep.bounds.drain_s == 2.0
     assert dep.bounds.retry_slack == 106
     assert dep.bounds.evacuation_s == 4.0
-    assert (dep.bounds.warmup_overshoot, dep.bounds.warmup_slack) == (1.2, 7)
+    assert (dep.bounds.cold_factor, dep.bounds.cold_slack) == (1.2, 7)
     assert dep.link_bytes_per_s == 1e6
 
 
@@ -82,9 +82,9 @@
     assert config.customers["k2"].name == "acme"
     assert config.needs_keys
     assert config.services["drafter"].latency_model.slots == 16
-    assert config.services["drafter"].warmup_per_s == 0.0
-    assert config.services["weights"].warmup_s == 3.0
-    assert config.services["weights"].warmup_per_s == 26.0
+    assert config.services["drafter"].sustained_per_s == 0.0
+    assert config.services["weights"].cold_time_s == 3.0
+    assert config.services["weights"].sustained_per_s == 26.0
     assert config.services["drafter"].weights.pieces == 96
     assert config.services["weights"].origin.address == "127.0.0.1:8006"
     assert config.limits.idle_timeout_s == 15.0
--- a/testing/test_registration.py
+++ b/testing/test_registration.py
@@ -3,7 +3,7 @@
 import anyio
 import pytest
 
-from carobstand import http1
+from carobstand import http1_calls
 from carobstand.core import own_record
 from carobstand.standin.platform import kv
 from testing import platform_fleet, registration_faults
@@ -116,9 +116,11 @@
 
 async def read_metrics(dep):
     """Return the lines of an entry's metrics."""
-    caller = http1.Client(dep.readiness_address)
-    resp = await http1.call(caller, "GET", "/metrics", timeout_s=2.0, max_bytes=100_000)
-    await http1.close_idle(caller)
+    caller = http1_calls.Client(dep.readiness_address)
+    resp = await http1_calls.call(
+        caller, "GET", "/metrics", timeout_s=2.0, max_bytes=100_000
+    )
+    await http1_calls.close_idle(caller)
     return resp.body.decode().splitlines()
 
 
