--- a/src/carobstand/http1_calls.py
+++ b/src/carobstand/http1_calls.py
@@ -4,6 +4,7 @@
 import attrs
 
 from carobstand import errors, http1
+from carobstand.core import message_bounds
 
 
 @attrs.frozen
@@ -34,11 +35,14 @@
     ----------
     address : str
         ``host:port``.
-    idle : list of Connection
+    idle : list of http1.Connection
+    peer_work : core.message_bounds.PeerWork
+        Shared by its connections: what the server caused in earlier calls counts.
     """
 
     address: str
     idle: list = attrs.field(factory=list)
+    peer_work: message_bounds.PeerWork = attrs.field(factory=message_bounds.PeerWork)
 
 
 async def call(
@@ -100,7 +104,9 @@
         if http1.is_usable(conn):
             return conn
         await http1.close(conn)
-    return await http1.connect(client.address, timeout_s)
+    conn = await http1.connect(client.address, timeout_s)
+    conn.peer_work = client.peer_work
+    return conn
 
 
 def _read_timeout_wrapper(read_timeout_s):
--- a/testing/test_bytes_without_end.py
+++ b/testing/test_bytes_without_end.py
@@ -244,6 +244,15 @@
     """Each part of one byte took a wait of its own, and 40 responses took seconds."""
     answers, others = [], []
 
+    async def read_nothing(address):
+        """Send requests as a caller that reads no answers."""
+        conn = await http1.connect(address, 1.0)
+        head = b"POST /q/x HTTP/1.1\r\nHost: one.example\r\nApi-Key: k1\r\n"
+        for number in range(100):
+            rest = b"Request-Id: slow%d\r\nContent-Length: 0\r\n\r\n" % number
+            await conn.stream.send(head + rest)
+        await anyio.sleep_forever()
+
     async def send(fleet, path, found):
         began = anyio.current_time()
         answer = await fleets.send_request(fleet, path, deadline_s=2.5)
@@ -254,6 +263,9 @@
             backend_server = fleet.engines[server_id]
             backend_server.slots, backend_server.queue = 60, 60
             backend_server.fault, backend_server.faults_left = fault, 100_000
+        address = fleet.entries["entry-1"].deployment.ingress_address
+        for _ in range(10):
+            fleet.tasks.start_soon(read_nothing, address)
         began_s = time.process_time()
         for _ in range(3):
             async with anyio.create_task_group() as tg:
