Log each configuration that arrives, and on what a final refusal is decided

CONFIG: the log could not tell the hypotheses apart: neither where a version came from, how late, nor how old the copy was by which a request was refused with 401 or 404. configuration.applied now has era, source, age and decoding time, configuration.outdated names an older version that arrives, request.denied the version and age of a refusal; counters of configurations and of denied requests go to the metrics.

--- a/src/carobstand/entry/fleet.py
+++ b/src/carobstand/entry/fleet.py
@@ -237,9 +237,11 @@
     told = []
     if is_restored or not fleet.revision:
         told = await restored_items.ask_others(fleet, found)
-    for item in [*found[0].items, *(answer.item for answer in told)]:
+    sources = [(item, "read") for item in found[0].items]
+    sources += [(answer.item, "entry") for answer in told]
+    for item, source in sources:
         if not records.is_evacuation_key(item.key):
-            store_items.apply_item(fleet, item)
+            store_items.apply_item(fleet, item, source)
     store_items.replace_own_records(fleet, found[2])
     store_items.replace_servers(fleet, found[1].items)
     evacuations.replace_marks(fleet, found[0], told, is_restored)
@@ -279,7 +281,7 @@
     fleet.arrived_at = kv.prompt_arrival(changes, sent_at)
     for item in changes.items:
         change_feed.add(fleet.history, item, fleet.changes_since)
-        store_items.apply_item(fleet, item)
+        store_items.apply_item(fleet, item, "watch")
     fleet.arrived_at = None
     fleet.revision = max(fleet.revision, changes.revision)
     # A watch without changes lasted for its full wait, which has whole milliseconds,
@@ -350,7 +352,7 @@
     for change in reply.changes:
         fleet.changes_since = change.since
         change_feed.add(fleet.history, change.item, change.since)
-        store_items.apply_item(fleet, change.item)
+        store_items.apply_item(fleet, change.item, "reader")
     fleet.revision = max(fleet.revision, reply.revision)
     fleet.confirmed_at = max(fleet.confirmed_at, reply.confirmed_at)
     fleet.store_failed_at = max(fleet.store_failed_at, reply.store_failed_at)
--- a/src/carobstand/entry/ingress.py
+++ b/src/carobstand/entry/ingress.py
@@ -17,6 +17,7 @@
     value_density,
 )
 from carobstand.entry import (
+    configuration_versions,
     fleet,
     forwarding,
     permitted_regions,
@@ -68,7 +69,7 @@
         )
     route = permitted_regions.find_route(config, req)
     if route is None:
-        return await rejections.refuse(reply, req, 404, "no route")
+        return await _deny(fwd, reply, req, 404, "no route")
     customer = config.customers.get(req.key)
     if config.needs_keys and not route.is_public:
         if not fleet.are_keys_current(fwd.fleet, anyio.current_time()):
@@ -76,7 +77,7 @@
                 reply, req, 503, "keys not current", CONFIGURATION_RETRY_AFTER_S
             )
         if customer is None:
-            return await rejections.refuse(reply, req, 401, "unknown key")
+            return await _deny(fwd, reply, req, 401, "unknown key")
     eventlog.debug("request.accepted", request=req.request_id, route=route.name)
     service = routes.pick_service(route, random.random())
     parts = part_ids.shareable(req.prompt_parts)
@@ -106,6 +107,12 @@
     return await forwarding.serve(fwd, call)
 
 
+async def _deny(fwd, reply, req, status, reason):
+    """Refuse for good a request that the configuration does not allow."""
+    configuration_versions.log_denied(fwd.fleet, req, status, anyio.current_time())
+    await rejections.refuse(reply, req, status, reason)
+
+
 def deadline(fwd, req, route, arrived):
     """Return the deadline of the final response, on the loop's clock."""
     requested_s = DEFAULT_DEADLINE_S if req.deadline_s is None else req.deadline_s
--- a/src/carobstand/entry/store_items.py
+++ b/src/carobstand/entry/store_items.py
@@ -3,8 +3,15 @@
 import anyio
 
 from carobstand import entry_records, errors, eventlog, part_records, unreadable_records
-from carobstand.core import entry_roster, poison_parts, registry, routes
-from carobstand.entry import cold_servers, evacuations, registration, startup, versions
+from carobstand.core import entry_roster, poison_parts, registry
+from carobstand.entry import (
+    cold_servers,
+    configuration_versions,
+    evacuations,
+    registration,
+    startup,
+    versions,
+)
 from carobstand.platform import records
 
 LAPSE_WINDOW_S = 10.0
@@ -15,11 +22,19 @@
 """Longest age in log lines; changes before the first read have none."""
 
 
-def apply_item(fleet, item):
-    """Apply one item of the store, depending on its key."""
+def apply_item(fleet, item, source="read"):
+    """Apply one item of the store, depending on its key.
+
+    Parameters
+    ----------
+    fleet : entry.fleet.Fleet
+    item : platform.kv.Item
+    source : str
+        How it came: ``watch``, ``read``, ``reader`` or ``entry``.
+    """
     try:
         if item.key == records.CONFIGURATION_KEY:
-            _apply_configuration(fleet, item)
+            configuration_versions.apply(fleet, item, source)
         elif item.key.startswith(records.VERSION_PREFIX):
             versions.apply_version(fleet, item)
         elif item.key.startswith(records.SERVER_PREFIX):
@@ -38,18 +53,6 @@
         eventlog.failure("record.failed", exc, key=item.key)
 
 
-def _apply_configuration(fleet, item):
-    if item.value is None:
-        return
-    candidate = records.decode_configuration(item.value)
-    if routes.is_newer(fleet.configuration, candidate):
-        fleet.configuration = candidate
-        fleet.operator_items[item.key] = item
-        eventlog.event(
-            "configuration.applied", version=candidate.version, revision=item.revision
-        )
-
-
 def _apply_server(fleet, item):
     server_id = item.key.removeprefix(records.SERVER_PREFIX)
     now = anyio.current_time()
