Close the kept connections to a server with one that went silent

What makes one connection silent mostly makes all silent that were open then. After the watch was given up, the next calls used the kept connections, and each cost a time-out of 0.8 s and a longer pause. A call that times out now closes the connections that had no response since it began.

--- a/src/carobstand/http1.py
+++ b/src/carobstand/http1.py
@@ -71,6 +71,8 @@
     peer : str
         ``host:port`` of the server.
     parser : h11.Connection
+    idle_since : float
+        Time of the event loop at which its last exchange ended.
     idle_until : float or None
         Time of the event loop until which the idle connection may be reused, None if
         the server announced no limit.
@@ -95,6 +97,7 @@
             h11.CLIENT, max_incomplete_event_size=MAX_HEADER_BYTES
         )
     )
+    idle_since: float = 0.0
     idle_until: float | None = None
     uses: int = 0
     message_counters: message_bounds.MessageCounters = attrs.field(
--- a/src/carobstand/http1_calls.py
+++ b/src/carobstand/http1_calls.py
@@ -77,7 +77,7 @@
         If no complete response is received; `sent` is whether the server may have
         processed the request.
     """
-    sent = False
+    sent, began_at = False, anyio.current_time()
     try:
         with anyio.fail_after(timeout_s):
             conn = await _take_connection(client, read_timeout_s or timeout_s)
@@ -90,6 +90,7 @@
             request = (method, target, headers, body)
             return await _exchange(client, conn, request, max_bytes, receive_with)
     except TimeoutError as exc:
+        await _close_idle_since_before(client, began_at)
         raise errors.HttpError(
             f"no complete response within {read_timeout_s or timeout_s} s",
             step="http.call",
@@ -147,6 +148,7 @@
         reusable = http1.prepare_for_reuse(conn)
     finally:
         if reusable:
+            conn.idle_since = anyio.current_time()
             client.idle.append(conn)
         else:
             await http1.close(conn)
@@ -155,6 +157,18 @@
     )
 
 
+async def _close_idle_since_before(client, began_at):
+    """Close the connections without a response since a call began that timed out.
+
+    What makes one connection silent mostly makes all silent that were open then, and
+    each of them would cost the next calls a timeout.
+    """
+    silent = [conn for conn in client.idle if conn.idle_since <= began_at]
+    client.idle = [conn for conn in client.idle if conn.idle_since > began_at]
+    for conn in silent:
+        await http1.close(conn)
+
+
 async def close_idle(client):
     """Close all idle connections."""
     while client.idle:
