Do not refuse a request as too large by limits that may be outdated

Such a request now gets 503 with Retry-After unless the copy is known to be current. Found by listing all refusals that are final (400, 401, 404, 413, 422, 431); 400 and 422 do not depend on the configuration.

The new test failed with 413 and passes.

--- a/src/carobstand/entry/ingress.py
+++ b/src/carobstand/entry/ingress.py
@@ -47,6 +47,8 @@
             max_body_bytes=configured.max_body_bytes,
             header_timeout_s=configured.header_timeout_s,
             idle_timeout_s=configured.idle_timeout_s,
+            are_certain=config is not None
+            and configuration_versions.may_deny(fwd.fleet, anyio.current_time()),
         )
 
     async def handle(request, reply):
--- a/src/carobstand/http1_server.py
+++ b/src/carobstand/http1_server.py
@@ -32,6 +32,12 @@
 """Retry-After of a request for whose body there is no memory; bodies that are held for
 slow callers are released by the time-outs of their requests, some each second."""
 
+LIMITS_RETRY_AFTER_S = 1.0
+"""Retry-After of a request that exceeds limits that may be outdated."""
+
+SIZE_STATUSES = (413, 431)
+"""Statuses of requests that exceed a size limit; they are never retried."""
+
 MEMORY_CHECK_S = 0.1
 """Interval of checks for memory for bytes that a caller sends ahead."""
 
@@ -64,12 +70,17 @@
 
 @attrs.frozen(kw_only=True)
 class Limits:
-    """Size limits and timeouts for requests."""
+    """Size limits and timeouts for requests.
+
+    With `are_certain`, a request that is too large is refused for good. Otherwise the
+    limits may be outdated, and its caller is told to come back.
+    """
 
     max_header_bytes: int = 16384
     max_body_bytes: int = 65536
     header_timeout_s: float = 3.0
     idle_timeout_s: float = 15.0
+    are_certain: bool = True
 
 
 @attrs.define(eq=False)
@@ -551,6 +562,8 @@
 
 async def _reject(conn, status, reason, retry_after_s=None):
     """Respond to a request that is not served, then read its rest for a while."""
+    if status in SIZE_STATUSES and not conn.server.limits().are_certain:
+        status, retry_after_s = 503, LIMITS_RETRY_AFTER_S
     eventlog.event("request.malformed", status=status, reason=reason)
     if conn.parser.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
         return
--- a/testing/test_late_configurations.py
+++ b/testing/test_late_configurations.py
@@ -90,6 +90,24 @@
     platform_fleet.run(scenario)
 
 
+def test_a_request_is_not_too_large_for_good_by_limits_that_may_be_outdated():
+    """Requests within the limits of a newer version got 413, which is never retried."""
+
+    async def scenario():
+        async with platform_fleet.deployed(1) as fleet:
+            await platform_fleet.add_engine(fleet, "i-1", "desk")
+            await platform_fleet.until_usable(fleet, "i-1", "/q/x")
+            body = b"x" * (fleet.configuration["limits"]["max_body_bytes"] + 1)
+            answer = await platform_fleet.send_request(fleet, "/q/x", body=body)
+            assert answer.status == 413
+            await platform_fleet.stop(fleet, "store")
+            await anyio.sleep(BOUNDS.apply_s)
+            answer = await platform_fleet.send_request(fleet, "/q/x", body=body)
+            assert answer.status == 503 and float(answer.headers["retry-after"]) > 0
+
+    platform_fleet.run(scenario)
+
+
 def test_unknown_routes_and_keys_are_denied_at_once_while_the_store_answers():
     """Guards against refusals that are held back, or never final, in calm."""
 
