Log each attempt beyond the first, and on what its retry was reserved

BUDGET: the log did not tell what an entry counted when it sent a request once more: its own retries and requests in the window, among how many entries it divided the slack, and how long before the send the retry was reserved. attempt.repeated has these figures, and a counter by service goes to the metrics. No decision changes; test_retry_budget, test_entry_roster, test_log_schema, test_forwarding and test_layers pass.

--- a/src/carobstand/core/retry_budget.py
+++ b/src/carobstand/core/retry_budget.py
@@ -73,13 +73,30 @@
     share : float
         Share of the budget that may be used; below 1 for retries that are not urgent.
     """
-    window_s = bounds.retry_window_s
-    # A restarted process does not know the retries of the previous one.
-    slack_share = min(1.0, INITIAL_SLACK_SHARE + (now - budget.started) / window_s)
-    slack = bounds.retry_slack / max(1, entries) * slack_share
-    requests = _sum(budget.requests, now - 2 * BUCKET_S, window_s)
+    slack = slack_part(budget, bounds, entries, now)
+    retries, requests = usage(budget, bounds, now)
     allowed = slack + bounds.retry_ratio * requests
-    if _sum(budget.retries, now, window_s) + 1 > SAFETY_FACTOR * share * allowed:
+    if retries + 1 > SAFETY_FACTOR * share * allowed:
         return False
-    _add(budget.retries, now, window_s)
+    _add(budget.retries, now, bounds.retry_window_s)
     return True
+
+
+def slack_part(budget, bounds, entries, now):
+    """Return the part of the slack that this entry may use in a window."""
+    # A restarted process does not know the retries of the previous one.
+    age_s = now - budget.started
+    share = min(1.0, INITIAL_SLACK_SHARE + age_s / bounds.retry_window_s)
+    return bounds.retry_slack / max(1, entries) * share
+
+
+def usage(budget, bounds, now):
+    """Return the retries and the requests that count now.
+
+    Returns
+    -------
+    retries, requests : int
+    """
+    window_s = bounds.retry_window_s
+    requests = _sum(budget.requests, now - 2 * BUCKET_S, window_s)
+    return _sum(budget.retries, now, window_s), requests
--- a/src/carobstand/entry/forwarding.py
+++ b/src/carobstand/entry/forwarding.py
@@ -173,6 +173,8 @@
         Time of the last complete event, or of the last stall check.
     has_reserved_retry : bool
         Whether the next attempt was already withdrawn from the retry budget.
+    reserved_at : float
+        Time at which that was decided last.
     has_begun : bool
         Whether the last attempt has begun its answer: an event of a stream arrived.
     lost : entry.poison_parts.LostRequest or None
@@ -210,6 +212,7 @@
     sent_at: float = 0.0
     progress_at: float = 0.0
     has_reserved_retry: bool = False
+    reserved_at: float = 0.0
     has_begun: bool = False
     lost: object = None
     is_probe: bool = False
@@ -330,6 +333,7 @@
     call.attempts_sent += 1
     call.runs += 1
     call.sent_at = anyio.current_time()
+    retries.log_send(fwd, call, server.server_id)
     call.has_reserved_retry = False
     call.has_begun, call.lost, call.reply.unread_s = False, None, 0.0
     poison_parts.record_sent(fwd, call, server)
--- a/src/carobstand/entry/retries.py
+++ b/src/carobstand/entry/retries.py
@@ -4,7 +4,7 @@
 
 import anyio
 
-from carobstand import eventlog
+from carobstand import eventlog, metrics
 from carobstand.core import (
     eligibility,
     entry_roster,
@@ -44,18 +44,47 @@
     """Reserve a retry from the service's budget, of which `share` may be used."""
     if call.has_reserved_retry:
         return True
-    now, dep = anyio.current_time(), fwd.fleet.deployment
-    window_s = dep.bounds.retry_window_s
+    now = anyio.current_time()
     call.has_reserved_retry = retry_budget.withdraw(
         fwd.budgets[call.service],
-        dep.bounds,
-        entry_roster.count_within(fwd.fleet.roster, dep.vm, now, window_s),
+        fwd.fleet.deployment.bounds,
+        _entries(fwd, now),
         now,
         share,
     )
+    call.reserved_at = now
     return call.has_reserved_retry
 
 
+def _entries(fwd, now):
+    """Return among how many entries the slack of a budget is divided."""
+    dep = fwd.fleet.deployment
+    window_s = dep.bounds.retry_window_s
+    return entry_roster.count_within(fwd.fleet.roster, dep.vm, now, window_s)
+
+
+def log_send(fwd, call, server_id):
+    """Log an attempt beyond the first, and on what its retry was reserved."""
+    if call.attempts_sent < 2:
+        return
+    now, bounds = anyio.current_time(), fwd.fleet.deployment.bounds
+    budget, entries = fwd.budgets[call.service], _entries(fwd, now)
+    retries, requests = retry_budget.usage(budget, bounds, now)
+    metrics.count(fwd.fleet.metrics, "attempts_repeated", service=call.service)
+    eventlog.event(
+        "attempt.repeated",
+        request=call.req.request_id,
+        server=server_id,
+        service=call.service,
+        sends=call.attempts_sent,
+        waited_s=round(now - call.reserved_at, 3),
+        retries=retries,
+        requests=requests,
+        entries=entries,
+        slack=round(retry_budget.slack_part(budget, bounds, entries, now), 2),
+    )
+
+
 def readmit_rejecting(fwd, call):
     """Let a call be sent again to the servers that rejected it, if no other is left.
 
--- a/testing/test_entry_roster.py
+++ b/testing/test_entry_roster.py
@@ -1,7 +1,6 @@
 """Tests of the number of entries among which common limits are divided."""
 
 import anyio
-import attrs
 
 from carobstand import entry_records
 from carobstand.core import entry_roster, retry_budget, weight_sources
@@ -9,8 +8,8 @@
 from carobstand.entry import forwarding, retries, store_items
 from carobstand.platform import kv as store_client
 from carobstand.standin.platform import kv
+from testing import budget_simulation, platform_fleet, virtual_time
 from testing import platform_builders as build
-from testing import platform_fleet, virtual_time
 
 
 def registered(count):
@@ -28,14 +27,6 @@
     store_items.apply_item(fleet, item)
 
 
-@attrs.define
-class Call:
-    """The parts of a call that reserve a retry."""
-
-    service: str = "drafter"
-    has_reserved_retry: bool = False
-
-
 def running(fleet):
     """Return the VMs of the entries that count as running."""
     return set(entry_roster.running(fleet.roster, anyio.current_time()))
@@ -51,7 +42,7 @@
 def allowed_retries(fwd):
     """Return how many retries an entry allows itself now."""
     count = 0
-    while retries.reserve_retry(fwd, Call()):
+    while retries.reserve_retry(fwd, budget_simulation.Call()):
         count += 1
     return count
 
