Count a retry at its send instead of at its reservation

BUDGET: a retry was counted when it was decided, and its request may wait for seconds for a server, a permit or a connection. It then arrives with retries that were reserved later, and was not counted in their window. The reservation counts until the send, so that no window has more than what was allowed at its last reservation.

--- a/src/carobstand/core/retry_budget.py
+++ b/src/carobstand/core/retry_budget.py
@@ -81,6 +81,18 @@
     return True
 
 
+def record_sent(budget, bounds, reserved_at, now):
+    """Count a retry at the time of its send, instead of that of its reservation.
+
+    A request may wait for seconds after its retry was reserved. The servers get it
+    together with retries that are reserved later, and in their window it has to count.
+    """
+    bucket = int(reserved_at / BUCKET_S)
+    if budget.retries.get(bucket):
+        budget.retries[bucket] -= 1
+    _add(budget.retries, now, bounds.retry_window_s)
+
+
 def slack_part(budget, bounds, entries, now):
     """Return the part of the slack that this entry may use in a window."""
     if now - budget.started < bounds.retry_window_s:
--- a/src/carobstand/entry/forwarding.py
+++ b/src/carobstand/entry/forwarding.py
@@ -334,7 +334,7 @@
     call.attempts_sent += 1
     call.runs += 1
     call.sent_at = anyio.current_time()
-    retries.log_send(fwd, call, server.server_id)
+    retries.record_send(fwd, call, server.server_id)
     call.has_reserved_retry = False
     call.has_begun, call.lost, call.reply.unread_s = False, None, 0.0
     poison_parts.record_sent(fwd, call, server)
--- a/src/carobstand/entry/retries.py
+++ b/src/carobstand/entry/retries.py
@@ -69,12 +69,13 @@
     )
 
 
-def log_send(fwd, call, server_id):
-    """Log an attempt beyond the first, and on what its retry was reserved."""
+def record_send(fwd, call, server_id):
+    """Count and log the attempt that is sent now, if it is not the first one."""
     if call.attempts_sent < 2:
         return
     now, bounds = anyio.current_time(), fwd.fleet.deployment.bounds
     budget, entries = fwd.budgets[call.service], _entries(fwd, now)
+    retry_budget.record_sent(budget, bounds, call.reserved_at, now)
     retries, requests = retry_budget.usage(budget, bounds, now)
     metrics.count(fwd.fleet.metrics, "attempts_repeated", service=call.service)
     eventlog.event(
--- a/testing/test_retry_budget.py
+++ b/testing/test_retry_budget.py
@@ -41,6 +41,27 @@
     assert 0 < later <= 100 * retry_budget.SAFETY_FACTOR
 
 
+@pytest.mark.parametrize("wait_s", [0.1, 3.0, 6.0])
+def test_retries_that_wait_before_they_are_sent_stay_within_the_budget(wait_s):
+    """They counted when reserved, and arrived with those of a later window."""
+    bounds = build.bounds(retry_ratio=0.2, retry_slack=100.0, retry_window_s=10.0)
+    budget = retry_budget.Budget(started=-100.0)
+    waiting, sent = [], []
+    for step in range(600):
+        now = step * 0.1
+        # The first ones wait; the later ones are sent at once.
+        delay_s = wait_s if now < wait_s else 0.0
+        while retry_budget.withdraw(budget, bounds, 1, now):
+            waiting.append((now + delay_s, now))
+        due = [item for item in waiting if item[0] <= now]
+        waiting = [item for item in waiting if item[0] > now]
+        for _, reserved_at in due:
+            retry_budget.record_sent(budget, bounds, reserved_at, now)
+            sent.append(now)
+    for start in sent:
+        assert sum(start <= at < start + 10.0 for at in sent) <= 100
+
+
 def test_retries_of_an_older_window_no_longer_count():
     bounds = build.bounds(retry_slack=10.0, retry_window_s=10.0)
     budget = retry_budget.Budget(started=-100.0)
