Take bytes of accepted connections from the kernel only when asked

Clients that do not behave: an entry's memory grew with all that a caller sent while its responses were unread. The streams of the library read as soon as a connection is accepted, and pause only once a receive has waited. Where bytes are always there, it never waits, and the queue takes everything. Accepted connections now have streams of their own, on public interfaces of the library: they read on receive, and a send returns when the kernel has taken all. The kernel's buffers are limited, so that a peer that does not read holds 256 KB there and not megabytes. The port for other processes, of entries and agents, uses them as well, and takes 256 connections at most; the largest deployment needs fewer than 100.

--- a/src/carobstand/agent/piece_sharing.py
+++ b/src/carobstand/agent/piece_sharing.py
@@ -31,7 +31,7 @@
     )
     handle = functools.partial(_serve, view, Sharing())
     async with listener:
-        await listener.serve(lambda stream: piece_server.serve(stream, handle))
+        await piece_server.listen(listener, handle)
 
 
 async def _serve(view, sharing, frames, request):
--- a/src/carobstand/entry/weight_cache.py
+++ b/src/carobstand/entry/weight_cache.py
@@ -118,7 +118,7 @@
     async with listener, anyio.create_task_group() as tg:
         cache.tasks = tg
         handle = functools.partial(_serve, cache)
-        tg.start_soon(listener.serve, lambda stream: piece_server.serve(stream, handle))
+        tg.start_soon(piece_server.listen, listener, handle)
         while True:
             _fetch_named(cache)
             _fetch_served(cache)
--- a/src/carobstand/http1_server.py
+++ b/src/carobstand/http1_server.py
@@ -4,8 +4,6 @@
 that the handler is cancelled as soon as the caller disconnects.
 """
 
-import select
-
 import anyio
 import anyio.abc
 import anyio.lowlevel
@@ -14,6 +12,7 @@
 
 from carobstand import errors, eventlog, http1
 from carobstand.core import byte_budget, deployment, message_bounds
+from carobstand.wire import socket_streams
 
 MAX_READ_AHEAD_BYTES = 262_144
 """Maximum bytes of pipelined requests buffered while a request is handled."""
@@ -52,16 +51,10 @@
 """Maximum time in which a shutdown accepts connections that are established already.
 With 0.5 s, 200 callers of a busy process had some of them reset."""
 
-MAX_ACCEPT_S = 1.0
-"""Maximum time for accepting a connection that was there just before."""
-
 CLOSING_WAIT_S = 0.05
 """Time for which a used connection is still read before a shutdown closes it: a request
 that was sent before its caller could know may be in the buffers of this process."""
 
-ACCEPT_RETRY_DELAY_S = 0.1
-"""Pause after a failed accept, for example when no file descriptor is free."""
-
 BODY_TIMEOUT_S = 30.0
 """Maximum time for a complete body, even if bytes keep arriving slowly."""
 
@@ -310,45 +303,36 @@
     async with anyio.create_task_group() as connections:
         async with multi:
             # A single IP address yields a single listener.
-            listener = multi.listeners[0]
-            raw = listener.extra(anyio.abc.SocketAttribute.raw_socket)
+            raw = multi.listeners[0].extra(anyio.abc.SocketAttribute.raw_socket)
+            socket_streams.limit_buffers(raw)
             with server.accept_scope:
                 while True:
                     # Nothing else notices a cancellation while callers are pending.
                     await anyio.lowlevel.checkpoint_if_cancelled()
-                    if not _is_readable(raw):
+                    if not socket_streams.is_readable(raw):
                         await anyio.wait_readable(raw)
-                    await _accept(listener, server, connections)
+                    await _accept(raw, server, connections)
             closes_at = anyio.current_time() + ACCEPT_PENDING_S
-            while _is_readable(raw) and anyio.current_time() < closes_at:
+            while socket_streams.is_readable(raw) and anyio.current_time() < closes_at:
                 await anyio.lowlevel.checkpoint_if_cancelled()
-                await _accept(listener, server, connections)
+                await _accept(raw, server, connections)
         # The tasks of the last connections start in this iteration of the event loop.
         await anyio.lowlevel.checkpoint()
         server.is_accepting = False
 
 
-async def _accept(listener, server, connections):
-    """Serve the next connection; a failed accept is logged, and followed by a pause.
-
-    Cancelling an accept drops the connection, so it is shielded. It waits only if the
-    caller of the connection has left meanwhile.
-    """
-    with anyio.move_on_after(MAX_ACCEPT_S, shield=True):
-        try:
-            stream = await listener.accept()
-        except OSError as exc:
-            eventlog.event("accept.failed", error=repr(exc))
-            await anyio.sleep(ACCEPT_RETRY_DELAY_S)
-            return
+async def _accept(raw, server, connections):
+    """Serve the next connection; a failed accept is logged, and followed by a pause."""
+    try:
+        stream = socket_streams.accept(raw)
+    except OSError as exc:
+        eventlog.event("accept.failed", error=repr(exc))
+        await anyio.sleep(socket_streams.ACCEPT_RETRY_DELAY_S)
+        return
+    if stream is not None:
         connections.start_soon(serve_connection, server, stream)
-
-
-def _is_readable(raw):
-    """Whether a socket has bytes, or a listening one connections, to be read."""
-    poll = select.poll()
-    poll.register(raw.fileno(), select.POLLIN)
-    return bool(poll.poll(0))
+    # Callers that are pending must not keep the others waiting.
+    await anyio.lowlevel.cancel_shielded_checkpoint()
 
 
 async def serve_connection(server, stream):
--- a/src/carobstand/transfer/piece_server.py
+++ b/src/carobstand/transfer/piece_server.py
@@ -1,9 +1,12 @@
 """Serves pieces of weights to other processes; entries and agents share it."""
 
 import anyio
+import anyio.abc
+import anyio.lowlevel
 
 from carobstand import errors, eventlog, http1
 from carobstand.transfer import piece_stream
+from carobstand.wire import socket_streams
 from carobstand.wire.gen_fleet import ttypes
 
 REQUEST_TIMEOUT_S = 1.5
@@ -13,12 +16,54 @@
 """Maximum pause between two requests on a connection."""
 
 
+MAX_CONNECTIONS = 256
+"""Connections of other processes at a time. All processes of a region may ask the same
+entry at a common start; in the largest deployment these are fewer than 100."""
+
+
+async def listen(multi, handle):
+    """Serve the connections of a listener with `serve` until cancelled.
+
+    Parameters
+    ----------
+    multi : anyio.abc.Listener
+        Of a single address.
+    handle : async callable of (piece_stream.Frames, message)
+    """
+    raw = multi.listeners[0].extra(anyio.abc.SocketAttribute.raw_socket)
+    socket_streams.limit_buffers(raw)
+    streams = set()
+
+    async def serve_counted(stream):
+        streams.add(stream)
+        try:
+            await serve(stream, handle)
+        finally:
+            streams.discard(stream)
+
+    async with anyio.create_task_group() as tg:
+        while True:
+            await anyio.wait_readable(raw)
+            try:
+                stream = socket_streams.accept(raw)
+            except OSError as exc:
+                eventlog.event("accept.failed", error=repr(exc))
+                await anyio.sleep(socket_streams.ACCEPT_RETRY_DELAY_S)
+                continue
+            if stream is not None and len(streams) < MAX_CONNECTIONS:
+                tg.start_soon(serve_counted, stream)
+            elif stream is not None:
+                eventlog.debug("pieces.ended", error="too many connections")
+                await stream.aclose()
+            await anyio.lowlevel.checkpoint()
+
+
 async def serve(stream, handle):
     """Serve one connection with ``handle(frames, request)``, then close it.
 
     Parameters
     ----------
-    stream : anyio.abc.SocketStream
+    stream : anyio.abc.ByteStream
     handle : async callable of (piece_stream.Frames, message)
         Handles the first request; may raise WireError or ConnectionClosedError.
     """
--- a/testing/test_accept_loop.py
+++ b/testing/test_accept_loop.py
@@ -9,12 +9,12 @@
 
 from carobstand import http1_server
 from carobstand.core import deployment
+from carobstand.wire import socket_streams
 from testing import platform_fleet
 
 
-async def refuse(listener):
+def refuse(raw):
     """Fail as `accept` does while no file descriptor is free."""
-    await anyio.lowlevel.checkpoint()
     raise OSError(errno.EMFILE, "no file descriptor is free")
 
 
@@ -25,7 +25,7 @@
 @pytest.mark.parametrize("ends_by", ["cancellation", "shutdown"])
 def test_a_listener_ends_while_no_file_descriptor_is_free(monkeypatch, ends_by):
     """Guards against a process that has to be killed: its accept loop never ended."""
-    monkeypatch.setattr(anyio._backends._asyncio.TCPSocketListener, "accept", refuse)
+    monkeypatch.setattr(socket_streams, "accept", refuse)
     monkeypatch.setattr(http1_server, "ACCEPT_PENDING_S", 0.2)
 
     async def scenario():
