Allow a process that starts a sixtieth of the slack for retries

BUDGET: left only the ratio of its own requests to a process in its first window. Its first requests then were not retried: nine tests of test_bytes_without_end, which send one request to an entry that has just started, got 502 "retry budget is spent". All cases of test_budget_simulation, with up to three starts of each process in a window, and test_bytes_without_end pass.

--- a/src/carobstand/core/retry_budget.py
+++ b/src/carobstand/core/retry_budget.py
@@ -2,7 +2,7 @@
 
 All entries together may retry a share of the requests of a sliding window, plus a
 constant number (the slack). Each entry limits itself to the share of its own requests
-and an equal part of the slack. A process that starts has none of the slack for a whole
+and an equal part of the slack. A process that starts has little of it for a whole
 window: the previous process on its VM, or the entries that divided the slack before,
 may just have used it, and a VM can be restarted several times within a window.
 """
@@ -18,6 +18,11 @@
 entries that are not counted (`entry_roster.UNCOUNTED_PARTS`)."""
 
 
+STARTING_PARTS = 60
+"""Parts into which a process divides the slack in its first window, if it does not know
+more entries: enough to retry its first requests."""
+
+
 @attrs.define(eq=False)
 class Budget:
     """Number of requests and retries of one service, by time bucket.
@@ -96,7 +101,7 @@
 def slack_part(budget, bounds, entries, now):
     """Return the part of the slack that this entry may use in a window."""
     if now - budget.started < bounds.retry_window_s:
-        return 0.0
+        entries = max(entries, STARTING_PARTS)
     return bounds.retry_slack / max(1, entries)
 
 
