Bound what one connection sends ahead

While a request was handled, up to 256 KB of further ones were read, whatever the parser still held from before. With short requests the parser's buffer grew by 32 KB with each response; the memory reserved for it was given back after each. Now at most 16 KB are held, which stay reserved, and the rest waits in the kernel. Whether the caller has left is then asked every 0.1 s.

Each request that is sent ahead takes the event loop as long as one of a caller that waits for its response. After 64 consecutive ones a connection is closed, after a complete response that says so. The end of a response that nobody reads is given up after the idle time-out.

--- a/src/carobstand/http1_server.py
+++ b/src/carobstand/http1_server.py
@@ -4,6 +4,8 @@
 that the handler is cancelled as soon as the caller disconnects.
 """
 
+import contextlib
+
 import anyio
 import anyio.abc
 import anyio.lowlevel
@@ -14,8 +16,17 @@
 from carobstand.core import byte_budget, deployment, message_bounds
 from carobstand.wire import socket_streams
 
-MAX_READ_AHEAD_BYTES = 262_144
-"""Maximum bytes of pipelined requests buffered while a request is handled."""
+READ_AHEAD_BYTES = 16_384
+"""Bytes of pipelined requests up to which more are read while a request is handled. The
+rest stays in the kernel's buffer, and the caller's sends block when that is full."""
+
+CALLER_CHECK_S = 0.1
+"""Interval of checks whether the caller has left while nothing more is read ahead."""
+
+MAX_SENT_AHEAD = 64
+"""Consecutive requests that were sent before the response to the previous one ended,
+after which a connection is closed. Each takes the event loop for as long as a request
+of a caller that waits for its response. Callers that wait send none ahead."""
 
 BODY_READ_TIMEOUT_S = 5.0
 """Maximum wait for the next bytes of a request body."""
@@ -121,6 +132,8 @@
         Of the request being received.
     reserved : int
         Bytes of its request, and of those sent ahead, reserved in `Server.bodies`.
+    sent_ahead : int
+        Consecutive requests that were sent ahead, up to the last one received.
     has_unsent : bool
         Whether the end of the last response may still wait for its caller to read.
     """
@@ -134,6 +147,7 @@
         factory=message_bounds.MessageCounters
     )
     reserved: int = 0
+    sent_ahead: int = 0
     has_unsent: bool = False
 
 
@@ -256,8 +270,10 @@
         headers.append((b"Content-Length", b"%d" % length))
     elif reply.conn.parser.their_http_version == b"1.1":
         headers.append((b"Transfer-Encoding", b"chunked"))
+    conn = reply.conn
     # A request that was received ahead is served before the connection is closed.
-    if reply.conn.server.is_closing and not reply.conn.parser.trailing_data[0]:
+    is_last = conn.server.is_closing and not conn.parser.trailing_data[0]
+    if is_last or conn.sent_ahead >= MAX_SENT_AHEAD:
         headers.append((b"Connection", b"close"))
     return reply.conn.parser.send(h11.Response(status_code=status, headers=headers))
 
@@ -278,9 +294,9 @@
     """
     now = anyio.current_time()
     is_late = anyio.current_effective_deadline() <= now
-    with anyio.CancelScope(shield=is_late) as scope:
-        if is_late:
-            scope.deadline = now + LATE_SEND_S
+    # A caller that reads nothing must not hold its connection for good.
+    max_s = LATE_SEND_S if is_late else conn.server.limits().idle_timeout_s
+    with anyio.CancelScope(shield=is_late, deadline=now + max_s):
         conn.has_unsent = True
         await _send(conn, raw)
         conn.has_unsent = False
@@ -347,12 +363,16 @@
         while await _serve_one(conn):
             conn.responses_sent += 1
             parser.start_next_cycle()
+        if conn.sent_ahead >= MAX_SENT_AHEAD:
+            eventlog.debug("connection.ended", error="too many requests sent ahead")
+            await _linger(conn)
     except _CONNECTION_ERRORS as exc:
         eventlog.debug("connection.ended", error=repr(exc))
     except Exception as exc:
         eventlog.failure("connection.failed", exc)
     finally:
         server.connections.discard(conn)
+        _release(conn)
         await anyio.aclose_forcefully(stream)
 
 
@@ -363,11 +383,8 @@
         if event is None:
             return False
         received_at = anyio.current_time()
-        try:
-            return await _serve_request(conn, event, received_at)
-        finally:
-            byte_budget.release(conn.server.bodies, conn.reserved)
-            conn.reserved = 0
+        is_reusable = await _serve_request(conn, event, received_at)
+        return is_reusable and _keep_reserved(conn)
     except NoMemoryError as exc:
         await _reject(conn, 503, exc.message, MEMORY_RETRY_AFTER_S)
     except h11.RemoteProtocolError as exc:
@@ -449,19 +466,20 @@
 
 
 async def _read_ahead(conn, scope):
-    """Buffer pipelined requests.
-
-    Cancels `scope` if the caller disconnects or sends `MAX_READ_AHEAD_BYTES` or more.
-    """
-    size = 0
+    """Buffer some pipelined requests; cancel `scope` if the caller disconnects."""
     try:
-        while size < MAX_READ_AHEAD_BYTES:
-            data = await conn.stream.receive(http1.READ_BYTES)
-            conn.parser.receive_data(data)
-            size += len(data)
-            while not _reserve(conn, len(data)):
-                await anyio.sleep(MEMORY_CHECK_S)
-        reason = "sends too much ahead"
+        while True:
+            left = READ_AHEAD_BYTES - len(conn.parser.trailing_data[0])
+            if left > 0:
+                data = await conn.stream.receive(left)
+                conn.parser.receive_data(data)
+                while not _reserve(conn, len(data)):
+                    await anyio.sleep(MEMORY_CHECK_S)
+            elif http1.has_peer_ended(conn.stream):
+                reason = "closed"
+                break
+            else:
+                await anyio.sleep(CALLER_CHECK_S)
     except anyio.EndOfStream:
         reason = "closed"
     except _CONNECTION_ERRORS as exc:
@@ -478,7 +496,9 @@
     limits = conn.server.limits()
     message_bounds.reset(conn.message_counters)
     event = conn.parser.next_event()
-    if event is h11.NEED_DATA and not conn.parser.trailing_data[0]:
+    is_idle = event is h11.NEED_DATA and not conn.parser.trailing_data[0]
+    conn.sent_ahead = 0 if is_idle else conn.sent_ahead + 1
+    if is_idle:
         is_last_wait = conn.server.is_closing and conn.responses_sent
         wait_s = CLOSING_WAIT_S if is_last_wait else limits.idle_timeout_s
         with anyio.move_on_after(wait_s) as conn.idle_scope:
@@ -519,6 +539,17 @@
                 return b"".join(parts)
 
 
+def _keep_reserved(conn):
+    """Keep memory reserved for what was read ahead; return False if there is none."""
+    _release(conn)
+    return _reserve(conn, len(conn.parser.trailing_data[0]))
+
+
+def _release(conn):
+    byte_budget.release(conn.server.bodies, conn.reserved)
+    conn.reserved = 0
+
+
 def _reserve(conn, size):
     """Reserve memory until the end of the request; return False if there is none."""
     if not byte_budget.reserve(conn.server.bodies, size):
@@ -558,6 +589,12 @@
     raw += conn.parser.send(h11.EndOfMessage())
     with anyio.move_on_after(LINGER_TIMEOUT_S):
         await conn.stream.send(raw)
+        await _linger(conn)
+
+
+async def _linger(conn):
+    """End the responses, and read the rest of what was sent for a while."""
+    with anyio.move_on_after(LINGER_TIMEOUT_S), contextlib.suppress(anyio.EndOfStream):
         await conn.stream.send_eof()
         for _ in range(MAX_LINGER_READS):
             await conn.stream.receive(http1.READ_BYTES)
