Bound the connections of callers by the descriptors of the VM

Clients that do not behave: connections on which nothing is sent took all descriptors of an entry, and no request was answered beside 400 of them with 300 descriptors. Callers now have half of the descriptors that the settings name: 767 on the smallest VM, where some hundred callers are expected. Beyond that, an idle connection is closed for each new one, those without a request first, then the one that is idle for longest; if none is idle, the new one is closed. The readiness address takes 32 connections. connections.full tells when that happens.

--- a/src/carobstand/core/deployment.py
+++ b/src/carobstand/core/deployment.py
@@ -87,6 +87,8 @@
         Shortest lease time that the store grants.
     memory_bytes : int
         Memory of this VM that each process may use.
+    max_descriptors : int
+        File descriptors that each process may use, 0 if not known.
     link_bytes_per_s : float
         Bandwidth of the VM's link in each direction.
     is_first_start : bool
@@ -108,6 +110,7 @@
     heartbeat_s: float = 1.2
     min_lease_s: float = 1.0
     memory_bytes: int = 0
+    max_descriptors: int = 0
     link_bytes_per_s: float = 0.0
     is_first_start: bool = False
     bounds: Bounds = attrs.field(factory=Bounds)
--- a/src/carobstand/entry/ingress.py
+++ b/src/carobstand/entry/ingress.py
@@ -29,6 +29,11 @@
 DEFAULT_DEADLINE_S = 30.0
 """Deadline of a request whose caller sets none."""
 
+CALLER_DESCRIPTOR_SHARE = 0.5
+"""Share of the descriptors of a process for connections of callers. The smallest VM has
+1,535, so 767 callers, of whom there are some hundred. The rest is left for files,
+backend servers and other processes."""
+
 RESPONSE_LATENCY_S = 0.03
 """Time reserved for the network latency of the response to the caller."""
 
@@ -54,7 +59,13 @@
     async def handle(request, reply):
         await _handle(fwd, request, reply)
 
-    return http1_server.Server(limits, handle, bodies=fwd.bodies)
+    descriptors = fwd.fleet.deployment.max_descriptors
+    return http1_server.Server(
+        limits,
+        handle,
+        bodies=fwd.bodies,
+        max_connections=int(descriptors * CALLER_DESCRIPTOR_SHARE) or None,
+    )
 
 
 async def _handle(fwd, request, reply):
--- a/src/carobstand/entry/readiness.py
+++ b/src/carobstand/entry/readiness.py
@@ -8,6 +8,10 @@
 METRICS_TARGET = b"/metrics"
 """Target at which the metrics of the process are read, as text."""
 
+MAX_CONNECTIONS = 32
+"""Connections at a time. The platform checks once a second, and reads the metrics every
+5 s while an incident is examined."""
+
 TEXT_HEADERS = [(b"Content-Type", b"text/plain; version=0.0.4")]
 
 
@@ -34,4 +38,6 @@
         status = 200 if good else 503
         await http1_server.respond(reply, status, [])
 
-    return http1_server.Server(http1_server.Limits, handle)
+    return http1_server.Server(
+        http1_server.Limits, handle, max_connections=MAX_CONNECTIONS
+    )
--- a/src/carobstand/http1_server.py
+++ b/src/carobstand/http1_server.py
@@ -5,6 +5,7 @@
 """
 
 import contextlib
+import math
 
 import anyio
 import anyio.abc
@@ -66,6 +67,9 @@
 """Time for which a used connection is still read before a shutdown closes it: a request
 that was sent before its caller could know may be in the buffers of this process."""
 
+FULL_LOG_INTERVAL_S = 1.0
+"""Shortest time between two log lines about too many connections."""
+
 BODY_TIMEOUT_S = 30.0
 """Maximum time for a complete body, even if bytes keep arriving slowly."""
 
@@ -105,11 +109,17 @@
         Stops accepting connections; a refused connection loses no request.
     bodies : core.byte_budget.ByteBudget
         Memory for the bodies of requests.
+    max_connections : int or None
+        Open connections from which an idle one is closed for each new one.
+    full_logged_at : float
+        Time at which it was last logged that there are so many.
     """
 
     limits: object
     handle: object
     bodies: byte_budget.ByteBudget = attrs.field(factory=byte_budget.ByteBudget)
+    max_connections: int | None = None
+    full_logged_at: float = -math.inf
     is_closing: bool = False
     is_accepting: bool = False
     connections: set = attrs.field(factory=set)
@@ -127,6 +137,8 @@
     parser : h11.Connection
     idle_scope : anyio.CancelScope or None
         Set while waiting for another request; its deadline closes the connection.
+    idle_since : float
+        Time at which the last wait for a request began.
     responses_sent : int
     message_counters : core.message_bounds.MessageCounters
         Of the request being received.
@@ -142,6 +154,7 @@
     stream: object
     parser: h11.Connection
     idle_scope: object = None
+    idle_since: float = 0.0
     responses_sent: int = 0
     message_counters: message_bounds.MessageCounters = attrs.field(
         factory=message_bounds.MessageCounters
@@ -345,12 +358,39 @@
         eventlog.event("accept.failed", error=repr(exc))
         await anyio.sleep(socket_streams.ACCEPT_RETRY_DELAY_S)
         return
-    if stream is not None:
+    if stream is not None and _make_room(server):
         connections.start_soon(serve_connection, server, stream)
+    elif stream is not None:
+        await stream.aclose()
     # Callers that are pending must not keep the others waiting.
     await anyio.lowlevel.cancel_shielded_checkpoint()
 
 
+def _make_room(server):
+    """Close an idle connection if there are too many; return False if none is idle.
+
+    Connections without a request so far go first, then those that are idle for longest.
+    """
+    if server.max_connections is None:
+        return True
+    if len(server.connections) < server.max_connections:
+        return True
+    now = anyio.current_time()
+    idle = [
+        conn
+        for conn in server.connections
+        if conn.idle_scope is not None and not conn.idle_scope.cancel_called
+    ]
+    if now - server.full_logged_at >= FULL_LOG_INTERVAL_S:
+        server.full_logged_at = now
+        eventlog.event("connections.full", open=len(server.connections), idle=len(idle))
+    if not idle:
+        return False
+    oldest = min(idle, key=lambda conn: (conn.responses_sent > 0, conn.idle_since))
+    oldest.idle_scope.cancel()
+    return True
+
+
 async def serve_connection(server, stream):
     """Serve the requests of one connection until it is closed."""
     parser = h11.Connection(
@@ -501,6 +541,7 @@
     if is_idle:
         is_last_wait = conn.server.is_closing and conn.responses_sent
         wait_s = CLOSING_WAIT_S if is_last_wait else limits.idle_timeout_s
+        conn.idle_since = anyio.current_time()
         with anyio.move_on_after(wait_s) as conn.idle_scope:
             await _receive(conn)
         timed_out = conn.idle_scope.cancelled_caught
--- a/src/carobstand/platform/settings_file.py
+++ b/src/carobstand/platform/settings_file.py
@@ -62,6 +62,7 @@
         heartbeat_s=record.seconds("heartbeat_interval_ms", 1200),
         min_lease_s=store.seconds("min_ttl_ms", 1000),
         memory_bytes=int(limits.number("memory_mb", 0) * 1_000_000),
+        max_descriptors=int(limits.number("file_descriptors", 0)),
         link_bytes_per_s=limits.number("link_mbps", 0) * 1e6 / 8,
         is_first_start=record.flag("bootstrap"),
         bounds=_bounds(record.record("bounds")),
