--- a/src/carobstand/entry/fleet.py
+++ b/src/carobstand/entry/fleet.py
@@ -324,7 +324,7 @@
         detected_s = bounds.contact_s - REREAD_S
         max_wait_s = min(WATCH_WAIT_S, detected_s - kv.WATCH_SLACK_S)
     left_s = CONFIRM_SHARE * max_age_s - age_s
-    return min(max_wait_s, max(CONFIRM_WAIT_S, left_s))
+    return max(CONFIRM_WAIT_S, min(max_wait_s, left_s))
 
 
 def _reader(fleet):
--- a/src/carobstand/entry/retries.py
+++ b/src/carobstand/entry/retries.py
@@ -48,7 +48,7 @@
     call.has_reserved_retry = retry_budget.withdraw(
         fwd.budgets[call.service],
         fwd.fleet.deployment.bounds,
-        _entries(fwd, now),
+        _slack_parts(fwd, now),
         now,
         share,
     )
@@ -56,7 +56,7 @@
     return call.has_reserved_retry
 
 
-def _entries(fwd, now):
+def _slack_parts(fwd, now):
     """Return into how many parts the slack of a budget is divided."""
     fleet, dep = fwd.fleet, fwd.fleet.deployment
     confirmed_at = fleet.confirmed_at
@@ -74,7 +74,7 @@
     if call.attempts_sent < 2:
         return
     now, bounds = anyio.current_time(), fwd.fleet.deployment.bounds
-    budget, entries = fwd.budgets[call.service], _entries(fwd, now)
+    budget, entries = fwd.budgets[call.service], _slack_parts(fwd, now)
     retry_budget.record_sent(budget, bounds, call.reserved_at, now)
     retries, requests = retry_budget.usage(budget, bounds, now)
     metrics.count(fwd.fleet.metrics, "attempts_repeated", service=call.service)
