Forget when former entries were first listed

BUDGET: the times of first listing were kept for each VM that ever had a record, for replaced ones without end. test_entry_roster and test_budget_simulation pass.

--- a/src/carobstand/core/entry_roster.py
+++ b/src/carobstand/core/entry_roster.py
@@ -137,7 +137,7 @@
     )
     _forget_former(roster, oldest, window_s)
     known = {*roster.entries, *roster.removed_at}
-    is_counted = is_known and roster.listed_at[own_vm] <= oldest
+    is_counted = is_known and roster.listed_at.get(own_vm, now) <= oldest
     if is_counted and is_in_touch:
         return len(known)
     return max(UNCOUNTED_PARTS, UNCOUNTED_FACTOR * len(known))
@@ -154,3 +154,5 @@
         if at > oldest - (window_s if vm in roster.doubtful else 0.0)
     }
     roster.doubtful &= roster.removed_at.keys()
+    known = {*roster.entries, *roster.removed_at}
+    roster.listed_at = {vm: at for vm, at in roster.listed_at.items() if vm in known}
