Count only requests that arrive before the response's end as sent ahead

Clients that do not behave: a caller that waits for each response could have its next request read before the handler of the last one had ended, and count as sending ahead; 64 such requests in a row close a connection. Now only bytes count that have arrived before the end of the response is sent. New tests: a connection with 256 requests, each after the response to the last, stays open; one with 128 requests sent at once ends with a complete response that announces it. 65 tests of test_pipelined_responses, test_unread_floods, test_entry_roster, test_budget_simulation and test_planned_stops pass.

--- a/src/carobstand/http1_server.py
+++ b/src/carobstand/http1_server.py
@@ -25,9 +25,9 @@
 """Interval of checks whether the caller has left while nothing more is read ahead."""
 
 MAX_SENT_AHEAD = 64
-"""Consecutive requests that were sent before the response to the previous one ended,
-after which a connection is closed. Each takes the event loop for as long as a request
-of a caller that waits for its response. Callers that wait send none ahead."""
+"""Consecutive responses before whose end further requests had arrived, after which a
+connection is closed. Each request takes the event loop for as long as one of a caller
+that waits for its response. Callers that wait send none ahead."""
 
 BODY_READ_TIMEOUT_S = 5.0
 """Maximum wait for the next bytes of a request body."""
@@ -145,7 +145,7 @@
     reserved : int
         Bytes of its request, and of those sent ahead, reserved in `Server.bodies`.
     sent_ahead : int
-        Consecutive requests that were sent ahead, up to the last one received.
+        Consecutive responses before whose end further requests had arrived.
     has_unsent : bool
         Whether the end of the last response may still wait for its caller to read.
     """
@@ -262,6 +262,7 @@
     """Send the end of the response body."""
     tail = reply.conn.parser.send(h11.EndOfMessage())
     reply.finished = True
+    _count_sent_ahead(reply.conn)
     if tail:
         await _send_end(reply.conn, tail)
 
@@ -269,6 +270,7 @@
 async def respond(reply, status, headers, body=b""):
     """Send a complete response."""
     reply.started = reply.finished = True
+    _count_sent_ahead(reply.conn)
     parser = reply.conn.parser
     raw = _head(reply, status, headers, len(body))
     if body:
@@ -277,6 +279,14 @@
     await _send_end(reply.conn, raw)
 
 
+def _count_sent_ahead(conn):
+    """Count whether bytes have come before the end of a response is sent.
+
+    Only these were certainly sent ahead; what comes later may be a reply to it.
+    """
+    conn.sent_ahead = conn.sent_ahead + 1 if conn.parser.trailing_data[0] else 0
+
+
 def _head(reply, status, headers, length):
     headers = list(headers)
     if length is not None:
@@ -536,9 +546,7 @@
     limits = conn.server.limits()
     message_bounds.reset(conn.message_counters)
     event = conn.parser.next_event()
-    is_idle = event is h11.NEED_DATA and not conn.parser.trailing_data[0]
-    conn.sent_ahead = 0 if is_idle else conn.sent_ahead + 1
-    if is_idle:
+    if event is h11.NEED_DATA and not conn.parser.trailing_data[0]:
         is_last_wait = conn.server.is_closing and conn.responses_sent
         wait_s = CLOSING_WAIT_S if is_last_wait else limits.idle_timeout_s
         conn.idle_since = anyio.current_time()
--- a/testing/test_pipelined_responses.py
+++ b/testing/test_pipelined_responses.py
@@ -5,7 +5,7 @@
 
 import anyio
 
-from carobstand import http1_server
+from carobstand import http1, http1_server
 from carobstand.core import deployment
 from testing import platform_fleet
 
@@ -66,3 +66,40 @@
         assert bodies == [b"", b"", b"/2", b"/3"]
 
     platform_fleet.run(scenario)
+
+
+def test_a_caller_that_waits_for_each_response_keeps_its_connection():
+    """Guards against taking fast callers for ones that send many requests ahead."""
+
+    async def scenario():
+        async with platform_fleet.deployed() as fleet:
+            entry = fleet.entries["entry-1"].deployment
+            conn = await http1.connect(entry.ingress_address, 1.0)
+            for _ in range(4 * http1_server.MAX_SENT_AHEAD):
+                await platform_fleet.send_request_on(conn, fleet, "/none/x")
+                assert http1.prepare_for_reuse(conn) and http1.is_usable(conn)
+            await http1.close(conn)
+
+    platform_fleet.run(scenario)
+
+
+def test_a_connection_with_many_requests_sent_ahead_ends_after_a_whole_response():
+    """Guards against lost responses, as unread requests reset the connection."""
+    request = b"GET /none/x HTTP/1.1\r\nHost: one.example\r\n\r\n"
+
+    async def scenario():
+        async with platform_fleet.deployed() as fleet:
+            entry = fleet.entries["entry-1"].deployment
+            count = 2 * http1_server.MAX_SENT_AHEAD
+            raw = await platform_fleet.raw_exchange(
+                entry.ingress_address, request * count, wait_s=3.0
+            )
+            heads = raw.count(b"HTTP/1.1 ")
+            assert http1_server.MAX_SENT_AHEAD <= heads < count
+            last = raw[raw.rindex(b"HTTP/1.1 ") :]
+            assert b"connection: close" in last.lower()
+            head, _, body = last.partition(b"\r\n\r\n")
+            length = int(head.lower().partition(b"content-length: ")[2].split()[0])
+            assert len(body) == length
+
+    platform_fleet.run(scenario)
