Close connections for new ones in the order in which they wait

Clients that do not behave: two faults in the bound of connections. With connections that each have sent a part of a head or of a request, nothing was idle, and new callers were turned away until the header time-out. And the newest idle connection was closed first if it was the only idle one: a caller that had just connected; bytes that arrived at that moment kept it open uncounted, until the descriptors were used up (accept.failed).

Those that wait for over 0.5 s for the rest of a request may be closed as well now, and of those without a response so far the one that waits for longest goes first. A connection that is to be closed is not kept by bytes that arrive then.

--- a/src/carobstand/http1_server.py
+++ b/src/carobstand/http1_server.py
@@ -67,6 +67,10 @@
 """Time for which a used connection is still read before a shutdown closes it: a request
 that was sent before its caller could know may be in the buffers of this process."""
 
+SLOW_REQUEST_S = 0.5
+"""Time for the rest of a request after which its connection may be closed for another
+one. Ordinary requests arrive within some round trips."""
+
 FULL_LOG_INTERVAL_S = 1.0
 """Shortest time between two log lines about too many connections."""
 
@@ -110,7 +114,8 @@
     bodies : core.byte_budget.ByteBudget
         Memory for the bodies of requests.
     max_connections : int or None
-        Open connections from which an idle one is closed for each new one.
+        Open connections from which one that waits for a request, or for long for the
+        rest of one, is closed for each new one.
     full_logged_at : float
         Time at which it was last logged that there are so many.
     """
@@ -137,8 +142,12 @@
     parser : h11.Connection
     idle_scope : anyio.CancelScope or None
         Set while waiting for another request; its deadline closes the connection.
-    idle_since : float
-        Time at which the last wait for a request began.
+    receive_scope : anyio.CancelScope or None
+        Set while the rest of a request is received; cancelling it ends the connection.
+    waits_since : float
+        Time at which the last wait for a request, or for its rest, began.
+    is_evicted : bool
+        Whether it is being closed for a new connection.
     responses_sent : int
     message_counters : core.message_bounds.MessageCounters
         Of the request being received.
@@ -154,7 +163,9 @@
     stream: object
     parser: h11.Connection
     idle_scope: object = None
-    idle_since: float = 0.0
+    receive_scope: object = None
+    waits_since: float = 0.0
+    is_evicted: bool = False
     responses_sent: int = 0
     message_counters: message_bounds.MessageCounters = attrs.field(
         factory=message_bounds.MessageCounters
@@ -377,30 +388,39 @@
 
 
 def _make_room(server):
-    """Close an idle connection if there are too many; return False if none is idle.
+    """Close a connection if there are too many; return False if none can be closed.
 
-    Connections without a request so far go first, then those that are idle for longest.
+    Connections without a whole request so far go first, of these the one that waits for
+    longest, so that a caller that has just connected has time to send its request.
     """
     if server.max_connections is None:
         return True
     if len(server.connections) < server.max_connections:
         return True
     now = anyio.current_time()
-    idle = [
-        conn
-        for conn in server.connections
-        if conn.idle_scope is not None and not conn.idle_scope.cancel_called
-    ]
+    waiting = [conn for conn in server.connections if _may_be_closed(conn, now)]
     if now - server.full_logged_at >= FULL_LOG_INTERVAL_S:
         server.full_logged_at = now
-        eventlog.event("connections.full", open=len(server.connections), idle=len(idle))
-    if not idle:
+        eventlog.event(
+            "connections.full", open=len(server.connections), waiting=len(waiting)
+        )
+    if not waiting:
         return False
-    oldest = min(idle, key=lambda conn: (conn.responses_sent > 0, conn.idle_since))
-    oldest.idle_scope.cancel()
+    # Without a request so far, or with a part of one, before those that are kept.
+    first = min(waiting, key=lambda conn: (conn.responses_sent > 0, conn.waits_since))
+    first.is_evicted = True
+    (first.idle_scope or first.receive_scope).cancel()
     return True
 
 
+def _may_be_closed(conn, now):
+    """Whether a connection waits for a request, or too long for the rest of one."""
+    if conn.is_evicted:
+        return False
+    is_slow = now - conn.waits_since >= SLOW_REQUEST_S
+    return conn.idle_scope is not None or (conn.receive_scope is not None and is_slow)
+
+
 async def serve_connection(server, stream):
     """Serve the requests of one connection until it is closed."""
     parser = h11.Connection(
@@ -440,7 +460,8 @@
     except h11.RemoteProtocolError as exc:
         await _reject(conn, exc.error_status_hint, str(exc))
     except TimeoutError:
-        await _reject(conn, 408, "the request did not arrive in time")
+        if not conn.is_evicted:
+            await _reject(conn, 408, "the request did not arrive in time")
     return False
 
 
@@ -549,26 +570,40 @@
     if event is h11.NEED_DATA and not conn.parser.trailing_data[0]:
         is_last_wait = conn.server.is_closing and conn.responses_sent
         wait_s = CLOSING_WAIT_S if is_last_wait else limits.idle_timeout_s
-        conn.idle_since = anyio.current_time()
+        conn.waits_since = anyio.current_time()
         with anyio.move_on_after(wait_s) as conn.idle_scope:
             await _receive(conn)
         timed_out = conn.idle_scope.cancelled_caught
         conn.idle_scope = None
-        if timed_out:
+        # Bytes that arrive at that moment do not keep a connection to be closed.
+        if timed_out or conn.is_evicted:
             return None
         event = conn.parser.next_event()
-    with anyio.fail_after(limits.header_timeout_s):
+    with _receiving(conn, limits.header_timeout_s):
         while event is h11.NEED_DATA:
             await _receive(conn)
             event = conn.parser.next_event()
     return event if type(event) is h11.Request else None
 
 
+@contextlib.contextmanager
+def _receiving(conn, timeout_s):
+    """Return a context that raises TimeoutError at its end, or if it is cancelled."""
+    conn.waits_since = anyio.current_time()
+    try:
+        with anyio.fail_after(timeout_s) as conn.receive_scope:
+            yield
+        if conn.is_evicted:
+            raise TimeoutError
+    finally:
+        conn.receive_scope = None
+
+
 async def _read_body(conn):
     """Return the complete body, or None if it exceeds the limit."""
     max_bytes = conn.server.limits().max_body_bytes
     parts, size = [], 0
-    with anyio.fail_after(BODY_TIMEOUT_S):
+    with _receiving(conn, BODY_TIMEOUT_S):
         while True:
             event = conn.parser.next_event()
             if event is h11.NEED_DATA:
--- a/testing/flooding.py
+++ b/testing/flooding.py
@@ -44,6 +44,18 @@
     return None
 
 
+async def hold(address, count, sent):
+    """Have callers send the same bytes once and wait; return the `Crowd`."""
+    crowd = Crowd()
+    for _ in range(count):
+        raw = await connect(address)
+        if raw is not None:
+            crowd.sockets.append(raw)
+            with contextlib.suppress(OSError):
+                raw.send(sent)
+    return crowd
+
+
 async def flood(address, count, message):
     """Have callers send a message again and again; return the `Crowd`, still open."""
     crowd = Crowd()
--- a/testing/test_unread_floods.py
+++ b/testing/test_unread_floods.py
@@ -3,6 +3,7 @@
 Guards against an entry that runs out of memory or descriptors because of them.
 """
 
+import anyio
 import pytest
 
 from carobstand.wire import fleet_codec
@@ -17,17 +18,17 @@
 BODY = b"x" * 1000
 
 
-def request(path, *headers, body=b""):
+def request(path, *headers, body=b"", length=None):
     """Return a request without the headers that callers usually send."""
     lines = [f"POST {path} HTTP/1.1", "Host: one.example", *headers]
-    lines.append(f"Content-Length: {len(body)}")
+    lines.append(f"Content-Length: {len(body) if length is None else length}")
     return "\r\n".join([*lines, "", ""]).encode() + body
 
 
-def full_request():
-    """Return a request with all headers that callers usually send."""
+def full_request(length=0):
+    """Return a request with all headers that callers usually send, without its body."""
     headers = ("Request-Id: r", "Deadline-Ms: 3000", "Api-Key: k1")
-    return request("/q/x", *headers)
+    return request("/q/x", *headers, length=length)
 
 
 FLOODS = {
@@ -95,11 +96,13 @@
     check_afterwards(tmp_path, send_crowd)
 
 
-def test_a_request_is_answered_beside_callers_that_hold_idle_connections(tmp_path):
-    """All descriptors were taken by connections on which nothing was sent."""
+def check_beside_held_connections(tmp_path, sent, wait_s):
+    """Check that a request is answered beside callers that hold connections."""
 
     async def scenario():
         async with platform_fleet.deployed(0) as fleet:
+            limits = {**fleet.configuration["limits"], "header_timeout_ms": 20_000}
+            platform_fleet.configure(fleet, limits=limits)
             await platform_fleet.add_engine(fleet, "i-1", "desk")
             async with entry_processes.started(
                 fleet, ["entry-1"], tmp_path, LIMITS
@@ -107,13 +110,29 @@
                 process = processes["entry-1"]
                 address = fleet.entries["entry-1"].deployment.ingress_address
                 await platform_fleet.until_usable(fleet, "i-1", "/q/x")
-                held = [await flooding.connect(address) for _ in range(IDLE_CALLERS)]
+                held = await flooding.hold(address, IDLE_CALLERS, sent)
+                await anyio.sleep(wait_s)
                 answer = await platform_fleet.send_request(fleet, "/q/x")
                 assert answer.status == 200
                 assert process.poll() is None
                 assert flooding.open_descriptors(process) <= LIMITS.file_descriptors
-                for raw in held:
-                    if raw is not None:
-                        raw.close()
+                held.close()
 
     platform_fleet.run(scenario, timeout_s=60.0)
+
+
+def test_a_request_is_answered_beside_callers_that_hold_idle_connections(tmp_path):
+    """All descriptors were taken by connections on which nothing was sent."""
+    check_beside_held_connections(tmp_path, b"", 0.0)
+
+
+@pytest.mark.parametrize(
+    "sent",
+    [b"POST /q/x HTTP/1.1\r\n", full_request(length=10)],
+    ids=["part-of-a-head", "no-body"],
+)
+def test_a_request_is_answered_beside_callers_that_never_complete_theirs(
+    tmp_path, sent
+):
+    """New connections were closed while all others waited for the rest of a request."""
+    check_beside_held_connections(tmp_path, sent, 1.0)
