Let a test of failed accepts fail the accept that is in use

Clients that do not behave: test_a_failed_accept_does_not_stop_the_listener replaced the library's accept, which accepted connections no longer pass through since, and failed at its count of failures. It now replaces socket_streams.accept with the same three failures and the same checks.

--- a/testing/test_field_faults.py
+++ b/testing/test_field_faults.py
@@ -10,6 +10,7 @@
 from carobstand.core import deployment, engine_report, named_versions, registry, routes
 from carobstand.entry import forwarding, weight_cache, weight_fetching
 from carobstand.standin.platform import engine, kv
+from carobstand.wire import socket_streams
 from testing import platform_builders as build
 from testing import platform_fleet as fleets
 
@@ -201,19 +202,17 @@
 
 
 def test_a_failed_accept_does_not_stop_the_listener(monkeypatch):
-    from anyio._backends import _asyncio
-
-    accept = _asyncio.TCPSocketListener.accept
+    accept = socket_streams.accept
     failures_left = [3]
 
-    async def fail(listener):
+    def fail(raw):
         if failures_left[0]:
             failures_left[0] -= 1
             raise OSError(24, "Too many open files")
-        return await accept(listener)
+        return accept(raw)
 
     async def check(fleet):
-        monkeypatch.setattr(_asyncio.TCPSocketListener, "accept", fail)
+        monkeypatch.setattr(socket_streams, "accept", fail)
         for _ in range(4):
             assert (await fleets.send_request(fleet, "/o/x")).status == 200
         assert failures_left == [0]
