Let the replay of weights serve through the listener of pieces

Clients that do not behave: the replay simulates listeners by their serve method, and processes accept on the socket since. The replay now stands in for piece_server.listen, with the same simulated listener; no check is changed, and the four tests pass.

--- a/bench/weight_replay.py
+++ b/bench/weight_replay.py
@@ -33,6 +33,7 @@
 from carobstand.entry import datagrams, weight_cache
 from carobstand.entry import fleet as fleets
 from carobstand.platform import engine_client, weights_origin
+from carobstand.transfer import piece_server
 from carobstand.wire import fleet_codec
 from testing import virtual_time
 
@@ -357,6 +358,9 @@
     async def in_coroutine(value):
         return value
 
+    async def listen(listener, handle):
+        await listener.serve(lambda stream: piece_server.serve(stream, handle))
+
     async def read_peers(view, stage):
         stage.peers = [f"{host}:80" for host in replay.engines]
 
@@ -372,6 +376,7 @@
             "create_udp_socket",
             lambda local_host: in_coroutine(Datagrams(replay)),
         ),
+        mock.patch.object(piece_server, "listen", listen),
         mock.patch.object(http1, "set_tcp_timeouts", lambda stream: None),
         mock.patch.object(
             weights_origin,
